Add the shared core and the decisions

The decisions are pure state machines: settings tree, quota loans, fair queue, routing, retries, suspects, order claims, leases, ledgers, placement, membership. No tests yet.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,66 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+import tseslint from 'typescript-eslint';
+
+/** Decisions are pure: time and randomness are passed in, and all I/O happens in the tasks. */
+const decisionRules = {
+  'no-restricted-globals': [
+    'error',
+    'setTimeout',
+    'setInterval',
+    'setImmediate',
+    'performance',
+    'process',
+    'fetch',
+  ],
+  'no-restricted-properties': [
+    'error',
+    { object: 'Date', property: 'now' },
+    { object: 'Math', property: 'random' },
+  ],
+  'no-restricted-imports': [
+    'error',
+    {
+      patterns: [
+        { group: ['**/entry/**', '**/standins/**', '**/lab/**', '**/cli/**'] },
+        { group: ['node:*', '!node:crypto'] },
+      ],
+    },
+  ],
+};
+
+export default tseslint.config(
+  { ignores: ['dist/**', 'node_modules/**', 'reports/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.base.typescript,
+  prettier,
+  {
+    languageOptions: { parserOptions: { projectService: { allowDefaultProject: ['eslint.config.js'] } } },
+    rules: {
+      // House style: named exports throughout, imported as namespaces.
+      'import-x/prefer-default-export': 'off',
+      'import-x/no-namespace': 'off',
+      'import-x/extensions': 'off',
+      'import-x/no-rename-default': 'off',
+      // Tasks hold polling loops and state that methods of one interface need not all touch.
+      'no-await-in-loop': 'off',
+      'class-methods-use-this': 'off',
+      'max-classes-per-file': 'off',
+      'no-void': ['error', { allowAsStatement: true }],
+      'no-underscore-dangle': 'off',
+      'no-continue': 'off',
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/method-signature-style': ['error', 'method'],
+    },
+  },
+  { files: ['src/decisions/**/*.ts'], rules: decisionRules },
+  {
+    files: ['src/cli/**/*.ts', 'src/lab/**/*.ts', 'scripts/**/*.ts'],
+    rules: { 'no-console': 'off' },
+  },
+  { files: ['test/**/*.ts', 'scripts/**/*.ts', '*.ts', '*.js'], rules: { 'import-x/no-extraneous-dependencies': 'off' } },
+);
--- /dev/null
+++ b/src/core/errors/errors-data.ts
@@ -0,0 +1,144 @@
+/** Every error of the product. */
+import type { ErrorDefinition } from './types.js';
+
+export const MissingKey: ErrorDefinition = {
+  name: 'MissingKey',
+  title: 'No key was sent.',
+  status: 401,
+  message: () => 'The request carries no key.',
+  hint: 'Send the key as "Authorization: Bearer KEY".',
+};
+export const KeyRefused: ErrorDefinition = {
+  name: 'KeyRefused',
+  title: 'The key is not valid.',
+  status: 401,
+  message: () => 'The key is unknown or was withdrawn.',
+  hint: 'Ask the operator for a new key.',
+};
+export const KeyInQuery: ErrorDefinition = {
+  name: 'KeyInQuery',
+  title: 'A key was sent in the query.',
+  status: 400,
+  message: () => 'Keys are not accepted in the query, where logs may record them.',
+  hint: 'Send the key as "Authorization: Bearer KEY" and replace the exposed key.',
+};
+export const UnknownModel: ErrorDefinition = {
+  name: 'UnknownModel',
+  title: 'The model is not known.',
+  status: 404,
+  message: (detail) => `No model or adapter is named "${detail}".`,
+  hint: 'GET /v1/models lists the names.',
+};
+export const UnknownRoute: ErrorDefinition = {
+  name: 'UnknownRoute',
+  title: 'Nothing is served here.',
+  status: 404,
+  message: (detail) => `No route or service answers "${detail}".`,
+  hint: 'Services are under /services/NAME/ and models under /v1/.',
+};
+export const BadRequest: ErrorDefinition = {
+  name: 'BadRequest',
+  title: 'The request cannot be read.',
+  status: 400,
+  message: (detail) => detail,
+  hint: 'Send a JSON body as docs/PROTOCOLS.md describes it.',
+};
+export const BodyTooLarge: ErrorDefinition = {
+  name: 'BodyTooLarge',
+  title: 'The body is too large.',
+  status: 413,
+  message: (detail) => `The body is larger than ${detail} bytes.`,
+  hint: 'Shorten the prompt or split the request.',
+};
+export const RateExceeded: ErrorDefinition = {
+  name: 'RateExceeded',
+  title: 'The customer is over its rate.',
+  status: 429,
+  message: (detail) => `The request needs ${detail} tokens, more than the rate allows in time.`,
+  hint: 'Ask again after the time in Retry-After.',
+};
+export const NoCapacity: ErrorDefinition = {
+  name: 'NoCapacity',
+  title: 'No capacity in time.',
+  status: 503,
+  message: (detail) => `The request cannot be served before its deadline: ${detail}.`,
+  hint: 'Ask again after the time in Retry-After.',
+};
+export const BackendFailed: ErrorDefinition = {
+  name: 'BackendFailed',
+  title: 'The backend server failed.',
+  status: 502,
+  message: (detail) => `The backend server did not give a whole answer: ${detail}.`,
+  hint: 'An idempotent request may be sent again.',
+};
+export const RequestSuspected: ErrorDefinition = {
+  name: 'RequestSuspected',
+  title: 'The request is held to crash backend servers.',
+  status: 422,
+  message: () => 'Backend servers died while they ran this request; it is refused for a while.',
+  hint: 'Change the request, or report it to the operator.',
+};
+export const ClaimInProgress: ErrorDefinition = {
+  name: 'ClaimInProgress',
+  title: 'The first request with this Idempotency-Key is still running.',
+  status: 409,
+  message: () => 'A request with the same Idempotency-Key is in progress; this one was not run.',
+  hint: 'Ask again after the time in Retry-After to get the outcome.',
+};
+export const OutcomeUnknown: ErrorDefinition = {
+  name: 'OutcomeUnknown',
+  title: 'The outcome of the first request is not known.',
+  status: 409,
+  message: () =>
+    'A request with the same Idempotency-Key was forwarded, but its outcome was not recorded; this one was not run.',
+  hint: 'Check with the service before ordering under a new Idempotency-Key.',
+};
+export const ClaimMismatch: ErrorDefinition = {
+  name: 'ClaimMismatch',
+  title: 'The Idempotency-Key was used for another request.',
+  status: 422,
+  message: () => 'The Idempotency-Key belongs to a request with another method, path or body.',
+  hint: 'Use a new Idempotency-Key for each order.',
+};
+export const PlatformDown: ErrorDefinition = {
+  name: 'PlatformDown',
+  title: 'The platform does not answer.',
+  status: 503,
+  message: (detail) => `The platform's object API could not be used: ${detail}.`,
+  hint: 'Ask again after the time in Retry-After.',
+};
+export const Leaving: ErrorDefinition = {
+  name: 'Leaving',
+  title: 'This entry VM is leaving.',
+  status: 503,
+  message: () => 'The entry VM stops and takes no new work.',
+  hint: 'Ask again; the balancer chooses another entry VM.',
+};
+export const Conflict: ErrorDefinition = {
+  name: 'Conflict',
+  title: 'Somebody else edited the same node.',
+  status: 409,
+  message: (detail) => `The node "${detail}" changed since it was read.`,
+  hint: 'Read the node again and repeat the edit.',
+};
+export const InvalidSettings: ErrorDefinition = {
+  name: 'InvalidSettings',
+  title: 'The settings are not valid.',
+  status: 400,
+  message: (detail) => detail,
+  hint: 'docs/SETTINGS.md lists every setting.',
+};
+export const BadFrame: ErrorDefinition = {
+  name: 'BadFrame',
+  title: 'A peer sent a frame that cannot be read.',
+  status: 400,
+  message: (detail) => detail,
+  hint: 'Check that both entry VMs run versions that talk to each other.',
+};
+export const Internal: ErrorDefinition = {
+  name: 'Internal',
+  title: 'An error inside the entry VM.',
+  status: 500,
+  message: (detail) => detail,
+  hint: 'Report it together with the request id.',
+};
--- /dev/null
+++ b/src/core/logger/index.ts
@@ -0,0 +1,43 @@
+/** Logging as JSON lines. The logger is passed in, never global. */
+import { Logger as TsLogger } from 'tslog';
+
+/** Fields of a log line. */
+export type LogFields = Readonly<Record<string, unknown>>;
+
+/** A labelled logger. */
+export interface Logger {
+  debug(event: string, fields?: LogFields): void;
+  info(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  error(event: string, fields?: LogFields): void;
+  /** A logger for a part of the program. */
+  child(label: string): Logger;
+}
+
+const LEVELS = { debug: 2, info: 3, warn: 4, error: 5, silent: 7 } as const;
+export type LogLevel = keyof typeof LEVELS;
+
+function wrap(logger: TsLogger<unknown>, label: string): Logger {
+  const write =
+    (level: 'debug' | 'info' | 'warn' | 'error') =>
+    (event: string, fields: LogFields = {}): void => {
+      logger[level]({ label, event, ...fields });
+    };
+  return {
+    debug: write('debug'),
+    info: write('info'),
+    warn: write('warn'),
+    error: write('error'),
+    child: (part) => wrap(logger, `${label}.${part}`),
+  };
+}
+
+/** Creates the logger of a process; lines go to standard output. */
+export function createLogger(label: string, level: LogLevel): Logger {
+  const logger = new TsLogger<unknown>({
+    type: 'json',
+    minLevel: LEVELS[level],
+    hideLogPositionForProduction: true,
+  });
+  return wrap(logger, label);
+}
--- /dev/null
+++ b/src/decisions/catalog/index.ts
@@ -0,0 +1,110 @@
+/** Compiles a revision of the settings tree for the request path. */
+import * as settingsTree from '../settings-tree/index.js';
+import type { Backend, Catalog, Customer, PlainService, Target } from './types.js';
+
+export type * from './types.js';
+
+/** The customer that stands for callers of open routes. */
+export const OPEN_CUSTOMER = 'open';
+
+interface NodeAt {
+  readonly path: string;
+  readonly segments: readonly string[];
+}
+
+function compileTarget(tree: settingsTree.Tree, { path, segments }: NodeAt): Target {
+  const values = { ...settingsTree.DEFAULT_VALUES, ...settingsTree.resolve(tree, path) };
+  const isAdapter = segments.length === 6;
+  const modelPath = `/${segments.slice(0, 4).join('/')}`;
+  return {
+    name: segments.at(-1) ?? '',
+    service: segments[1] ?? '',
+    model: segments[3] ?? '',
+    adapter: isAdapter ? (segments[5] ?? null) : null,
+    modelMb: tree.nodes.get(modelPath)?.bytesMb ?? 0,
+    adapterMb: isAdapter ? (values.bytesMb ?? 0) : 0,
+    class: values.class,
+    deadlineMs: values.deadlineMs,
+    maxTokens: values.maxTokens,
+    keepWarmMs: values.keepWarmMs,
+    retryRatio: values.retryRatio,
+    open: values.open,
+  };
+}
+
+function compileCustomer(tree: settingsTree.Tree, { path, segments }: NodeAt): Customer {
+  const values = { ...settingsTree.DEFAULT_VALUES, ...settingsTree.resolve(tree, path) };
+  const { ratePerS, burst, weight } = values;
+  return { name: segments[1] ?? '', ratePerS, burst, weight };
+}
+
+function compileBackend(tree: settingsTree.Tree, { path, segments }: NodeAt): Backend {
+  const values = { ...settingsTree.DEFAULT_VALUES, ...settingsTree.resolve(tree, path) };
+  return {
+    id: segments[2] ?? '',
+    kind: values.kind ?? 'model',
+    dataCentre: values.dataCentre ?? '',
+    address: values.address ?? '',
+    service: values.service ?? '',
+    memoryMb: values.memoryMb ?? 0,
+    fencing: values.fencing,
+    slots: values.slots,
+    leaving: values.state === settingsTree.BackendState.leaving,
+  };
+}
+
+function compileService(tree: settingsTree.Tree, { path, segments }: NodeAt): PlainService {
+  const values = { ...settingsTree.DEFAULT_VALUES, ...settingsTree.resolve(tree, path) };
+  return { name: segments[1] ?? '', open: values.open, deadlineMs: values.deadlineMs };
+}
+
+function byName<T>(items: readonly T[], nameOf: (item: T) => string): ReadonlyMap<string, T> {
+  return new Map(items.map((item) => [nameOf(item), item]));
+}
+
+/** Compiles `tree`, which must be free of faults. */
+export function compile(tree: settingsTree.Tree): Catalog {
+  const nodes = [...tree.nodes.keys()].map((path) => ({
+    path,
+    segments: settingsTree.segmentsOf(path),
+  }));
+  const inSection = (section: string, length: number) =>
+    nodes.filter(({ segments }) => segments[0] === section && segments.length === length);
+  const targets = [...inSection('services', 4), ...inSection('services', 6)];
+  const customers = inSection('customers', 2).map((node) => compileCustomer(tree, node));
+  const open = compileCustomer(tree, {
+    path: '/customers',
+    segments: ['customers', OPEN_CUSTOMER],
+  });
+  const keys = inSection('customers', 4).map(({ path, segments }): [string, string] => [
+    tree.nodes.get(path)?.sha256 ?? '',
+    segments[1] ?? '',
+  ]);
+  const plain = inSection('services', 2).filter(
+    ({ path }) => tree.nodes.get(path)?.kind === 'plain',
+  );
+  return {
+    revision: tree.revision,
+    targets: byName(
+      targets.map((node) => compileTarget(tree, node)),
+      (target) => target.name,
+    ),
+    customers: byName([open, ...customers], (customer) => customer.name),
+    customerByKey: new Map(keys),
+    backends: byName(
+      inSection('backends', 3).map((node) => compileBackend(tree, node)),
+      (backend) => backend.id,
+    ),
+    services: byName(
+      plain.map((node) => compileService(tree, node)),
+      (service) => service.name,
+    ),
+    dataCentres: tree.nodes.get('/')?.dataCentres ?? [],
+  };
+}
+
+/** The customer whose key this is. Only the digest is compared, and only the digest is kept. */
+export function customerOfKey(catalog: Catalog, key: string): Customer | null {
+  const name = catalog.customerByKey.get(settingsTree.sha256(key));
+  return name === undefined ? null : (catalog.customers.get(name) ?? null);
+}
--- /dev/null
+++ b/src/decisions/leases/index.ts
@@ -0,0 +1,192 @@
+/**
+ * Holds or waits for a lease that is kept by conditional updates.
+ *
+ * The holder counts the lease from before it sent the renewing call. Others count from when they
+ * last saw the version change, plus a margin; so the lease lapses for its holder first.
+ */
+import {
+  type Lease,
+  type LeaseEffect,
+  LeaseEffectType,
+  type LeaseEvent,
+  LeaseEventType,
+  type LeaseSettings,
+} from './types.js';
+
+export * from './types.js';
+
+/** The lease is renewed when this part of it has passed. */
+const RENEW_AFTER = 1 / 3;
+/** Others look at the lease this often, as a part of its duration. */
+const WATCH_EVERY = 1 / 2;
+
+interface PendingWrite {
+  readonly lease: Lease;
+  readonly sentAtMs: number;
+}
+
+export class LeaseKeeper {
+  private version = 0;
+
+  private seen: Lease | null = null;
+
+  /** When the version was last seen to change. */
+  private changedAtMs = 0;
+
+  /** End of the lease that this entry VM holds; 0 while it holds none. */
+  private heldUntilMs = 0;
+
+  private heldEpoch = 0;
+
+  private pending: PendingWrite | null = null;
+
+  private reading = false;
+
+  private nextCallAtMs = 0;
+
+  private stopping = false;
+
+  constructor(private readonly cfg: LeaseSettings) {}
+
+  /** Whether the lease is held at this very moment; asked again in the step that sends an order. */
+  holds(nowMs: number): boolean {
+    return nowMs < this.heldUntilMs;
+  }
+
+  /** The fencing number, while the lease is held. */
+  get epoch(): number {
+    return this.heldEpoch;
+  }
+
+  /** Entry VM that holds the lease, as last seen. */
+  get holder(): string | null {
+    return this.seen?.holder ?? null;
+  }
+
+  handle(nowMs: number, event: LeaseEvent): readonly LeaseEffect[] {
+    const lost = this.dropLapsed(nowMs);
+    return [...lost, ...this.step(nowMs, event)];
+  }
+
+  private step(nowMs: number, event: LeaseEvent): readonly LeaseEffect[] {
+    switch (event.type) {
+      case LeaseEventType.tick:
+        return this.tick(nowMs);
+      case LeaseEventType.read:
+        this.reading = false;
+        return this.noteRead(nowMs, event.lease, event.version);
+      case LeaseEventType.readFailed:
+        this.reading = false;
+        return [];
+      case LeaseEventType.written:
+        return this.noteWritten(nowMs, event.version);
+      case LeaseEventType.conflict:
+        this.pending = null;
+        return [...this.drop(), ...this.read(nowMs)];
+      case LeaseEventType.writeUnknown:
+        return this.read(nowMs);
+      case LeaseEventType.release:
+        return this.release(nowMs);
+      default:
+        return [];
+    }
+  }
+
+  private tick(nowMs: number): readonly LeaseEffect[] {
+    if (nowMs < this.nextCallAtMs || this.reading) return [];
+    if (this.pending !== null) return this.read(nowMs);
+    if (this.holds(nowMs)) return this.write(nowMs, this.heldEpoch);
+    return this.read(nowMs);
+  }
+
+  private read(nowMs: number): readonly LeaseEffect[] {
+    this.reading = true;
+    this.nextCallAtMs = nowMs + this.cfg.durationMs * WATCH_EVERY;
+    return [{ type: LeaseEffectType.read }];
+  }
+
+  private write(nowMs: number, epoch: number): readonly LeaseEffect[] {
+    const renewal = (this.seen?.renewal ?? 0) + 1;
+    const { self: holder, durationMs } = this.cfg;
+    const lease: Lease = { holder, epoch, durationMs, renewal };
+    this.pending = { lease, sentAtMs: nowMs };
+    this.nextCallAtMs = nowMs + durationMs * RENEW_AFTER;
+    return [{ type: LeaseEffectType.write, lease, version: this.version }];
+  }
+
+  private noteRead(nowMs: number, lease: Lease | null, version: number): readonly LeaseEffect[] {
+    if (version !== this.version || this.seen === null) this.changedAtMs = nowMs;
+    this.version = version;
+    this.seen = lease;
+    const { pending } = this;
+    this.pending = null;
+    if (pending !== null && lease !== null && this.isOwn(lease, pending.lease)) {
+      return this.hold(nowMs, pending);
+    }
+    if (lease !== null && lease.holder === this.cfg.self && lease.epoch === this.heldEpoch)
+      return [];
+    return [...this.drop(), ...this.takeIfFree(nowMs, lease)];
+  }
+
+  private isOwn(lease: Lease, written: Lease): boolean {
+    return (
+      lease.holder === written.holder &&
+      lease.epoch === written.epoch &&
+      lease.renewal === written.renewal
+    );
+  }
+
+  private takeIfFree(nowMs: number, lease: Lease | null): readonly LeaseEffect[] {
+    if (this.stopping) return [];
+    if (lease === null || lease.holder === null) return this.write(nowMs, (lease?.epoch ?? 0) + 1);
+    const freeAtMs = this.changedAtMs + lease.durationMs + this.cfg.marginMs;
+    if (nowMs < freeAtMs) {
+      this.nextCallAtMs = Math.min(this.nextCallAtMs, freeAtMs);
+      return [];
+    }
+    return this.write(nowMs, lease.epoch + 1);
+  }
+
+  private noteWritten(nowMs: number, version: number): readonly LeaseEffect[] {
+    const { pending } = this;
+    if (pending === null) return [];
+    this.pending = null;
+    this.version = version;
+    this.seen = pending.lease;
+    this.changedAtMs = nowMs;
+    return this.hold(nowMs, pending);
+  }
+
+  private hold(nowMs: number, { lease, sentAtMs }: PendingWrite): readonly LeaseEffect[] {
+    if (lease.holder !== this.cfg.self) return [];
+    const isNew = this.heldEpoch !== lease.epoch || !this.holds(nowMs);
+    this.heldUntilMs = sentAtMs + lease.durationMs;
+    this.heldEpoch = lease.epoch;
+    return isNew && this.holds(nowMs)
+      ? [{ type: LeaseEffectType.acquired, epoch: lease.epoch }]
+      : [];
+  }
+
+  private dropLapsed(nowMs: number): readonly LeaseEffect[] {
+    return this.heldUntilMs > 0 && !this.holds(nowMs) ? this.drop() : [];
+  }
+
+  private drop(): readonly LeaseEffect[] {
+    if (this.heldUntilMs === 0) return [];
+    this.heldUntilMs = 0;
+    this.heldEpoch = 0;
+    return [{ type: LeaseEffectType.lost }];
+  }
+
+  private release(nowMs: number): readonly LeaseEffect[] {
+    this.stopping = true;
+    if (!this.holds(nowMs) || this.pending !== null) return this.drop();
+    const lease: Lease = {
+      holder: null,
+      epoch: this.heldEpoch,
+      durationMs: this.cfg.durationMs,
+      renewal: (this.seen?.renewal ?? 0) + 1,
+    };
+    return [...this.drop(), { type: LeaseEffectType.write, lease, version: this.version }];
+  }
+}
--- /dev/null
+++ b/src/decisions/leases/types.ts
@@ -0,0 +1,57 @@
+/** The lease of a data centre's steward. */
+import { z } from 'zod';
+
+export const leaseSchema = z.object({
+  /** Entry VM that holds the lease; null after a planned hand-over. */
+  holder: z.string().nullable(),
+  /** Fencing number; rises on each change of holder. */
+  epoch: z.int(),
+  durationMs: z.number(),
+  /** Tells a renewal apart from the one before, so that a lost answer can be resolved. */
+  renewal: z.int(),
+});
+export type Lease = z.infer<typeof leaseSchema>;
+
+export const LeaseEventType = {
+  tick: 'tick',
+  read: 'read',
+  readFailed: 'read-failed',
+  written: 'written',
+  conflict: 'conflict',
+  writeUnknown: 'write-unknown',
+  release: 'release',
+} as const;
+
+export type LeaseEvent =
+  | { readonly type: typeof LeaseEventType.tick }
+  | {
+      readonly type: typeof LeaseEventType.read;
+      readonly lease: Lease | null;
+      readonly version: number;
+    }
+  | { readonly type: typeof LeaseEventType.readFailed }
+  | { readonly type: typeof LeaseEventType.written; readonly version: number }
+  | { readonly type: typeof LeaseEventType.conflict }
+  | { readonly type: typeof LeaseEventType.writeUnknown }
+  /** Gives the lease up, for a planned stop. */
+  | { readonly type: typeof LeaseEventType.release };
+
+export const LeaseEffectType = {
+  read: 'read',
+  write: 'write',
+  acquired: 'acquired',
+  lost: 'lost',
+} as const;
+
+export type LeaseEffect =
+  | { readonly type: typeof LeaseEffectType.read }
+  | { readonly type: typeof LeaseEffectType.write; readonly lease: Lease; readonly version: number }
+  | { readonly type: typeof LeaseEffectType.acquired; readonly epoch: number }
+  | { readonly type: typeof LeaseEffectType.lost };
+
+export interface LeaseSettings {
+  readonly self: string;
+  readonly durationMs: number;
+  /** Wait beyond the duration before a takeover. */
+  readonly marginMs: number;
+}
--- /dev/null
+++ b/src/decisions/membership/index.ts
@@ -0,0 +1,73 @@
+/** Which entry VMs are alive, by the heartbeats heard from them. */
+
+/** What an entry VM says of itself in each heartbeat. */
+export interface MemberState {
+  readonly vm: string;
+  readonly dataCentre: string;
+  /** Address of its peer listener. */
+  readonly address: string;
+  /** Tells a restarted process from the one before. */
+  readonly incarnation: number;
+  /** Revision of the settings tree that it has applied. */
+  readonly revision: number;
+  readonly leaving: boolean;
+  /** Fencing number of its steward lease; 0 while it is not the steward. */
+  readonly stewardEpoch: number;
+}
+
+/** A member that is silent for longer is not counted on. */
+export const ALIVE_MS = 1_500;
+/** A member that is silent for longer is forgotten. */
+export const FORGET_MS = 60_000;
+
+interface Record {
+  readonly state: MemberState;
+  readonly heardAtMs: number;
+}
+
+export class Membership {
+  private readonly records = new Map<string, Record>();
+
+  constructor(private readonly self: string) {}
+
+  heard(nowMs: number, state: MemberState): void {
+    if (state.vm === this.self) return;
+    const known = this.records.get(state.vm);
+    if (known !== undefined && known.state.incarnation > state.incarnation) return;
+    this.records.set(state.vm, { state, heardAtMs: nowMs });
+  }
+
+  /** Notes that a member's connection ended after it said goodbye. */
+  left(vm: string): void {
+    this.records.delete(vm);
+  }
+
+  /** Members heard of lately, ordered by name. */
+  alive(nowMs: number): readonly MemberState[] {
+    this.forget(nowMs);
+    return [...this.records.values()]
+      .filter(({ heardAtMs }) => nowMs - heardAtMs < ALIVE_MS)
+      .map(({ state }) => state)
+      .sort((a, b) => (a.vm < b.vm ? -1 : 1));
+  }
+
+  aliveIn(nowMs: number, dataCentre: string): readonly MemberState[] {
+    return this.alive(nowMs).filter((state) => state.dataCentre === dataCentre);
+  }
+
+  /** The steward of a data centre: of several that claim it, the one with the latest epoch. */
+  stewardOf(nowMs: number, dataCentre: string): MemberState | null {
+    return this.aliveIn(nowMs, dataCentre)
+      .filter((state) => state.stewardEpoch > 0)
+      .reduce<MemberState | null>(
+        (best, state) => (best === null || state.stewardEpoch > best.stewardEpoch ? state : best),
+        null,
+      );
+  }
+
+  private forget(nowMs: number): void {
+    this.records.forEach(({ heardAtMs }, vm) => {
+      if (nowMs - heardAtMs > FORGET_MS) this.records.delete(vm);
+    });
+  }
+}
--- /dev/null
+++ b/src/decisions/orders/types.ts
@@ -0,0 +1,98 @@
+/** Claims on non-idempotent requests, kept in the platform's object API. */
+import { z } from 'zod';
+import type { Failure, Ran } from '../../core/errors/index.js';
+
+export const ClaimState = {
+  /** Claimed and forwarded, or about to be. */
+  claimed: 'claimed',
+  /** The outcome is recorded. */
+  done: 'done',
+  /** Forwarded, and the answer was lost. */
+  unknown: 'unknown',
+  /** Proven not run; may be claimed anew. */
+  released: 'released',
+} as const;
+
+const responseSchema = z.object({
+  status: z.int(),
+  contentType: z.string(),
+  /** Body in base64. */
+  body: z.string(),
+});
+
+export const claimSchema = z.object({
+  state: z.enum(['claimed', 'done', 'unknown', 'released']),
+  /** Names the one attempt that may forward the request. */
+  attempt: z.string(),
+  /** Digest of method, path and body. */
+  digest: z.string(),
+  claimedAtMs: z.number(),
+  response: responseSchema.nullable(),
+});
+
+/** The object of one Idempotency-Key. Times are wall-clock milliseconds. */
+export type Claim = z.infer<typeof claimSchema>;
+/** A backend server's whole answer, as it is replayed. */
+export type RecordedResponse = z.infer<typeof responseSchema>;
+
+export const ClaimEventType = {
+  started: 'started',
+  written: 'written',
+  writeConflict: 'write-conflict',
+  writeUnknown: 'write-unknown',
+  read: 'read',
+  readFailed: 'read-failed',
+  answered: 'answered',
+  provenNotRun: 'proven-not-run',
+  answerLost: 'answer-lost',
+} as const;
+
+/** What happened to the claim or to the forwarded request. */
+export type ClaimEvent =
+  | { readonly type: typeof ClaimEventType.started }
+  /** The claim was written; `version` is its version now. */
+  | { readonly type: typeof ClaimEventType.written; readonly version: number }
+  | { readonly type: typeof ClaimEventType.writeConflict }
+  /** The platform gave no answer: the write may have taken effect. */
+  | { readonly type: typeof ClaimEventType.writeUnknown }
+  | {
+      readonly type: typeof ClaimEventType.read;
+      readonly claim: Claim | null;
+      readonly version: number;
+    }
+  | { readonly type: typeof ClaimEventType.readFailed }
+  | { readonly type: typeof ClaimEventType.answered; readonly response: RecordedResponse }
+  | { readonly type: typeof ClaimEventType.provenNotRun; readonly failure: Failure }
+  | { readonly type: typeof ClaimEventType.answerLost; readonly failure: Failure };
+
+export const ClaimEffectType = {
+  write: 'write',
+  read: 'read',
+  forward: 'forward',
+  record: 'record',
+  reply: 'reply',
+  refuse: 'refuse',
+} as const;
+
+export type ClaimEffect =
+  /** Writes the claim where the object has `version`; 0 creates it. */
+  | { readonly type: typeof ClaimEffectType.write; readonly claim: Claim; readonly version: number }
+  | { readonly type: typeof ClaimEffectType.read }
+  | { readonly type: typeof ClaimEffectType.forward }
+  /** Records an outcome, again and again until the platform takes it. */
+  | {
+      readonly type: typeof ClaimEffectType.record;
+      readonly claim: Claim;
+      readonly version: number;
+    }
+  | {
+      readonly type: typeof ClaimEffectType.reply;
+      readonly response: RecordedResponse;
+      readonly replayed: boolean;
+    }
+  | {
+      readonly type: typeof ClaimEffectType.refuse;
+      readonly failure: Failure;
+      readonly ran: Ran;
+      readonly retryAfterMs: number;
+    };
--- /dev/null
+++ b/src/decisions/quota/customer-borrower.ts
@@ -0,0 +1,191 @@
+/** The waiting requests of one customer on one entry VM, and its search for tokens to admit them. */
+import { Demand } from './demand.js';
+import { LOAN_TTL_MS, type QuotaGiver } from './giver.js';
+import { HeldLoan } from './held-loan.js';
+import {
+  type Giver,
+  type Givers,
+  type Grant,
+  type QuotaEffect,
+  QuotaEffectType,
+  type QuotaRequest,
+} from './types.js';
+
+const ASK_TIMEOUT_MS = 100;
+const SHORTEST_PAUSE_MS = 20;
+const LONGEST_PAUSE_MS = 250;
+/** Demand ahead of time that an ask covers beyond the waiting requests. */
+const PREFETCH_MS = 250;
+/** Tokens/s below which a customer counts as idle and its loans go back. */
+const IDLE_DEMAND_PER_S = 1;
+
+/** How far the search has come. */
+const Stage = { idle: 'idle', local: 'local', wide: 'wide', pausing: 'pausing' } as const;
+type Stage = (typeof Stage)[keyof typeof Stage];
+
+interface PendingAsk {
+  readonly to: Giver;
+  readonly sentAtMs: number;
+}
+
+/** What a borrower needs to know of its surroundings at each step. */
+export interface BorrowContext {
+  readonly nowMs: number;
+  readonly givers: Givers;
+  /** The customer's rate over the fleet, tokens/s. */
+  readonly ratePerS: number;
+  /** Gives each ask of this entry VM its own id. */
+  nextAskId(): number;
+}
+
+export class CustomerBorrower {
+  private waiting: QuotaRequest[] = [];
+
+  private loans: HeldLoan[] = [];
+
+  private readonly asks = new Map<number, PendingAsk>();
+
+  private stage: Stage = Stage.idle;
+
+  private resumeAtMs = 0;
+
+  private readonly demand: Demand;
+
+  constructor(
+    private readonly customer: string,
+    private readonly floor: QuotaGiver,
+    nowMs: number,
+  ) {
+    this.demand = new Demand(nowMs);
+  }
+
+  get waitingCount(): number {
+    return this.waiting.length;
+  }
+
+  request(ctx: BorrowContext, req: QuotaRequest): readonly QuotaEffect[] {
+    this.demand.note(ctx.nowMs, req.tokens);
+    this.waiting.push(req);
+    return this.advance(ctx);
+  }
+
+  cancel(requestId: string): void {
+    this.waiting = this.waiting.filter((req) => req.requestId !== requestId);
+  }
+
+  grant(ctx: BorrowContext, grant: Grant): readonly QuotaEffect[] {
+    const ask = this.asks.get(grant.askId);
+    if (ask === undefined) return [];
+    this.asks.delete(grant.askId);
+    const expiresAtMs = ask.sentAtMs + LOAN_TTL_MS;
+    if (grant.tokens > 0 && expiresAtMs > ctx.nowMs) {
+      this.loans.push(new HeldLoan(ask.to, grant.loanId, grant.tokens, expiresAtMs));
+    }
+    return this.advance(ctx);
+  }
+
+  tick(ctx: BorrowContext): readonly QuotaEffect[] {
+    this.asks.forEach((ask, askId) => {
+      if (ctx.nowMs - ask.sentAtMs >= ASK_TIMEOUT_MS) this.asks.delete(askId);
+    });
+    const idle = this.waiting.length === 0 && this.demand.perSecond(ctx.nowMs) < IDLE_DEMAND_PER_S;
+    return [...this.advance(ctx), ...this.settle(ctx.nowMs, idle)];
+  }
+
+  /** Reports spending; returns loans that are about to expire, or all of them. */
+  settle(nowMs: number, returnAll: boolean): readonly QuotaEffect[] {
+    const effects = this.loans.flatMap((loan): QuotaEffect[] => {
+      const settlement = loan.settle(nowMs, returnAll);
+      if (settlement === null) return [];
+      const { from: to, loanId } = loan;
+      const { customer } = this;
+      return [{ type: QuotaEffectType.settle, to, customer, loanId, ...settlement }];
+    });
+    this.loans = this.loans.filter((loan) => !loan.isOver());
+    return effects;
+  }
+
+  private available(nowMs: number): number {
+    const borrowed = this.loans.reduce((sum, loan) => sum + loan.available(nowMs), 0);
+    return borrowed + this.floor.available(nowMs, this.customer);
+  }
+
+  private spend(nowMs: number, tokens: number): boolean {
+    if (this.available(nowMs) < tokens) return false;
+    const missing = this.loans.reduce((left, loan) => left - loan.spend(nowMs, left), tokens);
+    return missing <= 0 || this.floor.spend(nowMs, this.customer, missing);
+  }
+
+  private missing(nowMs: number): number {
+    const needed = this.waiting.reduce((sum, req) => sum + req.tokens, 0);
+    return Math.max(0, needed - this.available(nowMs));
+  }
+
+  private advance(ctx: BorrowContext): readonly QuotaEffect[] {
+    const settled = [...this.admitWaiting(ctx.nowMs), ...this.refuseHopeless(ctx)];
+    if (this.waiting.length > 0) return [...settled, ...this.search(ctx)];
+    if (this.asks.size === 0) this.stage = Stage.idle;
+    return settled;
+  }
+
+  private admitWaiting(nowMs: number): readonly QuotaEffect[] {
+    const firstBlocked = this.waiting.findIndex((req) => !this.spend(nowMs, req.tokens));
+    const count = firstBlocked < 0 ? this.waiting.length : firstBlocked;
+    const admitted = this.waiting.slice(0, count);
+    this.waiting = this.waiting.slice(count);
+    return admitted.map(({ requestId }) => ({ type: QuotaEffectType.admit, requestId }));
+  }
+
+  /** Refuses what the rate can no longer admit in time, counting what waits before it. */
+  private refuseHopeless({ nowMs, ratePerS }: BorrowContext): readonly QuotaEffect[] {
+    const held = this.available(nowMs);
+    const searched = this.stage === Stage.pausing;
+    const kept: QuotaRequest[] = [];
+    let ahead = 0;
+    const refused = this.waiting.flatMap((req): QuotaEffect[] => {
+      const missing = Math.max(0, ahead + req.tokens - held);
+      const waitMs = (missing / ratePerS) * 1000;
+      const late = nowMs >= req.deadlineAtMs || (searched && nowMs + waitMs > req.deadlineAtMs);
+      if (!late) {
+        kept.push(req);
+        ahead += req.tokens;
+        return [];
+      }
+      const retryAfterMs = Math.ceil(waitMs);
+      return [{ type: QuotaEffectType.refuse, requestId: req.requestId, retryAfterMs }];
+    });
+    this.waiting = kept;
+    return refused;
+  }
+
+  private search(ctx: BorrowContext): readonly QuotaEffect[] {
+    if (this.asks.size > 0) return [];
+    const { local, others } = ctx.givers;
+    if (this.stage === Stage.idle || this.stage === Stage.pausing) {
+      if (this.stage === Stage.pausing && ctx.nowMs < this.resumeAtMs) return [];
+      this.stage = Stage.local;
+      if (local !== null) return [this.ask(ctx, local, PREFETCH_MS)];
+    }
+    if (this.stage === Stage.local) {
+      this.stage = Stage.wide;
+      if (others.length > 0) return others.map((giver) => this.ask(ctx, giver, 0));
+    }
+    return this.pause(ctx);
+  }
+
+  private pause(ctx: BorrowContext): readonly QuotaEffect[] {
+    const refillMs = Math.ceil((this.missing(ctx.nowMs) / ctx.ratePerS) * 1000);
+    const pauseMs = Math.min(LONGEST_PAUSE_MS, Math.max(SHORTEST_PAUSE_MS, refillMs));
+    this.stage = Stage.pausing;
+    this.resumeAtMs = ctx.nowMs + pauseMs;
+    return this.refuseHopeless(ctx);
+  }
+
+  private ask(ctx: BorrowContext, to: Giver, prefetchMs: number): QuotaEffect {
+    const ahead = (this.demand.perSecond(ctx.nowMs) * prefetchMs) / 1000;
+    const tokens = Math.ceil(this.missing(ctx.nowMs) + ahead);
+    const askId = ctx.nextAskId();
+    this.asks.set(askId, { to, sentAtMs: ctx.nowMs });
+    return { type: QuotaEffectType.ask, to, askId, customer: this.customer, tokens };
+  }
+}
--- /dev/null
+++ b/src/decisions/settings-tree/chunks.ts
@@ -0,0 +1,56 @@
+/** Splits a tree into chunks named by their content, so that an edit rewrites only what it touches. */
+import { createHash } from 'node:crypto';
+import { Result } from 'true-myth';
+import * as errors from '../../core/errors/index.js';
+import { nodeSchema, type NodeValues, type Tree, type TreeChunk } from './types.js';
+
+const BUCKETS_PER_SECTION = 16;
+
+/** SHA-256 of `text` in hexadecimal. */
+export function sha256(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+/** The chunk that holds the node at `path`. */
+export function chunkNameOf(path: string): string {
+  const section = path.split('/')[1] ?? '';
+  if (section === '') return 'root';
+  const bucket = parseInt(sha256(path).slice(0, 4), 16) % BUCKETS_PER_SECTION;
+  return `${section}-${bucket}`;
+}
+
+/** All chunks of `nodes`, ordered by name. */
+export function toChunks(nodes: Tree['nodes']): readonly TreeChunk[] {
+  const groups = new Map<string, [string, NodeValues][]>();
+  [...nodes]
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .forEach(([path, values]) => {
+      const name = chunkNameOf(path);
+      groups.set(name, [...(groups.get(name) ?? []), [path, values]]);
+    });
+  return [...groups].map(([name, entries]) => {
+    const text = JSON.stringify(entries);
+    return { name, hash: sha256(text), text };
+  });
+}
+
+/** Puts a tree together from the texts of its chunks. */
+export function fromChunks(
+  revision: number,
+  texts: readonly string[],
+): Result<Tree, errors.Failure> {
+  try {
+    const entries = texts.flatMap((text) => JSON.parse(text) as [string, unknown][]);
+    const nodes = new Map(entries.map(([path, values]) => [path, nodeSchema.parse(values)]));
+    return Result.ok({ revision, nodes });
+  } catch (err) {
+    return Result.err(
+      errors.createFailure(
+        errors.data.InvalidSettings,
+        'read tree',
+        'platform',
+        errors.describe(err),
+      ),
+    );
+  }
+}
