--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -38,9 +38,13 @@
 
   private heldEpoch = 0;
 
+  /** Latest epoch that was ever held here. */
+  private lastEpoch = 0;
+
   private pending: PendingWrite | null = null;
 
-  private reading = false;
+  /** One call at a time, so that no answer is taken for that of another call. */
+  private calling = false;
 
   private nextCallAtMs = 0;
 
@@ -64,6 +68,8 @@
   }
 
   handle(nowMs: number, event: LeaseEvent): readonly LeaseEffect[] {
+    const isAnswer = event.type !== LeaseEventType.tick && event.type !== LeaseEventType.release;
+    if (isAnswer) this.calling = false;
     const lost = this.dropLapsed(nowMs);
     return [...lost, ...this.step(nowMs, event)];
   }
@@ -73,10 +79,8 @@
       case LeaseEventType.tick:
         return this.tick(nowMs);
       case LeaseEventType.read:
-        this.reading = false;
         return this.noteRead(nowMs, event.lease, event.version);
       case LeaseEventType.readFailed:
-        this.reading = false;
         return [];
       case LeaseEventType.written:
         return this.noteWritten(nowMs, event.version);
@@ -93,14 +97,14 @@
   }
 
   private tick(nowMs: number): readonly LeaseEffect[] {
-    if (nowMs < this.nextCallAtMs || this.reading) return [];
+    if (nowMs < this.nextCallAtMs || this.calling) return [];
     if (this.pending !== null) return this.read(nowMs);
     if (this.holds(nowMs)) return this.write(nowMs, this.heldEpoch);
     return this.read(nowMs);
   }
 
   private read(nowMs: number): readonly LeaseEffect[] {
-    this.reading = true;
+    this.calling = true;
     this.nextCallAtMs = nowMs + this.cfg.durationMs * WATCH_EVERY;
     return [{ type: LeaseEffectType.read }];
   }
@@ -109,6 +113,7 @@
     const renewal = (this.seen?.renewal ?? 0) + 1;
     const { self: holder, durationMs } = this.cfg;
     const lease: Lease = { holder, epoch, durationMs, renewal };
+    this.calling = true;
     this.pending = { lease, sentAtMs: nowMs };
     this.nextCallAtMs = nowMs + durationMs * RENEW_AFTER;
     return [{ type: LeaseEffectType.write, lease, version: this.version }];
@@ -159,9 +164,13 @@
 
   private hold(nowMs: number, { lease, sentAtMs }: PendingWrite): readonly LeaseEffect[] {
     if (lease.holder !== this.cfg.self) return [];
+    // A lease that lapsed before its renewal was confirmed goes on under a new fencing number.
+    const lapsed = !this.holds(nowMs) && lease.epoch <= this.lastEpoch;
+    if (lapsed) return this.write(nowMs, lease.epoch + 1);
     const isNew = this.heldEpoch !== lease.epoch || !this.holds(nowMs);
     this.heldUntilMs = sentAtMs + lease.durationMs;
     this.heldEpoch = lease.epoch;
+    this.lastEpoch = Math.max(this.lastEpoch, lease.epoch);
     return isNew && this.holds(nowMs)
       ? [{ type: LeaseEffectType.acquired, epoch: lease.epoch }]
       : [];
--- a/src/decisions/ledger/index.ts
+++ b/src/decisions/ledger/index.ts
@@ -80,6 +80,8 @@
 
   private reads = 0;
 
+  private readUnderWay = false;
+
   private nextResolveAtMs = 0;
 
   constructor(private readonly cfg: LedgerSettings) {
@@ -115,6 +117,7 @@
       case LedgerEventType.read:
         return this.noteRead(nowMs, event.ledger, event.version);
       case LedgerEventType.readFailed:
+        this.readUnderWay = false;
         return [];
       case LedgerEventType.written:
         return this.noteWritten(nowMs, event.version);
@@ -140,17 +143,26 @@
     if (nowMs < this.nextResolveAtMs) return [];
     this.nextResolveAtMs = nowMs + RESOLVE_EVERY_MS;
     if (this.phase === Phase.fencing) return [this.order(this.fenceOrder())];
-    return [{ type: LedgerEffectType.read }];
+    return this.phase === Phase.reading ? this.read() : [];
   }
 
   private resolve(nowMs: number): readonly LedgerEffect[] {
+    this.phase = Phase.reading;
     this.nextResolveAtMs = nowMs + RESOLVE_EVERY_MS;
+    return this.read();
+  }
+
+  /** One read at a time, and none beside a write: an older answer must not be taken for newer. */
+  private read(): readonly LedgerEffect[] {
+    if (this.readUnderWay) return [];
+    this.readUnderWay = true;
     return [{ type: LedgerEffectType.read }];
   }
 
   /** Adopts the ledger as read; a pending write that is not in it did not take effect. */
   private noteRead(nowMs: number, ledger: Ledger | null, version: number): readonly LedgerEffect[] {
-    if (this.phase === Phase.fencing) return [];
+    this.readUnderWay = false;
+    if (this.phase !== Phase.reading) return [];
     if (ledger !== null && ledger.epoch > this.cfg.epoch) return this.supersede(ledger.epoch);
     this.ledger = ledger ?? { engineId: this.cfg.engineId, epoch: 0, entries: [] };
     this.version = version;
@@ -178,7 +190,6 @@
     if (outcome === OrderOutcome.fenced) return this.supersede(this.cfg.epoch + 1);
     if (outcome === OrderOutcome.unknown) return [];
     if (this.phase === Phase.fencing) {
-      this.phase = Phase.reading;
       return this.resolve(nowMs);
     }
     const entry = this.ledger.entries.find((e) => e.orderId === orderId);
@@ -279,10 +290,7 @@
     unseen.forEach(({ orderId }) =>
       this.strayRecords.set(orderId, { seenAtRead: this.reads, orderedAtMs: -Infinity }),
     );
-    if (unseen.length > 0) {
-      this.phase = Phase.reading;
-      return this.resolve(nowMs);
-    }
+    if (unseen.length > 0) return this.resolve(nowMs);
     return strays.flatMap((replica) => {
       const record = this.strayRecords.get(replica.orderId);
       const confirmed = record !== undefined && this.reads > record.seenAtRead;
--- a/src/decisions/quota/index.ts
+++ b/src/decisions/quota/index.ts
@@ -4,3 +4,4 @@
 export * from './giver.js';
 export * from './types.js';
 export * from './shares.js';
+export * from './givers.js';
--- a/src/entry/quota/index.ts
+++ b/src/entry/quota/index.ts
@@ -16,8 +16,6 @@
 const LIST_EVERY_MS = 3_000;
 /** The same while no floor is held. */
 const LIST_EVERY_UNSEATED_MS = 500;
-/** Peers whose floors are asked when every lender is dry. */
-const FLOORS_ASKED = 8;
 
 /** Whether a request may spend its tokens now. */
 export type Admission =
@@ -158,32 +156,14 @@
   }
 
   private tick(): void {
-    this.borrower.setGivers(this.givers());
+    const { peers, random } = this.deps;
+    this.borrower.setGivers(quota.chooseGivers(peers.self(), peers.members(), random));
     const nowMs = this.deps.clock.nowMs();
     this.carryOut(this.borrower.tick(nowMs));
     const everyMs = this.floorName === null ? LIST_EVERY_UNSEATED_MS : LIST_EVERY_MS;
     if (nowMs - this.lookedAtMs >= everyMs) void this.look();
   }
 
-  private givers(): quota.Givers {
-    const members = this.deps.peers.members();
-    const own = this.deps.peers.self();
-    const lenders = [own, ...members].filter(({ lender }) => lender);
-    const asLender = (vm: string) => ({ vm, role: quota.GiverRole.lender });
-    const local = lenders.find(({ dataCentre }) => dataCentre === this.deps.dataCentre);
-    const far = lenders.filter(({ dataCentre }) => dataCentre !== this.deps.dataCentre);
-    const near = this.deps.peers.nearMembers();
-    const first = near.length === 0 ? 0 : this.deps.random.int(0, near.length - 1);
-    const floors = [...near.slice(first), ...near.slice(0, first)].slice(0, FLOORS_ASKED);
-    return {
-      local: local === undefined ? null : asLender(local.vm),
-      others: [
-        ...far.map(({ vm }) => asLender(vm)),
-        ...floors.map(({ vm }) => ({ vm, role: quota.GiverRole.floor })),
-      ],
-    };
-  }
-
   private receive({ from, message }: Inbound): void {
     const nowMs = this.deps.clock.nowMs();
     switch (message.type) {
--- a/src/entry/steward/reign.ts
+++ b/src/entry/steward/reign.ts
@@ -269,9 +269,12 @@
   }
 
   private async write(state: EngineState, value: ledger.Ledger, version: number): Promise<void> {
-    if (!this.deps.holdsLease()) return;
-    const outcome = await this.deps.platform.write(this.keyOf(state), value, version);
     const { LedgerEventType } = ledger;
+    if (!this.deps.holdsLease()) {
+      this.feed(state, { type: LedgerEventType.writeUnknown });
+      return;
+    }
+    const outcome = await this.deps.platform.write(this.keyOf(state), value, version);
     if (outcome.type === PlatformOutcome.ok) {
       this.feed(state, { type: LedgerEventType.written, version: outcome.version });
     } else if (outcome.type === PlatformOutcome.conflict) {
--- /dev/null
+++ b/test/properties/ledger/no-overcommit.test.ts
@@ -0,0 +1,115 @@
+/** Under any interleaving, engines hold what was decided and never more than their memory. */
+import * as fc from 'fast-check';
+import { describe, expect, test } from 'vitest';
+import { EngineWorld, Fate } from './world.js';
+
+const moves = fc.array(
+  fc.oneof(
+    {
+      weight: 6,
+      arbitrary: fc.record({
+        do: fc.constant('resolve' as const),
+        a: fc.nat(5),
+        fate: fc.constantFrom(...Object.values(Fate), Fate.done, Fate.done),
+      }),
+    },
+    { weight: 3, arbitrary: fc.record({ do: fc.constant('inventory' as const), a: fc.nat(2) }) },
+    {
+      weight: 2,
+      arbitrary: fc.record({
+        do: fc.constant('load' as const),
+        a: fc.nat(2),
+        mb: fc.constantFrom(20, 40, 60),
+      }),
+    },
+    {
+      weight: 2,
+      arbitrary: fc.record({ do: fc.constant('unload' as const), a: fc.nat(2), b: fc.nat(3) }),
+    },
+    { weight: 3, arbitrary: fc.record({ do: fc.constant('tick' as const), a: fc.nat(2) }) },
+    {
+      weight: 2,
+      arbitrary: fc.record({
+        do: fc.constant('pass' as const),
+        ms: fc.constantFrom(1, 1_100, 10_000, 31_000),
+      }),
+    },
+    { weight: 1, arbitrary: fc.record({ do: fc.constant('land' as const), a: fc.nat(3) }) },
+    {
+      weight: 1,
+      arbitrary: fc.record({ do: fc.constantFrom('crown' as const, 'crash' as const) }),
+    },
+  ),
+  { minLength: 20, maxLength: 150 },
+);
+
+type Move = (typeof moves extends fc.Arbitrary<infer T> ? T : never)[number];
+
+function play(world: EngineWorld, move: Move): void {
+  switch (move.do) {
+    case 'resolve':
+      world.resolve(move.a, move.fate);
+      break;
+    case 'inventory':
+      world.inventory(move.a);
+      break;
+    case 'load':
+      world.load(move.a, move.mb);
+      break;
+    case 'unload':
+      world.unload(move.a, move.b);
+      break;
+    case 'tick':
+      world.tick(move.a);
+      break;
+    case 'pass':
+      world.pass(move.ms);
+      break;
+    case 'land':
+      world.land(move.a);
+      break;
+    case 'crown':
+      world.crown();
+      break;
+    default:
+      world.crash();
+  }
+}
+
+describe.each([
+  ['refuses old fencing numbers', true],
+  ['ignores fencing numbers', false],
+])('an engine that %s', (_name, fencing) => {
+  test('holds no undecided replica and no more than its memory', () => {
+    fc.assert(
+      fc.property(moves, (steps) => {
+        const world = new EngineWorld(fencing);
+        steps.forEach((move) => play(world, move));
+        expect({ undecided: world.undecided, overcommits: world.overcommits }).toEqual({
+          undecided: 0,
+          overcommits: 0,
+        });
+      }),
+      { seed: 20261204, numRuns: 20_000 },
+    );
+  });
+
+  test('comes to hold what was decided once nothing fails', () => {
+    const world = new EngineWorld(fencing);
+    const settle = () => {
+      Array.from({ length: 30 }).forEach(() => {
+        world.tick(0);
+        world.inventory(0);
+        world.resolve(0, Fate.done);
+        world.pass(200);
+      });
+    };
+    settle();
+    world.load(0, 60);
+    settle();
+    world.crown();
+    settle();
+    expect([...world.held.values()].map(({ state }) => state)).toEqual(['loaded']);
+    expect(world.loads).toBe(1);
+  });
+});
--- /dev/null
+++ b/test/properties/quota/conservation.test.ts
@@ -0,0 +1,104 @@
+/** No customer gets more than rate and burst, whatever the network and the fleet do. */
+import * as fc from 'fast-check';
+import { describe, expect, test } from 'vitest';
+import { createRandom } from '../../../src/core/random/index.js';
+import { runExact, worstOvershoot } from '../../../src/lab/quota/exact.js';
+import { LoanFleet } from '../../../src/lab/quota/loans.js';
+import type { Arrival, Disturbance, QuotaShape } from '../../../src/lab/quota/types.js';
+
+const END_MS = 20_000;
+const limit = { customer: 'a', ratePerS: 1_000, burst: 3_000 };
+const shape: QuotaShape = { dataCentres: 3, vmsPerDataCentre: 2, limits: [limit] };
+/** Rounding of many additions. */
+const EPSILON = 1e-6;
+
+const arrivalsOf = (maxLength: number) =>
+  fc
+    .array(
+      fc.record({
+        atMs: fc.nat(END_MS - 6_000),
+        vm: fc.nat(5),
+        customer: fc.constant('a'),
+        tokens: fc.integer({ min: 1, max: 900 }),
+        patienceMs: fc.constantFrom(0, 100, 1_000, 5_000),
+      }),
+      { minLength: 50, maxLength },
+    )
+    .map((list) => [...list].sort((a, b) => a.atMs - b.atMs));
+
+const disturbances = fc.array(
+  fc.record({
+    atMs: fc.nat(END_MS),
+    type: fc.constantFrom('kill-vm', 'replace-lender', 'cut-data-centre', 'heal'),
+    index: fc.nat(5),
+  }),
+  { maxLength: 6 },
+) as fc.Arbitrary<Disturbance[]>;
+
+/** A steady stream inside the rate that moves between entry VMs as `vmAt` says. */
+function steady(vmAt: (index: number) => number, everyMs: number, tokens: number): Arrival[] {
+  return Array.from({ length: Math.floor(60_000 / everyMs) }, (_, index) => ({
+    atMs: index * everyMs,
+    vm: vmAt(index),
+    customer: 'a',
+    tokens,
+    patienceMs: 2_000,
+  }));
+}
+
+describe('rate and burst over all entry VMs', () => {
+  test('hold over loss, duplication, reordering, deaths, cuts and new lenders', () => {
+    fc.assert(
+      fc.property(
+        arrivalsOf(300),
+        disturbances,
+        fc.nat(1_000_000),
+        fc.constantFrom(0, 0.05, 0.3),
+        (arrivals, events, seed, loss) => {
+          const network = { delayMs: [1, 60] as const, loss, duplicates: 0.1 };
+          const fleet = new LoanFleet(shape, network, createRandom(seed));
+          const { outcomes } = fleet.run(arrivals, events, END_MS);
+          const over = worstOvershoot(outcomes, limit.ratePerS, limit.burst);
+          expect(over).toBeLessThanOrEqual(EPSILON);
+        },
+      ),
+      { seed: 20261204, numRuns: 300 },
+    );
+  });
+
+  test.each([
+    ['all on one entry VM', () => 0],
+    ['spread over all', (index: number) => index % 6],
+    ['moving every 200 requests', (index: number) => Math.floor(index / 200) % 6],
+  ])('refuse nothing inside the rate: %s', (_name, vmAt) => {
+    // 950 tokens/s of the customer's 1000.
+    const arrivals = steady(vmAt, 20, 19);
+    const network = { delayMs: [0.5, 1.5] as const, loss: 0, duplicates: 0 };
+    const { outcomes } = new LoanFleet(shape, network, createRandom(7)).run(arrivals, [], 70_000);
+    const exact = runExact(shape, arrivals);
+    expect(exact.filter(({ admitted }) => !admitted)).toHaveLength(0);
+    expect(outcomes.filter(({ admitted }) => !admitted)).toHaveLength(0);
+    expect(outcomes).toHaveLength(arrivals.length);
+  });
+
+  test('a burst that one data centre does not own is gathered from the others', () => {
+    const arrivals: Arrival[] = [
+      { atMs: 100, vm: 0, customer: 'a', tokens: 2_900, patienceMs: 500 },
+    ];
+    const network = { delayMs: [0.5, 1.5] as const, loss: 0, duplicates: 0 };
+    const { outcomes } = new LoanFleet(shape, network, createRandom(7)).run(arrivals, [], 5_000);
+    expect(outcomes.map(({ admitted }) => admitted)).toEqual([true]);
+  });
+
+  test('a customer at five times its rate gets its rate, and no more', () => {
+    const arrivals = steady((index) => index % 6, 4, 20);
+    const network = { delayMs: [0.5, 1.5] as const, loss: 0, duplicates: 0 };
+    const { outcomes } = new LoanFleet(shape, network, createRandom(7)).run(arrivals, [], 70_000);
+    const tokens = outcomes
+      .filter(({ admitted }) => admitted)
+      .reduce((sum, { arrival }) => sum + arrival.tokens, 0);
+    const allowed = limit.burst + limit.ratePerS * 60;
+    expect(worstOvershoot(outcomes, limit.ratePerS, limit.burst)).toBeLessThanOrEqual(EPSILON);
+    expect(tokens).toBeGreaterThanOrEqual(allowed * 0.95);
+  });
+});
