--- a/src/core/logger/index.ts
+++ b/src/core/logger/index.ts
@@ -14,7 +14,7 @@
   child(label: string): Logger;
 }
 
-const LEVELS = { debug: 2, info: 3, warn: 4, error: 5, silent: 7 } as const;
+const LEVELS = { debug: 2, info: 3, warn: 4, error: 5, silent: 6 } as const;
 export type LogLevel = keyof typeof LEVELS;
 
 function wrap(logger: TsLogger<unknown>, label: string): Logger {
--- a/src/decisions/placement/index.ts
+++ b/src/decisions/placement/index.ts
@@ -107,7 +107,9 @@
     if (target === undefined) return null;
     const holding = (name: string) =>
       view.engines.flatMap((engine) =>
-        engine.leaving ? [] : engine.replicas.filter((r) => r.wanted && r.target === name),
+        engine.leaving || !engine.reachable
+          ? []
+          : engine.replicas.filter((r) => r.wanted && r.target === name),
       );
     const own = holding(target.name);
     if (own.some(isLoading)) return null;
@@ -154,7 +156,8 @@
     target: PlacementTarget,
   ): Option | null {
     const holds = engine.replicas.some((replica) => replica.target === target.name);
-    const fits = engine.service === target.service && !engine.leaving && engine.ready && !holds;
+    const usable = engine.ready && engine.reachable && !engine.leaving;
+    const fits = engine.service === target.service && usable && !holds;
     const sizeMb = fullSize(engine, target);
     if (!fits || sizeMb > engine.memoryMb) return null;
     const loadMs = expectedLoadMs(tierOf(engine, target.model), sizeMb);
--- a/src/decisions/placement/types.ts
+++ b/src/decisions/placement/types.ts
@@ -36,6 +36,8 @@
   readonly freeMb: number;
   /** Whether a decision may be made now. */
   readonly ready: boolean;
+  /** Whether it answered lately; what a silent engine holds is not counted on. */
+  readonly reachable: boolean;
   readonly leaving: boolean;
   readonly replicas: readonly ReplicaView[];
   /** Tier of each model's checkpoint; a model that is not named is remote. */
--- a/src/decisions/suspects/index.ts
+++ b/src/decisions/suspects/index.ts
@@ -9,7 +9,7 @@
 
 const DEATHS_TO_BLOCK = 2;
 /** Reports on one engine within this time speak of the same death. */
-const SAME_DEATH_MS = 5_000;
+const SAME_DEATH_MS = 1_000;
 export const BLOCK_MS = 600_000;
 
 /** The death of an engine while it ran a request. */
--- a/src/entry/backends/index.ts
+++ b/src/entry/backends/index.ts
@@ -1,4 +1,5 @@
 /** HTTP towards engines and plain services. */
+import type { Readable } from 'node:stream';
 import { Result } from 'true-myth';
 import * as undici from 'undici';
 import { z } from 'zod';
@@ -75,6 +76,12 @@
   return { failure, provenNotRun, connectionLost };
 }
 
+/** Closes the connection of an answer that nobody reads to its end. */
+function discard(body: Readable): void {
+  body.on('error', () => undefined);
+  body.destroy();
+}
+
 function brokenOff(peer: string, detail: string, provenNotRun: boolean): CallError {
   const failure = errors.createFailure(errors.data.BackendFailed, 'run request', peer, detail);
   return new CallError({ failure, provenNotRun, connectionLost: false });
@@ -141,7 +148,7 @@
         : new CallError(callFailure(err, 'read stream', address));
     } finally {
       // A connection whose answer was not read to its end is closed, never used again.
-      if (!done) response.body.destroy();
+      if (!done) discard(response.body);
     }
     if (!done) throw brokenOff(address, 'the stream ended without its end marker', false);
   }
@@ -193,7 +200,7 @@
     if (response.statusCode === 200 && response.headers['x-request-id'] === requestId) {
       return response;
     }
-    response.body.destroy();
+    discard(response.body);
     const { statusCode } = response;
     if (statusCode === 200) throw brokenOff(address, 'it answered another request', false);
     throw brokenOff(address, `it answered ${statusCode}`, statusCode === STATUS_NOT_LOADED);
--- a/src/entry/dispatch/index.ts
+++ b/src/entry/dispatch/index.ts
@@ -20,6 +20,7 @@
   type Dispatcher,
   DispatchOutcome,
   type DispatchRequest,
+  EngineVerdict,
 } from './types.js';
 
 export * from './types.js';
@@ -123,9 +124,12 @@
     });
   }
 
-  release(req: DispatchRequest, engine: routing.EngineRoute, healthy: boolean): void {
-    this.router.finished(this.deps.clock.nowMs(), engine.engineId, healthy);
-    this.suspects.suspectFinished(engine.engineId, req.id);
+  release(req: DispatchRequest, engine: routing.EngineRoute, verdict: EngineVerdict): void {
+    const { engineId } = engine;
+    const healthy = verdict !== EngineVerdict.failed;
+    this.router.finished(this.deps.clock.nowMs(), engineId, healthy);
+    if (verdict === EngineVerdict.absent) this.noteAbsent(engineId, req.target.name);
+    this.suspects.suspectFinished(engineId, req.id);
     this.noteUsed(engine.dataCentre, req.target.name);
     this.pump();
   }
@@ -266,6 +270,15 @@
     this.pump();
   }
 
+  /** Sends nothing more for this target to the engine until it is told to hold it again. */
+  private noteAbsent(engineId: string, target: string): void {
+    const route = this.engines.get(engineId);
+    if (route === undefined) return;
+    const targets = route.targets.filter((name) => name !== target);
+    this.engines.set(engineId, { ...route, targets });
+    this.router.update({ ...route, targets });
+  }
+
   /** Takes engines that operators marked as leaving or took away off the routes at once. */
   private noteCatalog(current: Catalog): void {
     this.engines.forEach((route, engineId) => {
--- a/src/entry/dispatch/types.ts
+++ b/src/entry/dispatch/types.ts
@@ -27,11 +27,19 @@
       readonly retryAfterMs: number;
     };
 
+/** How an engine did with a request. */
+export const EngineVerdict = {
+  healthy: 'healthy',
+  failed: 'failed',
+  /** It does not hold the target, or takes no connection: the routes are out of date. */
+  absent: 'absent',
+} as const;
+export type EngineVerdict = (typeof EngineVerdict)[keyof typeof EngineVerdict];
+
 export interface Dispatcher {
   /** Waits for an engine. Each engine that was given must be released. */
   acquire(req: DispatchRequest, signal: AbortSignal): Promise<Dispatched>;
-  /** @param healthy False where the engine failed the request. */
-  release(req: DispatchRequest, engine: EngineRoute, healthy: boolean): void;
+  release(req: DispatchRequest, engine: EngineRoute, verdict: EngineVerdict): void;
   /** Notes that an engine died while it ran the request, and tells the peers. */
   noteDeath(fingerprint: string, engineId: string): void;
   /** Notes that the request ran to its end. */
--- a/src/entry/gateway/model-handler.ts
+++ b/src/entry/gateway/model-handler.ts
@@ -6,7 +6,7 @@
 import type { EngineRoute } from '../../decisions/routing/index.js';
 import { fingerprintOf } from '../../decisions/suspects/index.js';
 import { CallError, type CallFailure } from '../backends/index.js';
-import { DispatchOutcome, type DispatchRequest } from '../dispatch/index.js';
+import { DispatchOutcome, type DispatchRequest, EngineVerdict } from '../dispatch/index.js';
 import { authenticate } from './authenticate.js';
 import { type CallerAnswer, createAnswer } from './caller-stream.js';
 import { type ModelRequest, parseModelRequest } from './model-request.js';
@@ -171,19 +171,20 @@
     this.deps.trails.note(ctx.id, 'engine', { engineId, from: job.answer.tokens });
     try {
       await this.stream(job, dispatch.id, engine);
-      this.deps.dispatcher.release(dispatch, engine, true);
+      this.deps.dispatcher.release(dispatch, engine, EngineVerdict.healthy);
       this.deps.dispatcher.noteWhole(fingerprint);
       job.answer.finish();
       this.deps.trails.note(ctx.id, 'whole', { tokens: job.answer.tokens });
       this.deps.retries.earn(job.target.retryRatio);
       return null;
     } catch (err) {
-      const healthy = ctx.abort.signal.aborted;
+      const gone = ctx.abort.signal.aborted;
       const failed = this.asCallFailure(err, engineId);
-      if (!healthy && (await this.hasDied(failed, engine, job.target))) {
+      if (!gone && (await this.hasDied(failed, engine, job.target))) {
         this.deps.dispatcher.noteDeath(fingerprint, engineId);
       }
-      this.deps.dispatcher.release(dispatch, engine, healthy || failed.provenNotRun);
+      const verdict = failed.provenNotRun ? EngineVerdict.absent : EngineVerdict.failed;
+      this.deps.dispatcher.release(dispatch, engine, gone ? EngineVerdict.healthy : verdict);
       this.deps.trails.note(ctx.id, 'broke-off', { engineId, reason: failed.failure.message });
       return failed;
     }
--- a/src/entry/inventory/index.ts
+++ b/src/entry/inventory/index.ts
@@ -24,7 +24,7 @@
 /** A change of load smaller than this part of the slots is not worth telling. */
 const LOAD_STEP = 1 / 8;
 /** An engine that does not answer for this long is taken off the routes. */
-const SILENT_AFTER_MS = 3_500;
+export const SILENT_AFTER_MS = 3_500;
 
 /** One reading of an engine. */
 export interface Reading {
--- a/src/entry/steward/reign.ts
+++ b/src/entry/steward/reign.ts
@@ -6,7 +6,7 @@
 import * as ledger from '../../decisions/ledger/index.js';
 import * as placement from '../../decisions/placement/index.js';
 import type { Backends } from '../backends/index.js';
-import type { Reading } from '../inventory/index.js';
+import { type Reading, SILENT_AFTER_MS } from '../inventory/index.js';
 import { type PlatformClient, PlatformOutcome } from '../platform/index.js';
 
 /** Demand that was not repeated for this long is over. */
@@ -213,6 +213,7 @@
       memoryMb: backend.memoryMb,
       freeMb: book.freeMb(),
       ready: book.isReady() && reading !== null,
+      reachable: this.deps.clock.nowMs() - (reading?.inventory.askedAtMs ?? 0) < SILENT_AFTER_MS,
       leaving: backend.leaving || (reading?.report.leaving ?? false),
       replicas,
       checkpoints: checkpointsOf(reading),
