Prove kills, freezes, cuts and rolling replacement over real processes and cut paths

A steward frozen past its lease and woken, orders over a killed entry VM, replacement of all entry VMs under load, a data centre cut from its peers and the platform, a platform outage.

--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -19,6 +19,9 @@
     .strictObject({
       callers: address.describe('Where callers connect, through the balancer.'),
       peers: address.describe('Where other entry VMs connect.'),
+      peersAdvertised: address
+        .optional()
+        .describe('Where other entry VMs reach the peer listener, if it is not where it listens.'),
       admin: address.describe('Health, metrics and status.'),
     })
     .describe('Addresses; port 0 lets the operating system choose.'),
--- a/src/entry/peers/index.ts
+++ b/src/entry/peers/index.ts
@@ -49,6 +49,8 @@
   readonly vm: string;
   readonly dataCentre: string;
   readonly listen: string;
+  /** Address that other entry VMs use; undefined for the one it listens on. */
+  readonly advertised: string | undefined;
   readonly seeds: readonly string[];
   readonly maxFrameBytes: number;
   readonly incarnation: number;
@@ -76,6 +78,8 @@
 
   private server: net.Server | null = null;
 
+  private bound = '';
+
   private readonly inbound = new Set<net.Socket>();
 
   private timers: NodeJS.Timeout[] = [];
@@ -105,6 +109,11 @@
     };
   }
 
+  /** Address that the task listens on. */
+  get boundAddress(): string {
+    return this.bound;
+  }
+
   async start(fail: (err: unknown) => void): Promise<void> {
     await this.listen(fail);
     this.deps.seeds
@@ -198,14 +207,16 @@
   }
 
   private listen(fail: (err: unknown) => void): Promise<void> {
-    const [host, port] = this.deps.listen.split(':');
+    const [host, port] = (this.bound || this.deps.listen).split(':');
     const server = net.createServer((socket) => this.accept(socket));
     this.server = server;
     return new Promise((resolve, reject) => {
       server.once('error', reject);
       server.listen(Number(port), host, () => {
         const bound = server.address() as net.AddressInfo;
-        this.state = { ...this.state, address: `${host}:${bound.port}` };
+        this.bound = `${host}:${bound.port}`;
+        const address = this.deps.advertised ?? this.bound;
+        this.state = { ...this.state, address };
         server.off('error', reject);
         server.on('error', fail);
         resolve();
--- a/src/entry/wire.ts
+++ b/src/entry/wire.ts
@@ -26,7 +26,10 @@
 /** A running daemon. */
 export interface Daemon {
   readonly callersAddress: string;
+  /** Where peers reach it. */
   readonly peersAddress: string;
+  /** Where its peer listener listens. */
+  readonly boundPeersAddress: string;
   readonly adminAddress: string;
   /** Stops without cutting a request; with `hurry` it waits for none. */
   stop(hurry: boolean): Promise<void>;
@@ -55,6 +58,7 @@
     vm: id,
     dataCentre,
     listen: listen.peers,
+    advertised: listen.peersAdvertised,
     seeds: settings.peers,
     maxFrameBytes: limits.frameBytes,
     incarnation,
@@ -179,6 +183,7 @@
   return {
     callersAddress: gateway.address,
     peersAddress: peers.self().address,
+    boundPeersAddress: peers.boundAddress,
     adminAddress: admin.address,
     async stop(hurry) {
       if (!leaving) {
--- a/src/lab/fleet/index.ts
+++ b/src/lab/fleet/index.ts
@@ -14,6 +14,7 @@
 export type * from './types.js';
 
 const PLATFORM_TIMEOUT_MS = 2_000;
+const CONTROL_TIMEOUT_MS = 2_000;
 const STOP_PATIENCE_MS = 10_000;
 
 export interface Entry {
@@ -27,6 +28,7 @@
   const answer = await undici.request(`http://${address}${route}`, {
     method: body === undefined ? 'GET' : 'POST',
     body: body === undefined ? null : JSON.stringify(body),
+    signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
   });
   return (await answer.body.json()) as T;
 }
--- /dev/null
+++ b/test/failures/cut-off.test.ts
@@ -0,0 +1,137 @@
+/** A data centre that is cut off from the others and from the platform serves what it can. */
+import { afterAll, beforeAll, describe, expect, test } from 'vitest';
+import { LARGE_KEY, LocalFleet, refusalOf } from './local-fleet.js';
+
+interface Status {
+  readonly self: { readonly revision: number };
+  readonly members: readonly unknown[];
+}
+
+interface PlatformCounters {
+  readonly reads: number;
+  readonly writes: number;
+  readonly lists: number;
+  readonly watches: number;
+  readonly vmLists: number;
+}
+
+/** Calls a second that the platform takes, by the brief. */
+const PLATFORM_CALLS_PER_S = 2_000;
+
+describe('a data centre that is cut off', () => {
+  let fleet: LocalFleet;
+
+  beforeAll(async () => {
+    fleet = await LocalFleet.start({
+      entries: ['a', 'b'],
+      engines: ['a', 'b'],
+      services: ['a', 'b'],
+      links: true,
+      edits: [
+        { path: '/customers/small', values: { ratePerS: 2_000, burst: 4_000 } },
+        { path: '/customers/large', values: { ratePerS: 100_000, burst: 400_000 } },
+      ],
+    });
+    // The model is warm in both data centres: more waits than one engine runs at once.
+    await fleet.until('both engines hold the model', async () => {
+      await Promise.all(
+        Array.from({ length: 16 }, (_, index) =>
+          fleet.complete(index % 2, { max_tokens: 1_000 }, { key: LARGE_KEY }),
+        ),
+      );
+      const { engines } = await fleet.status<{
+        engines: readonly { readonly targets: readonly string[] }[];
+      }>(0);
+      return engines.filter(({ targets }) => targets.includes('wheel')).length === 2;
+    });
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+  });
+
+  const links = () =>
+    fleet.entries.flatMap(({ peerLink, platformLink }) => [peerLink, platformLink]);
+
+  test('serves warm models, keeps the rate, refuses orders, and comes back without a storm', async () => {
+    links().forEach((link) => link?.cut());
+    await fleet.until('the cut is noticed', async () => {
+      const all = await Promise.all([fleet.status<Status>(0), fleet.status<Status>(1)]);
+      return all.every(({ members }) => members.length === 0);
+    });
+
+    const served = await Promise.all(
+      [0, 1].map((index) => fleet.complete(index, {}, { key: LARGE_KEY })),
+    );
+    expect(served.map(({ status }) => status)).toEqual([200, 200]);
+
+    const order = await fleet.send(0, 'POST', '/services/desk/orders', {
+      body: JSON.stringify({ order: 'cut' }),
+      headers: { 'idempotency-key': 'cut' },
+    });
+    expect(refusalOf(order)).toMatchObject({ type: 'PlatformDown', ran: 'no' });
+
+    // A burst on each side at once: together no more than the burst and the rate meanwhile.
+    const startMs = performance.now();
+    const burst = await Promise.all(
+      Array.from({ length: 40 }, (_, index) =>
+        fleet.complete(
+          index % 2,
+          { max_tokens: 150 },
+          { headers: { 'x-bilberrystand-deadline-ms': '1' } },
+        ),
+      ),
+    );
+    const seconds = (performance.now() - startMs) / 1000;
+    const admitted = burst.filter(
+      (answer) => answer.status === 200 || refusalOf(answer).type !== 'RateExceeded',
+    ).length;
+    expect(admitted * 150).toBeLessThanOrEqual(4_000 + 2_000 * seconds);
+
+    await fleet.edit([{ path: '/customers/made-in-the-cut', values: { ratePerS: 1 } }]);
+    const before = await fleet.counters<PlatformCounters>(fleet.platform);
+    const healedMs = performance.now();
+    links().forEach((link) => link?.heal());
+    await fleet.until('the edit is in force everywhere', async () => {
+      const all = await Promise.all([fleet.status<Status>(0), fleet.status<Status>(1)]);
+      const revisions = all.map(({ self }) => self.revision);
+      return all.every(({ members }) => members.length === 1) && new Set(revisions).size === 1;
+    });
+    const after = await fleet.counters<PlatformCounters>(fleet.platform);
+    const calls =
+      Object.values(after).reduce((sum, count) => sum + count, 0) -
+      Object.values(before).reduce((sum, count) => sum + count, 0);
+    const healSeconds = Math.max(1, (performance.now() - healedMs) / 1000);
+    // Two daemons of the 340 of the size to design for.
+    expect(calls / healSeconds / 2).toBeLessThanOrEqual((PLATFORM_CALLS_PER_S / 340) * 5);
+    const later = await fleet.send(0, 'POST', '/services/desk/orders', {
+      body: JSON.stringify({ order: 'cut' }),
+      headers: { 'idempotency-key': 'cut' },
+    });
+    expect(later.status).toBe(201);
+  });
+
+  test('serves through a platform outage, and its steward returns', async () => {
+    interface Steward {
+      readonly steward: string | null;
+    }
+    await fleet.until('the leases are held', async () => {
+      const { steward } = await fleet.status<Steward>(0);
+      return steward !== null;
+    });
+    await fleet.faults(fleet.platform, { down: true });
+    await fleet.until('the leases lapse', async () => {
+      const { steward } = await fleet.status<Steward>(0);
+      return steward === null;
+    });
+    const served = await Promise.all([0, 1].map((index) => fleet.complete(index, {})));
+    await fleet.faults(fleet.platform, { down: false });
+    expect(served.map(({ status }) => status)).toEqual([200, 200]);
+    await fleet.until('the leases are held again', async () => {
+      const { steward } = await fleet.status<Steward>(0);
+      return steward !== null;
+    });
+    const cold = await fleet.complete(0, { model: 'caster' });
+    expect(cold.status).toBe(200);
+  });
+});
--- a/test/failures/local-fleet.ts
+++ b/test/failures/local-fleet.ts
@@ -10,6 +10,7 @@
 import { type Daemon, startDaemon } from '../../src/entry/wire.js';
 import { control } from '../../src/lab/fleet/index.js';
 import * as engines from '../../src/standins/engine/index.js';
+import * as links from '../../src/standins/link/index.js';
 import type { Listener } from '../../src/standins/http/index.js';
 import * as platforms from '../../src/standins/platform/index.js';
 import * as services from '../../src/standins/service/index.js';
@@ -30,12 +31,18 @@
   readonly slots?: number;
   readonly tokenMs?: number;
   readonly memoryMb?: number;
+  /** Puts a path that can be cut before each entry VM and between it and the platform. */
+  readonly links?: boolean;
 }
 
 export interface LocalEntry {
   readonly id: string;
   readonly dataCentre: string;
   readonly daemon: Daemon;
+  /** Where peers reach it. */
+  readonly peersAddress: string;
+  readonly peerLink: links.NetworkLink | null;
+  readonly platformLink: links.NetworkLink | null;
 }
 
 export interface Answer {
@@ -95,28 +102,35 @@
     this.lastEntry += 1;
     const id = `${dataCentre}-vm-${this.lastEntry}`;
     const local = '"127.0.0.1:0"';
-    const seeds = this.entries.map(({ daemon }) => `"${daemon.peersAddress}"`).join(', ');
+    const seeds = this.entries.map(({ peersAddress }) => `"${peersAddress}"`).join(', ');
+    const withLinks = this.spec.links === true;
+    const peerLink = withLinks ? await links.start('') : null;
+    const platformLink = withLinks ? await links.start(this.platform.address) : null;
+    const advertised = peerLink === null ? '' : `, peersAdvertised = "${peerLink.address}"`;
+    const platform = platformLink?.address ?? this.platform.address;
     const text = `
       peers = [${seeds}]
       vm = { id = "${id}", dataCentre = "${dataCentre}" }
-      listen = { callers = ${local}, peers = ${local}, admin = ${local} }
-      platform = { address = "${this.platform.address}", timeoutMs = 500 }
+      listen = { callers = ${local}, peers = ${local}, admin = ${local}${advertised} }
+      platform = { address = "${platform}", timeoutMs = 500 }
       limits = { bodyBytes = 65536, slowSenderMs = 1000 }
       stop = { noticeMs = 100, graceMs = 20000 }`;
     const settings = parseSettings(text, id);
     if (settings.isErr) throw new Error(settings.error.message);
     const daemon = await startDaemon(settings.value, createLogger(id, 'silent'));
-    const entry = { id, dataCentre, daemon };
+    const { peersAddress } = daemon;
+    if (peerLink !== null) peerLink.target = daemon.boundPeersAddress;
+    const entry = { id, dataCentre, daemon, peersAddress, peerLink, platformLink };
     this.entries.push(entry);
     await this.publishVms();
     return entry;
   }
 
   async publishVms(): Promise<void> {
-    const vms = this.entries.map(({ id, dataCentre, daemon }) => ({
+    const vms = this.entries.map(({ id, dataCentre, peersAddress }) => ({
       id,
       dataCentre,
-      address: daemon.peersAddress,
+      address: peersAddress,
       state: 'live',
     }));
     await control(this.platform.address, '/_vms', { vms });
@@ -196,6 +210,8 @@
   async stop(): Promise<void> {
     await Promise.all(this.entries.map(({ daemon }) => daemon.stop(true)));
     await this.client.close();
+    const paths = this.entries.flatMap(({ peerLink, platformLink }) => [peerLink, platformLink]);
+    await Promise.all(paths.map((path) => path?.close()));
     const standins = [...this.engines, ...this.services, this.platform, this.weights];
     await Promise.all(standins.map((standin) => standin.close()));
   }
--- /dev/null
+++ b/test/failures/processes.test.ts
@@ -0,0 +1,220 @@
+/** Real processes that are killed, frozen and replaced while callers send. */
+import { createHash } from 'node:crypto';
+import * as undici from 'undici';
+import { afterAll, beforeAll, describe, expect, test } from 'vitest';
+import * as clock from '../../src/core/clock/index.js';
+import { digestOf } from '../../src/entry/gateway/authenticate.js';
+import { control, type Entry, Fleet, type FleetSpec } from '../../src/lab/fleet/index.js';
+import { answerTo, type EngineCounters } from '../../src/standins/engine/index.js';
+import type { ServiceCounters } from '../../src/standins/service/index.js';
+
+const KEY = 'bsk_test_processes';
+const spec: FleetSpec = {
+  dataCentres: ['a', 'b'],
+  entryVms: 2,
+  engines: [
+    { id: 'fenced', dataCentre: 'a', fencing: true, memoryMb: 40_000, slots: 8 },
+    { id: 'unfenced', dataCentre: 'a', fencing: false, memoryMb: 40_000, slots: 8 },
+    { id: 'far', dataCentre: 'b', fencing: true, memoryMb: 40_000, slots: 8 },
+  ],
+  services: [
+    { name: 'desk', dataCentre: 'a' },
+    { name: 'desk', dataCentre: 'b' },
+  ],
+  weightsMbPerS: 40_000,
+  tokenMs: 2,
+};
+const MODELS = ['m0', 'm1', 'm2', 'm3', 'm4', 'm5'];
+
+interface Status {
+  readonly steward: string | null;
+  readonly self: { readonly vm: string };
+}
+
+interface Result {
+  readonly status: number;
+  readonly text: string;
+  readonly ran: string | undefined;
+}
+
+describe('processes', () => {
+  let fleet: Fleet;
+  const agent = new undici.Agent({ connections: 32 });
+
+  beforeAll(async () => {
+    fleet = await Fleet.start(spec, [
+      { path: '/services/drafting', values: { kind: 'model', deadlineMs: 20_000 } },
+      { path: '/services/desk', values: { kind: 'plain', deadlineMs: 5_000 } },
+      ...MODELS.map((name) => ({
+        path: `/services/drafting/models/${name}`,
+        values: { bytesMb: 16_000 },
+      })),
+      { path: '/customers/c', values: { ratePerS: 100_000, burst: 400_000 } },
+      { path: '/customers/c/keys/k', values: { sha256: digestOf(KEY) } },
+    ]);
+    await fleet.settle();
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+    await agent.destroy();
+  });
+
+  const send = async (
+    entry: Entry,
+    path: string,
+    body: object,
+    headers: Record<string, string> = {},
+  ): Promise<Result> => {
+    const res = await undici.request(`http://${entry.process.started.callersAddress}${path}`, {
+      dispatcher: agent,
+      method: 'POST',
+      body: JSON.stringify(body),
+      headers: { authorization: `Bearer ${KEY}`, 'content-type': 'application/json', ...headers },
+    });
+    const ran = res.headers['x-bilberrystand-ran'];
+    const text = await res.body.text();
+    return { status: res.statusCode, text, ran: typeof ran === 'string' ? ran : undefined };
+  };
+
+  const complete = (entry: Entry, model: string, prompt: string) =>
+    send(entry, '/v1/completions', { model, prompt, max_tokens: 10 });
+
+  const isWhole = ({ status, text }: Result, prompt: string): boolean => {
+    if (status !== 200) return false;
+    const { choices } = JSON.parse(text) as { choices: { text: string }[] };
+    return choices[0]?.text === answerTo(prompt, 10);
+  };
+
+  const engineCounters = () =>
+    Promise.all(
+      [...fleet.engines.values()].map(({ started }) =>
+        control<EngineCounters>(started.address ?? '', '/_counters'),
+      ),
+    );
+
+  /** The steward of an entry VM's data centre, as that entry VM knows it. */
+  const stewardAsSeenBy = async (entry: Entry): Promise<Entry | undefined> => {
+    const status = await control<Status>(entry.process.started.adminAddress ?? '', '/status');
+    return fleet.entries.find(({ id }) => id === status.steward);
+  };
+
+  test('a steward frozen past its lease and woken loads nothing twice and overcommits nothing', async () => {
+    const before = (await engineCounters()).reduce(
+      (sum, { loadsStarted }) => sum + loadsStarted,
+      0,
+    );
+    const members = fleet.entries.filter(({ dataCentre }) => dataCentre === 'a');
+    const steward = await stewardAsSeenBy(members[0] as Entry);
+    const other = members.find((entry) => entry !== steward);
+    if (steward === undefined || other === undefined) throw new Error('there is no steward');
+    const first = MODELS.slice(0, 3).map((model) => complete(other, model, `freeze ${model}`));
+    await clock.sleep(50);
+    steward.process.signal('SIGSTOP');
+    const answers = await Promise.all(first);
+    await fleet.until('another steward', 15_000, async () => {
+      const next = await stewardAsSeenBy(other);
+      return next !== undefined && next !== steward;
+    });
+    const second = await Promise.all(
+      MODELS.slice(3).map((model) => complete(other, model, `freeze ${model}`)),
+    );
+    steward.process.signal('SIGCONT');
+    await fleet.settle();
+    const counters = await engineCounters();
+    const loads = counters.reduce((sum, { loadsStarted }) => sum + loadsStarted, 0) - before;
+    expect([...answers, ...second].map(({ status }) => status)).toEqual(MODELS.map(() => 200));
+    expect(counters.map(({ overcommits }) => overcommits)).toEqual([0, 0, 0]);
+    // Six models on engines that hold two each: one load for each model, none twice.
+    expect(loads).toBe(MODELS.length);
+  });
+
+  test('orders sent while their entry VM is killed run once, wherever they are repeated', async () => {
+    const victim = await fleet.addEntry('a');
+    await fleet.until('the new entry VM is ready', 10_000, async () => {
+      const { statusCode, body } = await undici.request(
+        `http://${victim.process.started.adminAddress}/readyz`,
+      );
+      await body.dump();
+      return statusCode === 200;
+    });
+    const names = Array.from({ length: 60 }, (_, index) => `kill-${index}`);
+    const headersOf = (name: string) => ({ 'idempotency-key': name });
+    const order = (entry: Entry, name: string) =>
+      send(entry, '/services/desk/orders', { order: name }, headersOf(name));
+    const sent = names.map(async (name, index) => {
+      await clock.sleep(index * 5);
+      return order(victim, name).catch(() => null);
+    });
+    await clock.sleep(150);
+    victim.process.signal('SIGKILL');
+    fleet.removeEntry(victim);
+    await fleet.publishVms();
+    await Promise.all(sent);
+    const repeats = await Promise.all(
+      names.map((name, index) => order(fleet.entries[index % fleet.entries.length] as Entry, name)),
+    );
+    const counters = await Promise.all(
+      fleet.services.map(({ started }) =>
+        control<ServiceCounters>(started.address ?? '', '/_counters'),
+      ),
+    );
+    const runsOf = (name: string) => counters.reduce((sum, { runs }) => sum + (runs[name] ?? 0), 0);
+    const twice = names.filter((name) => runsOf(name) > 1);
+    const untrue = names.filter(
+      (name, index) =>
+        (repeats[index]?.status === 201 && runsOf(name) !== 1) ||
+        (repeats[index]?.ran === 'no' && runsOf(name) > 0),
+    );
+    expect(twice).toEqual([]);
+    expect(untrue).toEqual([]);
+    expect(repeats.filter((repeat) => repeat.status === 201).length).toBeGreaterThan(0);
+  });
+
+  test('all entry VMs are replaced under load, and no request is cut', async () => {
+    let running = true;
+    const results: boolean[] = [];
+    const failures: string[] = [];
+    const caller = async (seat: number): Promise<void> => {
+      for (let index = 0; running; index += 1) {
+        const entry = fleet.entries[(seat + index) % fleet.entries.length];
+        if (entry === undefined) continue;
+        const prompt = createHash('sha256').update(`${seat} ${index}`).digest('hex');
+        try {
+          const result = await complete(entry, MODELS[seat % 2] ?? 'm0', prompt);
+          results.push(isWhole(result, prompt));
+          if (!isWhole(result, prompt)) failures.push(result.text);
+        } catch (err) {
+          failures.push(`${entry.id}: ${String(err)}`);
+        }
+      }
+    };
+    const callers = Promise.all(Array.from({ length: 8 }, (_, seat) => caller(seat)));
+    const old = [...fleet.entries];
+    await old.reduce(
+      (before, entry) =>
+        before.then(async () => {
+          await fleet.addEntry(entry.dataCentre);
+          await fleet.until('the new one is ready', 10_000, async () => {
+            const newest = fleet.entries.at(-1)?.process.started.adminAddress ?? '';
+            const { statusCode, body } = await undici.request(`http://${newest}/readyz`);
+            await body.dump();
+            return statusCode === 200;
+          });
+          // The balancer sends no more callers to a VM that is not ready.
+          entry.process.signal('SIGTERM');
+          await clock.sleep(100);
+          fleet.removeEntry(entry);
+          await entry.process.exited;
+          await fleet.publishVms();
+        }),
+      Promise.resolve(),
+    );
+    running = false;
+    await callers;
+    const codes = await Promise.all(old.map(({ process: entry }) => entry.exited));
+    expect(failures).toEqual([]);
+    expect(results.length).toBeGreaterThan(0);
+    expect(codes).toEqual(old.map(() => 0));
+  });
+});
