--- /dev/null
+++ b/scripts/make-traces.ts
@@ -0,0 +1,9 @@
+/** Writes the recorded traces of `npm run measure`. */
+import { writeTrace } from '../src/lab/measure/files.js';
+import { createTrace, TRACE_SHAPES } from '../src/lab/measure/traces.js';
+
+TRACE_SHAPES.forEach((shape) => {
+  const trace = createTrace(shape);
+  writeTrace(trace);
+  console.log(`${shape.name}: ${trace.requests.length} requests`);
+});
--- a/src/decisions/placement/index.ts
+++ b/src/decisions/placement/index.ts
@@ -34,9 +34,17 @@
 const HORIZON_MS = 120_000;
 /** Waiting requests per replica that justify one more. */
 const WAITING_FOR_ANOTHER = 8;
+/** Waiting requests of one customer that count, so that a flood does not take every engine. */
+const MOST_COUNTED_PER_CUSTOMER = 32;
 /** A replica is kept beyond its keep-warm time while the chance of a use soon is above this. */
 const KEEP_CHANCE = 0.5;
 
+/** What has to be loaded next, and the room that is wanted beside it for its adapter. */
+interface Step {
+  readonly target: PlacementTarget;
+  readonly headroomMb: number;
+}
+
 /** A way to make room on an engine, with its price in milliseconds of expected delay. */
 interface Option {
   readonly engine: EngineView;
@@ -76,9 +84,9 @@
     return this.ranked(view).flatMap((demand) => {
       const step = this.nextStep(view, demand);
       if (step === null) return [];
-      const isModel = step.adapter === null;
+      const isModel = step.target.adapter === null;
       if (isModel ? modelLoads >= MOST_MODEL_LOADS : adapterLoads >= MOST_ADAPTER_LOADS) return [];
-      const actions = this.place(view, step, taken);
+      const actions = this.placeOrRebase(view, step, taken);
       const loads = actions.some((action) => action.type === PlacementActionType.load);
       if (loads && isModel) modelLoads += 1;
       if (loads && !isModel) adapterLoads += 1;
@@ -87,8 +95,13 @@
     });
   }
 
-  /** Demands in the order in which they are served: each customer's most urgent in turn. */
+  /** Cold targets before more replicas of warm ones; then each customer's most urgent in turn. */
   private ranked(view: PlacementView): readonly WakeDemand[] {
+    const loaded = new Set(
+      view.engines.flatMap((engine) =>
+        engine.replicas.filter(({ state }) => state === ReplicaState.loaded).map((r) => r.target),
+      ),
+    );
     const byUrgency = [...view.demands].sort(
       (a, b) => a.earliestDeadlineAtMs - b.earliestDeadlineAtMs || b.waiting - a.waiting,
     );
@@ -98,11 +111,17 @@
       demand.customers.forEach((customer) => turns.set(customer, (turns.get(customer) ?? 0) + 1));
       return { demand, turn };
     });
-    return withTurn.sort((a, b) => a.turn - b.turn).map(({ demand }) => demand);
+    const isCold = (name: string) => !loaded.has(name);
+    return withTurn
+      .sort(
+        (a, b) =>
+          Number(isCold(b.demand.target)) - Number(isCold(a.demand.target)) || a.turn - b.turn,
+      )
+      .map(({ demand }) => demand);
   }
 
   /** What has to be loaded next for a demand: the base model, then its adapter; null if nothing. */
-  private nextStep(view: PlacementView, demand: WakeDemand): PlacementTarget | null {
+  private nextStep(view: PlacementView, demand: WakeDemand): Step | null {
     const target = view.targets.get(demand.target);
     if (target === undefined) return null;
     const holding = (name: string) =>
@@ -112,24 +131,42 @@
           : engine.replicas.filter((r) => r.wanted && r.target === name),
       );
     const own = holding(target.name);
-    if (own.some(isLoading)) return null;
-    const wanted = 1 + Math.floor(demand.waiting / WAITING_FOR_ANOTHER);
+    const counted = Math.min(demand.waiting, demand.customers.length * MOST_COUNTED_PER_CUSTOMER);
+    const wanted = 1 + Math.floor(counted / WAITING_FOR_ANOTHER);
     if (own.length > 0 && own.length >= wanted) return null;
-    if (target.adapter === null) return target;
+    if (target.adapter === null) return { target, headroomMb: 0 };
     const bases = holding(target.model);
     if (bases.some((base) => base.state === ReplicaState.loaded) && own.length < bases.length) {
-      return target;
+      return { target, headroomMb: 0 };
     }
-    return bases.some(isLoading) ? null : (view.targets.get(target.model) ?? null);
+    return bases.some(isLoading) ? null : this.baseStep(view, target);
+  }
+
+  private baseStep(view: PlacementView, adapter: PlacementTarget): Step | null {
+    const target = view.targets.get(adapter.model);
+    return target === undefined ? null : { target, headroomMb: adapter.bytesMb };
+  }
+
+  /** An adapter that no engine with its base has room for gets its base loaded elsewhere. */
+  private placeOrRebase(
+    view: PlacementView,
+    step: Step,
+    taken: ReadonlySet<string>,
+  ): readonly PlacementAction[] {
+    const actions = this.place(view, step, taken);
+    if (actions.length > 0 || step.target.adapter === null) return actions;
+    const base = this.baseStep(view, step.target);
+    return base === null ? [] : this.place(view, base, taken);
   }
 
   private place(
     view: PlacementView,
-    target: PlacementTarget,
+    step: Step,
     taken: ReadonlySet<string>,
   ): readonly PlacementAction[] {
+    const { target } = step;
     const options = view.engines.flatMap((engine) =>
-      taken.has(engine.engineId) ? [] : (this.optionAt(view, engine, target) ?? []),
+      taken.has(engine.engineId) ? [] : (this.optionAt(view, engine, step) ?? []),
     );
     const best = options.reduce<Option | null>(
       (cheapest, option) =>
@@ -153,16 +190,16 @@
   private optionAt(
     view: PlacementView,
     engine: EngineView,
-    target: PlacementTarget,
+    { target, headroomMb }: Step,
   ): Option | null {
     const holds = engine.replicas.some((replica) => replica.target === target.name);
     const usable = engine.ready && engine.reachable && !engine.leaving;
     const fits = engine.service === target.service && usable && !holds;
-    const sizeMb = fullSize(engine, target);
-    if (!fits || sizeMb > engine.memoryMb) return null;
-    const loadMs = expectedLoadMs(tierOf(engine, target.model), sizeMb);
-    if (engine.freeMb >= sizeMb) return { engine, evict: [], priceMs: loadMs };
-    return this.evictionAt(view, engine, target, sizeMb, loadMs);
+    const neededMb = fullSize(engine, target) + headroomMb;
+    if (!fits || neededMb > engine.memoryMb) return null;
+    const loadMs = expectedLoadMs(tierOf(engine, target.model), target.bytesMb);
+    if (engine.freeMb >= neededMb) return { engine, evict: [], priceMs: loadMs };
+    return this.evictionAt(view, engine, target, neededMb, loadMs);
   }
 
   private evictionAt(
@@ -207,7 +244,7 @@
       replica.adapter === null
         ? engine.replicas.filter((r) => r.model === replica.model).map((r) => r.target)
         : [replica.target];
-    const uses = names.map((name) => view.lastUsedAtMs.get(name) ?? -Infinity);
+    const uses = names.map((name) => view.lastUsedAtMs(name));
     return Math.max(replica.loadedAtMs, ...uses);
   }
 
--- a/src/decisions/placement/load-time.ts
+++ b/src/decisions/placement/load-time.ts
@@ -3,9 +3,9 @@
 
 /** MB/s from each tier into accelerator memory. */
 const MB_PER_S: Readonly<Record<CheckpointTier, number>> = {
-  [CheckpointTier.memory]: 20_000,
-  [CheckpointTier.disk]: 4_000,
-  [CheckpointTier.remote]: 1_000,
+  [CheckpointTier.memory]: 60_000,
+  [CheckpointTier.disk]: 30_000,
+  [CheckpointTier.remote]: 15_000,
 };
 
 /** Expected time to load `bytesMb` from `tier`, ms, with no other load in the way. */
--- a/src/decisions/placement/types.ts
+++ b/src/decisions/placement/types.ts
@@ -62,8 +62,8 @@
   readonly targets: ReadonlyMap<string, PlacementTarget>;
   readonly engines: readonly EngineView[];
   readonly demands: readonly WakeDemand[];
-  /** When each target was last asked for, ms. */
-  readonly lastUsedAtMs: ReadonlyMap<string, number>;
+  /** When a target was last asked for, ms; -Infinity for never. */
+  lastUsedAtMs(target: string): number;
 }
 
 export const PlacementActionType = { load: 'load', unload: 'unload' } as const;
--- a/src/decisions/quota/borrower.ts
+++ b/src/decisions/quota/borrower.ts
@@ -79,6 +79,11 @@
     return [...this.customers.values()].flatMap((borrower) => borrower.settle(nowMs, true));
   }
 
+  /** Whether nothing waits and nothing is borrowed, so that time changes nothing. */
+  isAtRest(): boolean {
+    return [...this.customers.values()].every((borrower) => borrower.isAtRest());
+  }
+
   /** Requests that wait for tokens. */
   waitingCount(): number {
     return [...this.customers.values()].reduce((sum, borrower) => sum + borrower.waitingCount, 0);
--- a/src/decisions/quota/customer-borrower.ts
+++ b/src/decisions/quota/customer-borrower.ts
@@ -64,6 +64,10 @@
     return this.waiting.length;
   }
 
+  isAtRest(): boolean {
+    return this.waiting.length + this.loans.length + this.asks.size === 0;
+  }
+
   request(ctx: BorrowContext, req: QuotaRequest): readonly QuotaEffect[] {
     this.demand.note(ctx.nowMs, req.tokens);
     this.waiting.push(req);
--- a/src/decisions/retries/index.ts
+++ b/src/decisions/retries/index.ts
@@ -1,17 +1,19 @@
 /** When a failed request may be sent to another backend server. */
 
 /** What is known of a request when its backend server failed. */
-export interface Attempt {
-  /** Attempts made, this one included. */
-  readonly count: number;
+export interface Attempts {
+  /** Attempts after which the request may have run. */
+  readonly ran: number;
+  /** Attempts that cannot have begun: the connection was refused, or the model was not loaded. */
+  readonly notRun: number;
   readonly idempotent: boolean;
-  /** The backend server cannot have begun: the connection was refused. */
-  readonly provenNotRun: boolean;
-  /** Whether the caller has seen a byte of an answer. */
+  /** Whether the caller has seen a byte of an answer that cannot be resumed. */
   readonly answerBegun: boolean;
 }
 
-export const MOST_ATTEMPTS = 2;
+const MOST_RUNS = 2;
+/** Each attempt that did not begin takes a server off the routes, so that few follow. */
+const MOST_NOT_RUN = 4;
 /** Retries that are allowed whatever the traffic, a second. */
 const MIN_RETRIES_PER_S = 1;
 const LARGEST_BALANCE = 20;
@@ -37,8 +39,8 @@
   }
 }
 
-/** Whether the attempt may be repeated at all; the budget decides besides. */
-export function mayRetry(attempt: Attempt): boolean {
-  if (attempt.answerBegun || attempt.count >= MOST_ATTEMPTS) return false;
-  return attempt.idempotent || attempt.provenNotRun;
+/** Whether the request may be sent again at all; the budget decides besides. */
+export function mayRetry({ ran, notRun, idempotent, answerBegun }: Attempts): boolean {
+  if (answerBegun || notRun >= MOST_NOT_RUN || ran >= MOST_RUNS) return false;
+  return idempotent || ran === 0;
 }
--- a/src/decisions/settings-tree/types.ts
+++ b/src/decisions/settings-tree/types.ts
@@ -63,7 +63,7 @@
   deadlineMs: 10_000,
   maxTokens: 256,
   retryRatio: 0.1,
-  keepWarmMs: 60_000,
+  keepWarmMs: 180_000,
   ratePerS: 1_000,
   burst: 10_000,
   weight: 1,
--- a/src/entry/dispatch/index.ts
+++ b/src/entry/dispatch/index.ts
@@ -26,7 +26,10 @@
 export * from './types.js';
 
 const TICK_MS = 25;
+/** Time between messages on what waits. */
 const TELL_EVERY_MS = 100;
+/** Time between messages on which replicas were used. */
+const USED_EVERY_MS = 1_000;
 const SHORTEST_RETRY_MS = 1_000;
 
 export interface DispatchDeps {
@@ -71,6 +74,8 @@
 
   private toldAtMs = -Infinity;
 
+  private usedToldAtMs = -Infinity;
+
   constructor(private readonly deps: DispatchDeps) {
     this.router = new routing.LeastLoadedRouter(deps.dataCentre, deps.random);
   }
@@ -303,6 +308,8 @@
     const current = this.deps.currentCatalog();
     if (current === null || nowMs - this.toldAtMs < TELL_EVERY_MS) return;
     this.toldAtMs = nowMs;
+    const withUsed = nowMs - this.usedToldAtMs >= USED_EVERY_MS;
+    if (withUsed) this.usedToldAtMs = nowMs;
     const demands = this.queue.demands();
     current.dataCentres.forEach((dataCentre) => {
       const waiting = demands
@@ -314,10 +321,10 @@
           waitedMs: nowMs - oldestAtMs,
           customers: [...customers],
         }));
-      const used = [...(this.used.get(dataCentre) ?? [])];
+      const used = withUsed ? [...(this.used.get(dataCentre) ?? [])] : [];
       const steward = this.deps.peers.stewardOf(dataCentre);
       if (steward === null || waiting.length + used.length === 0) return;
-      this.used.delete(dataCentre);
+      if (withUsed) this.used.delete(dataCentre);
       this.deps.peers.send(steward.vm, {
         type: messages.PeerMessageType.demand,
         waiting,
--- a/src/entry/gateway/model-handler.ts
+++ b/src/entry/gateway/model-handler.ts
@@ -121,25 +121,25 @@
 
   private async runUntilWhole(job: Job, tokens: number): Promise<Refusal | null> {
     const { ctx, fingerprint } = job;
-    const avoid: string[] = [];
-    for (let attempt = 1; ; attempt += 1) {
+    const failures: { readonly engineId: string; readonly failed: CallFailure }[] = [];
+    for (;;) {
+      const ran = failures.filter(({ failed }) => !failed.provenNotRun).length;
+      const verdict = ran === 0 ? errors.Ran.no : errors.Ran.unknown;
       const blockedMs = this.deps.dispatcher.blockedForMs(fingerprint);
-      if (blockedMs !== null) {
-        return this.suspected(job, attempt, blockedMs);
-      }
+      if (blockedMs !== null) return this.suspected(job, verdict, blockedMs);
       ctx.phase = RequestPhase.waiting;
+      const avoid = failures.map(({ engineId }) => engineId);
       const dispatch = this.dispatchRequest(job, tokens, avoid);
       const dispatched = await this.deps.dispatcher.acquire(dispatch, ctx.abort.signal);
       if (dispatched.type === DispatchOutcome.refused) {
         const { failure, retryAfterMs } = dispatched;
-        const ran = attempt === 1 ? errors.Ran.no : errors.Ran.unknown;
-        return { failure, ran, retryAfterMs };
+        return { failure, ran: verdict, retryAfterMs };
       }
       ctx.phase = RequestPhase.running;
       const failed = await this.runOn(job, dispatch, dispatched.engine);
       if (failed === null) return null;
-      if (!this.mayGoOn(job, attempt, failed)) return this.failure(failed, attempt);
-      avoid.push(dispatched.engine.engineId);
+      failures.push({ engineId: dispatched.engine.engineId, failed });
+      if (!this.mayGoOn(job, failures)) return this.failure(failures);
     }
   }
 
@@ -240,26 +240,31 @@
     return report.isErr || !report.value.replicas.some((replica) => replica.target === target.name);
   }
 
-  private mayGoOn(job: Job, count: number, failed: CallFailure): boolean {
+  private mayGoOn(job: Job, failures: readonly { readonly failed: CallFailure }[]): boolean {
     if (job.ctx.abort.signal.aborted) return false;
-    const { provenNotRun } = failed;
+    const refused = failures.filter(({ failed }) => failed.provenNotRun).length;
+    const ran = failures.length - refused;
     // Generating is idempotent, and an answer that has begun is resumed from its last token.
-    const attempt = { count, idempotent: true, provenNotRun, answerBegun: false };
-    return retries.mayRetry(attempt) && this.deps.retries.spend(this.deps.clock.nowMs());
+    const attempts = { ran, notRun: refused, idempotent: true, answerBegun: false };
+    return retries.mayRetry(attempts) && this.deps.retries.spend(this.deps.clock.nowMs());
   }
 
-  private failure({ failure, provenNotRun }: CallFailure, attempt: number): Refusal {
-    const ran = provenNotRun && attempt === 1 ? errors.Ran.no : errors.Ran.unknown;
+  private failure(failures: readonly { readonly failed: CallFailure }[]): Refusal {
+    const ran = failures.every(({ failed }) => failed.provenNotRun)
+      ? errors.Ran.no
+      : errors.Ran.unknown;
+    const failure =
+      failures.at(-1)?.failed.failure ??
+      errors.createFailure(errors.data.BackendFailed, 'run request', 'engine');
     return { failure, ran, retryAfterMs: RETRY_AFTER_FAILURE_MS };
   }
 
-  private suspected({ target }: Job, attempt: number, retryAfterMs: number): Refusal {
+  private suspected({ target }: Job, ran: errors.Ran, retryAfterMs: number): Refusal {
     const failure = errors.createFailure(
       errors.data.RequestSuspected,
       'check request',
       target.name,
     );
-    const ran = attempt === 1 ? errors.Ran.no : errors.Ran.unknown;
     return { failure, ran, retryAfterMs };
   }
 }
--- a/src/entry/gateway/service-handler.ts
+++ b/src/entry/gateway/service-handler.ts
@@ -119,15 +119,16 @@
     if (outcome.type === 'response') return this.relay(job, outcome.response);
     if (outcome.type === 'refused') return outcome.refusal;
     const { failed, backend } = outcome;
-    const attempt = {
-      count: avoid.length + 1,
+    const refused = failed.provenNotRun && body === null ? 1 : 0;
+    const attempts = {
+      ran: avoid.length + 1 - refused,
+      notRun: refused,
       idempotent: mayRepeat,
-      provenNotRun: failed.provenNotRun && body === null,
       answerBegun: false,
     };
     const repeats =
       !job.ctx.abort.signal.aborted &&
-      retries.mayRetry(attempt) &&
+      retries.mayRetry(attempts) &&
       this.deps.retries.spend(this.deps.clock.nowMs());
     if (repeats) return this.forwardAttempt(job, mayRepeat, body, [...avoid, backend.id]);
     const ran = failed.provenNotRun && avoid.length === 0 ? errors.Ran.no : errors.Ran.unknown;
--- a/src/entry/inventory/index.ts
+++ b/src/entry/inventory/index.ts
@@ -21,6 +21,8 @@
 const BUSY_EVERY_MS = 100;
 /** All routes are told this often, whether they changed or not. */
 const WHOLE_EVERY_MS = 5_000;
+/** Changes of load alone are told together, this often. */
+const LOADS_EVERY_MS = 1_000;
 /** A change of load smaller than this part of the slots is not worth telling. */
 const LOAD_STEP = 1 / 8;
 /** An engine that does not answer for this long is taken off the routes. */
@@ -61,13 +63,18 @@
   latest: EngineRoute | null;
 }
 
-function isWorthTelling(told: EngineRoute | null, latest: EngineRoute): boolean {
-  if (told === null) return true;
-  const sameSet =
-    told.leaving === latest.leaving &&
-    told.targets.length === latest.targets.length &&
-    told.targets.every((target) => latest.targets.includes(target));
-  return !sameSet || Math.abs(told.load - latest.load) >= latest.slots * LOAD_STEP;
+/** Whether other targets can be served there now; told at once. */
+function holdsOthers(told: EngineRoute | null, latest: EngineRoute): boolean {
+  return (
+    told === null ||
+    told.leaving !== latest.leaving ||
+    told.targets.length !== latest.targets.length ||
+    !told.targets.every((target) => latest.targets.includes(target))
+  );
+}
+
+function loadMoved(told: EngineRoute | null, latest: EngineRoute): boolean {
+  return told === null || Math.abs(told.load - latest.load) >= latest.slots * LOAD_STEP;
 }
 
 function routeOf(backend: Backend, report: EngineReport): EngineRoute {
@@ -95,6 +102,8 @@
 
   private wholeAtMs = -Infinity;
 
+  private loadsAtMs = -Infinity;
+
   constructor(private readonly deps: InventoryDeps) {}
 
   async start(): Promise<void> {
@@ -170,8 +179,12 @@
     });
     const whole = nowMs - this.wholeAtMs >= WHOLE_EVERY_MS;
     if (whole) this.wholeAtMs = nowMs;
+    const withLoads = nowMs - this.loadsAtMs >= LOADS_EVERY_MS;
+    if (withLoads) this.loadsAtMs = nowMs;
     const changed = [...this.watches.values()].filter(
-      ({ told, latest }) => latest !== null && (whole || isWorthTelling(told, latest)),
+      ({ told, latest }) =>
+        latest !== null &&
+        (whole || holdsOthers(told, latest) || (withLoads && loadMoved(told, latest))),
     );
     if (changed.length === 0) return;
     changed.forEach((watch) => Object.assign(watch, { told: watch.latest }));
--- a/src/entry/steward/reign.ts
+++ b/src/entry/steward/reign.ts
@@ -11,6 +11,9 @@
 
 /** Demand that was not repeated for this long is over. */
 const DEMAND_TTL_MS = 1_000;
+const PLAN_EVERY_MS = 100;
+/** The same while nothing waits. */
+const PLAN_EVERY_AT_REST_MS = 1_000;
 
 export interface ReignDeps {
   readonly dataCentre: string;
@@ -76,6 +79,8 @@
 
   private orders = 0;
 
+  private plannedAtMs = -Infinity;
+
   constructor(private readonly deps: ReignDeps) {
     this.policy = new placement.DemandPlacement(deps.usage);
   }
@@ -145,14 +150,16 @@
 
   private plan(): void {
     const nowMs = this.deps.clock.nowMs();
+    const demands = this.currentDemands(nowMs);
+    const everyMs = demands.length > 0 ? PLAN_EVERY_MS : PLAN_EVERY_AT_REST_MS;
+    if (nowMs - this.plannedAtMs < everyMs) return;
+    this.plannedAtMs = nowMs;
     const view: placement.PlacementView = {
       nowMs,
       targets: this.targets,
       engines: this.view(),
-      demands: this.currentDemands(nowMs),
-      lastUsedAtMs: new Map(
-        [...this.targets.keys()].map((name) => [name, this.deps.usage.lastUsedAtMs(name)]),
-      ),
+      demands,
+      lastUsedAtMs: (target) => this.deps.usage.lastUsedAtMs(target),
     };
     this.policy.plan(view).forEach((action) => this.act(action));
   }
--- /dev/null
+++ b/src/lab/measure/main.ts
@@ -0,0 +1,68 @@
+/** `npm run measure`: replays the traces under each policy and prints the brief's measures. */
+import * as fs from 'node:fs';
+import { readTrace } from './files.js';
+import { measure } from './measure.js';
+import { replay } from './replay.js';
+import type { Measure, PolicyChoice } from './types.js';
+
+const SEEDS = [1, 2, 3];
+const TRACES = ['association', 'kitami', 'third'];
+
+const OURS: PolicyChoice = {
+  name: 'bilberrystand',
+  quota: 'loans',
+  queue: 'fair',
+  router: 'least-loaded',
+  placement: 'demand',
+};
+const NAIVE: PolicyChoice = {
+  name: 'naive',
+  quota: 'static',
+  queue: 'fifo',
+  router: 'random',
+  placement: 'on-demand',
+};
+/** Each part taken out alone. */
+const ABLATIONS: readonly PolicyChoice[] = [
+  { ...OURS, name: 'static rates', quota: 'static' },
+  { ...OURS, name: 'central counter', quota: 'central' },
+  { ...OURS, name: 'first in first out', queue: 'fifo' },
+  { ...OURS, name: 'random replica', router: 'random' },
+  { ...OURS, name: 'on-demand placement', placement: 'on-demand' },
+];
+
+function row(result: Measure): Record<string, string | number> {
+  return {
+    trace: result.trace,
+    policy: result.policy,
+    seed: result.seed,
+    cold: result.coldStarts,
+    'cold p50': Math.round(result.coldP50Ms),
+    'cold p95': Math.round(result.coldP95Ms),
+    'cold p99': Math.round(result.coldP99Ms),
+    'idle h': Number(result.idleEngineHours.toFixed(2)),
+    worst: Number(result.worstServed.toFixed(4)),
+    best: Number(result.bestServed.toFixed(4)),
+    'worst p95': Math.round(result.worstP95Ms),
+    wrongful: result.wrongfulRefusals,
+    missed: result.deadlineMisses,
+    'msg/s': Number(result.messagesPerS.toFixed(1)),
+    'p99 inside': Math.round(result.insideP99Ms),
+    loads: result.loads,
+  };
+}
+
+const ablate = process.argv.includes('--ablate');
+const choices = ablate ? [OURS, ...ABLATIONS, NAIVE] : [OURS, NAIVE];
+const results = TRACES.flatMap((name) => {
+  const trace = readTrace(name);
+  return choices.flatMap((choice) =>
+    (ablate ? SEEDS.slice(0, 1) : SEEDS).map((seed) =>
+      measure(trace, choice, seed, replay(trace, choice, seed)),
+    ),
+  );
+});
+console.table(results.map(row));
+fs.mkdirSync('reports', { recursive: true });
+fs.writeFileSync('reports/measure.json', JSON.stringify(results, null, 2));
+console.log('written to reports/measure.json');
--- a/src/lab/quota/loans.ts
+++ b/src/lab/quota/loans.ts
@@ -1,8 +1,8 @@
 /** The fleet's loans on a virtual clock: borrowers and givers with a network between them. */
 import type { Random } from '../../core/random/index.js';
 import * as quota from '../../decisions/quota/index.js';
-import { VirtualClock } from '../virtual/index.js';
-import type { Arrival, Disturbance, Network, Outcome, QuotaRun, QuotaShape } from './types.js';
+import type { VirtualClock } from '../virtual/index.js';
+import type { Arrival, Disturbance, Network, Outcome, QuotaShape } from './types.js';
 
 const TICK_MS = 25;
 /** Time until a lender that died is replaced, and until its place is known, ms. */
@@ -18,37 +18,34 @@
 }
 
 export class LoanFleet {
-  private readonly clock = new VirtualClock();
-
   private readonly vms: Vm[];
 
   private readonly waiting = new Map<string, Arrival>();
 
-  private readonly outcomes: Outcome[] = [];
-
   private readonly cut = new Set<number>();
 
-  private messages = 0;
+  /** Messages that were sent between the entry VMs. */
+  messages = 0;
+
+  private lastRequest = 0;
 
   constructor(
+    private readonly clock: VirtualClock,
     private readonly shape: QuotaShape,
     private readonly network: Network,
     private readonly random: Random,
+    private readonly onSettled: (outcome: Outcome) => void,
   ) {
     const count = shape.dataCentres * shape.vmsPerDataCentre;
     this.vms = Array.from({ length: count }, (_, index) => this.createVm(index));
+    clock.every(TICK_MS, () => this.tick());
   }
 
-  run(arrivals: readonly Arrival[], disturbances: readonly Disturbance[], endMs: number): QuotaRun {
-    arrivals.forEach((arrival, index) => {
-      this.clock.at(arrival.atMs, () => this.arrive(arrival, index));
-    });
-    disturbances.forEach((event) => {
-      this.clock.at(event.atMs, () => this.disturb(event));
-    });
-    this.clock.every(TICK_MS, () => this.tick());
-    this.clock.runUntil(endMs);
-    return { outcomes: this.outcomes, messages: this.messages };
+  /** Puts back what a request reserved and did not use. */
+  refund(vm: number, customer: string, tokens: number): void {
+    const giver = this.vms[vm % this.vms.length];
+    if (giver === undefined || tokens <= 0) return;
+    this.carryOut(giver, giver.borrower.refund(this.clock.nowMs(), customer, tokens));
   }
 
   private get split(): quota.FleetShape {
@@ -75,11 +72,14 @@
     return lender;
   }
 
-  private arrive(arrival: Arrival, index: number): void {
+  /** A request asks for tokens at its entry VM. */
+  arrive(arrival: Arrival): void {
     const vm = this.vms[arrival.vm % this.vms.length];
     if (vm === undefined || !vm.alive) return;
-    const requestId = String(index);
+    this.lastRequest += 1;
+    const requestId = String(this.lastRequest);
     this.waiting.set(requestId, arrival);
+    vm.borrower.setGivers(this.giversFor(vm));
     const nowMs = this.clock.nowMs();
     const { customer, tokens, patienceMs } = arrival;
     const req = { requestId, customer, tokens, deadlineAtMs: nowMs + patienceMs };
@@ -88,7 +88,7 @@
 
   private tick(): void {
     this.vms
-      .filter(({ alive }) => alive)
+      .filter(({ alive, borrower }) => alive && !borrower.isAtRest())
       .forEach((vm) => {
         vm.borrower.setGivers(this.giversFor(vm));
         this.carryOut(vm, vm.borrower.tick(this.clock.nowMs()));
@@ -159,10 +159,10 @@
     const arrival = this.waiting.get(requestId);
     if (arrival === undefined) return;
     this.waiting.delete(requestId);
-    this.outcomes.push({ arrival, admitted, atMs: this.clock.nowMs() });
+    this.onSettled({ arrival, admitted, atMs: this.clock.nowMs() });
   }
 
-  private disturb({ type, index }: Disturbance): void {
+  disturb({ type, index }: Disturbance): void {
     const vm = this.vms[index % this.vms.length];
     if (vm === undefined) return;
     if (type === 'cut-data-centre') this.cut.add(vm.dataCentre);
--- a/src/lab/quota/types.ts
+++ b/src/lab/quota/types.ts
@@ -41,8 +41,3 @@
   readonly type: 'kill-vm' | 'replace-lender' | 'cut-data-centre' | 'heal';
   readonly index: number;
 }
-
-export interface QuotaRun {
-  readonly outcomes: readonly Outcome[];
-  readonly messages: number;
-}
--- a/test/properties/quota/conservation.test.ts
+++ b/test/properties/quota/conservation.test.ts
@@ -1,9 +1,8 @@
 /** No customer gets more than rate and burst, whatever the network and the fleet do. */
 import * as fc from 'fast-check';
 import { describe, expect, test } from 'vitest';
-import { createRandom } from '../../../src/core/random/index.js';
 import { runExact, worstOvershoot } from '../../../src/lab/quota/exact.js';
-import { LoanFleet } from '../../../src/lab/quota/loans.js';
+import { replayLoans } from '../../../src/lab/quota/replay.js';
 import type { Arrival, Disturbance, QuotaShape } from '../../../src/lab/quota/types.js';
 
 const END_MS = 20_000;
@@ -56,8 +55,8 @@
         fc.constantFrom(0, 0.05, 0.3),
         (arrivals, events, seed, loss) => {
           const network = { delayMs: [1, 60] as const, loss, duplicates: 0.1 };
-          const fleet = new LoanFleet(shape, network, createRandom(seed));
-          const { outcomes } = fleet.run(arrivals, events, END_MS);
+          const outcomes = replayLoans(shape, network, seed, arrivals, events, END_MS);
+          expect(outcomes.length).toBeGreaterThan(0);
           const over = worstOvershoot(outcomes, limit.ratePerS, limit.burst);
           expect(over).toBeLessThanOrEqual(EPSILON);
         },
@@ -74,7 +73,7 @@
     // 950 tokens/s of the customer's 1000.
     const arrivals = steady(vmAt, 20, 19);
     const network = { delayMs: [0.5, 1.5] as const, loss: 0, duplicates: 0 };
-    const { outcomes } = new LoanFleet(shape, network, createRandom(7)).run(arrivals, [], 70_000);
+    const outcomes = replayLoans(shape, network, 7, arrivals, [], 70_000);
     const exact = runExact(shape, arrivals);
     expect(exact.filter(({ admitted }) => !admitted)).toHaveLength(0);
     expect(outcomes.filter(({ admitted }) => !admitted)).toHaveLength(0);
@@ -86,14 +85,14 @@
       { atMs: 100, vm: 0, customer: 'a', tokens: 2_900, patienceMs: 500 },
     ];
     const network = { delayMs: [0.5, 1.5] as const, loss: 0, duplicates: 0 };
-    const { outcomes } = new LoanFleet(shape, network, createRandom(7)).run(arrivals, [], 5_000);
+    const outcomes = replayLoans(shape, network, 7, arrivals, [], 5_000);
     expect(outcomes.map(({ admitted }) => admitted)).toEqual([true]);
   });
 
   test('a customer at five times its rate gets its rate, and no more', () => {
     const arrivals = steady((index) => index % 6, 4, 20);
     const network = { delayMs: [0.5, 1.5] as const, loss: 0, duplicates: 0 };
-    const { outcomes } = new LoanFleet(shape, network, createRandom(7)).run(arrivals, [], 70_000);
+    const outcomes = replayLoans(shape, network, 7, arrivals, [], 70_000);
     const tokens = outcomes
       .filter(({ admitted }) => admitted)
       .reduce((sum, { arrival }) => sum + arrival.tokens, 0);
