--- a/src/entry/admin/index.ts
+++ b/src/entry/admin/index.ts
@@ -1,6 +1,6 @@
 /** The daemon's own port: health, metrics, status, explanations. */
 import * as http from 'node:http';
-import type { AddressInfo } from 'node:net';
+import * as httpServers from '../../core/http/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import type { Trails } from '../gateway/index.js';
@@ -35,25 +35,16 @@
   }
 
   async start(fail: (err: unknown) => void): Promise<void> {
-    const [host, port] = (this.boundAddress || this.deps.listen).split(':');
     const server = http.createServer((req, res) => this.handle(req, res));
     this.server = server;
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(Number(port), host, resolve);
-    });
+    this.boundAddress = await httpServers.listen(server, this.boundAddress || this.deps.listen);
     server.on('error', fail);
-    this.boundAddress = `${host}:${(server.address() as AddressInfo).port}`;
   }
 
   async stop(): Promise<void> {
     const { server } = this;
     this.server = null;
-    if (server === null) return;
-    server.closeAllConnections();
-    await new Promise<void>((resolve) => {
-      server.close(() => resolve());
-    });
+    await httpServers.close(server);
   }
 
   private handle(req: http.IncomingMessage, res: http.ServerResponse): void {
--- a/src/entry/dispatch/index.ts
+++ b/src/entry/dispatch/index.ts
@@ -4,6 +4,7 @@
 import * as errors from '../../core/errors/index.js';
 import * as messages from '../../core/messages/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
+import { Pacer } from '../../core/pacer/index.js';
 import type { Random } from '../../core/random/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import type { Catalog } from '../../decisions/catalog/index.js';
@@ -26,6 +27,7 @@
 export * from './types.js';
 
 const TICK_MS = 25;
+const REST_TICK_MS = 250;
 /** Time between messages on what waits. */
 const TELL_EVERY_MS = 100;
 /** Time between messages on which replicas were used. */
@@ -69,7 +71,12 @@
 
   private readonly used = new Map<string, Set<string>>();
 
-  private timer: NodeJS.Timeout | null = null;
+  private readonly pacer = new Pacer({
+    busyMs: TICK_MS,
+    restMs: REST_TICK_MS,
+    isBusy: () => this.queue.size > 0,
+    tick: () => this.tick(),
+  });
 
   private unsubscribes: Unsubscribe[] = [];
 
@@ -82,7 +89,7 @@
   }
 
   async start(): Promise<void> {
-    this.timer = setInterval(() => this.tick(), TICK_MS);
+    this.pacer.start();
     this.unsubscribes = [
       this.deps.routes.subscribe((update) => this.noteRoutes(update)),
       this.deps.loads.subscribe((loads) => this.noteLoads(loads)),
@@ -95,7 +102,7 @@
   }
 
   async stop(): Promise<void> {
-    if (this.timer !== null) clearInterval(this.timer);
+    this.pacer.stop();
     this.unsubscribes.forEach((unsubscribe) => unsubscribe());
   }
 
@@ -128,6 +135,7 @@
       });
       signal.addEventListener('abort', () => this.abandon(req.id), { once: true });
       this.pump();
+      this.pacer.wake();
     });
   }
 
--- a/src/entry/gateway/index.ts
+++ b/src/entry/gateway/index.ts
@@ -1,9 +1,10 @@
 /** The task that serves callers over HTTP. */
 import * as http from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { Channel, Unsubscribe } from '../../core/channels/index.js';
 import * as clock from '../../core/clock/index.js';
 import * as errors from '../../core/errors/index.js';
+import * as httpServers from '../../core/http/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import type { Catalog } from '../../decisions/catalog/index.js';
 import { digestOf, keyOf, refuseKeyInUrl } from './authenticate.js';
@@ -85,24 +86,15 @@
     );
     server.on('clientError', (err, socket) => this.refuseUnreadable(err, socket as Socket));
     this.server = server;
-    const [host, port] = (this.boundAddress || this.cfg.listen).split(':');
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(Number(port), host, resolve);
-    });
+    this.boundAddress = await httpServers.listen(server, this.boundAddress || this.cfg.listen);
     server.on('error', fail);
-    this.boundAddress = `${host}:${(server.address() as AddressInfo).port}`;
   }
 
   async stop(): Promise<void> {
     this.unsubscribe();
     const { server } = this;
     this.server = null;
-    if (server === null) return;
-    server.closeAllConnections();
-    await new Promise<void>((resolve) => {
-      server.close(() => resolve());
-    });
+    await httpServers.close(server);
   }
 
   /** Takes no new connections and waits until the running requests are done, at most `graceMs`. */
--- a/src/entry/inventory/index.ts
+++ b/src/entry/inventory/index.ts
@@ -7,6 +7,7 @@
 import type { Channel } from '../../core/channels/index.js';
 import type { Clock } from '../../core/clock/index.js';
 import * as messages from '../../core/messages/index.js';
+import { Pacer } from '../../core/pacer/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import type { Backend, Catalog } from '../../decisions/catalog/index.js';
 import { type Inventory, ReplicaState } from '../../decisions/ledger/index.js';
@@ -15,6 +16,7 @@
 import type { Inbound, Peers } from '../peers/index.js';
 
 const TICK_MS = 50;
+const REST_TICK_MS = 200;
 /** Time between readings of an engine at rest. */
 export const REST_EVERY_MS = 1_000;
 /** Time between readings of an engine on which an order is under way. */
@@ -101,7 +103,12 @@
 
   private readonly watches = new Map<string, EngineWatch>();
 
-  private timer: NodeJS.Timeout | null = null;
+  private readonly pacer = new Pacer({
+    busyMs: TICK_MS,
+    restMs: REST_TICK_MS,
+    isBusy: () => this.deps.busyEngines().size > 0,
+    tick: () => this.tick(),
+  });
 
   private unsubscribe: () => void = () => undefined;
 
@@ -112,7 +119,7 @@
   constructor(private readonly deps: InventoryDeps) {}
 
   async start(): Promise<void> {
-    this.timer = setInterval(() => this.tick(), TICK_MS);
+    this.pacer.start();
     const offLinked = this.deps.linked.subscribe((address) => this.greet(address));
     const offInbox = this.deps.inbox.subscribe(({ message }) => {
       if (message.type === messages.PeerMessageType.routes) {
@@ -129,7 +136,7 @@
   }
 
   async stop(): Promise<void> {
-    if (this.timer !== null) clearInterval(this.timer);
+    this.pacer.stop();
     this.unsubscribe();
   }
 
--- a/src/entry/quota/index.ts
+++ b/src/entry/quota/index.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../../core/logger/index.js';
 import * as messages from '../../core/messages/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
+import { Pacer } from '../../core/pacer/index.js';
 import type { Random } from '../../core/random/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import type { Catalog } from '../../decisions/catalog/index.js';
@@ -13,6 +14,7 @@
 import { type PlatformClient, PlatformOutcome } from '../platform/index.js';
 
 const TICK_MS = 25;
+const REST_TICK_MS = 250;
 const LIST_EVERY_MS = 3_000;
 const GIVERS_EVERY_MS = 100;
 /** The same while no floor is held. */
@@ -57,7 +59,12 @@
 
   private readonly waiting = new Map<string, (admission: Admission) => void>();
 
-  private timers: NodeJS.Timeout[] = [];
+  private readonly pacer = new Pacer({
+    busyMs: TICK_MS,
+    restMs: REST_TICK_MS,
+    isBusy: () => !this.borrower.isAtRest(),
+    tick: () => this.tick(),
+  });
 
   private unsubscribes: Unsubscribe[] = [];
 
@@ -77,7 +84,7 @@
   }
 
   async start(): Promise<void> {
-    this.timers = [setInterval(() => this.tick(), TICK_MS)];
+    this.pacer.start();
     this.unsubscribes = [
       this.deps.inbox.subscribe((inbound) => this.receive(inbound)),
       this.deps.applied.subscribe(() => {
@@ -90,7 +97,7 @@
   }
 
   async stop(): Promise<void> {
-    this.timers.forEach((timer) => clearInterval(timer));
+    this.pacer.stop();
     this.unsubscribes.forEach((unsubscribe) => unsubscribe());
   }
 
@@ -117,6 +124,7 @@
       const nowMs = this.deps.clock.nowMs();
       this.findGivers(nowMs);
       this.carryOut(this.borrower.request(nowMs, req));
+      this.pacer.wake();
     });
   }
 
--- a/src/entry/steward/index.ts
+++ b/src/entry/steward/index.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../../core/logger/index.js';
 import * as messages from '../../core/messages/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
+import { Pacer } from '../../core/pacer/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import type { Catalog } from '../../decisions/catalog/index.js';
 import * as leases from '../../decisions/leases/index.js';
@@ -15,6 +16,7 @@
 import { Reign } from './reign.js';
 
 const TICK_MS = 50;
+const REST_TICK_MS = 200;
 
 export interface StewardDeps {
   readonly vm: string;
@@ -41,7 +43,12 @@
 
   private readonly usage = new placement.UsageHistory();
 
-  private timer: NodeJS.Timeout | null = null;
+  private readonly pacer = new Pacer({
+    busyMs: TICK_MS,
+    restMs: REST_TICK_MS,
+    isBusy: () => this.reign?.isBusy() ?? false,
+    tick: () => this.tick(),
+  });
 
   private unsubscribes: Unsubscribe[] = [];
 
@@ -51,7 +58,7 @@
 
   async start(): Promise<void> {
     this.keeper = this.createKeeper();
-    this.timer = setInterval(() => this.tick(), TICK_MS);
+    this.pacer.start();
     this.unsubscribes = [
       this.deps.inbox.subscribe((inbound) => this.receive(inbound)),
       this.deps.readings.subscribe((reading) => this.reign?.noteReading(reading)),
@@ -60,15 +67,14 @@
   }
 
   async stop(): Promise<void> {
-    if (this.timer !== null) clearInterval(this.timer);
+    this.pacer.stop();
     this.unsubscribes.forEach((unsubscribe) => unsubscribe());
     this.endReign();
   }
 
   /** Gives the lease up, for a planned stop. */
   async handOver(): Promise<void> {
-    if (this.timer !== null) clearInterval(this.timer);
-    this.timer = null;
+    this.pacer.stop();
     const effects = this.keeper.handle(this.deps.clock.nowMs(), {
       type: leases.LeaseEventType.release,
     });
@@ -187,5 +193,6 @@
       }),
     );
     this.reign?.noteDemand(from, demands);
+    this.pacer.wake();
   }
 }
--- a/src/entry/steward/reign.ts
+++ b/src/entry/steward/reign.ts
@@ -118,6 +118,11 @@
     this.plan();
   }
 
+  /** Whether requests wait, or something is under way on an engine. */
+  isBusy(): boolean {
+    return this.demands.size > 0 || this.busyEngines().size > 0;
+  }
+
   /** Engines on which something is under way. */
   busyEngines(): ReadonlySet<string> {
     const busy = [...this.engines.values()].filter(({ book }) => {
