--- a/src/decisions/catalog/index.ts
+++ b/src/decisions/catalog/index.ts
@@ -110,9 +110,3 @@
     entryVms: tree.nodes.get('/')?.entryVms ?? settingsTree.DEFAULT_VALUES.entryVms,
   };
 }
-
-/** The customer whose key this is. Only the digest is compared, and only the digest is kept. */
-export function customerOfKey(catalog: Catalog, key: string): Customer | null {
-  const name = catalog.customerByKey.get(settingsTree.sha256(key));
-  return name === undefined ? null : (catalog.customers.get(name) ?? null);
-}
--- a/src/entry/quota/index.ts
+++ b/src/entry/quota/index.ts
@@ -112,7 +112,11 @@
       const tenure: tenures.Tenure = { vm: null, incarnation: this.deps.incarnation, levels };
       return this.deps.platform.write(this.keyOf(name), tenure, version);
     });
+    // What is handed over is neither spent nor lent here any more.
     this.lender = null;
+    this.floorName = null;
+    this.floor = new quota.QuotaGiver(0, {});
+    this.borrower.setFloor(this.floor);
     this.deps.peers.announce({ lender: false });
     await Promise.all(writes);
   }
