Count a base that is loaded for an adapter among the model loads

Found on reading: such a load was counted as an adapter's, so that more than four models could load at once.

--- a/src/decisions/placement/index.ts
+++ b/src/decisions/placement/index.ts
@@ -87,10 +87,12 @@
       const isModel = step.target.adapter === null;
       if (isModel ? modelLoads >= MOST_MODEL_LOADS : adapterLoads >= MOST_ADAPTER_LOADS) return [];
       const actions = this.placeOrRebase(view, step, taken);
-      const loads = actions.some((action) => action.type === PlacementActionType.load);
-      if (loads && isModel) modelLoads += 1;
-      if (loads && !isModel) adapterLoads += 1;
-      actions.forEach((action) => taken.add(action.engineId));
+      actions.forEach((action) => {
+        taken.add(action.engineId);
+        if (action.type !== PlacementActionType.load) return;
+        if (action.target.adapter === null) modelLoads += 1;
+        else adapterLoads += 1;
+      });
       return actions;
     });
   }
