Repeat routes to whoever missed them, and count every death of an engine

Cause: routes that change are sent once, to members heard of; a peer that was connected but not heard yet, or was greeted before the new reader had read anything, waited for the next whole routes, 30 s later. Ruled out: the steward (the replicas were loaded). Routes go to every known peer now, and a VM whose requests wait for what is loaded gets them again. Cause: reports within a second on one engine were taken for one death, and the engine was back and died again within that. A report counts now when its attempt began after the death noted before.

--- a/src/core/messages/types.ts
+++ b/src/core/messages/types.ts
@@ -123,7 +123,12 @@
     waiting: z.array(demandSchema),
     used: z.array(z.string()),
   }),
-  z.object({ type: z.literal('death'), fingerprint: z.string(), engineId: z.string() }),
+  z.object({
+    type: z.literal('death'),
+    fingerprint: z.string(),
+    engineId: z.string(),
+    ranMs: z.number(),
+  }),
 ] as const;
 
 export const peerMessageSchema = z.discriminatedUnion('type', messageSchemas);
--- a/src/decisions/suspects/index.ts
+++ b/src/decisions/suspects/index.ts
@@ -8,14 +8,14 @@
 import { createHash } from 'node:crypto';
 
 const DEATHS_TO_BLOCK = 2;
-/** Reports on one engine within this time speak of the same death. */
-const SAME_DEATH_MS = 1_000;
 export const BLOCK_MS = 600_000;
 
 /** The death of an engine while it ran a request. */
 export interface Death {
   readonly fingerprint: string;
   readonly engineId: string;
+  /** How long the request had run there, ms. */
+  readonly ranMs: number;
 }
 
 interface Record {
@@ -37,7 +37,7 @@
   private readonly running = new Map<string, Set<string>>();
 
   /** Notes a death, seen here or by a peer. */
-  note(nowMs: number, { fingerprint, engineId }: Death): void {
+  note(nowMs: number, { fingerprint, engineId, ranMs }: Death): void {
     this.expire(nowMs);
     const record = this.records.get(fingerprint) ?? {
       deaths: 0,
@@ -45,7 +45,8 @@
       untilMs: 0,
     };
     const lastAtMs = record.notedAtMs.get(engineId) ?? -Infinity;
-    if (nowMs - lastAtMs >= SAME_DEATH_MS) record.deaths += 1;
+    // What began before the death that was noted last saw the same one.
+    if (nowMs - ranMs >= lastAtMs) record.deaths += 1;
     record.notedAtMs.set(engineId, nowMs);
     record.untilMs = nowMs + BLOCK_MS;
     this.records.set(fingerprint, record);
--- a/src/entry/dispatch/index.ts
+++ b/src/entry/dispatch/index.ts
@@ -12,7 +12,7 @@
 import * as fairQueue from '../../decisions/fair-queue/index.js';
 import * as placement from '../../decisions/placement/index.js';
 import * as routing from '../../decisions/routing/index.js';
-import { SuspectTable } from '../../decisions/suspects/index.js';
+import { type Death, SuspectTable } from '../../decisions/suspects/index.js';
 import type { LoadsUpdate, RoutesUpdate } from '../inventory/index.js';
 import type { Inbound, Peers } from '../peers/index.js';
 import { homesOf } from './homes.js';
@@ -149,11 +149,10 @@
     this.pump();
   }
 
-  noteDeath(fingerprint: string, engineId: string): void {
-    this.suspects.note(this.deps.clock.nowMs(), { fingerprint, engineId });
-    const type = messages.PeerMessageType.death;
-    this.deps.peers.sendAll({ type, fingerprint, engineId });
-    this.deps.metrics.count('engine_deaths', { engine: engineId });
+  noteDeath(death: Death): void {
+    this.suspects.note(this.deps.clock.nowMs(), death);
+    this.deps.peers.sendAll({ type: messages.PeerMessageType.death, ...death });
+    this.deps.metrics.count('engine_deaths', { engine: death.engineId });
   }
 
   noteWhole(fingerprint: string): void {
--- a/src/entry/dispatch/types.ts
+++ b/src/entry/dispatch/types.ts
@@ -2,6 +2,7 @@
 import type { Failure } from '../../core/errors/index.js';
 import type { Target } from '../../decisions/catalog/index.js';
 import type { EngineRoute } from '../../decisions/routing/index.js';
+import type { Death } from '../../decisions/suspects/index.js';
 
 export interface DispatchRequest {
   readonly id: string;
@@ -41,7 +42,7 @@
   acquire(req: DispatchRequest, signal: AbortSignal): Promise<Dispatched>;
   release(req: DispatchRequest, engine: EngineRoute, verdict: EngineVerdict): void;
   /** Notes that an engine died while it ran the request, and tells the peers. */
-  noteDeath(fingerprint: string, engineId: string): void;
+  noteDeath(death: Death): void;
   /** Notes that the request ran to its end. */
   noteWhole(fingerprint: string): void;
   /** Whether the request crashed too many backend servers; then when it may come back. */
--- a/src/entry/gateway/model-handler.ts
+++ b/src/entry/gateway/model-handler.ts
@@ -168,6 +168,7 @@
   ): Promise<CallFailure | null> {
     const { ctx, fingerprint } = job;
     const { engineId } = engine;
+    const startedAtMs = this.deps.clock.nowMs();
     this.deps.trails.note(ctx.id, 'engine', { engineId, from: job.answer.tokens });
     try {
       await this.stream(job, dispatch.id, engine);
@@ -178,10 +179,12 @@
       this.deps.retries.earn(job.target.retryRatio);
       return null;
     } catch (err) {
+      const failedAtMs = this.deps.clock.nowMs();
       const gone = ctx.abort.signal.aborted;
       const failed = this.asCallFailure(err, engineId);
       if (!gone && (await this.hasDied(failed, engine, job.target))) {
-        this.deps.dispatcher.noteDeath(fingerprint, engineId);
+        const ranMs = failedAtMs - startedAtMs;
+        this.deps.dispatcher.noteDeath({ fingerprint, engineId, ranMs });
       }
       const verdict = failed.provenNotRun ? EngineVerdict.absent : EngineVerdict.failed;
       this.deps.dispatcher.release(dispatch, engine, gone ? EngineVerdict.healthy : verdict);
--- a/src/entry/inventory/index.ts
+++ b/src/entry/inventory/index.ts
@@ -27,6 +27,9 @@
 const LOADS_EVERY_MS = 1_000;
 /** A change of load smaller than this part of the slots is not worth telling. */
 const LOAD_STEP = 1 / 8;
+/** Requests that wait this long for a target that is loaded make the reader repeat the routes. */
+const REMIND_AFTER_MS = 500;
+const REMIND_EVERY_MS = 5_000;
 /** An engine that does not answer for this long is taken off the routes. */
 export const SILENT_AFTER_MS = 3_500;
 
@@ -62,6 +65,8 @@
   readonly clock: Clock;
 }
 
+type WaitingTarget = messages.PeerMessageOf<'demand'>['waiting'][number];
+
 interface EngineWatch {
   readAtMs: number;
   answeredAtMs: number;
@@ -116,12 +121,15 @@
 
   private loadsAtMs = -Infinity;
 
+  private readonly remindedAtMs = new Map<string, number>();
+
   constructor(private readonly deps: InventoryDeps) {}
 
   async start(): Promise<void> {
     this.pacer.start();
     const offLinked = this.deps.linked.subscribe((address) => this.greet(address));
-    const offInbox = this.deps.inbox.subscribe(({ message }) => {
+    const offInbox = this.deps.inbox.subscribe(({ from, message }) => {
+      if (message.type === messages.PeerMessageType.demand) this.remind(from, message.waiting);
       if (message.type === messages.PeerMessageType.routes) {
         const { dataCentre, whole, engines } = message;
         this.deps.routes.send({ dataCentre, whole, engines });
@@ -214,11 +222,28 @@
 
   /** A peer that was just connected may know nothing, or have missed something. */
   private greet(address: string): void {
+    if (!this.isReader() || this.watches.size === 0) return;
+    this.deps.peers.sendTo(address, this.knownRoutes());
+  }
+
+  /** Requests that wait for long although replicas are there: the entry VM may have missed them. */
+  private remind(vm: string, waiting: readonly WaitingTarget[]): void {
+    const nowMs = this.deps.clock.nowMs();
+    const lastAtMs = this.remindedAtMs.get(vm) ?? -Infinity;
+    if (!this.isReader() || nowMs - lastAtMs < REMIND_EVERY_MS) return;
+    const routes = this.knownRoutes();
+    const isThere = ({ target, waitedMs }: WaitingTarget) =>
+      waitedMs >= REMIND_AFTER_MS && routes.engines.some(({ targets }) => targets.includes(target));
+    if (!waiting.some(isThere)) return;
+    this.remindedAtMs.set(vm, nowMs);
+    this.deps.peers.send(vm, routes);
+  }
+
+  /** What was read so far; not whole, since a new reader may not have read every engine yet. */
+  private knownRoutes(): messages.PeerMessageOf<'routes'> {
     const engines = [...this.watches.values()].flatMap(({ latest }) => latest ?? []);
-    if (!this.isReader() || engines.length === 0) return;
     const { dataCentre } = this.deps;
-    const type = messages.PeerMessageType.routes;
-    this.deps.peers.sendTo(address, { type, dataCentre, whole: true, engines });
+    return { type: messages.PeerMessageType.routes, dataCentre, whole: false, engines };
   }
 
   /** Loads alone go to this data centre, whose entry VMs choose among its engines first. */
--- a/src/entry/peers/index.ts
+++ b/src/entry/peers/index.ts
@@ -35,7 +35,7 @@
   sendTo(address: string, message: messages.PeerMessage): boolean;
   /** Sends to every member of this data centre that is alive, but not to this entry VM. */
   sendNear(message: messages.PeerMessage): void;
-  /** Sends to every member that is alive, but not to this entry VM. */
+  /** Sends to every peer that is known, heard of or not yet. */
   sendAll(message: messages.PeerMessage): void;
   members(): readonly membership.MemberState[];
   nearMembers(): readonly membership.MemberState[];
@@ -156,7 +156,11 @@
   }
 
   sendAll(message: messages.PeerMessage): void {
-    this.sendToAll(this.members(), message);
+    // A peer that is connected and not heard yet would miss what is sent only once.
+    this.sendToAll(
+      [...this.links.keys()].map((address) => ({ address })),
+      message,
+    );
   }
 
   members(): readonly membership.MemberState[] {
@@ -182,11 +186,7 @@
 
   announce(change: Partial<membership.MemberState>): void {
     this.state = { ...this.state, ...change };
-    // Also to peers that were not heard yet: short heartbeats do not carry the change.
-    this.sendToAll(
-      [...this.links.keys()].map((address) => ({ address })),
-      this.heartbeat(),
-    );
+    this.sendAll(this.heartbeat());
   }
 
   listedVms(): ReadonlySet<string> | null {
