Join waiting demand in one place

The steward and the replay each added demands up by target; joinDemands in placement serves both now, so that the replay drives the code that the daemon runs. The quota task was given metrics that it never used. Behaviour is unchanged.

--- a/src/decisions/placement/index.ts
+++ b/src/decisions/placement/index.ts
@@ -20,6 +20,7 @@
 } from './types.js';
 import { UsageHistory } from './usage.js';
 
+export * from './demand.js';
 export * from './load-time.js';
 export * from './types.js';
 export { UsageHistory } from './usage.js';
--- a/src/entry/quota/index.ts
+++ b/src/entry/quota/index.ts
@@ -3,7 +3,6 @@
 import type { Clock } from '../../core/clock/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import * as messages from '../../core/messages/index.js';
-import type { Metrics } from '../../core/metrics/index.js';
 import { Pacer } from '../../core/pacer/index.js';
 import type { Random } from '../../core/random/index.js';
 import type { Task } from '../../core/supervisor/index.js';
@@ -42,7 +41,6 @@
   currentCatalog(): Catalog | null;
   readonly clock: Clock;
   readonly random: Random;
-  readonly metrics: Metrics;
   readonly logger: Logger;
 }
 
--- a/src/entry/steward/reign.ts
+++ b/src/entry/steward/reign.ts
@@ -171,27 +171,10 @@
 
   /** Adds the entry VMs' demands up by target. */
   private currentDemands(nowMs: number): readonly placement.WakeDemand[] {
-    const sums = new Map<string, placement.WakeDemand>();
-    this.demands.forEach(({ demand, heardAtMs }, key) => {
-      if (nowMs - heardAtMs > DEMAND_TTL_MS) {
-        this.demands.delete(key);
-        return;
-      }
-      const sum = sums.get(demand.target);
-      sums.set(
-        demand.target,
-        sum === undefined
-          ? demand
-          : {
-              target: demand.target,
-              waiting: sum.waiting + demand.waiting,
-              earliestDeadlineAtMs: Math.min(sum.earliestDeadlineAtMs, demand.earliestDeadlineAtMs),
-              oldestAtMs: Math.min(sum.oldestAtMs, demand.oldestAtMs),
-              customers: [...new Set([...sum.customers, ...demand.customers])],
-            },
-      );
+    this.demands.forEach(({ heardAtMs }, key) => {
+      if (nowMs - heardAtMs > DEMAND_TTL_MS) this.demands.delete(key);
     });
-    return [...sums.values()];
+    return placement.joinDemands([...this.demands.values()].map(({ demand }) => demand));
   }
 
   private act(action: placement.PlacementAction): void {
--- a/src/entry/wire.ts
+++ b/src/entry/wire.ts
@@ -99,7 +99,6 @@
     currentCatalog,
     clock,
     random,
-    metrics,
     logger: logger.child('quota'),
   });
   const steward = new StewardTask({
--- a/src/lab/measure/replay.ts
+++ b/src/lab/measure/replay.ts
@@ -235,21 +235,7 @@
   private demands(): readonly placement.WakeDemand[] {
     const all = this.vms.flatMap(({ queue }) => queue.demands());
     this.demandMessages += this.vms.filter(({ queue }) => queue.size > 0).length;
-    const sums = new Map<string, placement.WakeDemand>();
-    all.forEach((demand) => {
-      const sum = sums.get(demand.target);
-      sums.set(demand.target, {
-        target: demand.target,
-        waiting: demand.waiting + (sum?.waiting ?? 0),
-        earliestDeadlineAtMs: Math.min(
-          demand.earliestDeadlineAtMs,
-          sum?.earliestDeadlineAtMs ?? Infinity,
-        ),
-        oldestAtMs: Math.min(demand.oldestAtMs, sum?.oldestAtMs ?? Infinity),
-        customers: [...new Set([...demand.customers, ...(sum?.customers ?? [])])],
-      });
-    });
-    return [...sums.values()];
+    return placement.joinDemands(all);
   }
 
   private plan(): void {
