--- a/eslint.config.js
+++ b/eslint.config.js
@@ -39,7 +39,9 @@
   ...configs.base.typescript,
   prettier,
   {
-    languageOptions: { parserOptions: { projectService: { allowDefaultProject: ['eslint.config.js'] } } },
+    languageOptions: {
+      parserOptions: { projectService: { allowDefaultProject: ['eslint.config.js'] } },
+    },
     rules: {
       // House style: named exports throughout, imported as namespaces.
       'import-x/prefer-default-export': 'off',
@@ -50,6 +52,14 @@
       'no-await-in-loop': 'off',
       'class-methods-use-this': 'off',
       'max-classes-per-file': 'off',
+      // As in the guide, but streams are read by `for await`.
+      'no-restricted-syntax': [
+        'error',
+        { selector: 'ForInStatement', message: 'Iterate over Object.keys.' },
+        { selector: 'ForOfStatement[await=false]', message: 'Use array methods.' },
+        { selector: 'LabeledStatement', message: 'Labels are a form of GOTO.' },
+        { selector: 'WithStatement', message: 'With is disallowed in strict mode.' },
+      ],
       'no-void': ['error', { allowAsStatement: true }],
       'no-underscore-dangle': 'off',
       'no-continue': 'off',
@@ -62,5 +72,8 @@
     files: ['src/cli/**/*.ts', 'src/lab/**/*.ts', 'scripts/**/*.ts'],
     rules: { 'no-console': 'off' },
   },
-  { files: ['test/**/*.ts', 'scripts/**/*.ts', '*.ts', '*.js'], rules: { 'import-x/no-extraneous-dependencies': 'off' } },
+  {
+    files: ['src/lab/**/*.ts', 'test/**/*.ts', 'scripts/**/*.ts', '*.ts', '*.js'],
+    rules: { 'import-x/no-extraneous-dependencies': 'off' },
+  },
 );
--- /dev/null
+++ b/src/cli/serve/index.ts
@@ -0,0 +1,31 @@
+/** `bilberrystand serve`: runs a daemon. */
+import { defineCommand } from 'citty';
+import { createLogger } from '../../core/logger/index.js';
+import { readSettings } from '../../core/settings/index.js';
+import { startDaemon } from '../../entry/wire.js';
+import { ExitCode, printFailure } from '../kit/index.js';
+
+export const serveCommand = defineCommand({
+  meta: { name: 'serve', description: 'Run the daemon of an entry VM.' },
+  args: {
+    settings: { type: 'string', required: true, description: 'Settings file (TOML).' },
+  },
+  async run({ args }) {
+    const settings = readSettings(args.settings);
+    if (settings.isErr) {
+      printFailure(settings.error);
+      return;
+    }
+    const logger = createLogger(settings.value.vm.id, settings.value.log.level);
+    const daemon = await startDaemon(settings.value, logger);
+    const { callersAddress, peersAddress, adminAddress } = daemon;
+    console.log(JSON.stringify({ event: 'started', callersAddress, peersAddress, adminAddress }));
+    let stops = 0;
+    const stop = () => {
+      stops += 1;
+      void daemon.stop(stops > 1).then(() => process.exit(ExitCode.ok));
+    };
+    process.on('SIGTERM', stop);
+    process.on('SIGINT', stop);
+  },
+});
--- /dev/null
+++ b/src/cli/tree/values.ts
@@ -0,0 +1,56 @@
+/** Values of tree nodes as the command line and TOML files write them. */
+import { Result } from 'true-myth';
+import * as errors from '../../core/errors/index.js';
+import { formatIssues } from '../../core/settings/index.js';
+import * as settingsTree from '../../decisions/settings-tree/index.js';
+
+function parseScalar(text: string): unknown {
+  if (text === 'true' || text === 'false') return text === 'true';
+  if (text !== '' && Number.isFinite(Number(text))) return Number(text);
+  return text.includes(',') ? text.split(',') : text;
+}
+
+/** Reads `name=value` pairs. */
+export function parsePairs(
+  pairs: readonly string[],
+): Result<settingsTree.NodeValues, errors.Failure> {
+  const fail = (detail: string) =>
+    Result.err<settingsTree.NodeValues, errors.Failure>(
+      errors.createFailure(errors.data.InvalidSettings, 'read values', 'command line', detail),
+    );
+  const malformed = pairs.find((pair) => !/^[A-Za-z0-9]+=/.test(pair));
+  if (malformed !== undefined) return fail(`"${malformed}" is not of the form name=value.`);
+  const raw = Object.fromEntries(
+    pairs.map((pair) => {
+      const at = pair.indexOf('=');
+      const name = pair.slice(0, at);
+      const value = parseScalar(pair.slice(at + 1));
+      return [name, name === 'dataCentres' ? [value].flat() : value];
+    }),
+  );
+  const parsed = settingsTree.nodeSchema.safeParse(raw);
+  return parsed.success ? Result.ok(parsed.data) : fail(formatIssues(parsed.error.issues));
+}
+
+/** The tree as a TOML document: one table for each node, under its path. */
+export function toDocument(tree: settingsTree.Tree): Record<string, unknown> {
+  return Object.fromEntries([...tree.nodes].sort(([a], [b]) => (a < b ? -1 : 1)));
+}
+
+/** Edits that turn `tree` into the document. Keys are never in documents of others, so they stay. */
+export function editsTowards(
+  tree: settingsTree.Tree,
+  document: Readonly<Record<string, unknown>>,
+): readonly settingsTree.NodeEdit[] {
+  const isKey = (path: string) => settingsTree.segmentsOf(path)[2] === 'keys';
+  const wanted = new Map(
+    Object.entries(document).map(([path, values]) => [path, values as settingsTree.NodeValues]),
+  );
+  const removed = [...tree.nodes.keys()]
+    .filter((path) => !wanted.has(path) && !isKey(path))
+    .map((path): settingsTree.NodeEdit => ({ path, values: null }));
+  const changed = [...wanted]
+    .filter(([path, values]) => JSON.stringify(tree.nodes.get(path)) !== JSON.stringify(values))
+    .map(([path, values]): settingsTree.NodeEdit => ({ path, values }));
+  return [...removed, ...changed];
+}
--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -13,11 +13,6 @@
         .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'must be lower-case letters, digits and dashes')
         .describe('Name of this entry VM, unique in the deployment.'),
       dataCentre: z.string().min(1).describe('Data centre that this entry VM is in.'),
-      slots: z
-        .int()
-        .min(1)
-        .default(8)
-        .describe('Entry VM slots of a data centre, among which the floor of a rate is split.'),
     })
     .describe('Identity of the entry VM.'),
   listen: z
--- a/src/decisions/catalog/index.ts
+++ b/src/decisions/catalog/index.ts
@@ -100,6 +100,7 @@
       (service) => service.name,
     ),
     dataCentres: tree.nodes.get('/')?.dataCentres ?? [],
+    entryVms: tree.nodes.get('/')?.entryVms ?? settingsTree.DEFAULT_VALUES.entryVms,
   };
 }
 
--- a/src/decisions/catalog/types.ts
+++ b/src/decisions/catalog/types.ts
@@ -1,5 +1,5 @@
 /** What the settings tree says, arranged for the request path. */
-import type { NodeValues, RequestClass } from '../settings-tree/index.js';
+import type { RequestClass } from '../settings-tree/index.js';
 
 /** A model, or an adapter on a model, that callers name in `model`. */
 export interface Target {
@@ -58,6 +58,6 @@
   readonly backends: ReadonlyMap<string, Backend>;
   readonly services: ReadonlyMap<string, PlainService>;
   readonly dataCentres: readonly string[];
+  /** Entry VMs of each data centre. */
+  readonly entryVms: number;
 }
-
-export type { NodeValues };
--- a/src/decisions/fair-queue/index.ts
+++ b/src/decisions/fair-queue/index.ts
@@ -11,6 +11,10 @@
   readonly customer: string;
   /** Name of the target that has to run it. */
   readonly target: string;
+  /** Requests of one lane can run at the same places; most often the target's name. */
+  readonly lane: string;
+  /** When it began to wait, ms. */
+  readonly arrivedAtMs: number;
   /** Tokens that serving it is expected to take. */
   readonly cost: number;
   readonly weight: number;
@@ -23,6 +27,7 @@
   readonly waiting: number;
   readonly cost: number;
   readonly earliestDeadlineAtMs: number;
+  readonly oldestAtMs: number;
   readonly customers: readonly string[];
 }
 
@@ -31,8 +36,8 @@
   readonly size: number;
   push(req: QueuedRequest): void;
   remove(id: string): QueuedRequest | null;
-  /** Takes the next request among the targets that can run one now. */
-  take(canRun: (target: string) => boolean): QueuedRequest | null;
+  /** Takes the next request among the lanes that can run one now. */
+  take(canRun: (lane: string) => boolean): QueuedRequest | null;
   /** Corrects a customer's account once the true cost is known. */
   correct(customer: string, weight: number, extraCost: number): void;
   /** Takes all requests whose deadline has passed. */
@@ -53,6 +58,7 @@
     waiting: group.length,
     cost: group.reduce((sum, req) => sum + req.cost, 0),
     earliestDeadlineAtMs: Math.min(...group.map((req) => req.deadlineAtMs)),
+    oldestAtMs: Math.min(...group.map((req) => req.arrivedAtMs)),
     customers: [...new Set(group.map((req) => req.customer))],
   }));
 }
@@ -62,7 +68,7 @@
   lane.splice(after < 0 ? lane.length : after, 0, req);
 }
 
-/** One customer's waiting requests, a lane for each target, and its fair share so far. */
+/** One customer's waiting requests, in lanes, and its fair share so far. */
 class CustomerLanes {
   private readonly lanes = new Map<string, QueuedRequest[]>();
 
@@ -70,15 +76,15 @@
   tag = 0;
 
   push(req: QueuedRequest): void {
-    const lane = this.lanes.get(req.target) ?? [];
+    const lane = this.lanes.get(req.lane) ?? [];
     insertByDeadline(lane, req);
-    this.lanes.set(req.target, lane);
+    this.lanes.set(req.lane, lane);
   }
 
-  head(canRun: (target: string) => boolean): QueuedRequest | null {
+  head(canRun: (lane: string) => boolean): QueuedRequest | null {
     return [...this.lanes]
-      .filter(([target]) => canRun(target))
-      .map(([, lane]) => lane[0])
+      .filter(([lane]) => canRun(lane))
+      .map(([, waiting]) => waiting[0])
       .reduce<QueuedRequest | null>((best, req) => {
         if (req === undefined) return best;
         return best === null || req.deadlineAtMs < best.deadlineAtMs ? req : best;
@@ -86,10 +92,10 @@
   }
 
   remove(req: QueuedRequest): void {
-    const lane = this.lanes.get(req.target) ?? [];
+    const lane = this.lanes.get(req.lane) ?? [];
     const rest = lane.filter((other) => other.id !== req.id);
-    if (rest.length === 0) this.lanes.delete(req.target);
-    else this.lanes.set(req.target, rest);
+    if (rest.length === 0) this.lanes.delete(req.lane);
+    else this.lanes.set(req.lane, rest);
   }
 
   isEmpty(): boolean {
@@ -121,7 +127,7 @@
     return req;
   }
 
-  take(canRun: (target: string) => boolean): QueuedRequest | null {
+  take(canRun: (lane: string) => boolean): QueuedRequest | null {
     const next = [...this.customers.values()]
       .filter((lanes) => !lanes.isEmpty())
       .sort((a, b) => a.tag - b.tag)
--- a/src/decisions/membership/index.ts
+++ b/src/decisions/membership/index.ts
@@ -13,10 +13,16 @@
   readonly leaving: boolean;
   /** Fencing number of its steward lease; 0 while it is not the steward. */
   readonly stewardEpoch: number;
+  /** Whether it lends the data centre's share of the customers' rates. */
+  readonly lender: boolean;
 }
 
-/** A member that is silent for longer is not counted on. */
-export const ALIVE_MS = 1_500;
+/** Time between heartbeats to members of the same data centre. */
+export const NEAR_HEARTBEAT_MS = 1_000;
+/** Time between heartbeats to members of other data centres. */
+export const FAR_HEARTBEAT_MS = 5_000;
+/** A member is not counted on after this many heartbeats were missed. */
+const MISSED_HEARTBEATS = 3.5;
 /** A member that is silent for longer is forgotten. */
 export const FORGET_MS = 60_000;
 
@@ -28,7 +34,10 @@
 export class Membership {
   private readonly records = new Map<string, Record>();
 
-  constructor(private readonly self: string) {}
+  constructor(
+    private readonly self: string,
+    private readonly dataCentre: string,
+  ) {}
 
   heard(nowMs: number, state: MemberState): void {
     if (state.vm === this.self) return;
@@ -46,7 +55,7 @@
   alive(nowMs: number): readonly MemberState[] {
     this.forget(nowMs);
     return [...this.records.values()]
-      .filter(({ heardAtMs }) => nowMs - heardAtMs < ALIVE_MS)
+      .filter(({ state, heardAtMs }) => nowMs - heardAtMs < this.patienceMs(state))
       .map(({ state }) => state)
       .sort((a, b) => (a.vm < b.vm ? -1 : 1));
   }
@@ -65,6 +74,11 @@
       );
   }
 
+  private patienceMs({ dataCentre }: MemberState): number {
+    const everyMs = dataCentre === this.dataCentre ? NEAR_HEARTBEAT_MS : FAR_HEARTBEAT_MS;
+    return everyMs * MISSED_HEARTBEATS;
+  }
+
   private forget(nowMs: number): void {
     this.records.forEach(({ heardAtMs }, vm) => {
       if (nowMs - heardAtMs > FORGET_MS) this.records.delete(vm);
--- a/src/decisions/orders/index.ts
+++ b/src/decisions/orders/index.ts
@@ -124,16 +124,18 @@
 
   private decide(claim: Claim | null, version: number): readonly ClaimEffect[] {
     if (claim === null) return this.reads <= MOST_READS ? [this.writeAt(0)] : this.readAgain();
-    if (claim.digest !== this.own.digest) return [this.refuseAs(errors.data.ClaimMismatch, 0)];
+    if (claim.digest !== this.own.digest) {
+      return [this.refuseAs(errors.data.ClaimMismatch, errors.Ran.no, 0)];
+    }
     switch (claim.state) {
       case ClaimState.done:
         return claim.response === null
-          ? [this.refuseAs(errors.data.OutcomeUnknown, RETRY_UNKNOWN_MS)]
+          ? [this.refuseAs(errors.data.OutcomeUnknown, errors.Ran.unknown, RETRY_UNKNOWN_MS)]
           : [{ type: ClaimEffectType.reply, response: claim.response, replayed: true }];
       case ClaimState.released:
         return [this.writeAt(version)];
       case ClaimState.unknown:
-        return [this.refuseAs(errors.data.OutcomeUnknown, RETRY_UNKNOWN_MS)];
+        return [this.refuseAs(errors.data.OutcomeUnknown, errors.Ran.unknown, RETRY_UNKNOWN_MS)];
       default:
         return this.decideClaimed(claim, version);
     }
@@ -143,12 +145,17 @@
     if (claim.attempt === this.own.attempt) return this.forwardOnce(version);
     const fresh = this.wallMs - claim.claimedAtMs < IN_PROGRESS_MS;
     return fresh
-      ? [this.refuseAs(errors.data.ClaimInProgress, RETRY_IN_PROGRESS_MS)]
-      : [this.refuseAs(errors.data.OutcomeUnknown, RETRY_UNKNOWN_MS)];
+      ? [this.refuseAs(errors.data.ClaimInProgress, errors.Ran.unknown, RETRY_IN_PROGRESS_MS)]
+      : [this.refuseAs(errors.data.OutcomeUnknown, errors.Ran.unknown, RETRY_UNKNOWN_MS)];
   }
 
-  private refuseAs(def: errors.ErrorDefinition, retryAfterMs: number): ClaimEffect {
-    return this.refuse(errors.createFailure(def, STEP, PEER), errors.Ran.no, retryAfterMs);
+  /** What is refused is the order under its Idempotency-Key: an earlier attempt counts as run. */
+  private refuseAs(
+    def: errors.ErrorDefinition,
+    ran: errors.Ran,
+    retryAfterMs: number,
+  ): ClaimEffect {
+    return this.refuse(errors.createFailure(def, STEP, PEER), ran, retryAfterMs);
   }
 
   private refuse(failure: errors.Failure, ran: errors.Ran, retryAfterMs: number): ClaimEffect {
--- a/src/decisions/quota/borrower.ts
+++ b/src/decisions/quota/borrower.ts
@@ -25,7 +25,11 @@
   private lastAskId = 0;
 
   /** @param floor The accounts that this entry VM owns. */
-  constructor(private readonly floor: QuotaGiver) {}
+  constructor(private floor: QuotaGiver) {}
+
+  setFloor(floor: QuotaGiver): void {
+    this.floor = floor;
+  }
 
   setGivers(givers: Givers): void {
     this.givers = givers;
@@ -39,7 +43,7 @@
   request(nowMs: number, req: QuotaRequest): readonly QuotaEffect[] {
     let borrower = this.customers.get(req.customer);
     if (borrower === undefined) {
-      borrower = new CustomerBorrower(req.customer, this.floor, nowMs);
+      borrower = new CustomerBorrower(req.customer, nowMs);
       this.customers.set(req.customer, borrower);
     }
     return borrower.request(this.context(nowMs, req.customer), req);
@@ -84,6 +88,7 @@
     return {
       nowMs,
       givers: this.givers,
+      floor: this.floor,
       ratePerS: this.ratesPerS.get(customer) ?? 1,
       nextAskId: () => {
         this.lastAskId += 1;
--- a/src/decisions/quota/customer-borrower.ts
+++ b/src/decisions/quota/customer-borrower.ts
@@ -32,6 +32,8 @@
 export interface BorrowContext {
   readonly nowMs: number;
   readonly givers: Givers;
+  /** The accounts that this entry VM owns. */
+  readonly floor: QuotaGiver;
   /** The customer's rate over the fleet, tokens/s. */
   readonly ratePerS: number;
   /** Gives each ask of this entry VM its own id. */
@@ -53,7 +55,6 @@
 
   constructor(
     private readonly customer: string,
-    private readonly floor: QuotaGiver,
     nowMs: number,
   ) {
     this.demand = new Demand(nowMs);
@@ -105,31 +106,32 @@
     return effects;
   }
 
-  private available(nowMs: number): number {
+  private available({ nowMs, floor }: BorrowContext): number {
     const borrowed = this.loans.reduce((sum, loan) => sum + loan.available(nowMs), 0);
-    return borrowed + this.floor.available(nowMs, this.customer);
+    return borrowed + floor.available(nowMs, this.customer);
   }
 
-  private spend(nowMs: number, tokens: number): boolean {
-    if (this.available(nowMs) < tokens) return false;
+  private spend(ctx: BorrowContext, tokens: number): boolean {
+    const { nowMs, floor } = ctx;
+    if (this.available(ctx) < tokens) return false;
     const missing = this.loans.reduce((left, loan) => left - loan.spend(nowMs, left), tokens);
-    return missing <= 0 || this.floor.spend(nowMs, this.customer, missing);
+    return missing <= 0 || floor.spend(nowMs, this.customer, missing);
   }
 
-  private missing(nowMs: number): number {
+  private missing(ctx: BorrowContext): number {
     const needed = this.waiting.reduce((sum, req) => sum + req.tokens, 0);
-    return Math.max(0, needed - this.available(nowMs));
+    return Math.max(0, needed - this.available(ctx));
   }
 
   private advance(ctx: BorrowContext): readonly QuotaEffect[] {
-    const settled = [...this.admitWaiting(ctx.nowMs), ...this.refuseHopeless(ctx)];
+    const settled = [...this.admitWaiting(ctx), ...this.refuseHopeless(ctx)];
     if (this.waiting.length > 0) return [...settled, ...this.search(ctx)];
     if (this.asks.size === 0) this.stage = Stage.idle;
     return settled;
   }
 
-  private admitWaiting(nowMs: number): readonly QuotaEffect[] {
-    const firstBlocked = this.waiting.findIndex((req) => !this.spend(nowMs, req.tokens));
+  private admitWaiting(ctx: BorrowContext): readonly QuotaEffect[] {
+    const firstBlocked = this.waiting.findIndex((req) => !this.spend(ctx, req.tokens));
     const count = firstBlocked < 0 ? this.waiting.length : firstBlocked;
     const admitted = this.waiting.slice(0, count);
     this.waiting = this.waiting.slice(count);
@@ -137,8 +139,9 @@
   }
 
   /** Refuses what the rate can no longer admit in time, counting what waits before it. */
-  private refuseHopeless({ nowMs, ratePerS }: BorrowContext): readonly QuotaEffect[] {
-    const held = this.available(nowMs);
+  private refuseHopeless(ctx: BorrowContext): readonly QuotaEffect[] {
+    const { nowMs, ratePerS } = ctx;
+    const held = this.available(ctx);
     const searched = this.stage === Stage.pausing;
     const kept: QuotaRequest[] = [];
     let ahead = 0;
@@ -174,7 +177,7 @@
   }
 
   private pause(ctx: BorrowContext): readonly QuotaEffect[] {
-    const refillMs = Math.ceil((this.missing(ctx.nowMs) / ctx.ratePerS) * 1000);
+    const refillMs = Math.ceil((this.missing(ctx) / ctx.ratePerS) * 1000);
     const pauseMs = Math.min(LONGEST_PAUSE_MS, Math.max(SHORTEST_PAUSE_MS, refillMs));
     this.stage = Stage.pausing;
     this.resumeAtMs = ctx.nowMs + pauseMs;
@@ -183,7 +186,7 @@
 
   private ask(ctx: BorrowContext, to: Giver, prefetchMs: number): QuotaEffect {
     const ahead = (this.demand.perSecond(ctx.nowMs) * prefetchMs) / 1000;
-    const tokens = Math.ceil(this.missing(ctx.nowMs) + ahead);
+    const tokens = Math.ceil(this.missing(ctx) + ahead);
     const askId = ctx.nextAskId();
     this.asks.set(askId, { to, sentAtMs: ctx.nowMs });
     return { type: QuotaEffectType.ask, to, askId, customer: this.customer, tokens };
--- a/src/decisions/quota/giver.ts
+++ b/src/decisions/quota/giver.ts
@@ -10,14 +10,16 @@
 export class QuotaGiver {
   private readonly accounts = new Map<string, Account>();
 
+  private lastLoanId = 0;
+
   /**
-   * @param frozenUntilMs No account earns before this time: loans of an earlier lender may live.
-   * @param startFull Whether new accounts start with their burst; only right for the first holder.
+   * @param frozenUntilMs No account earns before this time: loans of an earlier holder may live.
+   * @param startLevels Tokens to start with; null starts every account with its burst, which is
+   * right only where nobody held the accounts before.
    */
   constructor(
-    private nextLoanId: number,
     private readonly frozenUntilMs: number,
-    private readonly startFull: boolean,
+    private readonly startLevels: Readonly<Record<string, number>> | null,
   ) {}
 
   /** Sets the limits in force; customers that are not named have no account. */
@@ -33,15 +35,15 @@
         return;
       }
       const startMs = Math.max(nowMs, this.frozenUntilMs);
-      const startLevel = this.startFull ? burst : 0;
+      const startLevel = this.startLevels === null ? burst : (this.startLevels[customer] ?? 0);
       this.accounts.set(customer, new Account(ratePerS, burst, startMs, startLevel));
     });
   }
 
   /** Lends up to `tokens`. */
   lend(nowMs: number, askId: number, customer: string, tokens: number): Grant {
-    const loanId = this.nextLoanId;
-    this.nextLoanId += 1;
+    this.lastLoanId += 1;
+    const loanId = this.lastLoanId;
     const expiresAtMs = nowMs + LOAN_TTL_MS + LOAN_MARGIN_MS;
     const granted = this.accounts.get(customer)?.lend(nowMs, loanId, tokens, expiresAtMs) ?? 0;
     return { askId, customer, loanId, tokens: granted };
@@ -55,6 +57,13 @@
     this.accounts.get(customer)?.refund(nowMs, tokens);
   }
 
+  /** Tokens left by customer, for the next holder. */
+  levels(nowMs: number): Readonly<Record<string, number>> {
+    return Object.fromEntries(
+      [...this.accounts].map(([customer, account]) => [customer, account.available(nowMs)]),
+    );
+  }
+
   available(nowMs: number, customer: string): number {
     return this.accounts.get(customer)?.available(nowMs) ?? 0;
   }
--- a/src/decisions/quota/shares.ts
+++ b/src/decisions/quota/shares.ts
@@ -1,21 +1,19 @@
 /**
  * Splits a customer's limit over the fleet.
  *
- * Each data centre has an equal share. A part of it is the floors of the registered entry VM
- * slots; the lender has the rest, with the floors of the slots that nobody holds.
+ * Each data centre has an equal share. A part of it is split into floors, one for each entry VM;
+ * the lender has the rest.
  */
 import type { CustomerLimit } from './types.js';
 
-/** Part of a data centre's share that is split among all its slots. */
-export const FLOOR_SHARE = 0.2;
-/** A new slot earns nothing for this long, in which the lender learns of it and lowers its share. */
-export const SLOT_SETTLE_MS = 10_000;
+/** Part of a data centre's share that is split into floors. */
+export const FLOOR_SHARE = 0.1;
 
 /** Counts that the split depends on. */
 export interface FleetShape {
   readonly dataCentres: number;
-  /** Entry VM slots of a data centre. */
-  readonly slots: number;
+  /** Floors of a data centre. */
+  readonly floors: number;
 }
 
 function scale(limits: readonly CustomerLimit[], share: number): readonly CustomerLimit[] {
@@ -26,20 +24,18 @@
   }));
 }
 
-/** What one slot owns. */
+/** What one floor owns. */
 export function floorLimits(
   limits: readonly CustomerLimit[],
-  { dataCentres, slots }: FleetShape,
+  { dataCentres, floors }: FleetShape,
 ): readonly CustomerLimit[] {
-  return scale(limits, FLOOR_SHARE / slots / Math.max(1, dataCentres));
+  return scale(limits, FLOOR_SHARE / Math.max(1, floors) / Math.max(1, dataCentres));
 }
 
-/** What the lender of a data centre owns while `heldSlots` of its slots are held. */
+/** What the lender of a data centre owns. */
 export function lenderLimits(
   limits: readonly CustomerLimit[],
-  { dataCentres, slots }: FleetShape,
-  heldSlots: number,
+  { dataCentres }: FleetShape,
 ): readonly CustomerLimit[] {
-  const floors = (FLOOR_SHARE * Math.min(slots, heldSlots)) / slots;
-  return scale(limits, (1 - floors) / Math.max(1, dataCentres));
+  return scale(limits, (1 - FLOOR_SHARE) / Math.max(1, dataCentres));
 }
--- a/src/decisions/routing/index.ts
+++ b/src/decisions/routing/index.ts
@@ -60,13 +60,13 @@
   }
 
   route(nowMs: number, query: RouteQuery): RouteDecision {
-    const holders = [...this.engines.values()].filter(
-      ({ route }) =>
-        !route.leaving &&
-        route.targets.includes(query.target) &&
-        !query.exclude.includes(route.engineId),
+    const able = [...this.engines.values()].filter(
+      ({ route }) => !route.leaving && route.targets.includes(query.target),
     );
-    if (holders.length === 0) return { type: RouteOutcome.cold };
+    if (able.length === 0) return { type: RouteOutcome.cold };
+    const allowed = able.filter(({ route }) => !query.exclude.includes(route.engineId));
+    const preferred = allowed.filter(({ route }) => !query.avoid.includes(route.engineId));
+    const holders = preferred.length > 0 ? preferred : allowed;
     const admitted = this.outliers.admit(
       nowMs,
       holders.map((record) => record.route),
--- a/src/decisions/routing/types.ts
+++ b/src/decisions/routing/types.ts
@@ -18,8 +18,10 @@
   readonly target: string;
   /** Requests with the same prompt prefix share a key; null where none is worth keeping together. */
   readonly prefixKey: string | null;
-  /** Engines that this request must not go to again. */
+  /** Engines that this request must not go to now. */
   readonly exclude: readonly string[];
+  /** Engines that it goes to only where no other holds the target. */
+  readonly avoid: readonly string[];
 }
 
 export const RouteOutcome = {
--- a/src/decisions/settings-tree/types.ts
+++ b/src/decisions/settings-tree/types.ts
@@ -44,6 +44,7 @@
     .regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 in hexadecimal')
     .describe('Digest of a key.'),
   dataCentres: z.array(z.string().min(1)).min(1).describe('Data centres of the deployment.'),
+  entryVms: z.int().min(1).describe('Entry VMs of each data centre.'),
 };
 
 export const nodeSchema = z.strictObject({ ...inherited, ...own }).partial();
@@ -69,6 +70,7 @@
   open: false,
   fencing: true,
   slots: 8,
+  entryVms: 3,
   state: BackendState.active,
 } satisfies NodeValues;
 
--- a/src/decisions/suspects/index.ts
+++ b/src/decisions/suspects/index.ts
@@ -8,17 +8,20 @@
 import { createHash } from 'node:crypto';
 
 const DEATHS_TO_BLOCK = 2;
+/** Reports on one engine within this time speak of the same death. */
+const SAME_DEATH_MS = 5_000;
 export const BLOCK_MS = 600_000;
 
 /** The death of an engine while it ran a request. */
 export interface Death {
   readonly fingerprint: string;
-  /** The same for all who saw this death. */
-  readonly deathId: string;
+  readonly engineId: string;
 }
 
 interface Record {
-  readonly deathIds: Set<string>;
+  deaths: number;
+  /** When each engine's latest death was noted. */
+  readonly notedAtMs: Map<string, number>;
   untilMs: number;
 }
 
@@ -30,13 +33,20 @@
 export class SuspectTable {
   private readonly records = new Map<string, Record>();
 
-  private readonly busyEngines = new Set<string>();
+  /** Suspects that run now, by engine. */
+  private readonly running = new Map<string, Set<string>>();
 
   /** Notes a death, seen here or by a peer. */
-  note(nowMs: number, { fingerprint, deathId }: Death): void {
+  note(nowMs: number, { fingerprint, engineId }: Death): void {
     this.expire(nowMs);
-    const record = this.records.get(fingerprint) ?? { deathIds: new Set<string>(), untilMs: 0 };
-    record.deathIds.add(deathId);
+    const record = this.records.get(fingerprint) ?? {
+      deaths: 0,
+      notedAtMs: new Map<string, number>(),
+      untilMs: 0,
+    };
+    const lastAtMs = record.notedAtMs.get(engineId) ?? -Infinity;
+    if (nowMs - lastAtMs >= SAME_DEATH_MS) record.deaths += 1;
+    record.notedAtMs.set(engineId, nowMs);
     record.untilMs = nowMs + BLOCK_MS;
     this.records.set(fingerprint, record);
   }
@@ -61,20 +71,23 @@
 
   /** Engines that run a suspect of this entry VM now. */
   enginesWithSuspect(): readonly string[] {
-    return [...this.busyEngines];
+    return [...this.running.keys()];
   }
 
-  suspectStarted(engineId: string): void {
-    this.busyEngines.add(engineId);
+  suspectStarted(engineId: string, requestId: string): void {
+    const ids = this.running.get(engineId) ?? new Set<string>();
+    this.running.set(engineId, ids.add(requestId));
   }
 
-  suspectFinished(engineId: string): void {
-    this.busyEngines.delete(engineId);
+  /** Also called for requests that were no suspects. */
+  suspectFinished(engineId: string, requestId: string): void {
+    const ids = this.running.get(engineId);
+    if (ids?.delete(requestId) === true && ids.size === 0) this.running.delete(engineId);
   }
 
   private deaths(nowMs: number, fingerprint: string): number {
     const record = this.records.get(fingerprint);
-    return record === undefined || record.untilMs <= nowMs ? 0 : record.deathIds.size;
+    return record === undefined || record.untilMs <= nowMs ? 0 : record.deaths;
   }
 
   private expire(nowMs: number): void {
--- /dev/null
+++ b/src/entry/admin/index.ts
@@ -0,0 +1,79 @@
+/** The daemon's own port: health, metrics, status, explanations. */
+import * as http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Metrics } from '../../core/metrics/index.js';
+import type { Task } from '../../core/supervisor/index.js';
+import type { Trails } from '../gateway/index.js';
+
+export interface AdminDeps {
+  readonly listen: string;
+  readonly metrics: Metrics;
+  readonly trails: Trails;
+  /** Whether the balancer may send new callers here. */
+  isReady(): boolean;
+  status(): unknown;
+}
+
+const EXPLAIN_PATH = '/explain/';
+
+function send(res: http.ServerResponse, status: number, type: string, body: string): void {
+  res.writeHead(status, { 'content-type': type });
+  res.end(body);
+}
+
+export class AdminTask implements Task {
+  readonly name = 'admin';
+
+  private server: http.Server | null = null;
+
+  private boundAddress = '';
+
+  constructor(private readonly deps: AdminDeps) {}
+
+  get address(): string {
+    return this.boundAddress;
+  }
+
+  async start(fail: (err: unknown) => void): Promise<void> {
+    const [host, port] = (this.boundAddress || this.deps.listen).split(':');
+    const server = http.createServer((req, res) => this.handle(req, res));
+    this.server = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(Number(port), host, resolve);
+    });
+    server.on('error', fail);
+    this.boundAddress = `${host}:${(server.address() as AddressInfo).port}`;
+  }
+
+  async stop(): Promise<void> {
+    const { server } = this;
+    this.server = null;
+    if (server === null) return;
+    server.closeAllConnections();
+    await new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+  }
+
+  private handle(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const path = req.url ?? '/';
+    if (path === '/healthz') send(res, 200, 'text/plain', 'ok\n');
+    else if (path === '/readyz') {
+      const ready = this.deps.isReady();
+      send(res, ready ? 200 : 503, 'text/plain', ready ? 'ready\n' : 'not ready\n');
+    } else if (path === '/metrics') {
+      send(res, 200, 'text/plain; version=0.0.4', this.deps.metrics.render());
+    } else if (path === '/status') {
+      send(res, 200, 'application/json', JSON.stringify(this.deps.status()));
+    } else if (path.startsWith(EXPLAIN_PATH)) this.explain(path, res);
+    else send(res, 404, 'text/plain', 'no such path\n');
+  }
+
+  private explain(path: string, res: http.ServerResponse): void {
+    const id = decodeURIComponent(path.slice(EXPLAIN_PATH.length));
+    const steps = this.deps.trails.of(id);
+    const body = JSON.stringify({ id, steps: steps ?? [] });
+    send(res, steps === null ? 404 : 200, 'application/json', body);
+  }
+}
--- /dev/null
+++ b/src/entry/backends/sse.ts
@@ -0,0 +1,22 @@
+/** Server-sent events, as far as engines use them. */
+import type { Readable } from 'node:stream';
+
+const FIELD = 'data: ';
+/** Longest event that is buffered, characters. */
+const MAX_EVENT_CHARS = 1_048_576;
+
+/** Yields the data of each whole event. */
+export async function* readEvents(body: Readable): AsyncGenerator<string, void> {
+  body.setEncoding('utf8');
+  let text = '';
+  for await (const chunk of body as AsyncIterable<string>) {
+    text += chunk;
+    if (text.length > MAX_EVENT_CHARS) throw new Error('an event is too long');
+    const events = text.split('\n\n');
+    text = events.pop() ?? '';
+    const data = events
+      .filter((event) => event.startsWith(FIELD))
+      .map((event) => event.slice(FIELD.length));
+    yield* data;
+  }
+}
--- /dev/null
+++ b/src/entry/gateway/index.ts
@@ -0,0 +1,254 @@
+/** The task that serves callers over HTTP. */
+import * as http from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { Channel, Unsubscribe } from '../../core/channels/index.js';
+import * as clock from '../../core/clock/index.js';
+import * as errors from '../../core/errors/index.js';
+import type { Task } from '../../core/supervisor/index.js';
+import type { Catalog } from '../../decisions/catalog/index.js';
+import { digestOf, keyOf, refuseKeyInUrl } from './authenticate.js';
+import { ModelHandler } from './model-handler.js';
+import { notRun, sendJson, sendRefusal } from './reply.js';
+import { ServiceHandler } from './service-handler.js';
+import { type GatewayDeps, type RequestContext, RequestPhase } from './types.js';
+
+export { Trails } from './trails.js';
+export type { GatewayDeps } from './types.js';
+
+const CLOSE_IDLE_EVERY_MS = 100;
+const STARTING_RETRY_MS = 1_000;
+/** Idle time after which a caller's connection is closed, ms. */
+const KEEP_ALIVE_MS = 30_000;
+
+/** Status of what the HTTP parser refuses. */
+const PARSER_STATUS: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+export interface GatewaySettings {
+  readonly listen: string;
+}
+
+export class GatewayTask implements Task {
+  readonly name = 'gateway';
+
+  private readonly models: ModelHandler;
+
+  private readonly services: ServiceHandler;
+
+  private readonly active = new Map<string, RequestContext>();
+
+  private server: http.Server | null = null;
+
+  private boundAddress = '';
+
+  private unsubscribe: Unsubscribe = () => undefined;
+
+  private lastId = 0;
+
+  private draining = false;
+
+  constructor(
+    private readonly cfg: GatewaySettings,
+    private readonly deps: GatewayDeps,
+    private readonly applied: Channel<Catalog>,
+  ) {
+    this.models = new ModelHandler(deps);
+    this.services = new ServiceHandler(deps);
+  }
+
+  /** Address that the task listens on. */
+  get address(): string {
+    return this.boundAddress;
+  }
+
+  /** Requests that are being served. */
+  get activeCount(): number {
+    return this.active.size;
+  }
+
+  async start(fail: (err: unknown) => void): Promise<void> {
+    this.unsubscribe = this.applied.subscribe((current) => this.withdrawKeys(current));
+    const { headerBytes, slowSenderMs } = this.deps.limits;
+    const server = http.createServer(
+      {
+        maxHeaderSize: headerBytes,
+        headersTimeout: slowSenderMs,
+        requestTimeout: slowSenderMs,
+        connectionsCheckingInterval: Math.min(1_000, slowSenderMs),
+        keepAliveTimeout: KEEP_ALIVE_MS,
+      },
+      (req, res) => {
+        void this.handle(req, res);
+      },
+    );
+    server.on('clientError', (err, socket) => this.refuseUnreadable(err, socket as Socket));
+    this.server = server;
+    const [host, port] = (this.boundAddress || this.cfg.listen).split(':');
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(Number(port), host, resolve);
+    });
+    server.on('error', fail);
+    this.boundAddress = `${host}:${(server.address() as AddressInfo).port}`;
+  }
+
+  async stop(): Promise<void> {
+    this.unsubscribe();
+    const { server } = this;
+    this.server = null;
+    if (server === null) return;
+    server.closeAllConnections();
+    await new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+  }
+
+  /** Takes no new connections and waits until the running requests are done, at most `graceMs`. */
+  async drain(graceMs: number): Promise<void> {
+    this.draining = true;
+    this.server?.close();
+    const untilMs = this.deps.clock.nowMs() + graceMs;
+    while (this.active.size > 0 && this.deps.clock.nowMs() < untilMs) {
+      this.server?.closeIdleConnections();
+      await clock.sleep(CLOSE_IDLE_EVERY_MS);
+    }
+    await this.services.recording();
+  }
+
+  private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    this.lastId += 1;
+    const id = `${this.deps.vm}-${Date.now().toString(36)}-${this.lastId}`;
+    res.setHeader('x-request-id', id);
+    if (this.draining) res.setHeader('connection', 'close');
+    const ctx = this.createContext(id, req, res);
+    if (ctx === null) return;
+    this.active.set(id, ctx);
+    const done = new Promise<void>((resolve) => {
+      res.once('close', resolve);
+    });
+    res.once('close', () => {
+      if (!res.writableFinished) ctx.abort.abort();
+      this.active.delete(id);
+      this.noteAnswer(ctx);
+    });
+    try {
+      await this.dispatch(ctx);
+    } catch (err) {
+      this.deps.logger.error('request-failed', { id, reason: errors.describe(err) });
+      const failure = errors.createFailure(errors.data.Internal, 'serve request', this.deps.vm);
+      sendRefusal(res, { failure, ran: errors.Ran.unknown, retryAfterMs: 0 });
+    }
+    await done;
+  }
+
+  private createContext(
+    id: string,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): RequestContext | null {
+    const catalog = this.deps.currentCatalog();
+    const { vm } = this.deps;
+    if (catalog === null) {
+      const detail = 'the settings were not read yet';
+      sendRefusal(res, notRun(errors.data.NoCapacity, 'start', vm, detail, STARTING_RETRY_MS));
+      return null;
+    }
+    let url: URL;
+    try {
+      url = new URL(req.url ?? '/', 'http://entry');
+      decodeURIComponent(url.href);
+    } catch {
+      sendRefusal(res, notRun(errors.data.BadRequest, 'read request', 'caller', 'bad path'));
+      return null;
+    }
+    const key = keyOf(req);
+    return {
+      id,
+      req,
+      res,
+      url,
+      catalog,
+      arrivedAtMs: this.deps.clock.nowMs(),
+      keyDigest: key === null ? null : digestOf(key),
+      phase: RequestPhase.waiting,
+      abort: new AbortController(),
+      withdrawn: null,
+    };
+  }
+
+  private async dispatch(ctx: RequestContext): Promise<void> {
+    const { pathname } = ctx.url;
+    const method = ctx.req.method ?? 'GET';
+    const keyInUrl = refuseKeyInUrl(ctx.url);
+    this.deps.trails.note(ctx.id, 'arrived', { method, path: pathname });
+    if (keyInUrl !== null) sendRefusal(ctx.res, keyInUrl);
+    else if (method === 'POST' && pathname === '/v1/chat/completions') {
+      await this.models.handle(ctx, true);
+    } else if (method === 'POST' && pathname === '/v1/completions') {
+      await this.models.handle(ctx, false);
+    } else if (method === 'GET' && pathname === '/v1/models') this.listModels(ctx);
+    else if (pathname.startsWith('/services/')) await this.services.handle(ctx);
+    else sendRefusal(ctx.res, notRun(errors.data.UnknownRoute, 'route', 'settings', pathname));
+  }
+
+  private listModels(ctx: RequestContext): void {
+    const known = ctx.keyDigest !== null && ctx.catalog.customerByKey.has(ctx.keyDigest);
+    if (ctx.keyDigest === null || !known) {
+      const def = ctx.keyDigest === null ? errors.data.MissingKey : errors.data.KeyRefused;
+      sendRefusal(ctx.res, notRun(def, 'check key', 'caller'));
+      return;
+    }
+    const data = [...ctx.catalog.targets.values()].map(({ name, service }) => ({
+      id: name,
+      object: 'model',
+      owned_by: service,
+    }));
+    sendJson(ctx.res, 200, { object: 'list', data });
+  }
+
+  /** Refuses waiting requests whose key is not valid any more. */
+  private withdrawKeys(current: Catalog): void {
+    [...this.active.values()]
+      .filter(({ phase }) => phase === RequestPhase.waiting)
+      .filter(({ keyDigest }) => keyDigest !== null && !current.customerByKey.has(keyDigest))
+      .forEach((ctx) => {
+        ctx.withdrawn = notRun(errors.data.KeyRefused, 'check key', 'caller');
+        ctx.abort.abort();
+      });
+  }
+
+  private noteAnswer({ id, res, arrivedAtMs, url }: RequestContext): void {
+    const ms = Math.round(this.deps.clock.nowMs() - arrivedAtMs);
+    const whole = res.writableFinished;
+    this.deps.metrics.count('answers', { status: String(res.statusCode), whole: String(whole) });
+    const { pathname: path } = url;
+    this.deps.logger.info('request', { id, path, status: res.statusCode, whole, ms });
+  }
+
+  private refuseUnreadable(err: Error & { code?: string }, socket: Socket): void {
+    if (!socket.writable) return;
+    const status = PARSER_STATUS[err.code ?? ''] ?? '400 Bad Request';
+    const failure = errors.createFailure(
+      errors.data.BadRequest,
+      'parse request',
+      'caller',
+      'The request is not valid HTTP.',
+    );
+    const { name, title, message, hint } = failure;
+    const body = JSON.stringify({
+      error: { type: name, title, message, hint, ran: errors.Ran.no },
+    });
+    const lines = [
+      `HTTP/1.1 ${status}`,
+      'content-type: application/json',
+      `content-length: ${Buffer.byteLength(body)}`,
+      'x-bilberrystand-ran: no',
+      'connection: close',
+      '',
+      body,
+    ];
+    socket.end(lines.join('\r\n'));
+  }
+}
--- /dev/null
+++ b/src/entry/inventory/index.ts
@@ -0,0 +1,184 @@
+/**
+ * The task that reads the engines of this data centre and tells the entry VMs what they hold.
+ *
+ * The steward does it; where there is none, the first living entry VM by name does, so that a
+ * platform outage does not blind the request path.
+ */
+import type { Channel } from '../../core/channels/index.js';
+import type { Clock } from '../../core/clock/index.js';
+import * as messages from '../../core/messages/index.js';
+import type { Task } from '../../core/supervisor/index.js';
+import type { Backend, Catalog } from '../../decisions/catalog/index.js';
+import { type Inventory, ReplicaState } from '../../decisions/ledger/index.js';
+import type { EngineRoute } from '../../decisions/routing/index.js';
+import type { Backends, EngineReport } from '../backends/index.js';
+import type { Inbound, Peers } from '../peers/index.js';
+
+const TICK_MS = 50;
+/** Time between readings of an engine at rest. */
+export const REST_EVERY_MS = 1_000;
+/** Time between readings of an engine on which an order is under way. */
+const BUSY_EVERY_MS = 100;
+/** All routes are told this often, whether they changed or not. */
+const WHOLE_EVERY_MS = 5_000;
+/** A change of load smaller than this part of the slots is not worth telling. */
+const LOAD_STEP = 1 / 8;
+/** An engine that does not answer for this long is taken off the routes. */
+const SILENT_AFTER_MS = 3_500;
+
+/** One reading of an engine. */
+export interface Reading {
+  readonly backend: Backend;
+  readonly report: EngineReport;
+  readonly inventory: Inventory;
+}
+
+/** Routes of one data centre. */
+export interface RoutesUpdate {
+  readonly dataCentre: string;
+  readonly whole: boolean;
+  readonly engines: readonly EngineRoute[];
+}
+
+export interface InventoryDeps {
+  readonly dataCentre: string;
+  readonly backends: Backends;
+  readonly peers: Peers;
+  readonly inbox: Channel<Inbound>;
+  readonly readings: Channel<Reading>;
+  readonly routes: Channel<RoutesUpdate>;
+  currentCatalog(): Catalog | null;
+  /** Engines on which this entry VM's orders are under way. */
+  busyEngines(): ReadonlySet<string>;
+  readonly clock: Clock;
+}
+
+interface EngineWatch {
+  readAtMs: number;
+  answeredAtMs: number;
+  reading: boolean;
+  told: EngineRoute | null;
+  latest: EngineRoute | null;
+}
+
+function isWorthTelling(told: EngineRoute | null, latest: EngineRoute): boolean {
+  if (told === null) return true;
+  const sameSet =
+    told.leaving === latest.leaving &&
+    told.targets.length === latest.targets.length &&
+    told.targets.every((target) => latest.targets.includes(target));
+  return !sameSet || Math.abs(told.load - latest.load) >= latest.slots * LOAD_STEP;
+}
+
+function routeOf(backend: Backend, report: EngineReport): EngineRoute {
+  return {
+    engineId: backend.id,
+    dataCentre: backend.dataCentre,
+    address: backend.address,
+    slots: backend.slots,
+    targets: report.replicas
+      .filter(({ state }) => state === ReplicaState.loaded)
+      .map(({ target }) => target),
+    load: report.load,
+    leaving: backend.leaving || report.leaving,
+  };
+}
+
+export class InventoryTask implements Task {
+  readonly name = 'inventory';
+
+  private readonly watches = new Map<string, EngineWatch>();
+
+  private timer: NodeJS.Timeout | null = null;
+
+  private unsubscribe: () => void = () => undefined;
+
+  private wholeAtMs = -Infinity;
+
+  constructor(private readonly deps: InventoryDeps) {}
+
+  async start(): Promise<void> {
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+    this.unsubscribe = this.deps.inbox.subscribe(({ message }) => {
+      if (message.type !== messages.PeerMessageType.routes) return;
+      const { dataCentre, whole, engines } = message;
+      this.deps.routes.send({ dataCentre, whole, engines });
+    });
+  }
+
+  async stop(): Promise<void> {
+    if (this.timer !== null) clearInterval(this.timer);
+    this.unsubscribe();
+  }
+
+  private isReader(): boolean {
+    const { peers, dataCentre } = this.deps;
+    const own = peers.self();
+    const steward = peers.stewardOf(dataCentre);
+    if (steward !== null) return steward.vm === own.vm;
+    return peers.nearMembers().every(({ vm }) => own.vm < vm);
+  }
+
+  private tick(): void {
+    const current = this.deps.currentCatalog();
+    if (current === null || !this.isReader()) return;
+    const nowMs = this.deps.clock.nowMs();
+    const busy = this.deps.busyEngines();
+    const engines = [...current.backends.values()].filter(
+      ({ kind, dataCentre }) => kind === 'model' && dataCentre === this.deps.dataCentre,
+    );
+    const ids = new Set(engines.map(({ id }) => id));
+    [...this.watches.keys()].filter((id) => !ids.has(id)).forEach((id) => this.watches.delete(id));
+    engines.forEach((backend) => {
+      const watch = this.watchOf(backend.id);
+      const everyMs = busy.has(backend.id) ? BUSY_EVERY_MS : REST_EVERY_MS;
+      if (!watch.reading && nowMs - watch.readAtMs >= everyMs) void this.read(backend, watch);
+    });
+    this.tell(nowMs);
+  }
+
+  private watchOf(engineId: string): EngineWatch {
+    const watch = this.watches.get(engineId) ?? {
+      readAtMs: -Infinity,
+      answeredAtMs: -Infinity,
+      reading: false,
+      told: null,
+      latest: null,
+    };
+    this.watches.set(engineId, watch);
+    return watch;
+  }
+
+  private async read(backend: Backend, watch: EngineWatch): Promise<void> {
+    const askedAtMs = this.deps.clock.nowMs();
+    Object.assign(watch, { reading: true, readAtMs: askedAtMs });
+    const report = await this.deps.backends.report(backend.address);
+    Object.assign(watch, { reading: false });
+    if (report.isErr) return;
+    const latest = routeOf(backend, report.value);
+    Object.assign(watch, { answeredAtMs: this.deps.clock.nowMs(), latest });
+    const inventory: Inventory = { askedAtMs, replicas: report.value.replicas };
+    this.deps.readings.send({ backend, report: report.value, inventory });
+    this.tell(this.deps.clock.nowMs());
+  }
+
+  private tell(nowMs: number): void {
+    this.watches.forEach((watch) => {
+      const silent = nowMs - watch.answeredAtMs > SILENT_AFTER_MS;
+      if (!silent || watch.latest === null || watch.latest.targets.length === 0) return;
+      Object.assign(watch, { latest: { ...watch.latest, targets: [] } });
+    });
+    const whole = nowMs - this.wholeAtMs >= WHOLE_EVERY_MS;
+    if (whole) this.wholeAtMs = nowMs;
+    const changed = [...this.watches.values()].filter(
+      ({ told, latest }) => latest !== null && (whole || isWorthTelling(told, latest)),
+    );
+    if (changed.length === 0) return;
+    changed.forEach((watch) => Object.assign(watch, { told: watch.latest }));
+    const engines = changed.flatMap(({ latest }) => latest ?? []);
+    const { dataCentre } = this.deps;
+    this.deps.routes.send({ dataCentre, whole, engines });
+    const type = messages.PeerMessageType.routes;
+    this.deps.peers.sendAll({ type, dataCentre, whole, engines });
+  }
+}
--- /dev/null
+++ b/src/entry/platform/index.ts
@@ -0,0 +1,146 @@
+/** HTTP client of the platform's object API. */
+import * as undici from 'undici';
+import { z } from 'zod';
+import * as errors from '../../core/errors/index.js';
+import {
+  type ListedObject,
+  type ListedVm,
+  type PlatformClient,
+  PlatformOutcome,
+  type ReadOutcome,
+  type StoredObject,
+  type WriteOutcome,
+} from './types.js';
+
+export * from './types.js';
+
+const objectSchema = z.object({ version: z.int(), value: z.unknown() });
+const versionSchema = z.object({ version: z.int() });
+const listSchema = z.object({ objects: z.array(objectSchema.extend({ key: z.string() })) });
+const vmsSchema = z.object({
+  vms: z.array(
+    z.object({
+      id: z.string(),
+      dataCentre: z.string(),
+      address: z.string(),
+      state: z.string(),
+    }),
+  ),
+});
+
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+const STATUS_CONFLICT = 409;
+const MOST_CONNECTIONS = 16;
+
+interface HttpAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+type Method = 'GET' | 'PUT' | 'DELETE';
+
+class HttpPlatformClient implements PlatformClient {
+  private readonly pool: undici.Pool;
+
+  constructor(
+    address: string,
+    private readonly timeoutMs: number,
+  ) {
+    this.pool = new undici.Pool(`http://${address}`, {
+      connections: MOST_CONNECTIONS,
+      connect: { timeout: timeoutMs },
+    });
+  }
+
+  async read(key: string): Promise<ReadOutcome<StoredObject | null>> {
+    return this.ask(`/objects/${encodeURIComponent(key)}`, ({ status, body }) =>
+      status === STATUS_NOT_FOUND ? null : objectSchema.parse(body),
+    );
+  }
+
+  write(key: string, value: unknown, version: number): Promise<WriteOutcome> {
+    return this.change('PUT', key, version, JSON.stringify({ value }));
+  }
+
+  remove(key: string, version: number): Promise<WriteOutcome> {
+    return this.change('DELETE', key, version);
+  }
+
+  async list(prefix: string): Promise<ReadOutcome<readonly ListedObject[]>> {
+    return this.ask(
+      `/list?prefix=${encodeURIComponent(prefix)}`,
+      ({ body }) => listSchema.parse(body).objects,
+    );
+  }
+
+  async watch(key: string, since: number, waitMs: number): Promise<ReadOutcome<StoredObject>> {
+    const query = `key=${encodeURIComponent(key)}&since=${since}&timeoutMs=${waitMs}`;
+    return this.ask(`/watch?${query}`, ({ body }) => objectSchema.parse(body), waitMs);
+  }
+
+  async vms(): Promise<ReadOutcome<readonly ListedVm[]>> {
+    return this.ask('/vms', ({ body }) => vmsSchema.parse(body).vms);
+  }
+
+  async close(): Promise<void> {
+    await this.pool.destroy();
+  }
+
+  private async ask<T>(
+    path: string,
+    parse: (answer: HttpAnswer) => T,
+    extraMs = 0,
+  ): Promise<ReadOutcome<T>> {
+    try {
+      const answer = await this.call('GET', path, {}, undefined, extraMs);
+      return { type: PlatformOutcome.ok, value: parse(answer) };
+    } catch (err) {
+      return { type: PlatformOutcome.unknown, reason: errors.describe(err) };
+    }
+  }
+
+  private async change(
+    method: Method,
+    key: string,
+    version: number,
+    body?: string,
+  ): Promise<WriteOutcome> {
+    const headers = { 'if-match': String(version), 'content-type': 'application/json' };
+    try {
+      const answer = await this.call(method, `/objects/${encodeURIComponent(key)}`, headers, body);
+      if (answer.status === STATUS_CONFLICT) return { type: PlatformOutcome.conflict };
+      return { type: PlatformOutcome.ok, version: versionSchema.parse(answer.body).version };
+    } catch (err) {
+      return { type: PlatformOutcome.unknown, reason: errors.describe(err) };
+    }
+  }
+
+  private async call(
+    method: Method,
+    path: string,
+    headers: Record<string, string>,
+    body?: string,
+    extraMs = 0,
+  ): Promise<HttpAnswer> {
+    const waitMs = this.timeoutMs + extraMs;
+    const { statusCode: status, body: answer } = await this.pool.request({
+      method,
+      path,
+      headers,
+      body: body ?? null,
+      signal: AbortSignal.timeout(waitMs),
+    });
+    const known = [STATUS_OK, STATUS_NOT_FOUND, STATUS_CONFLICT].includes(status);
+    if (!known) {
+      await answer.dump();
+      throw new Error(`the platform answered ${status}`);
+    }
+    return { status, body: await answer.json() };
+  }
+}
+
+/** Creates the client of the platform at `address`; a call takes at most `timeoutMs`. */
+export function createPlatformClient(address: string, timeoutMs: number): PlatformClient {
+  return new HttpPlatformClient(address, timeoutMs);
+}
--- /dev/null
+++ b/src/entry/settings/index.ts
@@ -0,0 +1,189 @@
+/** The task that keeps the settings tree in force: from the platform by watch, or from peers. */
+import type { Channel, Unsubscribe } from '../../core/channels/index.js';
+import * as clock from '../../core/clock/index.js';
+import * as errors from '../../core/errors/index.js';
+import type { Logger } from '../../core/logger/index.js';
+import * as messages from '../../core/messages/index.js';
+import type { Random } from '../../core/random/index.js';
+import type { Task } from '../../core/supervisor/index.js';
+import * as catalog from '../../decisions/catalog/index.js';
+import type * as settingsTree from '../../decisions/settings-tree/index.js';
+import type { Inbound, Peers } from '../peers/index.js';
+import { type PlatformClient, PlatformOutcome } from '../platform/index.js';
+import { ROOT_KEY, TreeStore } from './tree-store.js';
+
+/** Entry VMs of a data centre that watch the platform; the others hear from them. */
+const WATCHERS = 2;
+const WATCH_MS = 20_000;
+/** Other entry VMs look at the root this often, should no peer have told them. */
+const POLL_MS = 30_000;
+const RETRY_MS = 500;
+const TICK_MS = 250;
+/** A peer that does not answer for this long is given up. */
+const PEER_PATIENCE_MS = 1_000;
+
+export interface SettingsDeps {
+  readonly vm: string;
+  readonly platform: PlatformClient;
+  readonly peers: Peers;
+  readonly inbox: Channel<Inbound>;
+  readonly applied: Channel<catalog.Catalog>;
+  readonly clock: clock.Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+}
+
+export class SettingsTask implements Task {
+  readonly name = 'settings';
+
+  private readonly store: TreeStore;
+
+  private root: settingsTree.TreeRoot | null = null;
+
+  private current: catalog.Catalog | null = null;
+
+  private version = 0;
+
+  private running = false;
+
+  private askedPeerAtMs = -Infinity;
+
+  private unsubscribe: Unsubscribe = () => undefined;
+
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(private readonly deps: SettingsDeps) {
+    this.store = new TreeStore(deps.platform);
+  }
+
+  /** The settings in force; null until the first were read. */
+  get catalog(): catalog.Catalog | null {
+    return this.current;
+  }
+
+  async start(fail: (err: unknown) => void): Promise<void> {
+    this.running = true;
+    this.unsubscribe = this.deps.inbox.subscribe((inbound) => {
+      void this.receive(inbound).catch(fail);
+    });
+    this.timer = setInterval(() => this.followPeers(), TICK_MS);
+    await this.readPlatform();
+    void this.followPlatform().catch(fail);
+  }
+
+  async stop(): Promise<void> {
+    this.running = false;
+    this.unsubscribe();
+    if (this.timer !== null) clearInterval(this.timer);
+  }
+
+  private async followPlatform(): Promise<void> {
+    while (this.running) {
+      if (this.isWatcher()) await this.watch();
+      else await this.poll();
+    }
+  }
+
+  private isWatcher(): boolean {
+    const names = [this.deps.vm, ...this.deps.peers.nearMembers().map(({ vm }) => vm)].sort();
+    return names.indexOf(this.deps.vm) < WATCHERS;
+  }
+
+  private async watch(): Promise<void> {
+    const outcome = await this.deps.platform.watch(ROOT_KEY, this.version, WATCH_MS);
+    if (outcome.type !== PlatformOutcome.ok) {
+      await clock.sleep(RETRY_MS * (0.5 + this.deps.random.real()));
+    } else if (outcome.value.version !== this.version && this.running) {
+      const done = await this.readPlatform();
+      if (!done) await clock.sleep(RETRY_MS);
+    }
+  }
+
+  private async poll(): Promise<void> {
+    const untilMs = this.deps.clock.nowMs() + POLL_MS * (0.5 + this.deps.random.real());
+    while (this.running && this.current !== null && this.deps.clock.nowMs() < untilMs) {
+      if (this.isWatcher()) return;
+      await clock.sleep(TICK_MS);
+    }
+    const done = this.running && (await this.readPlatform());
+    if (!done) await clock.sleep(RETRY_MS);
+  }
+
+  private async readPlatform(): Promise<boolean> {
+    const stored = await this.store.read();
+    if (stored.isErr) {
+      this.deps.logger.debug('settings-unread', { reason: stored.error.message });
+      return false;
+    }
+    const { tree, root, version } = stored.value;
+    this.apply(tree, root, 'platform');
+    this.version = version;
+    return true;
+  }
+
+  /** Puts a revision in force unless the one in force is as new. */
+  private apply(tree: settingsTree.Tree, root: settingsTree.TreeRoot, from: string): void {
+    if (this.current !== null && tree.revision <= this.current.revision) return;
+    this.current = catalog.compile(tree);
+    this.root = root;
+    this.store.retain(root);
+    this.askedPeerAtMs = -Infinity;
+    this.deps.logger.info('settings-applied', { revision: tree.revision, from });
+    this.deps.applied.send(this.current);
+    this.deps.peers.announce({ revision: tree.revision });
+  }
+
+  /** Asks a peer that has a newer revision for it. */
+  private followPeers(): void {
+    const own = this.current?.revision ?? -1;
+    const nowMs = this.deps.clock.nowMs();
+    if (nowMs - this.askedPeerAtMs < PEER_PATIENCE_MS) return;
+    const newer = this.deps.peers.members().filter(({ revision }) => revision > own);
+    const near = newer.filter(({ dataCentre }) => dataCentre === this.deps.peers.self().dataCentre);
+    const peer = this.deps.random.pick(near.length > 0 ? near : newer);
+    if (peer === undefined) return;
+    this.askedPeerAtMs = nowMs;
+    this.deps.peers.send(peer.vm, {
+      type: messages.PeerMessageType.settingsWanted,
+      have: Object.values(this.root?.chunks ?? {}),
+    });
+  }
+
+  private async receive({ from, message }: Inbound): Promise<void> {
+    if (message.type === messages.PeerMessageType.heartbeat) this.followPeers();
+    else if (message.type === messages.PeerMessageType.settingsWanted) {
+      this.answer(from, message.have);
+    } else if (message.type === messages.PeerMessageType.settings) {
+      await this.learn(from, message);
+    }
+  }
+
+  private answer(to: string, have: readonly string[]): void {
+    const { root } = this;
+    if (root === null) return;
+    const known = new Set(have);
+    const missing = Object.values(root.chunks).filter((hash) => !known.has(hash));
+    const chunks = Object.fromEntries(
+      missing.flatMap((hash) => {
+        const text = this.store.textOf(hash);
+        return text === undefined ? [] : [[hash, text]];
+      }),
+    );
+    const type = messages.PeerMessageType.settings;
+    this.deps.peers.send(to, { type, root, chunks });
+  }
+
+  private async learn(
+    from: string,
+    { root, chunks }: messages.PeerMessageOf<'settings'>,
+  ): Promise<void> {
+    if (root.revision <= (this.current?.revision ?? -1)) return;
+    this.store.learn(new Map(Object.entries(chunks)));
+    const stored = await this.store.assemble(root, this.version);
+    if (stored.isOk) this.apply(stored.value.tree, root, from);
+    else {
+      const reason = errors.formatFailure(stored.error);
+      this.deps.logger.warn('settings-from-peer-failed', { peer: from, reason });
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/settings/tree-store.ts
@@ -0,0 +1,144 @@
+/** The settings tree in the platform's object API: one root, immutable chunks. */
+import { Result } from 'true-myth';
+import * as errors from '../../core/errors/index.js';
+import * as settingsTree from '../../decisions/settings-tree/index.js';
+import { type PlatformClient, PlatformOutcome } from '../platform/index.js';
+
+export const ROOT_KEY = 'settings/root';
+const CHUNK_PREFIX = 'settings/chunks/';
+const KEPT_EDITS = 64;
+const MOST_TRIES = 8;
+
+/** A revision as it is stored, with the version that a conditional update names. */
+export interface StoredTree {
+  readonly tree: settingsTree.Tree;
+  readonly root: settingsTree.TreeRoot;
+  readonly version: number;
+}
+
+const EMPTY_ROOT: settingsTree.TreeRoot = { revision: 0, chunks: {}, edits: [] };
+
+function platformDown(step: string, detail: string): errors.Failure {
+  return errors.createFailure(errors.data.PlatformDown, step, 'platform', detail);
+}
+
+/** Reads and edits the tree. Chunks that were read are kept, since they never change. */
+export class TreeStore {
+  private readonly texts = new Map<string, string>();
+
+  constructor(private readonly platform: PlatformClient) {}
+
+  /** Adds chunk texts that came from elsewhere, by their content names. */
+  learn(chunks: ReadonlyMap<string, string>): void {
+    chunks.forEach((text, hash) => {
+      if (settingsTree.sha256(text) === hash) this.texts.set(hash, text);
+    });
+  }
+
+  /** The kept text of a chunk. */
+  textOf(hash: string): string | undefined {
+    return this.texts.get(hash);
+  }
+
+  /** Forgets texts that the root does not name. */
+  retain(root: settingsTree.TreeRoot): void {
+    const named = new Set(Object.values(root.chunks));
+    [...this.texts.keys()]
+      .filter((hash) => !named.has(hash))
+      .forEach((hash) => this.texts.delete(hash));
+  }
+
+  async read(): Promise<Result<StoredTree, errors.Failure>> {
+    const outcome = await this.platform.read(ROOT_KEY);
+    if (outcome.type !== PlatformOutcome.ok) {
+      return Result.err(platformDown('read tree', outcome.reason));
+    }
+    const root = (outcome.value?.value ?? EMPTY_ROOT) as settingsTree.TreeRoot;
+    return this.assemble(root, outcome.value?.version ?? 0);
+  }
+
+  /** Reads the chunks that `root` names and puts the tree together. */
+  async assemble(
+    root: settingsTree.TreeRoot,
+    version: number,
+  ): Promise<Result<StoredTree, errors.Failure>> {
+    const hashes = Object.values(root.chunks);
+    const texts = await Promise.all(hashes.map((hash) => this.chunk(hash)));
+    const missing = hashes.find((_, index) => texts[index] === null);
+    if (missing !== undefined) {
+      return Result.err(platformDown('read tree', `chunk ${missing} cannot be read`));
+    }
+    return settingsTree
+      .fromChunks(
+        root.revision,
+        texts.flatMap((text) => text ?? []),
+      )
+      .map((tree) => ({ tree, root, version }));
+  }
+
+  /**
+   * Applies edits to the newest revision. A revision that others made meanwhile is no hindrance
+   * unless it changed one of the same nodes since `base`.
+   */
+  async edit(
+    edits: readonly settingsTree.NodeEdit[],
+    editId: string,
+    base: settingsTree.Tree | null,
+  ): Promise<Result<StoredTree, errors.Failure>> {
+    for (let tries = 0; tries < MOST_TRIES; tries += 1) {
+      const stored = await this.read();
+      if (stored.isErr) return Result.err(stored.error);
+      const { tree, root } = stored.value;
+      if (root.edits.some(({ id }) => id === editId)) return stored;
+      const conflict = base === null ? null : settingsTree.conflictOf(base, tree, edits);
+      if (conflict !== null) {
+        return Result.err(
+          errors.createFailure(errors.data.Conflict, 'edit tree', 'platform', conflict),
+        );
+      }
+      const next = settingsTree.applyEdits(tree, edits);
+      if (next.isErr) return Result.err(next.error);
+      const written = await this.writeRevision(stored.value, next.value, edits, editId);
+      if (written !== null) return written;
+    }
+    return Result.err(platformDown('edit tree', 'the edit could not be confirmed'));
+  }
+
+  /** Writes chunks, then the root; null where the root has to be read again. */
+  private async writeRevision(
+    before: StoredTree,
+    tree: settingsTree.Tree,
+    edits: readonly settingsTree.NodeEdit[],
+    id: string,
+  ): Promise<Result<StoredTree, errors.Failure> | null> {
+    const chunks = settingsTree.toChunks(tree.nodes);
+    const known = new Set(Object.values(before.root.chunks));
+    const fresh = chunks.filter(({ hash }) => !known.has(hash));
+    const outcomes = await Promise.all(
+      fresh.map(({ hash, text }) => this.platform.write(CHUNK_PREFIX + hash, text, 0)),
+    );
+    if (outcomes.some(({ type }) => type === PlatformOutcome.unknown)) return null;
+    this.learn(new Map(chunks.map(({ hash, text }) => [hash, text])));
+    const paths = edits.map(({ path }) => path);
+    const record = { id, revision: tree.revision, paths, atMs: Date.now() };
+    const root: settingsTree.TreeRoot = {
+      revision: tree.revision,
+      chunks: Object.fromEntries(chunks.map(({ name, hash }) => [name, hash])),
+      edits: [...before.root.edits, record].slice(-KEPT_EDITS),
+    };
+    const outcome = await this.platform.write(ROOT_KEY, root, before.version);
+    return outcome.type === PlatformOutcome.ok
+      ? Result.ok({ tree, root, version: outcome.version })
+      : null;
+  }
+
+  private async chunk(hash: string): Promise<string | null> {
+    const kept = this.texts.get(hash);
+    if (kept !== undefined) return kept;
+    const outcome = await this.platform.read(CHUNK_PREFIX + hash);
+    if (outcome.type !== PlatformOutcome.ok || outcome.value === null) return null;
+    const text = String(outcome.value.value);
+    this.learn(new Map([[hash, text]]));
+    return this.texts.get(hash) ?? null;
+  }
+}
--- /dev/null
+++ b/src/standins/http/index.ts
@@ -0,0 +1,114 @@
+/** A small HTTP server for stand-ins: JSON in and out, faults that are set at run time, counters. */
+import * as http from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** A request with its body read. */
+export interface StandinRequest {
+  readonly method: string;
+  readonly url: URL;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+export type StandinHandler = (req: StandinRequest, res: http.ServerResponse) => Promise<void>;
+
+/** A stand-in that listens. */
+export interface Standin {
+  /** IPv4 address and port. */
+  readonly address: string;
+  close(): Promise<void>;
+}
+
+export interface Listener extends Standin {
+  /** Ends every connection and refuses new ones for `downMs`. */
+  crash(downMs: number): Promise<void>;
+}
+
+export function sendJson(res: http.ServerResponse, status: number, value: unknown): void {
+  if (res.destroyed) return;
+  res.writeHead(status, { 'content-type': 'application/json' });
+  res.end(JSON.stringify(value));
+}
+
+async function readBody(req: http.IncomingMessage): Promise<Buffer> {
+  const chunks = await req.toArray();
+  return Buffer.concat(chunks as Buffer[]);
+}
+
+async function dispatch(
+  handler: StandinHandler,
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+): Promise<void> {
+  try {
+    const body = await readBody(req);
+    const url = new URL(req.url ?? '/', 'http://standin');
+    await handler({ method: req.method ?? 'GET', url, headers: req.headers, body }, res);
+  } catch (err) {
+    sendJson(res, 400, { error: String(err) });
+  }
+}
+
+function listenOn(server: http.Server, host: string, port: number): Promise<AddressInfo> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => resolve(server.address() as AddressInfo));
+  });
+}
+
+function closeServer(server: http.Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
+
+/** Serves `handler` at `listen`, as `127.0.0.1:0`. */
+export async function serve(listen: string, handler: StandinHandler): Promise<Listener> {
+  const [host = '127.0.0.1', portText = '0'] = listen.split(':');
+  const create = () => {
+    const server = http.createServer((req, res) => {
+      void dispatch(handler, req, res);
+    });
+    server.keepAliveTimeout = 60_000;
+    return server;
+  };
+  let server = create();
+  let closed = false;
+  const { port } = await listenOn(server, host, Number(portText));
+  return {
+    address: `${host}:${port}`,
+    async close() {
+      closed = true;
+      await closeServer(server);
+    },
+    async crash(downMs) {
+      await closeServer(server);
+      setTimeout(() => {
+        if (closed) return;
+        server = create();
+        void listenOn(server, host, port);
+      }, downMs);
+    },
+  };
+}
+
+/**
+ * Handles `GET /_counters`, `GET /_faults` and `POST /_faults` of a stand-in.
+ * @returns Whether the request was one of them.
+ */
+export function handleControl<F extends object>(
+  req: StandinRequest,
+  res: http.ServerResponse,
+  faults: F,
+  counters: () => unknown,
+): boolean {
+  if (req.url.pathname === '/_counters') {
+    sendJson(res, 200, counters());
+    return true;
+  }
+  if (req.url.pathname !== '/_faults') return false;
+  if (req.method === 'POST') Object.assign(faults, JSON.parse(req.body.toString('utf8')));
+  sendJson(res, 200, faults);
+  return true;
+}
