Count an unload that is done at once among an engine's orders

Cause: every second adapter order met 409, since an unload answered 200 raises the engine's count and the kept count did not; the adapter loaded last was evicted first, as it had no use yet.

--- a/src/core/logger/index.ts
+++ b/src/core/logger/index.ts
@@ -32,12 +32,22 @@
   };
 }
 
+/** Writes one line: time, level, and the fields of the event. */
+function writeLine(entry: Record<string, unknown>): void {
+  const meta = entry._meta as { readonly date: Date; readonly logLevelName: string };
+  const fields = (entry[0] ?? entry) as Record<string, unknown>;
+  const { _meta: ignored, ...rest } = fields;
+  const time = meta.date.toISOString();
+  process.stdout.write(`${JSON.stringify({ time, level: meta.logLevelName, ...rest })}\n`);
+}
+
 /** Creates the logger of a process; lines go to standard output. */
 export function createLogger(label: string, level: LogLevel): Logger {
   const logger = new TsLogger<unknown>({
-    type: 'json',
+    type: 'hidden',
     minLevel: LEVELS[level],
     hideLogPositionForProduction: true,
   });
+  logger.attachTransport(writeLine);
   return wrap(logger, label);
 }
--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -4,6 +4,9 @@
  * An order without an answer may be carried out seconds later, as long as the engine's count of
  * orders is the one that it names. It is sent again unchanged until an answer or the count shows
  * that it can't run any more; until then its memory stays charged and nothing else is ordered.
+ *
+ * A model's load is over when the engine says so: the same order sent again would load it again.
+ * An adapter's load is asked for again until it holds.
  */
 import type { HeldModel } from '../fleet-plan/index.js';
 import {
@@ -21,7 +24,11 @@
 const RESEND_MS = 100;
 /** Pause between questions whether an order has been carried out, ms. */
 const ASK_AGAIN_MS = 60;
-/** An unload that takes longer than this is looked at by a report, ms. */
+/** Pause after an order was turned down because another one is under way, ms. */
+const CONFLICT_MS = 30;
+/** After this many refusals the engine's count goes before the one that was kept here. */
+const CONFLICTS_TO_DOUBT = 8;
+/** A step that takes longer than this is given up, ms. */
 const LONGEST_STEP_MS = 20_000;
 
 const Phase = {
@@ -29,7 +36,7 @@
   due: 'due',
   /** On its way. */
   sent: 'sent',
-  /** Accepted; it is asked for again until it holds. */
+  /** Accepted; an adapter is asked for again until it holds, a model looked for in reports. */
   underWay: 'under-way',
 } as const;
 type Phase = (typeof Phase)[keyof typeof Phase];
@@ -39,9 +46,11 @@
   phase: Phase;
   /** Count of orders that every copy of this order names. */
   expected: number;
-  /** Whether a copy was sent that may still run. */
+  /** Whether a copy got no answer and may still run. */
   loose: boolean;
   accepted: boolean;
+  /** How often it was turned down because another order is under way or the count differs. */
+  conflicts: number;
   readonly begunAtMs: number;
   nextAtMs: number;
 }
@@ -130,10 +139,12 @@
     const { bornMs, count } = sighting;
     if (bornMs !== 0 && bornMs < this.bornMs) return;
     if (bornMs > this.bornMs) this.restart(bornMs);
-    if (this.count !== null && count < this.count) return;
+    const mistaken = (this.current?.conflicts ?? 0) >= CONFLICTS_TO_DOUBT && !sighting.busy;
+    if (this.count !== null && count < this.count && !mistaken) return;
     const moved = this.count !== null && count > this.count;
     this.count = count;
     if (this.current?.loose === true && moved && !this.current.accepted) this.resolve(sighting);
+    if (this.current !== null && this.isModelLoad(this.current)) this.noteLoadSeen(sighting);
     if (!this.busy) {
       this.replaceHeld(sighting.models);
       this.needsReport = false;
@@ -148,10 +159,13 @@
     const { current } = this;
     if (current === null || this.count === null) return null;
     if (current.phase === Phase.sent || nowMs < current.nextAtMs) return null;
-    if (this.needsReport && !current.loose && !current.accepted) return null;
+    if (this.isModelLoad(current)) {
+      this.needsReport = true;
+      return null;
+    }
+    if (this.needsReport && !current.loose && !current.accepted && current.conflicts === 0) return null;
     current.phase = Phase.sent;
     if (!current.loose) current.expected = this.count;
-    current.loose = true;
     const { type, model, adapter } = current.step;
     return { type, model, adapter, expected: current.expected };
   }
@@ -174,14 +188,18 @@
         this.noteAccepted(nowMs, current);
         break;
       case OrderOutcome.done:
-        current.loose = false;
+        // An unload that was done at once counts; what held already does not.
+        if (current.step.type === OrderStepType.unload) this.count = current.expected + 1;
         this.finish(current.step);
         break;
       case OrderOutcome.conflict:
         // Not carried out by this copy: an earlier order runs, or the count has moved on.
+        current.conflicts += 1;
+        current.nextAtMs = nowMs + (current.accepted ? ASK_AGAIN_MS : CONFLICT_MS);
         if (!current.accepted) this.needsReport = true;
         break;
       case OrderOutcome.unknown:
+        current.loose = !current.accepted;
         current.nextAtMs = nowMs + RESEND_MS;
         break;
       default:
@@ -191,13 +209,17 @@
   }
 
   private noteAccepted(nowMs: number, current: Current): void {
+    this.count = Math.max(this.count ?? 0, current.expected + 1);
+    // An unload tells no end; until then the next order is turned down.
+    if (current.step.type === OrderStepType.unload) {
+      this.finish(current.step);
+      return;
+    }
     // Accepted again after it was under way: it had ended otherwise, and begins anew.
     current.accepted = true;
     current.phase = Phase.underWay;
     current.loose = false;
-    this.count = Math.max(this.count ?? 0, current.expected + 1);
     current.nextAtMs = nowMs + this.sizes.expectedMs(current.step);
-    if (current.step.type === OrderStepType.unload) this.dropHeld(current.step);
   }
 
   /** The count moved while an order was loose: it ran, or can't run any more. */
@@ -217,6 +239,18 @@
     current.phase = sighting.busy ? Phase.underWay : Phase.due;
   }
 
+  /** Whether a model's load was accepted and has not been seen to end. */
+  private isModelLoad(current: Current): boolean {
+    return current.accepted && current.step.adapter === null;
+  }
+
+  private noteLoadSeen({ busy, models }: Sighting): void {
+    const { current } = this;
+    if (current === null || busy) return;
+    if (models.some(({ name }) => name === current.step.model)) this.finish(current.step);
+    else this.abandon();
+  }
+
   private begin(nowMs: number): void {
     const step = this.steps.shift();
     if (step === undefined) return;
@@ -226,6 +260,7 @@
       expected: 0,
       loose: false,
       accepted: false,
+      conflicts: 0,
       begunAtMs: nowMs,
       nextAtMs: nowMs,
     };
--- a/src/entry/relay/engine-yard.ts
+++ b/src/entry/relay/engine-yard.ts
@@ -224,8 +224,8 @@
       Object.assign(engine, { loadEndsAtMs: nowMs + steps, storeLoad: action.fromStore });
       engine.orders.add(action.steps);
       action.steps
-        .filter(({ adapter }) => adapter === null)
-        .forEach(({ model }) => this.uses.dropped(action.engineId, model));
+        .filter(({ type }) => type === OrderStepType.unload)
+        .forEach(({ model, adapter }) => this.uses.dropped(action.engineId, model, adapter));
       this.opts.logger.info('order-planned', {
         engine: action.engineId,
         steps: action.steps.map(({ type, model, adapter }) => [type, model, adapter].join(' ')),
--- a/src/entry/relay/follower.ts
+++ b/src/entry/relay/follower.ts
@@ -9,6 +9,8 @@
 
 /** How long one watch waits, ms: its end confirms that nothing changed. */
 const WATCH_MS = 1_500;
+/** Pause after a change, ms: more of them often follow, and every call is priced. */
+const SETTLE_MS = 300;
 /** Pause after a call that failed, ms. */
 const RETRY_MS = 150;
 /** A store that did not answer for this long was in an outage, ms. */
@@ -47,8 +49,8 @@
   async run(): Promise<void> {
     while (!this.stopped) {
       const sentAtMs = this.opts.clock.nowMs();
-      const worked = await this.step(sentAtMs);
-      if (!worked && !this.stopped) await clocks.sleep(RETRY_MS);
+      const pauseMs = await this.step(sentAtMs);
+      if (pauseMs > 0 && !this.stopped) await clocks.sleep(pauseMs);
     }
   }
 
@@ -56,27 +58,28 @@
     this.stopped = true;
   }
 
-  private async step(sentAtMs: number): Promise<boolean> {
+  /** One call; resolves with the pause before the next one, ms. */
+  private async step(sentAtMs: number): Promise<number> {
     const { store } = this.opts;
     const since = this.revision;
     const answer: FeedAnswer<FeedEvent> =
       since === null
         ? await this.list()
         : await store.changes(this.kind, since, this.isLate(sentAtMs) ? 0 : WATCH_MS);
-    if (this.stopped) return false;
+    if (this.stopped) return 0;
     if (answer.type === FeedOutcome.historyGone) {
       this.revision = null;
-      return true;
+      return 0;
     }
     if (answer.type === FeedOutcome.failed) {
       this.opts.logger.debug('store-call-failed', { kind: this.kind, reason: answer.reason });
-      return false;
+      return RETRY_MS;
     }
     if (sentAtMs - this.confirmedAtMs > OUTAGE_MS + WATCH_MS) this.noteOutage();
     this.revision = Math.max(this.revision ?? 0, answer.revision);
     this.take(answer.items, since === null);
     this.confirmedAtMs = sentAtMs;
-    return true;
+    return answer.items.length > 0 && since !== null ? SETTLE_MS : 0;
   }
 
   /** After a failed call the next one does not wait, so that it confirms soon. */
--- a/src/entry/relay/use-log.ts
+++ b/src/entry/relay/use-log.ts
@@ -62,20 +62,32 @@
   place(nowMs: number, serverId: string, model: string, adapters: ReadonlySet<string>): Place {
     const key = `${serverId} ${model}`;
     const keys = [...adapters].map((adapter) => [adapter, `${key}/${adapter}`] as const);
-    if (!this.heldSinceMs.has(key)) this.heldSinceMs.set(key, nowMs);
+    const names = [key, ...keys.map(([, name]) => name)];
+    names
+      .filter((name) => !this.heldSinceMs.has(name))
+      .forEach((name) => this.heldSinceMs.set(name, nowMs));
+    // What was not used yet counts from when it was loaded.
+    const usedAt = (name: string) =>
+      Math.max(this.usedAtMs.get(name) ?? 0, this.heldSinceMs.get(name) ?? 0);
     return {
       model,
       adapters,
       running: this.running.get(key) ?? 0,
       runningAdapters: new Map(keys.map(([name, at]) => [name, this.running.get(at) ?? 0])),
       loadedAtMs: this.heldSinceMs.get(key) ?? nowMs,
-      usedAtMs: this.usedAtMs.get(key) ?? 0,
-      adapterUsedAtMs: new Map(keys.map(([name, at]) => [name, this.usedAtMs.get(at) ?? 0])),
+      usedAtMs: usedAt(key),
+      adapterUsedAtMs: new Map(keys.map(([name, at]) => [name, usedAt(at)])),
     };
   }
 
-  /** Forgets since when a model is held, once it is unloaded. */
-  dropped(serverId: string, model: string): void {
-    this.heldSinceMs.delete(`${serverId} ${model}`);
+  /** Forgets since when a model or adapter is held, once it is unloaded. */
+  dropped(serverId: string, model: string, adapter: string | null): void {
+    const key = `${serverId} ${model}`;
+    if (adapter !== null) this.heldSinceMs.delete(`${key}/${adapter}`);
+    else {
+      [...this.heldSinceMs.keys()]
+        .filter((name) => name === key || name.startsWith(`${key}/`))
+        .forEach((name) => this.heldSinceMs.delete(name));
+    }
   }
 }
