Leave a successor what each entry VM may hold of the rates

The lease now carries the most that each VM may hold, written before it is granted; an entry VM that stops gives back what it holds.

--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -145,7 +145,9 @@
     this.count = count;
     if (this.current?.loose === true && moved && !this.current.accepted) this.resolve(sighting);
     if (this.current !== null && this.isModelLoad(this.current)) this.noteLoadSeen(sighting);
+    // While it is busy with somebody else's order, what it will hold is not known.
     if (!this.busy) {
+      if (sighting.busy) return;
       this.replaceHeld(sighting.models);
       this.needsReport = false;
     } else if (this.current === null || !this.current.loose) {
--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -25,10 +25,13 @@
   LeaseEventType.tick,
   LeaseEventType.release,
   LeaseEventType.holderGone,
+  LeaseEventType.renewSoon,
 ]);
 
 interface PendingWrite {
   readonly lease: Lease;
+  /** Note of the lease that it replaces. */
+  readonly noteBefore: unknown;
   readonly sentAtMs: number;
 }
 
@@ -114,6 +117,9 @@
         this.goneEpoch = event.epoch;
         this.nextCallAtMs = Math.min(this.nextCallAtMs, nowMs);
         return [];
+      case LeaseEventType.renewSoon:
+        if (this.holds(nowMs)) this.nextCallAtMs = Math.min(this.nextCallAtMs, nowMs);
+        return [];
       default:
         return [];
     }
@@ -135,9 +141,11 @@
   private write(nowMs: number, epoch: number): readonly LeaseEffect[] {
     const renewal = (this.seen?.renewal ?? 0) + 1;
     const { self: holder, address, durationMs } = this.cfg;
-    const lease: Lease = { holder, address, epoch, durationMs, renewal };
+    const noteBefore = this.seen?.note;
+    const note = this.cfg.note?.(noteBefore);
+    const lease: Lease = { holder, address, epoch, durationMs, renewal, note };
     this.calling = true;
-    this.pending = { lease, sentAtMs: nowMs };
+    this.pending = { lease, noteBefore, sentAtMs: nowMs };
     this.nextCallAtMs = nowMs + durationMs * RENEW_AFTER;
     return [{ type: LeaseEffectType.write, lease, version: this.version }];
   }
@@ -186,7 +194,10 @@
     return this.hold(nowMs, pending);
   }
 
-  private hold(nowMs: number, { lease, sentAtMs }: PendingWrite): readonly LeaseEffect[] {
+  private hold(
+    nowMs: number,
+    { lease, noteBefore, sentAtMs }: PendingWrite,
+  ): readonly LeaseEffect[] {
     if (lease.holder !== this.cfg.self) return [];
     // A lease that lapsed before its renewal was confirmed goes on under a new fencing number.
     const lapsed = !this.holds(nowMs) && lease.epoch <= this.lastEpoch;
@@ -195,9 +206,10 @@
     this.heldUntilMs = sentAtMs + lease.durationMs;
     this.heldEpoch = lease.epoch;
     this.lastEpoch = Math.max(this.lastEpoch, lease.epoch);
+    const noted = { type: LeaseEffectType.noted, note: lease.note } as const;
     return isNew && this.holds(nowMs)
-      ? [{ type: LeaseEffectType.acquired, epoch: lease.epoch }]
-      : [];
+      ? [{ type: LeaseEffectType.acquired, epoch: lease.epoch, note: noteBefore }, noted]
+      : [noted];
   }
 
   private dropLapsed(nowMs: number): readonly LeaseEffect[] {
@@ -218,6 +230,7 @@
       holder: null,
       epoch: this.heldEpoch,
       durationMs: this.cfg.durationMs,
+      note: this.cfg.note?.(this.seen?.note),
       renewal: (this.seen?.renewal ?? 0) + 1,
     };
     return [...this.drop(), { type: LeaseEffectType.write, lease, version: this.version }];
--- a/src/decisions/leases/types.ts
+++ b/src/decisions/leases/types.ts
@@ -9,6 +9,8 @@
   /** Fencing number; rises on each change of holder. */
   epoch: z.int(),
   durationMs: z.number(),
+  /** What the holder leaves for its successor. */
+  note: z.unknown().optional(),
   /** Tells a renewal apart from the one before, so that a lost answer can be resolved. */
   renewal: z.int(),
 });
@@ -23,6 +25,7 @@
   writeUnknown: 'write-unknown',
   release: 'release',
   holderGone: 'holder-gone',
+  renewSoon: 'renew-soon',
 } as const;
 
 export type LeaseEvent =
@@ -39,19 +42,29 @@
   /** Gives the lease up, for a planned stop. */
   | { readonly type: typeof LeaseEventType.release }
   /** The holder's process has ended: its address refuses connections. */
-  | { readonly type: typeof LeaseEventType.holderGone; readonly epoch: number };
+  | { readonly type: typeof LeaseEventType.holderGone; readonly epoch: number }
+  /** The note has changed: the holder renews without waiting. */
+  | { readonly type: typeof LeaseEventType.renewSoon };
 
 export const LeaseEffectType = {
   read: 'read',
   write: 'write',
   acquired: 'acquired',
+  noted: 'noted',
   lost: 'lost',
 } as const;
 
 export type LeaseEffect =
   | { readonly type: typeof LeaseEffectType.read }
   | { readonly type: typeof LeaseEffectType.write; readonly lease: Lease; readonly version: number }
-  | { readonly type: typeof LeaseEffectType.acquired; readonly epoch: number }
+  /** The lease is held under a new epoch; `note` is what the holder before left. */
+  | {
+      readonly type: typeof LeaseEffectType.acquired;
+      readonly epoch: number;
+      readonly note: unknown;
+    }
+  /** A write that carried this note has taken effect. */
+  | { readonly type: typeof LeaseEffectType.noted; readonly note: unknown }
   | { readonly type: typeof LeaseEffectType.lost };
 
 export interface LeaseSettings {
@@ -61,4 +74,6 @@
   readonly durationMs: number;
   /** Wait beyond the duration before a takeover. */
   readonly marginMs: number;
+  /** What the next write leaves for a successor, given what the holder before left. */
+  readonly note?: (before: unknown) => unknown;
 }
--- a/src/decisions/rate-shares/holder.ts
+++ b/src/decisions/rate-shares/holder.ts
@@ -51,6 +51,12 @@
     });
   }
 
+  /** Lets every part and loan go. */
+  clear(): void {
+    this.holdings.clear();
+    this.expiresAtMs = 0;
+  }
+
   /** Adds units that the lender took from its own part. */
   addLoan(nowMs: number, customer: string, units: number): void {
     const limit = this.limits.get(customer);
--- a/src/decisions/rate-shares/lender.ts
+++ b/src/decisions/rate-shares/lender.ts
@@ -2,8 +2,9 @@
  * Shares customers' rates out over the entry VMs.
  *
  * The parts that are out and the lender's own never sum to more than the whole. A part counts as
- * out until its VM has confirmed a smaller one or until it has ended. A new lender does not know
- * what its predecessor gave to VMs that do not report; it counts all of that as out until it ends.
+ * out until its VM has confirmed a smaller one or until it has ended. Before a VM gets any, the most
+ * that it may get is written down for a successor, who counts that as out until the VM has reported
+ * or the time of every part is over.
  */
 import { PartBucket } from './bucket.js';
 import {
@@ -20,6 +21,9 @@
 const EQUAL_PART = 0.25;
 /** A VM's part of the burst must cover a few requests to be worth having, units. */
 const MIN_PART_BURST = 6_000;
+/** Most that a VM may get is written down in steps of this, and with room to grow. */
+const ALLOWANCE_STEP = 0.1;
+const ALLOWANCE_ROOM = 1.3;
 /** A part is changed only by more than this. */
 const SMALLEST_CHANGE = 0.01;
 
@@ -37,6 +41,9 @@
   demand: ReadonlyMap<string, number>;
 }
 
+/** The most that each VM may hold of any customer's limit, 0 to 1. */
+export type Allowances = ReadonlyMap<string, number>;
+
 /** New parts for one VM. */
 export interface GrantMessage {
   readonly seq: number;
@@ -52,20 +59,56 @@
 
   private lastSeq = 0;
 
-  /** @param unknownUntilMs Until when parts given by a predecessor may be out. */
-  constructor(
-    startMs: number,
-    private unknownUntilMs = startMs + SHARE_TTL_MS,
-  ) {}
+  /** What a predecessor may have given to VMs that have not reported. */
+  private readonly unreported: Map<string, number>;
 
-  setLimits(nowMs: number, limits: RateLimits): void {
-    this.limits = limits;
+  private readonly unreportedUntilMs: number;
+
+  /** As it is written down. */
+  private written: Allowances = new Map();
+
+  /** @param left What the predecessor wrote down; null where that is not known. */
+  constructor(startMs: number, left: Allowances | null) {
+    this.unreported = new Map(left ?? [['', 1]]);
+    this.unreportedUntilMs = startMs + SHARE_TTL_MS;
+  }
+
+  /** What should be written down for a successor. */
+  allowances(nowMs: number): Allowances {
+    this.expire(nowMs);
+    const wanted = new Map(this.unreported);
+    this.vms.forEach((shares, vm) => {
+      const parts = [...this.limits].map(([customer, limit]) =>
+        Math.max(
+          this.outAt(nowMs, shares, customer),
+          this.wantedPart(vm, customer, limit) * ALLOWANCE_ROOM,
+        ),
+      );
+      const most = Math.max(ALLOWANCE_STEP, ...parts);
+      const inSteps = Math.ceil(most / ALLOWANCE_STEP) * ALLOWANCE_STEP;
+      const before = this.written.get(vm) ?? 0;
+      // Lowered only when it is far too high, so that it is seldom written.
+      const keeps = before >= inSteps && before <= inSteps + 2 * ALLOWANCE_STEP;
+      wanted.set(vm, Math.min(1, keeps ? before : inSteps));
+    });
+    return wanted;
+  }
+
+  /** The allowances have been written down. */
+  noteWritten(allowances: Allowances): void {
+    this.written = allowances;
+  }
+
+  /** A VM stops and holds nothing any more. */
+  noteLeft(nowMs: number, vm: string): void {
+    this.vms.delete(vm);
+    this.unreported.delete(vm);
     this.refreshBuckets(nowMs);
   }
 
-  /** Every VM that may hold a part has reported, or holds none. */
-  allKnown(nowMs: number): void {
-    this.unknownUntilMs = Math.min(this.unknownUntilMs, nowMs);
+  setLimits(nowMs: number, limits: RateLimits): void {
+    this.limits = limits;
+    this.refreshBuckets(nowMs);
   }
 
   /** Notes a report; `appliedSeq` is the last grant that the VM has taken in. */
@@ -75,6 +118,7 @@
     appliedSeq: number,
     reports: readonly ShareReport[],
   ): void {
+    this.unreported.delete(vm);
     const shares = this.vms.get(vm);
     const confirmed = new Map(reports.map(({ customer, fraction }) => [customer, fraction]));
     const known = [...(shares?.unconfirmed ?? [])];
@@ -120,7 +164,8 @@
       (sum, shares) => sum + this.outAt(nowMs, shares, customer),
       0,
     );
-    return nowMs < this.unknownUntilMs ? 1 : known;
+    const unknown = [...this.unreported.values()].reduce((sum, part) => sum + part, 0);
+    return Math.min(1, known + unknown);
   }
 
   private outAt(nowMs: number, shares: VmShares, customer: string): number {
@@ -140,8 +185,9 @@
       return Math.min(held, wanted < held - SMALLEST_CHANGE ? wanted : held);
     }
     const own = this.outAt(nowMs, shares, customer);
-    const free = 1 - this.outstanding(nowMs, customer);
-    return Math.max(Math.min(held, own), Math.min(wanted, own + Math.max(0, free)));
+    const free = Math.max(0, 1 - this.outstanding(nowMs, customer));
+    const most = this.written.get(vm) ?? 0;
+    return Math.max(Math.min(held, own), Math.min(wanted, own + free, most));
   }
 
   private wantedPart(vm: string, customer: string, limit: RateLimit): number {
@@ -167,6 +213,7 @@
   }
 
   private expire(nowMs: number): void {
+    if (nowMs >= this.unreportedUntilMs) this.unreported.clear();
     this.vms.forEach((shares, vm) => {
       shares.unconfirmed = shares.unconfirmed.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
       if (shares.confirmedExpiresAtMs <= nowMs && shares.unconfirmed.length === 0) {
--- a/src/entry/relay/admission.ts
+++ b/src/entry/relay/admission.ts
@@ -39,6 +39,8 @@
 
   private appliedSeq = 0;
 
+  private closed = false;
+
   constructor(private readonly opts: AdmissionOptions) {}
 
   /** Last grant of the present steward that was taken in. */
@@ -56,6 +58,7 @@
   }
 
   takeGrant(grant: RelayMessageOf<'grant'>): void {
+    if (this.closed) return;
     this.appliedSeq = grant.seq;
     const fractions = new Map(Object.entries(grant.fractions));
     // Counted from when the report was sent, so that the part ends here first.
@@ -63,6 +66,12 @@
     this.holder.grant(this.opts.clock.nowMs(), fractions, expiresAtMs);
   }
 
+  /** Lets all parts go; for a planned stop. */
+  giveBack(): void {
+    this.closed = true;
+    this.holder.clear();
+  }
+
   takeLent(lent: Lent): void {
     this.asks.get(lent.askId)?.(lent);
   }
--- a/src/entry/relay/engine-yard.ts
+++ b/src/entry/relay/engine-yard.ts
@@ -65,6 +65,16 @@
   readonly logger: Logger;
 }
 
+/** Adapters on their way take a place already, and the order that brings them is counted. */
+function withPending({ models, pendingAdapters }: EngineReport): readonly HeldModel[] {
+  return models.map((model) => {
+    const coming = pendingAdapters
+      .filter((name) => name.startsWith(`${model.name}/`))
+      .map((name) => name.slice(model.name.length + 1));
+    return { ...model, adapters: [...new Set([...model.adapters, ...coming])] };
+  });
+}
+
 export class EngineYard {
   private readonly engines = new Map<string, EngineRecord>();
 
@@ -201,7 +211,7 @@
       bornMs: report.bornMs ?? engine.server.bornMs,
       count: report.orderCount,
       busy: report.busy,
-      models: report.models,
+      models: withPending(report),
     });
   }
 
--- a/src/entry/relay/lease-task.ts
+++ b/src/entry/relay/lease-task.ts
@@ -34,6 +34,10 @@
   readonly logger: Logger;
   /** Whether a steward is heard, so that the lease need not be read. */
   hearsSteward(): boolean;
+  /** What is left for a successor, given what the steward before left. */
+  note(before: unknown): unknown;
+  /** A note has been written. */
+  noted(note: unknown): void;
   /** Whether engines refuse old fencing numbers, so that a lapsed lease may be used on. */
   enginesCheckFences(): boolean;
 }
@@ -55,9 +59,13 @@
 
   private higherFence = 0;
 
+  /** What the steward before left. */
+  noteLeft: unknown = undefined;
+
   constructor(private readonly opts: LeaseTaskOptions) {
     const { vm, address, durationMs, marginMs } = opts;
-    this.keeper = new LeaseKeeper({ self: vm, address, durationMs, marginMs });
+    const note = (before: unknown) => opts.note(before);
+    this.keeper = new LeaseKeeper({ self: vm, address, durationMs, marginMs, note });
   }
 
   /** Fencing number to order with at this very moment; 0 for none. */
@@ -83,6 +91,11 @@
     this.higherFence = Math.max(this.higherFence, fence);
   }
 
+  /** The note has changed and should be written now. */
+  renewSoon(): void {
+    this.handle({ type: LeaseEventType.renewSoon });
+  }
+
   /** The steward's address refuses connections: its process has ended. */
   noteGone(post: StewardPost): void {
     this.handle({ type: LeaseEventType.holderGone, epoch: post.fence });
@@ -136,8 +149,12 @@
       case LeaseEffectType.write:
         await this.write(effect);
         break;
+      case LeaseEffectType.noted:
+        this.opts.noted(effect.note);
+        break;
       case LeaseEffectType.acquired:
         this.actingFence = effect.epoch;
+        this.noteLeft = effect.note;
         this.opts.logger.info('lease-acquired', { fence: effect.epoch });
         break;
       default:
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -66,6 +66,12 @@
     this.report(true);
   }
 
+  /** Gives back what this entry VM holds of the customers' rates; it admits nothing after. */
+  farewell(): void {
+    this.opts.admission.giveBack();
+    this.report(true);
+  }
+
   private tick(): void {
     const post = this.opts.lease.post();
     if (post !== null && post.fence >= this.opts.link.fence) this.opts.link.follow(post);
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -1,5 +1,6 @@
 /** The steward's task: hears every entry VM, orders engines, and lends customers' rates. */
 import * as net from 'node:net';
+import { z } from 'zod';
 import type { Clock } from '../../core/clock/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { Task } from '../../core/supervisor/index.js';
@@ -19,11 +20,15 @@
 import type { PlatformWire } from './types.js';
 
 const TICK_MS = 20;
+/** Shortest time between two renewals for a changed note, ms: every call is priced. */
+const HURRY_MS = 150;
 /** The steward speaks at least this often, ms. */
 const SPEAK_MS = 400;
 /** A connection that said nothing for this long is closed, ms. */
 const MEMBER_SILENCE_MS = 3_000;
 
+const allowancesSchema = z.record(z.string(), z.number());
+
 /** An entry VM that reports to this one. */
 interface Member {
   readonly socket: net.Socket;
@@ -61,6 +66,11 @@
 
   private fence = 0;
 
+  /** Allowances as the lease carries them. */
+  private written: Readonly<Record<string, number>> = {};
+
+  private hurriedAtMs = -Infinity;
+
   constructor(private readonly opts: StewardOptions) {}
 
   async start(fail: (err: unknown) => void): Promise<void> {
@@ -139,6 +149,10 @@
     this.yard?.takeReport(nowMs, report);
     const { lender } = this;
     if (lender === null) return;
+    if (report.leaving && report.shares.length === 0) {
+      lender.noteLeft(nowMs, report.vm);
+      return;
+    }
     lender.noteReport(nowMs, report.vm, report.appliedSeq, report.shares);
     const grant = lender.grant(nowMs, report.vm);
     writeMessage(member.socket, {
@@ -173,14 +187,43 @@
     const { plan } = this.opts.follower;
     if (plan === null) return;
     this.lender?.setLimits(nowMs, plan.customers);
+    this.writeAllowances(nowMs);
     this.dropSilent(nowMs);
     const reports = [...this.members].flatMap(({ report }) => (report === null ? [] : [report]));
     this.yard?.tick(nowMs, reports);
     this.speak(nowMs);
   }
 
+  /** What a successor should know, given what the steward before left. */
+  note(before: unknown): unknown {
+    const nowMs = this.opts.clock.nowMs();
+    if (this.lender === null) return before ?? {};
+    return Object.fromEntries(this.lender.allowances(nowMs));
+  }
+
+  /** A note has been written to the lease. */
+  noted(note: unknown): void {
+    const parsed = allowancesSchema.safeParse(note);
+    this.written = parsed.success ? parsed.data : {};
+    this.lender?.noteWritten(new Map(Object.entries(this.written)));
+  }
+
+  /** Has the lease renewed at once where a VM may need more than is written down. */
+  private writeAllowances(nowMs: number): void {
+    const wanted = this.lender?.allowances(nowMs) ?? new Map<string, number>();
+    const grows = [...wanted].some(([vm, part]) => part > (this.written[vm] ?? 0));
+    if (grows && nowMs - this.hurriedAtMs > HURRY_MS) {
+      this.hurriedAtMs = nowMs;
+      this.opts.lease.renewSoon();
+    }
+  }
+
   private takeOffice(nowMs: number): void {
-    this.lender = new RateLender(nowMs);
+    const left = allowancesSchema.safeParse(this.opts.lease.noteLeft);
+    // No note at all: nobody was steward before.
+    const known = this.opts.lease.noteLeft === undefined ? {} : left.data;
+    this.lender = new RateLender(nowMs, known === undefined ? null : new Map(Object.entries(known)));
+    this.lender.noteWritten(new Map(Object.entries(this.written)));
     this.yard = new EngineYard({
       vm: this.opts.vm,
       wire: this.opts.wire,
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -34,6 +34,8 @@
 const BALANCER_NOTICE_MS = 3_500;
 /** Requests under way are looked at this often while stopping, ms. */
 const STOP_POLL_MS = 50;
+/** Time for the last messages to leave, ms. */
+const LAST_MESSAGES_MS = 20;
 /** Time left for the last answers to leave before the platform ends the process, ms. */
 const STOP_MARGIN_MS = 400;
 
@@ -62,7 +64,7 @@
   const follower = new FollowerTask({ wire, store, clock, logger: logger.child('follower'), changed });
   const suspects = new SuspectTable();
   const connections = new Connections();
-  const parts: { reporter?: ReporterTask; link?: StewardLink } = {};
+  const parts: { reporter?: ReporterTask; link?: StewardLink; steward?: StewardTask } = {};
   const stewardIsHeard = () => parts.link?.isHeard === true;
   const lease = new LeaseTask({
     vm: vm.id,
@@ -74,6 +76,8 @@
     logger: logger.child('lease'),
     hearsSteward: stewardIsHeard,
     enginesCheckFences: () => relay.enginesCheckFences,
+    note: (before) => parts.steward?.note(before),
+    noted: (note) => parts.steward?.noted(note),
   });
   const view = new FleetView(follower, clock, stewardIsHeard);
   const dispatcher = new Dispatcher({
@@ -139,6 +143,7 @@
     clock,
     logger: logger.child('steward'),
   });
+  parts.steward = steward;
   const keysTrustedMs = relay.keyRevocationMs - KEY_MARGIN_MS;
   const ctx: RelayContext = {
     wire,
@@ -204,6 +209,8 @@
       const untilMs = clock.nowMs() + settings.stop.graceMs - STOP_MARGIN_MS;
       await lease.handOver();
       await drain(untilMs);
+      reporter.farewell();
+      await clocks.sleep(LAST_MESSAGES_MS);
       dispatcher.stop();
       await supervisor.stop();
       connections.close();
