--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -139,7 +139,9 @@
     const { bornMs, count } = sighting;
     if (bornMs !== 0 && bornMs < this.bornMs) return;
     if (bornMs > this.bornMs) this.restart(bornMs);
-    const mistaken = (this.current?.conflicts ?? 0) >= CONFLICTS_TO_DOUBT && !sighting.busy;
+    const doubted = this.current !== null && !this.current.accepted;
+    const mistaken =
+      doubted && !sighting.busy && (this.current?.conflicts ?? 0) >= CONFLICTS_TO_DOUBT;
     if (this.count !== null && count < this.count && !mistaken) return;
     const moved = this.count !== null && count > this.count;
     this.count = count;
--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -26,6 +26,7 @@
   LeaseEventType.release,
   LeaseEventType.holderGone,
   LeaseEventType.renewSoon,
+  LeaseEventType.told,
 ]);
 
 interface PendingWrite {
@@ -85,6 +86,12 @@
     return this.seen?.address ?? null;
   }
 
+  /** The lease that is held, for telling others. */
+  held(nowMs: number): { lease: Lease; version: number; leftMs: number } | null {
+    if (!this.holds(nowMs) || this.seen === null) return null;
+    return { lease: this.seen, version: this.version, leftMs: this.heldUntilMs - nowMs };
+  }
+
   /** Fencing number of the lease as last seen. */
   get seenEpoch(): number {
     return this.seen?.epoch ?? 0;
@@ -117,6 +124,9 @@
         this.goneEpoch = event.epoch;
         this.nextCallAtMs = Math.min(this.nextCallAtMs, nowMs);
         return [];
+      case LeaseEventType.told:
+        this.noteTold(nowMs, event.lease, event.version, event.leftMs);
+        return [];
       case LeaseEventType.renewSoon:
         if (this.holds(nowMs)) this.nextCallAtMs = Math.min(this.nextCallAtMs, nowMs);
         return [];
@@ -164,6 +174,14 @@
     return [...this.drop(), ...this.takeIfFree(nowMs, lease)];
   }
 
+  /** What the holder says spares a read, and dates the lease from its renewal. */
+  private noteTold(nowMs: number, lease: Lease, version: number, leftMs: number): void {
+    if (this.calling || this.holds(nowMs) || version <= this.version) return;
+    this.version = version;
+    this.seen = lease;
+    this.changedAtMs = nowMs - Math.max(0, lease.durationMs - leftMs);
+  }
+
   private isOwn(lease: Lease, written: Lease): boolean {
     return (
       lease.holder === written.holder &&
--- a/src/decisions/leases/types.ts
+++ b/src/decisions/leases/types.ts
@@ -26,6 +26,7 @@
   release: 'release',
   holderGone: 'holder-gone',
   renewSoon: 'renew-soon',
+  told: 'told',
 } as const;
 
 export type LeaseEvent =
@@ -44,7 +45,14 @@
   /** The holder's process has ended: its address refuses connections. */
   | { readonly type: typeof LeaseEventType.holderGone; readonly epoch: number }
   /** The note has changed: the holder renews without waiting. */
-  | { readonly type: typeof LeaseEventType.renewSoon };
+  | { readonly type: typeof LeaseEventType.renewSoon }
+  /** The holder said what it has written and for how long it holds. */
+  | {
+      readonly type: typeof LeaseEventType.told;
+      readonly lease: Lease;
+      readonly version: number;
+      readonly leftMs: number;
+    };
 
 export const LeaseEffectType = {
   read: 'read',
--- a/src/decisions/rate-shares/lender.ts
+++ b/src/decisions/rate-shares/lender.ts
@@ -19,8 +19,8 @@
 const SHARED_OUT = 0.75;
 /** Part of what is shared out that goes equally to all, for demand that is not seen yet. */
 const EQUAL_PART = 0.25;
-/** A VM's part of the burst must cover a few requests to be worth having, units. */
-const MIN_PART_BURST = 6_000;
+/** A VM's part of the burst must cover a usual request to be worth having, units. */
+const MIN_PART_BURST = 1_200;
 /** Most that a VM may get is written down in steps of this, and with room to grow. */
 const ALLOWANCE_STEP = 0.1;
 const ALLOWANCE_ROOM = 1.3;
--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -16,8 +16,8 @@
 const KEEP_NEW_MS = 1_500;
 /** A place that was used within this time counts as in use, ms. */
 const RECENT_MS = 300;
-/** Mean time until the runs of a place have ended, ms: an unload waits for them. */
-const RUN_END_MS = 1_000;
+/** Time until the runs of a place have ended, ms: an unload waits for the longest of them. */
+const RUN_END_MS = 2_000;
 /** Price of giving up a place, ms for each request a second that it serves. */
 const RATE_PRICE_MS = 1_500;
 /** Engines with adapters in use are spared: their adapter orders wait behind a load. */
@@ -241,7 +241,7 @@
     ).length;
     const wantedRate = view.rates.get(wanted) ?? 0;
     const missed = Math.max(0, rate / (1 + others * 2) - wantedRate / 4) * RATE_PRICE_MS;
-    const waited = place.running > 0 ? RUN_END_MS + place.running * 20 : 0;
+    const waited = place.running > 0 ? RUN_END_MS + place.running * 50 : 0;
     const recent = view.nowMs - place.usedAtMs < RECENT_MS ? RECENT_MS : 0;
     const stillWanted = view.wants.some(({ model }) => model === place.model) ? 10_000 : 0;
     return missed + waited + recent + stillWanted;
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -63,7 +63,9 @@
 
   /** Forgets a request whose caller is gone. */
   cancel(id: string): void {
+    const entry = this.waiting.get(id);
     this.waiting.delete(id);
+    entry?.settle({ run: null, retryAfterMs: 0 });
   }
 
   /** Serves whoever can be served now, the most urgent first. */
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -1,6 +1,7 @@
 /** The way of one caller's request: admitted, placed, sent, sent again where it may be, answered. */
 import type * as http from 'node:http';
 import * as errors from '../../core/errors/index.js';
+import type { LogFields } from '../../core/logger/index.js';
 import type { Customer, FleetPlan, Route } from '../../decisions/fleet-plan/index.js';
 import { RepeatRule } from '../../decisions/fleet-plan/index.js';
 import { fingerprintOf } from '../../decisions/suspects/index.js';
@@ -114,26 +115,27 @@
   private async admit(): Promise<boolean> {
     const { customer, facts, route } = this.request;
     if (customer === null) return true;
-    this.units = Admission.unitsOf(customer, facts);
+    const units = Admission.unitsOf(customer, facts);
     const patienceMs = route.objectiveMs * RATE_WAIT_PART;
-    const { admitted, retryAfterMs } = await this.ctx.admission.admit(
-      customer,
-      this.units,
-      patienceMs,
-    );
+    const { admitted, retryAfterMs } = await this.ctx.admission.admit(customer, units, patienceMs);
+    if (admitted) this.units = units;
     if (this.ended) {
-      if (admitted) this.refund();
+      this.refund();
       return false;
     }
-    if (!admitted) this.refuse(errors.data.RateExceeded, retryAfterMs);
+    if (!admitted) this.refuse(errors.data.RateExceeded, retryAfterMs, { units });
     return admitted;
   }
 
   private async run(): Promise<void> {
     while (!this.ended) {
       const placement = await this.ctx.dispatcher.place(this.waiter(), this.tried);
+      if (this.ended) {
+        if (placement.run !== null) this.ctx.view.ended(placement.run);
+        break;
+      }
       if (placement.run === null) {
-        if (!this.ended) this.giveUp(placement.retryAfterMs);
+        this.giveUp(placement.retryAfterMs);
         return;
       }
       const result = await this.attempt(placement.run);
@@ -308,18 +310,24 @@
   }
 
   /** Refuses a request that has not run and never will. */
-  private refuse(def: errors.ErrorDefinition, retryAfterMs: number | null): void {
+  private refuse(
+    def: errors.ErrorDefinition,
+    retryAfterMs: number | null,
+    fields: LogFields = {},
+  ): void {
     if (this.ended) return;
     this.ended = true;
-    this.refund();
     const failure = errors.createFailure(def, 'relay', this.request.route.name);
     this.ctx.log('refused', this.request.facts.id, {
       reason: def.name,
       retryAfterMs,
+      customer: this.request.customer?.name,
+      ...fields,
       model: this.request.facts.model,
       adapter: this.request.facts.adapter,
       waitedMs: this.ctx.clock.nowMs() - this.request.arrivedAtMs,
     });
+    this.refund();
     this.ctx.replyOwn(this.request.res, this.request.facts.id, failure, retryAfterMs);
     this.finish(failure.status);
   }
--- a/src/entry/relay/lease-task.ts
+++ b/src/entry/relay/lease-task.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '../../core/logger/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import {
+  type Lease,
   type LeaseEffect,
   LeaseEffectType,
   type LeaseEvent,
@@ -91,6 +92,16 @@
     this.higherFence = Math.max(this.higherFence, fence);
   }
 
+  /** The lease that is held here, for telling others; null while it is not. */
+  held(): ReturnType<LeaseKeeper['held']> {
+    return this.keeper.held(this.opts.clock.nowMs());
+  }
+
+  /** The steward said what it has written. */
+  noteTold(told: { lease: Lease; version: number; leftMs: number }): void {
+    this.handle({ type: LeaseEventType.told, ...told });
+  }
+
   /** The note has changed and should be written now. */
   renewSoon(): void {
     this.handle({ type: LeaseEventType.renewSoon });
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -1,5 +1,6 @@
 /** Messages between the entry VMs and the steward. Unknown fields are dropped. */
 import { z } from 'zod';
+import { leaseSchema } from '../../decisions/leases/index.js';
 
 export const RelayMessageType = {
   report: 'report',
@@ -9,6 +10,7 @@
   grant: 'grant',
   lent: 'lent',
   death: 'death',
+  lease: 'lease',
 } as const;
 
 const shareSchema = z.object({
@@ -95,6 +97,13 @@
     /** Time until an ask may succeed, ms, where nothing was lent; null if never. */
     waitMs: z.number().nullable(),
   }),
+  /** The steward's lease, each time that it is renewed. */
+  z.object({
+    type: z.literal(RelayMessageType.lease),
+    lease: leaseSchema,
+    version: z.int(),
+    leftMs: z.number(),
+  }),
   /** A server died while it ran this request. */
   z.object({
     type: z.literal(RelayMessageType.death),
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -39,6 +39,7 @@
   /** What it was told of each engine. */
   readonly told: Map<string, string>;
   toldLoads: string;
+  toldLease: number;
 }
 
 export interface StewardOptions {
@@ -105,6 +106,7 @@
       spokenAtMs: -Infinity,
       told: new Map(),
       toldLoads: '',
+      toldLease: 0,
     };
     socket.on('error', (err) => {
       this.opts.logger.debug('member-link-failed', { peer: member.vm, reason: err.message });
@@ -266,6 +268,7 @@
     loadsKey: string,
   ): void {
     if (member.vm === null) return;
+    this.tellLease(member);
     const changed = engines.filter(({ id }) => member.told.get(id) !== texts.get(id));
     const due = nowMs - member.spokenAtMs >= SPEAK_MS;
     if (changed.length === 0 && member.toldLoads === loadsKey && !due) return;
@@ -282,6 +285,14 @@
     member.spokenAtMs = nowMs;
   }
 
+  private tellLease(member: Member): void {
+    const held = this.opts.lease.held();
+    if (held === null || held.version === member.toldLease) return;
+    if (writeMessage(member.socket, { type: RelayMessageType.lease, ...held })) {
+      Object.assign(member, { toldLease: held.version });
+    }
+  }
+
   private engineViews(): readonly EngineView[] {
     return [...this.opts.follower.backends.values()].map((server) => this.viewOf(server));
   }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -97,6 +97,9 @@
       case RelayMessageType.welcome:
         lease.noteFence(message.fence);
         break;
+      case RelayMessageType.lease:
+        lease.noteTold(message);
+        break;
       case RelayMessageType.view:
         view.takeView(message);
         dispatcher.pump();
--- a/test/properties/leases/one-holder.test.ts
+++ b/test/properties/leases/one-holder.test.ts
@@ -21,6 +21,17 @@
   readonly effect: leases.LeaseEffect;
 }
 
+interface Message {
+  readonly to: Vm;
+  readonly told: { lease: leases.Lease; version: number; leftMs: number };
+}
+
+/** Effects that call the store. */
+const CALLS: ReadonlySet<string> = new Set([
+  leases.LeaseEffectType.read,
+  leases.LeaseEffectType.write,
+]);
+
 class LeaseWorld {
   nowMs = 0;
 
@@ -32,6 +43,8 @@
 
   private flights: Flight[] = [];
 
+  private readonly messages: Message[] = [];
+
   private late: leases.LeaseEffect[] = [];
 
   epochsHeld: number[] = [];
@@ -56,10 +69,25 @@
     if (this.nowMs < vm.pausedUntilMs) return;
     vm.keeper.handle(this.clockOf(vm), event).forEach((effect) => {
       if (effect.type === leases.LeaseEffectType.acquired) this.epochsHeld.push(effect.epoch);
-      else if (effect.type !== leases.LeaseEffectType.lost) this.flights.push({ vm, effect });
+      else if (CALLS.has(effect.type)) this.flights.push({ vm, effect });
     });
   }
 
+  /** The holder tells another VM of its lease; the message may come late, but never early. */
+  tell(to: Vm): void {
+    const told = this.vms
+      .filter((vm) => vm !== to && this.nowMs >= vm.pausedUntilMs)
+      .flatMap((vm) => vm.keeper.held(this.clockOf(vm)) ?? [])[0];
+    if (told !== undefined) this.messages.push({ to, told });
+  }
+
+  /** Delivers the oldest message. */
+  deliver(): void {
+    const message = this.messages.shift();
+    if (message === undefined) return;
+    this.feed(message.to, { type: leases.LeaseEventType.told, ...message.told });
+  }
+
   resolve(which: number, fate: string): void {
     const index = which % Math.max(1, this.flights.length);
     const flight = this.flights[index];
@@ -108,6 +136,8 @@
       'pause',
       'land',
       'release',
+      'tell',
+      'deliver',
     ),
     a: fc.nat(5),
     ms: fc.constantFrom(0, 50, 400, 1_000, 2_900),
@@ -128,6 +158,8 @@
           if (vm === undefined) return;
           if (what === 'resolve') world.resolve(a, fate);
           else if (what === 'tick') world.feed(vm, { type: leases.LeaseEventType.tick });
+          else if (what === 'tell') world.tell(vm);
+          else if (what === 'deliver') world.deliver();
           else if (what === 'land') world.land(a);
           else if (what === 'pause') vm.pausedUntilMs = world.nowMs + ms * 4;
           else if (a === 5) world.feed(vm, { type: leases.LeaseEventType.release });
@@ -142,6 +174,42 @@
     );
   });
 
+  test('is taken over sooner by who was told of its last renewal', () => {
+    const world = new LeaseWorld();
+    const [first, second] = world.vms;
+    if (first === undefined || second === undefined) throw new Error('no VMs');
+    const run = (vm: Vm, forMs: number) => {
+      Array.from({ length: forMs / 100 }).forEach(() => {
+        world.nowMs += 100;
+        world.feed(vm, { type: leases.LeaseEventType.tick });
+        world.resolve(0, 'done');
+      });
+    };
+    run(first, 2_000);
+    world.tell(second);
+    world.deliver();
+    run(second, DURATION_MS + MARGIN_MS + 300);
+    expect(world.holders()).toEqual(['vm-1']);
+  });
+
+  test('is taken over at once from a process that has ended', () => {
+    const world = new LeaseWorld();
+    const [first, second] = world.vms;
+    if (first === undefined || second === undefined) throw new Error('no VMs');
+    [first, second].forEach((vm, at) => {
+      if (at === 1) {
+        vm.keeper.handle(world.nowMs, { type: leases.LeaseEventType.holderGone, epoch: 1 });
+      }
+      Array.from({ length: 4 }).forEach(() => {
+        world.nowMs += 100;
+        world.feed(vm, { type: leases.LeaseEventType.tick });
+        world.resolve(0, 'done');
+      });
+    });
+    expect(world.stored?.holder).toBe('vm-1');
+    expect(world.stored?.epoch).toBe(2);
+  });
+
   test('is taken over after its holder fell silent', () => {
     const world = new LeaseWorld();
     const [first, second] = world.vms;
