Tell a connection that was reset behind its last bytes from one that ended

The event loop reports a reset that arrives together with bytes as a plain end of the connection. A connection that was reset has no peer any more, which shows at its end.

--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -76,6 +76,25 @@
   return facts.encoded ? 'the answer is encoded' : null;
 }
 
+/** Whether an answer says where it ends; otherwise its connection's end is its own. */
+function isFramed(res: http.IncomingMessage): boolean {
+  return (
+    res.headers['content-length'] !== undefined || res.headers['transfer-encoding'] !== undefined
+  );
+}
+
+/**
+ * Notes whether a connection was reset when it seems to end. A reset that comes together with the
+ * last bytes is reported as a plain end; a connection that was reset has no peer any more.
+ */
+function watchReset(res: http.IncomingMessage): { wasReset: boolean } {
+  const seen = { wasReset: false };
+  res.socket.prependOnceListener('end', () => {
+    seen.wasReset = res.socket.remoteAddress === undefined;
+  });
+  return seen;
+}
+
 /** Sends the request; resolves with what came of it and never rejects. */
 export function send(
   wire: PlatformWire,
@@ -148,11 +167,12 @@
   condemn: (reason: string) => void,
   settle: (result: AttemptResult) => void,
 ): void {
+  const end = isFramed(res) ? { wasReset: false } : watchReset(res);
   res.on('data', (bytes: Buffer) => {
     if (!sink.write(bytes)) condemn('the stream does not follow on');
   });
   res.on('end', () => {
-    if (res.complete && sink.isWhole()) settle({ type: AttemptEnd.streamed });
+    if (res.complete && !end.wasReset && sink.isWhole()) settle({ type: AttemptEnd.streamed });
     else condemn('the stream ended early');
   });
   res.on('error', (err) => settle({ type: AttemptEnd.broken, reason: err.message }));
@@ -166,11 +186,12 @@
 ): void {
   const parts: Buffer[] = [];
   const status = res.statusCode ?? 0;
+  const end = isFramed(res) ? { wasReset: false } : watchReset(res);
   res.on('data', (bytes: Buffer) => parts.push(bytes));
   res.on('error', (err) => settle({ type: AttemptEnd.broken, reason: err.message }));
   res.on('close', () => settle({ type: AttemptEnd.broken, reason: 'the answer was cut' }));
   res.on('end', () => {
-    if (!res.complete) {
+    if (!res.complete || end.wasReset) {
       settle({ type: AttemptEnd.broken, reason: 'the answer is not complete' });
     } else if (wire.decodeAnswer(res.rawHeaders).notRun) {
       settle({ type: AttemptEnd.notRun, reason: `refused with ${status}`, reached: true, status });
--- a/src/entry/relay/connections.ts
+++ b/src/entry/relay/connections.ts
@@ -20,6 +20,11 @@
   return Math.min(longestMs, Math.max(0, Number(seconds) * 1000 - IDLE_MARGIN_MS));
 }
 
+/** Ends an idle connection; kept with it, so that just this listener is taken off again. */
+const idleListeners = new WeakMap<Socket, () => void>();
+
+const IDLE_EVENTS = ['timeout', 'data', 'end'] as const;
+
 /** Closes idle connections in time, and those on which bytes arrive that belong to no request. */
 class IdleAgent extends http.Agent {
   constructor(private readonly longestMs: number) {
@@ -31,19 +36,17 @@
     const keptMs = idleMs(socket, this.longestMs);
     if (socket.destroyed || keptMs === 0) return false;
     const drop = () => socket.destroy();
+    idleListeners.set(socket, drop);
     socket.setTimeout(keptMs);
-    socket.once('timeout', drop);
-    socket.once('data', drop);
-    socket.once('end', drop);
+    IDLE_EVENTS.forEach((event) => socket.on(event, drop));
     socket.unref();
     return true;
   }
 
   override reuseSocket(stream: Duplex): void {
     const socket = stream as Socket;
-    socket.removeAllListeners('timeout');
-    socket.removeAllListeners('data');
-    socket.removeAllListeners('end');
+    const drop = idleListeners.get(socket);
+    if (drop !== undefined) IDLE_EVENTS.forEach((event) => socket.off(event, drop));
     socket.setTimeout(0);
     socket.ref();
   }
--- /dev/null
+++ b/test/units/relay/attempt.test.ts
@@ -0,0 +1,174 @@
+/** What counts as an answer to a request that was sent to a backend server, over real sockets. */
+import * as net from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { afterEach, describe, expect, test } from 'vitest';
+import * as platform from '../../../platform/index.js';
+import type { BackendServer } from '../../../src/decisions/fleet-plan/index.js';
+import { AttemptEnd, type AttemptResult, send } from '../../../src/entry/relay/attempt.js';
+import { Connections } from '../../../src/entry/relay/connections.js';
+
+type Answerer = (socket: net.Socket, requestNumber: number) => void;
+
+const servers: net.Server[] = [];
+const connections: Connections[] = [];
+
+/** A server that answers the head of each request with what `answer` writes. */
+async function startServer(answer: Answerer): Promise<BackendServer> {
+  let requests = 0;
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      requests += 1;
+      answer(socket, requests);
+    });
+  });
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return {
+    id: 'server-1',
+    service: 'desk',
+    address: `127.0.0.1:${port}`,
+    dataCentre: 'a',
+    leaving: false,
+    slots: 4,
+    orderCount: 0,
+    bornMs: 1,
+    models: [],
+    copies: { inMemory: [], onDisk: [] },
+  };
+}
+
+function createConnections(): Connections {
+  const created = new Connections();
+  connections.push(created);
+  return created;
+}
+
+function ask(
+  server: BackendServer,
+  id = 'request-1',
+  kept = createConnections(),
+): Promise<AttemptResult> {
+  const wire = platform.createWire();
+  return send(
+    wire,
+    {
+      id,
+      method: 'GET',
+      url: '/stock',
+      headers: ['Host', 'desk.example', 'Attempt-Id', id],
+      body: Buffer.alloc(0),
+      agent: kept.agentFor(server, true),
+      run: { server, service: 'desk', model: null, adapter: null },
+      signal: new AbortController().signal,
+    },
+    null,
+  );
+}
+
+const HEAD = 'HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nResponse-Seal: s\r\n';
+
+afterEach(() => {
+  connections.splice(0).forEach((kept) => kept.close());
+  servers.splice(0).forEach((server) => server.close());
+});
+
+describe('an answer of a backend server', () => {
+  test('that is signed, whole and named counts', async () => {
+    const server = await startServer((socket) => {
+      socket.write(`${HEAD}Content-Length: 5\r\n\r\nwhole`);
+    });
+    const result = await ask(server);
+    expect(result.type).toBe(AttemptEnd.answered);
+    if (result.type === AttemptEnd.answered) expect(result.answer.body.toString()).toBe('whole');
+  });
+
+  test('without length counts when its connection ends', async () => {
+    const server = await startServer((socket) => socket.end(`${HEAD}\r\nwhole`));
+    expect((await ask(server)).type).toBe(AttemptEnd.answered);
+  });
+
+  test('without length does not count when its connection is reset', async () => {
+    const server = await startServer((socket) => {
+      socket.write(`${HEAD}\r\nhalf`);
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+    expect((await ask(server)).type).toBe(AttemptEnd.broken);
+  });
+
+  test('without length does not count when it is reset right behind its bytes', async () => {
+    // The event loop finds the bytes and the reset together, as it does when it is late.
+    const server = await startServer((socket) => {
+      socket.write(`${HEAD}\r\nhalf`, () => socket.resetAndDestroy());
+    });
+    expect((await ask(server)).type).toBe(AttemptEnd.broken);
+  });
+
+  test('without length that is reset on a reused connection does not count', async () => {
+    const server = await startServer((socket, requestNumber) => {
+      if (requestNumber === 1) {
+        socket.write(`${HEAD}Content-Length: 5\r\n\r\nwhole`);
+        return;
+      }
+      socket.write(`${HEAD}\r\nhalf`);
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+    const kept = createConnections();
+    expect((await ask(server, 'request-1', kept)).type).toBe(AttemptEnd.answered);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+    expect((await ask(server, 'request-1', kept)).type).toBe(AttemptEnd.broken);
+  });
+
+  test('with fewer bytes than its length does not count', async () => {
+    const server = await startServer((socket) =>
+      socket.end(`${HEAD}Content-Length: 50\r\n\r\nhalf`),
+    );
+    expect((await ask(server)).type).toBe(AttemptEnd.broken);
+  });
+
+  test('to another request does not count', async () => {
+    const server = await startServer((socket) => {
+      socket.write(`${HEAD}Content-Length: 5\r\n\r\nwhole`);
+    });
+    expect((await ask(server, 'request-2')).type).toBe(AttemptEnd.broken);
+  });
+
+  test('that is not signed or encoded does not count', async () => {
+    const head = 'HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nContent-Length: 5\r\n';
+    const unsigned = await startServer((socket) => socket.write(`${head}\r\nwhole`));
+    const encoded = await startServer((socket) =>
+      socket.write(`${head}Response-Seal: s\r\nContent-Encoding: gzip\r\n\r\nwhole`),
+    );
+    expect((await ask(unsigned)).type).toBe(AttemptEnd.broken);
+    expect((await ask(encoded)).type).toBe(AttemptEnd.broken);
+  });
+
+  test('that says not executed, or a refused connection, leaves the request not run', async () => {
+    const server = await startServer((socket) =>
+      socket.write('HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'),
+    );
+    expect((await ask(server)).type).toBe(AttemptEnd.notRun);
+    expect((await ask({ ...server, address: '127.0.0.1:1' })).type).toBe(AttemptEnd.notRun);
+  });
+
+  test('followed by more bytes ends its connection', async () => {
+    const accepted: net.Socket[] = [];
+    const server = await startServer((socket) => {
+      if (!accepted.includes(socket)) accepted.push(socket);
+      socket.write(`${HEAD}Content-Length: 5\r\n\r\nwhole`);
+      setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad'), 20);
+    });
+    const kept = createConnections();
+    expect((await ask(server, 'request-1', kept)).type).toBe(AttemptEnd.answered);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 60);
+    });
+    expect((await ask(server, 'request-1', kept)).type).toBe(AttemptEnd.answered);
+    expect(accepted.length).toBe(2);
+  });
+});
