--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -6,7 +6,7 @@
  * that it can't run any more; until then its memory stays charged and nothing else is ordered.
  *
  * A model's load is over when the engine says so: the same order sent again would load it again.
- * An adapter's load is asked for again until it holds.
+ * An adapter's load takes a few milliseconds and lets the next order in meanwhile.
  */
 import type { HeldModel } from '../fleet-plan/index.js';
 import {
@@ -31,12 +31,20 @@
 /** A step that takes longer than this is given up, ms. */
 const LONGEST_STEP_MS = 20_000;
 
+/** Adapter steps that may wait at once: an engine takes four on their way. */
+const MOST_ADAPTER_STEPS = 6;
+
+/** An adapter's name with its model's. */
+function nameOf({ model, adapter }: OrderStep): string {
+  return `${model}/${adapter}`;
+}
+
 const Phase = {
   /** Not sent, or to be sent again. */
   due: 'due',
   /** On its way. */
   sent: 'sent',
-  /** Accepted; an adapter is asked for again until it holds, a model looked for in reports. */
+  /** Accepted; the model is looked for in reports. */
   underWay: 'under-way',
 } as const;
 type Phase = (typeof Phase)[keyof typeof Phase];
@@ -68,6 +76,9 @@
 
   private needsReport = true;
 
+  /** When adapters are there whose load was accepted, by MODEL/NAME. */
+  private readonly readyAtMs = new Map<string, number>();
+
   constructor(private readonly sizes: OrderSizes) {}
 
   /** Whether a step is under way or waits. */
@@ -85,6 +96,19 @@
     return this.models;
   }
 
+  /** Adapters of a held model that can be used now. */
+  readyAdapters(nowMs: number, model: string): readonly string[] {
+    return [...(this.models.get(model) ?? [])].filter(
+      (adapter) => (this.readyAtMs.get(`${model}/${adapter}`) ?? 0) <= nowMs,
+    );
+  }
+
+  /** Whether all that is under way or waits are adapters, so that more may be added. */
+  get hasOnlyAdapters(): boolean {
+    const steps = this.pendingSteps();
+    return steps.length < MOST_ADAPTER_STEPS && steps.every(({ adapter }) => adapter !== null);
+  }
+
   /** Models that are being loaded or wait for it. */
   get loading(): readonly string[] {
     return this.pendingSteps()
@@ -96,7 +120,7 @@
   get loadingAdapters(): readonly string[] {
     return this.pendingSteps()
       .filter(({ type, adapter }) => type === OrderStepType.load && adapter !== null)
-      .map(({ model, adapter }) => `${model}/${adapter}`);
+      .map(nameOf);
   }
 
   /** Models that are being unloaded or wait for it: nothing new is sent to them. */
@@ -215,8 +239,11 @@
   private noteAccepted(nowMs: number, current: Current): void {
     this.count = Math.max(this.count ?? 0, current.expected + 1);
     // An unload tells no end; until then the next order is turned down.
-    if (current.step.type === OrderStepType.unload) {
+    if (current.step.type === OrderStepType.unload || current.step.adapter !== null) {
       this.finish(current.step);
+      if (current.step.type === OrderStepType.load) {
+        this.readyAtMs.set(nameOf(current.step), nowMs + this.sizes.expectedMs(current.step));
+      }
       return;
     }
     // Accepted again after it was under way: it had ended otherwise, and begins anew.
--- a/src/decisions/rate-shares/holder.ts
+++ b/src/decisions/rate-shares/holder.ts
@@ -86,6 +86,17 @@
     holding.demandAtMs = nowMs;
   }
 
+  /** Units that the parts and loans held here cover now. */
+  available(nowMs: number, customer: string): number {
+    this.expire(nowMs);
+    const holding = this.holdings.get(customer);
+    if (holding === undefined) return 0;
+    const lent = holding.loans
+      .filter((loan) => loan.expiresAtMs > nowMs)
+      .reduce((sum, loan) => sum + loan.units, 0);
+    return lent + holding.bucket.available(nowMs);
+  }
+
   /** Puts back what a request took that did not run. */
   refund(nowMs: number, customer: string, units: number): void {
     this.holdings.get(customer)?.bucket.refund(nowMs, units);
--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -20,8 +20,15 @@
 const RUN_END_MS = 2_000;
 /** Price of giving up a place, ms for each request a second that it serves. */
 const RATE_PRICE_MS = 1_500;
-/** Engines with adapters in use are spared: their adapter orders wait behind a load. */
-const ADAPTER_PRICE_MS = 300;
+/**
+ * Engines whose models are asked for with adapters are spared: adapter orders wait behind a load.
+ * Price for each request a second of such a model, ms, and the most that counts.
+ */
+const ADAPTER_RATE_PRICE_MS = 300;
+const MOST_ADAPTER_PRICE_MS = 2_500;
+/** A place is not made at a higher price than this, and this for each further request, ms. */
+const MOST_PRICE_MS = 4_000;
+const PRICE_PER_WAITING_MS = 500;
 /** Requests a second above which a model gets a second place, in case the first fails. */
 const SECOND_PLACE_RATE = 3;
 /** Part of an engine's slots in use at its places above which a model gets one more. */
@@ -89,7 +96,7 @@
     );
     if (coming || present) return null;
     const options = engines
-      .filter((engine) => engine.open && !taken.has(engine.id))
+      .filter((engine) => engine.openForAdapters && !taken.has(engine.id))
       .flatMap((engine) => this.adapterOption(engine, model))
       .sort((a, b) => a.priceMs - b.priceMs);
     const best = options[0];
@@ -153,7 +160,8 @@
     );
     const mayLoadFromStore = !copied && !held && storeLoadsLeft > 0;
     const best = options.find(({ fromStore }) => !fromStore || mayLoadFromStore);
-    if (best === undefined) return null;
+    const mostMs = MOST_PRICE_MS + want.waiting * PRICE_PER_WAITING_MS;
+    if (best === undefined || (!best.fromStore && best.priceMs > mostMs)) return null;
     const unloads = best.evict.map((place) => ({
       type: OrderStepType.unload,
       model: place.model,
@@ -193,7 +201,7 @@
     if (spec === undefined) return [];
     const { ms, fromStore } = loadMs(engine, spec);
     const missingMb = engine.chargedMb + spec.sizeMb - engine.spec.memoryMb;
-    const spared = engine.places.some(({ adapters }) => adapters.size > 0) ? ADAPTER_PRICE_MS : 0;
+    const spared = this.sparedPrice(view, engine);
     const holdsOrdersMs = fromStore ? ms : 0;
     if (missingMb <= 0) return [{ engine, evict: [], fromStore, priceMs: ms + spared + holdsOrdersMs }];
     const victims = engine.places
@@ -213,6 +221,15 @@
     ];
   }
 
+  /** What it costs that adapter orders wait while the engine loads. */
+  private sparedPrice(view: SwapView, engine: EngineState): number {
+    const rates = engine.places
+      .filter(({ adapters }) => adapters.size > 0)
+      .map(({ model }) => view.rates.get(model) ?? 0);
+    const price = rates.reduce((sum, rate) => sum + rate, 0) * ADAPTER_RATE_PRICE_MS;
+    return Math.min(MOST_ADAPTER_PRICE_MS, price);
+  }
+
   private enough(
     engine: EngineState,
     victims: readonly { place: Place; priceMs: number }[],
--- a/src/decisions/swaps/types.ts
+++ b/src/decisions/swaps/types.ts
@@ -24,6 +24,8 @@
   readonly dataCentre: string;
   /** Whether it takes orders now: known, staying, and with none under way. */
   readonly open: boolean;
+  /** Whether it takes orders for adapters now: nothing but adapters is under way. */
+  readonly openForAdapters: boolean;
   /** Whether it stays and answers, so that what it holds counts. */
   readonly sound: boolean;
   readonly places: readonly Place[];
--- a/src/entry/relay/admission.ts
+++ b/src/entry/relay/admission.ts
@@ -103,7 +103,9 @@
     const localWaitMs = this.holder.waitMs(clock.nowMs(), customer, units);
     const pausedMs = (this.pausedUntilMs.get(customer) ?? 0) - clock.nowMs();
     if (pausedMs > 0) return this.refusal(Math.min(localWaitMs, pausedMs));
-    const lent = await this.ask(customer, units);
+    // What is here counts: only the rest is asked for.
+    const missing = units - this.holder.available(clock.nowMs(), customer);
+    const lent = await this.ask(customer, Math.max(1, Math.ceil(missing)));
     const nowMs = clock.nowMs();
     if (lent !== null && lent.units > 0) this.holder.addLoan(nowMs, customer, lent.units);
     if (this.holder.take(nowMs, customer, units)) return YES;
--- a/src/entry/relay/engine-yard.ts
+++ b/src/entry/relay/engine-yard.ts
@@ -111,9 +111,10 @@
     const engine = this.engines.get(server.id);
     if (engine === undefined || !this.isKnown(engine)) return server.models;
     const leaving = engine.orders.unloading;
+    const nowMs = this.opts.clock.nowMs();
     return [...engine.orders.held]
       .filter(([name]) => !leaving.includes(name))
-      .map(([name, adapters]) => ({ name, version: 0, adapters: [...adapters] }));
+      .map(([name]) => ({ name, version: 0, adapters: engine.orders.readyAdapters(nowMs, name) }));
   }
 
   runningAt(engineId: string): number {
@@ -206,6 +207,7 @@
       return;
     }
     Object.assign(engine, { silences: 0, reportedAtMs: nowMs });
+    const loading = engine.orders.loading.length > 0;
     if (report.copies !== null) Object.assign(engine, { copies: report.copies });
     engine.orders.observe({
       bornMs: report.bornMs ?? engine.server.bornMs,
@@ -213,6 +215,12 @@
       busy: report.busy,
       models: withPending(report),
     });
+    if (loading && engine.orders.loading.length === 0) {
+      this.opts.logger.debug('load-ended', {
+        engine: engine.server.id,
+        overMs: nowMs - engine.loadEndsAtMs,
+      });
+    }
   }
 
   private plan(nowMs: number, reports: readonly RelayMessageOf<'report'>[]): void {
@@ -273,6 +281,7 @@
       spec,
       dataCentre: server.dataCentre,
       open: sound && !orders.busy && !orders.wantsReport,
+      openForAdapters: sound && orders.hasOnlyAdapters && !orders.wantsReport,
       sound,
       places: [...orders.held]
         .filter(([model]) => !leaving.includes(model))
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -17,6 +17,8 @@
 const MOST_NOT_RUN = 4;
 /** Part of the objective that a request may wait for its customer's rate. */
 const RATE_WAIT_PART = 0.4;
+/** Part of the objective from which on a wait is logged. */
+const LOGGED_WAIT_PART = 0.25;
 /** Urgencies that a server knows, 0 to 9. */
 const LEAST_URGENT = 9;
 /** Time to the first byte that is expected of a request beyond its prompt's, ms. */
@@ -138,12 +140,22 @@
         this.giveUp(placement.retryAfterMs);
         return;
       }
+      this.logWait(placement.run);
       const result = await this.attempt(placement.run);
       if (!this.takeResult(placement.run, result)) return;
     }
     if (!this.ranOnce) this.refund();
   }
 
+  /** A wait that may have cost the objective is worth a line. */
+  private logWait(run: Run): void {
+    const { arrivedAtMs, facts, route } = this.request;
+    const waitedMs = this.ctx.clock.nowMs() - arrivedAtMs;
+    if (waitedMs < route.objectiveMs * LOGGED_WAIT_PART) return;
+    const { model, adapter } = facts;
+    this.ctx.log('waited', facts.id, { server: run.server.id, model, adapter, waitedMs });
+  }
+
   private waiter(): Waiter {
     const { facts, route, service, customer, arrivedAtMs } = this.request;
     return {
--- a/src/entry/relay/follower.ts
+++ b/src/entry/relay/follower.ts
@@ -167,7 +167,12 @@
       return;
     }
     this.currentPlan = plan;
-    this.opts.logger.info('plan-changed', { version: plan.version });
+    this.opts.logger.info('plan-changed', {
+      version: plan.version,
+      limits: [...plan.customers.values()].map(
+        ({ name, ratePerS, burst }) => `${name} ${ratePerS}/${burst}`,
+      ),
+    });
     this.opts.changed.send({ plan: true, backends: false });
   }
 
