--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -1,21 +1,41 @@
-/** Clocks: the larger of monotonic and wall-clock progress, so that a suspended VM knows it slept. */
-import type { Clock } from './types.js';
+/**
+ * Clocks. The monotonic clock stands still while a VM is suspended; the time of day does not, but it
+ * may also be set. A jump of the time of day ahead is taken for a suspension: who believes that too
+ * much time has passed asks again, who believes too little goes on with what is no longer true.
+ */
+import type { Clock, TimeSources } from './types.js';
 
-export type { Clock } from './types.js';
+export type { Clock, TimeSources } from './types.js';
 
-/** Creates the clock of a daemon. Wall-clock steps backwards are ignored. */
-export function createClock(): Clock {
-  let lastMonoMs = performance.now();
-  let lastWallMs = Date.now();
-  let elapsedMs = 0;
+/** The time of day is ahead by a jump beyond this, ms: smaller steps are corrections of it. */
+const JUMP_MS = 250;
+
+const systemSources: TimeSources = {
+  monotonicMs: () => performance.now(),
+  timeOfDayMs: () => Date.now(),
+};
+
+/** Creates the clock of a daemon. Steps of the time of day backwards are ignored. */
+export function createClock(sources: TimeSources = systemSources): Clock {
+  const handlers: ((jumpMs: number) => void)[] = [];
+  let lead = sources.timeOfDayMs() - sources.monotonicMs();
+  let sleptMs = 0;
+  const nowMs = (): number => {
+    const monotonicMs = sources.monotonicMs();
+    const nextLead = sources.timeOfDayMs() - monotonicMs;
+    const jumpMs = nextLead - lead;
+    lead = nextLead;
+    if (jumpMs > JUMP_MS) {
+      sleptMs += jumpMs;
+      handlers.forEach((handler) => handler(jumpMs));
+    }
+    return monotonicMs + sleptMs;
+  };
   return {
-    nowMs() {
-      const monoMs = performance.now();
-      const wallMs = Date.now();
-      elapsedMs += Math.max(monoMs - lastMonoMs, wallMs - lastWallMs, 0);
-      lastMonoMs = monoMs;
-      lastWallMs = wallMs;
-      return elapsedMs;
+    nowMs,
+    steadyMs: () => sources.monotonicMs(),
+    onJump: (handler) => {
+      handlers.push(handler);
     },
   };
 }
--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -31,6 +31,8 @@
 /** A step that takes longer than this is given up, ms. */
 const LONGEST_STEP_MS = 20_000;
 
+/** Beyond its usual time a load is taken for done, ms: reports lag by more. */
+const LOAD_MARGIN_MS = 30;
 /** Adapter steps that may wait at once: an engine takes four on their way. */
 const MOST_ADAPTER_STEPS = 6;
 
@@ -76,6 +78,8 @@
 
   private needsReport = true;
 
+  private notBeforeMs = 0;
+
   /** When adapters are there whose load was accepted, by MODEL/NAME. */
   private readonly readyAtMs = new Map<string, number>();
 
@@ -130,32 +134,40 @@
       .map(({ model }) => model);
   }
 
-  /** Memory that is taken or may be, MB. */
+  /** Adapters that wait to be unloaded, as MODEL/NAME. */
+  get leavingAdapters(): readonly string[] {
+    return this.pendingSteps()
+      .filter(({ type, adapter }) => type === OrderStepType.unload && adapter !== null)
+      .map(nameOf);
+  }
+
+  /** Memory that is taken once all steps are done, and what leaves is still counted, MB. */
   get chargedMb(): number {
-    const held = [...this.models].reduce(
-      (sum, [model, adapters]) =>
-        sum + this.sizes.modelMb(model) + adapters.size * this.sizes.adapterMb(model),
-      0,
-    );
     const coming = this.pendingSteps()
       .filter(({ type }) => type === OrderStepType.load)
-      .reduce(
-        (sum, { model, adapter }) =>
-          sum + (adapter === null ? this.sizes.modelMb(model) : this.sizes.adapterMb(model)),
-        0,
-      );
-    return held + coming;
+      .reduce((sum, step) => sum + this.sizeOf(step), 0);
+    return this.heldMb() + coming;
   }
 
-  /** Adapter places that are taken or may be. */
+  /** Adapter places that are taken once all steps are done. */
   get chargedAdapters(): number {
-    const held = [...this.models.values()].reduce((sum, adapters) => sum + adapters.size, 0);
-    return held + this.loadingAdapters.length;
+    return this.heldAdapters() + this.loadingAdapters.length - this.leavingAdapters.length;
   }
 
-  /** Adds steps; the caller has checked that there will be room. */
-  add(steps: readonly OrderStep[]): void {
+  /**
+   * Adds steps; the caller has checked that there will be room. None is sent before `notBeforeMs`,
+   * so that others can stop sending work to what is unloaded.
+   */
+  add(steps: readonly OrderStep[], notBeforeMs = 0): void {
     this.steps.push(...steps);
+    this.notBeforeMs = notBeforeMs;
+  }
+
+  /** Models whose load should be over by its usual time, though the engine has not said so. */
+  probablyLoaded(nowMs: number): readonly string[] {
+    const { current } = this;
+    if (current === null || !this.isModelLoad(current)) return [];
+    return nowMs >= current.nextAtMs + LOAD_MARGIN_MS ? [current.step.model] : [];
   }
 
   /** Takes in what the engine says; older words than those known change nothing. */
@@ -191,7 +203,12 @@
       this.needsReport = true;
       return null;
     }
+    if (this.notBeforeMs > nowMs) return null;
     if (this.needsReport && !current.loose && !current.accepted && current.conflicts === 0) return null;
+    if (!current.loose && !this.fits(current.step)) {
+      this.abandon();
+      return null;
+    }
     current.phase = Phase.sent;
     if (!current.loose) current.expected = this.count;
     const { type, model, adapter } = current.step;
@@ -282,6 +299,32 @@
     else this.abandon();
   }
 
+  /** Whether a load has room beside all that is held; the engine would crash otherwise. */
+  private fits(step: OrderStep): boolean {
+    if (step.type === OrderStepType.unload) return true;
+    const places = step.adapter === null ? 0 : 1;
+    return (
+      this.heldMb() + this.sizeOf(step) <= this.sizes.memoryMb &&
+      this.heldAdapters() + places <= this.sizes.adapterSlots
+    );
+  }
+
+  private sizeOf({ model, adapter }: OrderStep): number {
+    return adapter === null ? this.sizes.modelMb(model) : this.sizes.adapterMb(model);
+  }
+
+  private heldMb(): number {
+    return [...this.models].reduce(
+      (sum, [model, adapters]) =>
+        sum + this.sizes.modelMb(model) + adapters.size * this.sizes.adapterMb(model),
+      0,
+    );
+  }
+
+  private heldAdapters(): number {
+    return [...this.models.values()].reduce((sum, adapters) => sum + adapters.size, 0);
+  }
+
   private begin(nowMs: number): void {
     const step = this.steps.shift();
     if (step === undefined) return;
--- a/src/decisions/engine-orders/types.ts
+++ b/src/decisions/engine-orders/types.ts
@@ -41,6 +41,9 @@
 }
 
 export interface OrderSizes {
+  /** Room for weights and adapters together, MB. */
+  readonly memoryMb: number;
+  readonly adapterSlots: number;
   modelMb(model: string): number;
   adapterMb(model: string): number;
   /** Time that a step takes once it is accepted, ms. */
--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -4,7 +4,9 @@
  * Answers the load of a fleet with more models than places: most are asked for rarely and evenly,
  * one or two make up half of the demand, and which ones changes within seconds. A load from an
  * engine's own disk or memory takes half a second, one from the weight store holds the engine's
- * orders for many; so a model goes where a copy of it lies, and from the store only if none does.
+ * orders for many; so a model goes where a copy of it lies, and from the store only if none does or
+ * an engine has room to spare. Room that is free is filled with what is asked for most, so that an
+ * engine that comes new and empty is of use before requests wait for it.
  */
 import { OrderStepType } from '../engine-orders/index.js';
 import type { ModelSpec } from '../fleet-plan/index.js';
@@ -14,6 +16,8 @@
 
 /** A new arrival is kept this long, so that what was loaded is also used, ms. */
 const KEEP_NEW_MS = 1_500;
+/** An adapter that was loaded or used within this time is kept, ms: its requests are on the way. */
+const KEEP_ADAPTER_MS = 250;
 /** A place that was used within this time counts as in use, ms. */
 const RECENT_MS = 300;
 /** Time until the runs of a place have ended, ms: an unload waits for the longest of them. */
@@ -26,6 +30,12 @@
  */
 const ADAPTER_RATE_PRICE_MS = 300;
 const MOST_ADAPTER_PRICE_MS = 2_500;
+/** Requests a second below which a model is not loaded before one waits. */
+const LEAST_RATE = 0.02;
+/** Loads from the store that are left to what requests wait for. */
+const STORE_LOADS_SPARED = 1;
+/** So long after its objective a request may make a place of running requests, ms. */
+const OVERDUE_MS = 500;
 /** A place is not made at a higher price than this, and this for each further request, ms. */
 const MOST_PRICE_MS = 4_000;
 const PRICE_PER_WAITING_MS = 500;
@@ -69,7 +79,7 @@
       (want) => this.placeAdapter(view, want, taken),
       (want) => this.placeModel(view, want, taken, storeLoadsLeft),
     ];
-    return steps.flatMap((step) =>
+    const wanted = steps.flatMap((step) =>
       byPress.flatMap((want) => {
         const action = step(want);
         if (action === null) return [];
@@ -78,6 +88,57 @@
         return [action];
       }),
     );
+    const coming = new Set(wanted.flatMap(({ steps: all }) => all.map(({ model }) => model)));
+    const filled = view.engines.flatMap((engine) => {
+      if (!engine.open || taken.has(engine.id)) return [];
+      const action = this.fill(view, engine, coming, storeLoadsLeft > STORE_LOADS_SPARED);
+      if (action === null) return [];
+      coming.add(action.steps[0]?.model ?? '');
+      if (action.fromStore) storeLoadsLeft -= 1;
+      return [action];
+    });
+    return [...wanted, ...filled];
+  }
+
+  /** Loads what is asked for most and has the fewest places into room that is free. */
+  private fill(
+    view: SwapView,
+    engine: EngineState,
+    coming: ReadonlySet<string>,
+    mayUseStore: boolean,
+  ): SwapAction | null {
+    const freeMb = engine.spec.memoryMb - engine.chargedMb;
+    const best = [...engine.spec.models.values()]
+      .filter(({ name, sizeMb }) => sizeMb <= freeMb && !coming.has(name))
+      .filter(({ name }) => placeOf(engine, name) === undefined)
+      .map((spec) => ({
+        spec,
+        fromStore: loadMs(engine, spec).fromStore,
+        need: this.needOf(view, engine.service, spec.name),
+      }))
+      .filter(({ need, fromStore }) => need > 0 && (!fromStore || mayUseStore))
+      .sort((a, b) => b.need - a.need)[0];
+    if (best === undefined) return null;
+    const { spec, fromStore } = best;
+    return {
+      engineId: engine.id,
+      steps: [{ type: OrderStepType.load, model: spec.name, adapter: null }],
+      fromStore,
+      reason: 'room is free',
+    };
+  }
+
+  /** How much one more place of a model is worth: its rate, shared by the places that it has. */
+  private needOf(view: SwapView, service: string, model: string): number {
+    const rate = view.rates.get(model) ?? 0;
+    const places = view.engines.filter(
+      (engine) =>
+        engine.service === service &&
+        (engine.loading.includes(model) ||
+          (engine.sound && placeOf(engine, model) !== undefined)),
+    ).length;
+    if (rate < LEAST_RATE) return 0;
+    return rate / (1 + places * places * 4);
   }
 
   /** An adapter goes to an engine that holds its model: a few milliseconds. */
@@ -97,7 +158,7 @@
     if (coming || present) return null;
     const options = engines
       .filter((engine) => engine.openForAdapters && !taken.has(engine.id))
-      .flatMap((engine) => this.adapterOption(engine, model))
+      .flatMap((engine) => this.adapterOption(view.nowMs, engine, model))
       .sort((a, b) => a.priceMs - b.priceMs);
     const best = options[0];
     if (best === undefined) return null;
@@ -110,7 +171,7 @@
     };
   }
 
-  private adapterOption(engine: EngineState, model: string) {
+  private adapterOption(nowMs: number, engine: EngineState, model: string) {
     const place = placeOf(engine, model);
     const spec = specOf(engine, model);
     if (place === undefined || spec === undefined) return [];
@@ -118,17 +179,18 @@
     const hasPlace = engine.chargedAdapters < engine.spec.adapterSlots;
     const hasRoom = engine.chargedMb + spec.adapterMb <= engine.spec.memoryMb;
     if (hasPlace && hasRoom) return [{ engineId: engine.id, evict: [], priceMs: load }];
-    const idle = this.idleAdapter(engine);
+    const idle = this.idleAdapter(nowMs, engine);
     if (idle === null) return [];
     return [{ engineId: engine.id, evict: [idle.step], priceMs: load + idle.priceMs }];
   }
 
   /** The adapter that was unused for longest and that no request runs with. */
-  private idleAdapter(engine: EngineState) {
+  private idleAdapter(nowMs: number, engine: EngineState) {
     const idle = engine.places
       .flatMap((place) =>
         [...place.adapters]
           .filter((adapter) => (place.runningAdapters.get(adapter) ?? 0) === 0)
+          .filter((adapter) => nowMs - (place.adapterUsedAtMs.get(adapter) ?? 0) >= KEEP_ADAPTER_MS)
           .map((adapter) => ({
             step: { type: OrderStepType.unload, model: place.model, adapter },
             usedAtMs: place.adapterUsedAtMs.get(adapter) ?? 0,
@@ -148,18 +210,21 @@
     const engines = view.engines.filter((engine) => engine.service === want.service);
     if (!this.wantsPlace(view, engines, want)) return null;
     const held = engines.some((engine) => engine.sound && placeOf(engine, model) !== undefined);
+    const overdue = view.nowMs > want.dueAtMs + OVERDUE_MS;
     const options = engines
       .filter((engine) => engine.open && !taken.has(engine.id))
       .filter((engine) => placeOf(engine, model) === undefined)
-      .flatMap((engine) => this.option(view, engine, model))
+      .flatMap((engine) => this.option(view, engine, model, overdue))
       .sort((a, b) => a.priceMs - b.priceMs);
     // The store is for what no engine has a copy of.
     const copied = engines.some(
       (engine) =>
         engine.sound && [...engine.copies.inMemory, ...engine.copies.onDisk].includes(model),
     );
-    const mayLoadFromStore = !copied && !held && storeLoadsLeft > 0;
-    const best = options.find(({ fromStore }) => !fromStore || mayLoadFromStore);
+    const mayUseStore = !held && storeLoadsLeft > 0;
+    const usable = ({ fromStore, evict }: Option) =>
+      !fromStore || (mayUseStore && (!copied || evict.length === 0));
+    const best = options.find(usable);
     const mostMs = MOST_PRICE_MS + want.waiting * PRICE_PER_WAITING_MS;
     if (best === undefined || (!best.fromStore && best.priceMs > mostMs)) return null;
     const unloads = best.evict.map((place) => ({
@@ -185,6 +250,7 @@
     if (coming > 0) return false;
     if (holders.length === 0) return want.waiting > 0;
     if (holders.length >= engines.length / 2) return false;
+    if (this.lacksAdapterPlaces(view.nowMs, holders, want)) return true;
     if (want.adapter === null && want.waiting >= WAITING_FOR_MORE) return true;
     const running = holders.reduce(
       (sum, engine) => sum + (placeOf(engine, model)?.running ?? 0),
@@ -195,8 +261,30 @@
     return holders.length < 2 && (view.rates.get(model) ?? 0) > SECOND_PLACE_RATE;
   }
 
+  /** Whether every engine with the model has its adapter places in use by others. */
+  private lacksAdapterPlaces(
+    nowMs: number,
+    holders: readonly EngineState[],
+    want: Want,
+  ): boolean {
+    if (want.adapter === null) return false;
+    const name = `${want.model}/${want.adapter}`;
+    return holders.every(
+      (engine) =>
+        engine.openForAdapters &&
+        !engine.loadingAdapters.includes(name) &&
+        placeOf(engine, want.model)?.adapters.has(want.adapter ?? '') !== true &&
+        this.adapterOption(nowMs, engine, want.model).length === 0,
+    );
+  }
+
   /** The cheapest way to make room for a model on an engine. */
-  private option(view: SwapView, engine: EngineState, model: string): readonly Option[] {
+  private option(
+    view: SwapView,
+    engine: EngineState,
+    model: string,
+    overdue: boolean,
+  ): readonly Option[] {
     const spec = specOf(engine, model);
     if (spec === undefined) return [];
     const { ms, fromStore } = loadMs(engine, spec);
@@ -206,6 +294,8 @@
     if (missingMb <= 0) return [{ engine, evict: [], fromStore, priceMs: ms + spared + holdsOrdersMs }];
     const victims = engine.places
       .filter((place) => view.nowMs - place.loadedAtMs >= KEEP_NEW_MS)
+      // An idle place on another engine comes up sooner than the end of the runs here.
+      .filter((place) => place.running === 0 || overdue)
       .map((place) => ({ place, priceMs: this.evictPrice(view, engine, place, model) }))
       .sort((a, b) => a.priceMs - b.priceMs);
     const chosen = this.enough(engine, victims, missingMb);
--- a/src/entry/relay/admission.ts
+++ b/src/entry/relay/admission.ts
@@ -49,7 +49,7 @@
   }
 
   setCustomers(customers: ReadonlyMap<string, Customer>): void {
-    this.holder.setLimits(this.opts.clock.nowMs(), customers);
+    this.holder.setLimits(this.opts.clock.steadyMs(), customers);
   }
 
   /** A new steward counts its grants anew. */
@@ -63,7 +63,7 @@
     const fractions = new Map(Object.entries(grant.fractions));
     // Counted from when the report was sent, so that the part ends here first.
     const expiresAtMs = grant.reportSentAtMs + SHARE_TTL_MS;
-    this.holder.grant(this.opts.clock.nowMs(), fractions, expiresAtMs);
+    this.holder.grant(this.opts.clock.steadyMs(), fractions, expiresAtMs);
   }
 
   /** Lets all parts go; for a planned stop. */
@@ -85,7 +85,7 @@
   /** Admits a request, waiting up to `patienceMs` for its customer's rate to allow it. */
   async admit(customer: Customer, units: number, patienceMs: number): Promise<Admitted> {
     if (customer.ratePerS === 0) return YES;
-    this.holder.noteDemand(this.opts.clock.nowMs(), customer.name, units);
+    this.holder.noteDemand(this.opts.clock.steadyMs(), customer.name, units);
     const first = await this.tryOnce(customer.name, units);
     if (first.admitted || first.retryAfterMs > patienceMs) return first;
     await clocks.sleep(first.retryAfterMs);
@@ -94,19 +94,19 @@
 
   /** Puts back what a request took that did not run. */
   refund(customer: string, units: number): void {
-    this.holder.refund(this.opts.clock.nowMs(), customer, units);
+    this.holder.refund(this.opts.clock.steadyMs(), customer, units);
   }
 
   private async tryOnce(customer: string, units: number): Promise<Admitted> {
     const { clock } = this.opts;
-    if (this.holder.take(clock.nowMs(), customer, units)) return YES;
-    const localWaitMs = this.holder.waitMs(clock.nowMs(), customer, units);
-    const pausedMs = (this.pausedUntilMs.get(customer) ?? 0) - clock.nowMs();
+    if (this.holder.take(clock.steadyMs(), customer, units)) return YES;
+    const localWaitMs = this.holder.waitMs(clock.steadyMs(), customer, units);
+    const pausedMs = (this.pausedUntilMs.get(customer) ?? 0) - clock.steadyMs();
     if (pausedMs > 0) return this.refusal(Math.min(localWaitMs, pausedMs));
     // What is here counts: only the rest is asked for.
-    const missing = units - this.holder.available(clock.nowMs(), customer);
+    const missing = units - this.holder.available(clock.steadyMs(), customer);
     const lent = await this.ask(customer, Math.max(1, Math.ceil(missing)));
-    const nowMs = clock.nowMs();
+    const nowMs = clock.steadyMs();
     if (lent !== null && lent.units > 0) this.holder.addLoan(nowMs, customer, lent.units);
     if (this.holder.take(nowMs, customer, units)) return YES;
     const waitMs = Math.min(localWaitMs, lent?.waitMs ?? Infinity);
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -26,6 +26,8 @@
   /** Return time where nothing is known of when a request can be served, ms. */
   readonly usualReturnMs: number;
   isStopping(): boolean;
+  /** Whether a request is still taken, also while stopping. */
+  takesRequest(isStream: boolean): boolean;
   /** Whether what is believed of this customer's keys is fresh enough to run its requests. */
   mayRun(customer: Customer | null): boolean;
   /** A server broke off while it ran this request. */
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -71,14 +71,14 @@
   /** Serves whoever can be served now, the most urgent first. */
   pump(): void {
     if (this.waiting.size === 0) return;
-    const nowMs = this.opts.clock.nowMs();
+    const nowMs = this.opts.clock.steadyMs();
     const inOrder = [...this.waiting.values()].sort((a, b) => byUrgency(a.waiter, b.waiter));
     inOrder.forEach((entry) => this.advance(nowMs, entry));
   }
 
   /** What waits, by what it needs. */
   waits(): RelayMessageOf<'report'>['waits'] {
-    const nowMs = this.opts.clock.nowMs();
+    const nowMs = this.opts.clock.steadyMs();
     const groups = new Map<string, RelayMessageOf<'report'>['waits'][number]>();
     this.waiting.forEach(({ waiter }) => {
       const { service, model, adapter } = waiter;
--- a/src/entry/relay/engine-yard.ts
+++ b/src/entry/relay/engine-yard.ts
@@ -40,6 +40,8 @@
 const STORE_BURST = 2;
 /** An adapter's load takes a few milliseconds. */
 const ADAPTER_MS = 8;
+/** Time for entry VMs to hear that a model leaves an engine before it is unloaded, ms. */
+const NOTICE_MS = 12;
 /** An unload without runs is done at once; asked again after this, ms. */
 const UNLOAD_MS = 15;
 
@@ -91,7 +93,7 @@
   private storeTokensAtMs: number;
 
   constructor(private readonly opts: EngineYardOptions) {
-    this.storeTokensAtMs = opts.clock.nowMs();
+    this.storeTokensAtMs = opts.clock.steadyMs();
   }
 
   takeReport(nowMs: number, report: RelayMessageOf<'report'>): void {
@@ -110,11 +112,16 @@
   modelsOf(server: BackendServer): readonly HeldModel[] {
     const engine = this.engines.get(server.id);
     if (engine === undefined || !this.isKnown(engine)) return server.models;
-    const leaving = engine.orders.unloading;
-    const nowMs = this.opts.clock.nowMs();
-    return [...engine.orders.held]
-      .filter(([name]) => !leaving.includes(name))
-      .map(([name]) => ({ name, version: 0, adapters: engine.orders.readyAdapters(nowMs, name) }));
+    const leaving = [...engine.orders.unloading, ...engine.orders.leavingAdapters];
+    const nowMs = this.opts.clock.steadyMs();
+    const held = [...engine.orders.held.keys()].filter((name) => !leaving.includes(name));
+    return [...held, ...engine.orders.probablyLoaded(nowMs)].map((name) => ({
+      name,
+      version: 0,
+      adapters: engine.orders
+        .readyAdapters(nowMs, name)
+        .filter((adapter) => !leaving.includes(`${name}/${adapter}`)),
+    }));
   }
 
   runningAt(engineId: string): number {
@@ -156,6 +163,8 @@
       server,
       spec,
       orders: new EngineOrders({
+        memoryMb: spec.memoryMb,
+        adapterSlots: spec.adapterSlots,
         modelMb: (model) => spec.models.get(model)?.sizeMb ?? 0,
         adapterMb: (model) => spec.models.get(model)?.adapterMb ?? 0,
         expectedMs: (step) => this.expectedMs(server.id, step),
@@ -181,9 +190,9 @@
     const engine = this.engines.get(engineId);
     const spec = engine?.spec.models.get(step.model);
     if (engine === undefined || spec === undefined) return 0;
-    if (engine.copies.inMemory.includes(step.model)) return spec.memoryLoadMs;
-    if (engine.copies.onDisk.includes(step.model)) return spec.diskLoadMs;
-    return spec.remoteLoadMs;
+    const { inMemory, onDisk } = engine.copies;
+    // A copy in memory may have made way since the engine told of it.
+    return [...inMemory, ...onDisk].includes(step.model) ? spec.diskLoadMs : spec.remoteLoadMs;
   }
 
   private askReport(nowMs: number, engine: EngineRecord): void {
@@ -200,7 +209,7 @@
   }
 
   private takeEngineReport(engine: EngineRecord, report: EngineReport | null): void {
-    const nowMs = this.opts.clock.nowMs();
+    const nowMs = this.opts.clock.steadyMs();
     if (report === null) {
       Object.assign(engine, { silences: engine.silences + 1 });
       if (this.isKnown(engine)) Object.assign(engine, { reportedAtMs: nowMs });
@@ -240,7 +249,10 @@
       if (action.fromStore) this.storeTokens -= 1;
       const steps = action.steps.reduce((sum, step) => sum + this.expectedMs(engine.server.id, step), 0);
       Object.assign(engine, { loadEndsAtMs: nowMs + steps, storeLoad: action.fromStore });
-      engine.orders.add(action.steps);
+      const unloads = action.steps.some(
+        ({ type, adapter }) => type === OrderStepType.unload && adapter === null,
+      );
+      engine.orders.add(action.steps, unloads ? nowMs + NOTICE_MS : 0);
       action.steps
         .filter(({ type }) => type === OrderStepType.unload)
         .forEach(({ model, adapter }) => this.uses.dropped(action.engineId, model, adapter));
@@ -275,6 +287,9 @@
     const { server, spec, orders } = engine;
     const sound = !server.leaving && engine.silences < MOST_SILENCES && this.isKnown(engine);
     const leaving = orders.unloading;
+    const leavingAdapters = new Set(orders.leavingAdapters);
+    const staying = (model: string, adapters: ReadonlySet<string>) =>
+      new Set([...adapters].filter((adapter) => !leavingAdapters.has(`${model}/${adapter}`)));
     return {
       id: server.id,
       service: server.service,
@@ -285,7 +300,9 @@
       sound,
       places: [...orders.held]
         .filter(([model]) => !leaving.includes(model))
-        .map(([model, adapters]) => this.uses.place(nowMs, server.id, model, adapters)),
+        .map(([model, adapters]) =>
+          this.uses.place(nowMs, server.id, model, staying(model, adapters)),
+        ),
       loading: orders.loading,
       loadingAdapters: orders.loadingAdapters,
       chargedMb: orders.chargedMb,
@@ -319,7 +336,7 @@
   private async send(engine: EngineRecord, order: Order, fence: number): Promise<void> {
     const authority = { holder: this.opts.vm, fence };
     const outcome = await this.opts.wire.order(engine.server, order, authority, ORDER_TIMEOUT_MS);
-    const nowMs = this.opts.clock.nowMs();
+    const nowMs = this.opts.clock.steadyMs();
     this.opts.logger.debug('order-answered', { engine: engine.server.id, ...order, outcome });
     engine.orders.answered(nowMs, outcome);
     if (outcome === OrderOutcome.fenced) this.opts.lease.noteFence(fence + 1);
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -76,10 +76,10 @@
   async serve(): Promise<void> {
     const { res } = this.request;
     res.on('close', () => this.noteClosed());
-    const leftMs = this.deadlineAtMs - this.ctx.clock.nowMs();
+    const leftMs = this.deadlineAtMs - this.ctx.clock.steadyMs();
     this.timer = setTimeout(() => this.noteTimeout(), Math.max(0, leftMs));
     try {
-      if (this.ctx.suspects.isBlocked(this.ctx.clock.nowMs(), this.fingerprint)) {
+      if (this.ctx.suspects.isBlocked(this.ctx.clock.steadyMs(), this.fingerprint)) {
         this.refuse(errors.data.RequestBlocked, null);
         return;
       }
@@ -150,7 +150,7 @@
   /** A wait that may have cost the objective is worth a line. */
   private logWait(run: Run): void {
     const { arrivedAtMs, facts, route } = this.request;
-    const waitedMs = this.ctx.clock.nowMs() - arrivedAtMs;
+    const waitedMs = this.ctx.clock.steadyMs() - arrivedAtMs;
     if (waitedMs < route.objectiveMs * LOGGED_WAIT_PART) return;
     const { model, adapter } = facts;
     this.ctx.log('waited', facts.id, { server: run.server.id, model, adapter, waitedMs });
@@ -172,7 +172,7 @@
 
   private async attempt(run: Run): Promise<AttemptResult> {
     const { req, facts, customer, route, body } = this.request;
-    const nowMs = this.ctx.clock.nowMs();
+    const nowMs = this.ctx.clock.steadyMs();
     if (!this.ctx.mayRun(customer)) {
       this.ctx.view.ended(run);
       return { type: AttemptEnd.notRun, reason: 'the key is not confirmed', reached: false, status: null };
@@ -210,7 +210,7 @@
 
   /** Acts on what came of a sending; true if the request is placed again. */
   private takeResult(run: Run, result: AttemptResult): boolean {
-    const nowMs = this.ctx.clock.nowMs();
+    const nowMs = this.ctx.clock.steadyMs();
     switch (result.type) {
       case AttemptEnd.streamed:
         this.ranOnce = true;
@@ -337,7 +337,7 @@
       ...fields,
       model: this.request.facts.model,
       adapter: this.request.facts.adapter,
-      waitedMs: this.ctx.clock.nowMs() - this.request.arrivedAtMs,
+      waitedMs: this.ctx.clock.steadyMs() - this.request.arrivedAtMs,
     });
     this.refund();
     this.ctx.replyOwn(this.request.res, this.request.facts.id, failure, retryAfterMs);
@@ -363,7 +363,7 @@
     const { route, customer, arrivedAtMs } = this.request;
     const labels = { route: route.repeat, customer: customer?.name ?? '', status: String(status) };
     this.ctx.metrics.count('relay_requests_total', labels);
-    this.ctx.metrics.time('relay_whole', this.ctx.clock.nowMs() - arrivedAtMs, {
+    this.ctx.metrics.time('relay_whole', this.ctx.clock.steadyMs() - arrivedAtMs, {
       customer: customer?.name ?? '',
     });
   }
@@ -383,7 +383,7 @@
   private noteFirstByte(): void {
     if (this.current === null) return;
     const { facts } = this.request;
-    const nowMs = this.ctx.clock.nowMs();
+    const nowMs = this.ctx.clock.steadyMs();
     const tookMs = nowMs - this.current.sentAtMs;
     const expectedMs = BASE_FIRST_BYTE_MS + (facts.tokens?.prompt ?? 0) / 20;
     this.ctx.view.health.noteAnswer(nowMs, this.current.run.server.id, tookMs / expectedMs);
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -6,8 +6,8 @@
 import type { FollowerTask } from './follower.js';
 import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
 
-/** What a server refused to run is not asked of it again for this long, unless news come, ms. */
-const MISSING_MS = 300;
+/** What a server refused to run is not asked of it again for this long, ms. */
+const MISSING_MS = 80;
 
 /** What a request needs of a server. */
 export interface Need {
@@ -52,18 +52,15 @@
   ) {}
 
   takeView(view: RelayMessageOf<'view'>): void {
-    const nowMs = this.clock.nowMs();
+    const nowMs = this.clock.steadyMs();
     if (view.whole) this.views.clear();
-    view.engines.forEach((engine) => {
-      this.views.set(engine.id, engine);
-      this.missingUntilMs.delete(engine.id);
-    });
+    view.engines.forEach((engine) => this.views.set(engine.id, engine));
     this.loads = view.loads.map((load) => ({ ...load, readyAtMs: nowMs + load.readyInMs }));
   }
 
   /** Servers that hold what the request needs. */
   candidates(need: Need): readonly Candidate[] {
-    const nowMs = this.clock.nowMs();
+    const nowMs = this.clock.steadyMs();
     const heard = this.stewardIsHeard();
     const fit = [...this.follower.backends.values()].filter(
       (server) =>
@@ -90,8 +87,7 @@
 
   /** The server said that it does not hold what was asked of it. */
   noteMissing(run: Run): void {
-    this.missingUntilMs.set(run.server.id, this.clock.nowMs() + MISSING_MS);
-    this.missingUntilMs.set(runKey(run), this.clock.nowMs() + MISSING_MS);
+    this.missingUntilMs.set(runKey(run), this.clock.steadyMs() + MISSING_MS);
   }
 
   started(run: Run): void {
@@ -139,7 +135,6 @@
   }
 
   private isMissing(nowMs: number, server: BackendServer, need: Need): boolean {
-    if ((this.missingUntilMs.get(server.id) ?? 0) <= nowMs) return false;
     return (this.missingUntilMs.get(runKey({ ...need, server })) ?? 0) > nowMs;
   }
 
--- a/src/entry/relay/follower.ts
+++ b/src/entry/relay/follower.ts
@@ -58,6 +58,17 @@
     this.stopped = true;
   }
 
+  /** Asks beside the watch that waits, since what is believed may be older than it seems. */
+  async confirm(): Promise<void> {
+    const since = this.revision;
+    if (since === null || this.stopped) return;
+    const sentAtMs = this.opts.clock.nowMs();
+    const answer = await this.opts.store.changes(this.kind, since, 0);
+    if (answer.type !== FeedOutcome.ok || this.stopped) return;
+    this.take(answer.items, false);
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, sentAtMs);
+  }
+
   /** One call; resolves with the pause before the next one, ms. */
   private async step(sentAtMs: number): Promise<number> {
     const { store } = this.opts;
@@ -78,7 +89,7 @@
     if (sentAtMs - this.confirmedAtMs > OUTAGE_MS + WATCH_MS) this.noteOutage();
     this.revision = Math.max(this.revision ?? 0, answer.revision);
     this.take(answer.items, since === null);
-    this.confirmedAtMs = sentAtMs;
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, sentAtMs);
     return answer.items.length > 0 && since !== null ? SETTLE_MS : 0;
   }
 
@@ -141,6 +152,12 @@
   async start(fail: (err: unknown) => void): Promise<void> {
     this.planFollower.run().catch(fail);
     this.backendFollower.run().catch(fail);
+    this.opts.clock.onJump((jumpMs) => {
+      this.opts.logger.warn('clock-jumped', { jumpMs });
+      [this.planFollower, this.backendFollower].forEach((follower) => {
+        follower.confirm().catch(fail);
+      });
+    });
     this.settleTimer = setInterval(() => this.settle(), 200);
   }
 
--- a/src/entry/relay/front.ts
+++ b/src/entry/relay/front.ts
@@ -12,6 +12,7 @@
   type FleetPlan,
   hashKey,
   pickTarget,
+  RepeatRule,
   type Route,
 } from '../../decisions/fleet-plan/index.js';
 import { readBody } from '../gateway/read-body.js';
@@ -26,6 +27,8 @@
 /** Longest body while no plan is known, bytes. */
 const FIRST_MAX_BODY_BYTES = 1_048_576;
 const MS_PER_S = 1000;
+/** Return time where another entry VM serves the request, ms. */
+const LEAVING_RETURN_MS = 50;
 /** Return time where this entry VM does not know enough to serve, ms. */
 const UNREADY_RETURN_MS = 500;
 
@@ -148,7 +151,7 @@
 
   private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const { clock, wire } = this.opts.ctx;
-    const arrivedAtMs = clock.nowMs();
+    const arrivedAtMs = clock.steadyMs();
     const facts = wire.decodeRequest(req.rawHeaders);
     const first = facts === null ? refused(errors.data.BadRequest) : this.check(req, facts);
     if ('def' in first) {
@@ -198,6 +201,9 @@
       stale ? refused(errors.data.PlatformDown, UNREADY_RETURN_MS) : refused(def);
     const route = findRoute(plan, req.headers.host ?? '', req.url ?? '/');
     if (route === undefined) return unheardOf(errors.data.UnknownRoute);
+    if (!ctx.takesRequest(route.repeat === RepeatRule.stream)) {
+      return refused(errors.data.Leaving, LEAVING_RETURN_MS);
+    }
     if (route.isPublic || !plan.needsKeys) return { plan, route, customer: null };
     if (facts.key === null) return refused(errors.data.MissingKey);
     const name = plan.customerByKeyHash.get(hashKey(facts.key));
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -10,7 +10,7 @@
 
 const TICK_MS = 20;
 /** Shortest and longest time between two reports, ms. */
-const BUSY_MS = 100;
+const BUSY_MS = 60;
 const REST_MS = 400;
 
 export interface ReporterOptions {
@@ -79,7 +79,7 @@
   }
 
   private report(now: boolean): void {
-    const nowMs = this.opts.clock.nowMs();
+    const nowMs = this.opts.clock.steadyMs();
     this.urgent = false;
     const sinceMs = nowMs - this.sentAtMs;
     if (!now && sinceMs < BUSY_MS) return;
--- a/src/entry/relay/steward-link.ts
+++ b/src/entry/relay/steward-link.ts
@@ -75,7 +75,7 @@
 
   /** Whether the steward speaks. */
   get isHeard(): boolean {
-    return this.clock.nowMs() - this.heardAtMs < SILENCE_MS;
+    return this.clock.steadyMs() - this.heardAtMs < SILENCE_MS;
   }
 
   /** Fencing number of the steward that speaks. */
@@ -85,7 +85,7 @@
 
   /** Keeps a connection to `post`; another steward replaces the present one. */
   follow(post: StewardPost): void {
-    const nowMs = this.clock.nowMs();
+    const nowMs = this.clock.steadyMs();
     const isOther = this.post !== null && post.vm !== this.post.vm;
     if (isOther) this.close();
     if (this.socket !== null) this.post = post;
@@ -130,7 +130,7 @@
     });
     readMessages(socket, post.vm, this.logger, (message) => {
       if (this.socket !== socket) return;
-      this.heardAtMs = this.clock.nowMs();
+      this.heardAtMs = this.clock.steadyMs();
       if (message.type !== RelayMessageType.welcome || message.fence >= post.fence) {
         this.events.message(message);
       }
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -97,7 +97,7 @@
   }
 
   private admit(socket: net.Socket): void {
-    const nowMs = this.opts.clock.nowMs();
+    const nowMs = this.opts.clock.steadyMs();
     const member: Member = {
       socket,
       vm: null,
@@ -126,7 +126,7 @@
   }
 
   private take(member: Member, message: RelayMessage): void {
-    const nowMs = this.opts.clock.nowMs();
+    const nowMs = this.opts.clock.steadyMs();
     member.heardAtMs = nowMs;
     if (!this.acting) return;
     switch (message.type) {
@@ -178,7 +178,7 @@
   }
 
   private tick(): void {
-    const nowMs = this.opts.clock.nowMs();
+    const nowMs = this.opts.clock.steadyMs();
     const fence = this.opts.lease.fence();
     if (fence === 0) {
       if (this.acting) this.dismiss();
@@ -198,7 +198,7 @@
 
   /** What a successor should know, given what the steward before left. */
   note(before: unknown): unknown {
-    const nowMs = this.opts.clock.nowMs();
+    const nowMs = this.opts.clock.steadyMs();
     if (this.lender === null) return before ?? {};
     return Object.fromEntries(this.lender.allowances(nowMs));
   }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -8,6 +8,7 @@
 import type { Settings } from '../../core/settings/index.js';
 import { createSupervisor } from '../../core/supervisor/index.js';
 import { RetryBudget } from '../../decisions/retries/index.js';
+import * as stopRules from '../../decisions/stopping/index.js';
 import { SuspectTable } from '../../decisions/suspects/index.js';
 import { Admission } from './admission.js';
 import { Connections } from './connections.js';
@@ -30,8 +31,6 @@
 const KEY_MARGIN_MS = 500;
 /** A plan that is older than this may lack what the operator has added, ms. */
 const STALE_PLAN_MS = 3_500;
-/** The balancer asks once a second and gives up after two misses, ms. */
-const BALANCER_NOTICE_MS = 3_500;
 /** Requests under way are looked at this often while stopping, ms. */
 const STOP_POLL_MS = 50;
 /** Time for the last messages to leave, ms. */
@@ -60,6 +59,8 @@
     logger.error('message-failed', { reason: errors.describe(err) });
   });
   let stopping = false;
+  let stopAtMs = Infinity;
+  const graceMs = settings.stop.graceMs - STOP_MARGIN_MS;
 
   const follower = new FollowerTask({ wire, store, clock, logger: logger.child('follower'), changed });
   const suspects = new SuspectTable();
@@ -92,6 +93,8 @@
     clock,
     ask: (ask) => parts.link?.send({ type: RelayMessageType.ask, ...ask }) === true,
   });
+  // Parts of the rates may have ended while this VM was suspended.
+  clock.onJump(() => admission.holder.clear());
   const takeMessage = (message: RelayMessage) => {
     switch (message.type) {
       case RelayMessageType.welcome:
@@ -111,7 +114,7 @@
         admission.takeLent(message);
         break;
       case RelayMessageType.death:
-        suspects.note(clock.nowMs(), message);
+        suspects.note(clock.steadyMs(), message);
         break;
       default:
     }
@@ -154,12 +157,14 @@
     dispatcher,
     view,
     connections,
-    retries: new RetryBudget(clock.nowMs()),
+    retries: new RetryBudget(clock.steadyMs()),
     suspects,
     clock,
     metrics,
     usualReturnMs: USUAL_RETURN_MS,
     isStopping,
+    takesRequest: (isStream) =>
+      stopRules.takesRequest(clock.steadyMs() - stopAtMs, graceMs, isStream),
     mayRun: (customer) => customer === null || follower.planAgeMs() < keysTrustedMs,
     noteBreak: () => undefined,
     log: (event, id, fields) => logger.info(event, { id, ...fields }),
@@ -195,9 +200,9 @@
   dispatcher.start();
 
   const drain = async (untilMs: number): Promise<void> => {
-    const noticedAtMs = clock.nowMs() + BALANCER_NOTICE_MS;
-    while (clock.nowMs() < untilMs) {
-      if (clock.nowMs() >= noticedAtMs) {
+    const noticedAtMs = clock.steadyMs() + stopRules.NOTICE_MS;
+    while (clock.steadyMs() < untilMs) {
+      if (clock.steadyMs() >= noticedAtMs) {
         front.closeIdle();
         if (front.activeCount === 0) return;
       }
@@ -209,7 +214,8 @@
       if (stopping) return;
       stopping = true;
       logger.info('stopping');
-      const untilMs = clock.nowMs() + settings.stop.graceMs - STOP_MARGIN_MS;
+      stopAtMs = clock.steadyMs();
+      const untilMs = stopAtMs + graceMs;
       await lease.handOver();
       await drain(untilMs);
       reporter.farewell();
--- /dev/null
+++ b/test/units/engine-orders/engine-orders.test.ts
@@ -0,0 +1,195 @@
+/** The orders of one engine, against late, lost and doubled answers. */
+import { describe, expect, test } from 'vitest';
+import {
+  EngineOrders,
+  type Order,
+  OrderOutcome,
+  type OrderStep,
+  OrderStepType,
+  type Sighting,
+} from '../../../src/decisions/engine-orders/index.js';
+
+const MODEL_MB = 70;
+const ADAPTER_MB = 1;
+const LOAD_MS = 600;
+
+function createOrders() {
+  return new EngineOrders({
+    memoryMb: 215,
+    adapterSlots: 2,
+    modelMb: () => MODEL_MB,
+    adapterMb: () => ADAPTER_MB,
+    expectedMs: ({ type, adapter }) =>
+      type === OrderStepType.load && adapter === null ? LOAD_MS : 8,
+  });
+}
+
+function seen(count: number, models: Readonly<Record<string, readonly string[]>>, busy = false) {
+  const held = Object.entries(models).map(([name, adapters]) => ({ name, version: 1, adapters }));
+  return { bornMs: 1, count, busy, models: held } satisfies Sighting;
+}
+
+const load = (model: string, adapter: string | null = null): OrderStep => ({
+  type: OrderStepType.load,
+  model,
+  adapter,
+});
+const unload = (model: string, adapter: string | null = null): OrderStep => ({
+  type: OrderStepType.unload,
+  model,
+  adapter,
+});
+
+function nextOrder(orders: EngineOrders, nowMs: number): Order {
+  const order = orders.next(nowMs);
+  if (order === null) throw new Error(`no order at ${nowMs}`);
+  return order;
+}
+
+describe('the orders of an engine', () => {
+  test('wait for its own word, and name its count', () => {
+    const orders = createOrders();
+    expect(orders.wantsReport).toBe(true);
+    orders.add([load('b')]);
+    expect(orders.next(0)).toBeNull();
+    // What was planned without knowing the engine is dropped.
+    orders.observe(seen(7, {}));
+    expect(orders.next(1)).toBeNull();
+    orders.add([load('a')]);
+    expect(nextOrder(orders, 1)).toMatchObject({ model: 'a', expected: 7 });
+  });
+
+  test('are given one at a time', () => {
+    const orders = createOrders();
+    orders.observe(seen(0, { a: [] }));
+    orders.add([unload('a'), load('b')]);
+    nextOrder(orders, 0);
+    expect(orders.next(1)).toBeNull();
+    orders.answered(2, OrderOutcome.accepted);
+    expect(nextOrder(orders, 3)).toMatchObject({ type: OrderStepType.load, expected: 1 });
+  });
+
+  test('without an answer are sent again unchanged, with the memory still charged', () => {
+    const orders = createOrders();
+    orders.observe(seen(0, {}));
+    orders.add([load('a')]);
+    const first = nextOrder(orders, 0);
+    orders.answered(250, OrderOutcome.unknown);
+    expect(orders.chargedMb).toBe(MODEL_MB);
+    expect(orders.next(251)).toBeNull();
+    expect(nextOrder(orders, 400)).toEqual(first);
+  });
+
+  test('that ran after all are not given again', () => {
+    const orders = createOrders();
+    orders.observe(seen(0, {}));
+    orders.add([load('a')]);
+    nextOrder(orders, 0);
+    orders.answered(250, OrderOutcome.unknown);
+    orders.observe(seen(1, { a: [] }));
+    expect(orders.busy).toBe(false);
+    expect([...orders.held.keys()]).toEqual(['a']);
+  });
+
+  test('that another order outran are given again under the new count', () => {
+    const orders = createOrders();
+    orders.observe(seen(0, {}));
+    orders.add([load('a')]);
+    nextOrder(orders, 0);
+    orders.answered(250, OrderOutcome.unknown);
+    orders.observe(seen(1, { b: [] }));
+    expect(nextOrder(orders, 400)).toMatchObject({ model: 'a', expected: 1 });
+  });
+
+  test('count an unload that is done at once, but not a load that held already', () => {
+    const orders = createOrders();
+    orders.observe(seen(3, { a: ['x'] }));
+    orders.add([unload('a', 'x'), load('a', 'y')]);
+    nextOrder(orders, 0);
+    orders.answered(1, OrderOutcome.done);
+    expect(nextOrder(orders, 2).expected).toBe(4);
+    orders.answered(3, OrderOutcome.done);
+    orders.add([load('a', 'z')]);
+    expect(nextOrder(orders, 4).expected).toBe(4);
+  });
+
+  test('end a load when the engine shows it, whatever an older report says', () => {
+    const orders = createOrders();
+    orders.observe(seen(0, { a: [] }));
+    orders.add([load('b')]);
+    nextOrder(orders, 0);
+    orders.answered(5, OrderOutcome.accepted);
+    orders.observe(seen(0, { a: [] }));
+    expect(orders.loading).toEqual(['b']);
+    orders.observe(seen(1, { a: [] }, true));
+    expect(orders.loading).toEqual(['b']);
+    orders.observe(seen(1, { a: [], b: [] }));
+    expect(orders.loading).toEqual([]);
+    expect([...orders.held.keys()]).toEqual(['a', 'b']);
+  });
+
+  test('do not doubt an accepted load after many refusals before it', () => {
+    const orders = createOrders();
+    orders.observe(seen(4, {}));
+    orders.add([load('a')]);
+    Array.from({ length: 10 }, (_, at) => 1_000 * at).forEach((nowMs) => {
+      nextOrder(orders, nowMs);
+      orders.answered(nowMs + 1, OrderOutcome.conflict);
+    });
+    nextOrder(orders, 11_000);
+    orders.answered(11_001, OrderOutcome.accepted);
+    orders.observe(seen(4, {}));
+    expect(orders.loading).toEqual(['a']);
+  });
+
+  test('never order more than fits beside what is held', () => {
+    const orders = createOrders();
+    orders.observe(seen(0, { a: ['x', 'y'], b: [], c: [] }));
+    // The same adapter is unloaded twice by mistake; the second frees no place.
+    orders.add([unload('a', 'x'), load('a', 'v')]);
+    orders.add([unload('a', 'x'), load('a', 'w')]);
+    const given: Order[] = [];
+    Array.from({ length: 10 }, (_, at) => at * 100).forEach((nowMs) => {
+      const order = orders.next(nowMs);
+      if (order === null) return;
+      given.push(order);
+      orders.answered(nowMs + 1, OrderOutcome.done);
+    });
+    expect(given.filter(({ type }) => type === OrderStepType.load)).toHaveLength(1);
+    expect(orders.wantsReport).toBe(true);
+    orders.observe(seen(9, { a: [], b: [], c: [] }));
+    orders.add([load('d')]);
+    expect(orders.next(2_000)).toBeNull();
+  });
+
+  test('do not take an engine that is busy with another steward for empty', () => {
+    const orders = createOrders();
+    orders.observe(seen(8, { a: [] }, true));
+    orders.add([load('b')]);
+    expect(orders.next(0)).toBeNull();
+    orders.observe(seen(8, { a: [], c: [] }));
+    expect(nextOrder(orders, 1).expected).toBe(8);
+  });
+
+  test('begin anew when the engine restarts, and ignore what is said of before', () => {
+    const orders = createOrders();
+    orders.observe(seen(8, { a: [] }));
+    orders.add([load('b')]);
+    nextOrder(orders, 0);
+    orders.observe({ ...seen(0, {}), bornMs: 2 });
+    expect(orders.busy).toBe(false);
+    expect(orders.held.size).toBe(0);
+    orders.observe(seen(9, { a: [], b: [] }));
+    expect(orders.held.size).toBe(0);
+  });
+
+  test('show an adapter as usable when its load has had its time', () => {
+    const orders = createOrders();
+    orders.observe(seen(0, { a: [] }));
+    orders.add([load('a', 'x')]);
+    nextOrder(orders, 0);
+    orders.answered(1, OrderOutcome.accepted);
+    expect(orders.readyAdapters(2, 'a')).toEqual([]);
+    expect(orders.readyAdapters(10, 'a')).toEqual(['x']);
+  });
+});
--- a/test/units/inventory/inventory.test.ts
+++ b/test/units/inventory/inventory.test.ts
@@ -53,7 +53,7 @@
       loads: channels.createChannel(onError),
       currentCatalog: () => ({ backends: new Map([['e', backend]]) }) as unknown as Catalog,
       busyEngines: () => new Set(),
-      clock: { nowMs: () => performance.now() },
+      clock: { steadyMs: () => 0, onJump: () => undefined, nowMs: () => performance.now() },
     });
     await task.start();
     await vi.advanceTimersByTimeAsync(2_000);
