--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -175,13 +175,15 @@
     const { bornMs, count } = sighting;
     if (bornMs !== 0 && bornMs < this.bornMs) return;
     if (bornMs > this.bornMs) this.restart(bornMs);
+    // The answer to the order on its way says more than a report that may or may not know of it.
+    if (this.current?.phase === Phase.sent) return;
     const doubted = this.current !== null && !this.current.accepted;
     const mistaken =
       doubted && !sighting.busy && (this.current?.conflicts ?? 0) >= CONFLICTS_TO_DOUBT;
-    if (this.count !== null && count < this.count && !mistaken) return;
-    const moved = this.count !== null && count > this.count;
+    const known = this.count;
+    if (known !== null && count < known && !mistaken) return;
     this.count = count;
-    if (this.current?.loose === true && moved && !this.current.accepted) this.resolve(sighting);
+    if (known !== null && count !== known) this.noteOthers(sighting);
     if (this.current !== null && this.isModelLoad(this.current)) this.noteLoadSeen(sighting);
     // While it is busy with somebody else's order, what it will hold is not known.
     if (!this.busy) {
@@ -193,6 +195,12 @@
     }
   }
 
+  /** The count moved without an answer: by an order of ours that was lost, or by another steward's. */
+  private noteOthers(sighting: Sighting): void {
+    if (this.current?.loose === true && !this.current.accepted) this.resolve(sighting);
+    else this.abandon();
+  }
+
   /** The order to send now; null while there is none. */
   next(nowMs: number): Order | null {
     if (this.current === null) this.begin(nowMs);
--- a/src/decisions/fleet-plan/types.ts
+++ b/src/decisions/fleet-plan/types.ts
@@ -27,6 +27,8 @@
   readonly timeoutMs: number;
   /** Time to the first byte that counts as prompt, ms. */
   readonly objectiveMs: number;
+  /** Time without a byte after which callers leave, ms. */
+  readonly callerPatienceMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Most backend servers that one request may be sent to. */
--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -30,6 +30,9 @@
  */
 const ADAPTER_RATE_PRICE_MS = 300;
 const MOST_ADAPTER_PRICE_MS = 2_500;
+/** Time before its objective from which on a want presses more, and for as much as a request, ms. */
+const PRESS_LEAD_MS = 2_000;
+const PRESS_MS = 700;
 /** Requests a second below which a model is not loaded before one waits. */
 const LEAST_RATE = 0.02;
 /** Loads from the store that are left to what requests wait for. */
@@ -67,13 +70,21 @@
   return engine.places.find((place) => place.model === model);
 }
 
+/**
+ * How pressing a want is: one for each request, and more the longer its objective is missed, so that
+ * a crowd goes first and a single request is not left behind for ever.
+ */
+function pressOf(nowMs: number, { waiting, dueAtMs }: Want): number {
+  return waiting + Math.max(0, nowMs - dueAtMs + PRESS_LEAD_MS) / PRESS_MS;
+}
+
 export class SwapPlanner {
   /** Actions for engines that take orders now; at most one each. */
   plan(view: SwapView): readonly SwapAction[] {
     const taken = new Set<string>();
     let storeLoadsLeft = view.storeLoadsLeft;
     const byPress = [...view.wants].sort(
-      (a, b) => a.dueAtMs - b.dueAtMs || b.waiting - a.waiting,
+      (a, b) => pressOf(view.nowMs, b) - pressOf(view.nowMs, a),
     );
     const steps: readonly ((want: Want) => SwapAction | null)[] = [
       (want) => this.placeAdapter(view, want, taken),
--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -15,14 +15,14 @@
   readonly priority: number;
   readonly arrivedAtMs: number;
   readonly objectiveAtMs: number;
-  /** When its caller or its route gives up. */
+  /** When its caller or its route gives up, if nothing has come by then. */
   readonly deadlineAtMs: number;
 }
 
 /** Part of the deadline that a request may wait before it is refused. */
-const WAIT_PART = 0.3;
+const WAIT_PART = 0.45;
 /** A load that ends within this part of the deadline is worth waiting for. */
-const LOAD_PART = 0.5;
+const LOAD_PART = 0.7;
 /** Callers return this late at the earliest, ms. */
 const SOONEST_RETURN_MS = 250;
 /** Return time where nothing is known of when the request can be served, ms. */
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -166,7 +166,7 @@
       priority: customer?.priority ?? route.priority,
       arrivedAtMs,
       objectiveAtMs: arrivedAtMs + route.objectiveMs,
-      deadlineAtMs: this.deadlineAtMs,
+      deadlineAtMs: Math.min(this.deadlineAtMs, arrivedAtMs + route.callerPatienceMs),
     };
   }
 
--- a/test/units/engine-orders/engine-orders.test.ts
+++ b/test/units/engine-orders/engine-orders.test.ts
@@ -171,6 +171,28 @@
     expect(nextOrder(orders, 1).expected).toBe(8);
   });
 
+  // Seen on a drawn day: a successor met 409, took the new count, and kept its old picture.
+  test('are planned anew when another steward has ordered meanwhile', () => {
+    const orders = createOrders();
+    orders.observe(seen(100, { a: ['x', 'y'] }));
+    orders.add([unload('a', 'x'), load('a', 'z')]);
+    nextOrder(orders, 0);
+    orders.answered(1, OrderOutcome.conflict);
+    orders.observe(seen(102, { a: ['y', 'w'] }));
+    expect(orders.busy).toBe(false);
+    expect([...(orders.held.get('a') ?? [])]).toEqual(['y', 'w']);
+  });
+
+  test('are not mistaken for those of another steward while their answer is on its way', () => {
+    const orders = createOrders();
+    orders.observe(seen(0, {}));
+    orders.add([load('a')]);
+    nextOrder(orders, 0);
+    orders.observe(seen(1, {}, true));
+    orders.answered(5, OrderOutcome.accepted);
+    expect(orders.loading).toEqual(['a']);
+  });
+
   test('begin anew when the engine restarts, and ignore what is said of before', () => {
     const orders = createOrders();
     orders.observe(seen(8, { a: [] }));
