Hand the steward's office over by name, and send stalled requests elsewhere

The lease names a successor now, which is told; silence is heard after 0.8 s. In a cut data centre's shadow requests waited for engines that nobody reaches: a server that refuses connections is left out at once, the steward takes silent engines off the routes, and a repeatable request that hears nothing for twice its objective goes to another server.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,8 +29,25 @@
   ],
 };
 
+const syntaxRules = [
+  { selector: 'ForInStatement', message: 'Iterate over Object.keys.' },
+  { selector: 'ForOfStatement[await=false]', message: 'Use array methods.' },
+  { selector: 'LabeledStatement', message: 'Labels are a form of GOTO.' },
+  { selector: 'WithStatement', message: 'With is disallowed in strict mode.' },
+];
+
+/** Names of the users' platform, which only `platform/` knows. */
+const PLATFORM_NAMES =
+  '/(^deadline-ms$|attempt-id|response-seal|target-instance|token-count|prompt-prefix|not-executed|request-priority|path_prefix|route_kind|engine_slots|cold_remaining|at_hand|model_load|model_unload|v1.(order|report|objects|readiness))/';
+const platformNameRules = ['Literal[value=', 'TemplateElement[value.raw=', 'Identifier[name='].map(
+  (start) => ({
+    selector: `${start}${PLATFORM_NAMES}]`,
+    message: "Names of the platform's wire belong to platform/.",
+  }),
+);
+
 export default tseslint.config(
-  { ignores: ['dist/**', 'node_modules/**', 'reports/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'reports/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -53,13 +70,7 @@
       'class-methods-use-this': 'off',
       'max-classes-per-file': 'off',
       // As in the guide, but streams are read by `for await`.
-      'no-restricted-syntax': [
-        'error',
-        { selector: 'ForInStatement', message: 'Iterate over Object.keys.' },
-        { selector: 'ForOfStatement[await=false]', message: 'Use array methods.' },
-        { selector: 'LabeledStatement', message: 'Labels are a form of GOTO.' },
-        { selector: 'WithStatement', message: 'With is disallowed in strict mode.' },
-      ],
+      'no-restricted-syntax': ['error', ...syntaxRules],
       'no-void': ['error', { allowAsStatement: true }],
       'no-underscore-dangle': 'off',
       'no-continue': 'off',
@@ -68,6 +79,10 @@
     },
   },
   { files: ['src/decisions/**/*.ts'], rules: decisionRules },
+  {
+    files: ['src/**/*.ts'],
+    rules: { 'no-restricted-syntax': ['error', ...syntaxRules, ...platformNameRules] },
+  },
   {
     files: ['src/cli/**/*.ts', 'src/lab/**/*.ts', 'scripts/**/*.ts'],
     rules: { 'no-console': 'off' },
--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -58,7 +58,7 @@
       enabled: z
         .boolean()
         .default(false)
-        .describe('Whether requests are relayed on the users\' platform, by its own routes.'),
+        .describe("Whether requests are relayed on the users' platform, by its own routes."),
       keyRevocationMs: z
         .int()
         .min(1000)
--- a/src/decisions/engine-choice/index.ts
+++ b/src/decisions/engine-choice/index.ts
@@ -41,8 +41,10 @@
         (candidate.slowness - 1) +
         random.real() * TIE,
     }));
-  return scored.reduce<(typeof scored)[number] | null>(
-    (best, next) => (best === null || next.score < best.score ? next : best),
-    null,
-  )?.candidate ?? null;
+  return (
+    scored.reduce<(typeof scored)[number] | null>(
+      (best, next) => (best === null || next.score < best.score ? next : best),
+      null,
+    )?.candidate ?? null
+  );
 }
--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -212,7 +212,8 @@
       return null;
     }
     if (this.notBeforeMs > nowMs) return null;
-    if (this.needsReport && !current.loose && !current.accepted && current.conflicts === 0) return null;
+    if (this.needsReport && !current.loose && !current.accepted && current.conflicts === 0)
+      return null;
     if (!current.loose && !this.fits(current.step)) {
       this.abandon();
       return null;
@@ -272,10 +273,12 @@
       return;
     }
     // Accepted again after it was under way: it had ended otherwise, and begins anew.
-    current.accepted = true;
-    current.phase = Phase.underWay;
-    current.loose = false;
-    current.nextAtMs = nowMs + this.sizes.expectedMs(current.step);
+    Object.assign(current, {
+      accepted: true,
+      phase: Phase.underWay,
+      loose: false,
+      nextAtMs: nowMs + this.sizes.expectedMs(current.step),
+    });
   }
 
   /** The count moved while an order was loose: it ran, or can't run any more. */
@@ -284,7 +287,8 @@
     if (current === null) return;
     const { type, model, adapter } = current.step;
     const seen = sighting.models.find(({ name }) => name === model);
-    const present = adapter === null ? seen !== undefined : seen?.adapters.includes(adapter) === true;
+    const present =
+      adapter === null ? seen !== undefined : seen?.adapters.includes(adapter) === true;
     current.loose = false;
     const isLoad = type === OrderStepType.load;
     if (present === isLoad) {
@@ -354,7 +358,8 @@
       this.dropHeld(step);
       return;
     }
-    if (step.adapter === null) this.models.set(step.model, this.models.get(step.model) ?? new Set());
+    if (step.adapter === null)
+      this.models.set(step.model, this.models.get(step.model) ?? new Set());
     else this.models.get(step.model)?.add(step.adapter);
   }
 
--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -11,6 +11,7 @@
   type LeaseEvent,
   LeaseEventType,
   type LeaseSettings,
+  type LeaseSuccessor,
 } from './types.js';
 
 export * from './types.js';
@@ -119,14 +120,13 @@
       case LeaseEventType.writeUnknown:
         return this.read(nowMs);
       case LeaseEventType.release:
-        return this.release(nowMs);
+        return this.release(nowMs, event.successor);
       case LeaseEventType.holderGone:
         this.goneEpoch = event.epoch;
         this.nextCallAtMs = Math.min(this.nextCallAtMs, nowMs);
         return [];
       case LeaseEventType.told:
-        this.noteTold(nowMs, event.lease, event.version, event.leftMs);
-        return [];
+        return this.noteTold(nowMs, event.lease, event.version, event.leftMs);
       case LeaseEventType.renewSoon:
         if (this.holds(nowMs)) this.nextCallAtMs = Math.min(this.nextCallAtMs, nowMs);
         return [];
@@ -175,11 +175,18 @@
   }
 
   /** What the holder says spares a read, and dates the lease from its renewal. */
-  private noteTold(nowMs: number, lease: Lease, version: number, leftMs: number): void {
-    if (this.calling || this.holds(nowMs) || version <= this.version) return;
+  private noteTold(
+    nowMs: number,
+    lease: Lease,
+    version: number,
+    leftMs: number,
+  ): readonly LeaseEffect[] {
+    if (this.calling || this.holds(nowMs) || version <= this.version) return [];
     this.version = version;
     this.seen = lease;
     this.changedAtMs = nowMs - Math.max(0, lease.durationMs - leftMs);
+    const isSuccessor = lease.holder === this.cfg.self && !this.stopping;
+    return isSuccessor ? this.write(nowMs, lease.epoch + 1) : [];
   }
 
   private isOwn(lease: Lease, written: Lease): boolean {
@@ -241,11 +248,12 @@
     return [{ type: LeaseEffectType.lost }];
   }
 
-  private release(nowMs: number): readonly LeaseEffect[] {
+  private release(nowMs: number, successor?: LeaseSuccessor): readonly LeaseEffect[] {
     this.stopping = true;
     if (!this.holds(nowMs) || this.pending !== null) return this.drop();
     const lease: Lease = {
-      holder: null,
+      holder: successor?.vm ?? null,
+      address: successor?.address,
       epoch: this.heldEpoch,
       durationMs: this.cfg.durationMs,
       note: this.cfg.note?.(this.seen?.note),
--- a/src/decisions/leases/types.ts
+++ b/src/decisions/leases/types.ts
@@ -16,6 +16,12 @@
 });
 export type Lease = z.infer<typeof leaseSchema>;
 
+/** Entry VM that a holder leaves its lease to. */
+export interface LeaseSuccessor {
+  readonly vm: string;
+  readonly address: string;
+}
+
 export const LeaseEventType = {
   tick: 'tick',
   read: 'read',
@@ -40,8 +46,8 @@
   | { readonly type: typeof LeaseEventType.written; readonly version: number }
   | { readonly type: typeof LeaseEventType.conflict }
   | { readonly type: typeof LeaseEventType.writeUnknown }
-  /** Gives the lease up, for a planned stop. */
-  | { readonly type: typeof LeaseEventType.release }
+  /** Gives the lease up, for a planned stop; only `successor` may take it at once if one is named. */
+  | { readonly type: typeof LeaseEventType.release; readonly successor?: LeaseSuccessor }
   /** The holder's process has ended: its address refuses connections. */
   | { readonly type: typeof LeaseEventType.holderGone; readonly epoch: number }
   /** The note has changed: the holder renews without waiting. */
@@ -83,5 +89,5 @@
   /** Wait beyond the duration before a takeover. */
   readonly marginMs: number;
   /** What the next write leaves for a successor, given what the holder before left. */
-  readonly note?: (before: unknown) => unknown;
+  note?(before: unknown): unknown;
 }
--- a/src/decisions/rate-shares/holder.ts
+++ b/src/decisions/rate-shares/holder.ts
@@ -14,7 +14,7 @@
 const MS_PER_S = 1000;
 
 interface Loan {
-  units: number;
+  readonly units: number;
   readonly expiresAtMs: number;
 }
 
@@ -81,8 +81,7 @@
     const limit = this.limits.get(customer);
     if (limit === undefined) return;
     const holding = this.holdingOf(nowMs, customer, limit);
-    holding.demandPerS =
-      this.demandNow(nowMs, holding) + (units * MS_PER_S) / DEMAND_WINDOW_MS;
+    holding.demandPerS = this.demandNow(nowMs, holding) + (units * MS_PER_S) / DEMAND_WINDOW_MS;
     holding.demandAtMs = nowMs;
   }
 
@@ -131,17 +130,17 @@
     const lent = live.reduce((sum, loan) => sum + loan.units, 0);
     const fromBucket = Math.min(units, holding.bucket.available(nowMs));
     if (lent + fromBucket < units) {
-      holding.loans = live;
+      Object.assign(holding, { loans: live });
       return false;
     }
     holding.bucket.take(nowMs, fromBucket);
     let left = units - fromBucket;
-    holding.loans = live.filter((loan) => {
+    const rest = live.map((loan) => {
       const spent = Math.min(left, loan.units);
       left -= spent;
-      loan.units -= spent;
-      return loan.units > 0;
+      return { ...loan, units: loan.units - spent };
     });
+    Object.assign(holding, { loans: rest.filter((loan) => loan.units > 0) });
     return true;
   }
 
--- a/src/decisions/rate-shares/lender.ts
+++ b/src/decisions/rate-shares/lender.ts
@@ -112,12 +112,7 @@
   }
 
   /** Notes a report; `appliedSeq` is the last grant that the VM has taken in. */
-  noteReport(
-    nowMs: number,
-    vm: string,
-    appliedSeq: number,
-    reports: readonly ShareReport[],
-  ): void {
+  noteReport(nowMs: number, vm: string, appliedSeq: number, reports: readonly ShareReport[]): void {
     this.unreported.delete(vm);
     const shares = this.vms.get(vm);
     const confirmed = new Map(reports.map(({ customer, fraction }) => [customer, fraction]));
@@ -137,7 +132,10 @@
   grant(nowMs: number, vm: string): GrantMessage {
     this.expire(nowMs);
     const fractions = new Map(
-      [...this.limits].map(([customer, limit]) => [customer, this.nextPart(nowMs, vm, customer, limit)]),
+      [...this.limits].map(([customer, limit]) => [
+        customer,
+        this.nextPart(nowMs, vm, customer, limit),
+      ]),
     );
     this.lastSeq += 1;
     const sent = { seq: this.lastSeq, fractions, expiresAtMs: nowMs + SHARE_TTL_MS };
@@ -215,8 +213,9 @@
   private expire(nowMs: number): void {
     if (nowMs >= this.unreportedUntilMs) this.unreported.clear();
     this.vms.forEach((shares, vm) => {
-      shares.unconfirmed = shares.unconfirmed.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
-      if (shares.confirmedExpiresAtMs <= nowMs && shares.unconfirmed.length === 0) {
+      const unconfirmed = shares.unconfirmed.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
+      Object.assign(shares, { unconfirmed });
+      if (shares.confirmedExpiresAtMs <= nowMs && unconfirmed.length === 0) {
         this.vms.delete(vm);
       }
     });
--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -61,7 +61,8 @@
 }
 
 function loadMs(engine: EngineState, spec: ModelSpec): { ms: number; fromStore: boolean } {
-  if (engine.copies.inMemory.includes(spec.name)) return { ms: spec.memoryLoadMs, fromStore: false };
+  if (engine.copies.inMemory.includes(spec.name))
+    return { ms: spec.memoryLoadMs, fromStore: false };
   if (engine.copies.onDisk.includes(spec.name)) return { ms: spec.diskLoadMs, fromStore: false };
   return { ms: spec.remoteLoadMs, fromStore: true };
 }
@@ -82,10 +83,8 @@
   /** Actions for engines that take orders now; at most one each. */
   plan(view: SwapView): readonly SwapAction[] {
     const taken = new Set<string>();
-    let storeLoadsLeft = view.storeLoadsLeft;
-    const byPress = [...view.wants].sort(
-      (a, b) => pressOf(view.nowMs, b) - pressOf(view.nowMs, a),
-    );
+    let { storeLoadsLeft } = view;
+    const byPress = [...view.wants].sort((a, b) => pressOf(view.nowMs, b) - pressOf(view.nowMs, a));
     const steps: readonly ((want: Want) => SwapAction | null)[] = [
       (want) => this.placeAdapter(view, want, taken),
       (want) => this.placeModel(view, want, taken, storeLoadsLeft),
@@ -145,19 +144,14 @@
     const places = view.engines.filter(
       (engine) =>
         engine.service === service &&
-        (engine.loading.includes(model) ||
-          (engine.sound && placeOf(engine, model) !== undefined)),
+        (engine.loading.includes(model) || (engine.sound && placeOf(engine, model) !== undefined)),
     ).length;
     if (rate < LEAST_RATE) return 0;
     return rate / (1 + places * places * 4);
   }
 
   /** An adapter goes to an engine that holds its model: a few milliseconds. */
-  private placeAdapter(
-    view: SwapView,
-    want: Want,
-    taken: ReadonlySet<string>,
-  ): SwapAction | null {
+  private placeAdapter(view: SwapView, want: Want, taken: ReadonlySet<string>): SwapAction | null {
     const { adapter, model } = want;
     if (adapter === null) return null;
     const name = `${model}/${adapter}`;
@@ -273,11 +267,7 @@
   }
 
   /** Whether every engine with the model has its adapter places in use by others. */
-  private lacksAdapterPlaces(
-    nowMs: number,
-    holders: readonly EngineState[],
-    want: Want,
-  ): boolean {
+  private lacksAdapterPlaces(nowMs: number, holders: readonly EngineState[], want: Want): boolean {
     if (want.adapter === null) return false;
     const name = `${want.model}/${want.adapter}`;
     return holders.every(
@@ -302,7 +292,8 @@
     const missingMb = engine.chargedMb + spec.sizeMb - engine.spec.memoryMb;
     const spared = this.sparedPrice(view, engine);
     const holdsOrdersMs = fromStore ? ms : 0;
-    if (missingMb <= 0) return [{ engine, evict: [], fromStore, priceMs: ms + spared + holdsOrdersMs }];
+    if (missingMb <= 0)
+      return [{ engine, evict: [], fromStore, priceMs: ms + spared + holdsOrdersMs }];
     const victims = engine.places
       .filter((place) => view.nowMs - place.loadedAtMs >= KEEP_NEW_MS)
       // An idle place on another engine comes up sooner than the end of the runs here.
--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -4,7 +4,7 @@
 import type { Run } from './fleet-view.js';
 
 /** A new connection is given up after this long, ms. */
-const CONNECT_TIMEOUT_MS = 700;
+const CONNECT_TIMEOUT_MS = 400;
 
 export const AttemptEnd = {
   /** A complete answer is there. */
@@ -45,6 +45,8 @@
   readonly agent: http.Agent;
   readonly run: Run;
   readonly signal: AbortSignal;
+  /** Longest silence before the request is tried elsewhere, ms; null where it may not be. */
+  readonly stallMs: number | null;
 }
 
 /** Takes the parts of an event stream as they come. */
@@ -95,6 +97,54 @@
   return seen;
 }
 
+function relayStream(
+  res: http.IncomingMessage,
+  sink: StreamSink,
+  condemn: (reason: string) => void,
+  settle: (result: AttemptResult) => void,
+): void {
+  const end = isFramed(res) ? { wasReset: false } : watchReset(res);
+  res.on('data', (bytes: Buffer) => {
+    if (!sink.write(bytes)) condemn('the stream does not follow on');
+  });
+  res.on('end', () => {
+    if (res.complete && !end.wasReset && sink.isWhole()) settle({ type: AttemptEnd.streamed });
+    else condemn('the stream ended early');
+  });
+  res.on('error', (err) => settle({ type: AttemptEnd.broken, reason: err.message }));
+  res.on('close', () => settle({ type: AttemptEnd.broken, reason: 'the stream was cut' }));
+}
+
+function collect(
+  wire: PlatformWire,
+  res: http.IncomingMessage,
+  settle: (result: AttemptResult) => void,
+): void {
+  const parts: Buffer[] = [];
+  const status = res.statusCode ?? 0;
+  const end = isFramed(res) ? { wasReset: false } : watchReset(res);
+  res.on('data', (bytes: Buffer) => parts.push(bytes));
+  res.on('error', (err) => settle({ type: AttemptEnd.broken, reason: err.message }));
+  res.on('close', () => settle({ type: AttemptEnd.broken, reason: 'the answer was cut' }));
+  res.on('end', () => {
+    if (!res.complete || end.wasReset) {
+      settle({ type: AttemptEnd.broken, reason: 'the answer is not complete' });
+    } else if (wire.decodeAnswer(res.rawHeaders).notRun) {
+      settle({ type: AttemptEnd.notRun, reason: `refused with ${status}`, reached: true, status });
+    } else {
+      settle({
+        type: AttemptEnd.answered,
+        answer: {
+          status,
+          statusText: res.statusMessage ?? '',
+          rawHeaders: res.rawHeaders,
+          body: Buffer.concat(parts),
+        },
+      });
+    }
+  });
+}
+
 /** Sends the request; resolves with what came of it and never rejects. */
 export function send(
   wire: PlatformWire,
@@ -124,6 +174,10 @@
       req.destroy();
       settle({ type: AttemptEnd.broken, reason });
     };
+    if (opts.stallMs !== null) {
+      const stalled = () => req.destroy(new Error('the server fell silent'));
+      req.setTimeout(opts.stallMs, stalled);
+    }
     signal.addEventListener('abort', abort, { once: true });
     if (signal.aborted) abort();
 
@@ -160,51 +214,3 @@
     req.end(opts.body);
   });
 }
-
-function relayStream(
-  res: http.IncomingMessage,
-  sink: StreamSink,
-  condemn: (reason: string) => void,
-  settle: (result: AttemptResult) => void,
-): void {
-  const end = isFramed(res) ? { wasReset: false } : watchReset(res);
-  res.on('data', (bytes: Buffer) => {
-    if (!sink.write(bytes)) condemn('the stream does not follow on');
-  });
-  res.on('end', () => {
-    if (res.complete && !end.wasReset && sink.isWhole()) settle({ type: AttemptEnd.streamed });
-    else condemn('the stream ended early');
-  });
-  res.on('error', (err) => settle({ type: AttemptEnd.broken, reason: err.message }));
-  res.on('close', () => settle({ type: AttemptEnd.broken, reason: 'the stream was cut' }));
-}
-
-function collect(
-  wire: PlatformWire,
-  res: http.IncomingMessage,
-  settle: (result: AttemptResult) => void,
-): void {
-  const parts: Buffer[] = [];
-  const status = res.statusCode ?? 0;
-  const end = isFramed(res) ? { wasReset: false } : watchReset(res);
-  res.on('data', (bytes: Buffer) => parts.push(bytes));
-  res.on('error', (err) => settle({ type: AttemptEnd.broken, reason: err.message }));
-  res.on('close', () => settle({ type: AttemptEnd.broken, reason: 'the answer was cut' }));
-  res.on('end', () => {
-    if (!res.complete || end.wasReset) {
-      settle({ type: AttemptEnd.broken, reason: 'the answer is not complete' });
-    } else if (wire.decodeAnswer(res.rawHeaders).notRun) {
-      settle({ type: AttemptEnd.notRun, reason: `refused with ${status}`, reached: true, status });
-    } else {
-      settle({
-        type: AttemptEnd.answered,
-        answer: {
-          status,
-          statusText: res.statusMessage ?? '',
-          rawHeaders: res.rawHeaders,
-          body: Buffer.concat(parts),
-        },
-      });
-    }
-  });
-}
--- a/src/entry/relay/engine-yard.ts
+++ b/src/entry/relay/engine-yard.ts
@@ -25,11 +25,11 @@
 const ORDER_TIMEOUT_MS = 250;
 const REPORT_TIMEOUT_MS = 300;
 /** Pause between reports of an engine at rest, ms: each is priced as a probe. */
-const REPORT_EVERY_MS = 1_000;
+const REPORT_EVERY_MS = 700;
 /** Pause while the engine's own word is needed, ms: its reports lag by about 100 ms. */
 const REPORT_WANTED_MS = 60;
 /** An engine that gave no answer this many times in a row is not ordered. */
-const MOST_SILENCES = 3;
+const MOST_SILENCES = 2;
 /** Places are reconsidered this often although nothing waits, ms. */
 const REPLAN_MS = 200;
 const MS_PER_S = 1000;
@@ -112,6 +112,7 @@
   modelsOf(server: BackendServer): readonly HeldModel[] {
     const engine = this.engines.get(server.id);
     if (engine === undefined || !this.isKnown(engine)) return server.models;
+    if (engine.silences >= MOST_SILENCES) return [];
     const leaving = [...engine.orders.unloading, ...engine.orders.leavingAdapters];
     const nowMs = this.opts.clock.steadyMs();
     const held = [...engine.orders.held.keys()].filter((name) => !leaving.includes(name));
@@ -247,7 +248,10 @@
       const engine = this.engines.get(action.engineId);
       if (engine === undefined) return;
       if (action.fromStore) this.storeTokens -= 1;
-      const steps = action.steps.reduce((sum, step) => sum + this.expectedMs(engine.server.id, step), 0);
+      const steps = action.steps.reduce(
+        (sum, step) => sum + this.expectedMs(engine.server.id, step),
+        0,
+      );
       Object.assign(engine, { loadEndsAtMs: nowMs + steps, storeLoad: action.fromStore });
       const unloads = action.steps.some(
         ({ type, adapter }) => type === OrderStepType.unload && adapter === null,
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -17,8 +17,13 @@
 const MOST_NOT_RUN = 4;
 /** Part of the objective that a request may wait for its customer's rate. */
 const RATE_WAIT_PART = 0.4;
+/** A server that can't be reached is left out at once. */
+const UNREACHED_WEIGHT = 2;
 /** Part of the objective from which on a wait is logged. */
 const LOGGED_WAIT_PART = 0.25;
+/** Silence of a server after which a repeatable request is tried elsewhere, at least, ms. */
+const LEAST_STALL_MS = 700;
+const STALL_OBJECTIVES = 2;
 /** Urgencies that a server knows, 0 to 9. */
 const LEAST_URGENT = 9;
 /** Time to the first byte that is expected of a request beyond its prompt's, ms. */
@@ -175,7 +180,12 @@
     const nowMs = this.ctx.clock.steadyMs();
     if (!this.ctx.mayRun(customer)) {
       this.ctx.view.ended(run);
-      return { type: AttemptEnd.notRun, reason: 'the key is not confirmed', reached: false, status: null };
+      return {
+        type: AttemptEnd.notRun,
+        reason: 'the key is not confirmed',
+        reached: false,
+        status: null,
+      };
     }
     this.current = { run, sentAtMs: nowMs };
     const resumeAfter =
@@ -199,6 +209,7 @@
         agent: this.ctx.connections.agentFor(run.server, route.repeat !== RepeatRule.once),
         run,
         signal: this.aborter.signal,
+        stallMs: this.mayGoElsewhere(run) ? this.stallMs() : null,
       },
       route.repeat === RepeatRule.stream ? this : null,
     );
@@ -252,7 +263,7 @@
   ): boolean {
     this.ctx.log('not-run', this.request.facts.id, { server: run.server.id, reason });
     if (reached) this.ctx.view.noteMissing(run);
-    else this.ctx.view.health.noteFailure(nowMs, run.server.id);
+    else this.ctx.view.health.noteFailure(nowMs, run.server.id, UNREACHED_WEIGHT);
     if (this.ended) return false;
     this.notRuns += 1;
     if (status !== 421 && run.model === null) this.tried.add(run.server.id);
@@ -272,16 +283,27 @@
     return false;
   }
 
-  /** Whether the request may be sent to another server although it may have run. */
-  private mayRepeat(nowMs: number, run: Run): boolean {
+  /** Whether the route lets the request run at one more server after this one. */
+  private mayGoElsewhere(run: Run): boolean {
     const { route } = this.request;
-    this.tried.add(run.server.id);
     const repeatable =
       route.repeat === RepeatRule.idempotent ||
       (route.repeat === RepeatRule.stream && route.resumable);
+    const used = new Set([...this.tried, run.server.id]).size;
+    return repeatable && used < route.attempts;
+  }
+
+  /** Silence after which another server is tried: the objective is missed by then. */
+  private stallMs(): number {
+    return Math.max(LEAST_STALL_MS, this.request.route.objectiveMs * STALL_OBJECTIVES);
+  }
+
+  /** Whether the request may be sent to another server although it may have run. */
+  private mayRepeat(nowMs: number, run: Run): boolean {
+    const goesElsewhere = this.mayGoElsewhere(run);
+    this.tried.add(run.server.id);
     return (
-      repeatable &&
-      this.tried.size < route.attempts &&
+      goesElsewhere &&
       nowMs < this.deadlineAtMs &&
       !this.ctx.suspects.isBlocked(nowMs, this.fingerprint) &&
       this.ctx.retries.spend(nowMs)
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -73,7 +73,11 @@
       dataCentre: server.dataCentre,
       slots: server.slots,
       running: this.runningAt(server.id, heard),
-      slowness: this.health.slowness(nowMs, server.id, fit.map(({ id }) => id)),
+      slowness: this.health.slowness(
+        nowMs,
+        server.id,
+        fit.map(({ id }) => id),
+      ),
     }));
   }
 
--- a/src/entry/relay/follower.ts
+++ b/src/entry/relay/follower.ts
@@ -5,7 +5,13 @@
 import type { Task } from '../../core/supervisor/index.js';
 import { BackendList } from '../../decisions/backend-list/index.js';
 import type { BackendServer, FleetPlan } from '../../decisions/fleet-plan/index.js';
-import { type FeedAnswer, type FeedEvent, FeedOutcome, type PlatformWire, type RelayStore } from './types.js';
+import {
+  type FeedAnswer,
+  type FeedEvent,
+  FeedOutcome,
+  type PlatformWire,
+  type RelayStore,
+} from './types.js';
 
 /** How long one watch waits, ms: its end confirms that nothing changed. */
 const WATCH_MS = 1_500;
--- a/src/entry/relay/front.ts
+++ b/src/entry/relay/front.ts
@@ -213,11 +213,7 @@
     return { plan, route, customer };
   }
 
-  private reply(
-    res: http.ServerResponse,
-    id: string | null,
-    { def, retryAfterMs }: Refused,
-  ): void {
+  private reply(res: http.ServerResponse, id: string | null, { def, retryAfterMs }: Refused): void {
     const failure = errors.createFailure(def, 'check request', 'caller');
     const fields: LogFields = { reason: def.name, retryAfterMs };
     if (id !== null) this.opts.ctx.log('refused', id, fields);
--- a/src/entry/relay/lease-task.ts
+++ b/src/entry/relay/lease-task.ts
@@ -9,6 +9,7 @@
   type LeaseEvent,
   LeaseEventType,
   LeaseKeeper,
+  type LeaseSuccessor,
   leaseSchema,
 } from '../../decisions/leases/index.js';
 import { PlatformOutcome } from '../platform/index.js';
@@ -17,6 +18,13 @@
 const LEASE_KEY = 'bilberrystand/steward';
 const TICK_MS = 50;
 
+/** What a holder tells the others of its lease. */
+export interface ToldLease {
+  readonly lease: Lease;
+  readonly version: number;
+  readonly leftMs: number;
+}
+
 /** Who is steward, as far as this entry VM knows. */
 export interface StewardPost {
   readonly vm: string;
@@ -93,12 +101,12 @@
   }
 
   /** The lease that is held here, for telling others; null while it is not. */
-  held(): ReturnType<LeaseKeeper['held']> {
+  held(): ToldLease | null {
     return this.keeper.held(this.opts.clock.nowMs());
   }
 
   /** The steward said what it has written. */
-  noteTold(told: { lease: Lease; version: number; leftMs: number }): void {
+  noteTold(told: ToldLease): void {
     this.handle({ type: LeaseEventType.told, ...told });
   }
 
@@ -120,12 +128,18 @@
     if (this.timer !== null) clearInterval(this.timer);
   }
 
-  /** Gives the lease up, for a planned stop. */
-  async handOver(): Promise<void> {
+  /** Gives the lease up, for a planned stop. Resolves with what is told to the others, if known. */
+  async handOver(successor?: LeaseSuccessor): Promise<ToldLease | null> {
     this.actingFence = 0;
     await this.stop();
-    const effects = this.keeper.handle(this.opts.clock.nowMs(), { type: LeaseEventType.release });
-    await Promise.all(effects.map((effect) => this.perform(effect)));
+    const nowMs = this.opts.clock.nowMs();
+    const effects = this.keeper.handle(nowMs, { type: LeaseEventType.release, successor });
+    const write = effects.find((effect) => effect.type === LeaseEffectType.write);
+    if (write === undefined) return null;
+    const answer = await this.opts.store.write(LEASE_KEY, write.lease, write.version);
+    if (answer.type !== PlatformOutcome.ok) return null;
+    const leftMs = write.lease.durationMs;
+    return { lease: write.lease, version: answer.version, leftMs };
   }
 
   private tick(): void {
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -58,6 +58,8 @@
   z.object({
     type: z.literal(RelayMessageType.report),
     vm: z.string(),
+    /** Where peers reach the sender. */
+    address: z.string(),
     /** The sender's clock; comes back with the grant. */
     sentAtMs: z.number(),
     /** Last grant of this steward that was taken in. */
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -15,6 +15,8 @@
 
 export interface ReporterOptions {
   readonly vm: string;
+  /** Where peers reach this entry VM. */
+  readonly address: string;
   readonly link: StewardLink;
   readonly lease: LeaseTask;
   readonly admission: Admission;
@@ -85,11 +87,16 @@
     if (!now && sinceMs < BUSY_MS) return;
     const running = this.opts.view.running();
     const waits = this.opts.dispatcher.waits();
-    const key = JSON.stringify([running, waits.map(({ dueInMs, ...wait }) => wait), [...this.usage]]);
+    const key = JSON.stringify([
+      running,
+      waits.map(({ dueInMs, ...wait }) => wait),
+      [...this.usage],
+    ]);
     if (!now && key === this.told && sinceMs < REST_MS) return;
     const message: RelayMessage = {
       type: RelayMessageType.report,
       vm: this.opts.vm,
+      address: this.opts.address,
       sentAtMs: nowMs,
       appliedSeq: this.opts.admission.lastSeq,
       shares: [...this.opts.admission.holder.report(nowMs)],
--- a/src/entry/relay/steward-link.ts
+++ b/src/entry/relay/steward-link.ts
@@ -8,8 +8,8 @@
 import type { StewardPost } from './lease-task.js';
 
 const CONNECT_TIMEOUT_MS = 500;
-/** A steward that said nothing for this long is not heard, ms: it speaks every 400 ms. */
-export const SILENCE_MS = 1_300;
+/** A steward that said nothing for this long is not heard, ms: it speaks every 250 ms. */
+export const SILENCE_MS = 800;
 /** Pause before the same steward is dialled again, ms. */
 const REDIAL_MS = 100;
 const MAX_BUFFERED_BYTES = 1_048_576;
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -1,9 +1,11 @@
 /** The steward's task: hears every entry VM, orders engines, and lends customers' rates. */
 import * as net from 'node:net';
 import { z } from 'zod';
+import * as clocks from '../../core/clock/index.js';
 import type { Clock } from '../../core/clock/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { Task } from '../../core/supervisor/index.js';
+import type { LeaseSuccessor } from '../../decisions/leases/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import { RateLender } from '../../decisions/rate-shares/index.js';
 import type { FollowerTask } from './follower.js';
@@ -23,7 +25,11 @@
 /** Shortest time between two renewals for a changed note, ms: every call is priced. */
 const HURRY_MS = 150;
 /** The steward speaks at least this often, ms. */
-const SPEAK_MS = 400;
+const SPEAK_MS = 250;
+/** A member that is connected for this long can take the office, ms. */
+const SETTLED_MS = 2_000;
+/** Time for the last messages to leave, ms. */
+const LAST_MESSAGES_MS = 20;
 /** A connection that said nothing for this long is closed, ms. */
 const MEMBER_SILENCE_MS = 3_000;
 
@@ -32,6 +38,7 @@
 /** An entry VM that reports to this one. */
 interface Member {
   readonly socket: net.Socket;
+  readonly sinceMs: number;
   vm: string | null;
   report: RelayMessageOf<'report'> | null;
   heardAtMs: number;
@@ -72,6 +79,8 @@
 
   private hurriedAtMs = -Infinity;
 
+  private handingOver = false;
+
   constructor(private readonly opts: StewardOptions) {}
 
   async start(fail: (err: unknown) => void): Promise<void> {
@@ -92,6 +101,32 @@
     this.server?.close();
   }
 
+  /** Leaves the office to another entry VM, for a planned stop. */
+  async handOver(): Promise<void> {
+    this.handingOver = true;
+    const told = await this.opts.lease.handOver(this.successor());
+    if (told !== null) {
+      this.members.forEach(({ socket }) => {
+        writeMessage(socket, { type: RelayMessageType.lease, ...told });
+      });
+      await clocks.sleep(LAST_MESSAGES_MS);
+    }
+    this.handingOver = false;
+    this.dismiss();
+  }
+
+  /** The member that came last and has settled: in a rolling restart it is not stopped soon. */
+  private successor(): LeaseSuccessor | undefined {
+    const nowMs = this.opts.clock.steadyMs();
+    const fit = [...this.members].filter(
+      ({ vm, report }) => vm !== null && vm !== this.opts.vm && report?.leaving === false,
+    );
+    const settled = fit.filter(({ sinceMs }) => nowMs - sinceMs > SETTLED_MS);
+    const best = [...(settled.length > 0 ? settled : fit)].sort((a, b) => b.sinceMs - a.sinceMs)[0];
+    if (best?.vm === undefined || best.vm === null || best.report === null) return undefined;
+    return { vm: best.vm, address: best.report.address };
+  }
+
   private get acting(): boolean {
     return this.fence > 0;
   }
@@ -100,6 +135,7 @@
     const nowMs = this.opts.clock.steadyMs();
     const member: Member = {
       socket,
+      sinceMs: nowMs,
       vm: null,
       report: null,
       heardAtMs: nowMs,
@@ -127,7 +163,7 @@
 
   private take(member: Member, message: RelayMessage): void {
     const nowMs = this.opts.clock.steadyMs();
-    member.heardAtMs = nowMs;
+    Object.assign(member, { heardAtMs: nowMs });
     if (!this.acting) return;
     switch (message.type) {
       case RelayMessageType.report:
@@ -146,8 +182,7 @@
   }
 
   private takeReport(nowMs: number, member: Member, report: RelayMessageOf<'report'>): void {
-    member.vm = report.vm;
-    member.report = report;
+    Object.assign(member, { vm: report.vm, report });
     this.yard?.takeReport(nowMs, report);
     const { lender } = this;
     if (lender === null) return;
@@ -181,7 +216,7 @@
     const nowMs = this.opts.clock.steadyMs();
     const fence = this.opts.lease.fence();
     if (fence === 0) {
-      if (this.acting) this.dismiss();
+      if (this.acting && !this.handingOver) this.dismiss();
       return;
     }
     if (!this.acting) this.takeOffice(nowMs);
@@ -224,7 +259,10 @@
     const left = allowancesSchema.safeParse(this.opts.lease.noteLeft);
     // No note at all: nobody was steward before.
     const known = this.opts.lease.noteLeft === undefined ? {} : left.data;
-    this.lender = new RateLender(nowMs, known === undefined ? null : new Map(Object.entries(known)));
+    this.lender = new RateLender(
+      nowMs,
+      known === undefined ? null : new Map(Object.entries(known)),
+    );
     this.lender.noteWritten(new Map(Object.entries(this.written)));
     this.yard = new EngineYard({
       vm: this.opts.vm,
@@ -281,8 +319,7 @@
     });
     if (!sent) return;
     changed.forEach(({ id }) => member.told.set(id, texts.get(id) ?? ''));
-    member.toldLoads = loadsKey;
-    member.spokenAtMs = nowMs;
+    Object.assign(member, { toldLoads: loadsKey, spokenAtMs: nowMs });
   }
 
   private tellLease(member: Member): void {
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -104,7 +104,11 @@
 export const FeedOutcome = { ok: 'ok', historyGone: 'history-gone', failed: 'failed' } as const;
 
 export type FeedAnswer<T> =
-  | { readonly type: typeof FeedOutcome.ok; readonly revision: number; readonly items: readonly T[] }
+  | {
+      readonly type: typeof FeedOutcome.ok;
+      readonly revision: number;
+      readonly items: readonly T[];
+    }
   | { readonly type: typeof FeedOutcome.historyGone }
   | { readonly type: typeof FeedOutcome.failed; readonly reason: string };
 
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -62,7 +62,13 @@
   let stopAtMs = Infinity;
   const graceMs = settings.stop.graceMs - STOP_MARGIN_MS;
 
-  const follower = new FollowerTask({ wire, store, clock, logger: logger.child('follower'), changed });
+  const follower = new FollowerTask({
+    wire,
+    store,
+    clock,
+    logger: logger.child('follower'),
+    changed,
+  });
   const suspects = new SuspectTable();
   const connections = new Connections();
   const parts: { reporter?: ReporterTask; link?: StewardLink; steward?: StewardTask } = {};
@@ -131,6 +137,7 @@
   const isStopping = () => stopping;
   const reporter = new ReporterTask({
     vm: vm.id,
+    address: listen.peers,
     link,
     lease,
     admission,
@@ -216,7 +223,7 @@
       logger.info('stopping');
       stopAtMs = clock.steadyMs();
       const untilMs = stopAtMs + graceMs;
-      await lease.handOver();
+      await steward.handOver();
       await drain(untilMs);
       reporter.farewell();
       await clocks.sleep(LAST_MESSAGES_MS);
--- a/test/properties/leases/one-holder.test.ts
+++ b/test/properties/leases/one-holder.test.ts
@@ -163,6 +163,10 @@
           else if (what === 'land') world.land(a);
           else if (what === 'pause') vm.pausedUntilMs = world.nowMs + ms * 4;
           else if (a === 5) world.feed(vm, { type: leases.LeaseEventType.release });
+          else if (a === 4) {
+            const successor = { vm: 'vm-0', address: 'there' };
+            world.feed(vm, { type: leases.LeaseEventType.release, successor });
+          }
           mostHolders = Math.max(mostHolders, world.holders().length);
         });
         expect(mostHolders).toBeLessThanOrEqual(1);
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -51,6 +51,7 @@
   server: BackendServer,
   id = 'request-1',
   kept = createConnections(),
+  stallMs: number | null = null,
 ): Promise<AttemptResult> {
   const wire = platform.createWire();
   return send(
@@ -64,6 +65,7 @@
       agent: kept.agentFor(server, true),
       run: { server, service: 'desk', model: null, adapter: null },
       signal: new AbortController().signal,
+      stallMs,
     },
     null,
   );
@@ -156,6 +158,12 @@
     expect((await ask({ ...server, address: '127.0.0.1:1' })).type).toBe(AttemptEnd.notRun);
   });
 
+  test('that does not come is not waited for where another server may be asked', async () => {
+    const server = await startServer(() => undefined);
+    const result = await ask(server, 'request-1', createConnections(), 50);
+    expect(result.type).toBe(AttemptEnd.broken);
+  });
+
   test('followed by more bytes ends its connection', async () => {
     const accepted: net.Socket[] = [];
     const server = await startServer((socket) => {
