Blame a broken request only when its server died, and bridge a lapsed lease in a slow store

Cause: a request that crashes engines was never blocked on this path; a lost answer looks the same, so the server's entry decides (restart or vanished within 6 s) and peers are told.

--- a/src/decisions/suspects/index.ts
+++ b/src/decisions/suspects/index.ts
@@ -7,6 +7,8 @@
  */
 import { createHash } from 'node:crypto';
 
+export { DeathWatch } from './death-watch.js';
+
 const DEATHS_TO_BLOCK = 2;
 export const BLOCK_MS = 600_000;
 
--- a/src/entry/relay/lease-task.ts
+++ b/src/entry/relay/lease-task.ts
@@ -17,6 +17,8 @@
 
 const LEASE_KEY = 'bilberrystand/steward';
 const TICK_MS = 50;
+/** A lease that lapsed is used on when the store named this VM as its holder this lately, ms. */
+const OWN_SEEN_MS = 1_500;
 
 /** What a holder tells the others of its lease. */
 export interface ToldLease {
@@ -68,6 +70,9 @@
 
   private higherFence = 0;
 
+  /** When a call was sent that showed this VM as holder. */
+  private ownSeenAtMs = -Infinity;
+
   /** What the steward before left. */
   noteLeft: unknown = undefined;
 
@@ -147,9 +152,13 @@
     this.handle({ type: LeaseEventType.tick });
   }
 
-  /** A lease that lapsed while the store is out of reach is used on until another one is known. */
+  /**
+   * A lease that lapsed while the store is out of reach or slow is used on until another one is
+   * known; not after a pause of this VM, in which another one may have been taken.
+   */
   private mayGoOn(): boolean {
-    if (!this.storeAnswers) this.goesOn = true;
+    const seenLately = this.opts.clock.nowMs() - this.ownSeenAtMs < OWN_SEEN_MS;
+    if (!this.storeAnswers || seenLately) this.goesOn = true;
     return (
       this.goesOn &&
       this.actingFence > 0 &&
@@ -188,6 +197,7 @@
   }
 
   private async read(): Promise<void> {
+    const sentAtMs = this.opts.clock.nowMs();
     const answer = await this.opts.store.read(LEASE_KEY);
     this.noteAnswer(answer.type === PlatformOutcome.ok);
     if (answer.type !== PlatformOutcome.ok) {
@@ -195,6 +205,7 @@
       return;
     }
     const lease = leaseSchema.safeParse(answer.value?.value);
+    if (lease.data?.holder === this.opts.vm) this.ownSeenAtMs = sentAtMs;
     this.handle({
       type: LeaseEventType.read,
       lease: lease.success ? lease.data : null,
@@ -203,7 +214,9 @@
   }
 
   private async write(effect: LeaseEffect & { type: typeof LeaseEffectType.write }): Promise<void> {
+    const sentAtMs = this.opts.clock.nowMs();
     const answer = await this.opts.store.write(LEASE_KEY, effect.lease, effect.version);
+    if (answer.type === PlatformOutcome.ok) this.ownSeenAtMs = sentAtMs;
     this.noteAnswer(answer.type !== PlatformOutcome.unknown);
     switch (answer.type) {
       case PlatformOutcome.ok:
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -9,7 +9,7 @@
 import { createSupervisor } from '../../core/supervisor/index.js';
 import { RetryBudget } from '../../decisions/retries/index.js';
 import * as stopRules from '../../decisions/stopping/index.js';
-import { SuspectTable } from '../../decisions/suspects/index.js';
+import { DeathWatch, SuspectTable } from '../../decisions/suspects/index.js';
 import { Admission } from './admission.js';
 import { Connections } from './connections.js';
 import type { RelayContext } from './context.js';
@@ -70,6 +70,7 @@
     changed,
   });
   const suspects = new SuspectTable();
+  const deathWatch = new DeathWatch();
   const connections = new Connections();
   const parts: { reporter?: ReporterTask; link?: StewardLink; steward?: StewardTask } = {};
   const stewardIsHeard = () => parts.link?.isHeard === true;
@@ -173,7 +174,8 @@
     takesRequest: (isStream) =>
       stopRules.takesRequest(clock.steadyMs() - stopAtMs, graceMs, isStream),
     mayRun: (customer) => customer === null || follower.planAgeMs() < keysTrustedMs,
-    noteBreak: () => undefined,
+    noteBreak: (fingerprint, { server }) =>
+      deathWatch.noteBreak(clock.steadyMs(), fingerprint, server.id, server.bornMs),
     log: (event, id, fields) => logger.info(event, { id, ...fields }),
     replyOwn: (res, id, failure, retryAfterMs) =>
       replyOwn(res, wire.ownAnswer(id), failure, retryAfterMs, stopping),
@@ -197,7 +199,13 @@
       admission.setCustomers(follower.plan.customers);
       front.applyLimits();
     }
-    if (backends) connections.retain(follower.backends);
+    if (backends) {
+      connections.retain(follower.backends);
+      deathWatch.deaths(clock.steadyMs(), follower.backends).forEach((death) => {
+        suspects.note(clock.steadyMs(), death);
+        link.send({ type: RelayMessageType.death, ...death });
+      });
+    }
     dispatcher.pump();
   });
 
