--- /dev/null
+++ b/test/units/backend-list/backend-list.test.ts
@@ -0,0 +1,78 @@
+/** The list of backend servers against outages, foreign writers and old words. */
+import { describe, expect, test } from 'vitest';
+import { BackendList, type ListedEntry } from '../../../src/decisions/backend-list/index.js';
+import type { BackendServer } from '../../../src/decisions/fleet-plan/index.js';
+
+function server(id: string, fields: Partial<BackendServer> = {}): BackendServer {
+  return {
+    id,
+    service: 'desk',
+    address: '10.0.0.1:80',
+    dataCentre: 'a',
+    leaving: false,
+    slots: 4,
+    orderCount: 0,
+    bornMs: 100,
+    models: [],
+    copies: { inMemory: [], onDisk: [] },
+    ...fields,
+  };
+}
+
+const listed = (revision: number, entry: BackendServer): ListedEntry => ({
+  id: entry.id,
+  revision,
+  server: entry,
+  deleted: false,
+});
+const gone = (revision: number, id: string): ListedEntry => ({
+  id,
+  revision,
+  server: null,
+  deleted: true,
+});
+
+describe('the list of backend servers', () => {
+  test('drops a server at once when its entry is removed', () => {
+    const list = new BackendList();
+    list.take(0, [listed(1, server('e1'))], true);
+    expect(list.take(10, [gone(2, 'e1')], false)).toBe(true);
+    expect(list.servers.has('e1')).toBe(false);
+  });
+
+  test('keeps servers whose entries lapsed in an outage until they had time to return', () => {
+    const list = new BackendList();
+    list.take(0, [listed(1, server('e1')), listed(2, server('e2'))], true);
+    list.noteOutage(10_000);
+    list.take(10_000, [], true);
+    expect(list.servers.size).toBe(2);
+    list.take(11_000, [listed(9, server('e1'))], false);
+    list.settle(12_000);
+    expect(list.servers.size).toBe(2);
+    list.settle(12_400);
+    expect([...list.servers.keys()]).toEqual(['e1']);
+  });
+
+  test('is not changed by an entry that can not be read', () => {
+    const list = new BackendList();
+    list.take(0, [listed(1, server('e1'))], true);
+    list.take(1, [{ id: 'e1', revision: 2, server: null, deleted: false }], false);
+    expect(list.servers.has('e1')).toBe(true);
+  });
+
+  test('is not changed by what an earlier start or an earlier moment said', () => {
+    const list = new BackendList();
+    list.take(0, [listed(5, server('e1', { bornMs: 200, orderCount: 7, leaving: true }))], true);
+    list.take(1, [listed(6, server('e1', { bornMs: 100 }))], false);
+    list.take(2, [listed(7, server('e1', { bornMs: 200, orderCount: 3 }))], false);
+    list.take(3, [listed(4, server('e1', { bornMs: 300 }))], false);
+    expect(list.servers.get('e1')).toMatchObject({ bornMs: 200, orderCount: 7, leaving: true });
+  });
+
+  test('takes a server that restarted under its id', () => {
+    const list = new BackendList();
+    list.take(0, [listed(5, server('e1', { bornMs: 200, orderCount: 7 }))], true);
+    list.take(1, [listed(6, server('e1', { bornMs: 300, orderCount: 0 }))], false);
+    expect(list.servers.get('e1')?.bornMs).toBe(300);
+  });
+});
--- /dev/null
+++ b/test/units/fleet-plan/fleet-plan.test.ts
@@ -0,0 +1,46 @@
+import { describe, expect, test } from 'vitest';
+import * as platform from '../../../platform/index.js';
+import { findRoute, pickTarget } from '../../../src/decisions/fleet-plan/index.js';
+
+const CONFIG = {
+  version: 7,
+  routes: [
+    { host: 'A.example', path_prefix: '/x/', route_kind: 'idempotent', service: 's1' },
+    { host: 'a.example', path_prefix: '/x/y/', route_kind: 'streaming', service: 's2' },
+    { host: 'a.example', path_prefix: '/w/', route_kind: 'unheard-of', service: 's2' },
+  ],
+  services: [{ name: 's1' }, { name: 's2' }],
+};
+
+describe('a plan', () => {
+  const plan = platform.createWire().decodePlan(CONFIG);
+  if (plan === null) throw new Error('the configuration was not read');
+
+  test('routes by host and the longest prefix, whatever the query says', () => {
+    const serviceOf = (host: string, url: string) =>
+      findRoute(plan, host, url)?.targets[0]?.service;
+    expect(serviceOf('a.example', '/x/y/z?q=/x/')).toBe('s2');
+    expect(serviceOf('a.example:8080', '/x/z')).toBe('s1');
+    expect(serviceOf('a.example', '/x')).toBeUndefined();
+    expect(serviceOf('b.example', '/x/z')).toBeUndefined();
+    expect(serviceOf('a.example', '/?to=/x/')).toBeUndefined();
+  });
+
+  test('takes a kind that it does not know for one that may not be repeated', () => {
+    expect(findRoute(plan, 'a.example', '/w/1')?.repeat).toBe('once');
+  });
+
+  test('splits traffic by weight', () => {
+    const targets = [
+      { service: 's1', weight: 9 },
+      { service: 's2', weight: 1 },
+    ];
+    const draws = Array.from({ length: 100 }, (_, at) => pickTarget(targets, at / 100));
+    expect(draws.filter((service) => service === 's1')).toHaveLength(90);
+  });
+
+  test('leaves streams before their callers leave', () => {
+    expect(findRoute(plan, 'a.example', '/x/y/')?.callerPatienceMs).toBeGreaterThanOrEqual(2_000);
+    expect(findRoute(plan, 'a.example', '/x/')?.callerPatienceMs).toBe(Infinity);
+  });
+});
--- /dev/null
+++ b/test/units/platform/headers.test.ts
@@ -0,0 +1,76 @@
+/** What goes on to backend servers and back to callers, header by header. */
+import { describe, expect, test } from 'vitest';
+import * as platform from '../../../platform/index.js';
+
+const wire = platform.createWire();
+const DISPATCH = {
+  backendId: 'e1',
+  customer: 'acme',
+  deadlineMs: 900.7,
+  urgency: 1,
+  resumeAfter: null,
+  bodyBytes: 5,
+  hasBody: true,
+};
+
+function namesOf(flat: readonly string[]): readonly string[] {
+  return flat.filter((_, at) => at % 2 === 0).map((name) => name.toLowerCase());
+}
+
+function valueOf(flat: readonly string[], name: string): string | undefined {
+  const at = flat.findIndex((text, index) => index % 2 === 0 && text.toLowerCase() === name);
+  return at < 0 ? undefined : flat[at + 1];
+}
+
+describe('a request that goes on', () => {
+  const raw = [
+    ...['Host', 'a.example', 'Attempt-Id', 'r1', 'Authorization', 'Bearer secret'],
+    ...['Tenant', 'somebody-else', 'Target-Instance', 'e9', 'Hold', 'h', 'Pin-Ms', '5'],
+    ...['Kv-Fetch', '1.2.3.4:5', 'Kv-From', 'x', 'Kv-Backup', 'y', 'Request-Priority', '0'],
+    ...['Connection', 'close, X-Hop', 'X-Hop', '1', 'Transfer-Encoding', 'chunked'],
+    ...['Model', 'm/a1', 'Token-Count', '10,20', 'Deadline-Ms', '60000', 'X-Own', 'kept'],
+  ];
+  const sent = wire.encodeRequest(raw, DISPATCH);
+
+  test('carries neither the key nor what only the system may set', () => {
+    const names = namesOf(sent);
+    ['authorization', 'hold', 'pin-ms', 'kv-fetch', 'kv-from', 'kv-backup'].forEach((name) =>
+      expect(names).not.toContain(name),
+    );
+    expect(sent.join()).not.toContain('secret');
+  });
+
+  test('names its customer, its server and the time that is left, once each', () => {
+    expect(valueOf(sent, 'tenant')).toBe('acme');
+    expect(valueOf(sent, 'target-instance')).toBe('e1');
+    expect(valueOf(sent, 'deadline-ms')).toBe('900');
+    const names = namesOf(sent);
+    expect(new Set(names).size).toBe(names.length);
+  });
+
+  test('carries the rest unchanged, but for the headers of its connection', () => {
+    expect(valueOf(sent, 'model')).toBe('m/a1');
+    expect(valueOf(sent, 'x-own')).toBe('kept');
+    expect(valueOf(sent, 'attempt-id')).toBe('r1');
+    ['connection', 'x-hop', 'transfer-encoding'].forEach((name) =>
+      expect(namesOf(sent)).not.toContain(name),
+    );
+  });
+
+  test('is read once into what it says of itself', () => {
+    expect(wire.decodeRequest(raw)).toMatchObject({
+      id: 'r1',
+      key: 'secret',
+      model: 'm',
+      adapter: 'a1',
+      tokens: { prompt: 10, output: 20 },
+      deadlineMs: 60_000,
+    });
+  });
+
+  test('without a proper id is not taken', () => {
+    expect(wire.decodeRequest(['Host', 'a'])).toBeNull();
+    expect(wire.decodeRequest(['Attempt-Id', 'a', 'attempt-id', 'b'])).toBeNull();
+    expect(wire.decodeRequest(['Attempt-Id', 'a', 'Deadline-Ms', 'soon'])).toBeNull();
+  });
+});
