--- a/test/properties/rate-shares/conservation.test.ts
+++ b/test/properties/rate-shares/conservation.test.ts
@@ -52,6 +52,10 @@
     });
   }
 
+  advance(ms: number): void {
+    this.nowMs += ms;
+  }
+
   /** The lease is renewed with what the lender wants to hand out. */
   write(): void {
     const left = this.lender.allowances(this.nowMs);
@@ -184,7 +188,7 @@
 /** Plays the moves; returns the most that was spent in a window, and how often something was. */
 function play(fleet: Fleet, steps: Move): { most: number; spends: number } {
   steps.forEach(({ do: what, vm, ms, units, change }) => {
-    fleet.nowMs += ms;
+    fleet.advance(ms);
     if (change === 0) fleet.changeLender();
     if (what === 'report') fleet.report(vm);
     else if (what === 'deliver') fleet.deliver(vm);
