--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -224,13 +224,6 @@
     return { type, model, adapter, expected: current.expected };
   }
 
-  /** When `next` should be asked again; null while it waits for an answer or for new steps. */
-  nextAtMs(): number | null {
-    const { current } = this;
-    if (current === null) return this.steps.length > 0 ? 0 : null;
-    return current.phase === Phase.sent ? null : current.nextAtMs;
-  }
-
   /** Takes in the answer to the order that `next` gave. */
   answered(nowMs: number, outcome: OrderOutcome): void {
     const { current } = this;
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -1,4 +1,5 @@
 /** What the relay needs from the platform that it runs on. */
+import type { Order, OrderOutcome } from '../../decisions/engine-orders/index.js';
 import type {
   BackendServer,
   FleetPlan,
@@ -59,37 +60,12 @@
   readonly running: number;
 }
 
-export const EngineOrderType = { load: 'load', unload: 'unload' } as const;
-export type EngineOrderType = (typeof EngineOrderType)[keyof typeof EngineOrderType];
-
-export interface EngineOrder {
-  readonly type: EngineOrderType;
-  readonly model: string;
-  readonly adapter: string | null;
-  /** Orders that the engine has accepted so far; it refuses the order otherwise. */
-  readonly expected: number;
-}
-
 /** Who gives an order: the engine refuses a lower fencing number than it has seen. */
 export interface OrderAuthority {
   readonly holder: string;
   readonly fence: number;
 }
 
-export const OrderAnswer = {
-  accepted: 'accepted',
-  /** Holds already, or was done at once. */
-  done: 'done',
-  /** Another order is under way, or the number of orders differs. */
-  conflict: 'conflict',
-  fenced: 'fenced',
-  /** Another engine has the address, or the order makes no sense to it. */
-  refused: 'refused',
-  /** No answer: it may be carried out, also later. */
-  unknown: 'unknown',
-} as const;
-export type OrderAnswer = (typeof OrderAnswer)[keyof typeof OrderAnswer];
-
 /** An object of a followed kind. */
 export interface FeedObject {
   readonly name: string;
@@ -114,7 +90,7 @@
 
 /** Lists a kind of objects and waits for its changes. */
 export interface ObjectFeed {
-  /** All objects of a kind; with `mayBeOld` cheaper, but no proof of being current. */
+  /** All objects of a kind. */
   list(kind: string): Promise<FeedAnswer<FeedObject>>;
   /** Changes after `since`; answers at the first one, or empty after `waitMs`. */
   changes(kind: string, since: number, waitMs: number): Promise<FeedAnswer<FeedEvent>>;
@@ -143,10 +119,10 @@
   report(server: BackendServer, timeoutMs: number): Promise<EngineReport | null>;
   order(
     server: BackendServer,
-    order: EngineOrder,
+    order: Order,
     authority: OrderAuthority,
     timeoutMs: number,
-  ): Promise<OrderAnswer>;
+  ): Promise<OrderOutcome>;
   createStore(address: string, timeoutMs: number): RelayStore;
   close(): Promise<void>;
 }
--- a/test/properties/leases/one-holder.test.ts
+++ b/test/properties/leases/one-holder.test.ts
@@ -111,6 +111,15 @@
     else this.feed(vm, { type: LeaseEventType.conflict });
   }
 
+  /** Lets one VM run alone, its calls answered. */
+  run(vm: Vm, forMs: number): void {
+    Array.from({ length: forMs / 100 }).forEach(() => {
+      this.nowMs += 100;
+      this.feed(vm, { type: leases.LeaseEventType.tick });
+      this.resolve(0, 'done');
+    });
+  }
+
   land(which: number): void {
     const [effect] = this.late.splice(which % Math.max(1, this.late.length), 1);
     if (effect !== undefined) this.write(effect);
@@ -182,17 +191,10 @@
     const world = new LeaseWorld();
     const [first, second] = world.vms;
     if (first === undefined || second === undefined) throw new Error('no VMs');
-    const run = (vm: Vm, forMs: number) => {
-      Array.from({ length: forMs / 100 }).forEach(() => {
-        world.nowMs += 100;
-        world.feed(vm, { type: leases.LeaseEventType.tick });
-        world.resolve(0, 'done');
-      });
-    };
-    run(first, 2_000);
+    world.run(first, 2_000);
     world.tell(second);
     world.deliver();
-    run(second, DURATION_MS + MARGIN_MS + 300);
+    world.run(second, DURATION_MS + MARGIN_MS + 300);
     expect(world.holders()).toEqual(['vm-1']);
   });
 
@@ -204,11 +206,7 @@
       if (at === 1) {
         vm.keeper.handle(world.nowMs, { type: leases.LeaseEventType.holderGone, epoch: 1 });
       }
-      Array.from({ length: 4 }).forEach(() => {
-        world.nowMs += 100;
-        world.feed(vm, { type: leases.LeaseEventType.tick });
-        world.resolve(0, 'done');
-      });
+      world.run(vm, 400);
     });
     expect(world.stored?.holder).toBe('vm-1');
     expect(world.stored?.epoch).toBe(2);
@@ -218,16 +216,9 @@
     const world = new LeaseWorld();
     const [first, second] = world.vms;
     if (first === undefined || second === undefined) throw new Error('no VMs');
-    const run = (vm: Vm, forMs: number) => {
-      Array.from({ length: forMs / 100 }).forEach(() => {
-        world.nowMs += 100;
-        world.feed(vm, { type: leases.LeaseEventType.tick });
-        world.resolve(0, 'done');
-      });
-    };
-    run(first, 2_000);
+    world.run(first, 2_000);
     expect(world.holders()).toEqual(['vm-0']);
-    run(second, 6_000);
+    world.run(second, 6_000);
     expect(world.holders()).toEqual(['vm-1']);
     expect(world.stored?.epoch).toBe(2);
   });
