--- a/src/cli/serve/index.ts
+++ b/src/cli/serve/index.ts
@@ -2,7 +2,9 @@
 import { defineCommand } from 'citty';
 import { createLogger } from '../../core/logger/index.js';
 import { readSettings } from '../../core/settings/index.js';
+import { startRelay } from '../../entry/relay/wire.js';
 import { startDaemon } from '../../entry/wire.js';
+import * as platform from '../../../platform/index.js';
 import { ExitCode, printFailure } from '../kit/index.js';
 
 export const serveCommand = defineCommand({
@@ -17,6 +19,15 @@
       return;
     }
     const logger = createLogger(settings.value.vm.id, settings.value.log.level);
+    if (settings.value.relay.enabled) {
+      const relay = await startRelay(settings.value, platform.createWire(), logger);
+      process.on('SIGTERM', () => {
+        void relay.stop().then(() => process.exit(ExitCode.ok));
+      });
+      // The settings file may have changed; what it says of this VM holds for the process's life.
+      process.on('SIGHUP', () => logger.info('settings-signal'));
+      return;
+    }
     const daemon = await startDaemon(settings.value, logger);
     const { callersAddress, peersAddress, adminAddress } = daemon;
     console.log(JSON.stringify({ event: 'started', callersAddress, peersAddress, adminAddress }));
--- a/src/core/errors/errors-data.ts
+++ b/src/core/errors/errors-data.ts
@@ -71,6 +71,27 @@
   message: (detail) => `The backend server did not give a whole answer: ${detail}.`,
   hint: 'An idempotent request may be sent again.',
 };
+export const TimedOut: ErrorDefinition = {
+  name: 'TimedOut',
+  title: 'The request took too long.',
+  status: 504,
+  message: (detail) => `No answer came in the time of the route: ${detail}.`,
+  hint: 'The request may have run. Repeat it only if that does no harm.',
+};
+export const RequestBlocked: ErrorDefinition = {
+  name: 'RequestBlocked',
+  title: 'The request crashes backend servers.',
+  status: 503,
+  message: () => 'Backend servers died while they ran this request, so it is not run again.',
+  hint: 'Change the request, or report it to the operator.',
+};
+export const KeysUnconfirmed: ErrorDefinition = {
+  name: 'KeysUnconfirmed',
+  title: 'Keys cannot be checked now.',
+  status: 503,
+  message: () => 'This entry VM has not heard from the platform for too long to trust its keys.',
+  hint: 'Come back after the time in Retry-After.',
+};
 export const RequestSuspected: ErrorDefinition = {
   name: 'RequestSuspected',
   title: 'The request is held to crash backend servers.',
--- a/src/core/messages/index.ts
+++ b/src/core/messages/index.ts
@@ -1,6 +1,7 @@
 /** Frames between entry VMs: a length of four bytes, then CBOR. */
 import { Decoder, Encoder } from 'cbor-x';
 import { Result } from 'true-myth';
+import type { z } from 'zod';
 import * as errors from '../errors/index.js';
 import { type Frame, frameSchema } from './types.js';
 
@@ -12,19 +13,28 @@
 const encoder = new Encoder(options);
 const decoder = new Decoder(options);
 
-/** Encodes a frame with its length. A frame for many peers is encoded once. */
-export function encodeFrame(frame: Frame): Buffer {
-  const body = encoder.encode(frame);
+/** Encodes a value with its length. A frame for many peers is encoded once. */
+export function encodeBody(value: unknown): Buffer {
+  const body = encoder.encode(value);
   const out = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
   out.writeUInt32BE(body.length, 0);
   body.copy(out, LENGTH_BYTES);
   return out;
 }
 
+/** Encodes a frame with its length. */
+export function encodeFrame(frame: Frame): Buffer {
+  return encodeBody(frame);
+}
+
 /** Decodes the body of a frame and checks its shape. */
-export function decodeFrame(body: Uint8Array, peer: string): Result<Frame, errors.Failure> {
+export function decodeBody<T>(
+  schema: z.ZodType<T>,
+  body: Uint8Array,
+  peer: string,
+): Result<T, errors.Failure> {
   const fail = (detail: string) =>
-    Result.err<Frame, errors.Failure>(
+    Result.err<T, errors.Failure>(
       errors.createFailure(errors.data.BadFrame, 'decode frame', peer, detail),
     );
   let raw: unknown;
@@ -33,10 +43,15 @@
   } catch (err) {
     return fail(errors.describe(err));
   }
-  const parsed = frameSchema.safeParse(raw);
+  const parsed = schema.safeParse(raw);
   return parsed.success ? Result.ok(parsed.data) : fail('the frame has an unknown shape');
 }
 
+/** Decodes the body of a frame between peers. */
+export function decodeFrame(body: Uint8Array, peer: string): Result<Frame, errors.Failure> {
+  return decodeBody(frameSchema, body, peer);
+}
+
 /** Cuts a stream of bytes into the bodies of frames. */
 export class FrameSplitter {
   private buffered: Buffer = Buffer.alloc(0);
--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -53,6 +53,24 @@
       graceMs: z.int().min(0).default(120_000).describe('Longest wait for running requests, ms.'),
     })
     .prefault({}),
+  relay: z
+    .strictObject({
+      enabled: z
+        .boolean()
+        .default(false)
+        .describe('Whether requests are relayed on the users\' platform, by its own routes.'),
+      keyRevocationMs: z
+        .int()
+        .min(1000)
+        .default(5000)
+        .describe('Longest time that a withdrawn key may work, ms.'),
+      enginesCheckFences: z
+        .boolean()
+        .default(false)
+        .describe('Whether engines refuse orders with an old fencing number.'),
+    })
+    .prefault({})
+    .describe("Relaying on the users' platform."),
   log: z
     .strictObject({
       level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
--- /dev/null
+++ b/src/decisions/engine-orders/index.ts
@@ -0,0 +1,270 @@
+/**
+ * The orders of one engine, one at a time.
+ *
+ * An order without an answer may be carried out seconds later, as long as the engine's count of
+ * orders is the one that it names. It is sent again unchanged until an answer or the count shows
+ * that it can't run any more; until then its memory stays charged and nothing else is ordered.
+ */
+import type { HeldModel } from '../fleet-plan/index.js';
+import {
+  type Order,
+  OrderOutcome,
+  type OrderSizes,
+  type OrderStep,
+  OrderStepType,
+  type Sighting,
+} from './types.js';
+
+export * from './types.js';
+
+/** Pause before an order without an answer is sent again, ms. */
+const RESEND_MS = 100;
+/** Pause between questions whether an order has been carried out, ms. */
+const ASK_AGAIN_MS = 60;
+/** An unload that takes longer than this is looked at by a report, ms. */
+const LONGEST_STEP_MS = 20_000;
+
+const Phase = {
+  /** Not sent, or to be sent again. */
+  due: 'due',
+  /** On its way. */
+  sent: 'sent',
+  /** Accepted; it is asked for again until it holds. */
+  underWay: 'under-way',
+} as const;
+type Phase = (typeof Phase)[keyof typeof Phase];
+
+interface Current {
+  readonly step: OrderStep;
+  phase: Phase;
+  /** Count of orders that every copy of this order names. */
+  expected: number;
+  /** Whether a copy was sent that may still run. */
+  loose: boolean;
+  accepted: boolean;
+  readonly begunAtMs: number;
+  nextAtMs: number;
+}
+
+export class EngineOrders {
+  private models = new Map<string, Set<string>>();
+
+  private readonly steps: OrderStep[] = [];
+
+  private current: Current | null = null;
+
+  private count: number | null = null;
+
+  private bornMs = 0;
+
+  private needsReport = true;
+
+  constructor(private readonly sizes: OrderSizes) {}
+
+  /** Whether a step is under way or waits. */
+  get busy(): boolean {
+    return this.current !== null || this.steps.length > 0;
+  }
+
+  /** Whether the engine's own word is wanted before the next order. */
+  get wantsReport(): boolean {
+    return this.needsReport;
+  }
+
+  /** Models that hold, with their adapters. */
+  get held(): ReadonlyMap<string, ReadonlySet<string>> {
+    return this.models;
+  }
+
+  /** Models that are being loaded or wait for it. */
+  get loading(): readonly string[] {
+    return this.pendingSteps()
+      .filter(({ type, adapter }) => type === OrderStepType.load && adapter === null)
+      .map(({ model }) => model);
+  }
+
+  /** Adapters that are being loaded or wait for it, as MODEL/NAME. */
+  get loadingAdapters(): readonly string[] {
+    return this.pendingSteps()
+      .filter(({ type, adapter }) => type === OrderStepType.load && adapter !== null)
+      .map(({ model, adapter }) => `${model}/${adapter}`);
+  }
+
+  /** Models that are being unloaded or wait for it: nothing new is sent to them. */
+  get unloading(): readonly string[] {
+    return this.pendingSteps()
+      .filter(({ type, adapter }) => type === OrderStepType.unload && adapter === null)
+      .map(({ model }) => model);
+  }
+
+  /** Memory that is taken or may be, MB. */
+  get chargedMb(): number {
+    const held = [...this.models].reduce(
+      (sum, [model, adapters]) =>
+        sum + this.sizes.modelMb(model) + adapters.size * this.sizes.adapterMb(model),
+      0,
+    );
+    const coming = this.pendingSteps()
+      .filter(({ type }) => type === OrderStepType.load)
+      .reduce(
+        (sum, { model, adapter }) =>
+          sum + (adapter === null ? this.sizes.modelMb(model) : this.sizes.adapterMb(model)),
+        0,
+      );
+    return held + coming;
+  }
+
+  /** Adapter places that are taken or may be. */
+  get chargedAdapters(): number {
+    const held = [...this.models.values()].reduce((sum, adapters) => sum + adapters.size, 0);
+    return held + this.loadingAdapters.length;
+  }
+
+  /** Adds steps; the caller has checked that there will be room. */
+  add(steps: readonly OrderStep[]): void {
+    this.steps.push(...steps);
+  }
+
+  /** Takes in what the engine says; older words than those known change nothing. */
+  observe(sighting: Sighting): void {
+    const { bornMs, count } = sighting;
+    if (bornMs !== 0 && bornMs < this.bornMs) return;
+    if (bornMs > this.bornMs) this.restart(bornMs);
+    if (this.count !== null && count < this.count) return;
+    const moved = this.count !== null && count > this.count;
+    this.count = count;
+    if (this.current?.loose === true && moved && !this.current.accepted) this.resolve(sighting);
+    if (!this.busy) {
+      this.replaceHeld(sighting.models);
+      this.needsReport = false;
+    } else if (this.current === null || !this.current.loose) {
+      this.needsReport = false;
+    }
+  }
+
+  /** The order to send now; null while there is none. */
+  next(nowMs: number): Order | null {
+    if (this.current === null) this.begin(nowMs);
+    const { current } = this;
+    if (current === null || this.count === null) return null;
+    if (current.phase === Phase.sent || nowMs < current.nextAtMs) return null;
+    if (this.needsReport && !current.loose && !current.accepted) return null;
+    current.phase = Phase.sent;
+    if (!current.loose) current.expected = this.count;
+    current.loose = true;
+    const { type, model, adapter } = current.step;
+    return { type, model, adapter, expected: current.expected };
+  }
+
+  /** When `next` should be asked again; null while it waits for an answer or for new steps. */
+  nextAtMs(): number | null {
+    const { current } = this;
+    if (current === null) return this.steps.length > 0 ? 0 : null;
+    return current.phase === Phase.sent ? null : current.nextAtMs;
+  }
+
+  /** Takes in the answer to the order that `next` gave. */
+  answered(nowMs: number, outcome: OrderOutcome): void {
+    const { current } = this;
+    if (current === null || current.phase !== Phase.sent) return;
+    current.phase = current.accepted ? Phase.underWay : Phase.due;
+    current.nextAtMs = nowMs + ASK_AGAIN_MS;
+    switch (outcome) {
+      case OrderOutcome.accepted:
+        this.noteAccepted(nowMs, current);
+        break;
+      case OrderOutcome.done:
+        current.loose = false;
+        this.finish(current.step);
+        break;
+      case OrderOutcome.conflict:
+        // Not carried out by this copy: an earlier order runs, or the count has moved on.
+        if (!current.accepted) this.needsReport = true;
+        break;
+      case OrderOutcome.unknown:
+        current.nextAtMs = nowMs + RESEND_MS;
+        break;
+      default:
+        this.abandon();
+    }
+    if (nowMs - current.begunAtMs > LONGEST_STEP_MS) this.abandon();
+  }
+
+  private noteAccepted(nowMs: number, current: Current): void {
+    // Accepted again after it was under way: it had ended otherwise, and begins anew.
+    current.accepted = true;
+    current.phase = Phase.underWay;
+    current.loose = false;
+    this.count = Math.max(this.count ?? 0, current.expected + 1);
+    current.nextAtMs = nowMs + this.sizes.expectedMs(current.step);
+    if (current.step.type === OrderStepType.unload) this.dropHeld(current.step);
+  }
+
+  /** The count moved while an order was loose: it ran, or can't run any more. */
+  private resolve(sighting: Sighting): void {
+    const { current } = this;
+    if (current === null) return;
+    const { type, model, adapter } = current.step;
+    const seen = sighting.models.find(({ name }) => name === model);
+    const present = adapter === null ? seen !== undefined : seen?.adapters.includes(adapter) === true;
+    current.loose = false;
+    const isLoad = type === OrderStepType.load;
+    if (present === isLoad) {
+      this.finish(current.step);
+      return;
+    }
+    current.accepted = sighting.busy;
+    current.phase = sighting.busy ? Phase.underWay : Phase.due;
+  }
+
+  private begin(nowMs: number): void {
+    const step = this.steps.shift();
+    if (step === undefined) return;
+    this.current = {
+      step,
+      phase: Phase.due,
+      expected: 0,
+      loose: false,
+      accepted: false,
+      begunAtMs: nowMs,
+      nextAtMs: nowMs,
+    };
+  }
+
+  private finish(step: OrderStep): void {
+    this.current = null;
+    if (step.type === OrderStepType.unload) {
+      this.dropHeld(step);
+      return;
+    }
+    if (step.adapter === null) this.models.set(step.model, this.models.get(step.model) ?? new Set());
+    else this.models.get(step.model)?.add(step.adapter);
+  }
+
+  private dropHeld({ model, adapter }: OrderStep): void {
+    if (adapter === null) this.models.delete(model);
+    else this.models.get(model)?.delete(adapter);
+  }
+
+  /** Gives up what was planned; the engine's own word decides what it holds. */
+  private abandon(): void {
+    this.current = null;
+    this.steps.length = 0;
+    this.needsReport = true;
+  }
+
+  private restart(bornMs: number): void {
+    this.bornMs = bornMs;
+    this.count = null;
+    this.models = new Map();
+    this.abandon();
+  }
+
+  private replaceHeld(models: readonly HeldModel[]): void {
+    this.models = new Map(models.map(({ name, adapters }) => [name, new Set(adapters)]));
+  }
+
+  private pendingSteps(): readonly OrderStep[] {
+    return this.current === null ? this.steps : [this.current.step, ...this.steps];
+  }
+}
--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -20,6 +20,13 @@
 /** Others look at the lease this often, as a part of its duration. */
 const WATCH_EVERY = 1 / 2;
 
+/** Events that answer no call. */
+const NOT_ANSWERS: ReadonlySet<string> = new Set([
+  LeaseEventType.tick,
+  LeaseEventType.release,
+  LeaseEventType.holderGone,
+]);
+
 interface PendingWrite {
   readonly lease: Lease;
   readonly sentAtMs: number;
@@ -50,6 +57,9 @@
 
   private stopping = false;
 
+  /** Epoch whose holder's process has ended, so that its lease need not run out. */
+  private goneEpoch: number | null = null;
+
   constructor(private readonly cfg: LeaseSettings) {}
 
   /** Whether the lease is held at this very moment; asked again in the step that sends an order. */
@@ -67,9 +77,18 @@
     return this.seen?.holder ?? null;
   }
 
+  /** Where its peers reach the holder, as last seen. */
+  get holderAddress(): string | null {
+    return this.seen?.address ?? null;
+  }
+
+  /** Fencing number of the lease as last seen. */
+  get seenEpoch(): number {
+    return this.seen?.epoch ?? 0;
+  }
+
   handle(nowMs: number, event: LeaseEvent): readonly LeaseEffect[] {
-    const isAnswer = event.type !== LeaseEventType.tick && event.type !== LeaseEventType.release;
-    if (isAnswer) this.calling = false;
+    if (!NOT_ANSWERS.has(event.type)) this.calling = false;
     const lost = this.dropLapsed(nowMs);
     return [...lost, ...this.step(nowMs, event)];
   }
@@ -91,6 +110,10 @@
         return this.read(nowMs);
       case LeaseEventType.release:
         return this.release(nowMs);
+      case LeaseEventType.holderGone:
+        this.goneEpoch = event.epoch;
+        this.nextCallAtMs = Math.min(this.nextCallAtMs, nowMs);
+        return [];
       default:
         return [];
     }
@@ -111,8 +134,8 @@
 
   private write(nowMs: number, epoch: number): readonly LeaseEffect[] {
     const renewal = (this.seen?.renewal ?? 0) + 1;
-    const { self: holder, durationMs } = this.cfg;
-    const lease: Lease = { holder, epoch, durationMs, renewal };
+    const { self: holder, address, durationMs } = this.cfg;
+    const lease: Lease = { holder, address, epoch, durationMs, renewal };
     this.calling = true;
     this.pending = { lease, sentAtMs: nowMs };
     this.nextCallAtMs = nowMs + durationMs * RENEW_AFTER;
@@ -144,8 +167,9 @@
   private takeIfFree(nowMs: number, lease: Lease | null): readonly LeaseEffect[] {
     if (this.stopping) return [];
     if (lease === null || lease.holder === null) return this.write(nowMs, (lease?.epoch ?? 0) + 1);
+    const isOver = lease.holder === this.cfg.self || lease.epoch === this.goneEpoch;
     const freeAtMs = this.changedAtMs + lease.durationMs + this.cfg.marginMs;
-    if (nowMs < freeAtMs) {
+    if (nowMs < freeAtMs && !isOver) {
       this.nextCallAtMs = Math.min(this.nextCallAtMs, freeAtMs);
       return [];
     }
--- a/src/decisions/leases/types.ts
+++ b/src/decisions/leases/types.ts
@@ -4,6 +4,8 @@
 export const leaseSchema = z.object({
   /** Entry VM that holds the lease; null after a planned hand-over. */
   holder: z.string().nullable(),
+  /** Where its peers reach the holder. */
+  address: z.string().optional(),
   /** Fencing number; rises on each change of holder. */
   epoch: z.int(),
   durationMs: z.number(),
@@ -20,6 +22,7 @@
   conflict: 'conflict',
   writeUnknown: 'write-unknown',
   release: 'release',
+  holderGone: 'holder-gone',
 } as const;
 
 export type LeaseEvent =
@@ -34,7 +37,9 @@
   | { readonly type: typeof LeaseEventType.conflict }
   | { readonly type: typeof LeaseEventType.writeUnknown }
   /** Gives the lease up, for a planned stop. */
-  | { readonly type: typeof LeaseEventType.release };
+  | { readonly type: typeof LeaseEventType.release }
+  /** The holder's process has ended: its address refuses connections. */
+  | { readonly type: typeof LeaseEventType.holderGone; readonly epoch: number };
 
 export const LeaseEffectType = {
   read: 'read',
@@ -51,6 +56,8 @@
 
 export interface LeaseSettings {
   readonly self: string;
+  /** Where peers reach this entry VM. */
+  readonly address?: string;
   readonly durationMs: number;
   /** Wait beyond the duration before a takeover. */
   readonly marginMs: number;
--- /dev/null
+++ b/src/decisions/rate-shares/lender.ts
@@ -0,0 +1,177 @@
+/**
+ * Shares customers' rates out over the entry VMs.
+ *
+ * The parts that are out and the lender's own never sum to more than the whole. A part counts as
+ * out until its VM has confirmed a smaller one or until it has ended. A new lender does not know
+ * what its predecessor gave to VMs that do not report; it counts all of that as out until it ends.
+ */
+import { PartBucket } from './bucket.js';
+import {
+  type Fractions,
+  type RateLimit,
+  type RateLimits,
+  SHARE_TTL_MS,
+  type ShareReport,
+} from './types.js';
+
+/** Part of each rate that goes to the entry VMs; the lender keeps the rest for whoever runs dry. */
+const SHARED_OUT = 0.75;
+/** Part of what is shared out that goes equally to all, for demand that is not seen yet. */
+const EQUAL_PART = 0.25;
+/** A VM's part of the burst must cover a few requests to be worth having, units. */
+const MIN_PART_BURST = 6_000;
+/** A part is changed only by more than this. */
+const SMALLEST_CHANGE = 0.01;
+
+interface Sent {
+  readonly seq: number;
+  readonly fractions: Fractions;
+  readonly expiresAtMs: number;
+}
+
+interface VmShares {
+  /** As the VM confirmed it last. */
+  confirmed: Fractions;
+  confirmedExpiresAtMs: number;
+  unconfirmed: readonly Sent[];
+  demand: ReadonlyMap<string, number>;
+}
+
+/** New parts for one VM. */
+export interface GrantMessage {
+  readonly seq: number;
+  readonly fractions: Fractions;
+}
+
+export class RateLender {
+  private readonly vms = new Map<string, VmShares>();
+
+  private readonly buckets = new Map<string, PartBucket>();
+
+  private limits: RateLimits = new Map();
+
+  private lastSeq = 0;
+
+  /** @param unknownUntilMs Until when parts given by a predecessor may be out. */
+  constructor(
+    startMs: number,
+    private unknownUntilMs = startMs + SHARE_TTL_MS,
+  ) {}
+
+  setLimits(nowMs: number, limits: RateLimits): void {
+    this.limits = limits;
+    this.refreshBuckets(nowMs);
+  }
+
+  /** Every VM that may hold a part has reported, or holds none. */
+  allKnown(nowMs: number): void {
+    this.unknownUntilMs = Math.min(this.unknownUntilMs, nowMs);
+  }
+
+  /** Notes a report; `appliedSeq` is the last grant that the VM has taken in. */
+  noteReport(
+    nowMs: number,
+    vm: string,
+    appliedSeq: number,
+    reports: readonly ShareReport[],
+  ): void {
+    const shares = this.vms.get(vm);
+    const confirmed = new Map(reports.map(({ customer, fraction }) => [customer, fraction]));
+    const known = [...(shares?.unconfirmed ?? [])];
+    const applied = known.find(({ seq }) => seq === appliedSeq);
+    this.vms.set(vm, {
+      confirmed,
+      confirmedExpiresAtMs:
+        applied?.expiresAtMs ?? shares?.confirmedExpiresAtMs ?? nowMs + SHARE_TTL_MS,
+      unconfirmed: known.filter(({ seq }) => seq > appliedSeq),
+      demand: new Map(reports.map(({ customer, demandPerS }) => [customer, demandPerS])),
+    });
+    this.refreshBuckets(nowMs);
+  }
+
+  /** New parts for a VM that has just reported. */
+  grant(nowMs: number, vm: string): GrantMessage {
+    this.expire(nowMs);
+    const fractions = new Map(
+      [...this.limits].map(([customer, limit]) => [customer, this.nextPart(nowMs, vm, customer, limit)]),
+    );
+    this.lastSeq += 1;
+    const sent = { seq: this.lastSeq, fractions, expiresAtMs: nowMs + SHARE_TTL_MS };
+    const shares = this.vms.get(vm);
+    if (shares !== undefined) shares.unconfirmed = [...shares.unconfirmed, sent];
+    this.refreshBuckets(nowMs);
+    return { seq: sent.seq, fractions };
+  }
+
+  /** Lends all of `units` from the lender's own part, or nothing. */
+  lend(nowMs: number, customer: string, units: number): boolean {
+    this.refreshBuckets(nowMs);
+    return this.buckets.get(customer)?.take(nowMs, units) ?? false;
+  }
+
+  /** Milliseconds until the lender's own part covers `units`; Infinity where it never will. */
+  waitMs(nowMs: number, customer: string, units: number): number {
+    return this.buckets.get(customer)?.waitMs(nowMs, units) ?? Infinity;
+  }
+
+  /** Part of a customer's limit that is out, or may be. */
+  outstanding(nowMs: number, customer: string): number {
+    const known = [...this.vms.values()].reduce(
+      (sum, shares) => sum + this.outAt(nowMs, shares, customer),
+      0,
+    );
+    return nowMs < this.unknownUntilMs ? 1 : known;
+  }
+
+  private outAt(nowMs: number, shares: VmShares, customer: string): number {
+    const confirmed =
+      shares.confirmedExpiresAtMs > nowMs ? (shares.confirmed.get(customer) ?? 0) : 0;
+    return shares.unconfirmed
+      .filter(({ expiresAtMs }) => expiresAtMs > nowMs)
+      .reduce((most, { fractions }) => Math.max(most, fractions.get(customer) ?? 0), confirmed);
+  }
+
+  private nextPart(nowMs: number, vm: string, customer: string, limit: RateLimit): number {
+    const shares = this.vms.get(vm);
+    if (shares === undefined || limit.ratePerS === 0) return 0;
+    const held = shares.confirmedExpiresAtMs > nowMs ? (shares.confirmed.get(customer) ?? 0) : 0;
+    const wanted = this.wantedPart(vm, customer, limit);
+    if (wanted <= held || Math.abs(wanted - held) < SMALLEST_CHANGE) {
+      return Math.min(held, wanted < held - SMALLEST_CHANGE ? wanted : held);
+    }
+    const own = this.outAt(nowMs, shares, customer);
+    const free = 1 - this.outstanding(nowMs, customer);
+    return Math.max(Math.min(held, own), Math.min(wanted, own + Math.max(0, free)));
+  }
+
+  private wantedPart(vm: string, customer: string, limit: RateLimit): number {
+    const count = this.vms.size;
+    if ((limit.burst * SHARED_OUT) / count < MIN_PART_BURST) return 0;
+    const demands = [...this.vms.values()].map((shares) => shares.demand.get(customer) ?? 0);
+    const total = demands.reduce((sum, demand) => sum + demand, 0);
+    const own = this.vms.get(vm)?.demand.get(customer) ?? 0;
+    const byDemand = total === 0 ? 1 / count : own / total;
+    return SHARED_OUT * (EQUAL_PART / count + (1 - EQUAL_PART) * byDemand);
+  }
+
+  private refreshBuckets(nowMs: number): void {
+    this.expire(nowMs);
+    [...this.buckets.keys()]
+      .filter((customer) => !this.limits.has(customer))
+      .forEach((customer) => this.buckets.delete(customer));
+    this.limits.forEach((limit, customer) => {
+      const bucket = this.buckets.get(customer) ?? new PartBucket(limit, nowMs);
+      this.buckets.set(customer, bucket);
+      bucket.configure(nowMs, limit, Math.max(0, 1 - this.outstanding(nowMs, customer)));
+    });
+  }
+
+  private expire(nowMs: number): void {
+    this.vms.forEach((shares, vm) => {
+      shares.unconfirmed = shares.unconfirmed.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
+      if (shares.confirmedExpiresAtMs <= nowMs && shares.unconfirmed.length === 0) {
+        this.vms.delete(vm);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/decisions/swaps/index.ts
@@ -0,0 +1,249 @@
+/**
+ * Decides which models and adapters are loaded where.
+ *
+ * Answers the load of a fleet with more models than places: most are asked for rarely and evenly,
+ * one or two make up half of the demand, and which ones changes within seconds. A load from an
+ * engine's own disk or memory takes half a second, one from the weight store holds the engine's
+ * orders for many; so a model goes where a copy of it lies, and from the store only if none does.
+ */
+import { OrderStepType } from '../engine-orders/index.js';
+import type { ModelSpec } from '../fleet-plan/index.js';
+import type { EngineState, Place, SwapAction, SwapView, Want } from './types.js';
+
+export * from './types.js';
+
+/** A new arrival is kept this long, so that what was loaded is also used, ms. */
+const KEEP_NEW_MS = 1_500;
+/** A place that was used within this time counts as in use, ms. */
+const RECENT_MS = 300;
+/** Mean time until the runs of a place have ended, ms: an unload waits for them. */
+const RUN_END_MS = 1_000;
+/** Price of giving up a place, ms for each request a second that it serves. */
+const RATE_PRICE_MS = 1_500;
+/** Engines with adapters in use are spared: their adapter orders wait behind a load. */
+const ADAPTER_PRICE_MS = 300;
+/** Requests a second above which a model gets a second place, in case the first fails. */
+const SECOND_PLACE_RATE = 3;
+/** Part of an engine's slots in use at its places above which a model gets one more. */
+const FULL_PART = 0.6;
+/** Requests that wait for a model that is held before it gets one more place. */
+const WAITING_FOR_MORE = 6;
+
+interface Option {
+  readonly engine: EngineState;
+  readonly evict: readonly Place[];
+  readonly fromStore: boolean;
+  readonly priceMs: number;
+}
+
+function specOf(engine: EngineState, model: string): ModelSpec | undefined {
+  return engine.spec.models.get(model);
+}
+
+function loadMs(engine: EngineState, spec: ModelSpec): { ms: number; fromStore: boolean } {
+  if (engine.copies.inMemory.includes(spec.name)) return { ms: spec.memoryLoadMs, fromStore: false };
+  if (engine.copies.onDisk.includes(spec.name)) return { ms: spec.diskLoadMs, fromStore: false };
+  return { ms: spec.remoteLoadMs, fromStore: true };
+}
+
+function placeOf(engine: EngineState, model: string): Place | undefined {
+  return engine.places.find((place) => place.model === model);
+}
+
+export class SwapPlanner {
+  /** Actions for engines that take orders now; at most one each. */
+  plan(view: SwapView): readonly SwapAction[] {
+    const taken = new Set<string>();
+    let storeLoadsLeft = view.storeLoadsLeft;
+    const byPress = [...view.wants].sort(
+      (a, b) => a.dueAtMs - b.dueAtMs || b.waiting - a.waiting,
+    );
+    const steps: readonly ((want: Want) => SwapAction | null)[] = [
+      (want) => this.placeAdapter(view, want, taken),
+      (want) => this.placeModel(view, want, taken, storeLoadsLeft),
+    ];
+    return steps.flatMap((step) =>
+      byPress.flatMap((want) => {
+        const action = step(want);
+        if (action === null) return [];
+        taken.add(action.engineId);
+        if (action.fromStore) storeLoadsLeft -= 1;
+        return [action];
+      }),
+    );
+  }
+
+  /** An adapter goes to an engine that holds its model: a few milliseconds. */
+  private placeAdapter(
+    view: SwapView,
+    want: Want,
+    taken: ReadonlySet<string>,
+  ): SwapAction | null {
+    const { adapter, model } = want;
+    if (adapter === null) return null;
+    const name = `${model}/${adapter}`;
+    const engines = view.engines.filter((engine) => engine.service === want.service);
+    const coming = engines.some((engine) => engine.loadingAdapters.includes(name));
+    const present = engines.some(
+      (engine) => engine.sound && placeOf(engine, model)?.adapters.has(adapter) === true,
+    );
+    if (coming || present) return null;
+    const options = engines
+      .filter((engine) => engine.open && !taken.has(engine.id))
+      .flatMap((engine) => this.adapterOption(engine, model))
+      .sort((a, b) => a.priceMs - b.priceMs);
+    const best = options[0];
+    if (best === undefined) return null;
+    const load = { type: OrderStepType.load, model, adapter };
+    return {
+      engineId: best.engineId,
+      steps: [...best.evict, load],
+      fromStore: false,
+      reason: `adapter wanted by ${want.waiting}`,
+    };
+  }
+
+  private adapterOption(engine: EngineState, model: string) {
+    const place = placeOf(engine, model);
+    const spec = specOf(engine, model);
+    if (place === undefined || spec === undefined) return [];
+    const load = engine.places.reduce((sum, { running }) => sum + running, 0);
+    const hasPlace = engine.chargedAdapters < engine.spec.adapterSlots;
+    const hasRoom = engine.chargedMb + spec.adapterMb <= engine.spec.memoryMb;
+    if (hasPlace && hasRoom) return [{ engineId: engine.id, evict: [], priceMs: load }];
+    const idle = this.idleAdapter(engine);
+    if (idle === null) return [];
+    return [{ engineId: engine.id, evict: [idle.step], priceMs: load + idle.priceMs }];
+  }
+
+  /** The adapter that was unused for longest and that no request runs with. */
+  private idleAdapter(engine: EngineState) {
+    const idle = engine.places
+      .flatMap((place) =>
+        [...place.adapters]
+          .filter((adapter) => (place.runningAdapters.get(adapter) ?? 0) === 0)
+          .map((adapter) => ({
+            step: { type: OrderStepType.unload, model: place.model, adapter },
+            usedAtMs: place.adapterUsedAtMs.get(adapter) ?? 0,
+          })),
+      )
+      .sort((a, b) => a.usedAtMs - b.usedAtMs)[0];
+    return idle === undefined ? null : { step: idle.step, priceMs: 10 };
+  }
+
+  private placeModel(
+    view: SwapView,
+    want: Want,
+    taken: ReadonlySet<string>,
+    storeLoadsLeft: number,
+  ): SwapAction | null {
+    const { model } = want;
+    const engines = view.engines.filter((engine) => engine.service === want.service);
+    if (!this.wantsPlace(view, engines, want)) return null;
+    const held = engines.some((engine) => engine.sound && placeOf(engine, model) !== undefined);
+    const options = engines
+      .filter((engine) => engine.open && !taken.has(engine.id))
+      .filter((engine) => placeOf(engine, model) === undefined)
+      .flatMap((engine) => this.option(view, engine, model))
+      .sort((a, b) => a.priceMs - b.priceMs);
+    // The store is for what no engine has a copy of.
+    const copied = engines.some(
+      (engine) =>
+        engine.sound && [...engine.copies.inMemory, ...engine.copies.onDisk].includes(model),
+    );
+    const mayLoadFromStore = !copied && !held && storeLoadsLeft > 0;
+    const best = options.find(({ fromStore }) => !fromStore || mayLoadFromStore);
+    if (best === undefined) return null;
+    const unloads = best.evict.map((place) => ({
+      type: OrderStepType.unload,
+      model: place.model,
+      adapter: null,
+    }));
+    return {
+      engineId: best.engine.id,
+      steps: [...unloads, { type: OrderStepType.load, model, adapter: null }],
+      fromStore: best.fromStore,
+      reason: `model wanted by ${want.waiting}`,
+    };
+  }
+
+  /** Whether the model has too few places for what waits, runs and is asked for. */
+  private wantsPlace(view: SwapView, engines: readonly EngineState[], want: Want): boolean {
+    const { model } = want;
+    const coming = engines.filter((engine) => engine.loading.includes(model)).length;
+    const holders = engines.filter(
+      (engine) => engine.sound && placeOf(engine, model) !== undefined,
+    );
+    if (coming > 0) return false;
+    if (holders.length === 0) return want.waiting > 0;
+    if (holders.length >= engines.length / 2) return false;
+    if (want.adapter === null && want.waiting >= WAITING_FOR_MORE) return true;
+    const running = holders.reduce(
+      (sum, engine) => sum + (placeOf(engine, model)?.running ?? 0),
+      0,
+    );
+    const slots = holders.reduce((sum, { spec }) => sum + spec.slots, 0);
+    if (running > slots * FULL_PART) return true;
+    return holders.length < 2 && (view.rates.get(model) ?? 0) > SECOND_PLACE_RATE;
+  }
+
+  /** The cheapest way to make room for a model on an engine. */
+  private option(view: SwapView, engine: EngineState, model: string): readonly Option[] {
+    const spec = specOf(engine, model);
+    if (spec === undefined) return [];
+    const { ms, fromStore } = loadMs(engine, spec);
+    const missingMb = engine.chargedMb + spec.sizeMb - engine.spec.memoryMb;
+    const spared = engine.places.some(({ adapters }) => adapters.size > 0) ? ADAPTER_PRICE_MS : 0;
+    const holdsOrdersMs = fromStore ? ms : 0;
+    if (missingMb <= 0) return [{ engine, evict: [], fromStore, priceMs: ms + spared + holdsOrdersMs }];
+    const victims = engine.places
+      .filter((place) => view.nowMs - place.loadedAtMs >= KEEP_NEW_MS)
+      .map((place) => ({ place, priceMs: this.evictPrice(view, engine, place, model) }))
+      .sort((a, b) => a.priceMs - b.priceMs);
+    const chosen = this.enough(engine, victims, missingMb);
+    if (chosen === null) return [];
+    const evictMs = chosen.reduce((sum, { priceMs }) => sum + priceMs, 0);
+    return [
+      {
+        engine,
+        evict: chosen.map(({ place }) => place),
+        fromStore,
+        priceMs: ms + evictMs + spared + holdsOrdersMs,
+      },
+    ];
+  }
+
+  private enough(
+    engine: EngineState,
+    victims: readonly { place: Place; priceMs: number }[],
+    missingMb: number,
+  ) {
+    const sizeOf = (place: Place) => {
+      const spec = specOf(engine, place.model);
+      return (spec?.sizeMb ?? 0) + place.adapters.size * (spec?.adapterMb ?? 0);
+    };
+    const alone = victims.find(({ place }) => sizeOf(place) >= missingMb);
+    if (alone !== undefined) return [alone];
+    let freed = 0;
+    const chosen = victims.filter(({ place }) => {
+      if (freed >= missingMb) return false;
+      freed += sizeOf(place);
+      return true;
+    });
+    return freed >= missingMb ? chosen : null;
+  }
+
+  /** What giving up a place costs: runs to wait for, and callers who will miss it. */
+  private evictPrice(view: SwapView, engine: EngineState, place: Place, wanted: string): number {
+    const rate = view.rates.get(place.model) ?? 0;
+    const others = view.engines.filter(
+      (other) => other.id !== engine.id && other.sound && placeOf(other, place.model) !== undefined,
+    ).length;
+    const wantedRate = view.rates.get(wanted) ?? 0;
+    const missed = Math.max(0, rate / (1 + others * 2) - wantedRate / 4) * RATE_PRICE_MS;
+    const waited = place.running > 0 ? RUN_END_MS + place.running * 20 : 0;
+    const recent = view.nowMs - place.usedAtMs < RECENT_MS ? RECENT_MS : 0;
+    const stillWanted = view.wants.some(({ model }) => model === place.model) ? 10_000 : 0;
+    return missed + waited + recent + stillWanted;
+  }
+}
--- a/src/entry/gateway/reply.ts
+++ b/src/entry/gateway/reply.ts
@@ -20,7 +20,8 @@
   };
 }
 
-function errorBody({ failure, ran, retryAfterMs }: Refusal): object {
+/** The body of an answer that tells of a failure. */
+export function errorBody({ failure, ran, retryAfterMs }: Refusal): object {
   const { name, title, message, hint, step, peer } = failure;
   return { error: { type: name, title, message, hint, step, peer, ran, retryAfterMs } };
 }
--- /dev/null
+++ b/src/entry/relay/admission.ts
@@ -0,0 +1,127 @@
+/** Admits requests inside their customers' rates: from the parts held here, or by asking. */
+import * as clocks from '../../core/clock/index.js';
+import type { Customer } from '../../decisions/fleet-plan/index.js';
+import { SHARE_TTL_MS, ShareHolder } from '../../decisions/rate-shares/index.js';
+import type { RelayMessageOf } from './messages.js';
+import type { RequestFacts } from './types.js';
+
+/** Longest wait for the lender's answer, ms: a few round trips between data centres. */
+const ASK_TIMEOUT_MS = 60;
+/** Callers over their rate return this late at the earliest and at the latest, ms. */
+const SOONEST_RETURN_MS = 250;
+const LATEST_RETURN_MS = 5_000;
+/** Shortest time between two asks for a customer whose rate is spent, ms. */
+const ASK_PAUSE_MS = 50;
+
+export interface Admitted {
+  readonly admitted: boolean;
+  readonly retryAfterMs: number;
+}
+
+type Lent = RelayMessageOf<'lent'>;
+
+export interface AdmissionOptions {
+  readonly clock: clocks.Clock;
+  /** Sends an ask to the steward; false where none is heard. */
+  ask(message: Omit<RelayMessageOf<'ask'>, 'type'>): boolean;
+}
+
+const YES: Admitted = { admitted: true, retryAfterMs: 0 };
+
+export class Admission {
+  readonly holder = new ShareHolder();
+
+  private readonly asks = new Map<number, (lent: Lent | null) => void>();
+
+  private readonly pausedUntilMs = new Map<string, number>();
+
+  private lastAskId = 0;
+
+  private appliedSeq = 0;
+
+  constructor(private readonly opts: AdmissionOptions) {}
+
+  /** Last grant of the present steward that was taken in. */
+  get lastSeq(): number {
+    return this.appliedSeq;
+  }
+
+  setCustomers(customers: ReadonlyMap<string, Customer>): void {
+    this.holder.setLimits(this.opts.clock.nowMs(), customers);
+  }
+
+  /** A new steward counts its grants anew. */
+  resetSeq(): void {
+    this.appliedSeq = 0;
+  }
+
+  takeGrant(grant: RelayMessageOf<'grant'>): void {
+    this.appliedSeq = grant.seq;
+    const fractions = new Map(Object.entries(grant.fractions));
+    // Counted from when the report was sent, so that the part ends here first.
+    const expiresAtMs = grant.reportSentAtMs + SHARE_TTL_MS;
+    this.holder.grant(this.opts.clock.nowMs(), fractions, expiresAtMs);
+  }
+
+  takeLent(lent: Lent): void {
+    this.asks.get(lent.askId)?.(lent);
+  }
+
+  /** Units that a request counts for. */
+  static unitsOf(customer: Customer, facts: RequestFacts): number {
+    if (!customer.countsTokens) return 1;
+    return facts.tokens === null ? customer.plainUnits : facts.tokens.prompt + facts.tokens.output;
+  }
+
+  /** Admits a request, waiting up to `patienceMs` for its customer's rate to allow it. */
+  async admit(customer: Customer, units: number, patienceMs: number): Promise<Admitted> {
+    if (customer.ratePerS === 0) return YES;
+    this.holder.noteDemand(this.opts.clock.nowMs(), customer.name, units);
+    const first = await this.tryOnce(customer.name, units);
+    if (first.admitted || first.retryAfterMs > patienceMs) return first;
+    await clocks.sleep(first.retryAfterMs);
+    return this.tryOnce(customer.name, units);
+  }
+
+  /** Puts back what a request took that did not run. */
+  refund(customer: string, units: number): void {
+    this.holder.refund(this.opts.clock.nowMs(), customer, units);
+  }
+
+  private async tryOnce(customer: string, units: number): Promise<Admitted> {
+    const { clock } = this.opts;
+    if (this.holder.take(clock.nowMs(), customer, units)) return YES;
+    const localWaitMs = this.holder.waitMs(clock.nowMs(), customer, units);
+    const pausedMs = (this.pausedUntilMs.get(customer) ?? 0) - clock.nowMs();
+    if (pausedMs > 0) return this.refusal(Math.min(localWaitMs, pausedMs));
+    const lent = await this.ask(customer, units);
+    const nowMs = clock.nowMs();
+    if (lent !== null && lent.units > 0) this.holder.addLoan(nowMs, customer, lent.units);
+    if (this.holder.take(nowMs, customer, units)) return YES;
+    const waitMs = Math.min(localWaitMs, lent?.waitMs ?? Infinity);
+    if (lent !== null) this.pausedUntilMs.set(customer, nowMs + Math.min(waitMs, ASK_PAUSE_MS));
+    return this.refusal(waitMs);
+  }
+
+  private refusal(waitMs: number): Admitted {
+    const bounded = Math.min(LATEST_RETURN_MS, Math.max(SOONEST_RETURN_MS, waitMs));
+    return { admitted: false, retryAfterMs: waitMs < SOONEST_RETURN_MS ? waitMs : bounded };
+  }
+
+  private ask(customer: string, units: number): Promise<Lent | null> {
+    this.lastAskId += 1;
+    const askId = this.lastAskId;
+    if (!this.opts.ask({ askId, customer, units })) return Promise.resolve(null);
+    return new Promise((resolve) => {
+      const settle = (lent: Lent | null) => {
+        this.asks.delete(askId);
+        resolve(lent);
+      };
+      const timer = setTimeout(() => settle(null), ASK_TIMEOUT_MS);
+      this.asks.set(askId, (lent) => {
+        clearTimeout(timer);
+        settle(lent);
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/entry/relay/attempt.ts
@@ -0,0 +1,189 @@
+/** One sending of a request to a backend server, and what came of it. */
+import * as http from 'node:http';
+import type { PlatformWire } from './types.js';
+import type { Run } from './fleet-view.js';
+
+/** A new connection is given up after this long, ms. */
+const CONNECT_TIMEOUT_MS = 700;
+
+export const AttemptEnd = {
+  /** A complete answer is there. */
+  answered: 'answered',
+  /** The event stream ended as it should. */
+  streamed: 'streamed',
+  /** The server stated that it did not run the request, or never got it. */
+  notRun: 'not-run',
+  /** No answer that counts; the request may have run. */
+  broken: 'broken',
+} as const;
+
+export interface Answer {
+  readonly status: number;
+  readonly statusText: string;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+}
+
+export type AttemptResult =
+  | { readonly type: typeof AttemptEnd.answered; readonly answer: Answer }
+  | { readonly type: typeof AttemptEnd.streamed }
+  | {
+      readonly type: typeof AttemptEnd.notRun;
+      readonly reason: string;
+      /** Whether the server answered at all. */
+      readonly reached: boolean;
+      readonly status: number | null;
+    }
+  | { readonly type: typeof AttemptEnd.broken; readonly reason: string };
+
+export interface AttemptRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly url: string;
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly agent: http.Agent;
+  readonly run: Run;
+  readonly signal: AbortSignal;
+}
+
+/** Takes the parts of an event stream as they come. */
+export interface StreamSink {
+  /** The head of a successful stream; false to take the answer whole instead. */
+  begin(res: http.IncomingMessage): boolean;
+  /** Bytes of the stream; false where they can't follow what was sent before. */
+  write(bytes: Buffer): boolean;
+  /** Whether the stream may end here. */
+  isWhole(): boolean;
+}
+
+function isEventStream(res: http.IncomingMessage): boolean {
+  return (res.headers['content-type'] ?? '').startsWith('text/event-stream');
+}
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
+/** Why an answer is not one to this request; null where it is. */
+function faultOf(wire: PlatformWire, id: string, res: http.IncomingMessage): string | null {
+  const facts = wire.decodeAnswer(res.rawHeaders);
+  const status = res.statusCode ?? 0;
+  if (facts.id !== null && facts.id !== id) return 'the answer belongs to another request';
+  if (!isSuccess(status)) return null;
+  if (facts.id === null) return 'the answer names no request';
+  if (!facts.sealed) return 'the answer is not signed';
+  return facts.encoded ? 'the answer is encoded' : null;
+}
+
+/** Sends the request; resolves with what came of it and never rejects. */
+export function send(
+  wire: PlatformWire,
+  opts: AttemptRequest,
+  sink: StreamSink | null,
+): Promise<AttemptResult> {
+  return new Promise((resolve) => {
+    const { run, signal } = opts;
+    const [host, port] = run.server.address.split(':');
+    let sent = false;
+    let connectTimer: NodeJS.Timeout | null = null;
+    const req = http.request({
+      host,
+      port: Number(port),
+      method: opts.method,
+      path: opts.url,
+      headers: opts.headers as string[],
+      agent: opts.agent,
+    });
+    const abort = () => req.destroy(new Error('given up'));
+    const settle = (result: AttemptResult) => {
+      if (connectTimer !== null) clearTimeout(connectTimer);
+      signal.removeEventListener('abort', abort);
+      resolve(result);
+    };
+    const condemn = (reason: string) => {
+      req.destroy();
+      settle({ type: AttemptEnd.broken, reason });
+    };
+    signal.addEventListener('abort', abort, { once: true });
+    if (signal.aborted) abort();
+
+    req.on('socket', (socket) => {
+      if (!socket.connecting) {
+        sent = true;
+        return;
+      }
+      connectTimer = setTimeout(() => {
+        if (!sent) req.destroy(new Error('connecting took too long'));
+      }, CONNECT_TIMEOUT_MS);
+      socket.once('connect', () => {
+        sent = true;
+        if (connectTimer !== null) clearTimeout(connectTimer);
+      });
+    });
+    req.on('error', (err) => {
+      if (sent) settle({ type: AttemptEnd.broken, reason: err.message });
+      else settle({ type: AttemptEnd.notRun, reason: err.message, reached: false, status: null });
+    });
+    req.on('response', (res) => {
+      const hint = res.headers['keep-alive'];
+      if (typeof hint === 'string') Object.assign(res.socket, { keepAliveHint: hint });
+      const fault = faultOf(wire, opts.id, res);
+      if (fault !== null) {
+        condemn(fault);
+        return;
+      }
+      const streams =
+        sink !== null && res.statusCode === 200 && isEventStream(res) && sink.begin(res);
+      if (streams) relayStream(res, sink, condemn, settle);
+      else collect(wire, res, settle);
+    });
+    req.end(opts.body);
+  });
+}
+
+function relayStream(
+  res: http.IncomingMessage,
+  sink: StreamSink,
+  condemn: (reason: string) => void,
+  settle: (result: AttemptResult) => void,
+): void {
+  res.on('data', (bytes: Buffer) => {
+    if (!sink.write(bytes)) condemn('the stream does not follow on');
+  });
+  res.on('end', () => {
+    if (res.complete && sink.isWhole()) settle({ type: AttemptEnd.streamed });
+    else condemn('the stream ended early');
+  });
+  res.on('error', (err) => settle({ type: AttemptEnd.broken, reason: err.message }));
+  res.on('close', () => settle({ type: AttemptEnd.broken, reason: 'the stream was cut' }));
+}
+
+function collect(
+  wire: PlatformWire,
+  res: http.IncomingMessage,
+  settle: (result: AttemptResult) => void,
+): void {
+  const parts: Buffer[] = [];
+  const status = res.statusCode ?? 0;
+  res.on('data', (bytes: Buffer) => parts.push(bytes));
+  res.on('error', (err) => settle({ type: AttemptEnd.broken, reason: err.message }));
+  res.on('close', () => settle({ type: AttemptEnd.broken, reason: 'the answer was cut' }));
+  res.on('end', () => {
+    if (!res.complete) {
+      settle({ type: AttemptEnd.broken, reason: 'the answer is not complete' });
+    } else if (wire.decodeAnswer(res.rawHeaders).notRun) {
+      settle({ type: AttemptEnd.notRun, reason: `refused with ${status}`, reached: true, status });
+    } else {
+      settle({
+        type: AttemptEnd.answered,
+        answer: {
+          status,
+          statusText: res.statusMessage ?? '',
+          rawHeaders: res.rawHeaders,
+          body: Buffer.concat(parts),
+        },
+      });
+    }
+  });
+}
--- /dev/null
+++ b/src/entry/relay/dispatch.ts
@@ -0,0 +1,123 @@
+/** Lets requests wait for a backend server, and refuses them when none will be there in time. */
+import type { Clock } from '../../core/clock/index.js';
+import type { Random } from '../../core/random/index.js';
+import { choose } from '../../decisions/engine-choice/index.js';
+import type { BackendServer } from '../../decisions/fleet-plan/index.js';
+import {
+  byUrgency,
+  giveUpAtMs,
+  retryAfterMs,
+  type Waiter,
+} from '../../decisions/wait-list/index.js';
+import type { FleetView, Run } from './fleet-view.js';
+import type { FollowerTask } from './follower.js';
+import type { RelayMessageOf } from './messages.js';
+
+export type Placement =
+  | { readonly run: Run; readonly retryAfterMs: null }
+  | { readonly run: null; readonly retryAfterMs: number };
+
+interface Waiting {
+  readonly waiter: Waiter;
+  readonly tried: ReadonlySet<string>;
+  settle(placement: Placement): void;
+}
+
+/** Waiting requests are looked at again this often, ms. */
+const TICK_MS = 25;
+
+export interface DispatchOptions {
+  readonly dataCentre: string;
+  readonly follower: FollowerTask;
+  readonly view: FleetView;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Called when something new waits. */
+  onWait(): void;
+}
+
+export class Dispatcher {
+  private readonly waiting = new Map<string, Waiting>();
+
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(private readonly opts: DispatchOptions) {}
+
+  start(): void {
+    this.timer = setInterval(() => this.pump(), TICK_MS);
+  }
+
+  stop(): void {
+    if (this.timer !== null) clearInterval(this.timer);
+  }
+
+  /** Resolves with a server to send the request to, or with a refusal. */
+  place(waiter: Waiter, tried: ReadonlySet<string>): Promise<Placement> {
+    const run = this.tryPlace(waiter, tried);
+    if (run !== null) return Promise.resolve({ run, retryAfterMs: null });
+    return new Promise((resolve) => {
+      this.waiting.set(waiter.id, { waiter, tried, settle: resolve });
+      this.opts.onWait();
+    });
+  }
+
+  /** Forgets a request whose caller is gone. */
+  cancel(id: string): void {
+    this.waiting.delete(id);
+  }
+
+  /** Serves whoever can be served now, the most urgent first. */
+  pump(): void {
+    if (this.waiting.size === 0) return;
+    const nowMs = this.opts.clock.nowMs();
+    const inOrder = [...this.waiting.values()].sort((a, b) => byUrgency(a.waiter, b.waiter));
+    inOrder.forEach((entry) => this.advance(nowMs, entry));
+  }
+
+  /** What waits, by what it needs. */
+  waits(): RelayMessageOf<'report'>['waits'] {
+    const nowMs = this.opts.clock.nowMs();
+    const groups = new Map<string, RelayMessageOf<'report'>['waits'][number]>();
+    this.waiting.forEach(({ waiter }) => {
+      const { service, model, adapter } = waiter;
+      if (model === null) return;
+      const key = JSON.stringify([service, model, adapter]);
+      const before = groups.get(key);
+      const dueInMs = waiter.objectiveAtMs - nowMs;
+      groups.set(key, {
+        service,
+        model,
+        adapter,
+        waiting: (before?.waiting ?? 0) + 1,
+        dueInMs: Math.min(before?.dueInMs ?? Infinity, dueInMs),
+      });
+    });
+    return [...groups.values()];
+  }
+
+  private advance(nowMs: number, { waiter, tried, settle }: Waiting): void {
+    const run = this.tryPlace(waiter, tried);
+    if (run !== null) {
+      this.waiting.delete(waiter.id);
+      settle({ run, retryAfterMs: null });
+      return;
+    }
+    const readyAtMs = this.opts.view.readyAtMs(waiter);
+    if (nowMs < giveUpAtMs(waiter, readyAtMs)) return;
+    this.waiting.delete(waiter.id);
+    settle({ run: null, retryAfterMs: retryAfterMs(nowMs, readyAtMs) });
+  }
+
+  private tryPlace(waiter: Waiter, tried: ReadonlySet<string>): Run | null {
+    const { dataCentre, follower, random, view } = this.opts;
+    const candidates = view.candidates(waiter);
+    const chosen = choose(candidates, { dataCentre, tried, random });
+    const server: BackendServer | undefined =
+      chosen === null ? undefined : follower.backends.get(chosen.id);
+    if (server === undefined) return null;
+    const { service, model, adapter } = waiter;
+    const run = { server, service, model, adapter };
+    view.started(run);
+    return run;
+  }
+}
--- /dev/null
+++ b/src/entry/relay/exchange.ts
@@ -0,0 +1,393 @@
+/** The way of one caller's request: admitted, placed, sent, sent again where it may be, answered. */
+import type * as http from 'node:http';
+import * as errors from '../../core/errors/index.js';
+import type { Customer, FleetPlan, Route } from '../../decisions/fleet-plan/index.js';
+import { RepeatRule } from '../../decisions/fleet-plan/index.js';
+import { fingerprintOf } from '../../decisions/suspects/index.js';
+import type { Waiter } from '../../decisions/wait-list/index.js';
+import { Admission } from './admission.js';
+import { type Answer, AttemptEnd, type AttemptResult, send, type StreamSink } from './attempt.js';
+import type { RelayContext } from './context.js';
+import { EventCutter } from './event-stream.js';
+import type { Run } from './fleet-view.js';
+import type { RequestFacts } from './types.js';
+
+/** Sendings that a server may turn down before the request is refused. */
+const MOST_NOT_RUN = 4;
+/** Part of the objective that a request may wait for its customer's rate. */
+const RATE_WAIT_PART = 0.4;
+/** Urgencies that a server knows, 0 to 9. */
+const LEAST_URGENT = 9;
+/** Time to the first byte that is expected of a request beyond its prompt's, ms. */
+const BASE_FIRST_BYTE_MS = 20;
+
+/** What is known once a request was read and found proper. */
+export interface ReadRequest {
+  readonly req: http.IncomingMessage;
+  readonly res: http.ServerResponse;
+  readonly facts: RequestFacts;
+  readonly plan: FleetPlan;
+  readonly route: Route;
+  readonly service: string;
+  readonly customer: Customer | null;
+  readonly body: Buffer;
+  readonly arrivedAtMs: number;
+}
+
+export class Exchange implements StreamSink {
+  private readonly aborter = new AbortController();
+
+  private readonly cutter: EventCutter;
+
+  private readonly fingerprint: string;
+
+  private readonly deadlineAtMs: number;
+
+  private readonly tried = new Set<string>();
+
+  private notRuns = 0;
+
+  private ranOnce = false;
+
+  private streaming = false;
+
+  private ended = false;
+
+  private units = 0;
+
+  private current: { readonly run: Run; readonly sentAtMs: number } | null = null;
+
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(
+    private readonly ctx: RelayContext,
+    private readonly request: ReadRequest,
+  ) {
+    const { facts, route, arrivedAtMs, req, body, customer } = request;
+    this.cutter = new EventCutter(facts.lastEventId);
+    this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, facts.deadlineMs ?? Infinity);
+    this.fingerprint = fingerprintOf(`${customer?.name ?? ''} ${req.url}`, body.toString('latin1'));
+  }
+
+  /** Serves the request to its end; never rejects for what callers or servers do. */
+  async serve(): Promise<void> {
+    const { res } = this.request;
+    res.on('close', () => this.noteClosed());
+    const leftMs = this.deadlineAtMs - this.ctx.clock.nowMs();
+    this.timer = setTimeout(() => this.noteTimeout(), Math.max(0, leftMs));
+    try {
+      if (this.ctx.suspects.isBlocked(this.ctx.clock.nowMs(), this.fingerprint)) {
+        this.refuse(errors.data.RequestBlocked, null);
+        return;
+      }
+      if (!(await this.admit())) return;
+      await this.run();
+    } finally {
+      clearTimeout(this.timer);
+    }
+  }
+
+  begin(res: http.IncomingMessage): boolean {
+    this.noteFirstByte();
+    if (this.ended) return true;
+    if (this.streaming) {
+      this.cutter.restart();
+      return true;
+    }
+    this.streaming = true;
+    this.writeHead(res.statusCode ?? 200, res.statusMessage ?? '', res.rawHeaders);
+    this.request.res.flushHeaders();
+    return true;
+  }
+
+  write(bytes: Buffer): boolean {
+    const step = this.cutter.push(bytes);
+    if (!step.inOrder) return false;
+    if (step.bytes.length > 0 && !this.ended) this.request.res.write(step.bytes);
+    return true;
+  }
+
+  isWhole(): boolean {
+    return !this.cutter.hasRest;
+  }
+
+  private async admit(): Promise<boolean> {
+    const { customer, facts, route } = this.request;
+    if (customer === null) return true;
+    this.units = Admission.unitsOf(customer, facts);
+    const patienceMs = route.objectiveMs * RATE_WAIT_PART;
+    const { admitted, retryAfterMs } = await this.ctx.admission.admit(
+      customer,
+      this.units,
+      patienceMs,
+    );
+    if (this.ended) {
+      if (admitted) this.refund();
+      return false;
+    }
+    if (!admitted) this.refuse(errors.data.RateExceeded, retryAfterMs);
+    return admitted;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.ended) {
+      const placement = await this.ctx.dispatcher.place(this.waiter(), this.tried);
+      if (placement.run === null) {
+        if (!this.ended) this.giveUp(placement.retryAfterMs);
+        return;
+      }
+      const result = await this.attempt(placement.run);
+      if (!this.takeResult(placement.run, result)) return;
+    }
+    if (!this.ranOnce) this.refund();
+  }
+
+  private waiter(): Waiter {
+    const { facts, route, service, customer, arrivedAtMs } = this.request;
+    return {
+      id: `${facts.id} ${arrivedAtMs}`,
+      service,
+      model: facts.model,
+      adapter: facts.adapter,
+      priority: customer?.priority ?? route.priority,
+      arrivedAtMs,
+      objectiveAtMs: arrivedAtMs + route.objectiveMs,
+      deadlineAtMs: this.deadlineAtMs,
+    };
+  }
+
+  private async attempt(run: Run): Promise<AttemptResult> {
+    const { req, facts, customer, route, body } = this.request;
+    const nowMs = this.ctx.clock.nowMs();
+    if (!this.ctx.mayRun(customer)) {
+      this.ctx.view.ended(run);
+      return { type: AttemptEnd.notRun, reason: 'the key is not confirmed', reached: false, status: null };
+    }
+    this.current = { run, sentAtMs: nowMs };
+    const resumeAfter =
+      this.streaming && this.cutter.lastId !== null ? String(this.cutter.lastId) : null;
+    const result = await send(
+      this.ctx.wire,
+      {
+        id: facts.id,
+        method: req.method ?? 'GET',
+        url: req.url ?? '/',
+        headers: this.ctx.wire.encodeRequest(req.rawHeaders, {
+          backendId: run.server.id,
+          customer: customer?.name ?? null,
+          deadlineMs: facts.deadlineMs === null ? null : Math.max(1, this.deadlineAtMs - nowMs),
+          urgency: Math.min(LEAST_URGENT, customer?.priority ?? route.priority),
+          resumeAfter,
+          bodyBytes: body.length,
+          hasBody: body.length > 0 || req.method === 'POST' || req.method === 'PUT',
+        }),
+        body,
+        agent: this.ctx.connections.agentFor(run.server, route.repeat !== RepeatRule.once),
+        run,
+        signal: this.aborter.signal,
+      },
+      route.repeat === RepeatRule.stream ? this : null,
+    );
+    this.current = null;
+    this.ctx.view.ended(run);
+    this.ctx.dispatcher.pump();
+    return result;
+  }
+
+  /** Acts on what came of a sending; true if the request is placed again. */
+  private takeResult(run: Run, result: AttemptResult): boolean {
+    const nowMs = this.ctx.clock.nowMs();
+    switch (result.type) {
+      case AttemptEnd.streamed:
+        this.ranOnce = true;
+        this.finishStream();
+        return false;
+      case AttemptEnd.answered:
+        this.ranOnce = true;
+        return this.takeAnswer(nowMs, run, result.answer);
+      case AttemptEnd.notRun:
+        return this.takeNotRun(nowMs, run, result.reached, result.status, result.reason);
+      default:
+        this.ranOnce = true;
+        return this.takeBroken(nowMs, run, result.reason);
+    }
+  }
+
+  private takeAnswer(nowMs: number, run: Run, answer: Answer): boolean {
+    const failed = answer.status >= 500;
+    if (!failed) this.ctx.view.health.noteAnswer(nowMs, run.server.id, 1);
+    if (this.ended) return false;
+    if (failed && !this.streaming) {
+      this.ctx.view.health.noteFailure(nowMs, run.server.id, 0.25);
+      if (this.mayRepeat(nowMs, run)) return true;
+    }
+    if (this.streaming) {
+      this.cut('resuming was answered with a failure');
+      return false;
+    }
+    this.deliver(answer);
+    return false;
+  }
+
+  private takeNotRun(
+    nowMs: number,
+    run: Run,
+    reached: boolean,
+    status: number | null,
+    reason: string,
+  ): boolean {
+    this.ctx.log('not-run', this.request.facts.id, { server: run.server.id, reason });
+    if (reached) this.ctx.view.noteMissing(run);
+    else this.ctx.view.health.noteFailure(nowMs, run.server.id);
+    if (this.ended) return false;
+    this.notRuns += 1;
+    if (status !== 421 && run.model === null) this.tried.add(run.server.id);
+    const again = this.notRuns < MOST_NOT_RUN && (!reached || this.ctx.retries.spend(nowMs));
+    if (!again) this.giveUp(null);
+    return again;
+  }
+
+  private takeBroken(nowMs: number, run: Run, reason: string): boolean {
+    this.ctx.log('broken', this.request.facts.id, { server: run.server.id, reason });
+    if (this.ended) return false;
+    this.ctx.view.health.noteFailure(nowMs, run.server.id);
+    this.ctx.noteBreak(this.fingerprint, run);
+    if (this.mayRepeat(nowMs, run)) return true;
+    if (this.streaming) this.cut(reason);
+    else this.fail(errors.data.BackendFailed, reason);
+    return false;
+  }
+
+  /** Whether the request may be sent to another server although it may have run. */
+  private mayRepeat(nowMs: number, run: Run): boolean {
+    const { route } = this.request;
+    this.tried.add(run.server.id);
+    const repeatable =
+      route.repeat === RepeatRule.idempotent ||
+      (route.repeat === RepeatRule.stream && route.resumable);
+    return (
+      repeatable &&
+      this.tried.size < route.attempts &&
+      nowMs < this.deadlineAtMs &&
+      !this.ctx.suspects.isBlocked(nowMs, this.fingerprint) &&
+      this.ctx.retries.spend(nowMs)
+    );
+  }
+
+  private deliver(answer: Answer): void {
+    this.ended = true;
+    this.writeHead(answer.status, answer.statusText, answer.rawHeaders, answer.body.length);
+    this.request.res.end(answer.body);
+    this.finish(answer.status);
+  }
+
+  private finishStream(): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.request.res.end();
+    this.finish(200);
+  }
+
+  /** Ends a stream that can't go on, so that it does not look complete. */
+  private cut(reason: string): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.ctx.log('cut', this.request.facts.id, { reason });
+    this.request.res.destroy();
+  }
+
+  /** No server was there in time. */
+  private giveUp(retryAfterMs: number | null): void {
+    if (this.streaming) {
+      this.cut('no server to go on at');
+    } else if (this.ranOnce) {
+      this.fail(errors.data.BackendFailed, 'no server to try again at');
+    } else {
+      this.refuse(errors.data.NoCapacity, retryAfterMs ?? this.ctx.usualReturnMs);
+    }
+  }
+
+  /** Refuses a request that has not run and never will. */
+  private refuse(def: errors.ErrorDefinition, retryAfterMs: number | null): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.refund();
+    const failure = errors.createFailure(def, 'relay', this.request.route.name);
+    this.ctx.log('refused', this.request.facts.id, {
+      reason: def.name,
+      retryAfterMs,
+      model: this.request.facts.model,
+      adapter: this.request.facts.adapter,
+      waitedMs: this.ctx.clock.nowMs() - this.request.arrivedAtMs,
+    });
+    this.ctx.replyOwn(this.request.res, this.request.facts.id, failure, retryAfterMs);
+    this.finish(failure.status);
+  }
+
+  private fail(def: errors.ErrorDefinition, reason: string): void {
+    if (this.ended) return;
+    this.ended = true;
+    const failure = errors.createFailure(def, 'relay', this.request.route.name, reason);
+    this.ctx.log('failed', this.request.facts.id, { reason });
+    this.ctx.replyOwn(this.request.res, this.request.facts.id, failure, null);
+    this.finish(failure.status);
+  }
+
+  private refund(): void {
+    const { customer } = this.request;
+    if (customer !== null && this.units > 0) this.ctx.admission.refund(customer.name, this.units);
+    this.units = 0;
+  }
+
+  private finish(status: number): void {
+    const { route, customer, arrivedAtMs } = this.request;
+    const labels = { route: route.repeat, customer: customer?.name ?? '', status: String(status) };
+    this.ctx.metrics.count('relay_requests_total', labels);
+    this.ctx.metrics.time('relay_whole', this.ctx.clock.nowMs() - arrivedAtMs, {
+      customer: customer?.name ?? '',
+    });
+  }
+
+  private writeHead(
+    status: number,
+    text: string,
+    rawHeaders: readonly string[],
+    length?: number,
+  ): void {
+    const headers = [...this.ctx.wire.encodeAnswer(rawHeaders)];
+    if (length !== undefined) headers.push('Content-Length', String(length));
+    if (this.ctx.isStopping()) headers.push('Connection', 'close');
+    this.request.res.writeHead(status, text, headers);
+  }
+
+  private noteFirstByte(): void {
+    if (this.current === null) return;
+    const { facts } = this.request;
+    const nowMs = this.ctx.clock.nowMs();
+    const tookMs = nowMs - this.current.sentAtMs;
+    const expectedMs = BASE_FIRST_BYTE_MS + (facts.tokens?.prompt ?? 0) / 20;
+    this.ctx.view.health.noteAnswer(nowMs, this.current.run.server.id, tookMs / expectedMs);
+    this.ctx.metrics.time('relay_first_byte', nowMs - this.request.arrivedAtMs, {
+      customer: this.request.customer?.name ?? '',
+    });
+  }
+
+  /** The caller has left, or its answer is out. */
+  private noteClosed(): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.ctx.dispatcher.cancel(this.waiter().id);
+    // What may not be repeated goes on to its outcome.
+    if (this.request.route.repeat !== RepeatRule.once) this.aborter.abort();
+  }
+
+  private noteTimeout(): void {
+    if (this.ended) return;
+    this.ctx.dispatcher.cancel(this.waiter().id);
+    const sent = this.ranOnce || this.current !== null;
+    if (this.streaming) this.cut('the time is over');
+    else if (sent) this.fail(errors.data.TimedOut, 'the time is over');
+    else this.refuse(errors.data.NoCapacity, null);
+    if (this.request.route.repeat !== RepeatRule.once) this.aborter.abort();
+  }
+}
--- /dev/null
+++ b/src/entry/relay/fleet-view.ts
@@ -0,0 +1,152 @@
+/** Which backend servers this entry VM can send a request to now. */
+import type { Clock } from '../../core/clock/index.js';
+import type { Candidate } from '../../decisions/engine-choice/index.js';
+import type { BackendServer } from '../../decisions/fleet-plan/index.js';
+import { ServerHealth } from '../../decisions/server-health/index.js';
+import type { FollowerTask } from './follower.js';
+import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
+
+/** What a server refused to run is not asked of it again for this long, unless news come, ms. */
+const MISSING_MS = 300;
+
+/** What a request needs of a server. */
+export interface Need {
+  readonly service: string;
+  readonly model: string | null;
+  readonly adapter: string | null;
+}
+
+/** A request that runs on a server. */
+export interface Run extends Need {
+  readonly server: BackendServer;
+}
+
+interface TimedLoad extends LoadView {
+  readonly readyAtMs: number;
+}
+
+function runKey({ server, model, adapter }: Run): string {
+  return JSON.stringify([server.id, model, adapter]);
+}
+
+export class FleetView {
+  readonly health = new ServerHealth();
+
+  private readonly views = new Map<string, EngineView>();
+
+  private loads: readonly TimedLoad[] = [];
+
+  private readonly runs = new Map<string, { run: Run; count: number }>();
+
+  private readonly runningHere = new Map<string, number>();
+
+  /** What ran here when the steward was told last. */
+  private runningTold: ReadonlyMap<string, number> = new Map();
+
+  private readonly missingUntilMs = new Map<string, number>();
+
+  constructor(
+    private readonly follower: FollowerTask,
+    private readonly clock: Clock,
+    private readonly stewardIsHeard: () => boolean,
+  ) {}
+
+  takeView(view: RelayMessageOf<'view'>): void {
+    const nowMs = this.clock.nowMs();
+    if (view.whole) this.views.clear();
+    view.engines.forEach((engine) => {
+      this.views.set(engine.id, engine);
+      this.missingUntilMs.delete(engine.id);
+    });
+    this.loads = view.loads.map((load) => ({ ...load, readyAtMs: nowMs + load.readyInMs }));
+  }
+
+  /** Servers that hold what the request needs. */
+  candidates(need: Need): readonly Candidate[] {
+    const nowMs = this.clock.nowMs();
+    const heard = this.stewardIsHeard();
+    const fit = [...this.follower.backends.values()].filter(
+      (server) =>
+        server.service === need.service &&
+        !server.leaving &&
+        this.holds(nowMs, server, need, heard),
+    );
+    return this.health.sound(nowMs, fit).map((server) => ({
+      id: server.id,
+      dataCentre: server.dataCentre,
+      slots: server.slots,
+      running: this.runningAt(server.id, heard),
+      slowness: this.health.slowness(nowMs, server.id, fit.map(({ id }) => id)),
+    }));
+  }
+
+  /** End of a load under way of what the request needs, ms; null where none is. */
+  readyAtMs(need: Need): number | null {
+    const ends = this.loads
+      .filter(({ model, adapter }) => model === need.model && adapter === null)
+      .map(({ readyAtMs }) => readyAtMs);
+    return ends.length === 0 || !this.stewardIsHeard() ? null : Math.min(...ends);
+  }
+
+  /** The server said that it does not hold what was asked of it. */
+  noteMissing(run: Run): void {
+    this.missingUntilMs.set(run.server.id, this.clock.nowMs() + MISSING_MS);
+    this.missingUntilMs.set(runKey(run), this.clock.nowMs() + MISSING_MS);
+  }
+
+  started(run: Run): void {
+    const key = runKey(run);
+    const entry = this.runs.get(key) ?? { run, count: 0 };
+    entry.count += 1;
+    this.runs.set(key, entry);
+    const { id } = run.server;
+    this.runningHere.set(id, (this.runningHere.get(id) ?? 0) + 1);
+  }
+
+  ended(run: Run): void {
+    const key = runKey(run);
+    const entry = this.runs.get(key);
+    if (entry === undefined) return;
+    entry.count -= 1;
+    if (entry.count === 0) this.runs.delete(key);
+    const { id } = run.server;
+    this.runningHere.set(id, Math.max(0, (this.runningHere.get(id) ?? 0) - 1));
+  }
+
+  /** What runs from here, for the steward. */
+  running(): RelayMessageOf<'report'>['running'] {
+    return [...this.runs.values()].map(({ run, count }) => ({
+      server: run.server.id,
+      model: run.model,
+      adapter: run.adapter,
+      running: count,
+    }));
+  }
+
+  noteTold(): void {
+    this.runningTold = new Map(this.runningHere);
+  }
+
+  private holds(nowMs: number, server: BackendServer, need: Need, heard: boolean): boolean {
+    if (need.model === null) return true;
+    if (this.isMissing(nowMs, server, need)) return false;
+    const view = this.views.get(server.id);
+    const current = heard && view !== undefined && view.bornMs >= server.bornMs;
+    const models = current ? view.models : server.models;
+    const held = models.find(({ name }) => name === need.model);
+    if (held === undefined) return false;
+    return need.adapter === null || held.adapters.includes(need.adapter);
+  }
+
+  private isMissing(nowMs: number, server: BackendServer, need: Need): boolean {
+    if ((this.missingUntilMs.get(server.id) ?? 0) <= nowMs) return false;
+    return (this.missingUntilMs.get(runKey({ ...need, server })) ?? 0) > nowMs;
+  }
+
+  private runningAt(id: string, heard: boolean): number {
+    const here = this.runningHere.get(id) ?? 0;
+    if (!heard) return here;
+    const elsewhere = (this.views.get(id)?.running ?? 0) - (this.runningTold.get(id) ?? 0);
+    return here + Math.max(0, elsewhere);
+  }
+}
--- /dev/null
+++ b/src/entry/relay/lease-task.ts
@@ -0,0 +1,176 @@
+/** Keeps or waits for the steward's lease in the platform's store. */
+import type { Clock } from '../../core/clock/index.js';
+import type { Logger } from '../../core/logger/index.js';
+import type { Task } from '../../core/supervisor/index.js';
+import {
+  type LeaseEffect,
+  LeaseEffectType,
+  type LeaseEvent,
+  LeaseEventType,
+  LeaseKeeper,
+  leaseSchema,
+} from '../../decisions/leases/index.js';
+import { PlatformOutcome } from '../platform/index.js';
+import type { RelayStore } from './types.js';
+
+const LEASE_KEY = 'bilberrystand/steward';
+const TICK_MS = 50;
+
+/** Who is steward, as far as this entry VM knows. */
+export interface StewardPost {
+  readonly vm: string;
+  readonly address: string;
+  readonly fence: number;
+}
+
+export interface LeaseTaskOptions {
+  readonly vm: string;
+  /** Where peers reach this entry VM. */
+  readonly address: string;
+  readonly durationMs: number;
+  readonly marginMs: number;
+  readonly store: RelayStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Whether a steward is heard, so that the lease need not be read. */
+  hearsSteward(): boolean;
+  /** Whether engines refuse old fencing numbers, so that a lapsed lease may be used on. */
+  enginesCheckFences(): boolean;
+}
+
+export class LeaseTask implements Task {
+  readonly name = 'lease';
+
+  private readonly keeper: LeaseKeeper;
+
+  private timer: NodeJS.Timeout | null = null;
+
+  /** Fencing number that orders are given under; 0 while this entry VM is no steward. */
+  private actingFence = 0;
+
+  private storeAnswers = true;
+
+  private higherFence = 0;
+
+  constructor(private readonly opts: LeaseTaskOptions) {
+    const { vm, address, durationMs, marginMs } = opts;
+    this.keeper = new LeaseKeeper({ self: vm, address, durationMs, marginMs });
+  }
+
+  /** Fencing number to order with at this very moment; 0 for none. */
+  fence(): number {
+    const nowMs = this.opts.clock.nowMs();
+    if (this.keeper.holds(nowMs)) return this.keeper.epoch;
+    if (!this.mayGoOn()) this.actingFence = 0;
+    return this.actingFence;
+  }
+
+  /** The steward as last seen in the store; null where there is none. */
+  post(): StewardPost | null {
+    const { holder, holderAddress, seenEpoch } = this.keeper;
+    if (holder === null || holderAddress === null) return null;
+    return { vm: holder, address: holderAddress, fence: seenEpoch };
+  }
+
+  /** Another steward with this fencing number was heard of. */
+  noteFence(fence: number): void {
+    this.higherFence = Math.max(this.higherFence, fence);
+  }
+
+  /** The steward's address refuses connections: its process has ended. */
+  noteGone(post: StewardPost): void {
+    this.handle({ type: LeaseEventType.holderGone, epoch: post.fence });
+  }
+
+  async start(): Promise<void> {
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+  }
+
+  async stop(): Promise<void> {
+    if (this.timer !== null) clearInterval(this.timer);
+  }
+
+  /** Gives the lease up, for a planned stop. */
+  async handOver(): Promise<void> {
+    this.actingFence = 0;
+    await this.stop();
+    const effects = this.keeper.handle(this.opts.clock.nowMs(), { type: LeaseEventType.release });
+    await Promise.all(effects.map((effect) => this.perform(effect)));
+  }
+
+  private tick(): void {
+    if (this.fence() === 0 && this.opts.hearsSteward()) return;
+    this.handle({ type: LeaseEventType.tick });
+  }
+
+  /** A lease that lapsed while the store is out of reach is used on until another one is known. */
+  private mayGoOn(): boolean {
+    return (
+      this.actingFence > 0 &&
+      !this.storeAnswers &&
+      this.opts.enginesCheckFences() &&
+      this.higherFence <= this.actingFence
+    );
+  }
+
+  private handle(event: LeaseEvent): void {
+    const effects = this.keeper.handle(this.opts.clock.nowMs(), event);
+    effects.forEach((effect) => {
+      void this.perform(effect);
+    });
+  }
+
+  private async perform(effect: LeaseEffect): Promise<void> {
+    switch (effect.type) {
+      case LeaseEffectType.read:
+        await this.read();
+        break;
+      case LeaseEffectType.write:
+        await this.write(effect);
+        break;
+      case LeaseEffectType.acquired:
+        this.actingFence = effect.epoch;
+        this.opts.logger.info('lease-acquired', { fence: effect.epoch });
+        break;
+      default:
+        this.opts.logger.info('lease-lost', { fence: this.actingFence, goesOn: this.mayGoOn() });
+    }
+  }
+
+  private async read(): Promise<void> {
+    const answer = await this.opts.store.read(LEASE_KEY);
+    this.noteAnswer(answer.type === PlatformOutcome.ok);
+    if (answer.type !== PlatformOutcome.ok) {
+      this.handle({ type: LeaseEventType.readFailed });
+      return;
+    }
+    const lease = leaseSchema.safeParse(answer.value?.value);
+    this.handle({
+      type: LeaseEventType.read,
+      lease: lease.success ? lease.data : null,
+      version: answer.value?.version ?? 0,
+    });
+  }
+
+  private async write(effect: LeaseEffect & { type: typeof LeaseEffectType.write }): Promise<void> {
+    const answer = await this.opts.store.write(LEASE_KEY, effect.lease, effect.version);
+    this.noteAnswer(answer.type !== PlatformOutcome.unknown);
+    switch (answer.type) {
+      case PlatformOutcome.ok:
+        this.handle({ type: LeaseEventType.written, version: answer.version });
+        break;
+      case PlatformOutcome.conflict:
+        this.handle({ type: LeaseEventType.conflict });
+        break;
+      default:
+        this.handle({ type: LeaseEventType.writeUnknown });
+    }
+  }
+
+  private noteAnswer(answered: boolean): void {
+    if (answered !== this.storeAnswers) {
+      this.opts.logger.info(answered ? 'store-back' : 'store-lost');
+    }
+    this.storeAnswers = answered;
+  }
+}
--- /dev/null
+++ b/src/entry/relay/messages.ts
@@ -0,0 +1,109 @@
+/** Messages between the entry VMs and the steward. Unknown fields are dropped. */
+import { z } from 'zod';
+
+export const RelayMessageType = {
+  report: 'report',
+  ask: 'ask',
+  welcome: 'welcome',
+  view: 'view',
+  grant: 'grant',
+  lent: 'lent',
+  death: 'death',
+} as const;
+
+const shareSchema = z.object({
+  customer: z.string(),
+  fraction: z.number(),
+  demandPerS: z.number(),
+});
+
+const waitSchema = z.object({
+  service: z.string(),
+  model: z.string(),
+  adapter: z.string().nullable(),
+  waiting: z.int(),
+  /** Time left until the objective is missed; clocks of VMs are not compared. */
+  dueInMs: z.number(),
+});
+
+const runSchema = z.object({
+  server: z.string(),
+  model: z.string().nullable(),
+  adapter: z.string().nullable(),
+  running: z.int(),
+});
+
+const usageSchema = z.object({ model: z.string(), requests: z.int() });
+
+const engineViewSchema = z.object({
+  id: z.string(),
+  bornMs: z.number(),
+  models: z.array(z.object({ name: z.string(), adapters: z.array(z.string()) })),
+  /** Requests that run there, over all entry VMs. */
+  running: z.int(),
+});
+export type EngineView = z.infer<typeof engineViewSchema>;
+
+const loadViewSchema = z.object({
+  model: z.string(),
+  adapter: z.string().nullable(),
+  readyInMs: z.number(),
+});
+export type LoadView = z.infer<typeof loadViewSchema>;
+
+const schemas = [
+  /** What an entry VM holds, runs and waits for. */
+  z.object({
+    type: z.literal(RelayMessageType.report),
+    vm: z.string(),
+    /** The sender's clock; comes back with the grant. */
+    sentAtMs: z.number(),
+    /** Last grant of this steward that was taken in. */
+    appliedSeq: z.int(),
+    shares: z.array(shareSchema),
+    running: z.array(runSchema),
+    waits: z.array(waitSchema),
+    usage: z.array(usageSchema),
+    leaving: z.boolean(),
+  }),
+  /** Asks for units of a customer's limit, for one request. */
+  z.object({
+    type: z.literal(RelayMessageType.ask),
+    askId: z.int(),
+    customer: z.string(),
+    units: z.number(),
+  }),
+  z.object({ type: z.literal(RelayMessageType.welcome), vm: z.string(), fence: z.int() }),
+  /** Engines that changed; all of them when `whole`. */
+  z.object({
+    type: z.literal(RelayMessageType.view),
+    whole: z.boolean(),
+    engines: z.array(engineViewSchema),
+    loads: z.array(loadViewSchema),
+  }),
+  z.object({
+    type: z.literal(RelayMessageType.grant),
+    seq: z.int(),
+    reportSentAtMs: z.number(),
+    fractions: z.record(z.string(), z.number()),
+  }),
+  z.object({
+    type: z.literal(RelayMessageType.lent),
+    askId: z.int(),
+    customer: z.string(),
+    units: z.number(),
+    /** Time until an ask may succeed, ms, where nothing was lent; null if never. */
+    waitMs: z.number().nullable(),
+  }),
+  /** A server died while it ran this request. */
+  z.object({
+    type: z.literal(RelayMessageType.death),
+    fingerprint: z.string(),
+    engineId: z.string(),
+    ranMs: z.number(),
+  }),
+] as const;
+
+export const relayMessageSchema = z.discriminatedUnion('type', schemas);
+export type RelayMessage = z.infer<typeof relayMessageSchema>;
+export type RelayMessageOf<T extends RelayMessage['type']> = Extract<RelayMessage, { type: T }>;
--- /dev/null
+++ b/src/entry/relay/steward-link.ts
@@ -0,0 +1,138 @@
+/** The connection from an entry VM to the steward, which may be itself. */
+import * as net from 'node:net';
+import * as errors from '../../core/errors/index.js';
+import type { Clock } from '../../core/clock/index.js';
+import type { Logger } from '../../core/logger/index.js';
+import * as frames from '../../core/messages/index.js';
+import { type RelayMessage, RelayMessageType, relayMessageSchema } from './messages.js';
+import type { StewardPost } from './lease-task.js';
+
+const CONNECT_TIMEOUT_MS = 500;
+/** A steward that said nothing for this long is not heard, ms: it speaks every 400 ms. */
+export const SILENCE_MS = 1_300;
+/** Pause before the same steward is dialled again, ms. */
+const REDIAL_MS = 100;
+const MAX_BUFFERED_BYTES = 1_048_576;
+export const MAX_FRAME_BYTES = 4_194_304;
+
+export interface LinkEvents {
+  message(message: RelayMessage): void;
+  /** A new connection holds: nothing that was said before counts. */
+  connected(post: StewardPost): void;
+  /** The steward's process has ended. */
+  gone(post: StewardPost): void;
+}
+
+/** Reads frames from a socket; a frame that can't be read ends the connection. */
+export function readMessages(
+  socket: net.Socket,
+  peer: string,
+  logger: Logger,
+  take: (message: RelayMessage) => void,
+): void {
+  const splitter = new frames.FrameSplitter(MAX_FRAME_BYTES);
+  const drop = (failure: errors.Failure) => {
+    logger.warn('bad-frame', { peer, reason: errors.formatFailure(failure) });
+    socket.destroy();
+  };
+  socket.on('data', (bytes: Buffer) => {
+    const bodies = splitter.push(bytes, peer);
+    if (bodies.isErr) {
+      drop(bodies.error);
+      return;
+    }
+    bodies.value.forEach((body) => {
+      const message = frames.decodeBody(relayMessageSchema, body, peer);
+      if (message.isErr) drop(message.error);
+      else take(message.value);
+    });
+  });
+}
+
+/** Sends a message unless the peer does not read; every message may be missed. */
+export function writeMessage(socket: net.Socket, message: RelayMessage): boolean {
+  if (socket.destroyed || socket.writableLength > MAX_BUFFERED_BYTES) return false;
+  socket.write(frames.encodeBody(message));
+  return true;
+}
+
+export class StewardLink {
+  private socket: net.Socket | null = null;
+
+  private post: StewardPost | null = null;
+
+  private heardAtMs = -Infinity;
+
+  private connectedAtMs = -Infinity;
+
+  private nextDialAtMs = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly events: LinkEvents,
+  ) {}
+
+  /** Whether the steward speaks. */
+  get isHeard(): boolean {
+    return this.clock.nowMs() - this.heardAtMs < SILENCE_MS;
+  }
+
+  /** Fencing number of the steward that speaks. */
+  get fence(): number {
+    return this.post?.fence ?? 0;
+  }
+
+  /** Keeps a connection to `post`; another steward replaces the present one. */
+  follow(post: StewardPost): void {
+    const nowMs = this.clock.nowMs();
+    const isNew = this.post === null || post.fence > this.post.fence;
+    if (isNew && this.post !== null) this.close();
+    const isStuck =
+      this.socket !== null && !this.isHeard && nowMs - this.connectedAtMs > SILENCE_MS;
+    if (isStuck) this.close();
+    if (this.socket !== null || nowMs < this.nextDialAtMs) return;
+    this.dial(post, nowMs);
+  }
+
+  send(message: RelayMessage): boolean {
+    return this.socket !== null && writeMessage(this.socket, message);
+  }
+
+  close(): void {
+    this.socket?.destroy();
+    this.socket = null;
+    this.heardAtMs = -Infinity;
+  }
+
+  private dial(post: StewardPost, nowMs: number): void {
+    const [host = '', port = '0'] = post.address.split(':');
+    const socket = net.connect({ host, port: Number(port), noDelay: true });
+    this.socket = socket;
+    this.post = post;
+    this.connectedAtMs = nowMs;
+    this.nextDialAtMs = nowMs + REDIAL_MS;
+    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
+    socket.on('connect', () => {
+      clearTimeout(timer);
+      this.events.connected(post);
+    });
+    socket.on('error', (err: NodeJS.ErrnoException) => {
+      this.logger.debug('steward-link-failed', { peer: post.vm, reason: err.message });
+      if (err.code === 'ECONNREFUSED') this.events.gone(post);
+    });
+    socket.on('close', () => {
+      clearTimeout(timer);
+      if (this.socket !== socket) return;
+      this.socket = null;
+      this.heardAtMs = -Infinity;
+    });
+    readMessages(socket, post.vm, this.logger, (message) => {
+      if (this.socket !== socket) return;
+      this.heardAtMs = this.clock.nowMs();
+      if (message.type !== RelayMessageType.welcome || message.fence >= post.fence) {
+        this.events.message(message);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/entry/relay/steward.ts
@@ -0,0 +1,255 @@
+/** The steward's task: hears every entry VM, orders engines, and lends customers' rates. */
+import * as net from 'node:net';
+import type { Clock } from '../../core/clock/index.js';
+import type { Logger } from '../../core/logger/index.js';
+import type { Task } from '../../core/supervisor/index.js';
+import type { BackendServer } from '../../decisions/fleet-plan/index.js';
+import { RateLender } from '../../decisions/rate-shares/index.js';
+import type { FollowerTask } from './follower.js';
+import type { LeaseTask } from './lease-task.js';
+import {
+  type EngineView,
+  type LoadView,
+  type RelayMessage,
+  type RelayMessageOf,
+  RelayMessageType,
+} from './messages.js';
+import { EngineYard } from './engine-yard.js';
+import { readMessages, writeMessage } from './steward-link.js';
+import type { PlatformWire } from './types.js';
+
+const TICK_MS = 20;
+/** The steward speaks at least this often, ms. */
+const SPEAK_MS = 400;
+/** A connection that said nothing for this long is closed, ms. */
+const MEMBER_SILENCE_MS = 3_000;
+
+/** An entry VM that reports to this one. */
+interface Member {
+  readonly socket: net.Socket;
+  vm: string | null;
+  report: RelayMessageOf<'report'> | null;
+  heardAtMs: number;
+  spokenAtMs: number;
+  /** What it was told of each engine. */
+  readonly told: Map<string, string>;
+  toldLoads: string;
+}
+
+export interface StewardOptions {
+  readonly vm: string;
+  readonly listen: string;
+  readonly wire: PlatformWire;
+  readonly follower: FollowerTask;
+  readonly lease: LeaseTask;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export class StewardTask implements Task {
+  readonly name = 'steward';
+
+  private server: net.Server | null = null;
+
+  private timer: NodeJS.Timeout | null = null;
+
+  private readonly members = new Set<Member>();
+
+  private lender: RateLender | null = null;
+
+  private yard: EngineYard | null = null;
+
+  private fence = 0;
+
+  constructor(private readonly opts: StewardOptions) {}
+
+  async start(fail: (err: unknown) => void): Promise<void> {
+    const [host = '', port = '0'] = this.opts.listen.split(':');
+    const server = net.createServer({ noDelay: true }, (socket) => this.admit(socket));
+    this.server = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(Number(port), host, resolve);
+    });
+    server.on('error', fail);
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+  }
+
+  async stop(): Promise<void> {
+    if (this.timer !== null) clearInterval(this.timer);
+    this.dismiss();
+    this.server?.close();
+  }
+
+  private get acting(): boolean {
+    return this.fence > 0;
+  }
+
+  private admit(socket: net.Socket): void {
+    const nowMs = this.opts.clock.nowMs();
+    const member: Member = {
+      socket,
+      vm: null,
+      report: null,
+      heardAtMs: nowMs,
+      spokenAtMs: -Infinity,
+      told: new Map(),
+      toldLoads: '',
+    };
+    socket.on('error', (err) => {
+      this.opts.logger.debug('member-link-failed', { peer: member.vm, reason: err.message });
+    });
+    socket.on('close', () => this.members.delete(member));
+    if (!this.acting) {
+      socket.destroy();
+      return;
+    }
+    this.members.add(member);
+    readMessages(socket, 'member', this.opts.logger, (message) => this.take(member, message));
+    writeMessage(socket, {
+      type: RelayMessageType.welcome,
+      vm: this.opts.vm,
+      fence: this.fence,
+    });
+  }
+
+  private take(member: Member, message: RelayMessage): void {
+    const nowMs = this.opts.clock.nowMs();
+    member.heardAtMs = nowMs;
+    if (!this.acting) return;
+    switch (message.type) {
+      case RelayMessageType.report:
+        this.takeReport(nowMs, member, message);
+        break;
+      case RelayMessageType.ask:
+        this.lend(nowMs, member, message);
+        break;
+      case RelayMessageType.death:
+        this.members.forEach((other) => {
+          if (other !== member) writeMessage(other.socket, message);
+        });
+        break;
+      default:
+    }
+  }
+
+  private takeReport(nowMs: number, member: Member, report: RelayMessageOf<'report'>): void {
+    member.vm = report.vm;
+    member.report = report;
+    this.yard?.takeReport(nowMs, report);
+    const { lender } = this;
+    if (lender === null) return;
+    lender.noteReport(nowMs, report.vm, report.appliedSeq, report.shares);
+    const grant = lender.grant(nowMs, report.vm);
+    writeMessage(member.socket, {
+      type: RelayMessageType.grant,
+      seq: grant.seq,
+      reportSentAtMs: report.sentAtMs,
+      fractions: Object.fromEntries(grant.fractions),
+    });
+  }
+
+  private lend(nowMs: number, member: Member, ask: RelayMessageOf<'ask'>): void {
+    const lent = this.lender?.lend(nowMs, ask.customer, ask.units) === true;
+    const waitMs = this.lender?.waitMs(nowMs, ask.customer, ask.units) ?? Infinity;
+    writeMessage(member.socket, {
+      type: RelayMessageType.lent,
+      askId: ask.askId,
+      customer: ask.customer,
+      units: lent ? ask.units : 0,
+      waitMs: Number.isFinite(waitMs) ? waitMs : null,
+    });
+  }
+
+  private tick(): void {
+    const nowMs = this.opts.clock.nowMs();
+    const fence = this.opts.lease.fence();
+    if (fence === 0) {
+      if (this.acting) this.dismiss();
+      return;
+    }
+    if (!this.acting) this.takeOffice(nowMs);
+    this.fence = fence;
+    const { plan } = this.opts.follower;
+    if (plan === null) return;
+    this.lender?.setLimits(nowMs, plan.customers);
+    this.dropSilent(nowMs);
+    const reports = [...this.members].flatMap(({ report }) => (report === null ? [] : [report]));
+    this.yard?.tick(nowMs, reports);
+    this.speak(nowMs);
+  }
+
+  private takeOffice(nowMs: number): void {
+    this.lender = new RateLender(nowMs);
+    this.yard = new EngineYard({
+      vm: this.opts.vm,
+      wire: this.opts.wire,
+      follower: this.opts.follower,
+      lease: this.opts.lease,
+      clock: this.opts.clock,
+      logger: this.opts.logger,
+    });
+  }
+
+  private dismiss(): void {
+    this.fence = 0;
+    this.lender = null;
+    this.yard = null;
+    this.members.forEach(({ socket }) => socket.destroy());
+    this.members.clear();
+  }
+
+  private dropSilent(nowMs: number): void {
+    this.members.forEach((member) => {
+      if (nowMs - member.heardAtMs > MEMBER_SILENCE_MS) member.socket.destroy();
+    });
+  }
+
+  /** Tells each member what has changed since it was told last. */
+  private speak(nowMs: number): void {
+    const engines = this.engineViews();
+    const texts = new Map(engines.map((engine) => [engine.id, JSON.stringify(engine)]));
+    const loads = this.yard?.loads(nowMs) ?? [];
+    const loadsKey = loads.map(({ model, adapter }) => `${model}/${adapter}`).join();
+    this.members.forEach((member) => this.speakTo(nowMs, member, engines, texts, loads, loadsKey));
+  }
+
+  private speakTo(
+    nowMs: number,
+    member: Member,
+    engines: readonly EngineView[],
+    texts: ReadonlyMap<string, string>,
+    loads: LoadView[],
+    loadsKey: string,
+  ): void {
+    if (member.vm === null) return;
+    const changed = engines.filter(({ id }) => member.told.get(id) !== texts.get(id));
+    const due = nowMs - member.spokenAtMs >= SPEAK_MS;
+    if (changed.length === 0 && member.toldLoads === loadsKey && !due) return;
+    const whole = member.told.size === 0;
+    const sent = writeMessage(member.socket, {
+      type: RelayMessageType.view,
+      whole,
+      engines: whole ? [...engines] : changed,
+      loads,
+    });
+    if (!sent) return;
+    changed.forEach(({ id }) => member.told.set(id, texts.get(id) ?? ''));
+    member.toldLoads = loadsKey;
+    member.spokenAtMs = nowMs;
+  }
+
+  private engineViews(): readonly EngineView[] {
+    return [...this.opts.follower.backends.values()].map((server) => this.viewOf(server));
+  }
+
+  private viewOf(server: BackendServer): EngineView {
+    const models = this.yard?.modelsOf(server) ?? [];
+    return {
+      id: server.id,
+      bornMs: server.bornMs,
+      models: models.map(({ name, adapters }) => ({ name, adapters: [...adapters] })),
+      running: this.yard?.runningAt(server.id) ?? 0,
+    };
+  }
+}
--- /dev/null
+++ b/src/entry/relay/wire.ts
@@ -0,0 +1,213 @@
+/** Wires the parts of a daemon that relays callers' requests on a platform. */
+import * as channels from '../../core/channels/index.js';
+import * as clocks from '../../core/clock/index.js';
+import * as errors from '../../core/errors/index.js';
+import type { Logger } from '../../core/logger/index.js';
+import { createMetrics } from '../../core/metrics/index.js';
+import { createRandom } from '../../core/random/index.js';
+import type { Settings } from '../../core/settings/index.js';
+import { createSupervisor } from '../../core/supervisor/index.js';
+import { RetryBudget } from '../../decisions/retries/index.js';
+import { SuspectTable } from '../../decisions/suspects/index.js';
+import { Admission } from './admission.js';
+import { Connections } from './connections.js';
+import type { RelayContext } from './context.js';
+import { Dispatcher } from './dispatch.js';
+import { FleetView } from './fleet-view.js';
+import { type FleetChange, FollowerTask } from './follower.js';
+import { FrontTask, replyOwn } from './front.js';
+import { LeaseTask } from './lease-task.js';
+import { type RelayMessage, RelayMessageType } from './messages.js';
+import { ReadyTask } from './ready.js';
+import { ReporterTask } from './reporter.js';
+import { StewardTask } from './steward.js';
+import { StewardLink } from './steward-link.js';
+import type { PlatformWire } from './types.js';
+
+/** Return time where nothing is known of when a request can be served, ms. */
+const USUAL_RETURN_MS = 1_000;
+/** Keys are trusted this much shorter than the platform allows, ms: requests are on their way. */
+const KEY_MARGIN_MS = 500;
+/** A plan that is older than this may lack what the operator has added, ms. */
+const STALE_PLAN_MS = 3_500;
+/** The balancer asks once a second and gives up after two misses, ms. */
+const BALANCER_NOTICE_MS = 3_500;
+/** Requests under way are looked at this often while stopping, ms. */
+const STOP_POLL_MS = 50;
+/** Time left for the last answers to leave before the platform ends the process, ms. */
+const STOP_MARGIN_MS = 400;
+
+/** A running relay. */
+export interface Relay {
+  /** Stops without cutting a request. */
+  stop(): Promise<void>;
+}
+
+/** Creates and starts the daemon. */
+export async function startRelay(
+  settings: Settings,
+  wire: PlatformWire,
+  logger: Logger,
+): Promise<Relay> {
+  const { vm, listen, relay } = settings;
+  const clock = clocks.createClock();
+  const random = createRandom(Date.now() + process.pid);
+  const metrics = createMetrics();
+  const store = wire.createStore(settings.platform.address, settings.platform.timeoutMs);
+  const changed = channels.createChannel<FleetChange>((err) => {
+    logger.error('message-failed', { reason: errors.describe(err) });
+  });
+  let stopping = false;
+
+  const follower = new FollowerTask({ wire, store, clock, logger: logger.child('follower'), changed });
+  const suspects = new SuspectTable();
+  const connections = new Connections();
+  const parts: { reporter?: ReporterTask; link?: StewardLink } = {};
+  const stewardIsHeard = () => parts.link?.isHeard === true;
+  const lease = new LeaseTask({
+    vm: vm.id,
+    address: listen.peers,
+    durationMs: settings.lease.durationMs,
+    marginMs: settings.lease.marginMs,
+    store,
+    clock,
+    logger: logger.child('lease'),
+    hearsSteward: stewardIsHeard,
+    enginesCheckFences: () => relay.enginesCheckFences,
+  });
+  const view = new FleetView(follower, clock, stewardIsHeard);
+  const dispatcher = new Dispatcher({
+    dataCentre: vm.dataCentre,
+    follower,
+    view,
+    clock,
+    random,
+    onWait: () => parts.reporter?.hurry(),
+  });
+  const admission = new Admission({
+    clock,
+    ask: (ask) => parts.link?.send({ type: RelayMessageType.ask, ...ask }) === true,
+  });
+  const takeMessage = (message: RelayMessage) => {
+    switch (message.type) {
+      case RelayMessageType.welcome:
+        lease.noteFence(message.fence);
+        break;
+      case RelayMessageType.view:
+        view.takeView(message);
+        dispatcher.pump();
+        break;
+      case RelayMessageType.grant:
+        admission.takeGrant(message);
+        break;
+      case RelayMessageType.lent:
+        admission.takeLent(message);
+        break;
+      case RelayMessageType.death:
+        suspects.note(clock.nowMs(), message);
+        break;
+      default:
+    }
+  };
+  const link = new StewardLink(clock, logger.child('link'), {
+    message: takeMessage,
+    connected: () => {
+      admission.resetSeq();
+      parts.reporter?.introduce();
+    },
+    gone: (post) => lease.noteGone(post),
+  });
+  parts.link = link;
+  const isStopping = () => stopping;
+  const reporter = new ReporterTask({
+    vm: vm.id,
+    link,
+    lease,
+    admission,
+    dispatcher,
+    view,
+    clock,
+    isStopping,
+  });
+  parts.reporter = reporter;
+  const steward = new StewardTask({
+    vm: vm.id,
+    listen: listen.peers,
+    wire,
+    follower,
+    lease,
+    clock,
+    logger: logger.child('steward'),
+  });
+  const keysTrustedMs = relay.keyRevocationMs - KEY_MARGIN_MS;
+  const ctx: RelayContext = {
+    wire,
+    admission,
+    dispatcher,
+    view,
+    connections,
+    retries: new RetryBudget(clock.nowMs()),
+    suspects,
+    clock,
+    metrics,
+    usualReturnMs: USUAL_RETURN_MS,
+    isStopping,
+    mayRun: (customer) => customer === null || follower.planAgeMs() < keysTrustedMs,
+    noteBreak: () => undefined,
+    log: (event, id, fields) => logger.info(event, { id, ...fields }),
+    replyOwn: (res, id, failure, retryAfterMs) =>
+      replyOwn(res, wire.ownAnswer(id), failure, retryAfterMs, stopping),
+  };
+  const front = new FrontTask({
+    listen: listen.callers,
+    ctx,
+    follower,
+    random,
+    logger: logger.child('front'),
+    staleAfterMs: STALE_PLAN_MS,
+  });
+  const ready = new ReadyTask({
+    listen: listen.admin,
+    path: wire.readinessPath,
+    metrics,
+    isReady: () => !stopping && follower.plan !== null && follower.planAgeMs() < keysTrustedMs,
+  });
+  changed.subscribe(({ plan, backends }) => {
+    if (plan && follower.plan !== null) {
+      admission.setCustomers(follower.plan.customers);
+      front.applyLimits();
+    }
+    if (backends) connections.retain(follower.backends);
+    dispatcher.pump();
+  });
+
+  const tasks = [follower, steward, lease, reporter, front, ready];
+  const supervisor = createSupervisor(tasks, logger.child('supervisor'));
+  await supervisor.start();
+  dispatcher.start();
+
+  const drain = async (untilMs: number): Promise<void> => {
+    const noticedAtMs = clock.nowMs() + BALANCER_NOTICE_MS;
+    while (clock.nowMs() < untilMs) {
+      if (clock.nowMs() >= noticedAtMs) {
+        front.closeIdle();
+        if (front.activeCount === 0) return;
+      }
+      await clocks.sleep(STOP_POLL_MS);
+    }
+  };
+  return {
+    async stop() {
+      if (stopping) return;
+      stopping = true;
+      logger.info('stopping');
+      const untilMs = clock.nowMs() + settings.stop.graceMs - STOP_MARGIN_MS;
+      await lease.handOver();
+      await drain(untilMs);
+      dispatcher.stop();
+      await supervisor.stop();
+      connections.close();
+      await Promise.all([store.close(), wire.close()]);
+    },
+  };
+}
