Keep the fleet's bound on retries with every VM's own count

Cause: each entry VM had a balance of its own (1 a second, up to 20 saved up), whatever the number of VMs, and traffic earned nothing (RetryBudget.earn had no caller on the relay). 74 VMs could send 740 retries at once where the site allows 188 and a fifth of the requests; on a small site a busy VM was short of retries that the bound allows.

Ruled out: asking the steward for each retry (a round trip when servers fail, and none while it is gone); dividing the old balance (it knows no window, and not which service).

Change: RetryWindow counts requests and retries of a service over the window; a VM may spend the ratio of its own requests and an equal part of the fixed number, so the sum keeps the bound with nobody asked. The steward tells the number of members; a smaller number than before is ignored, and none means no part. Bounds come from the settings file (relay.retries).

--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -68,6 +68,14 @@
         .boolean()
         .default(false)
         .describe('Whether engines refuse orders with an old fencing number.'),
+      retries: z
+        .strictObject({
+          ratio: z.number().min(0).default(0.1).describe('Retries for each request of a window.'),
+          windowMs: z.int().min(1000).default(10_000).describe('Length of the window, ms.'),
+          slack: z.int().min(0).default(20).describe('Retries allowed besides, over all VMs.'),
+        })
+        .prefault({})
+        .describe('Bound on the retries at a service, over all entry VMs.'),
     })
     .prefault({})
     .describe("Relaying on the users' platform."),
--- a/src/decisions/retries/index.ts
+++ b/src/decisions/retries/index.ts
@@ -1,4 +1,5 @@
 /** When a failed request may be sent to another backend server. */
+export * from './retry-window.js';
 
 /** What is known of a request when its backend server failed. */
 export interface Attempts {
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -5,7 +5,7 @@
 import type { LogFields } from '../../core/logger/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
 import type { Customer } from '../../decisions/fleet-plan/index.js';
-import type { RetryBudget } from '../../decisions/retries/index.js';
+import type { RetryWindow } from '../../decisions/retries/index.js';
 import type { SuspectTable } from '../../decisions/suspects/index.js';
 import type { Admission } from './admission.js';
 import type { Connections } from './connections.js';
@@ -19,7 +19,7 @@
   readonly dispatcher: Dispatcher;
   readonly view: FleetView;
   readonly connections: Connections;
-  readonly retries: RetryBudget;
+  readonly retries: RetryWindow;
   readonly suspects: SuspectTable;
   readonly clock: Clock;
   readonly metrics: Metrics;
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -135,6 +135,7 @@
   }
 
   private async run(): Promise<void> {
+    this.ctx.retries.noteRequest(this.ctx.clock.steadyMs(), this.request.service);
     while (!this.ended) {
       const placement = await this.ctx.dispatcher.place(this.waiter(), this.tried);
       if (this.ended) {
@@ -267,7 +268,9 @@
     if (this.ended) return false;
     this.notRuns += 1;
     if (status !== 421 && run.model === null) this.tried.add(run.server.id);
-    const again = this.notRuns < MOST_NOT_RUN && (!reached || this.ctx.retries.spend(nowMs));
+    const again =
+      this.notRuns < MOST_NOT_RUN &&
+      (!reached || this.ctx.retries.spend(nowMs, this.request.service));
     if (!again) this.giveUp(null);
     return again;
   }
@@ -306,7 +309,7 @@
       goesElsewhere &&
       nowMs < this.deadlineAtMs &&
       !this.ctx.suspects.isBlocked(nowMs, this.fingerprint) &&
-      this.ctx.retries.spend(nowMs)
+      this.ctx.retries.spend(nowMs, this.request.service)
     );
   }
 
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -84,6 +84,8 @@
     whole: z.boolean(),
     engines: z.array(engineViewSchema),
     loads: z.array(loadViewSchema),
+    /** Entry VMs that report to the steward. */
+    members: z.int(),
   }),
   z.object({
     type: z.literal(RelayMessageType.grant),
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -316,6 +316,7 @@
       whole,
       engines: whole ? [...engines] : changed,
       loads,
+      members: this.members.size,
     });
     if (!sent) return;
     changed.forEach(({ id }) => member.told.set(id, texts.get(id) ?? ''));
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -7,7 +7,7 @@
 import { createRandom } from '../../core/random/index.js';
 import type { Settings } from '../../core/settings/index.js';
 import { createSupervisor } from '../../core/supervisor/index.js';
-import { RetryBudget } from '../../decisions/retries/index.js';
+import { RetryWindow } from '../../decisions/retries/index.js';
 import * as stopRules from '../../decisions/stopping/index.js';
 import { DeathWatch, SuspectTable } from '../../decisions/suspects/index.js';
 import { Admission } from './admission.js';
@@ -71,6 +71,7 @@
   });
   const suspects = new SuspectTable();
   const deathWatch = new DeathWatch();
+  const retries = new RetryWindow(relay.retries);
   const connections = new Connections();
   const parts: { reporter?: ReporterTask; link?: StewardLink; steward?: StewardTask } = {};
   const stewardIsHeard = () => parts.link?.isHeard === true;
@@ -112,6 +113,7 @@
         break;
       case RelayMessageType.view:
         view.takeView(message);
+        retries.noteMembers(message.members);
         dispatcher.pump();
         break;
       case RelayMessageType.grant:
@@ -165,7 +167,7 @@
     dispatcher,
     view,
     connections,
-    retries: new RetryBudget(clock.steadyMs()),
+    retries,
     suspects,
     clock,
     metrics,
