Count requests as uses of their models

Cause: ReporterTask.noteUse had no caller, so the steward's rates were empty: second places, filling of free room, sparing engines with adapters and the price of a popular place had no effect.

Ruled out: counting at the steward from what waits and runs (short runs fall between two reports).

Change: an admitted request for a model is noted; uses go along with the next report and do not cause one.

Test: a request that finds no server is still noted, and earns its part of a retry (failed before).

--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -30,6 +30,8 @@
   takesRequest(isStream: boolean): boolean;
   /** Whether what is believed of this customer's keys is fresh enough to run its requests. */
   mayRun(customer: Customer | null): boolean;
+  /** A request for a model was admitted. */
+  noteUse(model: string): void;
   /** A server broke off while it ran this request. */
   noteBreak(fingerprint: string, run: Run): void;
   log(event: string, id: string, fields: LogFields): void;
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -135,7 +135,9 @@
   }
 
   private async run(): Promise<void> {
-    this.ctx.retries.noteRequest(this.ctx.clock.steadyMs(), this.request.service);
+    const { facts, service } = this.request;
+    this.ctx.retries.noteRequest(this.ctx.clock.steadyMs(), service);
+    if (facts.model !== null) this.ctx.noteUse(facts.model);
     while (!this.ended) {
       const placement = await this.ctx.dispatcher.place(this.waiter(), this.tried);
       if (this.ended) {
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -87,11 +87,8 @@
     if (!now && sinceMs < BUSY_MS) return;
     const running = this.opts.view.running();
     const waits = this.opts.dispatcher.waits();
-    const key = JSON.stringify([
-      running,
-      waits.map(({ dueInMs, ...wait }) => wait),
-      [...this.usage],
-    ]);
+    // Uses alone are no news: they come along with the next report.
+    const key = JSON.stringify([running, waits.map(({ dueInMs, ...wait }) => wait)]);
     if (!now && key === this.told && sinceMs < REST_MS) return;
     const message: RelayMessage = {
       type: RelayMessageType.report,
@@ -107,7 +104,7 @@
     };
     if (!this.opts.link.send(message)) return;
     this.usage.clear();
-    this.told = JSON.stringify([running, waits.map(({ dueInMs, ...wait }) => wait), []]);
+    this.told = key;
     this.sentAtMs = nowMs;
     this.opts.view.noteTold();
   }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -176,6 +176,7 @@
     takesRequest: (isStream) =>
       stopRules.takesRequest(clock.steadyMs() - stopAtMs, graceMs, isStream),
     mayRun: (customer) => customer === null || follower.planAgeMs() < keysTrustedMs,
+    noteUse: (model) => reporter.noteUse(model),
     noteBreak: (fingerprint, { server }) =>
       deathWatch.noteBreak(clock.steadyMs(), fingerprint, server.id, server.bornMs),
     log: (event, id, fields) => logger.info(event, { id, ...fields }),
--- /dev/null
+++ b/test/units/relay/exchange.test.ts
@@ -0,0 +1,80 @@
+/** One request's way: what it leaves for the steward's picture of demand and for the retry bound. */
+import type * as http from 'node:http';
+import { EventEmitter } from 'node:events';
+import { describe, expect, test } from 'vitest';
+import { RetryWindow } from '../../../src/decisions/retries/index.js';
+import { RepeatRule, type Route } from '../../../src/decisions/fleet-plan/index.js';
+import { SuspectTable } from '../../../src/decisions/suspects/index.js';
+import type { RelayContext } from '../../../src/entry/relay/context.js';
+import { Exchange, type ReadRequest } from '../../../src/entry/relay/exchange.js';
+
+const NOW_MS = 1_000;
+
+const ROUTE = {
+  name: 'drafts',
+  repeat: RepeatRule.idempotent,
+  objectiveMs: 400,
+  timeoutMs: 4_000,
+  callerPatienceMs: 2_000,
+  attempts: 2,
+  priority: 1,
+} as unknown as Route;
+
+function requestFor(model: string | null): ReadRequest {
+  return {
+    req: { method: 'POST', url: '/drafts', rawHeaders: [] } as unknown as http.IncomingMessage,
+    res: new EventEmitter() as unknown as http.ServerResponse,
+    facts: {
+      id: 'r1',
+      deadlineMs: 4_000,
+      key: null,
+      model,
+      adapter: null,
+      tokens: null,
+      promptParts: [],
+      lastEventId: null,
+    },
+    plan: {} as ReadRequest['plan'],
+    route: ROUTE,
+    service: 'drafting',
+    customer: null,
+    body: Buffer.alloc(0),
+    arrivedAtMs: NOW_MS,
+  };
+}
+
+/** A relay in which no server is there for any request. */
+function emptyRelay(uses: string[], retries: RetryWindow): RelayContext {
+  const partial = {
+    retries,
+    suspects: new SuspectTable(),
+    clock: { steadyMs: () => NOW_MS },
+    dispatcher: { place: async () => ({ run: null, retryAfterMs: 100 }), cancel: () => undefined },
+    metrics: { count: () => undefined, time: () => undefined },
+    usualReturnMs: 1_000,
+    log: () => undefined,
+    replyOwn: () => undefined,
+    noteUse: (model: string) => uses.push(model),
+  };
+  return partial as unknown as RelayContext;
+}
+
+describe('a request that finds no server', () => {
+  test('still counts as a use of its model, so that the steward hears of the demand', async () => {
+    const uses: string[] = [];
+    const relay = emptyRelay(uses, new RetryWindow({ ratio: 0.2, windowMs: 10_000, slack: 0 }));
+    await new Exchange(relay, requestFor('m1')).serve();
+    await new Exchange(relay, requestFor(null)).serve();
+    expect(uses).toEqual(['m1']);
+  });
+
+  test('earns its part of a retry at its service', async () => {
+    const retries = new RetryWindow({ ratio: 0.5, windowMs: 10_000, slack: 0 });
+    retries.noteMembers(1);
+    const relay = emptyRelay([], retries);
+    expect(retries.spend(NOW_MS, 'drafting')).toBe(false);
+    const requests = Array.from({ length: 4 }, () => requestFor('m1'));
+    await Promise.all(requests.map((request) => new Exchange(relay, request).serve()));
+    expect(retries.spend(NOW_MS, 'drafting')).toBe(true);
+  });
+});
