Let the steward follow the store for all entry VMs

Ruled out: stale reads (prove no freshness), longer watches (a silent store would show too late for keys).

Change: BeliefTeller tells each member the list of servers and what left it; grants carry the age of the call that confirmed plan and list. A member counts that age from the sending of its report, and asks the store only when the word is old, when a newer plan was told, or when no steward is heard. Failed calls are repeated after 150 to 600 ms instead of always 150. Answers of the store that the steward's word has overtaken change nothing.

--- a/src/decisions/backend-list/index.ts
+++ b/src/decisions/backend-list/index.ts
@@ -20,7 +20,8 @@
 
 interface Known {
   readonly server: BackendServer;
-  readonly revision: number;
+  /** Whether another entry VM told of it, which leaves out what the server holds. */
+  readonly adopted: boolean;
 }
 
 export class BackendList {
@@ -58,6 +59,22 @@
     return before !== this.view;
   }
 
+  /** Takes over the whole list of another entry VM that follows the store. True if it changed. */
+  adopt(servers: readonly BackendServer[]): boolean {
+    const before = this.view;
+    const listed = new Set(servers.map(({ id }) => id));
+    [...this.known.keys()].filter((id) => !listed.has(id)).forEach((id) => this.known.delete(id));
+    this.missing.clear();
+    servers.forEach((server) => this.adoptServer(server));
+    this.refresh();
+    return before !== this.view;
+  }
+
+  /** Whether another entry VM told of the server, so that what it holds is not in its entry. */
+  isAdopted(id: string): boolean {
+    return this.known.get(id)?.adopted === true;
+  }
+
   /** Drops what has not returned in time. True if anything changed. */
   settle(nowMs: number): boolean {
     if (this.missing.size === 0 || nowMs < this.returnUntilMs) return false;
@@ -81,7 +98,22 @@
     this.missing.delete(id);
     if (isOld) return;
     this.newestBornMs.set(id, server.bornMs);
-    this.known.set(id, { server, revision });
+    this.known.set(id, { server, adopted: false });
+  }
+
+  private adoptServer(server: BackendServer): void {
+    const { id, bornMs } = server;
+    if (bornMs < (this.newestBornMs.get(id) ?? 0)) return;
+    this.newestBornMs.set(id, bornMs);
+    const old = this.known.get(id)?.server;
+    const same =
+      old !== undefined &&
+      old.bornMs === bornMs &&
+      old.address === server.address &&
+      old.service === server.service &&
+      old.leaving === server.leaving &&
+      old.slots === server.slots;
+    this.known.set(id, { server: same ? old : server, adopted: true });
   }
 
   private drop(nowMs: number, id: string): void {
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -131,7 +131,8 @@
     if (need.model === null) return true;
     if (this.isMissing(nowMs, server, need)) return false;
     const view = this.views.get(server.id);
-    const current = heard && view !== undefined && view.bornMs >= server.bornMs;
+    const isTold = heard || this.follower.isAdopted(server.id);
+    const current = isTold && view !== undefined && view.bornMs >= server.bornMs;
     const models = current ? view.models : server.models;
     const held = models.find(({ name }) => name === need.model);
     if (held === undefined) return false;
--- a/src/entry/relay/follower.ts
+++ b/src/entry/relay/follower.ts
@@ -5,6 +5,7 @@
 import type { Task } from '../../core/supervisor/index.js';
 import { BackendList } from '../../decisions/backend-list/index.js';
 import type { BackendServer, FleetPlan } from '../../decisions/fleet-plan/index.js';
+import type { ListedServer, RelayMessageOf } from './messages.js';
 import {
   type FeedAnswer,
   type FeedEvent,
@@ -15,10 +16,17 @@
 
 /** How long one watch waits, ms: its end confirms that nothing changed. */
 const WATCH_MS = 1_500;
+/** The same at the steward, whose word confirms what all entry VMs believe, ms. */
+const STEWARD_WATCH_MS = 400;
+/** The steward's word is enough while it is no older than this, ms; it speaks every 400 ms. */
+const RELAYED_MS = 1_300;
+/** While the steward's word is enough, its age is looked at this often, ms. */
+const RELAY_POLL_MS = 100;
 /** Pause after a change, ms: more of them often follow, and every call is priced. */
 const SETTLE_MS = 300;
-/** Pause after a call that failed, ms. */
+/** Pause after a call that failed, ms, and the longest after several: refused calls are priced. */
 const RETRY_MS = 150;
+const MOST_RETRY_MS = 600;
 /** A store that did not answer for this long was in an outage, ms. */
 const OUTAGE_MS = 1_000;
 
@@ -34,6 +42,14 @@
   readonly clock: clocks.Clock;
   readonly logger: Logger;
   readonly changed: Channel<FleetChange>;
+  /** Whether this entry VM is the steward, to whom the others listen. */
+  isSteward(): boolean;
+}
+
+/** Where in the store's history a belief stands, and how old the call is that confirmed it. */
+export interface Confirmed {
+  readonly revision: number;
+  readonly ageMs: number;
 }
 
 /** Follows one kind: lists it, then watches from there. */
@@ -43,6 +59,11 @@
   /** When the call was sent that confirmed what is believed. */
   confirmedAtMs = -Infinity;
 
+  /** When what is believed was confirmed to another entry VM that passed it on. */
+  private relayedAtMs = -Infinity;
+
+  private failures = 0;
+
   private stopped = false;
 
   constructor(
@@ -54,12 +75,43 @@
 
   async run(): Promise<void> {
     while (!this.stopped) {
-      const sentAtMs = this.opts.clock.nowMs();
-      const pauseMs = await this.step(sentAtMs);
+      const nowMs = this.opts.clock.nowMs();
+      const pauseMs = this.isRelayed(nowMs) ? RELAY_POLL_MS : await this.step(nowMs);
       if (pauseMs > 0 && !this.stopped) await clocks.sleep(pauseMs);
     }
   }
 
+  /** Where this belief stands, for others; null where nothing is known. */
+  confirmed(): Confirmed | null {
+    if (this.revision === null) return null;
+    return { revision: this.revision, ageMs: this.opts.clock.nowMs() - this.confirmedAtMs };
+  }
+
+  /** Whether a belief of this revision is newer than what is known here, or the same. */
+  isUpTo(revision: number): boolean {
+    return revision >= (this.revision ?? 0);
+  }
+
+  /** Another entry VM has confirmed at `atMs` what is believed here. */
+  noteRelayed(atMs: number, revision: number): void {
+    this.revision = Math.max(this.revision ?? 0, revision);
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
+    this.relayedAtMs = Math.max(this.relayedAtMs, atMs);
+  }
+
+  /** What is believed here is behind: the store is asked next. */
+  noteBehind(): void {
+    this.relayedAtMs = -Infinity;
+  }
+
+  private isRelayed(nowMs: number): boolean {
+    return !this.opts.isSteward() && nowMs - this.relayedAtMs < RELAYED_MS;
+  }
+
+  private watchMs(): number {
+    return this.opts.isSteward() ? STEWARD_WATCH_MS : WATCH_MS;
+  }
+
   stop(): void {
     this.stopped = true;
   }
@@ -71,6 +123,7 @@
     const sentAtMs = this.opts.clock.nowMs();
     const answer = await this.opts.store.changes(this.kind, since, 0);
     if (answer.type !== FeedOutcome.ok || this.stopped) return;
+    if (!this.isUpTo(answer.revision)) return;
     this.take(answer.items, false);
     this.confirmedAtMs = Math.max(this.confirmedAtMs, sentAtMs);
   }
@@ -82,7 +135,7 @@
     const answer: FeedAnswer<FeedEvent> =
       since === null
         ? await this.list()
-        : await store.changes(this.kind, since, this.isLate(sentAtMs) ? 0 : WATCH_MS);
+        : await store.changes(this.kind, since, this.isLate(sentAtMs) ? 0 : this.watchMs());
     if (this.stopped) return 0;
     if (answer.type === FeedOutcome.historyGone) {
       this.revision = null;
@@ -90,8 +143,12 @@
     }
     if (answer.type === FeedOutcome.failed) {
       this.opts.logger.debug('store-call-failed', { kind: this.kind, reason: answer.reason });
-      return RETRY_MS;
+      this.failures += 1;
+      return Math.min(MOST_RETRY_MS, RETRY_MS * this.failures);
     }
+    this.failures = 0;
+    // The steward's word has gone beyond this answer.
+    if (!this.isUpTo(answer.revision)) return RETRY_MS;
     if (sentAtMs - this.confirmedAtMs > OUTAGE_MS + WATCH_MS) this.noteOutage();
     this.revision = Math.max(this.revision ?? 0, answer.revision);
     this.take(answer.items, since === null);
@@ -111,12 +168,27 @@
   }
 }
 
+/** A server of the steward's list: what it holds is told apart, and its orders are not given here. */
+function asBackendServer(listed: ListedServer): BackendServer {
+  return { ...listed, orderCount: 0, models: [], copies: { inMemory: [], onDisk: [] } };
+}
+
 export class FollowerTask implements Task {
   readonly name = 'follower';
 
   private currentPlan: FleetPlan | null = null;
 
-  private planRevision = 0;
+  private currentPlanRevision = 0;
+
+  private planValue: unknown = null;
+
+  /** The steward's list of backend servers. */
+  private readonly told = new Map<string, ListedServer>();
+
+  private toldRevision = -1;
+
+  /** Whether the steward's list has changed since it was taken over. */
+  private toldIsNew = false;
 
   private readonly list = new BackendList();
 
@@ -150,6 +222,68 @@
     return this.list.servers;
   }
 
+  /** Revision of the plan; 0 for none. */
+  get planRevision(): number {
+    return this.currentPlanRevision;
+  }
+
+  /** What the store says of the plan, as it was read. */
+  get rawPlan(): unknown {
+    return this.planValue;
+  }
+
+  /** Whether what the server holds is not in its entry here. */
+  isAdopted(id: string): boolean {
+    return this.list.isAdopted(id);
+  }
+
+  /** Where the beliefs stand, for the entry VMs that listen to this one. */
+  confirmed(): { readonly plan: Confirmed | null; readonly backends: Confirmed | null } {
+    return { plan: this.planFollower.confirmed(), backends: this.backendFollower.confirmed() };
+  }
+
+  /** The steward's list has changed. */
+  takeBeliefs(beliefs: RelayMessageOf<'beliefs'>): void {
+    if (beliefs.whole) this.told.clear();
+    beliefs.gone.forEach((id) => this.told.delete(id));
+    beliefs.servers.forEach((server) => this.told.set(server.id, server));
+    this.toldRevision = beliefs.revision;
+    this.toldIsNew = true;
+    this.adopt();
+  }
+
+  /** The steward confirms what it told, as of its answer to a report of this VM. */
+  takeConfirmed(grant: RelayMessageOf<'grant'>): void {
+    const { plan, planRevision, backends, reportClockMs } = grant;
+    if (plan !== null && planRevision > this.currentPlanRevision) this.planFollower.noteBehind();
+    if (plan !== null && planRevision === this.currentPlanRevision && planRevision > 0) {
+      this.planFollower.noteRelayed(reportClockMs - plan.ageMs, plan.revision);
+    }
+    if (backends === null || this.toldRevision < 0) return;
+    this.toldRevision = backends.revision;
+    if (!this.backendFollower.isUpTo(backends.revision)) return;
+    this.adopt();
+    this.backendFollower.noteRelayed(reportClockMs - backends.ageMs, backends.revision);
+  }
+
+  /** A new steward tells its list from the start. */
+  forgetBeliefs(): void {
+    this.told.clear();
+    this.toldRevision = -1;
+  }
+
+  /** The plan as the steward has it, where the store can't be reached. */
+  takeToldPlan(told: RelayMessageOf<'plan'>): void {
+    this.takePlan([
+      {
+        name: this.opts.wire.planName,
+        revision: told.revision,
+        value: told.value,
+        deleted: false,
+      },
+    ]);
+  }
+
   /** Age of what is believed of the plan, ms. */
   planAgeMs(): number {
     return this.opts.clock.nowMs() - this.planFollower.confirmedAtMs;
@@ -178,8 +312,9 @@
       .filter(({ name, deleted }) => name === this.opts.wire.planName && !deleted)
       .sort((a, b) => a.revision - b.revision)
       .at(-1);
-    if (newest === undefined || newest.revision <= this.planRevision) return;
-    this.planRevision = newest.revision;
+    if (newest === undefined || newest.revision <= this.currentPlanRevision) return;
+    this.currentPlanRevision = newest.revision;
+    this.planValue = newest.value;
     const plan = this.opts.wire.decodePlan(newest.value);
     if (plan === null) {
       this.opts.logger.error('plan-unreadable', { revision: newest.revision });
@@ -212,6 +347,15 @@
     }
   }
 
+  /** Takes the steward's list over, unless more is known here. */
+  private adopt(): void {
+    if (!this.toldIsNew || this.opts.isSteward()) return;
+    if (!this.backendFollower.isUpTo(this.toldRevision)) return;
+    this.toldIsNew = false;
+    const servers = [...this.told.values()].map(asBackendServer);
+    if (this.list.adopt(servers)) this.opts.changed.send({ plan: false, backends: true });
+  }
+
   private settle(): void {
     if (this.list.settle(this.opts.clock.nowMs())) {
       this.opts.changed.send({ plan: false, backends: true });
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -9,6 +9,8 @@
   view: 'view',
   grant: 'grant',
   lent: 'lent',
+  beliefs: 'beliefs',
+  plan: 'plan',
   death: 'death',
   lease: 'lease',
 } as const;
@@ -46,6 +48,20 @@
 });
 export type EngineView = z.infer<typeof engineViewSchema>;
 
+const listedServerSchema = z.object({
+  id: z.string(),
+  service: z.string(),
+  address: z.string(),
+  dataCentre: z.string(),
+  leaving: z.boolean(),
+  slots: z.number(),
+  bornMs: z.number(),
+});
+export type ListedServer = z.infer<typeof listedServerSchema>;
+
+/** Where in the store's history a belief stands, and how old the call is that confirmed it. */
+const confirmedSchema = z.object({ revision: z.int(), ageMs: z.number() });
+
 const loadViewSchema = z.object({
   model: z.string(),
   adapter: z.string().nullable(),
@@ -62,6 +78,10 @@
     address: z.string(),
     /** The sender's clock; comes back with the grant. */
     sentAtMs: z.number(),
+    /** The sender's clock that counts suspensions; comes back with the grant. */
+    clockMs: z.number(),
+    /** Revision of the plan that the sender has; 0 for none. */
+    planRevision: z.int(),
     /** Last grant of this steward that was taken in. */
     appliedSeq: z.int(),
     shares: z.array(shareSchema),
@@ -87,11 +107,28 @@
     /** Entry VMs that report to the steward. */
     members: z.int(),
   }),
+  /** Backend servers whose entries changed; all of them when `whole`. */
+  z.object({
+    type: z.literal(RelayMessageType.beliefs),
+    whole: z.boolean(),
+    servers: z.array(listedServerSchema),
+    gone: z.array(z.string()),
+    /** The store's revision of which this is the list. */
+    revision: z.int(),
+  }),
+  /** The plan as the store has it, for an entry VM that can't fetch it. */
+  z.object({ type: z.literal(RelayMessageType.plan), revision: z.int(), value: z.unknown() }),
   z.object({
     type: z.literal(RelayMessageType.grant),
     seq: z.int(),
     reportSentAtMs: z.number(),
+    reportClockMs: z.number(),
     fractions: z.record(z.string(), z.number()),
+    /** What the steward follows in the store; null where it knows nothing. */
+    plan: confirmedSchema.nullable(),
+    backends: confirmedSchema.nullable(),
+    /** Revision of the plan that the steward has. */
+    planRevision: z.int(),
   }),
   z.object({
     type: z.literal(RelayMessageType.lent),
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -23,6 +23,8 @@
   readonly dispatcher: Dispatcher;
   readonly view: FleetView;
   readonly clock: Clock;
+  /** Revision of the plan that this entry VM has. */
+  planRevision(): number;
   isStopping(): boolean;
 }
 
@@ -95,6 +97,8 @@
       vm: this.opts.vm,
       address: this.opts.address,
       sentAtMs: nowMs,
+      clockMs: this.opts.clock.nowMs(),
+      planRevision: this.opts.planRevision(),
       appliedSeq: this.opts.admission.lastSeq,
       shares: [...this.opts.admission.holder.report(nowMs)],
       running,
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -17,6 +17,7 @@
   type RelayMessageOf,
   RelayMessageType,
 } from './messages.js';
+import { BeliefTeller, ListedTexts } from './belief-teller.js';
 import { EngineYard } from './engine-yard.js';
 import { readMessages, writeMessage } from './steward-link.js';
 import type { PlatformWire } from './types.js';
@@ -47,6 +48,7 @@
   readonly told: Map<string, string>;
   toldLoads: string;
   toldLease: number;
+  readonly beliefs: BeliefTeller;
 }
 
 export interface StewardOptions {
@@ -72,6 +74,8 @@
 
   private yard: EngineYard | null = null;
 
+  private readonly listedTexts = new ListedTexts();
+
   private fence = 0;
 
   /** Allowances as the lease carries them. */
@@ -143,6 +147,7 @@
       told: new Map(),
       toldLoads: '',
       toldLease: 0,
+      beliefs: new BeliefTeller(),
     };
     socket.on('error', (err) => {
       this.opts.logger.debug('member-link-failed', { peer: member.vm, reason: err.message });
@@ -192,12 +197,32 @@
     }
     lender.noteReport(nowMs, report.vm, report.appliedSeq, report.shares);
     const grant = lender.grant(nowMs, report.vm);
+    const { follower } = this.opts;
+    // The list goes first: the grant confirms it.
+    this.tellBeliefs(member);
     writeMessage(member.socket, {
       type: RelayMessageType.grant,
       seq: grant.seq,
       reportSentAtMs: report.sentAtMs,
+      reportClockMs: report.clockMs,
       fractions: Object.fromEntries(grant.fractions),
+      ...follower.confirmed(),
+      planRevision: follower.planRevision,
     });
+    if (member.beliefs.lacksPlan(report, follower.planRevision)) {
+      const { planRevision: revision, rawPlan: value } = follower;
+      writeMessage(member.socket, { type: RelayMessageType.plan, revision, value });
+    }
+  }
+
+  /** Tells a member how the list of backend servers has changed. */
+  private tellBeliefs(member: Member): void {
+    const { backends } = this.opts.follower;
+    const revision = this.opts.follower.confirmed().backends?.revision;
+    if (revision === undefined || member.vm === this.opts.vm) return;
+    const texts = this.listedTexts.of(backends);
+    const change = member.beliefs.listChange(backends, texts, revision);
+    if (change !== null && !writeMessage(member.socket, change)) member.beliefs.forget();
   }
 
   private lend(nowMs: number, member: Member, ask: RelayMessageOf<'ask'>): void {
@@ -307,6 +332,7 @@
   ): void {
     if (member.vm === null) return;
     this.tellLease(member);
+    this.tellBeliefs(member);
     const changed = engines.filter(({ id }) => member.told.get(id) !== texts.get(id));
     const due = nowMs - member.spokenAtMs >= SPEAK_MS;
     if (changed.length === 0 && member.toldLoads === loadsKey && !due) return;
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -62,18 +62,24 @@
   let stopAtMs = Infinity;
   const graceMs = settings.stop.graceMs - STOP_MARGIN_MS;
 
+  const parts: {
+    lease?: LeaseTask;
+    reporter?: ReporterTask;
+    link?: StewardLink;
+    steward?: StewardTask;
+  } = {};
   const follower = new FollowerTask({
     wire,
     store,
     clock,
     logger: logger.child('follower'),
     changed,
+    isSteward: () => parts.lease !== undefined && parts.lease.fence() > 0,
   });
   const suspects = new SuspectTable();
   const deathWatch = new DeathWatch();
   const retries = new RetryWindow(relay.retries);
   const connections = new Connections();
-  const parts: { reporter?: ReporterTask; link?: StewardLink; steward?: StewardTask } = {};
   const stewardIsHeard = () => parts.link?.isHeard === true;
   const lease = new LeaseTask({
     vm: vm.id,
@@ -88,6 +94,7 @@
     note: (before) => parts.steward?.note(before),
     noted: (note) => parts.steward?.noted(note),
   });
+  parts.lease = lease;
   const view = new FleetView(follower, clock, stewardIsHeard);
   const dispatcher = new Dispatcher({
     dataCentre: vm.dataCentre,
@@ -118,6 +125,13 @@
         break;
       case RelayMessageType.grant:
         admission.takeGrant(message);
+        follower.takeConfirmed(message);
+        break;
+      case RelayMessageType.beliefs:
+        follower.takeBeliefs(message);
+        break;
+      case RelayMessageType.plan:
+        follower.takeToldPlan(message);
         break;
       case RelayMessageType.lent:
         admission.takeLent(message);
@@ -132,6 +146,7 @@
     message: takeMessage,
     connected: () => {
       admission.resetSeq();
+      follower.forgetBeliefs();
       parts.reporter?.introduce();
     },
     gone: (post) => lease.noteGone(post),
@@ -147,6 +162,7 @@
     dispatcher,
     view,
     clock,
+    planRevision: () => follower.planRevision,
     isStopping,
   });
   parts.reporter = reporter;
