Give a crowded model with one copy a second place from the store

Found besides: one plan brought a model that is wanted with several adapters to as many engines at once.

Ruled out: lack of a want (it stood first), of store loads (4 free), of its rate (counted since today).

Change: where the engines that hold a model are crowded and no other has a copy, it may come from the store, at the price of a disk load's victims, with one store load left to models that nobody holds. A model comes to one engine a plan.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -5,7 +5,7 @@
  * one or two make up half of the demand, and which ones changes within seconds. A load from an
  * engine's own disk or memory takes half a second, one from the weight store holds the engine's
  * orders for many; so a model goes where a copy of it lies, and from the store only if none does or
- * an engine has room to spare. Room that is free is filled with what is asked for most, so that an
+ * an engine has room to spare, or if one crowded engine has the only copy. Room that is free is filled with what is asked for most, so that an
  * engine that comes new and empty is of use before requests wait for it.
  */
 import { OrderStepType } from '../engine-orders/index.js';
@@ -54,6 +54,8 @@
   readonly evict: readonly Place[];
   readonly fromStore: boolean;
   readonly priceMs: number;
+  /** What callers of other models lose by it, ms. */
+  readonly costMs: number;
 }
 
 function specOf(engine: EngineState, model: string): ModelSpec | undefined {
@@ -67,6 +69,10 @@
   return { ms: spec.remoteLoadMs, fromStore: true };
 }
 
+function hasCopy({ copies }: EngineState, model: string): boolean {
+  return copies.inMemory.includes(model) || copies.onDisk.includes(model);
+}
+
 function placeOf(engine: EngineState, model: string): Place | undefined {
   return engine.places.find((place) => place.model === model);
 }
@@ -83,17 +89,21 @@
   /** Actions for engines that take orders now; at most one each. */
   plan(view: SwapView): readonly SwapAction[] {
     const taken = new Set<string>();
+    const placed = new Set<string>();
     let { storeLoadsLeft } = view;
     const byPress = [...view.wants].sort((a, b) => pressOf(view.nowMs, b) - pressOf(view.nowMs, a));
     const steps: readonly ((want: Want) => SwapAction | null)[] = [
       (want) => this.placeAdapter(view, want, taken),
-      (want) => this.placeModel(view, want, taken, storeLoadsLeft),
+      // A model comes to one engine at a time, however many of its adapters are waited for.
+      (want) =>
+        placed.has(want.model) ? null : this.placeModel(view, want, taken, storeLoadsLeft),
     ];
     const wanted = steps.flatMap((step) =>
       byPress.flatMap((want) => {
         const action = step(want);
         if (action === null) return [];
         taken.add(action.engineId);
+        if (step === steps[1]) placed.add(want.model);
         if (action.fromStore) storeLoadsLeft -= 1;
         return [action];
       }),
@@ -214,7 +224,9 @@
     const { model } = want;
     const engines = view.engines.filter((engine) => engine.service === want.service);
     if (!this.wantsPlace(view, engines, want)) return null;
-    const held = engines.some((engine) => engine.sound && placeOf(engine, model) !== undefined);
+    const holders = engines.filter(
+      (engine) => engine.sound && placeOf(engine, model) !== undefined,
+    );
     const overdue = view.nowMs > want.dueAtMs + OVERDUE_MS;
     const options = engines
       .filter((engine) => engine.open && !taken.has(engine.id))
@@ -222,15 +234,19 @@
       .flatMap((engine) => this.option(view, engine, model, overdue))
       .sort((a, b) => a.priceMs - b.priceMs);
     // The store is for what no engine has a copy of.
-    const copied = engines.some(
-      (engine) =>
-        engine.sound && [...engine.copies.inMemory, ...engine.copies.onDisk].includes(model),
+    const copied = engines.some((engine) => engine.sound && hasCopy(engine, model));
+    const mostMs = MOST_PRICE_MS + want.waiting * PRICE_PER_WAITING_MS;
+    const elsewhere = engines.some(
+      (engine) => engine.sound && !holders.includes(engine) && hasCopy(engine, model),
     );
-    const mayUseStore = !held && storeLoadsLeft > 0;
-    const usable = ({ fromStore, evict }: Option) =>
-      !fromStore || (mayUseStore && (!copied || evict.length === 0));
+    const usable = ({ fromStore, evict, costMs }: Option) => {
+      if (!fromStore) return true;
+      if (holders.length === 0) return storeLoadsLeft > 0 && (!copied || evict.length === 0);
+      // One crowded engine has the only copy: the store is the one way to a second place.
+      const mayUseStore = storeLoadsLeft > STORE_LOADS_SPARED && !elsewhere;
+      return mayUseStore && this.isCrowded(holders, model) && costMs <= mostMs;
+    };
     const best = options.find(usable);
-    const mostMs = MOST_PRICE_MS + want.waiting * PRICE_PER_WAITING_MS;
     if (best === undefined || (!best.fromStore && best.priceMs > mostMs)) return null;
     const unloads = best.evict.map((place) => ({
       type: OrderStepType.unload,
@@ -257,13 +273,17 @@
     if (holders.length >= engines.length / 2) return false;
     if (this.lacksAdapterPlaces(view.nowMs, holders, want)) return true;
     if (want.adapter === null && want.waiting >= WAITING_FOR_MORE) return true;
+    if (this.isCrowded(holders, model)) return true;
+    return holders.length < 2 && (view.rates.get(model) ?? 0) > SECOND_PLACE_RATE;
+  }
+
+  private isCrowded(holders: readonly EngineState[], model: string): boolean {
     const running = holders.reduce(
       (sum, engine) => sum + (placeOf(engine, model)?.running ?? 0),
       0,
     );
     const slots = holders.reduce((sum, { spec }) => sum + spec.slots, 0);
-    if (running > slots * FULL_PART) return true;
-    return holders.length < 2 && (view.rates.get(model) ?? 0) > SECOND_PLACE_RATE;
+    return running > slots * FULL_PART;
   }
 
   /** Whether every engine with the model has its adapter places in use by others. */
@@ -293,7 +313,9 @@
     const spared = this.sparedPrice(view, engine);
     const holdsOrdersMs = fromStore ? ms : 0;
     if (missingMb <= 0)
-      return [{ engine, evict: [], fromStore, priceMs: ms + spared + holdsOrdersMs }];
+      return [
+        { engine, evict: [], fromStore, priceMs: ms + spared + holdsOrdersMs, costMs: spared },
+      ];
     const victims = engine.places
       .filter((place) => view.nowMs - place.loadedAtMs >= KEEP_NEW_MS)
       // An idle place on another engine comes up sooner than the end of the runs here.
@@ -309,6 +331,7 @@
         evict: chosen.map(({ place }) => place),
         fromStore,
         priceMs: ms + evictMs + spared + holdsOrdersMs,
+        costMs: evictMs + spared,
       },
     ];
   }
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -252,3 +252,53 @@
     expect(plan({ engines: [engine('e1', [], MODELS)], wants: [] })).toEqual([]);
   });
 });
+
+describe('a model of which one engine has the only copy, and which half of the callers ask for', () => {
+  const hotAt = (running: number) =>
+    engine('e1', [place('hot', { running }), place('m1')], ['hot']);
+  const others = ['e2', 'e3', 'e4'].map((id) =>
+    engine(id, [place('m2'), place('m3'), place('m4')], ['m2', 'm3', 'm4']),
+  );
+  const rates = new Map([['hot', 20]]);
+
+  test('gets a second place from the store once its engine is crowded', () => {
+    const actions = plan({ engines: [hotAt(30), ...others], wants: [want('hot')], rates });
+    expect(actions.map(({ fromStore }) => fromStore)).toEqual([true]);
+    expect(loadsOf(actions)[0]).toMatch(/^e[234] hot$/);
+  });
+
+  test('stays at one place while that has room', () => {
+    const actions = plan({ engines: [hotAt(4), ...others], wants: [want('hot')], rates });
+    expect(actions.filter(({ fromStore }) => fromStore)).toEqual([]);
+  });
+
+  test('is loaded where a copy lies rather than from the store', () => {
+    const near = engine('e5', [place('m5')], ['hot']);
+    const actions = plan({ engines: [hotAt(30), ...others, near], wants: [want('hot')], rates });
+    expect(loadsOf(actions)).toEqual(['e5 hot']);
+  });
+
+  test('leaves the last load of the store to models that no engine holds', () => {
+    const wants = [want('hot', { waiting: 9 }), want('m6')];
+    const engines = [hotAt(30), ...others];
+    const actions = plan({ engines, wants, rates, storeLoadsLeft: 1 });
+    expect(loadsOf(actions).map((text) => text.split(' ')[1])).toEqual(['m6']);
+  });
+
+  test('does not come a second time while a load is under way', () => {
+    const coming = engine('e2', [place('m2')], ['m2'], { loading: ['hot'], open: false });
+    const engines = [hotAt(30), coming, ...others.slice(1)];
+    expect(plan({ engines, wants: [want('hot')], rates })).toEqual([]);
+  });
+});
+
+describe('a crowd for many adapters of one model', () => {
+  const wants = ['a1', 'a2', 'a3'].map((adapter) => want('m5', { adapter }));
+  const engines = ['e1', 'e2', 'e3'].map((id) =>
+    engine(id, [place('m1'), place('m2'), place('m3')], ['m5']),
+  );
+
+  test('brings the model to one engine at a time', () => {
+    expect(loadsOf(plan({ engines, wants }))).toHaveLength(1);
+  });
+});
