Leave servers out of reach out at once, and hold an unconfirmed key against nobody

Ruled out: telling the two cases apart by the steward's view (a cut-off data centre has none).

Change: ServerHealth.noteUnreached leaves a server out for 0.5 to 2 s, also the only one; other failures leave out half of a set at most, as before. An unconfirmed key is refused at once with its own reason. A caller that left says nothing of the server.

Tests: sole server, later retries, a probe within 2 s, many requests at once; refusal at once without a mark (the old code asked four servers and refused as "no capacity").

--- a/src/decisions/server-health/index.ts
+++ b/src/decisions/server-health/index.ts
@@ -2,13 +2,18 @@
  * Which backend servers fail or answer slowly, judged against their peers.
  *
  * A server that fails several times in a row is left out for a while, never more than half of a
- * set. One that is slower than its peers gets less work, and a little of it, so that its recovery
+ * set. One that can't be reached is left out also where it is the only one: in a data centre that is
+ * cut off, all requests for what lies beyond the cut would hang on it and miss their time to go to
+ * another entry VM. One that is slower than its peers gets less work, and a little of it, so that its recovery
  * shows.
  */
 
 const FAILURES_TO_EJECT = 2;
 const FIRST_EJECTION_MS = 1_000;
 const LONGEST_EJECTION_MS = 8_000;
+/** A server that can't be reached is tried again after this, doubled each time up to the longest, ms. */
+const FIRST_RETRY_MS = 500;
+const LONGEST_RETRY_MS = 2_000;
 /** Part of a set of servers that may be left out at once. */
 const MOST_EJECTED = 0.5;
 /** Weight of the newest answer in a server's average. */
@@ -23,6 +28,8 @@
   failures: number;
   ejections: number;
   ejectedUntilMs: number;
+  unreached: number;
+  unreachedUntilMs: number;
   averageMs: number;
   measuredAtMs: number;
 }
@@ -36,6 +43,8 @@
     failures: 0,
     ejections: 0,
     ejectedUntilMs: -Infinity,
+    unreached: 0,
+    unreachedUntilMs: -Infinity,
     averageMs: 0,
     measuredAtMs: -Infinity,
   };
@@ -49,6 +58,7 @@
     const record = this.recordOf(id);
     record.failures = 0;
     record.ejections = 0;
+    record.unreached = 0;
     const old = nowMs - record.measuredAtMs > FORGET_MS;
     record.averageMs = old ? took : record.averageMs + (took - record.averageMs) * NEWEST_PART;
     record.measuredAtMs = nowMs;
@@ -65,8 +75,18 @@
     return true;
   }
 
-  /** The servers to choose among; all of them when too many would be left out. */
-  sound<T extends Identified>(nowMs: number, servers: readonly T[]): readonly T[] {
+  /** Notes that no connection to a server came about. */
+  noteUnreached(nowMs: number, id: string): void {
+    const record = this.recordOf(id);
+    if (nowMs < record.unreachedUntilMs) return;
+    const retryMs = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** record.unreached);
+    record.unreached += 1;
+    record.unreachedUntilMs = nowMs + retryMs;
+  }
+
+  /** The servers to choose among; all in reach when too many of them would be left out. */
+  sound<T extends Identified>(nowMs: number, all: readonly T[]): readonly T[] {
+    const servers = all.filter(({ id }) => (this.records.get(id)?.unreachedUntilMs ?? 0) <= nowMs);
     const fit = servers.filter(({ id }) => (this.records.get(id)?.ejectedUntilMs ?? 0) <= nowMs);
     const ejected = servers.length - fit.length;
     return ejected <= servers.length * MOST_EJECTED ? fit : servers;
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -17,8 +17,6 @@
 const MOST_NOT_RUN = 4;
 /** Part of the objective that a request may wait for its customer's rate. */
 const RATE_WAIT_PART = 0.4;
-/** A server that can't be reached is left out at once. */
-const UNREACHED_WEIGHT = 2;
 /** Part of the objective from which on a wait is logged. */
 const LOGGED_WAIT_PART = 0.25;
 /** Silence of a server after which a repeatable request is tried elsewhere, at least, ms. */
@@ -148,6 +146,11 @@
         this.giveUp(placement.retryAfterMs);
         return;
       }
+      if (!this.ctx.mayRun(this.request.customer)) {
+        this.ctx.view.ended(placement.run);
+        this.giveUp(null, errors.data.KeysUnconfirmed);
+        return;
+      }
       this.logWait(placement.run);
       const result = await this.attempt(placement.run);
       if (!this.takeResult(placement.run, result)) return;
@@ -181,15 +184,6 @@
   private async attempt(run: Run): Promise<AttemptResult> {
     const { req, facts, customer, route, body } = this.request;
     const nowMs = this.ctx.clock.steadyMs();
-    if (!this.ctx.mayRun(customer)) {
-      this.ctx.view.ended(run);
-      return {
-        type: AttemptEnd.notRun,
-        reason: 'the key is not confirmed',
-        reached: false,
-        status: null,
-      };
-    }
     this.current = { run, sentAtMs: nowMs };
     const resumeAfter =
       this.streaming && this.cutter.lastId !== null ? String(this.cutter.lastId) : null;
@@ -266,8 +260,9 @@
   ): boolean {
     this.ctx.log('not-run', this.request.facts.id, { server: run.server.id, reason });
     if (reached) this.ctx.view.noteMissing(run);
-    else this.ctx.view.health.noteFailure(nowMs, run.server.id, UNREACHED_WEIGHT);
+    // A caller that left while the connection was made says nothing of the server.
     if (this.ended) return false;
+    if (!reached) this.ctx.view.health.noteUnreached(nowMs, run.server.id);
     this.notRuns += 1;
     if (status !== 421 && run.model === null) this.tried.add(run.server.id);
     const again =
@@ -338,13 +333,16 @@
   }
 
   /** No server was there in time. */
-  private giveUp(retryAfterMs: number | null): void {
+  private giveUp(
+    retryAfterMs: number | null,
+    reason: errors.ErrorDefinition = errors.data.NoCapacity,
+  ): void {
     if (this.streaming) {
       this.cut('no server to go on at');
     } else if (this.ranOnce) {
       this.fail(errors.data.BackendFailed, 'no server to try again at');
     } else {
-      this.refuse(errors.data.NoCapacity, retryAfterMs ?? this.ctx.usualReturnMs);
+      this.refuse(reason, retryAfterMs ?? this.ctx.usualReturnMs);
     }
   }
 
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -59,6 +59,25 @@
   return partial as unknown as RelayContext;
 }
 
+describe('a request whose customer can not be confirmed when its turn comes', () => {
+  test('is refused at once, and holds nothing against the server', async () => {
+    const refusals: string[] = [];
+    const run = { server: { id: 's1' }, service: 'drafting', model: 'm1', adapter: null };
+    const ended: unknown[] = [];
+    const relay = {
+      ...emptyRelay([], new RetryWindow({ ratio: 0.2, windowMs: 10_000, slack: 52 })),
+      dispatcher: { place: async () => ({ run, retryAfterMs: null }), cancel: () => undefined },
+      view: { ended: (one: unknown) => ended.push(one) },
+      mayRun: () => false,
+      replyOwn: (_res: unknown, _id: string, failure: { name: string }) =>
+        refusals.push(failure.name),
+    } as unknown as RelayContext;
+    await new Exchange(relay, requestFor('m1')).serve();
+    expect(refusals).toEqual(['KeysUnconfirmed']);
+    expect(ended).toEqual([run]);
+  });
+});
+
 describe('a request that finds no server', () => {
   test('still counts as a use of its model, so that the steward hears of the demand', async () => {
     const uses: string[] = [];
--- a/test/units/server-health/server-health.test.ts
+++ b/test/units/server-health/server-health.test.ts
@@ -36,3 +36,39 @@
     expect(health.slowness(10_000, 'a', peers)).toBe(1);
   });
 });
+
+describe('servers behind a cut', () => {
+  const [sole] = SERVERS;
+
+  test('are not asked again at once, also where nobody else holds what is needed', () => {
+    const health = new ServerHealth();
+    health.noteUnreached(0, 'a');
+    expect(sole && ids(health.sound(1, [sole]))).toEqual([]);
+    expect(ids(health.sound(1, SERVERS))).toEqual(['b', 'c', 'd']);
+  });
+
+  test('are tried again after a while, later each time, and count as before once they answer', () => {
+    const health = new ServerHealth();
+    const isLeftOut = (nowMs: number) => !ids(health.sound(nowMs, SERVERS)).includes('a');
+    health.noteUnreached(0, 'a');
+    expect(isLeftOut(600)).toBe(false);
+    health.noteUnreached(600, 'a');
+    expect(isLeftOut(1_200)).toBe(true);
+    expect(isLeftOut(1_700)).toBe(false);
+    health.noteAnswer(1_700, 'a', 1);
+    health.noteUnreached(1_800, 'a');
+    expect(isLeftOut(2_400)).toBe(false);
+  });
+
+  test('stay in reach of a probe within two seconds, however long the cut lasts', () => {
+    const health = new ServerHealth();
+    Array.from({ length: 9 }).forEach((_, step) => health.noteUnreached(step * 2_000, 'a'));
+    expect(ids(health.sound(18_000, SERVERS))).toContain('a');
+  });
+
+  test('are left out once, however many requests were on their way', () => {
+    const health = new ServerHealth();
+    Array.from({ length: 20 }).forEach(() => health.noteUnreached(0, 'a'));
+    expect(ids(health.sound(600, SERVERS))).toContain('a');
+  });
+});
