Leave a silent server only when it is dark, when an idle one is there, or when the answer must be lost

Ruled out: a longer time for all (a dark server would hold its requests as long); judging by this request alone (a busy and a dark server look alike).

Change: leavesSilentServer looks at when the server last sent anything to this VM, how full the least busy other server is, and how much of the caller's patience is gone. The question is asked again each 150 ms, and the retry is taken when the server is left.

--- a/src/decisions/retries/index.ts
+++ b/src/decisions/retries/index.ts
@@ -1,5 +1,6 @@
 /** When a failed request may be sent to another backend server. */
 export * from './retry-window.js';
+export * from './silence.js';
 
 /** What is known of a request when its backend server failed. */
 export interface Attempts {
--- a/src/decisions/server-health/index.ts
+++ b/src/decisions/server-health/index.ts
@@ -32,6 +32,7 @@
   unreachedUntilMs: number;
   averageMs: number;
   measuredAtMs: number;
+  heardAtMs: number;
 }
 
 interface Identified {
@@ -47,6 +48,7 @@
     unreachedUntilMs: -Infinity,
     averageMs: 0,
     measuredAtMs: -Infinity,
+    heardAtMs: -Infinity,
   };
 }
 
@@ -62,6 +64,17 @@
     const old = nowMs - record.measuredAtMs > FORGET_MS;
     record.averageMs = old ? took : record.averageMs + (took - record.averageMs) * NEWEST_PART;
     record.measuredAtMs = nowMs;
+    record.heardAtMs = nowMs;
+  }
+
+  /** Notes that a server sent something, to any request. */
+  noteHeard(nowMs: number, id: string): void {
+    this.recordOf(id).heardAtMs = nowMs;
+  }
+
+  /** When a server sent something last, ms; -Infinity where it never did. */
+  heardAtMs(id: string): number {
+    return this.records.get(id)?.heardAtMs ?? -Infinity;
   }
 
   /** Notes that a server failed; true if it is left out from now on. */
--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -3,6 +3,8 @@
 import type { PlatformWire } from './types.js';
 import type { Run } from './fleet-view.js';
 
+/** Pause between two looks at a server that is silent, ms. */
+const SILENCE_POLL_MS = 150;
 /** A new connection is given up after this long, ms. */
 const CONNECT_TIMEOUT_MS = 400;
 
@@ -45,8 +47,15 @@
   readonly agent: http.Agent;
   readonly run: Run;
   readonly signal: AbortSignal;
-  /** Longest silence before the request is tried elsewhere, ms; null where it may not be. */
-  readonly stallMs: number | null;
+  /** What to do when the server is silent; null where the request may not go elsewhere. */
+  readonly silence: SilenceRule | null;
+}
+
+export interface SilenceRule {
+  /** Silence from which on the question is asked, ms. */
+  readonly afterMs: number;
+  /** Whether to leave the server after so much silence, ms. */
+  leaves(silentMs: number): boolean;
 }
 
 /** Takes the parts of an event stream as they come. */
@@ -145,6 +154,39 @@
   });
 }
 
+/** Asks again and again, while a server is silent, whether to leave it. */
+class SilenceWatch {
+  private heardAtMs = performance.now();
+
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(
+    private readonly rule: SilenceRule,
+    private readonly leave: () => void,
+  ) {
+    this.arm(rule.afterMs);
+  }
+
+  noteHeard(): void {
+    this.heardAtMs = performance.now();
+  }
+
+  stop(): void {
+    if (this.timer !== null) clearTimeout(this.timer);
+  }
+
+  private arm(ms: number): void {
+    this.timer = setTimeout(() => this.look(), ms);
+  }
+
+  private look(): void {
+    const silentMs = performance.now() - this.heardAtMs;
+    if (silentMs < this.rule.afterMs) this.arm(this.rule.afterMs - silentMs);
+    else if (this.rule.leaves(silentMs)) this.leave();
+    else this.arm(SILENCE_POLL_MS);
+  }
+}
+
 /** Sends the request; resolves with what came of it and never rejects. */
 export function send(
   wire: PlatformWire,
@@ -165,8 +207,13 @@
       agent: opts.agent,
     });
     const abort = () => req.destroy(new Error('given up'));
+    const watch =
+      opts.silence === null
+        ? null
+        : new SilenceWatch(opts.silence, () => req.destroy(new Error('the server fell silent')));
     const settle = (result: AttemptResult) => {
       if (connectTimer !== null) clearTimeout(connectTimer);
+      watch?.stop();
       signal.removeEventListener('abort', abort);
       resolve(result);
     };
@@ -174,10 +221,6 @@
       req.destroy();
       settle({ type: AttemptEnd.broken, reason });
     };
-    if (opts.stallMs !== null) {
-      const stalled = () => req.destroy(new Error('the server fell silent'));
-      req.setTimeout(opts.stallMs, stalled);
-    }
     signal.addEventListener('abort', abort, { once: true });
     if (signal.aborted) abort();
 
@@ -201,6 +244,8 @@
     req.on('response', (res) => {
       const hint = res.headers['keep-alive'];
       if (typeof hint === 'string') Object.assign(res.socket, { keepAliveHint: hint });
+      watch?.noteHeard();
+      res.on('data', () => watch?.noteHeard());
       const fault = faultOf(wire, opts.id, res);
       if (fault !== null) {
         condemn(fault);
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -4,10 +4,18 @@
 import type { LogFields } from '../../core/logger/index.js';
 import type { Customer, FleetPlan, Route } from '../../decisions/fleet-plan/index.js';
 import { RepeatRule } from '../../decisions/fleet-plan/index.js';
+import { leavesSilentServer } from '../../decisions/retries/index.js';
 import { fingerprintOf } from '../../decisions/suspects/index.js';
 import type { Waiter } from '../../decisions/wait-list/index.js';
 import { Admission } from './admission.js';
-import { type Answer, AttemptEnd, type AttemptResult, send, type StreamSink } from './attempt.js';
+import {
+  type Answer,
+  AttemptEnd,
+  type AttemptResult,
+  send,
+  type SilenceRule,
+  type StreamSink,
+} from './attempt.js';
 import type { RelayContext } from './context.js';
 import { EventCutter } from './event-stream.js';
 import type { Run } from './fleet-view.js';
@@ -19,7 +27,7 @@
 const RATE_WAIT_PART = 0.4;
 /** Part of the objective from which on a wait is logged. */
 const LOGGED_WAIT_PART = 0.25;
-/** Silence of a server after which a repeatable request is tried elsewhere, at least, ms. */
+/** Silence of a server after which a repeatable request may be tried elsewhere, at least, ms. */
 const LEAST_STALL_MS = 700;
 const STALL_OBJECTIVES = 2;
 /** Urgencies that a server knows, 0 to 9. */
@@ -59,6 +67,9 @@
 
   private ended = false;
 
+  /** A retry was taken from the bound when the silent server was left. */
+  private retryIsPaid = false;
+
   private units = 0;
 
   private current: { readonly run: Run; readonly sentAtMs: number } | null = null;
@@ -107,6 +118,9 @@
   }
 
   write(bytes: Buffer): boolean {
+    if (this.current !== null) {
+      this.ctx.view.health.noteHeard(this.ctx.clock.steadyMs(), this.current.run.server.id);
+    }
     const step = this.cutter.push(bytes);
     if (!step.inOrder) return false;
     if (step.bytes.length > 0 && !this.ended) this.request.res.write(step.bytes);
@@ -206,7 +220,7 @@
         agent: this.ctx.connections.agentFor(run.server, route.repeat !== RepeatRule.once),
         run,
         signal: this.aborter.signal,
-        stallMs: this.mayGoElsewhere(run) ? this.stallMs() : null,
+        silence: this.mayGoElsewhere(run) ? this.silenceRule(run) : null,
       },
       route.repeat === RepeatRule.stream ? this : null,
     );
@@ -293,9 +307,31 @@
     return repeatable && used < route.attempts;
   }
 
-  /** Silence after which another server is tried: the objective is missed by then. */
-  private stallMs(): number {
-    return Math.max(LEAST_STALL_MS, this.request.route.objectiveMs * STALL_OBJECTIVES);
+  /** The objective is missed by the time that the question is asked. */
+  private silenceRule(run: Run): SilenceRule {
+    const { route } = this.request;
+    return {
+      afterMs: Math.max(LEAST_STALL_MS, route.objectiveMs * STALL_OBJECTIVES),
+      leaves: (silentMs) => this.leavesSilent(run, silentMs),
+    };
+  }
+
+  /** Whether to leave a silent server; takes the retry that this costs. */
+  private leavesSilent(run: Run, silentMs: number): boolean {
+    const { ctx, request } = this;
+    const nowMs = ctx.clock.steadyMs();
+    const others = ctx.view
+      .candidates(this.waiter())
+      .filter(({ id }) => id !== run.server.id && !this.tried.has(id));
+    const leaves = leavesSilentServer({
+      requestMs: silentMs,
+      serverMs: nowMs - ctx.view.health.heardAtMs(run.server.id),
+      patienceMs: Math.min(request.route.callerPatienceMs, this.deadlineAtMs - request.arrivedAtMs),
+      fillElsewhere: Math.min(1, ...others.map(({ running, slots }) => running / slots)),
+    });
+    if (!leaves || !ctx.retries.spend(nowMs, request.service)) return false;
+    this.retryIsPaid = true;
+    return true;
   }
 
   /** Whether the request may be sent to another server although it may have run. */
@@ -306,10 +342,16 @@
       goesElsewhere &&
       nowMs < this.deadlineAtMs &&
       !this.ctx.suspects.isBlocked(nowMs, this.fingerprint) &&
-      this.ctx.retries.spend(nowMs, this.request.service)
+      this.payRetry(nowMs)
     );
   }
 
+  private payRetry(nowMs: number): boolean {
+    const isPaid = this.retryIsPaid;
+    this.retryIsPaid = false;
+    return isPaid || this.ctx.retries.spend(nowMs, this.request.service);
+  }
+
   private deliver(answer: Answer): void {
     this.ended = true;
     this.writeHead(answer.status, answer.statusText, answer.rawHeaders, answer.body.length);
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -4,7 +4,12 @@
 import { afterEach, describe, expect, test } from 'vitest';
 import * as platform from '../../../platform/index.js';
 import type { BackendServer } from '../../../src/decisions/fleet-plan/index.js';
-import { AttemptEnd, type AttemptResult, send } from '../../../src/entry/relay/attempt.js';
+import {
+  AttemptEnd,
+  type AttemptResult,
+  send,
+  type SilenceRule,
+} from '../../../src/entry/relay/attempt.js';
 import { Connections } from '../../../src/entry/relay/connections.js';
 
 type Answerer = (socket: net.Socket, requestNumber: number) => void;
@@ -51,7 +56,7 @@
   server: BackendServer,
   id = 'request-1',
   kept = createConnections(),
-  stallMs: number | null = null,
+  silence: SilenceRule | null = null,
 ): Promise<AttemptResult> {
   const wire = platform.createWire();
   return send(
@@ -65,7 +70,7 @@
       agent: kept.agentFor(server, true),
       run: { server, service: 'desk', model: null, adapter: null },
       signal: new AbortController().signal,
-      stallMs,
+      silence,
     },
     null,
   );
@@ -160,10 +165,29 @@
 
   test('that does not come is not waited for where another server may be asked', async () => {
     const server = await startServer(() => undefined);
-    const result = await ask(server, 'request-1', createConnections(), 50);
+    const result = await ask(server, 'request-1', createConnections(), {
+      afterMs: 50,
+      leaves: () => true,
+    });
     expect(result.type).toBe(AttemptEnd.broken);
   });
 
+  test('that comes late is waited for while leaving is not worth it', async () => {
+    const asked: number[] = [];
+    const server = await startServer((socket) => {
+      setTimeout(() => socket.write(`${HEAD}Content-Length: 5\r\n\r\nwhole`), 400);
+    });
+    const result = await ask(server, 'request-1', createConnections(), {
+      afterMs: 50,
+      leaves: (silentMs) => {
+        asked.push(silentMs);
+        return false;
+      },
+    });
+    expect(result.type).toBe(AttemptEnd.answered);
+    expect(asked.length).toBeGreaterThan(0);
+  });
+
   test('followed by more bytes ends its connection', async () => {
     const accepted: net.Socket[] = [];
     const server = await startServer((socket) => {
--- a/test/units/server-health/server-health.test.ts
+++ b/test/units/server-health/server-health.test.ts
@@ -72,3 +72,13 @@
     expect(ids(health.sound(600, SERVERS))).toContain('a');
   });
 });
+
+describe('what is heard of a server', () => {
+  test('is the last byte of any answer, also of a stream under way', () => {
+    const health = new ServerHealth();
+    expect(health.heardAtMs('a')).toBe(-Infinity);
+    health.noteAnswer(100, 'a', 1);
+    health.noteHeard(250, 'a');
+    expect(health.heardAtMs('a')).toBe(250);
+  });
+});
