Split what a request does after a failure from its exchange

SecondTries decides whether a request goes to another server (turned down, may have run, silent); ReadRequest has a file of its own. No change of behaviour; unit tests as before.

--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -2,52 +2,26 @@
 import type * as http from 'node:http';
 import * as errors from '../../core/errors/index.js';
 import type { LogFields } from '../../core/logger/index.js';
-import type { Customer, FleetPlan, Route } from '../../decisions/fleet-plan/index.js';
 import { RepeatRule } from '../../decisions/fleet-plan/index.js';
-import { leavesSilentServer } from '../../decisions/retries/index.js';
 import { fingerprintOf } from '../../decisions/suspects/index.js';
 import type { Waiter } from '../../decisions/wait-list/index.js';
 import { Admission } from './admission.js';
-import {
-  type Answer,
-  AttemptEnd,
-  type AttemptResult,
-  send,
-  type SilenceRule,
-  type StreamSink,
-} from './attempt.js';
+import { type Answer, AttemptEnd, type AttemptResult, send, type StreamSink } from './attempt.js';
 import type { RelayContext } from './context.js';
 import { EventCutter } from './event-stream.js';
 import type { Run } from './fleet-view.js';
-import type { RequestFacts } from './types.js';
+import type { ReadRequest } from './read-request.js';
+import { SecondTries } from './second-tries.js';
 
-/** Sendings that a server may turn down before the request is refused. */
-const MOST_NOT_RUN = 4;
 /** Part of the objective that a request may wait for its customer's rate. */
 const RATE_WAIT_PART = 0.4;
 /** Part of the objective from which on a wait is logged. */
 const LOGGED_WAIT_PART = 0.25;
-/** Silence of a server after which a repeatable request may be tried elsewhere, at least, ms. */
-const LEAST_STALL_MS = 700;
-const STALL_OBJECTIVES = 2;
 /** Urgencies that a server knows, 0 to 9. */
 const LEAST_URGENT = 9;
 /** Time to the first byte that is expected of a request beyond its prompt's, ms. */
 const BASE_FIRST_BYTE_MS = 20;
 
-/** What is known once a request was read and found proper. */
-export interface ReadRequest {
-  readonly req: http.IncomingMessage;
-  readonly res: http.ServerResponse;
-  readonly facts: RequestFacts;
-  readonly plan: FleetPlan;
-  readonly route: Route;
-  readonly service: string;
-  readonly customer: Customer | null;
-  readonly body: Buffer;
-  readonly arrivedAtMs: number;
-}
-
 export class Exchange implements StreamSink {
   private readonly aborter = new AbortController();
 
@@ -57,9 +31,7 @@
 
   private readonly deadlineAtMs: number;
 
-  private readonly tried = new Set<string>();
-
-  private notRuns = 0;
+  private readonly tries: SecondTries;
 
   private ranOnce = false;
 
@@ -67,9 +39,6 @@
 
   private ended = false;
 
-  /** A retry was taken from the bound when the silent server was left. */
-  private retryIsPaid = false;
-
   private units = 0;
 
   private current: { readonly run: Run; readonly sentAtMs: number } | null = null;
@@ -84,6 +53,7 @@
     this.cutter = new EventCutter(facts.lastEventId);
     this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, facts.deadlineMs ?? Infinity);
     this.fingerprint = fingerprintOf(`${customer?.name ?? ''} ${req.url}`, body.toString('latin1'));
+    this.tries = new SecondTries(ctx, request, this.deadlineAtMs, this.fingerprint);
   }
 
   /** Serves the request to its end; never rejects for what callers or servers do. */
@@ -151,7 +121,7 @@
     this.ctx.retries.noteRequest(this.ctx.clock.steadyMs(), service);
     if (facts.model !== null) this.ctx.noteUse(facts.model);
     while (!this.ended) {
-      const placement = await this.ctx.dispatcher.place(this.waiter(), this.tried);
+      const placement = await this.ctx.dispatcher.place(this.waiter(), this.tries.tried);
       if (this.ended) {
         if (placement.run !== null) this.ctx.view.ended(placement.run);
         break;
@@ -220,7 +190,7 @@
         agent: this.ctx.connections.agentFor(run.server, route.repeat !== RepeatRule.once),
         run,
         signal: this.aborter.signal,
-        silence: this.mayGoElsewhere(run) ? this.silenceRule(run) : null,
+        silence: this.tries.silenceRule(run, this.waiter()),
       },
       route.repeat === RepeatRule.stream ? this : null,
     );
@@ -255,7 +225,7 @@
     if (this.ended) return false;
     if (failed && !this.streaming) {
       this.ctx.view.health.noteFailure(nowMs, run.server.id, 0.25);
-      if (this.mayRepeat(nowMs, run)) return true;
+      if (this.tries.takeRun(nowMs, run)) return true;
     }
     if (this.streaming) {
       this.cut('resuming was answered with a failure');
@@ -277,11 +247,8 @@
     // A caller that left while the connection was made says nothing of the server.
     if (this.ended) return false;
     if (!reached) this.ctx.view.health.noteUnreached(nowMs, run.server.id);
-    this.notRuns += 1;
-    if (status !== 421 && run.model === null) this.tried.add(run.server.id);
-    const again =
-      this.notRuns < MOST_NOT_RUN &&
-      (!reached || this.ctx.retries.spend(nowMs, this.request.service));
+    // A model may be about to come where it is missing; a plain server that is full stays full.
+    const again = this.tries.takeNotRun(nowMs, run, reached, status !== 421 && run.model === null);
     if (!again) this.giveUp(null);
     return again;
   }
@@ -291,67 +258,12 @@
     if (this.ended) return false;
     this.ctx.view.health.noteFailure(nowMs, run.server.id);
     this.ctx.noteBreak(this.fingerprint, run);
-    if (this.mayRepeat(nowMs, run)) return true;
+    if (this.tries.takeRun(nowMs, run)) return true;
     if (this.streaming) this.cut(reason);
     else this.fail(errors.data.BackendFailed, reason);
     return false;
   }
 
-  /** Whether the route lets the request run at one more server after this one. */
-  private mayGoElsewhere(run: Run): boolean {
-    const { route } = this.request;
-    const repeatable =
-      route.repeat === RepeatRule.idempotent ||
-      (route.repeat === RepeatRule.stream && route.resumable);
-    const used = new Set([...this.tried, run.server.id]).size;
-    return repeatable && used < route.attempts;
-  }
-
-  /** The objective is missed by the time that the question is asked. */
-  private silenceRule(run: Run): SilenceRule {
-    const { route } = this.request;
-    return {
-      afterMs: Math.max(LEAST_STALL_MS, route.objectiveMs * STALL_OBJECTIVES),
-      leaves: (silentMs) => this.leavesSilent(run, silentMs),
-    };
-  }
-
-  /** Whether to leave a silent server; takes the retry that this costs. */
-  private leavesSilent(run: Run, silentMs: number): boolean {
-    const { ctx, request } = this;
-    const nowMs = ctx.clock.steadyMs();
-    const others = ctx.view
-      .candidates(this.waiter())
-      .filter(({ id }) => id !== run.server.id && !this.tried.has(id));
-    const leaves = leavesSilentServer({
-      requestMs: silentMs,
-      serverMs: nowMs - ctx.view.health.heardAtMs(run.server.id),
-      patienceMs: Math.min(request.route.callerPatienceMs, this.deadlineAtMs - request.arrivedAtMs),
-      fillElsewhere: Math.min(1, ...others.map(({ running, slots }) => running / slots)),
-    });
-    if (!leaves || !ctx.retries.spend(nowMs, request.service)) return false;
-    this.retryIsPaid = true;
-    return true;
-  }
-
-  /** Whether the request may be sent to another server although it may have run. */
-  private mayRepeat(nowMs: number, run: Run): boolean {
-    const goesElsewhere = this.mayGoElsewhere(run);
-    this.tried.add(run.server.id);
-    return (
-      goesElsewhere &&
-      nowMs < this.deadlineAtMs &&
-      !this.ctx.suspects.isBlocked(nowMs, this.fingerprint) &&
-      this.payRetry(nowMs)
-    );
-  }
-
-  private payRetry(nowMs: number): boolean {
-    const isPaid = this.retryIsPaid;
-    this.retryIsPaid = false;
-    return isPaid || this.ctx.retries.spend(nowMs, this.request.service);
-  }
-
   private deliver(answer: Answer): void {
     this.ended = true;
     this.writeHead(answer.status, answer.statusText, answer.rawHeaders, answer.body.length);
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -6,7 +6,8 @@
 import { RepeatRule, type Route } from '../../../src/decisions/fleet-plan/index.js';
 import { SuspectTable } from '../../../src/decisions/suspects/index.js';
 import type { RelayContext } from '../../../src/entry/relay/context.js';
-import { Exchange, type ReadRequest } from '../../../src/entry/relay/exchange.js';
+import { Exchange } from '../../../src/entry/relay/exchange.js';
+import type { ReadRequest } from '../../../src/entry/relay/read-request.js';
 
 const NOW_MS = 1_000;
 
