--- /dev/null
+++ b/test/soak/engine.ts
@@ -0,0 +1,261 @@
+/** A backend server on the platform's wire that records what would break a promise. */
+import * as http from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { SoakStore } from './store.js';
+
+export const EVENTS = 8;
+const WORK_MS = 15;
+const EVENT_MS = 12;
+const LOAD_MS = 150;
+const HEARTBEAT_MS = 250;
+/** Time after which the entry of a server that is silent goes, ms. */
+const LAPSE_MS = 750;
+export const MODEL_MB = 10;
+
+export interface EngineSpec {
+  readonly name: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly slots: number;
+  readonly memoryMb: number;
+  readonly models: readonly string[];
+}
+
+/** What all servers of a soak have seen. */
+export interface Ledger {
+  /** Runs by the request's id. */
+  readonly runs: Map<string, number>;
+  /** Broken promises, in words. */
+  readonly faults: string[];
+}
+
+interface OrderBody {
+  readonly operation: string;
+  readonly model: string;
+  readonly expected: number;
+  readonly holder: string;
+  readonly fence: number;
+}
+
+function header(req: http.IncomingMessage, name: string): string {
+  const value = req.headers[name];
+  return typeof value === 'string' ? value : '';
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+export class SoakEngine {
+  private id = '';
+
+  private bornMs = 0;
+
+  private count = 0;
+
+  private busy = false;
+
+  private held = new Set<string>();
+
+  private running = 0;
+
+  private isDark = false;
+
+  private slowness = 1;
+
+  private losesAnswers = false;
+
+  private life = 0;
+
+  private fence = 0;
+
+  private readonly holders = new Map<number, string>();
+
+  private server: http.Server | null = null;
+
+  private readonly sockets = new Set<Socket>();
+
+  private heartbeat: NodeJS.Timeout | null = null;
+
+  constructor(
+    private readonly spec: EngineSpec,
+    private readonly store: SoakStore,
+    private readonly ledger: Ledger,
+  ) {}
+
+  async start(): Promise<void> {
+    this.life += 1;
+    this.id = `${this.spec.name}-${this.life}`;
+    this.bornMs = Date.now();
+    this.count = 0;
+    this.busy = false;
+    this.held = new Set(this.spec.models);
+    this.running = 0;
+    const server = http.createServer((req, res) => {
+      void this.take(req, res, this.life);
+    });
+    server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
+    this.server = server;
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    this.register();
+    this.heartbeat = setInterval(() => this.register(), HEARTBEAT_MS);
+  }
+
+  /** The process ends at once; its entry lapses later. */
+  crash(): void {
+    const { id } = this;
+    this.life += 1;
+    if (this.heartbeat !== null) clearInterval(this.heartbeat);
+    this.server?.close();
+    this.sockets.forEach((socket) => socket.destroy());
+    setTimeout(() => this.store.remove('servers', id), LAPSE_MS);
+  }
+
+  /** Takes connections and answers nothing for a while. */
+  goDark(ms: number): void {
+    this.isDark = true;
+    setTimeout(() => {
+      this.isDark = false;
+    }, ms);
+  }
+
+  /** Runs requests and resets their connections for a while. */
+  loseAnswers(ms: number): void {
+    this.losesAnswers = true;
+    setTimeout(() => {
+      this.losesAnswers = false;
+    }, ms);
+  }
+
+  slowDown(ms: number, factor: number): void {
+    this.slowness = factor;
+    setTimeout(() => {
+      this.slowness = 1;
+    }, ms);
+  }
+
+  private register(): void {
+    if (this.isDark || this.server === null) return;
+    const { port } = this.server.address() as AddressInfo;
+    this.store.put('servers', this.id, {
+      service: this.spec.service,
+      address: `127.0.0.1:${port}`,
+      zone: this.spec.dataCentre,
+      version: 'v1',
+      engine_slots: this.spec.slots,
+      state: 'ready',
+      ...this.state(),
+    });
+  }
+
+  private state() {
+    return {
+      seq: this.count,
+      born: this.bornMs,
+      busy: this.busy,
+      models: [...this.held].map((name) => ({ name, version: 1, adapters: [] })),
+      at_hand: { in_memory: [], on_disk: [] },
+    };
+  }
+
+  private async take(req: http.IncomingMessage, res: http.ServerResponse, life: number) {
+    const parts: Buffer[] = [];
+    req.on('data', (bytes: Buffer) => parts.push(bytes));
+    await new Promise((resolve) => {
+      req.on('end', resolve);
+    });
+    if (this.isDark) return;
+    if (req.url === '/v1/report') {
+      res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(this.state()));
+    } else if (req.url === '/v1/order') {
+      res.writeHead(this.order(JSON.parse(Buffer.concat(parts).toString()) as OrderBody)).end();
+    } else {
+      await this.run(req, res, life);
+    }
+  }
+
+  private order({ operation, model, expected, holder, fence }: OrderBody): number {
+    if (fence < this.fence) return 412;
+    const before = this.holders.get(fence);
+    if (before !== undefined && before !== holder) {
+      this.ledger.faults.push(`ONE: ${before} and ${holder} order under ${fence}`);
+    }
+    this.holders.set(fence, holder);
+    this.fence = fence;
+    if (this.busy || expected !== this.count) return 409;
+    this.count += 1;
+    if (operation === 'model_unload') {
+      this.held.delete(model);
+      return 200;
+    }
+    if ((this.held.size + 1) * MODEL_MB > this.spec.memoryMb && !this.held.has(model)) {
+      this.ledger.faults.push(`LIMIT: ${this.id} is ordered to load ${model}`);
+    }
+    this.busy = true;
+    const { life } = this;
+    setTimeout(() => {
+      if (life !== this.life) return;
+      this.busy = false;
+      this.held.add(model);
+    }, LOAD_MS);
+    return 202;
+  }
+
+  private async run(req: http.IncomingMessage, res: http.ServerResponse, life: number) {
+    const id = header(req, 'attempt-id');
+    const model = header(req, 'model');
+    const refuse = (status: number) =>
+      res.writeHead(status, { 'Attempt-Id': id, 'Not-Executed': '1' }).end();
+    if (header(req, 'target-instance') !== this.id) return refuse(421);
+    if (model !== '' && !this.held.has(model)) return refuse(421);
+    if (this.running >= this.spec.slots) return refuse(503);
+    if (header(req, 'tenant') === '' || req.headers.authorization !== undefined) {
+      this.ledger.faults.push(`UNASKED: ${id} came without its customer or with its key`);
+    }
+    this.running += 1;
+    this.ledger.runs.set(id, (this.ledger.runs.get(id) ?? 0) + 1);
+    await pause(WORK_MS * this.slowness);
+    if (model === '') this.answer(res, id);
+    else await this.stream(req, res, id, life);
+    this.running = Math.max(0, this.running - 1);
+    return res;
+  }
+
+  private answer(res: http.ServerResponse, id: string): void {
+    if (this.isDark) return;
+    if (this.losesAnswers) {
+      res.socket?.resetAndDestroy();
+      return;
+    }
+    res.writeHead(200, { 'Attempt-Id': id, 'Response-Seal': 'seal' }).end(`whole ${id}`);
+  }
+
+  private async stream(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    id: string,
+    life: number,
+  ): Promise<void> {
+    const first = Number(header(req, 'last-event-id') || '0') + 1;
+    res.writeHead(200, {
+      'Attempt-Id': id,
+      'Response-Seal': 'seal',
+      'Content-Type': 'text/event-stream',
+    });
+    for (let at = first; at <= EVENTS; at += 1) {
+      await pause(EVENT_MS * this.slowness);
+      while (this.isDark) await pause(EVENT_MS);
+      if (life !== this.life || res.destroyed) return;
+      if (this.losesAnswers && at === EVENTS / 2) res.socket?.resetAndDestroy();
+      res.write(`id: ${at}\ndata: ${id} ${at}\n\n`);
+    }
+    res.end();
+  }
+}
--- /dev/null
+++ b/test/soak/faults.ts
@@ -0,0 +1,80 @@
+/** Faults of a soak, drawn from a seed. */
+import type { Random } from '../../src/core/random/index.js';
+import type { SoakEngine } from './engine.js';
+import { type SoakStore, StoreMood } from './store.js';
+import type { SoakVm } from './vms.js';
+
+export interface Cell {
+  readonly store: SoakStore;
+  readonly engines: readonly SoakEngine[];
+  readonly vms: readonly SoakVm[];
+  /** Writes a new version of the configuration. */
+  changeConfig(): void;
+}
+
+/** Brings a fault about, and resolves once it is over. */
+type Fault = (cell: Cell, random: Random) => Promise<void>;
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+function pick<T>(items: readonly T[], random: Random): T {
+  const item = items[Math.floor(random.real() * items.length)];
+  if (item === undefined) throw new Error('nothing to pick from');
+  return item;
+}
+
+/** The store behaves otherwise for `ms`. */
+async function moody(store: SoakStore, mood: StoreMood, ms: number): Promise<void> {
+  Object.assign(store, { mood });
+  await pause(ms);
+  Object.assign(store, { mood: StoreMood.well });
+}
+
+async function restart(vm: SoakVm, signal: NodeJS.Signals, downMs: number): Promise<void> {
+  await vm.end(signal);
+  await pause(downMs);
+  vm.start();
+  await vm.untilReady();
+}
+
+export const FAULTS: Readonly<Record<string, Fault>> = {
+  killVm: ({ vms }, random) => restart(pick(vms, random), 'SIGKILL', 300),
+  killAllVms: async ({ vms }) => {
+    await Promise.all(vms.map((vm) => restart(vm, 'SIGKILL', 300)));
+  },
+  stopVm: ({ vms }, random) => restart(pick(vms, random), 'SIGTERM', 0),
+  freezeVm: async ({ vms }, random) => {
+    const vm = pick(vms, random);
+    vm.signal('SIGSTOP');
+    await pause(500 + random.real() * 3_000);
+    vm.signal('SIGCONT');
+  },
+  storeBusy: ({ store }) => moody(store, StoreMood.busy, 1_500),
+  storeSilent: ({ store }) => moody(store, StoreMood.silent, 2_500),
+  storeSlow: ({ store }) => moody(store, StoreMood.slow, 2_000),
+  storeLosesAnswers: ({ store }) => moody(store, StoreMood.lost, 1_500),
+  storeForgets: async ({ store }) => store.compact(),
+  engineCrash: async ({ engines }, random) => {
+    const engine = pick(engines, random);
+    engine.crash();
+    await pause(400 + random.real() * 1_000);
+    await engine.start();
+  },
+  enginesLoseAnswers: async ({ engines }) => {
+    engines.forEach((engine) => engine.loseAnswers(1_500));
+    await pause(1_500);
+  },
+  engineDark: async ({ engines }, random) => {
+    pick(engines, random).goDark(1_500);
+    await pause(1_500);
+  },
+  engineSlow: async ({ engines }, random) => {
+    pick(engines, random).slowDown(2_000, 8);
+    await pause(2_000);
+  },
+  configChange: async ({ changeConfig }) => changeConfig(),
+};
--- /dev/null
+++ b/test/soak/vms.ts
@@ -0,0 +1,127 @@
+/** Entry VMs of a soak: real processes that are killed, frozen, stopped and started again. */
+import { type ChildProcess, spawn } from 'node:child_process';
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+import type { AddressInfo } from 'node:net';
+import * as path from 'node:path';
+import * as undici from 'undici';
+
+const READY_POLL_MS = 50;
+const READY_WITHIN_MS = 20_000;
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+/** An address with a port that the operating system has just given out. */
+async function freeAddress(): Promise<string> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return `127.0.0.1:${port}`;
+}
+
+export class SoakVm {
+  private child: ChildProcess | null = null;
+
+  private exited: Promise<void> = Promise.resolve();
+
+  private constructor(
+    readonly name: string,
+    readonly callers: string,
+    private readonly admin: string,
+    private readonly bundle: string,
+    private readonly folder: string,
+  ) {}
+
+  static async create(
+    name: string,
+    dataCentre: string,
+    store: string,
+    bundle: string,
+    folder: string,
+  ): Promise<SoakVm> {
+    const [callers, admin, peers] = [
+      await freeAddress(),
+      await freeAddress(),
+      await freeAddress(),
+    ] as const;
+    const settings = `
+      [vm]
+      id = "${name}"
+      dataCentre = "${dataCentre}"
+      [listen]
+      callers = "${callers}"
+      admin = "${admin}"
+      peers = "${peers}"
+      [platform]
+      address = "${store}"
+      timeoutMs = 700
+      [lease]
+      durationMs = 2000
+      marginMs = 300
+      [stop]
+      graceMs = 4000
+      [relay]
+      enabled = true
+      keyRevocationMs = 5000
+      enginesCheckFences = true
+      [relay.retries]
+      ratio = 0.2
+      windowMs = 10000
+      slack = 52
+    `;
+    fs.writeFileSync(path.join(folder, `${name}.toml`), settings);
+    return new SoakVm(name, callers, admin, bundle, folder);
+  }
+
+  /** Starts the process; it may not be ready yet. */
+  start(): void {
+    const log = fs.openSync(path.join(this.folder, `${this.name}.log`), 'a');
+    const settings = path.join(this.folder, `${this.name}.toml`);
+    const child = spawn(process.execPath, [this.bundle, 'serve', '--settings', settings], {
+      stdio: ['ignore', log, log],
+    });
+    fs.closeSync(log);
+    this.child = child;
+    this.exited = new Promise((resolve) => {
+      child.once('exit', () => resolve());
+    });
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  /** Ends the process with a signal, and waits until it is over. */
+  async end(signal: NodeJS.Signals): Promise<void> {
+    this.signal(signal);
+    await this.exited;
+  }
+
+  async untilReady(): Promise<void> {
+    const untilMs = performance.now() + READY_WITHIN_MS;
+    while (!(await this.isReady())) {
+      if (performance.now() > untilMs) throw new Error(`${this.name} did not become ready`);
+      await pause(READY_POLL_MS);
+    }
+  }
+
+  private async isReady(): Promise<boolean> {
+    try {
+      const { statusCode, body } = await undici.request(`http://${this.admin}/v1/readiness`);
+      await body.dump();
+      return statusCode === 200;
+    } catch {
+      // Not listening yet, or frozen.
+      return false;
+    }
+  }
+}
