Tell no server back that the store took away while the steward was cut off

The store turned the steward away from 17.5 to 24.5 s; meanwhile the other VMs followed it themselves.

Ruled out by the code: a late message of the old steward (the same VM was steward throughout), a change that the VM itself missed (its own watch confirms only what it has taken in).

Change: the list says which servers are kept only for that while. A VM keeps such a server if it has it, and never takes it back.

Tests: a server taken away here is not brought back (failed before); one that is missing is kept until the steward drops it; the teller says so.

--- a/src/decisions/backend-list/index.ts
+++ b/src/decisions/backend-list/index.ts
@@ -31,8 +31,8 @@
 
   private readonly newestBornMs = new Map<string, number>();
 
-  /** Servers whose entries are missing since an outage. */
-  private readonly missing = new Set<string>();
+  /** Servers whose entries are missing since an outage; replaced when it changes. */
+  private missingIds: ReadonlySet<string> = new Set();
 
   private returnUntilMs = -Infinity;
 
@@ -42,6 +42,11 @@
     return this.view;
   }
 
+  /** Servers that keep their place only until they had time to return. */
+  get missing(): ReadonlySet<string> {
+    return this.missingIds;
+  }
+
   /** The store answers again after it was out of reach. */
   noteOutage(nowMs: number): void {
     this.returnUntilMs = nowMs + RETURN_MS;
@@ -59,13 +64,16 @@
     return before !== this.view;
   }
 
-  /** Takes over the whole list of another entry VM that follows the store. True if it changed. */
-  adopt(servers: readonly BackendServer[]): boolean {
+  /**
+   * Takes over the whole list of another entry VM that follows the store. True if it changed.
+   * @param missing What that VM keeps only for a while: it may have gone in the sight of this one.
+   */
+  adopt(servers: readonly BackendServer[], missing: ReadonlySet<string>): boolean {
     const before = this.view;
     const listed = new Set(servers.map(({ id }) => id));
     [...this.known.keys()].filter((id) => !listed.has(id)).forEach((id) => this.known.delete(id));
-    this.missing.clear();
-    servers.forEach((server) => this.adoptServer(server));
+    this.missingIds = new Set();
+    servers.filter(({ id }) => !missing.has(id)).forEach((server) => this.adoptServer(server));
     this.refresh();
     return before !== this.view;
   }
@@ -77,9 +85,9 @@
 
   /** Drops what has not returned in time. True if anything changed. */
   settle(nowMs: number): boolean {
-    if (this.missing.size === 0 || nowMs < this.returnUntilMs) return false;
-    this.missing.forEach((id) => this.known.delete(id));
-    this.missing.clear();
+    if (this.missingIds.size === 0 || nowMs < this.returnUntilMs) return false;
+    this.missingIds.forEach((id) => this.known.delete(id));
+    this.missingIds = new Set();
     this.refresh();
     return true;
   }
@@ -95,7 +103,7 @@
     const old = this.known.get(id)?.server;
     const isOld =
       old !== undefined && old.bornMs === server.bornMs && server.orderCount < old.orderCount;
-    this.missing.delete(id);
+    this.noteMissing(id, false);
     if (isOld) return;
     this.newestBornMs.set(id, server.bornMs);
     this.known.set(id, { server, adopted: false });
@@ -118,10 +126,16 @@
 
   private drop(nowMs: number, id: string): void {
     if (!this.known.has(id)) return;
-    if (nowMs < this.returnUntilMs) this.missing.add(id);
+    if (nowMs < this.returnUntilMs) this.noteMissing(id, true);
     else this.known.delete(id);
   }
 
+  private noteMissing(id: string, isMissing: boolean): void {
+    if (this.missingIds.has(id) === isMissing) return;
+    const others = [...this.missingIds].filter((other) => other !== id);
+    this.missingIds = new Set(isMissing ? [...others, id] : others);
+  }
+
   private refresh(): void {
     const next = new Map([...this.known].map(([id, { server }]) => [id, server]));
     const same =
--- a/src/entry/relay/belief-teller.ts
+++ b/src/entry/relay/belief-teller.ts
@@ -10,48 +10,58 @@
 /** A VM that lacks the newest plan for so many reports can't fetch it from the store. */
 const REPORTS_WITHOUT_PLAN = 2;
 
-function listed(server: BackendServer): ListedServer {
+/** What the steward knows of the list of backend servers. */
+export interface KnownList {
+  readonly backends: ReadonlyMap<string, BackendServer>;
+  readonly missing: ReadonlySet<string>;
+}
+
+/** A server as it is told, with a text to compare by. */
+interface Told {
+  readonly server: ListedServer;
+  readonly text: string;
+}
+
+type ToldList = ReadonlyMap<string, Told>;
+
+function asTold(server: BackendServer, isMissing: boolean): Told {
   const { id, service, address, dataCentre, leaving, slots, bornMs } = server;
-  return { id, service, address, dataCentre, leaving, slots, bornMs };
+  const listed = { id, service, address, dataCentre, leaving, slots, bornMs, isMissing };
+  return { server: listed, text: JSON.stringify(listed) };
 }
 
-/** The list of backend servers as a text for each, made anew only when the list has changed. */
-export class ListedTexts {
-  private list: ReadonlyMap<string, BackendServer> | null = null;
+/** The list as it is told, made anew only when it has changed. */
+export class ToldLists {
+  private of: KnownList | null = null;
 
-  private texts: ReadonlyMap<string, string> = new Map();
+  private list: ToldList = new Map();
 
-  of(list: ReadonlyMap<string, BackendServer>): ReadonlyMap<string, string> {
-    if (list !== this.list) {
-      this.list = list;
-      this.texts = new Map([...list].map(([id, server]) => [id, JSON.stringify(listed(server))]));
+  at({ backends, missing }: KnownList): ToldList {
+    if (backends !== this.of?.backends || missing !== this.of.missing) {
+      this.of = { backends, missing };
+      this.list = new Map(
+        [...backends].map(([id, server]) => [id, asTold(server, missing.has(id))]),
+      );
     }
-    return this.texts;
+    return this.list;
   }
 }
 
 /** What one entry VM has been told. */
 export class BeliefTeller {
-  private told: ReadonlyMap<string, string> | null = null;
+  private told: ToldList | null = null;
 
   private reportsBehind = 0;
 
   /** The change of the list since the VM was told last; null where there is none. */
-  listChange(
-    list: ReadonlyMap<string, BackendServer>,
-    texts: ReadonlyMap<string, string>,
-    revision: number,
-  ): RelayMessage | null {
+  listChange(list: ToldList, revision: number): RelayMessage | null {
     const before = this.told;
-    if (before === texts) return null;
-    const changed = [...texts].filter(([id, text]) => before?.get(id) !== text);
-    const gone = [...(before?.keys() ?? [])].filter((id) => !texts.has(id));
-    this.told = texts;
+    if (before === list) return null;
+    const changed = [...list].filter(([id, { text }]) => before?.get(id)?.text !== text);
+    const gone = [...(before?.keys() ?? [])].filter((id) => !list.has(id));
+    this.told = list;
     if (before !== null && changed.length === 0 && gone.length === 0) return null;
-    const servers = changed.flatMap(([id]) => {
-      const server = list.get(id);
-      return server === undefined ? [] : [listed(server)];
-    });
+    const servers = changed.map(([, { server }]) => server);
     return { type: RelayMessageType.beliefs, whole: before === null, servers, gone, revision };
   }
 
--- a/src/entry/relay/follower.ts
+++ b/src/entry/relay/follower.ts
@@ -169,7 +169,7 @@
 }
 
 /** A server of the steward's list: what it holds is told apart, and its orders are not given here. */
-function asBackendServer(listed: ListedServer): BackendServer {
+function asBackendServer({ isMissing, ...listed }: ListedServer): BackendServer {
   return { ...listed, orderCount: 0, models: [], copies: { inMemory: [], onDisk: [] } };
 }
 
@@ -284,6 +284,11 @@
     ]);
   }
 
+  /** Servers that keep their place only until they had time to return after an outage. */
+  get missing(): ReadonlySet<string> {
+    return this.list.missing;
+  }
+
   /** Age of what is believed of the plan, ms. */
   planAgeMs(): number {
     return this.opts.clock.nowMs() - this.planFollower.confirmedAtMs;
@@ -352,8 +357,10 @@
     if (!this.toldIsNew || this.opts.isSteward()) return;
     if (!this.backendFollower.isUpTo(this.toldRevision)) return;
     this.toldIsNew = false;
-    const servers = [...this.told.values()].map(asBackendServer);
-    if (this.list.adopt(servers)) this.opts.changed.send({ plan: false, backends: true });
+    const told = [...this.told.values()];
+    const missing = new Set(told.filter(({ isMissing }) => isMissing).map(({ id }) => id));
+    if (this.list.adopt(told.map(asBackendServer), missing))
+      this.opts.changed.send({ plan: false, backends: true });
   }
 
   private settle(): void {
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -54,6 +54,8 @@
   leaving: z.boolean(),
   slots: z.number(),
   bornMs: z.number(),
+  /** Gone from the list since an outage, and kept by the steward until it had time to return. */
+  isMissing: z.boolean(),
 });
 export type ListedServer = z.infer<typeof listedServerSchema>;
 
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -17,7 +17,7 @@
   type RelayMessageOf,
   RelayMessageType,
 } from './messages.js';
-import { BeliefTeller, ListedTexts } from './belief-teller.js';
+import { BeliefTeller, ToldLists } from './belief-teller.js';
 import { EngineYard } from './engine-yard.js';
 import { lookMs, paceMs } from './pace.js';
 import { readMessages, writeMessage } from './steward-link.js';
@@ -79,7 +79,7 @@
 
   private yard: EngineYard | null = null;
 
-  private readonly listedTexts = new ListedTexts();
+  private readonly toldLists = new ToldLists();
 
   private fence = 0;
 
@@ -228,11 +228,10 @@
 
   /** Tells a member how the list of backend servers has changed. */
   private tellBeliefs(member: Member): void {
-    const { backends } = this.opts.follower;
-    const revision = this.opts.follower.confirmed().backends?.revision;
+    const { follower } = this.opts;
+    const revision = follower.confirmed().backends?.revision;
     if (revision === undefined || member.vm === this.opts.vm) return;
-    const texts = this.listedTexts.of(backends);
-    const change = member.beliefs.listChange(backends, texts, revision);
+    const change = member.beliefs.listChange(this.toldLists.at(follower), revision);
     if (change !== null && !writeMessage(member.socket, change)) member.beliefs.forget();
   }
 
--- a/test/units/relay/belief-teller.test.ts
+++ b/test/units/relay/belief-teller.test.ts
@@ -1,7 +1,7 @@
 /** What the steward tells each entry VM of the list of backend servers. */
 import { describe, expect, test } from 'vitest';
 import type { BackendServer } from '../../../src/decisions/fleet-plan/index.js';
-import { BeliefTeller, ListedTexts } from '../../../src/entry/relay/belief-teller.js';
+import { BeliefTeller, ToldLists } from '../../../src/entry/relay/belief-teller.js';
 import type { RelayMessageOf } from '../../../src/entry/relay/messages.js';
 
 function server(id: string, fields: Partial<BackendServer> = {}): BackendServer {
@@ -20,17 +20,21 @@
   };
 }
 
-const listOf = (...servers: BackendServer[]) => new Map(servers.map((one) => [one.id, one]));
+const NONE: ReadonlySet<string> = new Set();
+const listOf = (...servers: BackendServer[]) => ({
+  backends: new Map(servers.map((one) => [one.id, one])),
+  missing: NONE,
+});
 
 describe('the list told to an entry VM', () => {
   test('is whole at first, then only what changed and what is gone', () => {
-    const texts = new ListedTexts();
+    const lists = new ToldLists();
     const teller = new BeliefTeller();
     const first = listOf(server('s1'), server('s2'));
-    const whole = teller.listChange(first, texts.of(first), 5);
+    const whole = teller.listChange(lists.at(first), 5);
     expect(whole).toMatchObject({ whole: true, revision: 5, gone: [] });
     const next = listOf(server('s2', { leaving: true }), server('s3'));
-    expect(teller.listChange(next, texts.of(next), 9)).toMatchObject({
+    expect(teller.listChange(lists.at(next), 9)).toMatchObject({
       whole: false,
       revision: 9,
       servers: [{ id: 's2', leaving: true }, { id: 's3' }],
@@ -39,21 +43,32 @@
   });
 
   test('says nothing where a heartbeat changed only what servers hold', () => {
-    const texts = new ListedTexts();
+    const lists = new ToldLists();
     const teller = new BeliefTeller();
     const first = listOf(server('s1'));
-    teller.listChange(first, texts.of(first), 5);
+    teller.listChange(lists.at(first), 5);
     const next = listOf(server('s1', { orderCount: 7 }));
-    expect(teller.listChange(next, texts.of(next), 6)).toBeNull();
+    expect(teller.listChange(lists.at(next), 6)).toBeNull();
+  });
+
+  test('says which servers are kept only since an outage', () => {
+    const lists = new ToldLists();
+    const teller = new BeliefTeller();
+    const list = listOf(server('s1'));
+    teller.listChange(lists.at(list), 5);
+    const kept = { ...list, missing: new Set(['s1']) };
+    expect(teller.listChange(lists.at(kept), 6)).toMatchObject({
+      servers: [{ id: 's1', isMissing: true }],
+    });
   });
 
   test('is told whole again after a message that could not be sent', () => {
-    const texts = new ListedTexts();
+    const lists = new ToldLists();
     const teller = new BeliefTeller();
     const list = listOf(server('s1'));
-    teller.listChange(list, texts.of(list), 5);
+    teller.listChange(lists.at(list), 5);
     teller.forget();
-    expect(teller.listChange(list, texts.of(list), 5)).toMatchObject({ whole: true });
+    expect(teller.listChange(lists.at(list), 5)).toMatchObject({ whole: true });
   });
 
   test('comes with the plan only for a VM that stays behind', () => {
--- a/test/units/relay/follower.test.ts
+++ b/test/units/relay/follower.test.ts
@@ -78,6 +78,7 @@
   leaving: false,
   slots: 8,
   bornMs: 1_000,
+  isMissing: false,
   ...fields,
 });
 const entry = (id: string, revision: number) => ({
@@ -270,6 +271,26 @@
     expect([...follower.backends.keys()]).toEqual(['s2']);
   });
 
+  test('brings no server back that the store took away here while the steward could not see it', async () => {
+    const { store, follower, times } = await follow();
+    await store.answer(`list ${RELAYED_KIND}`, ok(10, [entry('s1', 3), entry('s2', 4)]));
+    times.nowMs = 5_000;
+    const gone = { ...entry('s1', 15), deleted: true };
+    await store.answer(`changes ${RELAYED_KIND}`, ok(15, [gone]));
+    // The steward was cut off from the store: it keeps what has gone until that had time to return.
+    follower.takeBeliefs(beliefs(20, [listed('s1', { isMissing: true }), listed('s2')]));
+    expect([...follower.backends.keys()]).toEqual(['s2']);
+  });
+
+  test('keeps what is missing since an outage that this VM has not seen the end of', async () => {
+    const { store, follower } = await follow();
+    await store.answer(`list ${RELAYED_KIND}`, ok(10, [entry('s1', 3), entry('s2', 4)]));
+    follower.takeBeliefs(beliefs(20, [listed('s1', { isMissing: true }), listed('s2')]));
+    expect([...follower.backends.keys()].sort()).toEqual(['s1', 's2']);
+    follower.takeBeliefs(beliefs(21, [], ['s1']));
+    expect([...follower.backends.keys()]).toEqual(['s2']);
+  });
+
   test('outlives an answer of the store that was on its way', async () => {
     const { store, follower } = await follow();
     await store.answer(`list ${RELAYED_KIND}`, ok(10, [entry('s1', 3)]));
