Run as many loads from the store as it takes at full speed, and doubt a load that is late

The load was taken for done by its usual time, without an end to that: 1,136 requests went to one engine that did not hold the model (421), each again after 80 ms, until the bound on retries was used up and requests were refused within 20 ms.

Ruled out: a lost order (the engine held the model at 58.6 s), a number in the configuration (there is none).

A load is believed done for 300 ms after its usual time; after that the engine has to show it. A server that does not hold a model is asked again after 80 ms, doubled each time up to 1.28 s.

--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -33,6 +33,8 @@
 
 /** Beyond its usual time a load is taken for done, ms: reports lag by more. */
 const LOAD_MARGIN_MS = 30;
+/** Time for the engine to show it, ms; after that the load takes longer than usual. */
+const BELIEVED_MS = 300;
 /** Adapter steps that may wait at once: an engine takes four on their way. */
 const MOST_ADAPTER_STEPS = 6;
 
@@ -167,7 +169,8 @@
   probablyLoaded(nowMs: number): readonly string[] {
     const { current } = this;
     if (current === null || !this.isModelLoad(current)) return [];
-    return nowMs >= current.nextAtMs + LOAD_MARGIN_MS ? [current.step.model] : [];
+    const overdueMs = nowMs - current.nextAtMs - LOAD_MARGIN_MS;
+    return overdueMs >= 0 && overdueMs < BELIEVED_MS ? [current.step.model] : [];
   }
 
   /** Takes in what the engine says; older words than those known change nothing. */
--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -12,6 +12,7 @@
 import type { ModelSpec } from '../fleet-plan/index.js';
 import type { EngineState, Place, SwapAction, SwapView, Want } from './types.js';
 
+export { StorePace } from './store-pace.js';
 export * from './types.js';
 
 /** A new arrival is kept this long, so that what was loaded is also used, ms. */
--- a/src/entry/relay/engine-yard.ts
+++ b/src/entry/relay/engine-yard.ts
@@ -14,7 +14,12 @@
   HeldModel,
   WeightCopies,
 } from '../../decisions/fleet-plan/index.js';
-import { type EngineState, SwapPlanner, type Want } from '../../decisions/swaps/index.js';
+import {
+  type EngineState,
+  StorePace,
+  SwapPlanner,
+  type Want,
+} from '../../decisions/swaps/index.js';
 import type { FollowerTask } from './follower.js';
 import type { LeaseTask } from './lease-task.js';
 import type { LoadView, RelayMessageOf } from './messages.js';
@@ -33,8 +38,6 @@
 /** Places are reconsidered this often although nothing waits, ms. */
 const REPLAN_MS = 200;
 const MS_PER_S = 1000;
-/** Loads from the weight store at once that run at full speed. */
-const MOST_STORE_LOADS = 4;
 /** Part of the store's rate that is used: loads may begin later than they were ordered. */
 const STORE_RATE_PART = 0.8;
 const STORE_BURST = 2;
@@ -55,7 +58,15 @@
   silences: number;
   /** End of the load under way, ms. */
   loadEndsAtMs: number;
-  storeLoad: boolean;
+  /** The load from the weight store that was ordered last; null where it came from elsewhere. */
+  storeLoad: StoreLoad | null;
+}
+
+interface StoreLoad {
+  readonly startedAtMs: number;
+  readonly usualMs: number;
+  /** Most loads from the store that ran at once with it. */
+  together: number;
 }
 
 export interface EngineYardOptions {
@@ -84,6 +95,8 @@
 
   private readonly uses = new UseLog();
 
+  private readonly storePace = new StorePace();
+
   private plannedAtMs = -Infinity;
 
   private plannedFor = '';
@@ -175,7 +188,7 @@
       reporting: false,
       silences: 0,
       loadEndsAtMs: 0,
-      storeLoad: false,
+      storeLoad: null,
     };
   }
 
@@ -226,6 +239,7 @@
       models: withPending(report),
     });
     if (loading && engine.orders.loading.length === 0) {
+      this.noteStoreLoad(nowMs, engine);
       this.opts.logger.debug('load-ended', {
         engine: engine.server.id,
         overMs: nowMs - engine.loadEndsAtMs,
@@ -233,6 +247,15 @@
     }
   }
 
+  private noteStoreLoad(nowMs: number, { storeLoad }: EngineRecord): void {
+    if (storeLoad === null) return;
+    const { startedAtMs, usualMs, together } = storeLoad;
+    const before = this.storePace.atOnce;
+    this.storePace.noteEnd(nowMs - startedAtMs, usualMs, together);
+    const { atOnce } = this.storePace;
+    if (atOnce !== before) this.opts.logger.info('store-loads-limited', { atOnce, usualMs });
+  }
+
   private plan(nowMs: number, reports: readonly RelayMessageOf<'report'>[]): void {
     const wants = this.wants(nowMs, reports);
     const key = wants.map(({ model, adapter }) => `${model}/${adapter}`).join();
@@ -252,7 +275,10 @@
         (sum, step) => sum + this.expectedMs(engine.server.id, step),
         0,
       );
-      Object.assign(engine, { loadEndsAtMs: nowMs + steps, storeLoad: action.fromStore });
+      const storeLoad = action.fromStore
+        ? { startedAtMs: nowMs, usualMs: steps, together: 1 }
+        : null;
+      Object.assign(engine, { loadEndsAtMs: nowMs + steps, storeLoad });
       const unloads = action.steps.some(
         ({ type, adapter }) => type === OrderStepType.unload && adapter === null,
       );
@@ -321,10 +347,14 @@
     const gained = ((nowMs - this.storeTokensAtMs) / MS_PER_S) * perS;
     this.storeTokens = Math.min(STORE_BURST, this.storeTokens + gained);
     this.storeTokensAtMs = nowMs;
-    const running = [...this.engines.values()].filter(
-      ({ storeLoad, orders }) => storeLoad && orders.loading.length > 0,
-    ).length;
-    return Math.max(0, Math.min(Math.floor(this.storeTokens), MOST_STORE_LOADS - running));
+    const running = [...this.engines.values()].flatMap(({ storeLoad, orders }) =>
+      storeLoad !== null && orders.loading.length > 0 ? [storeLoad] : [],
+    );
+    running.forEach((load) =>
+      Object.assign(load, { together: Math.max(load.together, running.length) }),
+    );
+    const mayStart = this.storePace.atOnce - running.length;
+    return Math.max(0, Math.min(Math.floor(this.storeTokens), mayStart));
   }
 
   /** Sends the order that is due, if the lease still holds in this very step. */
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -6,8 +6,11 @@
 import type { FollowerTask } from './follower.js';
 import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
 
-/** What a server refused to run is not asked of it again for this long, ms. */
+/** What a server does not hold is not asked of it again for this long, doubled each time, ms. */
 const MISSING_MS = 80;
+const LONGEST_MISSING_MS = 1_280;
+/** After this long the next refusal is a new one, ms. */
+const MISSING_FORGOTTEN_MS = 3_000;
 
 /** What a request needs of a server. */
 export interface Need {
@@ -49,7 +52,7 @@
   /** What ran here when the steward was told last. */
   private runningTold: ReadonlyMap<string, number> = new Map();
 
-  private readonly missingUntilMs = new Map<string, number>();
+  private readonly missing = new Map<string, { untilMs: number; pauseMs: number }>();
 
   constructor(
     private readonly follower: FollowerTask,
@@ -106,7 +109,14 @@
 
   /** The server said that it does not hold what was asked of it. */
   noteMissing(run: Run): void {
-    this.missingUntilMs.set(runKey(run), this.clock.steadyMs() + MISSING_MS);
+    const nowMs = this.clock.steadyMs();
+    const key = runKey(run);
+    const known = this.missing.get(key);
+    // Requests that were on their way together count once.
+    if (known !== undefined && nowMs < known.untilMs) return;
+    const isNew = known === undefined || nowMs - known.untilMs > MISSING_FORGOTTEN_MS;
+    const pauseMs = isNew ? MISSING_MS : Math.min(LONGEST_MISSING_MS, known.pauseMs * 2);
+    this.missing.set(key, { untilMs: nowMs + pauseMs, pauseMs });
   }
 
   started(run: Run): void {
@@ -155,7 +165,7 @@
   }
 
   private isMissing(nowMs: number, server: BackendServer, need: Need): boolean {
-    return (this.missingUntilMs.get(runKey({ ...need, server })) ?? 0) > nowMs;
+    return (this.missing.get(runKey({ ...need, server }))?.untilMs ?? 0) > nowMs;
   }
 
   private runningAt(id: string, heard: boolean): number {
--- a/test/units/engine-orders/engine-orders.test.ts
+++ b/test/units/engine-orders/engine-orders.test.ts
@@ -113,6 +113,20 @@
     expect(nextOrder(orders, 4).expected).toBe(4);
   });
 
+  test('take a load for done by its usual time, but not for long while the engine shows nothing', () => {
+    const orders = createOrders();
+    orders.observe(seen(0, {}));
+    orders.add([load('b')]);
+    nextOrder(orders, 0);
+    orders.answered(0, OrderOutcome.accepted);
+    const believedAt = (nowMs: number) => orders.probablyLoaded(nowMs);
+    expect(believedAt(LOAD_MS)).toEqual([]);
+    expect(believedAt(LOAD_MS + 100)).toEqual(['b']);
+    // Loads from the store that share it take twice their time and more.
+    expect(believedAt(LOAD_MS + 1_000)).toEqual([]);
+    expect(orders.loading).toEqual(['b']);
+  });
+
   test('end a load when the engine shows it, whatever an older report says', () => {
     const orders = createOrders();
     orders.observe(seen(0, { a: [] }));
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -40,9 +40,14 @@
 function setUp(adopted: boolean) {
   const steward = { heard: true };
   const follower = { backends: new Map([['s1', SERVER]]), isAdopted: () => adopted };
-  const clock = { nowMs: () => 0, steadyMs: () => 0, onJump: () => undefined };
+  const times = { nowMs: 0 };
+  const clock = {
+    nowMs: () => times.nowMs,
+    steadyMs: () => times.nowMs,
+    onJump: () => undefined,
+  };
   const view = new FleetView(follower as unknown as FollowerTask, clock, () => steward.heard);
-  return { view, steward };
+  return { view, steward, times };
 }
 
 describe('engines as the steward tells of them', () => {
@@ -78,3 +83,26 @@
     expect(view.candidates(NEED)).toHaveLength(0);
   });
 });
+
+describe('a model that a server does not hold although the steward takes its load for done', () => {
+  test('is asked of it less and less often, and again when it has come', () => {
+    const { view, times } = setUp(true);
+    view.takeView(HOLDS);
+    const askedAt: number[] = [];
+    for (times.nowMs = 0; times.nowMs < 2_000; times.nowMs += 10) {
+      if (view.candidates(NEED).length > 0) {
+        askedAt.push(times.nowMs);
+        view.noteMissing({ ...NEED, server: SERVER });
+      }
+    }
+    expect(askedAt).toEqual([0, 80, 240, 560, 1_200]);
+  });
+
+  test('counts once for all requests that were on their way together', () => {
+    const { view, times } = setUp(true);
+    view.takeView(HOLDS);
+    [1, 2, 3].forEach(() => view.noteMissing({ ...NEED, server: SERVER }));
+    times.nowMs = 80;
+    expect(view.candidates(NEED)).toHaveLength(1);
+  });
+});
