Take the idle error listener off a connection that is used again

IdleAgent.reuseSocket did not call the agent's own method, which takes off the listener that waits for errors of idle sockets: one stayed for each use.

Ruled out: the relay's own listeners (they are taken off).

Change and test: it is called; twelve uses of a connection leave the same number of listeners (failed before).

--- a/src/entry/relay/connections.ts
+++ b/src/entry/relay/connections.ts
@@ -43,12 +43,12 @@
     return true;
   }
 
-  override reuseSocket(stream: Duplex): void {
+  override reuseSocket(stream: Duplex, req: http.ClientRequest): void {
     const socket = stream as Socket;
     const drop = idleListeners.get(socket);
     if (drop !== undefined) IDLE_EVENTS.forEach((event) => socket.off(event, drop));
     socket.setTimeout(0);
-    socket.ref();
+    super.reuseSocket(stream, req);
   }
 }
 
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -188,6 +188,23 @@
     expect(asked.length).toBeGreaterThan(0);
   });
 
+  test('leaves nothing behind on a connection that is used again and again', async () => {
+    const server = await startServer((socket) => {
+      socket.write(`${HEAD}Content-Length: 5\r\n\r\nwhole`);
+    });
+    const kept = createConnections();
+    const listeners: number[] = [];
+    for (let at = 0; at < 12; at += 1) {
+      await ask(server, 'request-1', kept);
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+      const [free] = Object.values(kept.agentFor(server, true).freeSockets);
+      listeners.push(free?.[0]?.listenerCount('error') ?? -1);
+    }
+    expect(new Set(listeners).size).toBe(1);
+  });
+
   test('followed by more bytes ends its connection', async () => {
     const accepted: net.Socket[] = [];
     const server = await startServer((socket) => {
