Let a crowded model have the places that its crowd needs while a load of it is under way

Ruled out: the price of places (no option was looked at), the number of places allowed (half of the engines).

Change: places at and on the way are compared with what all that waits and runs with the model would fill to 0.6; all wants of a model count together.

Tests: crowd during a slow load, wants of many adapters, a load that will do (two failed before).

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -65,6 +65,8 @@
   /** Sound engines that hold each model, by service and model. */
   readonly holdersOf: ReadonlyMap<string, readonly EngineState[]>;
   readonly wantedModels: ReadonlySet<string>;
+  /** Requests that wait for each model, with whichever adapter, by service and model. */
+  readonly waitingOf: ReadonlyMap<string, number>;
   /** What it costs that adapter orders wait while an engine loads, ms. */
   readonly sparedMs: ReadonlyMap<string, number>;
 }
@@ -97,8 +99,14 @@
     .flatMap((engine) =>
       engine.places.map(({ model }) => [placeKey(engine.service, model), engine] as const),
     );
+  const waitingOf = new Map<string, number>();
+  view.wants.forEach(({ service, model, waiting }) => {
+    const key = placeKey(service, model);
+    waitingOf.set(key, (waitingOf.get(key) ?? 0) + waiting);
+  });
   return {
     ...view,
+    waitingOf,
     enginesOf: group(view.engines.map((engine) => [engine.service, engine] as const)),
     holdersOf: group(held),
     wantedModels: new Set(view.wants.map(({ model }) => model)),
@@ -133,6 +141,10 @@
   return waiting + Math.max(0, nowMs - dueAtMs + PRESS_LEAD_MS) / PRESS_MS;
 }
 
+function runningWith(holders: readonly EngineState[], model: string): number {
+  return holders.reduce((sum, engine) => sum + (placeOf(engine, model)?.running ?? 0), 0);
+}
+
 export class SwapPlanner {
   /** Actions for engines that take orders now; at most one each. */
   plan(seen: SwapView): readonly SwapAction[] {
@@ -317,22 +329,29 @@
     const { model } = want;
     const coming = engines.filter((engine) => engine.loading.includes(model)).length;
     const holders = view.holdersOf.get(placeKey(want.service, model)) ?? [];
-    if (coming > 0) return false;
-    if (holders.length === 0) return want.waiting > 0;
-    if (holders.length >= engines.length / 2) return false;
+    if (coming === 0 && holders.length === 0) return want.waiting > 0;
+    if (holders.length + coming >= engines.length / 2) return false;
+    if (coming > 0) return holders.length + coming < this.placesNeeded(view, holders, want);
     if (this.lacksAdapterPlaces(view.nowMs, holders, want)) return true;
     if (want.adapter === null && want.waiting >= WAITING_FOR_MORE) return true;
     if (this.isCrowded(holders, model)) return true;
     return holders.length < 2 && (view.rates.get(model) ?? 0) > SECOND_PLACE_RATE;
   }
 
+  /** Places at which all that waits and runs with a model would leave some room. */
+  private placesNeeded(
+    view: IndexedView,
+    holders: readonly EngineState[],
+    { service, model }: Want,
+  ): number {
+    const slots = view.enginesOf.get(service)?.[0]?.spec.slots ?? 1;
+    const waiting = view.waitingOf.get(placeKey(service, model)) ?? 0;
+    return (runningWith(holders, model) + waiting) / (slots * FULL_PART);
+  }
+
   private isCrowded(holders: readonly EngineState[], model: string): boolean {
-    const running = holders.reduce(
-      (sum, engine) => sum + (placeOf(engine, model)?.running ?? 0),
-      0,
-    );
     const slots = holders.reduce((sum, { spec }) => sum + spec.slots, 0);
-    return running > slots * FULL_PART;
+    return runningWith(holders, model) > slots * FULL_PART;
   }
 
   /** Whether every engine with the model has its adapter places in use by others. */
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -302,3 +302,26 @@
     expect(loadsOf(plan({ engines, wants }))).toHaveLength(1);
   });
 });
+
+describe('a model that a crowd asks for while a slow load of it is under way', () => {
+  const full = engine('e1', [place('hot', { running: 30 }), place('m1')], ['hot']);
+  const coming = engine('e2', [place('m2')], ['m2'], { loading: ['hot'], open: false });
+  const near = engine('e3', [place('m3')], ['hot']);
+  const others = ['e4', 'e5', 'e6', 'e7', 'e8'].map((id) => engine(id, [place('m4')], ['m4']));
+  const engines = [full, coming, near, ...others];
+
+  test('comes to one more engine, as far as those who wait need it', () => {
+    const actions = plan({ engines, wants: [want('hot', { waiting: 30 })] });
+    expect(loadsOf(actions)).toEqual(['e3 hot']);
+  });
+
+  test('counts all who wait for it, with whichever adapter', () => {
+    const wants = ['a1', 'a2', 'a3'].map((adapter) => want('hot', { adapter, waiting: 10 }));
+    const actions = plan({ engines, wants });
+    expect(loadsOf(actions).filter((text) => text === 'e3 hot')).toHaveLength(1);
+  });
+
+  test('does not come where the load under way will do', () => {
+    expect(plan({ engines, wants: [want('hot', { waiting: 4 })] })).toEqual([]);
+  });
+});
