Work out once what a request waits for, and less in two hot paths

Found in reading the change again. No change of behaviour; no test is touched here.

- Exchange built its waiter anew for each placement, closing and silence; it never changes, so it is made once, and SecondTries takes the caller's patience from it instead of working it out again.
- The number of servers that may turn a request down stood twice (retries, second-tries).
- SwapPlanner.needOf counted the places of models that nobody asks for before it looked at their rate, over the engines of all services.
- FleetView.candidates listed the peers anew for each server.

--- a/src/decisions/retries/index.ts
+++ b/src/decisions/retries/index.ts
@@ -15,7 +15,7 @@
 
 const MOST_RUNS = 2;
 /** Each attempt that did not begin takes a server off the routes, so that few follow. */
-const MOST_NOT_RUN = 4;
+export const MOST_NOT_RUN = 4;
 /** Retries that are allowed whatever the traffic, a second. */
 const MIN_RETRIES_PER_S = 1;
 const LARGEST_BALANCE = 20;
--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -212,12 +212,12 @@
   /** How much one more place of a model is worth: its rate, shared by the places that it has. */
   private needOf(view: IndexedView, service: string, model: string): number {
     const rate = view.rates.get(model) ?? 0;
-    const places = view.engines.filter(
+    if (rate < LEAST_RATE) return 0;
+    const engines = view.enginesOf.get(service) ?? [];
+    const places = engines.filter(
       (engine) =>
-        engine.service === service &&
-        (engine.loading.includes(model) || (engine.sound && placeOf(engine, model) !== undefined)),
+        engine.loading.includes(model) || (engine.sound && placeOf(engine, model) !== undefined),
     ).length;
-    if (rate < LEAST_RATE) return 0;
     return rate / (1 + places * places * 4);
   }
 
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -22,6 +22,21 @@
 /** Time to the first byte that is expected of a request beyond its prompt's, ms. */
 const BASE_FIRST_BYTE_MS = 20;
 
+/** What a request waits for, and until when. */
+function createWaiter(request: ReadRequest, deadlineAtMs: number): Waiter {
+  const { facts, route, service, customer, arrivedAtMs } = request;
+  return {
+    id: `${facts.id} ${arrivedAtMs}`,
+    service,
+    model: facts.model,
+    adapter: facts.adapter,
+    priority: customer?.priority ?? route.priority,
+    arrivedAtMs,
+    objectiveAtMs: arrivedAtMs + route.objectiveMs,
+    deadlineAtMs: Math.min(deadlineAtMs, arrivedAtMs + route.callerPatienceMs),
+  };
+}
+
 export class Exchange implements StreamSink {
   private readonly aborter = new AbortController();
 
@@ -31,6 +46,8 @@
 
   private readonly deadlineAtMs: number;
 
+  private readonly waiter: Waiter;
+
   private readonly tries: SecondTries;
 
   private ranOnce = false;
@@ -53,7 +70,8 @@
     this.cutter = new EventCutter(facts.lastEventId);
     this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, facts.deadlineMs ?? Infinity);
     this.fingerprint = fingerprintOf(`${customer?.name ?? ''} ${req.url}`, body.toString('latin1'));
-    this.tries = new SecondTries(ctx, request, this.deadlineAtMs, this.fingerprint);
+    this.waiter = createWaiter(request, this.deadlineAtMs);
+    this.tries = new SecondTries(ctx, request, this.waiter, this.deadlineAtMs, this.fingerprint);
   }
 
   /** Serves the request to its end; never rejects for what callers or servers do. */
@@ -121,7 +139,7 @@
     this.ctx.retries.noteRequest(this.ctx.clock.steadyMs(), service);
     if (facts.model !== null) this.ctx.noteUse(facts.model);
     while (!this.ended) {
-      const placement = await this.ctx.dispatcher.place(this.waiter(), this.tries.tried);
+      const placement = await this.ctx.dispatcher.place(this.waiter, this.tries.tried);
       if (this.ended) {
         if (placement.run !== null) this.ctx.view.ended(placement.run);
         break;
@@ -151,20 +169,6 @@
     this.ctx.log('waited', facts.id, { server: run.server.id, model, adapter, waitedMs });
   }
 
-  private waiter(): Waiter {
-    const { facts, route, service, customer, arrivedAtMs } = this.request;
-    return {
-      id: `${facts.id} ${arrivedAtMs}`,
-      service,
-      model: facts.model,
-      adapter: facts.adapter,
-      priority: customer?.priority ?? route.priority,
-      arrivedAtMs,
-      objectiveAtMs: arrivedAtMs + route.objectiveMs,
-      deadlineAtMs: Math.min(this.deadlineAtMs, arrivedAtMs + route.callerPatienceMs),
-    };
-  }
-
   private async attempt(run: Run): Promise<AttemptResult> {
     const { req, facts, customer, route, body } = this.request;
     const nowMs = this.ctx.clock.steadyMs();
@@ -181,7 +185,7 @@
           backendId: run.server.id,
           customer: customer?.name ?? null,
           deadlineMs: facts.deadlineMs === null ? null : Math.max(1, this.deadlineAtMs - nowMs),
-          urgency: Math.min(LEAST_URGENT, customer?.priority ?? route.priority),
+          urgency: Math.min(LEAST_URGENT, this.waiter.priority),
           resumeAfter,
           bodyBytes: body.length,
           hasBody: body.length > 0 || req.method === 'POST' || req.method === 'PUT',
@@ -190,7 +194,7 @@
         agent: this.ctx.connections.agentFor(run.server, route.repeat !== RepeatRule.once),
         run,
         signal: this.aborter.signal,
-        silence: this.tries.silenceRule(run, this.waiter()),
+        silence: this.tries.silenceRule(run),
       },
       route.repeat === RepeatRule.stream ? this : null,
     );
@@ -375,14 +379,14 @@
   private noteClosed(): void {
     if (this.ended) return;
     this.ended = true;
-    this.ctx.dispatcher.cancel(this.waiter().id);
+    this.ctx.dispatcher.cancel(this.waiter.id);
     // What may not be repeated goes on to its outcome.
     if (this.request.route.repeat !== RepeatRule.once) this.aborter.abort();
   }
 
   private noteTimeout(): void {
     if (this.ended) return;
-    this.ctx.dispatcher.cancel(this.waiter().id);
+    this.ctx.dispatcher.cancel(this.waiter.id);
     const sent = this.ranOnce || this.current !== null;
     if (this.streaming) this.cut('the time is over');
     else if (sent) this.fail(errors.data.TimedOut, 'the time is over');
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -86,16 +86,13 @@
         !server.leaving &&
         this.holds(nowMs, server, need, heard),
     );
+    const peers = fit.map(({ id }) => id);
     return this.health.sound(nowMs, fit).map((server) => ({
       id: server.id,
       dataCentre: server.dataCentre,
       slots: server.slots,
       running: this.runningAt(server.id, heard),
-      slowness: this.health.slowness(
-        nowMs,
-        server.id,
-        fit.map(({ id }) => id),
-      ),
+      slowness: this.health.slowness(nowMs, server.id, peers),
     }));
   }
 
--- a/src/entry/relay/second-tries.ts
+++ b/src/entry/relay/second-tries.ts
@@ -1,14 +1,12 @@
 /** Whether a request that failed at one backend server may go to another. */
 import { RepeatRule } from '../../decisions/fleet-plan/index.js';
-import { leavesSilentServer } from '../../decisions/retries/index.js';
+import { leavesSilentServer, MOST_NOT_RUN } from '../../decisions/retries/index.js';
 import type { Waiter } from '../../decisions/wait-list/index.js';
 import type { SilenceRule } from './attempt.js';
 import type { RelayContext } from './context.js';
 import type { Run } from './fleet-view.js';
 import type { ReadRequest } from './read-request.js';
 
-/** Sendings that a server may turn down before the request is refused. */
-const MOST_NOT_RUN = 4;
 /** Silence of a server after which a repeatable request may be tried elsewhere, at least, ms. */
 const LEAST_SILENCE_MS = 700;
 /** The same in objectives: by then the objective is missed. */
@@ -26,6 +24,7 @@
   constructor(
     private readonly ctx: RelayContext,
     private readonly request: ReadRequest,
+    private readonly waiter: Waiter,
     private readonly deadlineAtMs: number,
     private readonly fingerprint: string,
   ) {}
@@ -51,12 +50,12 @@
   }
 
   /** What to do when the server is silent; null where the request may not go elsewhere. */
-  silenceRule(run: Run, waiter: Waiter): SilenceRule | null {
+  silenceRule(run: Run): SilenceRule | null {
     if (!this.mayGoElsewhere(run)) return null;
     const { objectiveMs } = this.request.route;
     return {
       afterMs: Math.max(LEAST_SILENCE_MS, objectiveMs * SILENCE_OBJECTIVES),
-      leaves: (silentMs) => this.leavesSilent(run, waiter, silentMs),
+      leaves: (silentMs) => this.leavesSilent(run, silentMs),
     };
   }
 
@@ -71,8 +70,8 @@
   }
 
   /** Whether to leave a silent server; takes the retry that this costs. */
-  private leavesSilent(run: Run, waiter: Waiter, silentMs: number): boolean {
-    const { ctx, request } = this;
+  private leavesSilent(run: Run, silentMs: number): boolean {
+    const { ctx, request, waiter } = this;
     const nowMs = ctx.clock.steadyMs();
     const others = ctx.view
       .candidates(waiter)
@@ -80,7 +79,7 @@
     const leaves = leavesSilentServer({
       requestMs: silentMs,
       serverMs: nowMs - ctx.view.health.heardAtMs(run.server.id),
-      patienceMs: Math.min(request.route.callerPatienceMs, this.deadlineAtMs - request.arrivedAtMs),
+      patienceMs: waiter.deadlineAtMs - waiter.arrivedAtMs,
       fillElsewhere: Math.min(1, ...others.map(({ running, slots }) => running / slots)),
     });
     if (!leaves || !ctx.retries.spend(nowMs, request.service)) return false;
