Use the project's own sleep, listener and one server fixture in the new tests

The soak had four copies of sleep and two of listening on a free port, and two unit tests the same backend server.

--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -1,6 +1,8 @@
 /** A backend server on the platform's wire that records what would break a promise. */
 import * as http from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
+import * as clocks from '../../src/core/clock/index.js';
+import * as httpServers from '../../src/core/http/index.js';
 import type { SoakStore } from './store.js';
 
 export const EVENTS = 8;
@@ -42,12 +44,6 @@
   return typeof value === 'string' ? value : '';
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 export class SoakEngine {
   private id = '';
 
@@ -75,6 +71,8 @@
 
   private server: http.Server | null = null;
 
+  private address = '';
+
   private readonly sockets = new Set<Socket>();
 
   private heartbeat: NodeJS.Timeout | null = null;
@@ -101,9 +99,7 @@
       socket.on('close', () => this.sockets.delete(socket));
     });
     this.server = server;
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
+    this.address = await httpServers.listen(server, '127.0.0.1:0');
     this.register();
     this.heartbeat = setInterval(() => this.register(), HEARTBEAT_MS);
   }
@@ -143,10 +139,9 @@
 
   private register(): void {
     if (this.isDark || this.server === null) return;
-    const { port } = this.server.address() as AddressInfo;
     this.store.put('servers', this.id, {
       service: this.spec.service,
-      address: `127.0.0.1:${port}`,
+      address: this.address,
       zone: this.spec.dataCentre,
       version: 'v1',
       engine_slots: this.spec.slots,
@@ -221,7 +216,7 @@
     }
     this.running += 1;
     this.ledger.runs.set(id, (this.ledger.runs.get(id) ?? 0) + 1);
-    await pause(WORK_MS * this.slowness);
+    await clocks.sleep(WORK_MS * this.slowness);
     if (model === '') this.answer(res, id);
     else await this.stream(req, res, id, life);
     this.running = Math.max(0, this.running - 1);
@@ -250,8 +245,8 @@
       'Content-Type': 'text/event-stream',
     });
     for (let at = first; at <= EVENTS; at += 1) {
-      await pause(EVENT_MS * this.slowness);
-      while (this.isDark) await pause(EVENT_MS);
+      await clocks.sleep(EVENT_MS * this.slowness);
+      while (this.isDark) await clocks.sleep(EVENT_MS);
       if (life !== this.life || res.destroyed) return;
       if (this.losesAnswers && at === EVENTS / 2) res.socket?.resetAndDestroy();
       res.write(`id: ${at}\ndata: ${id} ${at}\n\n`);
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -1,4 +1,5 @@
 /** Faults of a soak, drawn from a seed. */
+import * as clocks from '../../src/core/clock/index.js';
 import type { Random } from '../../src/core/random/index.js';
 import type { SoakEngine } from './engine.js';
 import { type SoakStore, StoreMood } from './store.js';
@@ -15,12 +16,6 @@
 /** Brings a fault about, and resolves once it is over. */
 type Fault = (cell: Cell, random: Random) => Promise<void>;
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 function pick<T>(items: readonly T[], random: Random): T {
   const item = items[Math.floor(random.real() * items.length)];
   if (item === undefined) throw new Error('nothing to pick from');
@@ -30,13 +25,13 @@
 /** The store behaves otherwise for `ms`. */
 async function moody(store: SoakStore, mood: StoreMood, ms: number): Promise<void> {
   Object.assign(store, { mood });
-  await pause(ms);
+  await clocks.sleep(ms);
   Object.assign(store, { mood: StoreMood.well });
 }
 
 async function restart(vm: SoakVm, signal: NodeJS.Signals, downMs: number): Promise<void> {
   await vm.end(signal);
-  await pause(downMs);
+  await clocks.sleep(downMs);
   vm.start();
   await vm.untilReady();
 }
@@ -50,7 +45,7 @@
   freezeVm: async ({ vms }, random) => {
     const vm = pick(vms, random);
     vm.signal('SIGSTOP');
-    await pause(500 + random.real() * 3_000);
+    await clocks.sleep(500 + random.real() * 3_000);
     vm.signal('SIGCONT');
   },
   storeBusy: ({ store }) => moody(store, StoreMood.busy, 1_500),
@@ -61,20 +56,20 @@
   engineCrash: async ({ engines }, random) => {
     const engine = pick(engines, random);
     engine.crash();
-    await pause(400 + random.real() * 1_000);
+    await clocks.sleep(400 + random.real() * 1_000);
     await engine.start();
   },
   enginesLoseAnswers: async ({ engines }) => {
     engines.forEach((engine) => engine.loseAnswers(1_500));
-    await pause(1_500);
+    await clocks.sleep(1_500);
   },
   engineDark: async ({ engines }, random) => {
     pick(engines, random).goDark(1_500);
-    await pause(1_500);
+    await clocks.sleep(1_500);
   },
   engineSlow: async ({ engines }, random) => {
     pick(engines, random).slowDown(2_000, 8);
-    await pause(2_000);
+    await clocks.sleep(2_000);
   },
   configChange: async ({ changeConfig }) => changeConfig(),
 };
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -8,6 +8,7 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import { afterAll, beforeAll, describe, expect, test } from 'vitest';
+import * as clocks from '../../src/core/clock/index.js';
 import { createRandom, type Random } from '../../src/core/random/index.js';
 import { bundle } from '../../src/lab/fleet/bundle.js';
 import { Callers, CUSTOMER, KEY, type Outcome, RequestKind } from './callers.js';
@@ -29,12 +30,6 @@
 const PROBES = 40;
 const KINDS = [RequestKind.order, RequestKind.lookup, RequestKind.stream, RequestKind.stream];
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 function configOf(version: number) {
   const route = (name: string, kind: string, service: string) => ({
     name,
@@ -156,10 +151,10 @@
       deck = rest;
       played.push(name);
       running.push((FAULTS[name] as (typeof FAULTS)[string])(cell, random));
-      await pause(600 + random.real() * 900);
+      await clocks.sleep(600 + random.real() * 900);
     }
     await Promise.all(running);
-    await pause(RECOVERY_MS);
+    await clocks.sleep(RECOVERY_MS);
     this.sending = false;
     await Promise.all(senders);
     return played;
@@ -182,7 +177,7 @@
   private async keepSending(): Promise<void> {
     while (this.sending) {
       await this.sendOne();
-      await pause(CALLER_PAUSE_MS);
+      await clocks.sleep(CALLER_PAUSE_MS);
     }
   }
 
--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -1,6 +1,8 @@
 /** A platform's store in memory, on the platform's wire, that can be made to fail. */
 import * as http from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
+import * as clocks from '../../src/core/clock/index.js';
+import * as httpServers from '../../src/core/http/index.js';
 
 /** How the store treats a call. */
 export const StoreMood = {
@@ -60,10 +62,7 @@
       this.sockets.add(socket);
       socket.on('close', () => this.sockets.delete(socket));
     });
-    await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
-    });
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return httpServers.listen(this.server, '127.0.0.1:0');
   }
 
   stop(): void {
@@ -116,9 +115,7 @@
       req.on('end', resolve);
     });
     if (mood === StoreMood.slow) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, SLOW_MS);
-      });
+      await clocks.sleep(SLOW_MS);
     }
     const { status, body } = await this.handle(req, Buffer.concat(parts).toString());
     if (mood === StoreMood.lost && req.method !== 'GET') {
--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -5,16 +5,11 @@
 import type { AddressInfo } from 'node:net';
 import * as path from 'node:path';
 import * as undici from 'undici';
+import * as clocks from '../../src/core/clock/index.js';
 
 const READY_POLL_MS = 50;
 const READY_WITHIN_MS = 20_000;
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** An address with a port that the operating system has just given out. */
 async function freeAddress(): Promise<string> {
   const server = net.createServer();
@@ -110,7 +105,7 @@
     const untilMs = performance.now() + READY_WITHIN_MS;
     while (!(await this.isReady())) {
       if (performance.now() > untilMs) throw new Error(`${this.name} did not become ready`);
-      await pause(READY_POLL_MS);
+      await clocks.sleep(READY_POLL_MS);
     }
   }
 
--- /dev/null
+++ b/test/units/relay/backend-server.ts
@@ -0,0 +1,18 @@
+/** A backend server for tests that only care for some of it. */
+import type { BackendServer } from '../../../src/decisions/fleet-plan/index.js';
+
+export function backendServer(id: string, fields: Partial<BackendServer> = {}): BackendServer {
+  return {
+    id,
+    service: 'drafting',
+    address: '10.0.0.1:80',
+    dataCentre: 'a',
+    leaving: false,
+    slots: 8,
+    orderCount: 0,
+    bornMs: 1,
+    models: [],
+    copies: { inMemory: [], onDisk: [] },
+    ...fields,
+  };
+}
--- a/test/units/relay/belief-teller.test.ts
+++ b/test/units/relay/belief-teller.test.ts
@@ -3,22 +3,7 @@
 import type { BackendServer } from '../../../src/decisions/fleet-plan/index.js';
 import { BeliefTeller, ToldLists } from '../../../src/entry/relay/belief-teller.js';
 import type { RelayMessageOf } from '../../../src/entry/relay/messages.js';
-
-function server(id: string, fields: Partial<BackendServer> = {}): BackendServer {
-  return {
-    id,
-    service: 'drafting',
-    address: '10.0.0.1:80',
-    dataCentre: 'a',
-    leaving: false,
-    slots: 8,
-    orderCount: 0,
-    bornMs: 1,
-    models: [],
-    copies: { inMemory: [], onDisk: [] },
-    ...fields,
-  };
-}
+import { backendServer } from './backend-server.js';
 
 const NONE: ReadonlySet<string> = new Set();
 const listOf = (...servers: BackendServer[]) => ({
@@ -30,10 +15,10 @@
   test('is whole at first, then only what changed and what is gone', () => {
     const lists = new ToldLists();
     const teller = new BeliefTeller();
-    const first = listOf(server('s1'), server('s2'));
+    const first = listOf(backendServer('s1'), backendServer('s2'));
     const whole = teller.listChange(lists.at(first), 5);
     expect(whole).toMatchObject({ whole: true, revision: 5, gone: [] });
-    const next = listOf(server('s2', { leaving: true }), server('s3'));
+    const next = listOf(backendServer('s2', { leaving: true }), backendServer('s3'));
     expect(teller.listChange(lists.at(next), 9)).toMatchObject({
       whole: false,
       revision: 9,
@@ -45,16 +30,16 @@
   test('says nothing where a heartbeat changed only what servers hold', () => {
     const lists = new ToldLists();
     const teller = new BeliefTeller();
-    const first = listOf(server('s1'));
+    const first = listOf(backendServer('s1'));
     teller.listChange(lists.at(first), 5);
-    const next = listOf(server('s1', { orderCount: 7 }));
+    const next = listOf(backendServer('s1', { orderCount: 7 }));
     expect(teller.listChange(lists.at(next), 6)).toBeNull();
   });
 
   test('says which servers are kept only since an outage', () => {
     const lists = new ToldLists();
     const teller = new BeliefTeller();
-    const list = listOf(server('s1'));
+    const list = listOf(backendServer('s1'));
     teller.listChange(lists.at(list), 5);
     const kept = { ...list, missing: new Set(['s1']) };
     expect(teller.listChange(lists.at(kept), 6)).toMatchObject({
@@ -65,7 +50,7 @@
   test('is told whole again after a message that could not be sent', () => {
     const lists = new ToldLists();
     const teller = new BeliefTeller();
-    const list = listOf(server('s1'));
+    const list = listOf(backendServer('s1'));
     teller.listChange(lists.at(list), 5);
     teller.forget();
     expect(teller.listChange(lists.at(list), 5)).toMatchObject({ whole: true });
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -1,22 +1,11 @@
 /** What an entry VM makes of the steward's words about engines. */
 import { describe, expect, test } from 'vitest';
-import type { BackendServer } from '../../../src/decisions/fleet-plan/index.js';
 import { FleetView } from '../../../src/entry/relay/fleet-view.js';
 import type { FollowerTask } from '../../../src/entry/relay/follower.js';
 import { type RelayMessageOf, RelayMessageType } from '../../../src/entry/relay/messages.js';
+import { backendServer } from './backend-server.js';
 
-const SERVER: BackendServer = {
-  id: 's1',
-  service: 'drafting',
-  address: '10.0.0.1:80',
-  dataCentre: 'a',
-  leaving: false,
-  slots: 8,
-  orderCount: 0,
-  bornMs: 1,
-  models: [],
-  copies: { inMemory: [], onDisk: [] },
-};
+const SERVER = backendServer('s1');
 const NEED = { service: 'drafting', model: 'm1', adapter: null };
 
 function viewOf(fields: Partial<RelayMessageOf<'view'>> = {}): RelayMessageOf<'view'> {
