--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -12,6 +12,8 @@
 const HEARTBEAT_MS = 250;
 /** Time after which the entry of a server that is silent goes, ms. */
 const LAPSE_MS = 750;
+/** A body that begins like this ends the server that runs it. */
+export const CRASH_MARK = 'crash';
 export const MODEL_MB = 10;
 
 export interface EngineSpec {
@@ -21,12 +23,44 @@
   readonly slots: number;
   readonly memoryMb: number;
   readonly models: readonly string[];
+  /** Times of the server's entry, where they are not the usual short ones. */
+  readonly entry?: EntryTimes;
+  /** How the server ends under a request with the crash mark. */
+  readonly crash?: CrashRule;
+}
+
+export interface EntryTimes {
+  readonly heartbeatMs: number;
+  /** Time after which the entry of a server that is silent goes, ms. */
+  readonly lapseMs: number;
+}
+
+export interface CrashRule {
+  /** Time that such a request runs before the server ends, ms. */
+  readonly afterMs: number;
+  /** Time until the server is back, ms. */
+  readonly downMs: number;
+  /** Whether the server is back under the id that it had. */
+  readonly keepsId: boolean;
+  /** Time that the server is silent before it ends, ms. */
+  readonly silentMs: number;
+}
+
+/** A request with the crash mark that a server began. */
+export interface Arrival {
+  readonly atMs: number;
+  readonly serverId: string;
+  readonly requestId: string;
 }
 
 /** What all servers of a soak have seen. */
 export interface Ledger {
   /** Runs by the request's id. */
   readonly runs: Map<string, number>;
+  /** Arrivals of requests with the crash mark. */
+  readonly arrivals: Arrival[];
+  /** When servers ended under such a request. */
+  readonly endsAtMs: number[];
   /** Broken promises, in words. */
   readonly faults: string[];
 }
@@ -59,6 +93,8 @@
 
   private isDark = false;
 
+  private isRetired = false;
+
   private slowness = 1;
 
   private losesAnswers = false;
@@ -85,7 +121,7 @@
 
   async start(): Promise<void> {
     this.life += 1;
-    this.id = `${this.spec.name}-${this.life}`;
+    this.id = this.spec.crash?.keepsId === true ? this.spec.name : `${this.spec.name}-${this.life}`;
     this.bornMs = Date.now();
     this.count = 0;
     this.busy = false;
@@ -101,17 +137,42 @@
     this.server = server;
     this.address = await httpServers.listen(server, '127.0.0.1:0');
     this.register();
-    this.heartbeat = setInterval(() => this.register(), HEARTBEAT_MS);
+    const { heartbeatMs } = this.spec.entry ?? { heartbeatMs: HEARTBEAT_MS };
+    this.heartbeat = setInterval(() => this.register(), heartbeatMs);
   }
 
   /** The process ends at once; its entry lapses later. */
   crash(): void {
-    const { id } = this;
+    const { id, bornMs } = this;
     this.life += 1;
     if (this.heartbeat !== null) clearInterval(this.heartbeat);
     this.server?.close();
     this.sockets.forEach((socket) => socket.destroy());
-    setTimeout(() => this.store.remove('servers', id), LAPSE_MS);
+    const { lapseMs } = this.spec.entry ?? { lapseMs: LAPSE_MS };
+    setTimeout(() => {
+      // A server that is back under its id has an entry again.
+      if (this.id !== id || this.bornMs === bornMs) this.store.remove('servers', id);
+    }, lapseMs);
+  }
+
+  /** Stops for good. */
+  retire(): void {
+    this.isRetired = true;
+    this.crash();
+  }
+
+  /** Ends under a request with the crash mark, and comes back. */
+  private async endUnder({ afterMs, downMs, silentMs }: CrashRule, life: number): Promise<void> {
+    await clocks.sleep(afterMs);
+    if (life !== this.life) return;
+    this.isDark = true;
+    await clocks.sleep(silentMs);
+    if (life !== this.life) return;
+    this.ledger.endsAtMs.push(performance.now());
+    this.crash();
+    await clocks.sleep(downMs);
+    this.isDark = false;
+    if (!this.isRetired) await this.start();
   }
 
   /** Takes connections and answers nothing for a while. */
@@ -172,7 +233,7 @@
     } else if (req.url === '/v1/order') {
       res.writeHead(this.order(JSON.parse(Buffer.concat(parts).toString()) as OrderBody)).end();
     } else {
-      await this.run(req, res, life);
+      await this.run(req, res, life, Buffer.concat(parts).toString());
     }
   }
 
@@ -203,7 +264,12 @@
     return 202;
   }
 
-  private async run(req: http.IncomingMessage, res: http.ServerResponse, life: number) {
+  private async run(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    life: number,
+    body: string,
+  ) {
     const id = header(req, 'attempt-id');
     const model = header(req, 'model');
     const refuse = (status: number) =>
@@ -216,6 +282,12 @@
     }
     this.running += 1;
     this.ledger.runs.set(id, (this.ledger.runs.get(id) ?? 0) + 1);
+    const { crash } = this.spec;
+    if (crash !== undefined && body.startsWith(CRASH_MARK)) {
+      this.ledger.arrivals.push({ atMs: performance.now(), serverId: this.id, requestId: id });
+      await this.endUnder(crash, life);
+      return res;
+    }
     await clocks.sleep(WORK_MS * this.slowness);
     if (model === '') this.answer(res, id);
     else await this.stream(req, res, id, life);
