Log what each entry VM learns of a request that servers die under

Callers of the association saw a request sent on after three servers had ended under it; the logs could not tell whether its breaks were never noted, forgotten, or left without a verdict.

broken and refused name the request's fingerprint, broken says whether the caller still waits; death-noted, death-not-told, break-unresolved and started tell what a VM knows and from when; retries beyond the bound are counted. No decision changes.

--- a/src/decisions/suspects/death-watch.ts
+++ b/src/decisions/suspects/death-watch.ts
@@ -15,7 +15,8 @@
   readonly leaving: boolean;
 }
 
-interface Break {
+/** A server broke off while it ran a request. */
+export interface Break {
   readonly fingerprint: string;
   readonly serverId: string;
   readonly bornMs: number;
@@ -25,9 +26,17 @@
 export class DeathWatch {
   private breaks: readonly Break[] = [];
 
+  /** Breaks whose servers showed no verdict in time; each is returned once. */
+  takeUnresolved(nowMs: number): readonly Break[] {
+    const live = this.live(nowMs);
+    const unresolved = this.breaks.filter((entry) => !live.includes(entry));
+    this.breaks = live;
+    return unresolved;
+  }
+
   /** Notes that a server broke off while it ran a request. */
   noteBreak(nowMs: number, fingerprint: string, serverId: string, bornMs: number): void {
-    this.breaks = [...this.live(nowMs), { fingerprint, serverId, bornMs, atMs: nowMs }];
+    this.breaks = [...this.breaks, { fingerprint, serverId, bornMs, atMs: nowMs }];
   }
 
   /** The requests whose servers have died, each told once. */
@@ -37,7 +46,7 @@
       const server = servers.get(serverId);
       return server === undefined || server.bornMs > bornMs;
     });
-    this.breaks = live.filter((entry) => !died.includes(entry));
+    this.breaks = this.breaks.filter((entry) => !died.includes(entry));
     return died.map(({ fingerprint, serverId, atMs }) => ({
       fingerprint,
       engineId: serverId,
--- a/src/decisions/suspects/index.ts
+++ b/src/decisions/suspects/index.ts
@@ -7,7 +7,7 @@
  */
 import { createHash } from 'node:crypto';
 
-export { DeathWatch } from './death-watch.js';
+export { type Break, DeathWatch } from './death-watch.js';
 
 const DEATHS_TO_BLOCK = 2;
 export const BLOCK_MS = 600_000;
@@ -27,6 +27,11 @@
   untilMs: number;
 }
 
+/** A fingerprint as it stands in log lines. */
+export function shortFingerprint(fingerprint: string): string {
+  return fingerprint.slice(0, 12);
+}
+
 /** What identifies a request however often and wherever it is sent. */
 export function fingerprintOf(target: string, body: string): string {
   return createHash('sha256').update(target).update('\0').update(body).digest('hex');
@@ -88,7 +93,8 @@
     if (ids?.delete(requestId) === true && ids.size === 0) this.running.delete(engineId);
   }
 
-  private deaths(nowMs: number, fingerprint: string): number {
+  /** Deaths that are known of the request. */
+  deaths(nowMs: number, fingerprint: string): number {
     const record = this.records.get(fingerprint);
     return record === undefined || record.untilMs <= nowMs ? 0 : record.deaths;
   }
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -3,7 +3,7 @@
 import * as errors from '../../core/errors/index.js';
 import type { LogFields } from '../../core/logger/index.js';
 import { RepeatRule } from '../../decisions/fleet-plan/index.js';
-import { fingerprintOf } from '../../decisions/suspects/index.js';
+import { fingerprintOf, shortFingerprint } from '../../decisions/suspects/index.js';
 import type { Waiter } from '../../decisions/wait-list/index.js';
 import { Admission } from './admission.js';
 import { type Answer, AttemptEnd, type AttemptResult, send, type StreamSink } from './attempt.js';
@@ -258,7 +258,12 @@
   }
 
   private takeBroken(nowMs: number, run: Run, reason: string): boolean {
-    this.ctx.log('broken', this.request.facts.id, { server: run.server.id, reason });
+    this.ctx.log('broken', this.request.facts.id, {
+      server: run.server.id,
+      reason,
+      fingerprint: shortFingerprint(this.fingerprint),
+      callerWaits: !this.ended,
+    });
     if (this.ended) return false;
     this.ctx.view.health.noteFailure(nowMs, run.server.id);
     this.ctx.noteBreak(this.fingerprint, run);
@@ -315,6 +320,7 @@
     const failure = errors.createFailure(def, 'relay', this.request.route.name);
     this.ctx.log('refused', this.request.facts.id, {
       reason: def.name,
+      fingerprint: shortFingerprint(this.fingerprint),
       retryAfterMs,
       customer: this.request.customer?.name,
       ...fields,
--- a/src/entry/relay/second-tries.ts
+++ b/src/entry/relay/second-tries.ts
@@ -34,7 +34,7 @@
     this.notRuns += 1;
     if (staysFull) this.tried.add(run.server.id);
     if (this.notRuns >= MOST_NOT_RUN) return false;
-    return !reached || this.ctx.retries.spend(nowMs, this.request.service);
+    return !reached || this.spend(nowMs);
   }
 
   /** Whether the request is sent to another server although it may have run at this one. */
@@ -71,7 +71,7 @@
 
   /** Whether to leave a silent server; takes the retry that this costs. */
   private leavesSilent(run: Run, silentMs: number): boolean {
-    const { ctx, request, waiter } = this;
+    const { ctx, waiter } = this;
     const nowMs = ctx.clock.steadyMs();
     const others = ctx.view
       .candidates(waiter)
@@ -82,7 +82,7 @@
       patienceMs: waiter.deadlineAtMs - waiter.arrivedAtMs,
       fillElsewhere: Math.min(1, ...others.map(({ running, slots }) => running / slots)),
     });
-    if (!leaves || !ctx.retries.spend(nowMs, request.service)) return false;
+    if (!leaves || !this.spend(nowMs)) return false;
     this.isPaid = true;
     return true;
   }
@@ -90,6 +90,15 @@
   private pay(nowMs: number): boolean {
     const { isPaid } = this;
     this.isPaid = false;
-    return isPaid || this.ctx.retries.spend(nowMs, this.request.service);
+    return isPaid || this.spend(nowMs);
+  }
+
+  /** Takes one retry from the bound, if it leaves any. */
+  private spend(nowMs: number): boolean {
+    const { service } = this.request;
+    const isAllowed = this.ctx.retries.spend(nowMs, service);
+    const outcome = isAllowed ? 'allowed' : 'beyond-bound';
+    this.ctx.metrics.count('relay_retries_total', { service, outcome });
+    return isAllowed;
   }
 }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -9,7 +9,7 @@
 import { createSupervisor } from '../../core/supervisor/index.js';
 import { RetryWindow } from '../../decisions/retries/index.js';
 import * as stopRules from '../../decisions/stopping/index.js';
-import { DeathWatch, SuspectTable } from '../../decisions/suspects/index.js';
+import { type Death, DeathWatch, shortFingerprint, SuspectTable } from '../../decisions/suspects/index.js';
 import { Admission } from './admission.js';
 import { Connections } from './connections.js';
 import type { RelayContext } from './context.js';
@@ -51,6 +51,7 @@
   logger: Logger,
 ): Promise<Relay> {
   const { vm, listen, relay } = settings;
+  logger.info('started', { dataCentre: vm.dataCentre });
   const clock = clocks.createClock();
   const random = createRandom(Date.now() + process.pid);
   const metrics = createMetrics();
@@ -78,6 +79,17 @@
   });
   const suspects = new SuspectTable();
   const deathWatch = new DeathWatch();
+  const noteDeath = (death: Death, toldBy: string) => {
+    const nowMs = clock.steadyMs();
+    suspects.note(nowMs, death);
+    logger.info('death-noted', {
+      fingerprint: shortFingerprint(death.fingerprint),
+      server: death.engineId,
+      deaths: suspects.deaths(nowMs, death.fingerprint),
+      toldBy,
+    });
+    metrics.count('relay_deaths_total', { toldBy });
+  };
   const retries = new RetryWindow(relay.retries);
   const connections = new Connections();
   const stewardIsHeard = () => parts.link?.isHeard === true;
@@ -121,6 +133,7 @@
       case RelayMessageType.view:
         view.takeView(message);
         retries.noteMembers(message.members);
+        metrics.gauge('relay_members', message.members);
         dispatcher.pump();
         break;
       case RelayMessageType.grant:
@@ -137,7 +150,7 @@
         admission.takeLent(message);
         break;
       case RelayMessageType.death:
-        suspects.note(clock.steadyMs(), message);
+        noteDeath(message, 'steward');
         break;
       default:
     }
@@ -222,8 +235,14 @@
     if (backends) {
       connections.retain(follower.backends);
       deathWatch.deaths(clock.steadyMs(), follower.backends).forEach((death) => {
-        suspects.note(clock.steadyMs(), death);
-        link.send({ type: RelayMessageType.death, ...death });
+        noteDeath(death, 'list');
+        const isTold = link.send({ type: RelayMessageType.death, ...death });
+        if (!isTold) logger.warn('death-not-told', { server: death.engineId });
+      });
+      deathWatch.takeUnresolved(clock.steadyMs()).forEach(({ fingerprint, serverId }) => {
+        const fields = { fingerprint: shortFingerprint(fingerprint), server: serverId };
+        logger.info('break-unresolved', fields);
+        metrics.count('relay_breaks_unresolved_total');
       });
     }
     dispatcher.pump();
