--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -9,7 +9,12 @@
 import { createSupervisor } from '../../core/supervisor/index.js';
 import { RetryWindow } from '../../decisions/retries/index.js';
 import * as stopRules from '../../decisions/stopping/index.js';
-import { type Death, DeathWatch, shortFingerprint, SuspectTable } from '../../decisions/suspects/index.js';
+import {
+  type Death,
+  DeathWatch,
+  shortFingerprint,
+  SuspectTable,
+} from '../../decisions/suspects/index.js';
 import { Admission } from './admission.js';
 import { Connections } from './connections.js';
 import type { RelayContext } from './context.js';
--- a/test/failures/crashing-request.test.ts
+++ b/test/failures/crashing-request.test.ts
@@ -42,6 +42,11 @@
     cell: { crash: { keepsId: true, downMs: 1_000 } },
     play: (cell) => cell.repeat(),
   },
+  {
+    name: 'whose servers are back before the list shows that they ended',
+    cell: { crash: { downMs: 300 } },
+    play: (cell) => cell.repeat(),
+  },
   {
     name: 'whose caller leaves before the server ends',
     cell: { crash: { afterMs: 600 } },
