Note the break of a request also when its caller has left

The exchange returned before it noted the break, since it had nobody to answer any more. What is learnt of a request does not depend on its caller now.

--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -264,9 +264,10 @@
       fingerprint: shortFingerprint(this.fingerprint),
       callerWaits: !this.ended,
     });
+    // Also of a caller that left: the server may still end under what it began.
+    this.ctx.noteBreak(this.fingerprint, run);
     if (this.ended) return false;
     this.ctx.view.health.noteFailure(nowMs, run.server.id);
-    this.ctx.noteBreak(this.fingerprint, run);
     if (this.tries.takeRun(nowMs, run)) return true;
     if (this.streaming) this.cut(reason);
     else this.fail(errors.data.BackendFailed, reason);
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -1,7 +1,9 @@
 /** One request's way: what it leaves for the steward's picture of demand and for the retry bound. */
-import type * as http from 'node:http';
+import * as http from 'node:http';
 import { EventEmitter } from 'node:events';
+
 import { describe, expect, test } from 'vitest';
+import * as https from '../../../src/core/http/index.js';
 import { RetryWindow } from '../../../src/decisions/retries/index.js';
 import { RepeatRule, type Route } from '../../../src/decisions/fleet-plan/index.js';
 import { SuspectTable } from '../../../src/decisions/suspects/index.js';
@@ -98,3 +100,36 @@
     expect(retries.spend(NOW_MS, 'drafting')).toBe(true);
   });
 });
+
+describe('a request whose caller leaves while a server runs it', () => {
+  test('leaves its break noted, since the server may end under it', async () => {
+    const begun: (() => void)[] = [];
+    const server = http.createServer(() => begun.forEach((resolve) => resolve()));
+    const address = await https.listen(server, '127.0.0.1:0');
+    const run = { server: { id: 's1', address }, service: 'drafting', model: null, adapter: null };
+    const breaks: string[] = [];
+    const relay = {
+      ...emptyRelay([], new RetryWindow({ ratio: 0.2, windowMs: 10_000, slack: 52 })),
+      dispatcher: {
+        place: async () => ({ run, retryAfterMs: null }),
+        cancel: () => undefined,
+        pump: () => undefined,
+      },
+      view: { ended: () => undefined, candidates: () => [] },
+      connections: { agentFor: () => new http.Agent() },
+      wire: { encodeRequest: () => ['Host', 'x', 'Content-Length', '0'] },
+      mayRun: () => true,
+      noteBreak: (_fingerprint: string, { server: { id } }: typeof run) => breaks.push(id),
+    } as unknown as RelayContext;
+    const request = requestFor(null);
+    const hasBegun = new Promise<void>((resolve) => {
+      begun.push(resolve);
+    });
+    const served = new Exchange(relay, request).serve();
+    await hasBegun;
+    request.res.emit('close');
+    await served;
+    await https.close(server);
+    expect(breaks).toEqual(['s1']);
+  });
+});
