Hold a request back as soon as three of its runs did not come to their end

Callers saw servers end one after the other, since a request was held back only once the platform's list showed two of its servers gone: 2.4 to 4 s after they ended, and never if the store was out of reach for longer than 6 s.

Cause: a break waited for its verdict on a timer that ran whether or not the list could tell anything, and until then it counted for nothing.

Ruled out: the caller's leaving (it stayed) and restarts (there were none).

IncidentTable counts a run that broke off or was left at once; from three on the request is refused, also where it waits already. The list then clears an incident whose server lives on (after 6 s of a list without a gap) or leaves by plan, and confirms one whose server is gone or new (for ten minutes). Three, not two: neighbours of the guilty request break off with it, and are tried once more.

--- a/src/decisions/suspects/index.ts
+++ b/src/decisions/suspects/index.ts
@@ -7,7 +7,8 @@
  */
 import { createHash } from 'node:crypto';
 
-export { type Break, DeathWatch } from './death-watch.js';
+export { INCIDENT_TTL_MS, IncidentTable, type Verdicts } from './incident-table.js';
+export * from './types.js';
 
 const DEATHS_TO_BLOCK = 2;
 export const BLOCK_MS = 600_000;
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -6,11 +6,11 @@
 import type { Metrics } from '../../core/metrics/index.js';
 import type { Customer } from '../../decisions/fleet-plan/index.js';
 import type { RetryWindow } from '../../decisions/retries/index.js';
-import type { SuspectTable } from '../../decisions/suspects/index.js';
 import type { Admission } from './admission.js';
 import type { Connections } from './connections.js';
 import type { Dispatcher } from './dispatch.js';
-import type { FleetView, Run } from './fleet-view.js';
+import type { FleetView } from './fleet-view.js';
+import type { Incidents } from './incidents.js';
 import type { PlatformWire } from './types.js';
 
 export interface RelayContext {
@@ -20,7 +20,7 @@
   readonly view: FleetView;
   readonly connections: Connections;
   readonly retries: RetryWindow;
-  readonly suspects: SuspectTable;
+  readonly incidents: Incidents;
   readonly clock: Clock;
   readonly metrics: Metrics;
   /** Return time where nothing is known of when a request can be served, ms. */
@@ -32,8 +32,6 @@
   mayRun(customer: Customer | null): boolean;
   /** A request for a model was admitted. */
   noteUse(model: string): void;
-  /** A server broke off while it ran this request. */
-  noteBreak(fingerprint: string, run: Run): void;
   log(event: string, id: string, fields: LogFields): void;
   /** Answers with a failure of our own. */
   replyOwn(
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -81,10 +81,7 @@
     const leftMs = this.deadlineAtMs - this.ctx.clock.steadyMs();
     this.timer = setTimeout(() => this.noteTimeout(), Math.max(0, leftMs));
     try {
-      if (this.ctx.suspects.isBlocked(this.ctx.clock.steadyMs(), this.fingerprint)) {
-        this.refuse(errors.data.RequestBlocked, null);
-        return;
-      }
+      if (this.refuseSuspect()) return;
       if (!(await this.admit())) return;
       await this.run();
     } finally {
@@ -119,6 +116,16 @@
     return !this.cutter.hasRest;
   }
 
+  /** Refuses a request that servers seem to die under; true if it is refused. */
+  private refuseSuspect(): boolean {
+    const { incidents } = this.ctx;
+    const isRefused = incidents.isRefused(this.fingerprint);
+    if (isRefused) {
+      this.refuse(errors.data.RequestBlocked, incidents.retryAfterMs(this.fingerprint));
+    }
+    return isRefused;
+  }
+
   private async admit(): Promise<boolean> {
     const { customer, facts, route } = this.request;
     if (customer === null) return true;
@@ -148,6 +155,12 @@
         this.giveUp(placement.retryAfterMs);
         return;
       }
+      // Copies of the request may have ended servers while it waited.
+      if (this.ctx.incidents.isRefused(this.fingerprint)) {
+        this.ctx.view.ended(placement.run);
+        this.giveUp(this.ctx.incidents.retryAfterMs(this.fingerprint), errors.data.RequestBlocked);
+        return;
+      }
       if (!this.ctx.mayRun(this.request.customer)) {
         this.ctx.view.ended(placement.run);
         this.giveUp(null, errors.data.KeysUnconfirmed);
@@ -265,7 +278,7 @@
       callerWaits: !this.ended,
     });
     // Also of a caller that left: the server may still end under what it began.
-    this.ctx.noteBreak(this.fingerprint, run);
+    this.ctx.incidents.noteBreak(this.fingerprint, run);
     if (this.ended) return false;
     this.ctx.view.health.noteFailure(nowMs, run.server.id);
     if (this.tries.takeRun(nowMs, run)) return true;
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -11,7 +11,7 @@
   lent: 'lent',
   beliefs: 'beliefs',
   plan: 'plan',
-  death: 'death',
+  incidents: 'incidents',
   lease: 'lease',
 } as const;
 
@@ -69,6 +69,13 @@
 });
 export type LoadView = z.infer<typeof loadViewSchema>;
 
+const incidentSchema = z.object({
+  fingerprint: z.string(),
+  serverId: z.string(),
+  bornMs: z.number(),
+  ageMs: z.number().nonnegative(),
+});
+
 const schemas = [
   /** What an entry VM holds, runs and waits for. */
   z.object({
@@ -147,13 +154,8 @@
     version: z.int(),
     leftMs: z.number(),
   }),
-  /** A server died while it ran this request. */
-  z.object({
-    type: z.literal(RelayMessageType.death),
-    fingerprint: z.string(),
-    engineId: z.string(),
-    ranMs: z.number(),
-  }),
+  /** Runs of requests that did not come to their end. */
+  z.object({ type: z.literal(RelayMessageType.incidents), incidents: z.array(incidentSchema) }),
 ] as const;
 
 export const relayMessageSchema = z.discriminatedUnion('type', schemas);
--- a/src/entry/relay/second-tries.ts
+++ b/src/entry/relay/second-tries.ts
@@ -44,7 +44,7 @@
     return (
       goesElsewhere &&
       nowMs < this.deadlineAtMs &&
-      !this.ctx.suspects.isBlocked(nowMs, this.fingerprint) &&
+      !this.ctx.incidents.isRefused(this.fingerprint) &&
       this.pay(nowMs)
     );
   }
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -188,7 +188,7 @@
       case RelayMessageType.ask:
         this.lend(nowMs, member, message);
         break;
-      case RelayMessageType.death:
+      case RelayMessageType.incidents:
         this.members.forEach((other) => {
           if (other !== member) writeMessage(other.socket, message);
         });
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -9,12 +9,6 @@
 import { createSupervisor } from '../../core/supervisor/index.js';
 import { RetryWindow } from '../../decisions/retries/index.js';
 import * as stopRules from '../../decisions/stopping/index.js';
-import {
-  type Death,
-  DeathWatch,
-  shortFingerprint,
-  SuspectTable,
-} from '../../decisions/suspects/index.js';
 import { Admission } from './admission.js';
 import { Connections } from './connections.js';
 import type { RelayContext } from './context.js';
@@ -22,6 +16,7 @@
 import { FleetView } from './fleet-view.js';
 import { type FleetChange, FollowerTask } from './follower.js';
 import { FrontTask, replyOwn } from './front.js';
+import { IncidentTask } from './incidents.js';
 import { LeaseTask } from './lease-task.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
 import { ReadyTask } from './ready.js';
@@ -82,19 +77,13 @@
     changed,
     isSteward: () => parts.lease !== undefined && parts.lease.fence() > 0,
   });
-  const suspects = new SuspectTable();
-  const deathWatch = new DeathWatch();
-  const noteDeath = (death: Death, toldBy: string) => {
-    const nowMs = clock.steadyMs();
-    suspects.note(nowMs, death);
-    logger.info('death-noted', {
-      fingerprint: shortFingerprint(death.fingerprint),
-      server: death.engineId,
-      deaths: suspects.deaths(nowMs, death.fingerprint),
-      toldBy,
-    });
-    metrics.count('relay_deaths_total', { toldBy });
-  };
+  const incidents = new IncidentTask({
+    follower,
+    clock,
+    logger: logger.child('incidents'),
+    metrics,
+    send: (message) => parts.link?.send(message) === true,
+  });
   const retries = new RetryWindow(relay.retries);
   const connections = new Connections();
   const stewardIsHeard = () => parts.link?.isHeard === true;
@@ -154,8 +143,8 @@
       case RelayMessageType.lent:
         admission.takeLent(message);
         break;
-      case RelayMessageType.death:
-        noteDeath(message, 'steward');
+      case RelayMessageType.incidents:
+        incidents.take(message);
         break;
       default:
     }
@@ -203,7 +192,7 @@
     view,
     connections,
     retries,
-    suspects,
+    incidents,
     clock,
     metrics,
     usualReturnMs: USUAL_RETURN_MS,
@@ -212,8 +201,6 @@
       stopRules.takesRequest(clock.steadyMs() - stopAtMs, graceMs, isStream),
     mayRun: (customer) => customer === null || follower.planAgeMs() < keysTrustedMs,
     noteUse: (model) => reporter.noteUse(model),
-    noteBreak: (fingerprint, { server }) =>
-      deathWatch.noteBreak(clock.steadyMs(), fingerprint, server.id, server.bornMs),
     log: (event, id, fields) => logger.info(event, { id, ...fields }),
     replyOwn: (res, id, failure, retryAfterMs) =>
       replyOwn(res, wire.ownAnswer(id), failure, retryAfterMs, stopping),
@@ -239,21 +226,12 @@
     }
     if (backends) {
       connections.retain(follower.backends);
-      deathWatch.deaths(clock.steadyMs(), follower.backends).forEach((death) => {
-        noteDeath(death, 'list');
-        const isTold = link.send({ type: RelayMessageType.death, ...death });
-        if (!isTold) logger.warn('death-not-told', { server: death.engineId });
-      });
-      deathWatch.takeUnresolved(clock.steadyMs()).forEach(({ fingerprint, serverId }) => {
-        const fields = { fingerprint: shortFingerprint(fingerprint), server: serverId };
-        logger.info('break-unresolved', fields);
-        metrics.count('relay_breaks_unresolved_total');
-      });
+      incidents.judge();
     }
     dispatcher.pump();
   });
 
-  const tasks = [follower, steward, lease, reporter, front, ready];
+  const tasks = [follower, steward, lease, reporter, incidents, front, ready];
   const supervisor = createSupervisor(tasks, logger.child('supervisor'));
   await supervisor.start();
   dispatcher.start();
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -6,7 +6,6 @@
 import * as https from '../../../src/core/http/index.js';
 import { RetryWindow } from '../../../src/decisions/retries/index.js';
 import { RepeatRule, type Route } from '../../../src/decisions/fleet-plan/index.js';
-import { SuspectTable } from '../../../src/decisions/suspects/index.js';
 import type { RelayContext } from '../../../src/entry/relay/context.js';
 import { Exchange } from '../../../src/entry/relay/exchange.js';
 import type { ReadRequest } from '../../../src/entry/relay/read-request.js';
@@ -50,7 +49,7 @@
 function emptyRelay(uses: string[], retries: RetryWindow): RelayContext {
   const partial = {
     retries,
-    suspects: new SuspectTable(),
+    incidents: { isRefused: () => false },
     clock: { steadyMs: () => NOW_MS },
     dispatcher: { place: async () => ({ run: null, retryAfterMs: 100 }), cancel: () => undefined },
     metrics: { count: () => undefined, time: () => undefined },
@@ -119,7 +118,10 @@
       connections: { agentFor: () => new http.Agent() },
       wire: { encodeRequest: () => ['Host', 'x', 'Content-Length', '0'] },
       mayRun: () => true,
-      noteBreak: (_fingerprint: string, { server: { id } }: typeof run) => breaks.push(id),
+      incidents: {
+        isRefused: () => false,
+        noteBreak: (_fingerprint: string, { server: { id } }: typeof run) => breaks.push(id),
+      },
     } as unknown as RelayContext;
     const request = requestFor(null);
     const hasBegun = new Promise<void>((resolve) => {
