Tell a VM that starts, and a steward that is new, what is known of suspect requests

Callers saw a request blocked at some entry VMs and sent on by others that had just been started: what a VM had learnt was told once, to those who heard the steward at that moment, and a VM that came later knew nothing.

An entry VM tells a steward that it has just reached all incidents it knows, and the steward tells each member those of requests with several, the same for one that has just come: so the word lives as long as any VM that heard it.

--- a/src/decisions/suspects/incident-table.ts
+++ b/src/decisions/suspects/incident-table.ts
@@ -71,12 +71,20 @@
 
   private readonly whole = new Set<string>();
 
+  private changes = 0;
+
+  /** Rises when an incident is added or dropped. */
+  get version(): number {
+    return this.changes;
+  }
+
   /** Takes an incident in, seen here or told by others; true if it is new. */
   note(nowMs: number, incident: Incident, ageMs = 0): boolean {
     const key = runKey(incident);
     if (this.entries.has(key) || (this.clearedUntilMs.get(key) ?? 0) > nowMs) return false;
     if (ageMs >= INCIDENT_TTL_MS || this.whole.has(incident.fingerprint)) return false;
     if (this.entries.size >= MOST_KEPT) this.dropOldest();
+    this.changes += 1;
     this.entries.set(key, { incident, atMs: nowMs - ageMs, heardAtMs: nowMs, died: false });
     const keys = this.keysOf.get(incident.fingerprint) ?? new Set<string>();
     this.keysOf.set(incident.fingerprint, keys.add(key));
@@ -163,6 +171,7 @@
 
   private drop(incident: Incident): void {
     const key = runKey(incident);
+    this.changes += 1;
     this.entries.delete(key);
     const keys = this.keysOf.get(incident.fingerprint);
     keys?.delete(key);
--- /dev/null
+++ b/src/entry/relay/incident-teller.ts
@@ -0,0 +1,38 @@
+/** Tells an entry VM the incidents that all should know of, each once. */
+import type { AgedIncident } from '../../decisions/suspects/index.js';
+import { type RelayMessage, RelayMessageType } from './messages.js';
+
+/** The steward's incidents, as its entry VM keeps them. */
+export interface SharedIncidents {
+  /** Rises with every change. */
+  readonly version: number;
+  /** Incidents of requests that have several. */
+  shared(): readonly AgedIncident[];
+}
+
+function keyOf({ fingerprint, serverId, bornMs }: AgedIncident): string {
+  return `${fingerprint} ${serverId} ${bornMs}`;
+}
+
+export class IncidentTeller {
+  private told: ReadonlySet<string> = new Set();
+
+  private version = -1;
+
+  /** What the VM has not been told yet; null where there is nothing. */
+  news(incidents: SharedIncidents): RelayMessage | null {
+    if (incidents.version === this.version) return null;
+    this.version = incidents.version;
+    const shared = incidents.shared();
+    const unheard = shared.filter((incident) => !this.told.has(keyOf(incident)));
+    this.told = new Set(shared.map(keyOf));
+    if (unheard.length === 0) return null;
+    return { type: RelayMessageType.incidents, incidents: unheard };
+  }
+
+  /** The message could not be sent: all is told again. */
+  forget(): void {
+    this.told = new Set();
+    this.version = -1;
+  }
+}
--- a/src/entry/relay/incidents.ts
+++ b/src/entry/relay/incidents.ts
@@ -3,9 +3,15 @@
 import type { Logger } from '../../core/logger/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
 import type { Task } from '../../core/supervisor/index.js';
-import { type Incident, IncidentTable, shortFingerprint } from '../../decisions/suspects/index.js';
+import {
+  type AgedIncident,
+  type Incident,
+  IncidentTable,
+  shortFingerprint,
+} from '../../decisions/suspects/index.js';
 import type { Run } from './fleet-view.js';
 import type { FollowerTask } from './follower.js';
+import type { SharedIncidents } from './incident-teller.js';
 import { type RelayMessage, type RelayMessageOf, RelayMessageType } from './messages.js';
 
 /** The list of servers is held against open incidents this often, ms. */
@@ -35,7 +41,7 @@
   return { fingerprint: shortFingerprint(fingerprint), server: serverId };
 }
 
-export class IncidentTask implements Task, Incidents {
+export class IncidentTask implements Task, Incidents, SharedIncidents {
   readonly name = 'incidents';
 
   private readonly table = new IncidentTable();
@@ -74,9 +80,23 @@
     if (!isTold) this.opts.logger.warn('incident-not-told', fieldsOf(incident));
   }
 
-  /** The steward passes on what other entry VMs saw. */
-  take({ incidents }: RelayMessageOf<'incidents'>): void {
-    incidents.forEach(({ ageMs, ...incident }) => this.note(incident, ageMs, 'steward'));
+  get version(): number {
+    return this.table.version;
+  }
+
+  shared(): readonly AgedIncident[] {
+    return this.table.shared(this.opts.clock.steadyMs());
+  }
+
+  /** Tells a steward that has just been reached all that is known here: the one before may be gone. */
+  introduce(): void {
+    const incidents = [...this.table.all(this.opts.clock.steadyMs())];
+    if (incidents.length > 0) this.opts.send({ type: RelayMessageType.incidents, incidents });
+  }
+
+  /** Takes in what another entry VM saw. */
+  take({ incidents }: RelayMessageOf<'incidents'>, toldBy: string): void {
+    incidents.forEach(({ ageMs, ...incident }) => this.note(incident, ageMs, toldBy));
   }
 
   /** Holds the list of servers against open incidents. */
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -9,6 +9,8 @@
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import { RateLender } from '../../decisions/rate-shares/index.js';
 import type { FollowerTask } from './follower.js';
+import { IncidentTeller } from './incident-teller.js';
+import type { IncidentTask } from './incidents.js';
 import type { LeaseTask } from './lease-task.js';
 import {
   type EngineView,
@@ -54,6 +56,7 @@
   toldLoads: string;
   toldLease: number;
   readonly beliefs: BeliefTeller;
+  readonly incidents: IncidentTeller;
 }
 
 export interface StewardOptions {
@@ -61,6 +64,7 @@
   readonly listen: string;
   readonly wire: PlatformWire;
   readonly follower: FollowerTask;
+  readonly incidents: IncidentTask;
   readonly lease: LeaseTask;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -159,6 +163,7 @@
       toldLoads: '',
       toldLease: 0,
       beliefs: new BeliefTeller(),
+      incidents: new IncidentTeller(),
     };
     socket.on('error', (err) => {
       this.opts.logger.debug('member-link-failed', { peer: member.vm, reason: err.message });
@@ -189,9 +194,8 @@
         this.lend(nowMs, member, message);
         break;
       case RelayMessageType.incidents:
-        this.members.forEach((other) => {
-          if (other !== member) writeMessage(other.socket, message);
-        });
+        this.opts.incidents.take(message, member.vm ?? 'member');
+        this.members.forEach((other) => this.tellIncidents(other));
         break;
       default:
     }
@@ -235,6 +239,11 @@
     if (change !== null && !writeMessage(member.socket, change)) member.beliefs.forget();
   }
 
+  private tellIncidents(member: Member): void {
+    const news = member.incidents.news(this.opts.incidents);
+    if (news !== null && !writeMessage(member.socket, news)) member.incidents.forget();
+  }
+
   private lend(nowMs: number, member: Member, ask: RelayMessageOf<'ask'>): void {
     const lent = this.lender?.lend(nowMs, ask.customer, ask.units) === true;
     const waitMs = this.lender?.waitMs(nowMs, ask.customer, ask.units) ?? Infinity;
@@ -349,6 +358,7 @@
     if (member.vm === null) return;
     this.tellLease(member);
     this.tellBeliefs(member);
+    this.tellIncidents(member);
     const changed = engines.filter(({ id }) => member.told.get(id) !== texts.get(id));
     const due = nowMs - member.spokenAtMs >= SPEAK_MS;
     const running = this.runningFor(nowMs, member, engines);
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -144,7 +144,7 @@
         admission.takeLent(message);
         break;
       case RelayMessageType.incidents:
-        incidents.take(message);
+        incidents.take(message, 'steward');
         break;
       default:
     }
@@ -155,6 +155,7 @@
       admission.resetSeq();
       follower.forgetBeliefs();
       parts.reporter?.introduce();
+      incidents.introduce();
     },
     gone: (post) => lease.noteGone(post),
   });
@@ -179,6 +180,7 @@
     listen: listen.peers,
     wire,
     follower,
+    incidents,
     lease,
     clock,
     logger: logger.child('steward'),
