Keep suspect requests in the platform's store, so that they outlive all entry VMs

Callers saw a request sent on after all entry VMs had been killed at once, and by VMs that had no steward to tell them: what was learnt lay in memory alone.

Ruled out: unresolved breaks (the store answered all the time).

One object holds the incidents of requests that have several. The steward writes it for all, a VM that hears none for itself; a conflict or a lost answer is read and merged first. A VM reads it once when it starts, and is not ready before (or hears a steward); one that hears no steward and knows of an incident reads it each second.

Weighed: peers alone (nobody is left), the store alone (a write for each break, a watch for each VM, blind in an outage). Calls: one read a start; the rest only while a request has two incidents or more.

--- a/src/decisions/suspects/incident-table.ts
+++ b/src/decisions/suspects/incident-table.ts
@@ -78,6 +78,10 @@
     return this.changes;
   }
 
+  get size(): number {
+    return this.entries.size;
+  }
+
   /** Takes an incident in, seen here or told by others; true if it is new. */
   note(nowMs: number, incident: Incident, ageMs = 0): boolean {
     const key = runKey(incident);
--- /dev/null
+++ b/src/entry/relay/incident-record.ts
@@ -0,0 +1,178 @@
+/**
+ * Keeps the incidents of suspect requests in the platform's store, for the case that all entry VMs
+ * end at once.
+ *
+ * The steward writes for all entry VMs, and a VM that hears no steward for itself; each merges what
+ * it finds. Only requests with several incidents are written, so that calls are rare.
+ */
+import { z } from 'zod';
+import type { Clock } from '../../core/clock/index.js';
+import type { Logger } from '../../core/logger/index.js';
+import type { Task } from '../../core/supervisor/index.js';
+import type { AgedIncident, Incident } from '../../decisions/suspects/index.js';
+import { PlatformOutcome } from '../platform/index.js';
+import type { SharedIncidents } from './incident-teller.js';
+import type { RelayStore } from './types.js';
+
+export const INCIDENTS_KEY = 'bilberrystand/incidents';
+const TICK_MS = 100;
+/** Least pause between two calls for the record, ms: every call is priced. */
+const CALL_PAUSE_MS = 250;
+/** A VM that hears no steward looks this often for what others wrote, ms. */
+const LONE_READ_MS = 1_000;
+
+const recordSchema = z.object({
+  incidents: z.array(
+    z.object({
+      fingerprint: z.string(),
+      serverId: z.string(),
+      bornMs: z.number(),
+      /** Time of day, which may differ between entry VMs: it only dates the end of a refusal. */
+      atUnixMs: z.number(),
+    }),
+  ),
+});
+
+export interface IncidentRecordOptions {
+  readonly store: Pick<RelayStore, 'read' | 'write'>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly incidents: SharedIncidents & {
+    /** Incidents of any kind that are known here. */
+    readonly size: number;
+    noteStored(incidents: readonly AgedIncident[]): void;
+  };
+  isSteward(): boolean;
+  hearsSteward(): boolean;
+  unixMs(): number;
+}
+
+function keysOf(incidents: readonly Incident[]): string {
+  return incidents
+    .map(({ fingerprint, serverId, bornMs }) => `${fingerprint} ${serverId} ${bornMs}`)
+    .sort()
+    .join();
+}
+
+export class IncidentRecordTask implements Task {
+  readonly name = 'incident-record';
+
+  private timer: NodeJS.Timeout | null = null;
+
+  private calling = false;
+
+  private calledAtMs = -Infinity;
+
+  private readAtMs = -Infinity;
+
+  /** Version of the record as last seen; null while it must be read. */
+  private version: number | null = null;
+
+  private storedKeys = '';
+
+  private storedOf = -1;
+
+  private hasRead = false;
+
+  constructor(private readonly opts: IncidentRecordOptions) {}
+
+  /** Whether the record has been read in this process. */
+  get isLoaded(): boolean {
+    return this.hasRead;
+  }
+
+  async start(fail: (err: unknown) => void): Promise<void> {
+    this.timer = setInterval(() => {
+      this.tick().catch(fail);
+    }, TICK_MS);
+    this.tick().catch(fail);
+  }
+
+  async stop(): Promise<void> {
+    if (this.timer !== null) clearInterval(this.timer);
+  }
+
+  /** One call at most. */
+  async tick(): Promise<void> {
+    const nowMs = this.opts.clock.steadyMs();
+    if (this.calling || nowMs - this.calledAtMs < CALL_PAUSE_MS) return;
+    const isChanged = this.hasRead && this.isChanged();
+    if (isChanged && this.version !== null) await this.call(nowMs, () => this.write());
+    else if (isChanged || !this.hasRead || this.isLoneReadDue(nowMs)) {
+      await this.call(nowMs, () => this.read(nowMs));
+    }
+  }
+
+  private isLoneReadDue(nowMs: number): boolean {
+    const { hearsSteward, incidents, isSteward } = this.opts;
+    return (
+      !hearsSteward() && !isSteward() && incidents.size > 0 && nowMs - this.readAtMs >= LONE_READ_MS
+    );
+  }
+
+  /** Whether this VM has something to write that the record lacks, or still has. */
+  private isChanged(): boolean {
+    const { hearsSteward, incidents, isSteward } = this.opts;
+    if (!isSteward() && hearsSteward()) return false;
+    if (incidents.version === this.storedOf) return false;
+    const isSame = keysOf(incidents.shared()) === this.storedKeys;
+    if (isSame) this.storedOf = incidents.version;
+    return !isSame;
+  }
+
+  private async call(nowMs: number, make: () => Promise<void>): Promise<void> {
+    this.calling = true;
+    this.calledAtMs = nowMs;
+    try {
+      await make();
+    } finally {
+      this.calling = false;
+    }
+  }
+
+  private async read(nowMs: number): Promise<void> {
+    const answer = await this.opts.store.read(INCIDENTS_KEY);
+    if (answer.type !== PlatformOutcome.ok) {
+      this.opts.logger.debug('record-not-read', { reason: answer.reason });
+      return;
+    }
+    this.hasRead = true;
+    this.readAtMs = nowMs;
+    this.version = answer.value?.version ?? 0;
+    const record = recordSchema.safeParse(answer.value?.value ?? { incidents: [] });
+    if (!record.success) this.opts.logger.warn('record-unreadable', { version: this.version });
+    const stored = record.data?.incidents ?? [];
+    this.storedKeys = keysOf(stored);
+    this.storedOf = -1;
+    const unixMs = this.opts.unixMs();
+    this.opts.incidents.noteStored(
+      stored.map(({ atUnixMs, ...incident }) => ({
+        ...incident,
+        ageMs: Math.max(0, unixMs - atUnixMs),
+      })),
+    );
+  }
+
+  private async write(): Promise<void> {
+    const { incidents, logger, store, unixMs } = this.opts;
+    const { version } = incidents;
+    const shared = incidents.shared();
+    const nowUnixMs = unixMs();
+    const record = {
+      incidents: shared.map(({ ageMs, ...incident }) => ({
+        ...incident,
+        atUnixMs: Math.round(nowUnixMs - ageMs),
+      })),
+    };
+    const answer = await store.write(INCIDENTS_KEY, record, this.version ?? 0);
+    if (answer.type !== PlatformOutcome.ok) {
+      // Somebody else wrote it, or the answer was lost: it is read and merged first.
+      logger.info('record-not-written', { outcome: answer.type });
+      this.version = null;
+      return;
+    }
+    this.version = answer.version;
+    this.storedKeys = keysOf(shared);
+    this.storedOf = version;
+  }
+}
--- a/src/entry/relay/incidents.ts
+++ b/src/entry/relay/incidents.ts
@@ -88,6 +88,15 @@
     return this.table.shared(this.opts.clock.steadyMs());
   }
 
+  get size(): number {
+    return this.table.size;
+  }
+
+  /** Takes in what the platform's store keeps. */
+  noteStored(incidents: readonly AgedIncident[]): void {
+    incidents.forEach(({ ageMs, ...incident }) => this.note(incident, ageMs, 'store'));
+  }
+
   /** Tells a steward that has just been reached all that is known here: the one before may be gone. */
   introduce(): void {
     const incidents = [...this.table.all(this.opts.clock.steadyMs())];
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -16,6 +16,7 @@
 import { FleetView } from './fleet-view.js';
 import { type FleetChange, FollowerTask } from './follower.js';
 import { FrontTask, replyOwn } from './front.js';
+import { IncidentRecordTask } from './incident-record.js';
 import { IncidentTask } from './incidents.js';
 import { LeaseTask } from './lease-task.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
@@ -69,13 +70,14 @@
     link?: StewardLink;
     steward?: StewardTask;
   } = {};
+  const isSteward = () => parts.lease !== undefined && parts.lease.fence() > 0;
   const follower = new FollowerTask({
     wire,
     store,
     clock,
     logger: logger.child('follower'),
     changed,
-    isSteward: () => parts.lease !== undefined && parts.lease.fence() > 0,
+    isSteward,
   });
   const incidents = new IncidentTask({
     follower,
@@ -87,6 +89,15 @@
   const retries = new RetryWindow(relay.retries);
   const connections = new Connections();
   const stewardIsHeard = () => parts.link?.isHeard === true;
+  const record = new IncidentRecordTask({
+    store,
+    clock,
+    logger: logger.child('incident-record'),
+    incidents,
+    isSteward,
+    hearsSteward: stewardIsHeard,
+    unixMs: () => Date.now(),
+  });
   const lease = new LeaseTask({
     vm: vm.id,
     address: listen.peers,
@@ -219,7 +230,11 @@
     listen: listen.admin,
     path: wire.readinessPath,
     metrics,
-    isReady: () => !stopping && follower.plan !== null && follower.planAgeMs() < keysTrustedMs,
+    isReady: () =>
+      !stopping &&
+      (record.isLoaded || stewardIsHeard()) &&
+      follower.plan !== null &&
+      follower.planAgeMs() < keysTrustedMs,
   });
   changed.subscribe(({ plan, backends }) => {
     if (plan && follower.plan !== null) {
@@ -233,7 +248,7 @@
     dispatcher.pump();
   });
 
-  const tasks = [follower, steward, lease, reporter, incidents, front, ready];
+  const tasks = [follower, steward, lease, reporter, incidents, record, front, ready];
   const supervisor = createSupervisor(tasks, logger.child('supervisor'));
   await supervisor.start();
   dispatcher.start();
--- /dev/null
+++ b/test/units/relay/incident-record.test.ts
@@ -0,0 +1,190 @@
+/** What outlives all entry VMs: the record of suspect requests in the platform's store. */
+import { describe, expect, test } from 'vitest';
+import { IncidentTable, type Incident } from '../../../src/decisions/suspects/index.js';
+import { IncidentRecordTask, INCIDENTS_KEY } from '../../../src/entry/relay/incident-record.js';
+import {
+  PlatformOutcome,
+  type StoredObject,
+  type WriteOutcome,
+} from '../../../src/entry/platform/index.js';
+import { createLogger } from '../../../src/core/logger/index.js';
+
+/** More than the pause between two calls, and than a lone VM's pause between reads. */
+const STEP_MS = 1_100;
+
+const incident = (serverId: string, fingerprint = 'f'): Incident => ({
+  fingerprint,
+  serverId,
+  bornMs: 1,
+});
+
+class FakeStore {
+  object: StoredObject | null = null;
+
+  calls = 0;
+
+  loses = false;
+
+  isDown = false;
+
+  async read() {
+    this.calls += 1;
+    if (this.isDown) return { type: PlatformOutcome.unknown, reason: 'down' } as const;
+    return { type: PlatformOutcome.ok, value: this.object } as const;
+  }
+
+  async write(key: string, value: unknown, version: number): Promise<WriteOutcome> {
+    this.calls += 1;
+    expect(key).toBe(INCIDENTS_KEY);
+    if (this.isDown) return { type: PlatformOutcome.unknown, reason: 'down' };
+    if (version !== (this.object?.version ?? 0)) return { type: PlatformOutcome.conflict };
+    this.object = { version: version + 1, value };
+    if (this.loses) return { type: PlatformOutcome.unknown, reason: 'lost' };
+    return { type: PlatformOutcome.ok, version: version + 1 };
+  }
+
+  get servers(): readonly string[] {
+    const record = this.object?.value as { incidents: readonly Incident[] } | undefined;
+    return (record?.incidents ?? []).map(({ serverId }) => serverId).sort();
+  }
+}
+
+/** One entry VM's table and record, stepped by hand. */
+function createVm(store: FakeStore, role: { steward: boolean; hears: boolean }) {
+  const table = new IncidentTable();
+  let nowMs = 0;
+  const record = new IncidentRecordTask({
+    store,
+    clock: { steadyMs: () => nowMs, nowMs: () => nowMs, onJump: () => undefined },
+    logger: createLogger('test', 'silent'),
+    incidents: {
+      get version() {
+        return table.version;
+      },
+      get size() {
+        return table.size;
+      },
+      shared: () => table.shared(nowMs),
+      noteStored: (stored) => stored.forEach(({ ageMs, ...one }) => table.note(nowMs, one, ageMs)),
+    },
+    isSteward: () => role.steward,
+    hearsSteward: () => role.hears,
+    unixMs: () => 1_000_000 + nowMs,
+  });
+  const steps = async (count: number) => {
+    for (let at = 0; at < count; at += 1) {
+      nowMs += STEP_MS;
+      await record.tick();
+    }
+  };
+  const see = (...servers: readonly string[]) =>
+    servers.forEach((id) => table.note(nowMs, incident(id)));
+  return { table, record, steps, see, nowMs: () => nowMs };
+}
+
+const STEWARD = { steward: true, hears: true };
+const MEMBER = { steward: false, hears: true };
+const LONE = { steward: false, hears: false };
+
+describe('what was learnt of a request', () => {
+  test('outlives all entry VMs that learnt it', async () => {
+    const store = new FakeStore();
+    const before = createVm(store, STEWARD);
+    before.see('a', 'b', 'c');
+    await before.steps(3);
+    const after = createVm(store, LONE);
+    expect(after.record.isLoaded).toBe(false);
+    await after.steps(1);
+    expect(after.record.isLoaded).toBe(true);
+    expect(after.table.isRefused(after.nowMs(), ['f'])).toBe(true);
+  });
+
+  test('is written by the steward alone while it is heard', async () => {
+    const store = new FakeStore();
+    const member = createVm(store, MEMBER);
+    member.see('a', 'b');
+    await member.steps(4);
+    expect(store.servers).toEqual([]);
+    expect(store.calls).toBe(1);
+  });
+
+  test('costs no call while no request has several incidents', async () => {
+    const store = new FakeStore();
+    const steward = createVm(store, STEWARD);
+    await steward.steps(1);
+    steward.see('a');
+    await steward.steps(5);
+    expect(store.calls).toBe(1);
+  });
+
+  test('costs no call while nothing changes', async () => {
+    const store = new FakeStore();
+    const steward = createVm(store, STEWARD);
+    steward.see('a', 'b');
+    await steward.steps(2);
+    const { calls } = store;
+    await steward.steps(10);
+    expect(store.calls).toBe(calls);
+  });
+
+  test('is merged where two VMs without a steward write', async () => {
+    const store = new FakeStore();
+    const one = createVm(store, LONE);
+    const two = createVm(store, LONE);
+    await Promise.all([one.steps(1), two.steps(1)]);
+    one.see('a', 'b');
+    two.see('c', 'd');
+    for (let at = 0; at < 4; at += 1) {
+      await one.steps(1);
+      await two.steps(1);
+    }
+    expect(store.servers).toEqual(['a', 'b', 'c', 'd']);
+    expect(one.table.count(one.nowMs(), 'f')).toBe(4);
+  });
+
+  test('is written once where the answer to the write was lost', async () => {
+    const store = new FakeStore();
+    const steward = createVm(store, STEWARD);
+    await steward.steps(1);
+    steward.see('a', 'b');
+    store.loses = true;
+    await steward.steps(1);
+    store.loses = false;
+    await steward.steps(4);
+    expect(store.object?.version).toBe(1);
+    expect(store.servers).toEqual(['a', 'b']);
+  });
+
+  test('is written once the store is back, and held here until then', async () => {
+    const store = new FakeStore();
+    const steward = createVm(store, STEWARD);
+    await steward.steps(1);
+    store.isDown = true;
+    steward.see('a', 'b', 'c');
+    await steward.steps(3);
+    expect(steward.table.isRefused(steward.nowMs(), ['f'])).toBe(true);
+    store.isDown = false;
+    await steward.steps(3);
+    expect(store.servers).toEqual(['a', 'b', 'c']);
+  });
+
+  test('leaves the record with the request that was cleared', async () => {
+    const store = new FakeStore();
+    const steward = createVm(store, STEWARD);
+    steward.see('a', 'b');
+    await steward.steps(2);
+    expect(store.servers).toEqual(['a', 'b']);
+    steward.table.noteWhole(steward.nowMs(), 'f');
+    await steward.steps(2);
+    expect(store.servers).toEqual([]);
+  });
+
+  test('is not lost to a record that another writer made unreadable', async () => {
+    const store = new FakeStore();
+    store.object = { version: 3, value: 'nonsense' };
+    const steward = createVm(store, STEWARD);
+    steward.see('a', 'b');
+    await steward.steps(3);
+    expect(store.servers).toEqual(['a', 'b']);
+  });
+});
