Serve a sound request that looks like one which ends its servers

Callers of the association who ask the same lookup as a crashing request (same path, customer and body) were refused with it for ten minutes: 0 of the last 100 served.

Cause: a request was known by path, customer and body alone, and only incidents counted; that it ran to its end again and again spoke for nothing.

A request that ran to its end anywhere is sound: its incidents are cleared, all entry VMs and the record are told, and a word against it is contradicted. What breaks off under a fingerprint that is known to be sound counts under the exact one, which takes in the headers, so that the crashing twin is still held back. Two that differ in nothing are both served: nothing can tell them apart.

--- a/src/decisions/suspects/index.ts
+++ b/src/decisions/suspects/index.ts
@@ -5,9 +5,10 @@
  * same engine, so that an innocent neighbour of the guilty one is not blamed twice. After two
  * deaths it is refused for a while. Entry VMs tell each other of every death.
  */
-import { createHash } from 'node:crypto';
 
+export { RequestIdentity } from './request-identity.js';
 export { INCIDENT_TTL_MS, IncidentTable, type Verdicts } from './incident-table.js';
+export * from './fingerprint.js';
 export * from './types.js';
 
 const DEATHS_TO_BLOCK = 2;
@@ -28,16 +29,6 @@
   untilMs: number;
 }
 
-/** A fingerprint as it stands in log lines. */
-export function shortFingerprint(fingerprint: string): string {
-  return fingerprint.slice(0, 12);
-}
-
-/** What identifies a request however often and wherever it is sent. */
-export function fingerprintOf(target: string, body: string): string {
-  return createHash('sha256').update(target).update('\0').update(body).digest('hex');
-}
-
 export class SuspectTable {
   private readonly records = new Map<string, Record>();
 
--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -72,7 +72,7 @@
   return (res.headers['content-type'] ?? '').startsWith('text/event-stream');
 }
 
-function isSuccess(status: number): boolean {
+export function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
 
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -3,10 +3,17 @@
 import * as errors from '../../core/errors/index.js';
 import type { LogFields } from '../../core/logger/index.js';
 import { RepeatRule } from '../../decisions/fleet-plan/index.js';
-import { fingerprintOf, shortFingerprint } from '../../decisions/suspects/index.js';
+import { RequestIdentity, shortFingerprint } from '../../decisions/suspects/index.js';
 import type { Waiter } from '../../decisions/wait-list/index.js';
 import { Admission } from './admission.js';
-import { type Answer, AttemptEnd, type AttemptResult, send, type StreamSink } from './attempt.js';
+import {
+  type Answer,
+  AttemptEnd,
+  type AttemptResult,
+  isSuccess,
+  send,
+  type StreamSink,
+} from './attempt.js';
 import type { RelayContext } from './context.js';
 import { EventCutter } from './event-stream.js';
 import type { Run } from './fleet-view.js';
@@ -42,7 +49,7 @@
 
   private readonly cutter: EventCutter;
 
-  private readonly fingerprint: string;
+  private readonly identity: RequestIdentity;
 
   private readonly deadlineAtMs: number;
 
@@ -69,9 +76,13 @@
     const { facts, route, arrivedAtMs, req, body, customer } = request;
     this.cutter = new EventCutter(facts.lastEventId);
     this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, facts.deadlineMs ?? Infinity);
-    this.fingerprint = fingerprintOf(`${customer?.name ?? ''} ${req.url}`, body.toString('latin1'));
+    this.identity = new RequestIdentity(
+      `${customer?.name ?? ''} ${req.url}`,
+      body.toString('latin1'),
+      () => ctx.wire.describeRequest(req.rawHeaders),
+    );
     this.waiter = createWaiter(request, this.deadlineAtMs);
-    this.tries = new SecondTries(ctx, request, this.waiter, this.deadlineAtMs, this.fingerprint);
+    this.tries = new SecondTries(ctx, request, this.waiter, this.deadlineAtMs, this.identity);
   }
 
   /** Serves the request to its end; never rejects for what callers or servers do. */
@@ -119,9 +130,9 @@
   /** Refuses a request that servers seem to die under; true if it is refused. */
   private refuseSuspect(): boolean {
     const { incidents } = this.ctx;
-    const isRefused = incidents.isRefused(this.fingerprint);
+    const isRefused = incidents.isRefused(this.identity);
     if (isRefused) {
-      this.refuse(errors.data.RequestBlocked, incidents.retryAfterMs(this.fingerprint));
+      this.refuse(errors.data.RequestBlocked, incidents.retryAfterMs(this.identity));
     }
     return isRefused;
   }
@@ -156,9 +167,9 @@
         return;
       }
       // Copies of the request may have ended servers while it waited.
-      if (this.ctx.incidents.isRefused(this.fingerprint)) {
+      if (this.ctx.incidents.isRefused(this.identity)) {
         this.ctx.view.ended(placement.run);
-        this.giveUp(this.ctx.incidents.retryAfterMs(this.fingerprint), errors.data.RequestBlocked);
+        this.giveUp(this.ctx.incidents.retryAfterMs(this.identity), errors.data.RequestBlocked);
         return;
       }
       if (!this.ctx.mayRun(this.request.customer)) {
@@ -223,6 +234,7 @@
     switch (result.type) {
       case AttemptEnd.streamed:
         this.ranOnce = true;
+        this.ctx.incidents.noteWhole(this.identity);
         this.finishStream();
         return false;
       case AttemptEnd.answered:
@@ -238,6 +250,7 @@
 
   private takeAnswer(nowMs: number, run: Run, answer: Answer): boolean {
     const failed = answer.status >= 500;
+    if (isSuccess(answer.status)) this.ctx.incidents.noteWhole(this.identity);
     if (!failed) this.ctx.view.health.noteAnswer(nowMs, run.server.id, 1);
     if (this.ended) return false;
     if (failed && !this.streaming) {
@@ -274,11 +287,11 @@
     this.ctx.log('broken', this.request.facts.id, {
       server: run.server.id,
       reason,
-      fingerprint: shortFingerprint(this.fingerprint),
+      fingerprint: shortFingerprint(this.identity.broad),
       callerWaits: !this.ended,
     });
     // Also of a caller that left: the server may still end under what it began.
-    this.ctx.incidents.noteBreak(this.fingerprint, run);
+    this.ctx.incidents.noteBreak(this.identity, run);
     if (this.ended) return false;
     this.ctx.view.health.noteFailure(nowMs, run.server.id);
     if (this.tries.takeRun(nowMs, run)) return true;
@@ -334,7 +347,7 @@
     const failure = errors.createFailure(def, 'relay', this.request.route.name);
     this.ctx.log('refused', this.request.facts.id, {
       reason: def.name,
-      fingerprint: shortFingerprint(this.fingerprint),
+      fingerprint: shortFingerprint(this.identity.broad),
       retryAfterMs,
       customer: this.request.customer?.name,
       ...fields,
--- a/src/entry/relay/incidents.ts
+++ b/src/entry/relay/incidents.ts
@@ -7,6 +7,7 @@
   type AgedIncident,
   type Incident,
   IncidentTable,
+  type RequestIdentity,
   shortFingerprint,
 } from '../../decisions/suspects/index.js';
 import type { Run } from './fleet-view.js';
@@ -21,11 +22,13 @@
 
 /** What an exchange asks and tells of its request. */
 export interface Incidents {
-  isRefused(fingerprint: string): boolean;
+  isRefused(request: RequestIdentity): boolean;
   /** Time until a refused request may be served, ms. */
-  retryAfterMs(fingerprint: string): number;
+  retryAfterMs(request: RequestIdentity): number;
   /** A run broke off, or its caller left it. */
-  noteBreak(fingerprint: string, run: Run): void;
+  noteBreak(request: RequestIdentity, run: Run): void;
+  /** A run came to its end. */
+  noteWhole(request: RequestIdentity): void;
 }
 
 export interface IncidentOptions {
@@ -62,15 +65,16 @@
     if (this.timer !== null) clearInterval(this.timer);
   }
 
-  isRefused(fingerprint: string): boolean {
-    return this.table.isRefused(this.opts.clock.steadyMs(), [fingerprint]);
+  isRefused(request: RequestIdentity): boolean {
+    return this.table.isRefused(this.opts.clock.steadyMs(), this.fingerprintsOf(request));
   }
 
-  retryAfterMs(fingerprint: string): number {
-    return this.table.retryAfterMs(this.opts.clock.steadyMs(), [fingerprint]);
+  retryAfterMs(request: RequestIdentity): number {
+    return this.table.retryAfterMs(this.opts.clock.steadyMs(), this.fingerprintsOf(request));
   }
 
-  noteBreak(fingerprint: string, { server }: Run): void {
+  noteBreak(request: RequestIdentity, { server }: Run): void {
+    const fingerprint = this.table.ranWhole(request.broad) ? request.exact : request.broad;
     const incident = { fingerprint, serverId: server.id, bornMs: server.bornMs };
     // A server that leaves ends by plan: what it breaks off says nothing of the request.
     if (this.opts.follower.backends.get(server.id)?.leaving === true) return;
@@ -80,6 +84,11 @@
     if (!isTold) this.opts.logger.warn('incident-not-told', fieldsOf(incident));
   }
 
+  noteWhole(request: RequestIdentity): void {
+    const fingerprints = this.clear(this.fingerprintsOf(request));
+    if (fingerprints.length > 0) this.opts.send({ type: RelayMessageType.ranWhole, fingerprints });
+  }
+
   get version(): number {
     return this.table.version;
   }
@@ -103,9 +112,25 @@
     if (incidents.length > 0) this.opts.send({ type: RelayMessageType.incidents, incidents });
   }
 
-  /** Takes in what another entry VM saw. */
-  take({ incidents }: RelayMessageOf<'incidents'>, toldBy: string): void {
+  /**
+   * Takes in what another entry VM saw.
+   * @returns Fingerprints that are known here to have run to their end, which the other does not know.
+   */
+  take({ incidents }: RelayMessageOf<'incidents'>, toldBy: string): string[] {
     incidents.forEach(({ ageMs, ...incident }) => this.note(incident, ageMs, toldBy));
+    const told = new Set(incidents.map(({ fingerprint }) => fingerprint));
+    return [...told].filter((fingerprint) => this.table.ranWhole(fingerprint));
+  }
+
+  /** Takes in what the steward tells, and contradicts it where a request ran to its end here. */
+  answer(message: RelayMessageOf<'incidents'>): void {
+    const fingerprints = this.take(message, 'steward');
+    if (fingerprints.length > 0) this.opts.send({ type: RelayMessageType.ranWhole, fingerprints });
+  }
+
+  /** Takes in which requests ran to their end elsewhere. */
+  takeWhole({ fingerprints }: RelayMessageOf<'ran-whole'>): void {
+    this.clear(fingerprints);
   }
 
   /** Holds the list of servers against open incidents. */
@@ -127,6 +152,22 @@
     metrics.count('relay_incidents_total', { verdict: 'cleared' }, cleared.length);
   }
 
+  /** The exact fingerprint counts only where the broad one stands for sound requests too. */
+  private fingerprintsOf(request: RequestIdentity): readonly string[] {
+    const { broad } = request;
+    return this.table.ranWhole(broad) ? [broad, request.exact] : [broad];
+  }
+
+  /** Notes that requests ran to their end; returns those that had incidents. */
+  private clear(fingerprints: readonly string[]): string[] {
+    const nowMs = this.opts.clock.steadyMs();
+    const cleared = fingerprints.filter((one) => this.table.noteWhole(nowMs, one));
+    cleared.forEach((fingerprint) => {
+      this.opts.logger.info('request-cleared', { fingerprint: shortFingerprint(fingerprint) });
+    });
+    return cleared;
+  }
+
   private note(incident: Incident, ageMs: number, toldBy: string): boolean {
     const { clock, logger, metrics } = this.opts;
     const nowMs = clock.steadyMs();
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -12,6 +12,7 @@
   beliefs: 'beliefs',
   plan: 'plan',
   incidents: 'incidents',
+  ranWhole: 'ran-whole',
   lease: 'lease',
 } as const;
 
@@ -156,6 +157,8 @@
   }),
   /** Runs of requests that did not come to their end. */
   z.object({ type: z.literal(RelayMessageType.incidents), incidents: z.array(incidentSchema) }),
+  /** Requests that ran to their end, whatever their servers died of. */
+  z.object({ type: z.literal(RelayMessageType.ranWhole), fingerprints: z.array(z.string()) }),
 ] as const;
 
 export const relayMessageSchema = z.discriminatedUnion('type', schemas);
--- a/src/entry/relay/second-tries.ts
+++ b/src/entry/relay/second-tries.ts
@@ -1,6 +1,7 @@
 /** Whether a request that failed at one backend server may go to another. */
 import { RepeatRule } from '../../decisions/fleet-plan/index.js';
 import { leavesSilentServer, MOST_NOT_RUN } from '../../decisions/retries/index.js';
+import type { RequestIdentity } from '../../decisions/suspects/index.js';
 import type { Waiter } from '../../decisions/wait-list/index.js';
 import type { SilenceRule } from './attempt.js';
 import type { RelayContext } from './context.js';
@@ -26,7 +27,7 @@
     private readonly request: ReadRequest,
     private readonly waiter: Waiter,
     private readonly deadlineAtMs: number,
-    private readonly fingerprint: string,
+    private readonly identity: RequestIdentity,
   ) {}
 
   /** Whether the request is placed again after a server did not run it. */
@@ -44,7 +45,7 @@
     return (
       goesElsewhere &&
       nowMs < this.deadlineAtMs &&
-      !this.ctx.incidents.isRefused(this.fingerprint) &&
+      !this.ctx.incidents.isRefused(this.identity) &&
       this.pay(nowMs)
     );
   }
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -194,8 +194,13 @@
         this.lend(nowMs, member, message);
         break;
       case RelayMessageType.incidents:
-        this.opts.incidents.take(message, member.vm ?? 'member');
-        this.members.forEach((other) => this.tellIncidents(other));
+        this.takeIncidents(member, message);
+        break;
+      case RelayMessageType.ranWhole:
+        this.opts.incidents.takeWhole(message);
+        this.members.forEach(({ socket }) => {
+          if (socket !== member.socket) writeMessage(socket, message);
+        });
         break;
       default:
     }
@@ -239,6 +244,14 @@
     if (change !== null && !writeMessage(member.socket, change)) member.beliefs.forget();
   }
 
+  private takeIncidents(member: Member, message: RelayMessageOf<'incidents'>): void {
+    const fingerprints = this.opts.incidents.take(message, member.vm ?? 'member');
+    if (fingerprints.length > 0) {
+      writeMessage(member.socket, { type: RelayMessageType.ranWhole, fingerprints });
+    }
+    this.members.forEach((other) => this.tellIncidents(other));
+  }
+
   private tellIncidents(member: Member): void {
     const news = member.incidents.news(this.opts.incidents);
     if (news !== null && !writeMessage(member.socket, news)) member.incidents.forget();
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -108,6 +108,8 @@
   decodePlan(value: unknown): FleetPlan | null;
   decodeBackend(id: string, value: unknown): BackendServer | null;
   decodeRequest(rawHeaders: readonly string[]): RequestFacts | null;
+  /** What the headers ask for, the same in each attempt of one request. */
+  describeRequest(rawHeaders: readonly string[]): string;
   /** Headers for a backend server, as a flat list of names and values. */
   encodeRequest(rawHeaders: readonly string[], dispatch: Dispatch): readonly string[];
   decodeAnswer(rawHeaders: readonly string[]): AnswerFacts;
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -155,7 +155,10 @@
         admission.takeLent(message);
         break;
       case RelayMessageType.incidents:
-        incidents.take(message, 'steward');
+        incidents.answer(message);
+        break;
+      case RelayMessageType.ranWhole:
+        incidents.takeWhole(message);
         break;
       default:
     }
--- a/test/failures/crashing-request.test.ts
+++ b/test/failures/crashing-request.test.ts
@@ -170,6 +170,7 @@
       ]);
       const last = neighbours.slice(-100);
       expect(last.filter((status) => status === 200).length).toBe(last.length);
+      expect(cell.lateArrivals()).toBeLessThanOrEqual(LATE_ALLOWED);
     } finally {
       await cell.stop();
     }
@@ -185,6 +186,7 @@
       ]);
       const last = twins.slice(-100);
       expect(last.filter((status) => status === 200).length).toBe(last.length);
+      expect(cell.lateArrivals()).toBeLessThanOrEqual(LATE_ALLOWED);
     } finally {
       await cell.stop();
     }
--- a/test/units/platform/headers.test.ts
+++ b/test/units/platform/headers.test.ts
@@ -74,3 +74,18 @@
     expect(wire.decodeRequest(['Attempt-Id', 'a', 'Deadline-Ms', 'soon'])).toBeNull();
   });
 });
+
+describe('what a request asks for', () => {
+  const asked = (...more: readonly string[]) =>
+    wire.describeRequest(['Host', 'a.example', 'Model', 'm1', ...more]);
+
+  test('is the same in each attempt of it', () => {
+    const first = asked('Attempt-Id', 'r1', 'Deadline-Ms', '900', 'Authorization', 'Bearer k');
+    const second = asked('Attempt-Id', 'r2', 'Last-Event-Id', '4', 'Connection', 'close');
+    expect(second).toBe(first);
+  });
+
+  test('differs by any other header', () => {
+    expect(asked('X-Own', '1')).not.toBe(asked('X-Own', '2'));
+  });
+});
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -120,7 +120,7 @@
       mayRun: () => true,
       incidents: {
         isRefused: () => false,
-        noteBreak: (_fingerprint: string, { server: { id } }: typeof run) => breaks.push(id),
+        noteBreak: (_request: unknown, { server: { id } }: typeof run) => breaks.push(id),
       },
     } as unknown as RelayContext;
     const request = requestFor(null);
--- a/test/units/suspects/incident-table.test.ts
+++ b/test/units/suspects/incident-table.test.ts
@@ -1,6 +1,10 @@
 /** Requests that servers die under are held back at once, and sound ones are let go again. */
 import { describe, expect, test } from 'vitest';
-import { IncidentTable, type KnownServers } from '../../../src/decisions/suspects/index.js';
+import {
+  IncidentTable,
+  type KnownServers,
+  RequestIdentity,
+} from '../../../src/decisions/suspects/index.js';
 
 const VERDICT_MS = 6_000;
 const TTL_MS = 600_000;
@@ -134,6 +138,34 @@
   });
 });
 
+describe('a request that ran to its end', () => {
+  test('is sound, whatever its servers died of before and after', () => {
+    const table = withThree();
+    table.judge(4_000, list({}, 4_000));
+    expect(table.noteWhole(4_000, 'f')).toBe(true);
+    expect(table.isRefused(4_000, ['f'])).toBe(false);
+    expect(table.note(5_000, at('d'))).toBe(false);
+  });
+
+  test('does not speak for others', () => {
+    const table = withThree();
+    expect(table.noteWhole(100, 'g')).toBe(false);
+    expect(table.isRefused(100, ['f'])).toBe(true);
+  });
+});
+
+describe('what identifies a request', () => {
+  const identity = (asked: string, body = 'body') =>
+    new RequestIdentity('acme /x', body, () => asked);
+
+  test('is broad over all attempts, and exact by what its headers ask', () => {
+    expect(identity('a').broad).toBe(identity('b').broad);
+    expect(identity('a').exact).not.toBe(identity('b').exact);
+    expect(identity('a').exact).toBe(identity('a').exact);
+    expect(identity('a', 'other').broad).not.toBe(identity('a').broad);
+  });
+});
+
 describe('the table of incidents', () => {
   test('keeps a bounded number, and forgets the oldest', () => {
     const table = new IncidentTable();
