Gateway: tell an entry VM that starts which requests crash engines

A twin of the request that was sent on: a VM that starts was told no death, and ran what all others refused. The test fails before (the new VM is told nothing; without the wait for that, the request crashes two engines more).

A peer that has just been reached is told all deaths that count, each with its age, so that it and those who know it already count it once. A VM takes the word from its first moment on: peers reach it before all of its tasks have begun. Deaths are still not kept in the platform's store here: all VMs at once forget them (open).

--- a/src/core/messages/types.ts
+++ b/src/core/messages/types.ts
@@ -128,6 +128,7 @@
     fingerprint: z.string(),
     engineId: z.string(),
     ranMs: z.number(),
+    agoMs: z.number().default(0),
   }),
 ] as const;
 
--- a/src/decisions/suspects/index.ts
+++ b/src/decisions/suspects/index.ts
@@ -14,18 +14,22 @@
 const DEATHS_TO_BLOCK = 2;
 export const BLOCK_MS = 600_000;
 
+/** A word of a death comes this much sooner or later at different entry VMs, ms. */
+const WORD_JITTER_MS = 200;
+
 /** The death of an engine while it ran a request. */
 export interface Death {
   readonly fingerprint: string;
   readonly engineId: string;
   /** How long the request had run there, ms. */
   readonly ranMs: number;
+  /** Time since the death, ms. */
+  readonly agoMs: number;
 }
 
 interface Record {
-  deaths: number;
-  /** When each engine's latest death was noted. */
-  readonly notedAtMs: Map<string, number>;
+  /** When each engine died, in order. */
+  readonly diedAtMs: Map<string, readonly number[]>;
   untilMs: number;
 }
 
@@ -36,21 +40,29 @@
   private readonly running = new Map<string, Set<string>>();
 
   /** Notes a death, seen here or by a peer. */
-  note(nowMs: number, { fingerprint, engineId, ranMs }: Death): void {
+  note(nowMs: number, { fingerprint, engineId, ranMs, agoMs }: Death): void {
     this.expire(nowMs);
-    const record = this.records.get(fingerprint) ?? {
-      deaths: 0,
-      notedAtMs: new Map<string, number>(),
-      untilMs: 0,
-    };
-    const lastAtMs = record.notedAtMs.get(engineId) ?? -Infinity;
-    // What began before the death that was noted last saw the same one.
-    if (nowMs - ranMs >= lastAtMs) record.deaths += 1;
-    record.notedAtMs.set(engineId, nowMs);
-    record.untilMs = nowMs + BLOCK_MS;
+    const record = this.records.get(fingerprint) ?? { diedAtMs: new Map(), untilMs: 0 };
+    const known = record.diedAtMs.get(engineId) ?? [];
+    const lastAtMs = known.at(-1) ?? -Infinity;
+    const diedAtMs = nowMs - agoMs;
+    // What began before the death that was noted last saw the same one; so did who tells it again.
+    const isNew = diedAtMs - ranMs >= lastAtMs && diedAtMs > lastAtMs + WORD_JITTER_MS;
+    if (isNew) record.diedAtMs.set(engineId, [...known, diedAtMs]);
+    record.untilMs = Math.max(record.untilMs, diedAtMs + BLOCK_MS);
     this.records.set(fingerprint, record);
   }
 
+  /** All deaths that count, for an entry VM that may not have heard of them. */
+  known(nowMs: number): readonly Death[] {
+    this.expire(nowMs);
+    return [...this.records].flatMap(([fingerprint, { diedAtMs }]) =>
+      [...diedAtMs].flatMap(([engineId, times]) =>
+        times.map((atMs) => ({ fingerprint, engineId, ranMs: 0, agoMs: nowMs - atMs })),
+      ),
+    );
+  }
+
   isSuspect(nowMs: number, fingerprint: string): boolean {
     return this.deaths(nowMs, fingerprint) > 0;
   }
@@ -88,7 +100,8 @@
   /** Deaths that are known of the request. */
   deaths(nowMs: number, fingerprint: string): number {
     const record = this.records.get(fingerprint);
-    return record === undefined || record.untilMs <= nowMs ? 0 : record.deaths;
+    if (record === undefined || record.untilMs <= nowMs) return 0;
+    return [...record.diedAtMs.values()].reduce((sum, times) => sum + times.length, 0);
   }
 
   private expire(nowMs: number): void {
--- a/src/entry/dispatch/index.ts
+++ b/src/entry/dispatch/index.ts
@@ -41,6 +41,8 @@
   readonly routes: Channel<RoutesUpdate>;
   readonly loads: Channel<LoadsUpdate>;
   readonly applied: Channel<Catalog>;
+  /** Tells the address of each peer to which a connection was made. */
+  readonly linked: Channel<string>;
   currentCatalog(): Catalog | null;
   readonly maxQueue: number;
   readonly clock: Clock;
@@ -86,6 +88,11 @@
 
   constructor(private readonly deps: DispatchDeps) {
     this.router = new routing.LeastLoadedRouter(deps.dataCentre, deps.random);
+    // Peers tell a VM that starts what it missed, before all of its tasks have begun.
+    deps.inbox.subscribe(({ message }) => {
+      if (message.type !== messages.PeerMessageType.death) return;
+      this.suspects.note(deps.clock.nowMs(), message);
+    });
   }
 
   async start(): Promise<void> {
@@ -94,10 +101,7 @@
       this.deps.routes.subscribe((update) => this.noteRoutes(update)),
       this.deps.loads.subscribe((loads) => this.noteLoads(loads)),
       this.deps.applied.subscribe((current) => this.noteCatalog(current)),
-      this.deps.inbox.subscribe(({ message }) => {
-        if (message.type !== messages.PeerMessageType.death) return;
-        this.suspects.note(this.deps.clock.nowMs(), message);
-      }),
+      this.deps.linked.subscribe((address) => this.tellDeaths(address)),
     ];
   }
 
@@ -166,6 +170,13 @@
       : null;
   }
 
+  /** A peer that has just been reached may have started after the deaths. */
+  private tellDeaths(address: string): void {
+    this.suspects.known(this.deps.clock.nowMs()).forEach((death) => {
+      this.deps.peers.sendTo(address, { type: messages.PeerMessageType.death, ...death });
+    });
+  }
+
   private refusalOnArrival(nowMs: number, req: DispatchRequest): Dispatched | null {
     if (this.queue.size >= this.deps.maxQueue) {
       return this.refusal(req, 'the queue is full', SHORTEST_RETRY_MS);
--- a/src/entry/gateway/model-handler.ts
+++ b/src/entry/gateway/model-handler.ts
@@ -184,7 +184,7 @@
       const failed = this.asCallFailure(err, engineId);
       if (!gone && (await this.hasDied(failed, engine, job.target))) {
         const ranMs = failedAtMs - startedAtMs;
-        this.deps.dispatcher.noteDeath({ fingerprint, engineId, ranMs });
+        this.deps.dispatcher.noteDeath({ fingerprint, engineId, ranMs, agoMs: 0 });
       }
       const verdict = failed.provenNotRun ? EngineVerdict.absent : EngineVerdict.failed;
       this.deps.dispatcher.release(dispatch, engine, gone ? EngineVerdict.healthy : verdict);
--- a/src/entry/wire.ts
+++ b/src/entry/wire.ts
@@ -136,6 +136,7 @@
     routes,
     loads,
     applied,
+    linked,
     currentCatalog,
     maxQueue: limits.queue,
     clock,
--- a/src/standins/engine/index.ts
+++ b/src/standins/engine/index.ts
@@ -37,6 +37,7 @@
 class EngineStandin {
   readonly faults: EngineFaults = {
     crashMarker: '',
+    crashAfterMs: 0,
     crashDownMs: 500,
     cutAfterTokens: 0,
     cutCleanly: false,
@@ -118,6 +119,7 @@
     const body = JSON.parse(req.body.toString('utf8')) as CompletionBody;
     const prompt = promptOf(body);
     if (this.faults.crashMarker !== '' && prompt.includes(this.faults.crashMarker)) {
+      await clock.sleep(this.faults.crashAfterMs);
       await this.crash();
       return;
     }
--- a/src/standins/engine/types.ts
+++ b/src/standins/engine/types.ts
@@ -18,6 +18,8 @@
 export interface EngineFaults {
   /** A prompt that holds this text crashes the engine; empty for none. */
   crashMarker: string;
+  /** How long the prompt runs before the engine crashes, ms. */
+  crashAfterMs: number;
   /** How long it stays down after a crash, ms. */
   crashDownMs: number;
   /** Streams end without their last part after this many tokens; 0 for never. */
--- a/test/failures/requests.test.ts
+++ b/test/failures/requests.test.ts
@@ -26,6 +26,20 @@
     await fleet.stop();
   });
 
+  /** Deaths that the first entry VM has told its peers, repeats included. */
+  const deathsTold = async () => {
+    const res = await fetch(`http://${fleet.entry(0).daemon.adminAddress}/metrics`);
+    const [, count = '0'] = /peer_messages_sent\{type="death"\} (\d+)/.exec(await res.text()) ?? [];
+    return Number(count);
+  };
+
+  const crashes = async () => {
+    const counters = await Promise.all(
+      fleet.engines.map((engine) => fleet.counters<EngineCounters>(engine)),
+    );
+    return counters.reduce((sum, counter) => sum + counter.crashes, 0);
+  };
+
   const allFaults = (faults: object) =>
     Promise.all(fleet.engines.map((engine) => fleet.faults(engine, faults)));
 
@@ -100,15 +114,22 @@
     const statuses: number[] = [];
     for (let index = 0; index < 6; index += 1) statuses.push((await send(index)).status);
     const innocent = await fleet.complete(0, { prompt: 'innocent', max_tokens: 3 });
-    const counters = await Promise.all(
-      fleet.engines.map((engine) => fleet.counters<EngineCounters>(engine)),
-    );
-    const crashes = counters.reduce((sum, counter) => sum + counter.crashes, 0);
-    expect(crashes).toBeLessThanOrEqual(2);
+    expect(await crashes()).toBeLessThanOrEqual(2);
     expect(statuses.slice(2)).toEqual(Array(4).fill(422));
     expect(textOf(innocent.text)).toBe(answerTo('innocent', 3));
   });
 
+  test('a request that crashes engines is refused by an entry VM that starts later, too', async () => {
+    const toldBefore = await deathsTold();
+    const late = await fleet.addEntry('a');
+    await fleet.settle();
+    await fleet.until('the others have told it', async () => (await deathsTold()) > toldBefore);
+    const crashesBefore = await crashes();
+    expect((await fleet.complete(2, { prompt: 'poison pill' })).status).toBe(422);
+    expect(await crashes()).toBe(crashesBefore);
+    await fleet.stopEntry(late);
+  });
+
   test('no engine saw a key', async () => {
     const counters = await Promise.all(
       fleet.engines.map((engine) => fleet.counters<EngineCounters>(engine)),
