Gateway: note the death of an engine also when the caller has left it

An engine that a caller has left is looked at five times in the second after, and its death is noted as any other. What this costs is five reports a caller that leaves. Plain services of the gateway have no table at all yet (open).

--- a/src/entry/gateway/model-handler.ts
+++ b/src/entry/gateway/model-handler.ts
@@ -1,5 +1,6 @@
 /** Serves completions: reserve tokens, wait for an engine, run, retry or resume, refund. */
 import { Result } from 'true-myth';
+import * as clocks from '../../core/clock/index.js';
 import * as errors from '../../core/errors/index.js';
 import type { Customer, Target } from '../../decisions/catalog/index.js';
 import * as retries from '../../decisions/retries/index.js';
@@ -19,6 +20,9 @@
 /** An engine that gives no first token within this time is given up, however patient the caller. */
 const LONGEST_FIRST_TOKEN_MS = 120_000;
 const RETRY_AFTER_FAILURE_MS = 1_000;
+/** An engine that a caller has left is looked at so often, with this pause, ms. */
+const LEFT_ENGINE_LOOKS = 5;
+const LEFT_ENGINE_LOOK_MS = 200;
 
 /** A request that passed all checks. */
 interface Job {
@@ -179,13 +183,10 @@
       this.deps.retries.earn(job.target.retryRatio);
       return null;
     } catch (err) {
-      const failedAtMs = this.deps.clock.nowMs();
       const gone = ctx.abort.signal.aborted;
       const failed = this.asCallFailure(err, engineId);
-      if (!gone && (await this.hasDied(failed, engine, job.target))) {
-        const ranMs = failedAtMs - startedAtMs;
-        this.deps.dispatcher.noteDeath({ fingerprint, engineId, ranMs, agoMs: 0 });
-      }
+      if (gone && !failed.provenNotRun) void this.watchLeftEngine(job, engine, startedAtMs);
+      else if (failed.connectionLost) await this.noteIfDead(job, engine, startedAtMs);
       const verdict = failed.provenNotRun ? EngineVerdict.absent : EngineVerdict.failed;
       this.deps.dispatcher.release(dispatch, engine, gone ? EngineVerdict.healthy : verdict);
       this.deps.trails.note(ctx.id, 'broke-off', { engineId, reason: failed.failure.message });
@@ -232,15 +233,27 @@
     return { failure, provenNotRun: false, connectionLost: false };
   }
 
+  /** The caller is gone, but the engine may still crash under what it has begun. */
+  private async watchLeftEngine(job: Job, engine: EngineRoute, startedAtMs: number): Promise<void> {
+    for (let looks = 0; looks < LEFT_ENGINE_LOOKS; looks += 1) {
+      await clocks.sleep(LEFT_ENGINE_LOOK_MS);
+      if (await this.noteIfDead(job, engine, startedAtMs)) return;
+    }
+  }
+
   /** Tells an engine that died from one that only cut a stream: the dead one holds no replica. */
-  private async hasDied(
-    { connectionLost }: CallFailure,
-    { address }: EngineRoute,
-    target: Target,
+  private async noteIfDead(
+    { fingerprint, target }: Job,
+    { address, engineId }: EngineRoute,
+    startedAtMs: number,
   ): Promise<boolean> {
-    if (!connectionLost) return false;
     const report = await this.deps.backends.report(address);
-    return report.isErr || !report.value.replicas.some((replica) => replica.target === target.name);
+    const lives =
+      report.isOk && report.value.replicas.some((replica) => replica.target === target.name);
+    if (lives) return false;
+    const ranMs = this.deps.clock.nowMs() - startedAtMs;
+    this.deps.dispatcher.noteDeath({ fingerprint, engineId, ranMs, agoMs: 0 });
+    return true;
   }
 
   private mayGoOn(job: Job, failures: readonly { readonly failed: CallFailure }[]): boolean {
--- a/test/failures/requests.test.ts
+++ b/test/failures/requests.test.ts
@@ -1,5 +1,6 @@
 /** Requests against engines that fail: whole answers, true refusals, no engine killed three times. */
 import { afterAll, beforeAll, describe, expect, test } from 'vitest';
+import * as clocks from '../../src/core/clock/index.js';
 import { answerTo, type EngineCounters } from '../../src/standins/engine/index.js';
 import { LocalFleet, refusalOf } from './local-fleet.js';
 
@@ -130,6 +131,26 @@
     await fleet.stopEntry(late);
   });
 
+  test('a request whose caller leaves before its engines crash takes down two at most', async () => {
+    const crashesBefore = await crashes();
+    await allFaults({ crashMarker: 'impatient', crashAfterMs: 300, crashDownMs: 300 });
+    const { callersAddress } = fleet.entry(0).daemon;
+    for (let index = 0; index < 5; index += 1) {
+      await fetch(`http://${callersAddress}/v1/completions`, {
+        method: 'POST',
+        body: JSON.stringify({ model: 'wheel', prompt: 'impatient', max_tokens: 5, stream: true }),
+        headers: { authorization: 'Bearer bsk_test_small' },
+        signal: AbortSignal.timeout(150),
+      })
+        .then((res) => res.body?.cancel())
+        .catch(() => undefined);
+      await clocks.sleep(1_600);
+    }
+    expect((await crashes()) - crashesBefore).toBeLessThanOrEqual(2);
+    expect((await crashes()) - crashesBefore).toBeGreaterThan(0);
+    await allFaults({ crashMarker: '', crashAfterMs: 0 });
+  });
+
   test('no engine saw a key', async () => {
     const counters = await Promise.all(
       fleet.engines.map((engine) => fleet.counters<EngineCounters>(engine)),
