Give up a request that may run only once some time after its route has timed out

Seen by a test, not by callers: a server that keeps such a request and says nothing held its exchange, and the connection, for ever, since only what may be repeated was aborted at the timeout. The test times out before and passes after.

The caller has had its answer (504) at the timeout, and the server was told to stop then; its outcome may still come for 2 s.

--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -24,6 +24,8 @@
 const RATE_WAIT_PART = 0.4;
 /** Part of the objective from which on a wait is logged. */
 const LOGGED_WAIT_PART = 0.25;
+/** Time after its route's timeout in which a request that may run only once may still end, ms. */
+const OUTCOME_WAIT_MS = 2_000;
 /** Urgencies that a server knows, 0 to 9. */
 const LEAST_URGENT = 9;
 /** Time to the first byte that is expected of a request beyond its prompt's, ms. */
@@ -96,7 +98,7 @@
       if (!(await this.admit())) return;
       await this.run();
     } finally {
-      clearTimeout(this.timer);
+      if (this.timer !== null) clearTimeout(this.timer);
     }
   }
 
@@ -418,6 +420,9 @@
   }
 
   private noteTimeout(): void {
+    if (this.request.route.repeat === RepeatRule.once) {
+      this.timer = setTimeout(() => this.aborter.abort(), OUTCOME_WAIT_MS);
+    }
     if (this.ended) return;
     this.ctx.dispatcher.cancel(this.waiter.id);
     const sent = this.ranOnce || this.current !== null;
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -100,34 +100,39 @@
   });
 });
 
+/** A relay that sends every request to the server at `address`, which begins it and says nothing. */
+function relayTo(address: string, breaks: string[]): RelayContext {
+  const run = { server: { id: 's1', address }, service: 'drafting', model: null, adapter: null };
+  return {
+    ...emptyRelay([], new RetryWindow({ ratio: 0.2, windowMs: 10_000, slack: 52 }, 0)),
+    clock: { steadyMs: () => performance.now() },
+    dispatcher: {
+      place: async () => ({ run, retryAfterMs: null }),
+      cancel: () => undefined,
+      pump: () => undefined,
+    },
+    view: { ended: () => undefined, candidates: () => [] },
+    connections: { agentFor: () => new http.Agent() },
+    wire: { encodeRequest: () => ['Host', 'x', 'Content-Length', '0'] },
+    mayRun: () => true,
+    incidents: {
+      isRefused: () => false,
+      noteBreak: (_request: unknown, { server: { id } }: typeof run) => breaks.push(id),
+    },
+  } as unknown as RelayContext;
+}
+
 describe('a request whose caller leaves while a server runs it', () => {
   test('leaves its break noted, since the server may end under it', async () => {
     const begun: (() => void)[] = [];
     const server = http.createServer(() => begun.forEach((resolve) => resolve()));
     const address = await https.listen(server, '127.0.0.1:0');
-    const run = { server: { id: 's1', address }, service: 'drafting', model: null, adapter: null };
     const breaks: string[] = [];
-    const relay = {
-      ...emptyRelay([], new RetryWindow({ ratio: 0.2, windowMs: 10_000, slack: 52 }, 0)),
-      dispatcher: {
-        place: async () => ({ run, retryAfterMs: null }),
-        cancel: () => undefined,
-        pump: () => undefined,
-      },
-      view: { ended: () => undefined, candidates: () => [] },
-      connections: { agentFor: () => new http.Agent() },
-      wire: { encodeRequest: () => ['Host', 'x', 'Content-Length', '0'] },
-      mayRun: () => true,
-      incidents: {
-        isRefused: () => false,
-        noteBreak: (_request: unknown, { server: { id } }: typeof run) => breaks.push(id),
-      },
-    } as unknown as RelayContext;
-    const request = requestFor(null);
+    const request = { ...requestFor(null), arrivedAtMs: performance.now() };
     const hasBegun = new Promise<void>((resolve) => {
       begun.push(resolve);
     });
-    const served = new Exchange(relay, request).serve();
+    const served = new Exchange(relayTo(address, breaks), request).serve();
     await hasBegun;
     request.res.emit('close');
     await served;
@@ -135,3 +140,16 @@
     expect(breaks).toEqual(['s1']);
   });
 });
+
+describe('a request that may run only once, and whose server says nothing', () => {
+  test('is given up some time after its route has timed out', async () => {
+    const server = http.createServer(() => undefined);
+    const address = await https.listen(server, '127.0.0.1:0');
+    const route = { ...ROUTE, repeat: RepeatRule.once, timeoutMs: 100 };
+    const request = { ...requestFor(null), route, arrivedAtMs: performance.now() };
+    const breaks: string[] = [];
+    await new Exchange(relayTo(address, breaks), request).serve();
+    await https.close(server);
+    expect(breaks).toEqual(['s1']);
+  });
+});
