Give up bytes of a server that are no answer and have no end

An entry VM held all of them: its memory would have grown until the platform killed it, with all the requests that it served.

Shown by tests of our own that failed before (a body without length, a chunked body, early heads, an event): the answer never ended. A head without end is cut by Node's parser already.

--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -8,6 +8,11 @@
 /** A new connection is given up after this long, ms. */
 const CONNECT_TIMEOUT_MS = 400;
 
+/** Longest answer that is held until it is whole, bytes: many fit into a VM's memory side by side. */
+const MAX_ANSWER_BYTES = 8_388_608;
+/** Informational heads that may come before an answer. */
+const MOST_EARLY_HEADS = 16;
+
 export const AttemptEnd = {
   /** A complete answer is there. */
   answered: 'answered',
@@ -127,12 +132,18 @@
 function collect(
   wire: PlatformWire,
   res: http.IncomingMessage,
+  condemn: (reason: string) => void,
   settle: (result: AttemptResult) => void,
 ): void {
   const parts: Buffer[] = [];
+  let length = 0;
   const status = res.statusCode ?? 0;
   const end = isFramed(res) ? { wasReset: false } : watchReset(res);
-  res.on('data', (bytes: Buffer) => parts.push(bytes));
+  res.on('data', (bytes: Buffer) => {
+    length += bytes.length;
+    if (length > MAX_ANSWER_BYTES) condemn('the answer is too long');
+    else parts.push(bytes);
+  });
   res.on('error', (err) => settle({ type: AttemptEnd.broken, reason: err.message }));
   res.on('close', () => settle({ type: AttemptEnd.broken, reason: 'the answer was cut' }));
   res.on('end', () => {
@@ -241,6 +252,11 @@
       if (sent) settle({ type: AttemptEnd.broken, reason: err.message });
       else settle({ type: AttemptEnd.notRun, reason: err.message, reached: false, status: null });
     });
+    let earlyHeads = 0;
+    req.on('information', () => {
+      earlyHeads += 1;
+      if (earlyHeads > MOST_EARLY_HEADS) condemn('too many heads come before the answer');
+    });
     req.on('response', (res) => {
       const hint = res.headers['keep-alive'];
       if (typeof hint === 'string') Object.assign(res.socket, { keepAliveHint: hint });
@@ -254,7 +270,7 @@
       const streams =
         sink !== null && res.statusCode === 200 && isEventStream(res) && sink.begin(res);
       if (streams) relayStream(res, sink, condemn, settle);
-      else collect(wire, res, settle);
+      else collect(wire, res, condemn, settle);
     });
     req.end(opts.body);
   });
--- a/src/entry/relay/event-stream.ts
+++ b/src/entry/relay/event-stream.ts
@@ -3,11 +3,14 @@
 const EVENT_END = /\r\n\r\n|\n\n/g;
 const ID_LINE = /^id:[ ]?(\d+)\r?$/m;
 
+/** Longest event that is held until it is whole, bytes. */
+const MAX_EVENT_BYTES = 1_048_576;
+
 /** What came of bytes that were added. */
 export interface StreamStep {
   /** Whole events that may go to the caller. */
   readonly bytes: Buffer;
-  /** Whether the events follow on those before them. */
+  /** Whether the events follow on those before them, and none goes on without end. */
   readonly inOrder: boolean;
 }
 
@@ -38,10 +41,10 @@
     const ends = [...text.matchAll(EVENT_END)].map((match) => match.index + match[0].length);
     const cut = ends.at(-1) ?? 0;
     const starts = [0, ...ends.slice(0, -1)];
-    const inOrder = ends.every((end, at) => this.follows(text.slice(starts[at], end)));
+    const follow = ends.every((end, at) => this.follows(text.slice(starts[at], end)));
     const whole = this.rest.subarray(0, cut);
     this.rest = this.rest.subarray(cut);
-    return { bytes: whole, inOrder };
+    return { bytes: whole, inOrder: follow && this.rest.length <= MAX_EVENT_BYTES };
   }
 
   /** Events without an id follow on anything. */
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -76,6 +76,9 @@
   );
 }
 
+/** Far beyond what may be held of an answer. */
+const ENDLESS_BYTES = 64 * 1_048_576;
+
 const HEAD = 'HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nResponse-Seal: s\r\n';
 
 afterEach(() => {
@@ -83,6 +86,42 @@
   servers.splice(0).forEach((server) => server.close());
 });
 
+/** Writes `part` again and again until the peer closes or so much was written. */
+function writeWithoutEnd(socket: net.Socket, part: string): void {
+  const bytes = Buffer.from(part);
+  let written = 0;
+  const writeMore = () => {
+    if (socket.destroyed || written > ENDLESS_BYTES) return;
+    written += bytes.length;
+    socket.write(bytes, () => setImmediate(writeMore));
+  };
+  writeMore();
+}
+
+describe('bytes of a backend server that are no answer and have no end', () => {
+  const FILLER = 'x'.repeat(65_536);
+
+  test.each([
+    ['in a body without length', `${HEAD}\r\n`, FILLER],
+    ['in a chunked body', `${HEAD}Transfer-Encoding: chunked\r\n\r\n`, `10000\r\n${FILLER}\r\n`],
+    ['in a head', HEAD, `X-More: ${'y'.repeat(500)}\r\n`],
+    ['as heads before the answer', '', 'HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n'],
+  ])('%s are given up on, and their connection is closed', async (_where, first, part) => {
+    const closed: Promise<void>[] = [];
+    const server = await startServer((socket) => {
+      closed.push(
+        new Promise((resolve) => {
+          socket.on('close', () => resolve());
+        }),
+      );
+      socket.write(first);
+      writeWithoutEnd(socket, part);
+    });
+    expect((await ask(server)).type).toBe(AttemptEnd.broken);
+    await Promise.all(closed);
+  });
+});
+
 describe('an answer of a backend server', () => {
   test('that is signed, whole and named counts', async () => {
     const server = await startServer((socket) => {
--- a/test/units/relay/event-stream.test.ts
+++ b/test/units/relay/event-stream.test.ts
@@ -29,4 +29,11 @@
     const doubled = new EventCutter(null);
     expect(doubled.push(Buffer.from(`${event(1)}${event(1)}`)).inOrder).toBe(false);
   });
+
+  test('does not go on where one event has no end', () => {
+    const cutter = new EventCutter(null);
+    const steps = Array.from({ length: 40 }, () => cutter.push(Buffer.alloc(65_536, 'x')));
+    expect(steps.at(0)?.inOrder).toBe(true);
+    expect(steps.at(-1)?.inOrder).toBe(false);
+  });
 });
