Tell and work out suspect requests only where what all should know has changed

Every run that a caller leaves is an incident for 6 s, and most requests have one at most. The steward looked through all of them for each member at each such change, and passed on to all that a request with a single incident ran to its end. On a fleet of 66 entry VMs and tens of such runs a second that is up to a million steps a second (worked out, not measured).

The table tells when what is shared changes; single incidents move nothing. The word that a request is sound goes on only if others were told to suspect it.

--- a/src/decisions/suspects/incident-table.ts
+++ b/src/decisions/suspects/incident-table.ts
@@ -12,7 +12,7 @@
 /** Incidents from which on a request is refused: fewer also come to neighbours of the guilty one. */
 const MOST_INCIDENTS = 3;
 /** Incidents from which on a request is worth the word of all entry VMs and a place in the store. */
-const SHARED_FROM = 2;
+export const SHARED_FROM = 2;
 /** A server that died shows it in the list within this time, ms: three missed heartbeats. */
 const VERDICT_MS = 6_000;
 /** An incident counts for this long, ms. */
@@ -71,11 +71,11 @@
 
   private readonly whole = new Set<string>();
 
-  private changes = 0;
+  private sharedChanges = 0;
 
-  /** Rises when an incident is added or dropped. */
-  get version(): number {
-    return this.changes;
+  /** Rises when what is shared changes. */
+  get sharedVersion(): number {
+    return this.sharedChanges;
   }
 
   get size(): number {
@@ -88,22 +88,22 @@
     if (this.entries.has(key) || (this.clearedUntilMs.get(key) ?? 0) > nowMs) return false;
     if (ageMs >= INCIDENT_TTL_MS || this.whole.has(incident.fingerprint)) return false;
     if (this.entries.size >= MOST_KEPT) this.dropOldest();
-    this.changes += 1;
     this.entries.set(key, { incident, atMs: nowMs - ageMs, heardAtMs: nowMs, died: false });
     const keys = this.keysOf.get(incident.fingerprint) ?? new Set<string>();
     this.keysOf.set(incident.fingerprint, keys.add(key));
+    if (keys.size >= SHARED_FROM) this.sharedChanges += 1;
     return true;
   }
 
-  /** Notes that a request ran to its end; true if that clears anything. */
-  noteWhole(nowMs: number, fingerprint: string): boolean {
+  /** Notes that a request ran to its end; returns how many incidents that clears. */
+  noteWhole(nowMs: number, fingerprint: string): number {
     this.whole.delete(fingerprint);
     this.whole.add(fingerprint);
     const [oldest] = this.whole;
     if (this.whole.size > MOST_WHOLE && oldest !== undefined) this.whole.delete(oldest);
     const known = this.entriesOf(nowMs, fingerprint);
     known.forEach(({ incident }) => this.clear(nowMs, incident));
-    return known.length > 0;
+    return known.length;
   }
 
   /** Whether the request is known to have run to its end. */
@@ -175,9 +175,9 @@
 
   private drop(incident: Incident): void {
     const key = runKey(incident);
-    this.changes += 1;
     this.entries.delete(key);
     const keys = this.keysOf.get(incident.fingerprint);
+    if ((keys?.size ?? 0) >= SHARED_FROM) this.sharedChanges += 1;
     keys?.delete(key);
     if (keys?.size === 0) this.keysOf.delete(incident.fingerprint);
   }
--- a/src/entry/relay/incident-record.ts
+++ b/src/entry/relay/incident-record.ts
@@ -114,9 +114,9 @@
   private isChanged(): boolean {
     const { hearsSteward, incidents, isSteward } = this.opts;
     if (!isSteward() && hearsSteward()) return false;
-    if (incidents.version === this.storedOf) return false;
+    if (incidents.sharedVersion === this.storedOf) return false;
     const isSame = keysOf(incidents.shared()) === this.storedKeys;
-    if (isSame) this.storedOf = incidents.version;
+    if (isSame) this.storedOf = incidents.sharedVersion;
     return !isSame;
   }
 
@@ -155,7 +155,7 @@
 
   private async write(): Promise<void> {
     const { incidents, logger, store, unixMs } = this.opts;
-    const { version } = incidents;
+    const { sharedVersion } = incidents;
     const shared = incidents.shared();
     const nowUnixMs = unixMs();
     const record = {
@@ -173,6 +173,6 @@
     }
     this.version = answer.version;
     this.storedKeys = keysOf(shared);
-    this.storedOf = version;
+    this.storedOf = sharedVersion;
   }
 }
--- a/src/entry/relay/incident-teller.ts
+++ b/src/entry/relay/incident-teller.ts
@@ -4,8 +4,8 @@
 
 /** The steward's incidents, as its entry VM keeps them. */
 export interface SharedIncidents {
-  /** Rises with every change. */
-  readonly version: number;
+  /** Rises with every change of what is shared. */
+  readonly sharedVersion: number;
   /** Incidents of requests that have several. */
   shared(): readonly AgedIncident[];
 }
@@ -21,8 +21,8 @@
 
   /** What the VM has not been told yet; null where there is nothing. */
   news(incidents: SharedIncidents): RelayMessage | null {
-    if (incidents.version === this.version) return null;
-    this.version = incidents.version;
+    if (incidents.sharedVersion === this.version) return null;
+    this.version = incidents.sharedVersion;
     const shared = incidents.shared();
     const unheard = shared.filter((incident) => !this.told.has(keyOf(incident)));
     this.told = new Set(shared.map(keyOf));
--- a/src/entry/relay/incidents.ts
+++ b/src/entry/relay/incidents.ts
@@ -8,6 +8,7 @@
   type Incident,
   IncidentTable,
   type RequestIdentity,
+  SHARED_FROM,
   shortFingerprint,
 } from '../../decisions/suspects/index.js';
 import type { Run } from './fleet-view.js';
@@ -20,6 +21,9 @@
 /** A list that was not confirmed for this long may lack what happened since, ms. */
 const LIST_GAP_MS = 2_500;
 
+/** Who told of an incident that was seen at this entry VM. */
+const HERE = 'here';
+
 /** What an exchange asks and tells of its request. */
 export interface Incidents {
   isRefused(request: RequestIdentity): boolean;
@@ -78,19 +82,19 @@
     const incident = { fingerprint, serverId: server.id, bornMs: server.bornMs };
     // A server that leaves ends by plan: what it breaks off says nothing of the request.
     if (this.opts.follower.backends.get(server.id)?.leaving === true) return;
-    if (!this.note(incident, 0, 'here')) return;
+    if (!this.note(incident, 0, HERE)) return;
     const incidents = [{ ...incident, ageMs: 0 }];
     const isTold = this.opts.send({ type: RelayMessageType.incidents, incidents });
     if (!isTold) this.opts.logger.warn('incident-not-told', fieldsOf(incident));
   }
 
   noteWhole(request: RequestIdentity): void {
-    const fingerprints = this.clear(this.fingerprintsOf(request));
+    const fingerprints = this.clear(this.fingerprintsOf(request), 1);
     if (fingerprints.length > 0) this.opts.send({ type: RelayMessageType.ranWhole, fingerprints });
   }
 
-  get version(): number {
-    return this.table.version;
+  get sharedVersion(): number {
+    return this.table.sharedVersion;
   }
 
   shared(): readonly AgedIncident[] {
@@ -128,9 +132,12 @@
     if (fingerprints.length > 0) this.opts.send({ type: RelayMessageType.ranWhole, fingerprints });
   }
 
-  /** Takes in which requests ran to their end elsewhere. */
-  takeWhole({ fingerprints }: RelayMessageOf<'ran-whole'>): void {
-    this.clear(fingerprints);
+  /**
+   * Takes in which requests ran to their end elsewhere.
+   * @returns Those that others have been told to suspect.
+   */
+  takeWhole({ fingerprints }: RelayMessageOf<'ran-whole'>): string[] {
+    return this.clear(fingerprints, SHARED_FROM);
   }
 
   /** Holds the list of servers against open incidents. */
@@ -158,12 +165,12 @@
     return this.table.ranWhole(broad) ? [broad, request.exact] : [broad];
   }
 
-  /** Notes that requests ran to their end; returns those that had incidents. */
-  private clear(fingerprints: readonly string[]): string[] {
+  /** Notes that requests ran to their end; returns those that had so many incidents. */
+  private clear(fingerprints: readonly string[], atLeast: number): string[] {
     const nowMs = this.opts.clock.steadyMs();
-    const cleared = fingerprints.filter((one) => this.table.noteWhole(nowMs, one));
+    const cleared = fingerprints.filter((one) => this.table.noteWhole(nowMs, one) >= atLeast);
     cleared.forEach((fingerprint) => {
-      this.opts.logger.info('request-cleared', { fingerprint: shortFingerprint(fingerprint) });
+      this.opts.logger.debug('request-cleared', { fingerprint: shortFingerprint(fingerprint) });
     });
     return cleared;
   }
@@ -173,7 +180,8 @@
     const nowMs = clock.steadyMs();
     if (!this.table.note(nowMs, incident, ageMs)) return false;
     const incidents = this.table.count(nowMs, incident.fingerprint);
-    logger.info('incident', { ...fieldsOf(incident), toldBy, incidents });
+    const fields = { ...fieldsOf(incident), toldBy, incidents };
+    if (toldBy === HERE || incidents >= SHARED_FROM) logger.info('incident', fields);
     metrics.count('relay_incidents_total', { verdict: 'open' });
     return true;
   }
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -197,10 +197,7 @@
         this.takeIncidents(member, message);
         break;
       case RelayMessageType.ranWhole:
-        this.opts.incidents.takeWhole(message);
-        this.members.forEach(({ socket }) => {
-          if (socket !== member.socket) writeMessage(socket, message);
-        });
+        this.takeWhole(member, message);
         break;
       default:
     }
@@ -252,6 +249,18 @@
     this.members.forEach((other) => this.tellIncidents(other));
   }
 
+  private takeWhole(member: Member, message: RelayMessageOf<'ran-whole'>): void {
+    // What this VM itself tells is in its table already.
+    const isOwn = member.vm === this.opts.vm;
+    const fingerprints = isOwn ? message.fingerprints : this.opts.incidents.takeWhole(message);
+    if (fingerprints.length === 0) return;
+    this.members.forEach(({ socket }) => {
+      if (socket !== member.socket) {
+        writeMessage(socket, { type: RelayMessageType.ranWhole, fingerprints });
+      }
+    });
+  }
+
   private tellIncidents(member: Member): void {
     const news = member.incidents.news(this.opts.incidents);
     if (news !== null && !writeMessage(member.socket, news)) member.incidents.forget();
--- a/test/units/relay/incident-record.test.ts
+++ b/test/units/relay/incident-record.test.ts
@@ -58,8 +58,8 @@
     clock: { steadyMs: () => nowMs, nowMs: () => nowMs, onJump: () => undefined },
     logger: createLogger('test', 'silent'),
     incidents: {
-      get version() {
-        return table.version;
+      get sharedVersion() {
+        return table.sharedVersion;
       },
       get size() {
         return table.size;
--- a/test/units/relay/incident-teller.test.ts
+++ b/test/units/relay/incident-teller.test.ts
@@ -7,8 +7,8 @@
 
 function sharedOf(table: IncidentTable) {
   return {
-    get version() {
-      return table.version;
+    get sharedVersion() {
+      return table.sharedVersion;
     },
     shared: () => table.shared(0),
   };
--- a/test/units/suspects/incident-table.test.ts
+++ b/test/units/suspects/incident-table.test.ts
@@ -142,14 +142,14 @@
   test('is sound, whatever its servers died of before and after', () => {
     const table = withThree();
     table.judge(4_000, list({}, 4_000));
-    expect(table.noteWhole(4_000, 'f')).toBe(true);
+    expect(table.noteWhole(4_000, 'f')).toBe(3);
     expect(table.isRefused(4_000, ['f'])).toBe(false);
     expect(table.note(5_000, at('d'))).toBe(false);
   });
 
   test('does not speak for others', () => {
     const table = withThree();
-    expect(table.noteWhole(100, 'g')).toBe(false);
+    expect(table.noteWhole(100, 'g')).toBe(0);
     expect(table.isRefused(100, ['f'])).toBe(true);
   });
 });
@@ -175,6 +175,19 @@
     expect(table.count(5_000, 'f4999')).toBe(1);
   });
 
+  test('tells a change of what is shared, and only that', () => {
+    const table = new IncidentTable();
+    table.note(0, at('a'));
+    table.note(0, at('a', 'g'));
+    table.noteWhole(0, 'g');
+    expect(table.sharedVersion).toBe(0);
+    table.note(0, at('b'));
+    const withTwo = table.sharedVersion;
+    expect(withTwo).toBeGreaterThan(0);
+    table.noteWhole(0, 'f');
+    expect(table.sharedVersion).toBeGreaterThan(withTwo);
+  });
+
   test('shares what has several incidents, with their ages', () => {
     const table = new IncidentTable();
     table.note(0, at('a', 'g'));
