Soak: requests that end their servers, repeated while entry VMs and the store fail

The soak did not send such requests, so that it could not have found the incident. Each has a name of its own; the check is the bound of the rule (3 arrivals later than 3 s after the third end). Two more servers of the plain service, so that some live.

--- a/test/failures/crashing-request.test.ts
+++ b/test/failures/crashing-request.test.ts
@@ -6,7 +6,8 @@
 import * as clocks from '../../src/core/clock/index.js';
 import { bundle } from '../../src/lab/fleet/bundle.js';
 import { isKnownRed } from '../known-red.js';
-import { CrashCell, type CrashCellOptions, LATE_ALLOWED } from '../soak/crash-cell.js';
+import { CrashCell, type CrashCellOptions } from '../soak/crash-cell.js';
+import { LATE_ALLOWED } from '../soak/engine.js';
 import { StoreMood } from '../soak/store.js';
 import type { SoakVm } from '../soak/vms.js';
 
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -1,6 +1,6 @@
 /** Callers of a soak: they send requests of each kind and hold the answers against the promises. */
 import * as undici from 'undici';
-import { EVENTS, type Ledger } from './engine.js';
+import { CRASH_HEADER, EVENTS, LATE_ALLOWED, lateArrivals, type Ledger } from './engine.js';
 
 export const RequestKind = { order: 'order', lookup: 'lookup', stream: 'stream' } as const;
 export type RequestKind = (typeof RequestKind)[keyof typeof RequestKind];
@@ -44,6 +44,12 @@
     return outcome;
   }
 
+  /** Sends a lookup that ends the server which runs it; its caller repeats it as it is. */
+  async sendCrashing(address: string, name: string): Promise<void> {
+    this.sent += 1;
+    await this.call(address, `r${this.sent}`, RequestKind.lookup, '', name);
+  }
+
   /** Promises that were broken, by what the callers and the servers have seen together. */
   faults(): readonly string[] {
     const runsOf = (id: string) => this.ledger.runs.get(id) ?? 0;
@@ -55,7 +61,11 @@
     const denied = this.outcomes
       .filter(({ status }) => status === 401 || status === 403 || status === 404)
       .map(({ id, status }) => `DENIED: ${id} with ${status}`);
-    return [...this.ledger.faults, ...twice, ...refused, ...denied];
+    const sentOn = [...new Set(this.ledger.arrivals.map(({ name }) => name))]
+      .map((name) => ({ name, late: lateArrivals(this.ledger, name) }))
+      .filter(({ late }) => late > LATE_ALLOWED)
+      .map(({ name, late }) => `BUDGET: ${name} came ${late} times after three servers had ended`);
+    return [...this.ledger.faults, ...twice, ...refused, ...denied, ...sentOn];
   }
 
   close(): Promise<void> {
@@ -67,6 +77,7 @@
     id: string,
     kind: RequestKind,
     model: string,
+    crashing: string | null = null,
   ): Promise<number | null> {
     try {
       const { statusCode, headers, body } = await undici.request(`http://${address}/${kind}/x`, {
@@ -78,8 +89,9 @@
           authorization: `Bearer ${KEY}`,
           'deadline-ms': String(DEADLINE_MS),
           ...(kind === RequestKind.stream ? { model, 'token-count': '20,20' } : {}),
+          ...(crashing === null ? {} : { [CRASH_HEADER]: crashing }),
         },
-        body: `body of ${id}`,
+        body: `body of ${crashing ?? id}`,
         signal: AbortSignal.timeout(DEADLINE_MS),
       });
       const text = await body.text();
--- a/test/soak/crash-cell.ts
+++ b/test/soak/crash-cell.ts
@@ -8,7 +8,14 @@
 import * as undici from 'undici';
 import * as clocks from '../../src/core/clock/index.js';
 import { CUSTOMER, KEY } from './callers.js';
-import { CRASH_HEADER, type CrashRule, type Ledger, SoakEngine } from './engine.js';
+import {
+  CRASH_HEADER,
+  type CrashRule,
+  lateArrivals,
+  type Ledger,
+  SoakEngine,
+  USUAL_CRASH,
+} from './engine.js';
 import { SoakStore } from './store.js';
 import { SoakVm } from './vms.js';
 
@@ -18,11 +25,6 @@
 const DEADLINE_MS = 3_000;
 /** Entries of the users' servers: a heartbeat each 1.2 s, gone after three of silence. */
 const ENTRY_TIMES = { heartbeatMs: 1_200, lapseMs: 3_600 };
-/** Arrivals are late from this time after the third end on, ms: `stable_window_ms`. */
-export const LATE_AFTER_MS = 3_000;
-/** Late arrivals that the rule on retries allows. */
-export const LATE_ALLOWED = 3;
-
 export interface CrashCellOptions {
   readonly vms: number;
   readonly servers: number;
@@ -48,8 +50,6 @@
 const SOUND: CellRequest = { route: 'lookup', body: 'sound', crash: null, leaveAfterMs: null };
 const CRASHING: CellRequest = { ...SOUND, body: 'crashing', crash: 'it' };
 
-const USUAL_CRASH: CrashRule = { afterMs: 15, downMs: 2_000, keepsId: false, silentMs: 0 };
-
 function configOf() {
   const route = (name: string, kind: string) => ({
     name,
@@ -168,14 +168,7 @@
 
   /** Arrivals of a crashing request at servers later than the bound after the third end. */
   lateArrivals(name = 'it'): number {
-    const third = this.ledger.ends
-      .filter((end) => end.name === name)
-      .map(({ atMs }) => atMs)
-      .sort((a, b) => a - b)[2];
-    if (third === undefined) return 0;
-    return this.ledger.arrivals.filter(
-      (arrival) => arrival.name === name && arrival.atMs > third + LATE_AFTER_MS,
-    ).length;
+    return lateArrivals(this.ledger, name);
   }
 
   private addServer(name: string, at: number, crash: Partial<CrashRule>): void {
--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -48,6 +48,18 @@
   readonly silentMs: number;
 }
 
+export const USUAL_CRASH: CrashRule = {
+  afterMs: 15,
+  downMs: 2_000,
+  keepsId: false,
+  silentMs: 0,
+};
+
+/** Arrivals are late from this time after the third end on, ms: `stable_window_ms`. */
+const LATE_AFTER_MS = 3_000;
+/** Late arrivals that the rule on retries allows. */
+export const LATE_ALLOWED = 3;
+
 /** A crashing request that a server began. */
 export interface Arrival {
   readonly atMs: number;
@@ -69,6 +81,17 @@
   readonly faults: string[];
 }
 
+/** Arrivals of a crashing request at servers later than the bound after the third end. */
+export function lateArrivals({ ends, arrivals }: Ledger, name: string): number {
+  const third = ends
+    .filter((end) => end.name === name)
+    .map(({ atMs }) => atMs)
+    .sort((a, b) => a - b)[2];
+  if (third === undefined) return 0;
+  return arrivals.filter((arrival) => arrival.name === name && arrival.atMs > third + LATE_AFTER_MS)
+    .length;
+}
+
 interface OrderBody {
   readonly operation: string;
   readonly model: string;
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -11,11 +11,17 @@
   readonly vms: readonly SoakVm[];
   /** Writes a new version of the configuration. */
   changeConfig(): void;
+  /** Sends a request that ends its server to one VM. */
+  sendCrashing(vm: SoakVm, name: string): Promise<void>;
 }
 
 /** Brings a fault about, and resolves once it is over. */
 type Fault = (cell: Cell, random: Random) => Promise<void>;
 
+/** The caller of a crashing request repeats it so often, with this pause, ms. */
+const CRASHING_REPEATS = 40;
+const CRASHING_EACH_MS = 250;
+
 function pick<T>(items: readonly T[], random: Random): T {
   const item = items[Math.floor(random.real() * items.length)];
   if (item === undefined) throw new Error('nothing to pick from');
@@ -71,5 +77,12 @@
     pick(engines, random).slowDown(2_000, 8);
     await clocks.sleep(2_000);
   },
+  crashingRequest: async ({ vms, sendCrashing }, random) => {
+    const name = `crash ${random.real()}`;
+    for (let at = 0; at < CRASHING_REPEATS; at += 1) {
+      void sendCrashing(pick(vms, random), name);
+      await clocks.sleep(CRASHING_EACH_MS);
+    }
+  },
   configChange: async ({ changeConfig }) => changeConfig(),
 };
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -12,7 +12,7 @@
 import { createRandom, type Random } from '../../src/core/random/index.js';
 import { bundle } from '../../src/lab/fleet/bundle.js';
 import { Callers, CUSTOMER, KEY, type Outcome, RequestKind } from './callers.js';
-import { type Ledger, MODEL_MB, SoakEngine } from './engine.js';
+import { type Ledger, MODEL_MB, SoakEngine, USUAL_CRASH } from './engine.js';
 import { type Cell, FAULTS } from './faults.js';
 import { SoakStore } from './store.js';
 import { SoakVm } from './vms.js';
@@ -113,10 +113,13 @@
       slots: 8,
       memoryMb: 2 * MODEL_MB,
       models,
+      crash: USUAL_CRASH,
     });
     const engines = [
       spec('desk-0', 'desk', 0, []),
       spec('desk-1', 'desk', 1, []),
+      spec('desk-2', 'desk', 0, []),
+      spec('desk-3', 'desk', 1, []),
       spec('draft-0', 'drafts', 0, ['m0', 'm1']),
       spec('draft-1', 'drafts', 1, ['m0', 'm2']),
     ].map((one) => new SoakEngine(one, this.store, this.ledger));
@@ -134,7 +137,8 @@
     );
     vms.forEach((vm) => vm.start());
     await Promise.all(vms.map((vm) => vm.untilReady()));
-    this.cell = { store: this.store, engines, vms, changeConfig };
+    const sendCrashing = (vm: SoakVm, name: string) => this.callers.sendCrashing(vm.callers, name);
+    this.cell = { store: this.store, engines, vms, changeConfig, sendCrashing };
   }
 
   /** Faults overlap: the next one begins while the one before may not be over. */
