--- a/test/soak/crash-cell.ts
+++ b/test/soak/crash-cell.ts
@@ -95,17 +95,12 @@
   static async start(program: string, opts: CrashCellOptions): Promise<CrashCell> {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bilberrystand-crash-'));
     const cell = new CrashCell(folder);
-    const address = await cell.store.start();
-    cell.store.put('config', 'main', configOf());
-    Array.from({ length: opts.servers }, (_, at) => cell.addServer(`desk-${at}`, at, opts.crash));
-    await Promise.all(cell.engines.map((engine) => engine.start()));
-    for (let at = 0; at < opts.vms; at += 1) {
-      const dataCentre = DATA_CENTRES[at % DATA_CENTRES.length] ?? 'a';
-      cell.vms.push(await SoakVm.create(`vm-${at}`, dataCentre, address, program, folder));
+    try {
+      await cell.begin(program, opts);
+    } catch (err) {
+      await cell.stop();
+      throw err;
     }
-    cell.vms.forEach((vm) => vm.start());
-    await Promise.all(cell.vms.map((vm) => vm.untilReady()));
-    cell.endsAtMs = performance.now() + opts.forMs;
     return cell;
   }
 
@@ -171,6 +166,20 @@
     return lateArrivals(this.ledger, name);
   }
 
+  private async begin(program: string, opts: CrashCellOptions): Promise<void> {
+    const address = await this.store.start();
+    this.store.put('config', 'main', configOf());
+    Array.from({ length: opts.servers }, (_, at) => this.addServer(`desk-${at}`, at, opts.crash));
+    await Promise.all(this.engines.map((engine) => engine.start()));
+    for (let at = 0; at < opts.vms; at += 1) {
+      const dataCentre = DATA_CENTRES[at % DATA_CENTRES.length] ?? 'a';
+      this.vms.push(await SoakVm.create(`vm-${at}`, dataCentre, address, program, this.folder));
+    }
+    this.vms.forEach((vm) => vm.start());
+    await Promise.all(this.vms.map((vm) => vm.untilReady()));
+    this.endsAtMs = performance.now() + opts.forMs;
+  }
+
   private addServer(name: string, at: number, crash: Partial<CrashRule>): void {
     const spec = {
       name,
--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -10,23 +10,40 @@
 const READY_POLL_MS = 50;
 const READY_WITHIN_MS = 20_000;
 
+let created = 0;
+
 /**
- * A loopback address of this process alone: outgoing connections leave from 127.0.0.1 and would take
- * ports of it before the entry VM listens on them.
+ * A loopback host of one VM of this process alone: outgoing connections leave from 127.0.0.1, and other
+ * VMs start beside it; either could take its ports before it listens on them.
  */
-const HOST = `127.${1 + (process.pid % 250)}.${1 + (Math.floor(process.pid / 250) % 250)}.1`;
+function ownHost(): string {
+  created += 1;
+  const { pid } = process;
+  return `127.${1 + (pid % 250)}.${1 + (Math.floor(pid / 250) % 250)}.${1 + (created % 250)}`;
+}
 
-/** An address with a port that the operating system has just given out. */
-async function freeAddress(): Promise<string> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, HOST, resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return `${HOST}:${port}`;
+/** Addresses of a VM, with ports that the operating system has just given out. */
+async function freeAddresses(count: number): Promise<readonly string[]> {
+  const host = ownHost();
+  const servers = await Promise.all(
+    Array.from({ length: count }, async () => {
+      const server = net.createServer();
+      await new Promise<void>((resolve) => {
+        server.listen(0, host, resolve);
+      });
+      return server;
+    }),
+  );
+  const addresses = servers.map((server) => `${host}:${(server.address() as AddressInfo).port}`);
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise((resolve) => {
+          server.close(resolve);
+        }),
+    ),
+  );
+  return addresses;
 }
 
 export class SoakVm {
@@ -49,11 +66,7 @@
     bundle: string,
     folder: string,
   ): Promise<SoakVm> {
-    const [callers, admin, peers] = [
-      await freeAddress(),
-      await freeAddress(),
-      await freeAddress(),
-    ] as const;
+    const [callers = '', admin = '', peers = ''] = await freeAddresses(3);
     const settings = `
       [vm]
       id = "${name}"
