Hold back a request that ran to its end before and ends servers since

Found when reading the change: a request that had run to its end was sound for as long as that was remembered. A lookup that many callers share, and that ends its servers from some release on, would never have been held back.

Two new unit tests fail before (refused once servers die under it afterwards; a late word of what happened before). Only what happened before a whole run is refuted by it now. Where a request looks like a sound one, a run without an end counts under both its fingerprints: the broad one starts anew with each whole run, the exact one holds the crashing twin.

--- a/src/decisions/suspects/incident-table.ts
+++ b/src/decisions/suspects/incident-table.ts
@@ -5,7 +5,7 @@
  * any entry VM. A run that broke off, or whose caller left, counts at once: the platform's list shows
  * a death only seconds later, and in an outage not at all. The list then tells: a server that is gone
  * or was started anew has died; one that lives on is an incident less. A request that ran to its end
- * anywhere is sound, whatever its servers died of.
+ * anywhere was sound until then, whatever its servers had died of.
  */
 import type { AgedIncident, Incident, KnownServers } from './types.js';
 
@@ -69,7 +69,8 @@
   /** Incidents that were cleared, and until when a late word of them is ignored. */
   private readonly clearedUntilMs = new Map<string, number>();
 
-  private readonly whole = new Set<string>();
+  /** When requests ran to their end last. */
+  private readonly wholeAtMs = new Map<string, number>();
 
   private sharedChanges = 0;
 
@@ -86,7 +87,8 @@
   note(nowMs: number, incident: Incident, ageMs = 0): boolean {
     const key = runKey(incident);
     if (this.entries.has(key) || (this.clearedUntilMs.get(key) ?? 0) > nowMs) return false;
-    if (ageMs >= INCIDENT_TTL_MS || this.whole.has(incident.fingerprint)) return false;
+    if (ageMs >= INCIDENT_TTL_MS) return false;
+    if (this.ranWholeSince(nowMs, incident.fingerprint, ageMs)) return false;
     if (this.entries.size >= MOST_KEPT) this.dropOldest();
     this.entries.set(key, { incident, atMs: nowMs - ageMs, heardAtMs: nowMs, died: false });
     const keys = this.keysOf.get(incident.fingerprint) ?? new Set<string>();
@@ -97,10 +99,10 @@
 
   /** Notes that a request ran to its end; returns how many incidents that clears. */
   noteWhole(nowMs: number, fingerprint: string): number {
-    this.whole.delete(fingerprint);
-    this.whole.add(fingerprint);
-    const [oldest] = this.whole;
-    if (this.whole.size > MOST_WHOLE && oldest !== undefined) this.whole.delete(oldest);
+    this.wholeAtMs.delete(fingerprint);
+    this.wholeAtMs.set(fingerprint, nowMs);
+    const [oldest] = this.wholeAtMs.keys();
+    if (this.wholeAtMs.size > MOST_WHOLE && oldest !== undefined) this.wholeAtMs.delete(oldest);
     const known = this.entriesOf(nowMs, fingerprint);
     known.forEach(({ incident }) => this.clear(nowMs, incident));
     return known.length;
@@ -108,7 +110,12 @@
 
   /** Whether the request is known to have run to its end. */
   ranWhole(fingerprint: string): boolean {
-    return this.whole.has(fingerprint);
+    return this.wholeAtMs.has(fingerprint);
+  }
+
+  /** Whether the request ran to its end after what happened `ageMs` ago. */
+  ranWholeSince(nowMs: number, fingerprint: string, ageMs: number): boolean {
+    return (this.wholeAtMs.get(fingerprint) ?? -Infinity) > nowMs - ageMs;
   }
 
   /** Takes the word of the platform's list on open incidents. */
--- a/src/entry/relay/incidents.ts
+++ b/src/entry/relay/incidents.ts
@@ -78,14 +78,15 @@
   }
 
   noteBreak(request: RequestIdentity, { server }: Run): void {
-    const fingerprint = this.table.ranWhole(request.broad) ? request.exact : request.broad;
-    const incident = { fingerprint, serverId: server.id, bornMs: server.bornMs };
     // A server that leaves ends by plan: what it breaks off says nothing of the request.
     if (this.opts.follower.backends.get(server.id)?.leaving === true) return;
-    if (!this.note(incident, 0, HERE)) return;
-    const incidents = [{ ...incident, ageMs: 0 }];
-    const isTold = this.opts.send({ type: RelayMessageType.incidents, incidents });
-    if (!isTold) this.opts.logger.warn('incident-not-told', fieldsOf(incident));
+    const seen = this.fingerprintsOf(request)
+      .map((fingerprint) => ({ fingerprint, serverId: server.id, bornMs: server.bornMs }))
+      .filter((incident) => this.note(incident, 0, HERE));
+    if (seen.length === 0) return;
+    const incidents = seen.map((incident) => ({ ...incident, ageMs: 0 }));
+    if (this.opts.send({ type: RelayMessageType.incidents, incidents })) return;
+    seen.forEach((incident) => this.opts.logger.warn('incident-not-told', fieldsOf(incident)));
   }
 
   noteWhole(request: RequestIdentity): void {
@@ -118,12 +119,15 @@
 
   /**
    * Takes in what another entry VM saw.
-   * @returns Fingerprints that are known here to have run to their end, which the other does not know.
+   * @returns Fingerprints that ran to their end here since, which the other does not know.
    */
   take({ incidents }: RelayMessageOf<'incidents'>, toldBy: string): string[] {
     incidents.forEach(({ ageMs, ...incident }) => this.note(incident, ageMs, toldBy));
-    const told = new Set(incidents.map(({ fingerprint }) => fingerprint));
-    return [...told].filter((fingerprint) => this.table.ranWhole(fingerprint));
+    const nowMs = this.opts.clock.steadyMs();
+    const refuted = incidents.filter(({ fingerprint, ageMs }) =>
+      this.table.ranWholeSince(nowMs, fingerprint, ageMs),
+    );
+    return [...new Set(refuted.map(({ fingerprint }) => fingerprint))];
   }
 
   /** Takes in what the steward tells, and contradicts it where a request ran to its end here. */
--- a/test/units/suspects/incident-table.test.ts
+++ b/test/units/suspects/incident-table.test.ts
@@ -139,12 +139,27 @@
 });
 
 describe('a request that ran to its end', () => {
-  test('is sound, whatever its servers died of before and after', () => {
+  test('is sound, whatever its servers died of before', () => {
     const table = withThree();
     table.judge(4_000, list({}, 4_000));
     expect(table.noteWhole(4_000, 'f')).toBe(3);
     expect(table.isRefused(4_000, ['f'])).toBe(false);
-    expect(table.note(5_000, at('d'))).toBe(false);
+  });
+
+  test('is refused all the same once servers die under it afterwards', () => {
+    const table = new IncidentTable();
+    table.noteWhole(0, 'f');
+    ['a', 'b', 'c'].forEach((id) => table.note(1_000, at(id)));
+    expect(table.isRefused(1_000, ['f'])).toBe(true);
+  });
+
+  test('is not blamed by a late word of what happened before', () => {
+    const table = new IncidentTable();
+    table.noteWhole(2_000, 'f');
+    expect(table.note(2_500, at('a'), 1_000)).toBe(false);
+    expect(table.ranWholeSince(2_500, 'f', 1_000)).toBe(true);
+    expect(table.note(2_500, at('a'), 100)).toBe(true);
+    expect(table.ranWholeSince(2_500, 'f', 100)).toBe(false);
   });
 
   test('does not speak for others', () => {
