--- a/src/decisions/suspects/incident-table.ts
+++ b/src/decisions/suspects/incident-table.ts
@@ -16,7 +16,7 @@
 /** A server that died shows it in the list within this time, ms: three missed heartbeats. */
 const VERDICT_MS = 6_000;
 /** An incident counts for this long, ms. */
-export const INCIDENT_TTL_MS = 600_000;
+const INCIDENT_TTL_MS = 600_000;
 /** A late word of an incident that was cleared is ignored for this long, ms. */
 const CLEARED_TTL_MS = 30_000;
 /** Incidents that are kept; the oldest give way. */
@@ -41,7 +41,8 @@
   readonly cleared: readonly Incident[];
 }
 
-function runKey({ fingerprint, serverId, bornMs }: Incident): string {
+/** Tells one incident from all others. */
+export function incidentKey({ fingerprint, serverId, bornMs }: Incident): string {
   return `${fingerprint} ${serverId} ${bornMs}`;
 }
 
@@ -85,7 +86,7 @@
 
   /** Takes an incident in, seen here or told by others; true if it is new. */
   note(nowMs: number, incident: Incident, ageMs = 0): boolean {
-    const key = runKey(incident);
+    const key = incidentKey(incident);
     if (this.entries.has(key) || (this.clearedUntilMs.get(key) ?? 0) > nowMs) return false;
     if (ageMs >= INCIDENT_TTL_MS) return false;
     if (this.ranWholeSince(nowMs, incident.fingerprint, ageMs)) return false;
@@ -176,12 +177,12 @@
   }
 
   private clear(nowMs: number, incident: Incident): void {
-    this.clearedUntilMs.set(runKey(incident), nowMs + CLEARED_TTL_MS);
+    this.clearedUntilMs.set(incidentKey(incident), nowMs + CLEARED_TTL_MS);
     this.drop(incident);
   }
 
   private drop(incident: Incident): void {
-    const key = runKey(incident);
+    const key = incidentKey(incident);
     this.entries.delete(key);
     const keys = this.keysOf.get(incident.fingerprint);
     if ((keys?.size ?? 0) >= SHARED_FROM) this.sharedChanges += 1;
--- a/src/decisions/suspects/index.ts
+++ b/src/decisions/suspects/index.ts
@@ -7,7 +7,7 @@
  */
 
 export { RequestIdentity } from './request-identity.js';
-export { INCIDENT_TTL_MS, IncidentTable, SHARED_FROM, type Verdicts } from './incident-table.js';
+export { incidentKey, IncidentTable, SHARED_FROM, type Verdicts } from './incident-table.js';
 export * from './fingerprint.js';
 export * from './types.js';
 
--- a/src/entry/relay/incident-record.ts
+++ b/src/entry/relay/incident-record.ts
@@ -9,7 +9,7 @@
 import type { Clock } from '../../core/clock/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { Task } from '../../core/supervisor/index.js';
-import type { AgedIncident, Incident } from '../../decisions/suspects/index.js';
+import { type AgedIncident, type Incident, incidentKey } from '../../decisions/suspects/index.js';
 import { PlatformOutcome } from '../platform/index.js';
 import type { SharedIncidents } from './incident-teller.js';
 import type { RelayStore } from './types.js';
@@ -48,10 +48,7 @@
 }
 
 function keysOf(incidents: readonly Incident[]): string {
-  return incidents
-    .map(({ fingerprint, serverId, bornMs }) => `${fingerprint} ${serverId} ${bornMs}`)
-    .sort()
-    .join();
+  return incidents.map(incidentKey).sort().join();
 }
 
 export class IncidentRecordTask implements Task {
--- a/src/entry/relay/incident-teller.ts
+++ b/src/entry/relay/incident-teller.ts
@@ -1,5 +1,5 @@
 /** Tells an entry VM the incidents that all should know of, each once. */
-import type { AgedIncident } from '../../decisions/suspects/index.js';
+import { type AgedIncident, incidentKey } from '../../decisions/suspects/index.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
 
 /** The steward's incidents, as its entry VM keeps them. */
@@ -10,10 +10,6 @@
   shared(): readonly AgedIncident[];
 }
 
-function keyOf({ fingerprint, serverId, bornMs }: AgedIncident): string {
-  return `${fingerprint} ${serverId} ${bornMs}`;
-}
-
 export class IncidentTeller {
   private told: ReadonlySet<string> = new Set();
 
@@ -24,8 +20,8 @@
     if (incidents.sharedVersion === this.version) return null;
     this.version = incidents.sharedVersion;
     const shared = incidents.shared();
-    const unheard = shared.filter((incident) => !this.told.has(keyOf(incident)));
-    this.told = new Set(shared.map(keyOf));
+    const unheard = shared.filter((incident) => !this.told.has(incidentKey(incident)));
+    this.told = new Set(shared.map(incidentKey));
     if (unheard.length === 0) return null;
     return { type: RelayMessageType.incidents, incidents: unheard };
   }
