Soak: keep the logs and the servers' record of a seed that fails

A seed that fails now leaves the logs of its VMs and what its servers have seen (arrivals and ends of crashing requests, faults) and prints where.

--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -2,12 +2,13 @@
  * A randomized soak: real entry VMs before a store and backend servers on the platform's wire, under
  * faults drawn from a seed. It holds what callers and servers have seen against the promises.
  *
- * SOAK_SEEDS (comma-separated) and SOAK_FAULTS (faults a seed) play longer ones.
+ * SOAK_SEEDS (comma-separated) and SOAK_FAULTS (faults a seed) play longer ones. A seed that fails
+ * leaves the logs of its VMs and what its servers have seen.
  */
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import { afterAll, beforeAll, describe, expect, test } from 'vitest';
+import { afterAll, beforeAll, describe, expect, onTestFailed, test } from 'vitest';
 import * as clocks from '../../src/core/clock/index.js';
 import { createRandom, type Random } from '../../src/core/random/index.js';
 import { bundle } from '../../src/lab/fleet/bundle.js';
@@ -200,11 +201,22 @@
 
   beforeAll(() => bundle(program));
 
-  afterAll(() => fs.rmSync(folder, { recursive: true, force: true }));
+  let keepsFolder = false;
+
+  afterAll(() => {
+    if (!keepsFolder) fs.rmSync(folder, { recursive: true, force: true });
+  });
 
   test.each(SEEDS)('keeps its promises and serves again after them, seed %i', async (seed) => {
     const logs = fs.mkdtempSync(path.join(folder, `seed-${seed}-`));
     const soak = new Soak(seed, program, logs);
+    onTestFailed(() => {
+      keepsFolder = true;
+      const { arrivals, ends, faults } = soak.ledger;
+      const seen = { startedAtUnixMs: performance.timeOrigin, arrivals, ends, faults };
+      fs.writeFileSync(path.join(logs, 'seen.json'), JSON.stringify(seen, null, 1));
+      process.stderr.write(`seed ${seed}: logs are kept in ${logs}\n`);
+    });
     try {
       await soak.start();
       const played = await soak.play(FAULTS_PER_SEED);
