Start on every number that the platform may fill into the settings

Cause: the schema asked for integers where the platform writes any number, and the template built numbers out of text (8 and e3), which fails for a value in exponent form. Class: values of the platform that the settings schema narrows. Change: durations and numbers are taken as numbers or as text with a unit; relay.* fields are required where relaying is enabled, so that a file that lacks one is refused by its name. Test: test/properties/settings/platform-values.test.ts fills deploy/settings.toml with drawn values in several notations.

--- a/scripts/settings-docs.ts
+++ b/scripts/settings-docs.ts
@@ -14,13 +14,23 @@
   readonly default?: unknown;
   readonly description?: string;
   readonly properties?: Readonly<Record<string, JsonSchema>>;
+  readonly anyOf?: readonly JsonSchema[];
+  readonly oneOf?: readonly JsonSchema[];
+}
+
+function typeOf(field: JsonSchema): string {
+  if (field.enum !== undefined) return field.enum.join(' \\| ');
+  if (field.anyOf !== undefined) return field.anyOf.map(typeOf).join(' or ');
+  return field.type ?? '';
 }
 
 function rowsOf(schema: JsonSchema, prefix: string): readonly string[] {
   return Object.entries(schema.properties ?? {}).flatMap(([name, field]) => {
     const path = `${prefix}${name}`;
-    if (field.properties !== undefined) return rowsOf(field, `${path}.`);
-    const type = field.enum?.join(' \\| ') ?? field.type ?? '';
+    // The last of several forms is the fullest.
+    const nested = field.oneOf?.at(-1) ?? field;
+    if (nested.properties !== undefined) return rowsOf(nested, `${path}.`);
+    const type = typeOf(field);
     const fallback = field.default === undefined ? '' : `\`${JSON.stringify(field.default)}\``;
     return [`| \`${path}\` | ${type} | ${fallback} | ${field.description ?? ''} |`];
   });
@@ -30,7 +40,7 @@
 const node = z.toJSONSchema(nodeSchema, { io: 'input' }) as JsonSchema;
 const defaults: Readonly<Record<string, unknown>> = DEFAULT_VALUES;
 const nodeRows = Object.entries(node.properties ?? {}).map(([name, field]) => {
-  const type = field.enum?.join(' \\| ') ?? field.type ?? '';
+  const type = typeOf(field);
   const fallback = defaults[name] === undefined ? '' : `\`${JSON.stringify(defaults[name])}\``;
   const passedOn = (INHERITED_NAMES as readonly string[]).includes(name) ? 'yes' : 'no';
   return `| \`${name}\` | ${type} | ${fallback} | ${passedOn} | ${field.description ?? ''} |`;
--- a/src/cli/serve/index.ts
+++ b/src/cli/serve/index.ts
@@ -1,7 +1,7 @@
 /** `bilberrystand serve`: runs a daemon. */
 import { defineCommand } from 'citty';
 import { createLogger } from '../../core/logger/index.js';
-import { readSettings } from '../../core/settings/index.js';
+import { isRelay, readSettings } from '../../core/settings/index.js';
 import { startRelay } from '../../entry/relay/wire.js';
 import { startDaemon } from '../../entry/wire.js';
 import * as platform from '../../../platform/index.js';
@@ -19,7 +19,7 @@
       return;
     }
     const logger = createLogger(settings.value.vm.id, settings.value.log.level);
-    if (settings.value.relay.enabled) {
+    if (isRelay(settings.value)) {
       const relay = await startRelay(settings.value, platform.createWire(), logger);
       process.on('SIGTERM', () => {
         void relay.stop().then(() => process.exit(ExitCode.ok));
--- a/src/core/settings/index.ts
+++ b/src/core/settings/index.ts
@@ -4,10 +4,10 @@
 import { Result } from 'true-myth';
 import type { z } from 'zod';
 import * as errors from '../errors/index.js';
-import { type Settings, settingsSchema } from './types.js';
+import { type RelaySettings, type Settings, settingsSchema } from './types.js';
 
 export { settingsSchema } from './types.js';
-export type { Settings } from './types.js';
+export type { RelaySettings, Settings } from './types.js';
 
 /** All faults of a schema check as one text, a line each, every one with its path. */
 export function formatIssues(issues: readonly z.core.$ZodIssue[]): string {
@@ -32,6 +32,11 @@
   return parsed.success ? Result.ok(parsed.data) : fail(formatIssues(parsed.error.issues));
 }
 
+/** Whether these are the settings of a daemon that relays on the users' platform. */
+export function isRelay(settings: Settings): settings is RelaySettings {
+  return settings.relay.enabled;
+}
+
 /** Reads the settings file at `path`. */
 export function readSettings(path: string): Result<Settings, errors.Failure> {
   try {
--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -5,12 +5,75 @@
   .string()
   .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'must be an IPv4 address and port, as 10.0.0.1:8080');
 
+const MS_PER_S = 1000;
+/** A number in the notation of any template: 8, 0.25, 1e-05. */
+const NUMBER = String.raw`[+-]?\d+(?:\.\d+)?(?:[eE][+-]?\d+)?`;
+
+/** A number, or a text that a template has put one into. */
+const numeric = z
+  .union(
+    [
+      z.number(),
+      z
+        .string()
+        .regex(new RegExp(`^${NUMBER}$`))
+        .transform(Number),
+    ],
+    {
+      error: 'must be a number',
+    },
+  )
+  .pipe(z.number().min(0));
+
+/** A length of time in ms, or a text with its unit: "8 s", "250 ms". */
+const duration = z
+  .union(
+    [
+      z.number(),
+      z
+        .string()
+        .regex(new RegExp(`^${NUMBER} (?:ms|s)$`))
+        .transform((text) => {
+          const [amount = '', unit] = text.split(' ');
+          return Number(amount) * (unit === 's' ? MS_PER_S : 1);
+        }),
+    ],
+    { error: 'must be a time, as "8 s" or "250 ms"' },
+  )
+  .pipe(z.number().min(0));
+
+const relayOff = z.strictObject({
+  enabled: z.literal(false),
+});
+
+const relayOn = z.strictObject({
+  enabled: z
+    .literal(true)
+    .describe(
+      "Whether requests are relayed on the users' platform, by its own routes; not by default.",
+    ),
+  keyRevocationMs: duration.describe('Longest time that a withdrawn key may work, ms.'),
+  enginesCheckFences: z
+    .boolean()
+    .describe('Whether engines refuse orders with an old fencing number.'),
+  retries: z
+    .strictObject({
+      ratio: numeric.describe('Retries for each request of a window.'),
+      windowMs: duration.describe('Length of the window, ms.'),
+      slack: numeric.describe('Retries allowed besides, over all VMs.'),
+    })
+    .describe('Bound on the retries at a service, over all entry VMs.'),
+});
+
 export const settingsSchema = z.strictObject({
   vm: z
     .strictObject({
       id: z
         .string()
-        .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'must be lower-case letters, digits and dashes')
+        .regex(
+          /^[A-Za-z0-9][A-Za-z0-9._-]{0,252}$/,
+          'must be letters, digits, dots, dashes and underscores',
+        )
         .describe('Name of this entry VM, unique in the deployment.'),
       dataCentre: z.string().min(1).describe('Data centre that this entry VM is in.'),
     })
@@ -50,34 +113,12 @@
   stop: z
     .strictObject({
       noticeMs: z.int().min(0).default(2000).describe('Time for the balancer to notice, ms.'),
-      graceMs: z.int().min(0).default(120_000).describe('Longest wait for running requests, ms.'),
+      graceMs: duration.prefault(120_000).describe('Longest wait for running requests, ms.'),
     })
     .prefault({}),
   relay: z
-    .strictObject({
-      enabled: z
-        .boolean()
-        .default(false)
-        .describe("Whether requests are relayed on the users' platform, by its own routes."),
-      keyRevocationMs: z
-        .int()
-        .min(1000)
-        .default(5000)
-        .describe('Longest time that a withdrawn key may work, ms.'),
-      enginesCheckFences: z
-        .boolean()
-        .default(false)
-        .describe('Whether engines refuse orders with an old fencing number.'),
-      retries: z
-        .strictObject({
-          ratio: z.number().min(0).default(0.1).describe('Retries for each request of a window.'),
-          windowMs: z.int().min(1000).default(10_000).describe('Length of the window, ms.'),
-          slack: z.int().min(0).default(20).describe('Retries allowed besides, over all VMs.'),
-        })
-        .prefault({})
-        .describe('Bound on the retries at a service, over all entry VMs.'),
-    })
-    .prefault({})
+    .discriminatedUnion('enabled', [relayOff, relayOn])
+    .default({ enabled: false })
     .describe("Relaying on the users' platform."),
   log: z
     .strictObject({
@@ -88,3 +129,5 @@
 
 /** Settings of a daemon, checked and complete. */
 export type Settings = z.infer<typeof settingsSchema>;
+/** Settings of a daemon that relays on the users' platform. */
+export type RelaySettings = Settings & { readonly relay: z.infer<typeof relayOn> };
--- a/src/decisions/retries/retry-window.ts
+++ b/src/decisions/retries/retry-window.ts
@@ -12,6 +12,8 @@
 const UNKNOWN_MEMBERS = 400;
 /** Spans into which a window is cut; one more is kept, so that what counts is never forgotten. */
 const SPANS = 20;
+/** A shorter window than this is taken for one of this length, ms. */
+const SHORTEST_WINDOW_MS = 100;
 /** Part of the bound that is used: servers may see an arrival in a later window. */
 const USED_PART = 0.9;
 
@@ -44,7 +46,7 @@
     private readonly bound: RetryBound,
     startedAtMs: number,
   ) {
-    this.spanMs = bound.windowMs / SPANS;
+    this.spanMs = Math.max(SHORTEST_WINDOW_MS, bound.windowMs) / SPANS;
     this.fixedFrom = Math.floor(startedAtMs / this.spanMs) + SPANS + 1;
   }
 
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -5,7 +5,7 @@
 import type { Logger } from '../../core/logger/index.js';
 import { createMetrics } from '../../core/metrics/index.js';
 import { createRandom } from '../../core/random/index.js';
-import type { Settings } from '../../core/settings/index.js';
+import type { RelaySettings } from '../../core/settings/index.js';
 import { createSupervisor } from '../../core/supervisor/index.js';
 import { RetryWindow } from '../../decisions/retries/index.js';
 import * as stopRules from '../../decisions/stopping/index.js';
@@ -47,7 +47,7 @@
 
 /** Creates and starts the daemon. */
 export async function startRelay(
-  settings: Settings,
+  settings: RelaySettings,
   wire: PlatformWire,
   logger: Logger,
 ): Promise<Relay> {
--- /dev/null
+++ b/test/properties/settings/platform-values.test.ts
@@ -0,0 +1,120 @@
+/** The settings that the users' platform fills in: whatever its pages allow is taken. */
+import * as fs from 'node:fs';
+import * as fc from 'fast-check';
+import { describe, expect, test } from 'vitest';
+import { isRelay, parseSettings } from '../../../src/core/settings/index.js';
+import { RetryWindow } from '../../../src/decisions/retries/index.js';
+import { takesRequest } from '../../../src/decisions/stopping/index.js';
+
+const TEMPLATE = fs.readFileSync('deploy/settings.toml', 'utf8');
+
+/** A value as the platform writes it: numbers have several notations. */
+type Fields = Readonly<Record<string, string>>;
+
+const SOUND: Fields = {
+  node: 'edge-costa-a-1',
+  zone: 'costa-a',
+  ip: '10.1.0.25',
+  'listen.front': '10.1.0.25:8221',
+  'listen.ready': '10.1.0.25:8224',
+  'port_range.0': '7600',
+  'platform.address': '10.200.1.7:8225',
+  'bounds.grace_s': '8',
+  'bounds.revoke_ms': '5000',
+  'bounds.require_fence': 'true',
+  'bounds.budget_ratio': '0.2',
+  'bounds.budget_window_s': '10',
+  'bounds.budget_slack': '52',
+};
+
+function fill(fields: Fields): string {
+  return TEMPLATE.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_, name: string, json?: string) => {
+    const value = fields[name] ?? '';
+    return json === undefined ? value : JSON.stringify(value);
+  });
+}
+
+function faultsOf(fields: Fields): string {
+  const settings = parseSettings(fill(fields), 'node.yaml');
+  return settings.isOk ? '' : `${settings.error.message} ${settings.error.hint}`;
+}
+
+const notation = fc.constantFrom(
+  (value: number) => String(value),
+  (value: number) => value.toFixed(3),
+  (value: number) => value.toExponential(),
+);
+const bound = fc
+  .tuple(
+    fc.oneof(
+      fc.nat(),
+      fc.double({ min: 0, max: 1e21, noNaN: true }),
+      fc.constantFrom(0, 0.2, 430.5, 7_333.3, 1e-7),
+    ),
+    notation,
+  )
+  .map(([value, write]) => write(value));
+const NUMBERS = [
+  'bounds.grace_s',
+  'bounds.revoke_ms',
+  'bounds.budget_ratio',
+  'bounds.budget_window_s',
+  'bounds.budget_slack',
+];
+
+describe('settings that the platform fills in', () => {
+  test('a fleet whose retries are bounded by a fraction starts', () => {
+    expect(faultsOf({ ...SOUND, 'bounds.budget_slack': '138.5' })).toBe('');
+  });
+
+  test('every value that the pages allow starts the program', () => {
+    fc.assert(
+      fc.property(
+        fc.tuple(...NUMBERS.map(() => bound)),
+        fc.constantFrom('true', 'false'),
+        fc.stringMatching(/^[A-Za-z0-9][A-Za-z0-9._-]{0,80}$/),
+        fc.string({ minLength: 1 }),
+        (bounds, fences, node, zone) => {
+          const drawn = Object.fromEntries(NUMBERS.map((name, at) => [name, bounds[at] ?? '']));
+          const fields = { ...SOUND, ...drawn, 'bounds.require_fence': fences, node, zone };
+          const settings = parseSettings(fill(fields), 'node.yaml').unwrapOrElse((failure) => {
+            throw new Error(failure.message);
+          });
+          if (!isRelay(settings)) throw new Error('does not relay');
+          const window = new RetryWindow(settings.relay.retries, 0);
+          window.noteRequest(1, 'desk');
+          window.spend(2, 'desk');
+          takesRequest(1, settings.stop.graceMs, true);
+        },
+      ),
+      { seed: 16 },
+    );
+  });
+
+  test.each(NUMBERS)('%s is refused by its own name where it is missing or no number', (name) => {
+    const setting = {
+      'bounds.grace_s': 'stop.graceMs',
+      'bounds.revoke_ms': 'relay.keyRevocationMs',
+      'bounds.budget_ratio': 'relay.retries.ratio',
+      'bounds.budget_window_s': 'relay.retries.windowMs',
+      'bounds.budget_slack': 'relay.retries.slack',
+    }[name];
+    ['', '-1', 'NaN', 'some', 'Infinity', '{}'].forEach((value) => {
+      expect(faultsOf({ ...SOUND, [name]: value })).toContain(setting);
+    });
+  });
+
+  test.each(['keyRevocationMs', 'enginesCheckFences', 'slack', 'callers', 'address'])(
+    'a file that lacks or doubles %s is refused with its name',
+    (name) => {
+      const lines = fill(SOUND).split('\n');
+      const isField = (line: string) => line.startsWith(`${name} = `);
+      const lacking = lines.filter((line) => !isField(line)).join('\n');
+      const doubled = lines.flatMap((line) => (isField(line) ? [line, line] : [line])).join('\n');
+      [lacking, doubled].forEach((text) => {
+        const settings = parseSettings(text, 'node.yaml');
+        expect(settings.isErr && settings.error.message).toContain(name);
+      });
+    },
+  );
+});
