Soak: count late arrivals of a crashing request as the rule on retries does

Trace: all VMs are killed while the store is silent, so nobody can keep what was learnt; every late arrival comes from a VM that was started 0.6 to 2.6 s before. RULES.md (BUDGET, In touch): only arrivals from machines count whose processes ran and whose store was stable for the whole of stable_window_ms. The tests of test/failures count all arrivals as before.

--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -41,6 +41,9 @@
 export class SoakStore {
   mood: StoreMood = StoreMood.well;
 
+  /** Spans in which the store did not behave well. */
+  private readonly unrest: { readonly fromMs: number; readonly toMs: number }[] = [];
+
   private revision = 1;
 
   private readonly objects = new Map<string, StoredObject>();
@@ -59,6 +62,20 @@
     void this.answer(req, res);
   });
 
+  /** The store behaves otherwise for `ms`; resolves once it behaves well again. */
+  async beMoody(mood: StoreMood, ms: number): Promise<void> {
+    const fromMs = performance.now();
+    this.mood = mood;
+    await clocks.sleep(ms);
+    this.mood = StoreMood.well;
+    this.unrest.push({ fromMs, toMs: performance.now() });
+  }
+
+  /** Whether the store behaved well between two moments. */
+  wasCalm(fromMs: number, toMs: number): boolean {
+    return !this.unrest.some((span) => span.fromMs <= toMs && span.toMs >= fromMs);
+  }
+
   async start(): Promise<string> {
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -51,6 +51,9 @@
 
   private exited: Promise<void> = Promise.resolve();
 
+  /** When the process was started, stopped or frozen, and woken again. */
+  private readonly disturbedAtMs: number[] = [];
+
   private constructor(
     readonly name: string,
     readonly callers: string,
@@ -96,8 +99,14 @@
     return new SoakVm(name, callers, admin, bundle, folder);
   }
 
+  /** Whether the process ran undisturbed between two moments. */
+  wasCalm(fromMs: number, toMs: number): boolean {
+    return !this.disturbedAtMs.some((atMs) => atMs >= fromMs && atMs <= toMs);
+  }
+
   /** Starts the process; it may not be ready yet. */
   start(): void {
+    this.disturbedAtMs.push(performance.now());
     const log = fs.openSync(path.join(this.folder, `${this.name}.log`), 'a');
     const settings = path.join(this.folder, `${this.name}.toml`);
     const child = spawn(process.execPath, [this.bundle, 'serve', '--settings', settings], {
@@ -111,6 +120,7 @@
   }
 
   signal(signal: NodeJS.Signals): void {
+    this.disturbedAtMs.push(performance.now());
     this.child?.kill(signal);
   }
 
