Leave the steward's lease to a standing heir, and let stopping VMs follow the new steward

Cause: a takeover needed the store. A stop with a renewal under way only dropped the lease, and the answer to the renewal gave it back to the VM that stops (LeaseKeeper.release and hold); the task that follows the lease ended with the stop, so that a stopping VM never learnt of a successor. Ruled out: a shorter lease (renewals are priced, and a slow store still costs two calls), a successor written at the stop (needs the store in its worst moment). Change: each renewal names an heir with a fencing number of its own. The heir goes on at once when the holder gives up, refuses connections or says that it has no office, for what is left of the lease on the heir's own clock, and confirms it in the store meanwhile. Others follow the heir; they take the lease only once it ran out, or once the heir has said that it will not act. A stopping VM takes no lease, and follows stewards to its end. Lines steward-found and steward-lost at level info.

--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -3,6 +3,10 @@
  *
  * The holder counts the lease from before it sent the renewing call. Others count from when they
  * last saw the version change, plus a margin; so the lease lapses for its holder first.
+ *
+ * A lease names an heir with a fencing number of its own. When the holder has ended or given the
+ * lease up, the heir goes on at once with what is left of it, and confirms that in the store meanwhile.
+ * Nobody else takes the lease before it has run out, unless the heir has ended too.
  */
 import {
   type Lease,
@@ -10,10 +14,14 @@
   LeaseEffectType,
   type LeaseEvent,
   LeaseEventType,
+  type HeirTerm,
+  type LeaseHeir,
+  type LeasePost,
   type LeaseSettings,
-  type LeaseSuccessor,
+  type ToldLease,
 } from './types.js';
 
+export { type HeirCandidate, HeirChoice } from './heir.js';
 export * from './types.js';
 
 /** The lease is renewed when this part of it has passed. */
@@ -35,6 +43,20 @@
   /** Note of the lease that it replaces. */
   readonly noteBefore: unknown;
   readonly sentAtMs: number;
+  /** Version that it replaces. */
+  readonly version: number;
+}
+
+/** A lease that this entry VM is heir to. */
+interface Inheritance {
+  readonly lease: Lease;
+  readonly heir: LeaseHeir;
+  readonly untilMs: number;
+}
+
+/** The first fencing number that neither the holder nor any heir of a lease has had. */
+function epochAfter(lease: Lease | null): number {
+  return Math.max(lease?.epoch ?? 0, lease?.heir?.epoch ?? 0) + 1;
 }
 
 export class LeaseKeeper {
@@ -53,6 +75,9 @@
   /** Latest epoch that was ever held here. */
   private lastEpoch = 0;
 
+  /** Latest fencing number that an heir of this VM's leases was given. */
+  private lastHeirEpoch = 0;
+
   private pending: PendingWrite | null = null;
 
   /** One call at a time, so that no answer is taken for that of another call. */
@@ -62,8 +87,15 @@
 
   private stopping = false;
 
-  /** Epoch whose holder's process has ended, so that its lease need not run out. */
-  private goneEpoch: number | null = null;
+  /** Nobody acts under this epoch or an earlier one, so that their lease need not run out. */
+  private goneEpoch = 0;
+
+  private inheritance: Inheritance | null = null;
+
+  private renouncedAtMs = -Infinity;
+
+  /** Whether the lease is held by inheritance and the store does not show it yet. */
+  private unconfirmed = false;
 
   constructor(private readonly cfg: LeaseSettings) {}
 
@@ -82,22 +114,37 @@
     return this.seen?.holder ?? null;
   }
 
-  /** Where its peers reach the holder, as last seen. */
-  get holderAddress(): string | null {
-    return this.seen?.address ?? null;
+  /** Who acts under the lease as last seen: its holder, or its heir once the holder is gone. */
+  get post(): LeasePost | null {
+    const { seen } = this;
+    if (seen === null) return null;
+    const { holder, address, epoch, heir } = seen;
+    if (heir !== undefined && epoch <= this.goneEpoch && heir.epoch > this.goneEpoch) {
+      return { vm: heir.vm, address: heir.address, fence: heir.epoch };
+    }
+    if (holder === null || address === undefined) return null;
+    return { vm: holder, address, fence: epoch };
+  }
+
+  /**
+   * Says that this entry VM will not act under any epoch that others may know of.
+   * @returns False where it may.
+   */
+  renounce(nowMs: number): boolean {
+    const mayInherit = this.inheritance !== null && nowMs < this.inheritance.untilMs;
+    const mayAct = !this.stopping && (this.pending !== null || mayInherit);
+    if (this.holds(nowMs) || mayAct) return false;
+    // A word that names it heir may still be on its way.
+    this.renouncedAtMs = nowMs;
+    return true;
   }
 
   /** The lease that is held, for telling others. */
-  held(nowMs: number): { lease: Lease; version: number; leftMs: number } | null {
+  held(nowMs: number): ToldLease | null {
     if (!this.holds(nowMs) || this.seen === null) return null;
     return { lease: this.seen, version: this.version, leftMs: this.heldUntilMs - nowMs };
   }
 
-  /** Fencing number of the lease as last seen. */
-  get seenEpoch(): number {
-    return this.seen?.epoch ?? 0;
-  }
-
   handle(nowMs: number, event: LeaseEvent): readonly LeaseEffect[] {
     if (!NOT_ANSWERS.has(event.type)) this.calling = false;
     const lost = this.dropLapsed(nowMs);
@@ -115,18 +162,17 @@
       case LeaseEventType.written:
         return this.noteWritten(nowMs, event.version);
       case LeaseEventType.conflict:
-        this.pending = null;
-        return [...this.drop(), ...this.read(nowMs)];
+        return this.noteConflict(nowMs);
       case LeaseEventType.writeUnknown:
         return this.read(nowMs);
       case LeaseEventType.release:
-        return this.release(nowMs, event.successor);
+        return this.release(nowMs);
       case LeaseEventType.holderGone:
-        this.goneEpoch = event.epoch;
+        this.goneEpoch = Math.max(this.goneEpoch, event.epoch);
         this.nextCallAtMs = Math.min(this.nextCallAtMs, nowMs);
-        return [];
+        return this.inherit(nowMs);
       case LeaseEventType.told:
-        return this.noteTold(nowMs, event.lease, event.version, event.leftMs);
+        return this.noteTold(nowMs, event, event.heirTerm);
       case LeaseEventType.renewSoon:
         if (this.holds(nowMs)) this.nextCallAtMs = Math.min(this.nextCallAtMs, nowMs);
         return [];
@@ -153,22 +199,49 @@
     const { self: holder, address, durationMs } = this.cfg;
     const noteBefore = this.seen?.note;
     const note = this.cfg.note?.(noteBefore);
-    const lease: Lease = { holder, address, epoch, durationMs, renewal, note };
+    const heir = this.nextHeir(epoch);
+    const lease: Lease = { holder, address, epoch, durationMs, renewal, heir, note };
     this.calling = true;
-    this.pending = { lease, noteBefore, sentAtMs: nowMs };
+    this.pending = { lease, noteBefore, sentAtMs: nowMs, version: this.version };
     this.nextCallAtMs = nowMs + durationMs * RENEW_AFTER;
     return [{ type: LeaseEffectType.write, lease, version: this.version }];
   }
 
+  /** The heir of the next write. Who is named anew gets a fencing number that nobody has had. */
+  private nextHeir(epoch: number): LeaseHeir | undefined {
+    const named = this.cfg.heir?.() ?? null;
+    if (named === null) return undefined;
+    const before = this.seen?.heir;
+    if (before?.vm === named.vm && before.epoch > epoch) return { ...named, epoch: before.epoch };
+    this.lastHeirEpoch = Math.max(epoch, this.lastHeirEpoch) + 1;
+    return { ...named, epoch: this.lastHeirEpoch };
+  }
+
+  private noteConflict(nowMs: number): readonly LeaseEffect[] {
+    const { pending } = this;
+    this.pending = null;
+    // Only a renewal of the holder before can have come between; another holder shows in the read.
+    const isHeir = this.unconfirmed && this.holds(nowMs);
+    if (!isHeir) return [...this.drop(), ...this.read(nowMs)];
+    const knowsNewer = pending !== null && this.version > pending.version;
+    return knowsNewer ? this.write(nowMs, this.heldEpoch) : this.read(nowMs);
+  }
+
   private noteRead(nowMs: number, lease: Lease | null, version: number): readonly LeaseEffect[] {
-    if (version !== this.version || this.seen === null) this.changedAtMs = nowMs;
+    const isSame = version === this.version && this.seen !== null;
+    if (!isSame) this.changedAtMs = nowMs;
     this.version = version;
-    this.seen = lease;
     const { pending } = this;
     this.pending = null;
     if (pending !== null && lease !== null && this.isOwn(lease, pending.lease)) {
+      this.seen = lease;
       return this.hold(nowMs, pending);
     }
+    if (this.unconfirmed && this.holds(nowMs) && (lease?.epoch ?? 0) < this.heldEpoch) {
+      return this.write(nowMs, this.heldEpoch);
+    }
+    // What was told of this version may be newer: the heir goes on before it writes.
+    if (!isSame || (lease?.epoch ?? 0) > (this.seen?.epoch ?? 0)) this.seen = lease;
     if (lease !== null && lease.holder === this.cfg.self && lease.epoch === this.heldEpoch)
       return [];
     return [...this.drop(), ...this.takeIfFree(nowMs, lease)];
@@ -177,16 +250,62 @@
   /** What the holder says spares a read, and dates the lease from its renewal. */
   private noteTold(
     nowMs: number,
-    lease: Lease,
-    version: number,
-    leftMs: number,
+    { lease, version, leftMs }: ToldLease,
+    term: HeirTerm | undefined,
   ): readonly LeaseEffect[] {
-    if (this.calling || this.holds(nowMs) || version <= this.version) return [];
+    if (this.holds(nowMs)) {
+      this.noteLanded(lease, version, term);
+      return [];
+    }
+    this.noteInheritance(lease, term);
+    const isNews =
+      version > this.version || (version === this.version && lease.epoch > (this.seen?.epoch ?? 0));
+    if (this.calling || !isNews) return this.inherit(nowMs);
     this.version = version;
     this.seen = lease;
     this.changedAtMs = nowMs - Math.max(0, lease.durationMs - leftMs);
-    const isSuccessor = lease.holder === this.cfg.self && !this.stopping;
-    return isSuccessor ? this.write(nowMs, lease.epoch + 1) : [];
+    return this.inherit(nowMs);
+  }
+
+  private noteInheritance(lease: Lease, term: HeirTerm | undefined): void {
+    const { heir } = lease;
+    if (heir?.vm !== this.cfg.self || term === undefined) return;
+    if (term.fromMs <= this.renouncedAtMs) return;
+    const known = this.inheritance;
+    if (known !== null && known.heir.epoch > heir.epoch) return;
+    const isLater = known?.heir.epoch !== heir.epoch || term.untilMs > known.untilMs;
+    if (isLater) this.inheritance = { lease, heir, untilMs: term.untilMs };
+  }
+
+  /** The holder before tells the heir that its last renewal has taken effect after all. */
+  private noteLanded(lease: Lease, version: number, term: HeirTerm | undefined): void {
+    const isOurs = lease.heir?.vm === this.cfg.self && lease.heir.epoch === this.heldEpoch;
+    if (!this.unconfirmed || !isOurs || term === undefined) return;
+    this.version = Math.max(this.version, version);
+    this.heldUntilMs = Math.max(this.heldUntilMs, term.untilMs);
+  }
+
+  /** Goes on with the lease of a holder that is gone, for what is left of it. */
+  private inherit(nowMs: number): readonly LeaseEffect[] {
+    const { inheritance } = this;
+    if (inheritance === null || this.stopping || this.holds(nowMs)) return [];
+    const { lease, heir, untilMs } = inheritance;
+    const isDue = lease.epoch <= this.goneEpoch && heir.epoch > this.goneEpoch;
+    const isPast = heir.epoch <= this.lastEpoch || heir.epoch < (this.seen?.epoch ?? 0);
+    const isLate = nowMs >= untilMs || isPast;
+    if (!isDue || isLate) return [];
+    this.inheritance = null;
+    this.unconfirmed = true;
+    this.heldUntilMs = untilMs;
+    this.heldEpoch = heir.epoch;
+    this.lastEpoch = heir.epoch;
+    const { self: holder, address } = this.cfg;
+    this.seen = { ...lease, holder, address, epoch: heir.epoch, heir: undefined };
+    this.nextCallAtMs = nowMs;
+    return [
+      { type: LeaseEffectType.acquired, epoch: heir.epoch, note: lease.note },
+      { type: LeaseEffectType.noted, note: lease.note },
+    ];
   }
 
   private isOwn(lease: Lease, written: Lease): boolean {
@@ -199,14 +318,21 @@
 
   private takeIfFree(nowMs: number, lease: Lease | null): readonly LeaseEffect[] {
     if (this.stopping) return [];
-    if (lease === null || lease.holder === null) return this.write(nowMs, (lease?.epoch ?? 0) + 1);
-    const isOver = lease.holder === this.cfg.self || lease.epoch === this.goneEpoch;
+    if (lease === null || lease.holder === null) return this.write(nowMs, epochAfter(lease));
+    // A lease of this VM's process before: it does not act under it any more.
+    const isFormer = lease.holder === this.cfg.self && lease.epoch > this.lastEpoch;
+    if (isFormer) this.goneEpoch = Math.max(this.goneEpoch, lease.epoch);
+    // An heir goes on for no longer than the holder would have.
+    const isLapsedHere = lease.holder === this.cfg.self && !isFormer;
+    const othersHeir = lease.heir?.vm === this.cfg.self ? undefined : lease.heir;
+    const isOver = isLapsedHere || (othersHeir?.epoch ?? lease.epoch) <= this.goneEpoch;
     const freeAtMs = this.changedAtMs + lease.durationMs + this.cfg.marginMs;
     if (nowMs < freeAtMs && !isOver) {
       this.nextCallAtMs = Math.min(this.nextCallAtMs, freeAtMs);
       return [];
     }
-    return this.write(nowMs, lease.epoch + 1);
+    this.inheritance = null;
+    return this.write(nowMs, epochAfter(lease));
   }
 
   private noteWritten(nowMs: number, version: number): readonly LeaseEffect[] {
@@ -224,9 +350,11 @@
     { lease, noteBefore, sentAtMs }: PendingWrite,
   ): readonly LeaseEffect[] {
     if (lease.holder !== this.cfg.self) return [];
+    if (this.stopping) return this.leave(lease, sentAtMs + lease.durationMs);
+    this.unconfirmed = false;
     // A lease that lapsed before its renewal was confirmed goes on under a new fencing number.
     const lapsed = !this.holds(nowMs) && lease.epoch <= this.lastEpoch;
-    if (lapsed) return this.write(nowMs, lease.epoch + 1);
+    if (lapsed) return this.write(nowMs, epochAfter(lease));
     const isNew = this.heldEpoch !== lease.epoch || !this.holds(nowMs);
     this.heldUntilMs = sentAtMs + lease.durationMs;
     this.heldEpoch = lease.epoch;
@@ -245,20 +373,34 @@
     if (this.heldUntilMs === 0) return [];
     this.heldUntilMs = 0;
     this.heldEpoch = 0;
+    this.unconfirmed = false;
     return [{ type: LeaseEffectType.lost }];
   }
 
-  private release(nowMs: number, successor?: LeaseSuccessor): readonly LeaseEffect[] {
+  private release(nowMs: number): readonly LeaseEffect[] {
     this.stopping = true;
-    if (!this.holds(nowMs) || this.pending !== null) return this.drop();
-    const lease: Lease = {
-      holder: successor?.vm ?? null,
-      address: successor?.address,
-      epoch: this.heldEpoch,
+    const held = this.holds(nowMs) ? this.seen : null;
+    if (held !== null) this.goneEpoch = Math.max(this.goneEpoch, this.heldEpoch);
+    const lost = this.drop();
+    // The answer to a renewal under way decides what is left.
+    if (held === null || this.pending !== null || this.calling) return lost;
+    return [...lost, ...this.leave(held, nowMs)];
+  }
+
+  /** Leaves the lease to its heir; without one, to anybody. */
+  private leave(lease: Lease, untilMs: number): readonly LeaseEffect[] {
+    const { version } = this;
+    if (lease.heir !== undefined) {
+      return [{ type: LeaseEffectType.landed, lease, version, untilMs }];
+    }
+    const free: Lease = {
+      holder: null,
+      epoch: lease.epoch,
       durationMs: this.cfg.durationMs,
-      note: this.cfg.note?.(this.seen?.note),
-      renewal: (this.seen?.renewal ?? 0) + 1,
+      note: this.cfg.note?.(lease.note),
+      renewal: lease.renewal + 1,
     };
-    return [...this.drop(), { type: LeaseEffectType.write, lease, version: this.version }];
+    this.calling = true;
+    return [{ type: LeaseEffectType.write, lease: free, version }];
   }
 }
--- a/src/entry/relay/lease-task.ts
+++ b/src/entry/relay/lease-task.ts
@@ -3,14 +3,16 @@
 import type { Logger } from '../../core/logger/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import {
-  type Lease,
   type LeaseEffect,
   LeaseEffectType,
   type LeaseEvent,
   LeaseEventType,
+  type LeaseHeir,
   LeaseKeeper,
-  type LeaseSuccessor,
+  type LeasePost,
   leaseSchema,
+  type HeirTerm,
+  type ToldLease,
 } from '../../decisions/leases/index.js';
 import { PlatformOutcome } from '../platform/index.js';
 import type { RelayStore } from './types.js';
@@ -20,19 +22,8 @@
 /** A lease that lapsed is used on when the store named this VM as its holder this lately, ms. */
 const OWN_SEEN_MS = 1_500;
 
-/** What a holder tells the others of its lease. */
-export interface ToldLease {
-  readonly lease: Lease;
-  readonly version: number;
-  readonly leftMs: number;
-}
-
-/** Who is steward, as far as this entry VM knows. */
-export interface StewardPost {
-  readonly vm: string;
-  readonly address: string;
-  readonly fence: number;
-}
+/** A renewal that took effect after the lease was given up. */
+export type LandedLease = Extract<LeaseEffect, { type: typeof LeaseEffectType.landed }>;
 
 export interface LeaseTaskOptions {
   readonly vm: string;
@@ -49,6 +40,10 @@
   note(before: unknown): unknown;
   /** A note has been written. */
   noted(note: unknown): void;
+  /** Who goes on should this VM end; null for nobody. */
+  heir(): Omit<LeaseHeir, 'epoch'> | null;
+  /** Tells the heir of a renewal that took effect after the lease was given up. */
+  tellLanded(landed: LandedLease): void;
   /** Whether engines refuse old fencing numbers, so that a lapsed lease may be used on. */
   enginesCheckFences(): boolean;
 }
@@ -79,7 +74,8 @@
   constructor(private readonly opts: LeaseTaskOptions) {
     const { vm, address, durationMs, marginMs } = opts;
     const note = (before: unknown) => opts.note(before);
-    this.keeper = new LeaseKeeper({ self: vm, address, durationMs, marginMs, note });
+    const heir = () => opts.heir();
+    this.keeper = new LeaseKeeper({ self: vm, address, durationMs, marginMs, note, heir });
   }
 
   /** Fencing number to order with at this very moment; 0 for none. */
@@ -93,11 +89,14 @@
     return this.actingFence;
   }
 
-  /** The steward as last seen in the store; null where there is none. */
-  post(): StewardPost | null {
-    const { holder, holderAddress, seenEpoch } = this.keeper;
-    if (holder === null || holderAddress === null) return null;
-    return { vm: holder, address: holderAddress, fence: seenEpoch };
+  /** Who is steward, as far as this entry VM knows; null where there is none. */
+  post(): LeasePost | null {
+    return this.keeper.post;
+  }
+
+  /** Says that this VM will not act as a steward that others may know of; false where it may. */
+  renounce(): boolean {
+    return this.fence() === 0 && this.keeper.renounce(this.opts.clock.nowMs());
   }
 
   /** Another steward with this fencing number was heard of. */
@@ -110,9 +109,12 @@
     return this.keeper.held(this.opts.clock.nowMs());
   }
 
-  /** The steward said what it has written. */
-  noteTold(told: ToldLease): void {
-    this.handle({ type: LeaseEventType.told, ...told });
+  /**
+   * A steward said what it has written.
+   * @param heirTerm How long this VM may go on, if it is the heir.
+   */
+  noteTold({ lease, version, leftMs }: ToldLease, heirTerm?: HeirTerm): void {
+    this.handle({ type: LeaseEventType.told, lease, version, leftMs, heirTerm });
   }
 
   /** The note has changed and should be written now. */
@@ -120,9 +122,9 @@
     this.handle({ type: LeaseEventType.renewSoon });
   }
 
-  /** The steward's address refuses connections: its process has ended. */
-  noteGone(post: StewardPost): void {
-    this.handle({ type: LeaseEventType.holderGone, epoch: post.fence });
+  /** Nobody is steward under this fencing number any more. */
+  noteGone(fence: number): void {
+    this.handle({ type: LeaseEventType.holderGone, epoch: fence });
   }
 
   async start(): Promise<void> {
@@ -133,18 +135,10 @@
     if (this.timer !== null) clearInterval(this.timer);
   }
 
-  /** Gives the lease up, for a planned stop. Resolves with what is told to the others, if known. */
-  async handOver(successor?: LeaseSuccessor): Promise<ToldLease | null> {
+  /** Gives the lease up for good, for a planned stop; the steward is followed on. */
+  release(): void {
     this.actingFence = 0;
-    await this.stop();
-    const nowMs = this.opts.clock.nowMs();
-    const effects = this.keeper.handle(nowMs, { type: LeaseEventType.release, successor });
-    const write = effects.find((effect) => effect.type === LeaseEffectType.write);
-    if (write === undefined) return null;
-    const answer = await this.opts.store.write(LEASE_KEY, write.lease, write.version);
-    if (answer.type !== PlatformOutcome.ok) return null;
-    const leftMs = write.lease.durationMs;
-    return { lease: write.lease, version: answer.version, leftMs };
+    this.handle({ type: LeaseEventType.release });
   }
 
   private tick(): void {
@@ -191,6 +185,9 @@
         this.noteLeft = effect.note;
         this.opts.logger.info('lease-acquired', { fence: effect.epoch });
         break;
+      case LeaseEffectType.landed:
+        this.opts.tellLanded(effect);
+        break;
       default:
         this.opts.logger.info('lease-lost', { fence: this.actingFence, goesOn: this.mayGoOn() });
     }
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -1,11 +1,12 @@
 /** Messages between the entry VMs and the steward. Unknown fields are dropped. */
 import { z } from 'zod';
-import { leaseSchema } from '../../decisions/leases/index.js';
+import { heirTermSchema, leaseSchema } from '../../decisions/leases/index.js';
 
 export const RelayMessageType = {
   report: 'report',
   ask: 'ask',
   welcome: 'welcome',
+  noOffice: 'no-office',
   view: 'view',
   grant: 'grant',
   lent: 'lent',
@@ -106,6 +107,12 @@
     units: z.number(),
   }),
   z.object({ type: z.literal(RelayMessageType.welcome), vm: z.string(), fence: z.int() }),
+  /** The VM that was dialled is no steward. */
+  z.object({
+    type: z.literal(RelayMessageType.noOffice),
+    /** Whether it will not act under any fencing number that others may know of. */
+    isIdle: z.boolean(),
+  }),
   /** Engines that changed; all of them when `whole`. */
   z.object({
     type: z.literal(RelayMessageType.view),
@@ -148,12 +155,16 @@
     /** Time until an ask may succeed, ms, where nothing was lent; null if never. */
     waitMs: z.number().nullable(),
   }),
-  /** The steward's lease, each time that it is renewed. */
+  /** The steward's lease, each time that it is renewed, and when it is given up. */
   z.object({
     type: z.literal(RelayMessageType.lease),
     lease: leaseSchema,
     version: z.int(),
     leftMs: z.number(),
+    /** Told to the heir alone. */
+    heirTerm: heirTermSchema.optional(),
+    /** The steward has given the lease up and will not act under it any more. */
+    isGivenUp: z.boolean(),
   }),
   /** Runs of requests that did not come to their end. */
   z.object({ type: z.literal(RelayMessageType.incidents), incidents: z.array(incidentSchema) }),
--- a/src/entry/relay/steward-link.ts
+++ b/src/entry/relay/steward-link.ts
@@ -5,7 +5,7 @@
 import type { Logger } from '../../core/logger/index.js';
 import * as frames from '../../core/messages/index.js';
 import { type RelayMessage, RelayMessageType, relayMessageSchema } from './messages.js';
-import type { StewardPost } from './lease-task.js';
+import type { LeasePost } from '../../decisions/leases/index.js';
 
 const CONNECT_TIMEOUT_MS = 500;
 /** A steward that said nothing for this long is not heard, ms: it speaks every 250 ms. */
@@ -18,9 +18,9 @@
 export interface LinkEvents {
   message(message: RelayMessage): void;
   /** A new connection holds: nothing that was said before counts. */
-  connected(post: StewardPost): void;
-  /** The steward's process has ended. */
-  gone(post: StewardPost): void;
+  connected(post: LeasePost): void;
+  /** Nobody is steward under this post any more: its process has ended, or has no office. */
+  gone(post: LeasePost): void;
 }
 
 /** Reads frames from a socket; a frame that can't be read ends the connection. */
@@ -59,7 +59,7 @@
 export class StewardLink {
   private socket: net.Socket | null = null;
 
-  private post: StewardPost | null = null;
+  private post: LeasePost | null = null;
 
   private heardAtMs = -Infinity;
 
@@ -84,10 +84,13 @@
   }
 
   /** Keeps a connection to `post`; another steward replaces the present one. */
-  follow(post: StewardPost): void {
+  follow(post: LeasePost): void {
     const nowMs = this.clock.steadyMs();
     const isOther = this.post !== null && post.vm !== this.post.vm;
-    if (isOther) this.close();
+    if (isOther) {
+      this.close();
+      this.nextDialAtMs = nowMs;
+    }
     if (this.socket !== null) this.post = post;
     const isStuck =
       this.socket !== null && !this.isHeard && nowMs - this.connectedAtMs > SILENCE_MS;
@@ -106,7 +109,7 @@
     this.heardAtMs = -Infinity;
   }
 
-  private dial(post: StewardPost, nowMs: number): void {
+  private dial(post: LeasePost, nowMs: number): void {
     const [host = '', port = '0'] = post.address.split(':');
     const socket = net.connect({ host, port: Number(port), noDelay: true });
     this.socket = socket;
@@ -122,15 +125,23 @@
       this.logger.debug('steward-link-failed', { peer: post.vm, reason: err.message });
       if (err.code === 'ECONNREFUSED') this.events.gone(post);
     });
+    let isFound = false;
     socket.on('close', () => {
       clearTimeout(timer);
+      if (isFound) this.logger.info('steward-lost', { peer: post.vm, fence: post.fence });
       if (this.socket !== socket) return;
       this.socket = null;
       this.heardAtMs = -Infinity;
     });
     readMessages(socket, post.vm, this.logger, (message) => {
       if (this.socket !== socket) return;
+      if (message.type === RelayMessageType.noOffice) {
+        if (message.isIdle) this.events.gone(post);
+        return;
+      }
       this.heardAtMs = this.clock.steadyMs();
+      if (!isFound) this.logger.info('steward-found', { peer: post.vm, fence: post.fence });
+      isFound = true;
       if (message.type !== RelayMessageType.welcome || message.fence >= post.fence) {
         this.events.message(message);
       }
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -5,13 +5,18 @@
 import type { Clock } from '../../core/clock/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { Task } from '../../core/supervisor/index.js';
-import type { LeaseSuccessor } from '../../decisions/leases/index.js';
+import {
+  type HeirCandidate,
+  HeirChoice,
+  type LeaseHeir,
+  type ToldLease,
+} from '../../decisions/leases/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import { RateLender } from '../../decisions/rate-shares/index.js';
 import type { FollowerTask } from './follower.js';
 import { IncidentTeller } from './incident-teller.js';
 import type { IncidentTask } from './incidents.js';
-import type { LeaseTask } from './lease-task.js';
+import type { LandedLease, LeaseTask } from './lease-task.js';
 import {
   type EngineView,
   type LoadView,
@@ -32,8 +37,6 @@
 const HURRY_MS = 150;
 /** The steward speaks at least this often, ms. */
 const SPEAK_MS = 250;
-/** A member that is connected for this long can take the office, ms. */
-const SETTLED_MS = 2_000;
 /** Time for the last messages to leave, ms. */
 const LAST_MESSAGES_MS = 20;
 /** A connection that said nothing for this long is closed, ms. */
@@ -47,6 +50,8 @@
   readonly sinceMs: number;
   vm: string | null;
   report: RelayMessageOf<'report'> | null;
+  /** When its last report came, by the clock that counts suspensions. */
+  reportedAtMs: number;
   heardAtMs: number;
   spokenAtMs: number;
   /** What it was told of each engine. */
@@ -66,8 +71,18 @@
   readonly follower: FollowerTask;
   readonly incidents: IncidentTask;
   readonly lease: LeaseTask;
+  /** How long a lease lasts from its renewal, ms. */
+  readonly leaseMs: number;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Tells the steward that this VM follows; false where none is heard. */
+  send(message: RelayMessage): boolean;
+}
+
+/** An heir's last report: it relates its clock to the steward's. */
+interface HeirReport {
+  readonly clockMs: number;
+  readonly reportedAtMs: number;
 }
 
 export class StewardTask implements Task {
@@ -98,7 +113,17 @@
 
   private handingOver = false;
 
-  constructor(private readonly opts: StewardOptions) {}
+  private readonly heirChoice: HeirChoice;
+
+  /** The heir's report as of the handover. */
+  private heirReport: HeirReport | null = null;
+
+  /** What the heir has not been told yet. */
+  private untold: RelayMessage | null = null;
+
+  constructor(private readonly opts: StewardOptions) {
+    this.heirChoice = new HeirChoice(opts.leaseMs);
+  }
 
   async start(fail: (err: unknown) => void): Promise<void> {
     const [host = '', port = '0'] = this.opts.listen.split(':');
@@ -118,30 +143,79 @@
     this.server?.close();
   }
 
-  /** Leaves the office to another entry VM, for a planned stop. */
+  /** Leaves the office to the heir, for a planned stop. Resolves once all members were told. */
   async handOver(): Promise<void> {
     this.handingOver = true;
-    const told = await this.opts.lease.handOver(this.successor());
-    if (told !== null) {
-      this.members.forEach(({ socket }) => {
-        writeMessage(socket, { type: RelayMessageType.lease, ...told });
-      });
+    const held = this.opts.lease.held();
+    this.opts.lease.release();
+    if (held !== null) {
+      // The heir comes last: who learns first that the office is given up goes to the heir.
+      const isHeir = ({ vm }: Member) => vm !== null && vm === held.lease.heir?.vm;
+      const inOrder = [...this.members].sort((a, b) => Number(isHeir(a)) - Number(isHeir(b)));
+      inOrder.forEach((member) => this.sendLease(member, held, true));
+      this.heirReport = this.reportOf(inOrder.find(isHeir));
       await clocks.sleep(LAST_MESSAGES_MS);
     }
     this.handingOver = false;
     this.dismiss();
   }
 
-  /** The member that came last and has settled: in a rolling restart it is not stopped soon. */
-  private successor(): LeaseSuccessor | undefined {
-    const nowMs = this.opts.clock.steadyMs();
-    const fit = [...this.members].filter(
-      ({ vm, report }) => vm !== null && vm !== this.opts.vm && report?.leaving === false,
+  /** Who goes on should this VM end, for the lease that is written now. */
+  heir(): Omit<LeaseHeir, 'epoch'> | null {
+    return this.heirChoice.choose(this.opts.clock.steadyMs(), this.heirCandidates());
+  }
+
+  /** A renewal took effect after the lease was given up: the heir holds it for longer. */
+  tellLanded({ lease, version, untilMs }: LandedLease): void {
+    if (this.heirReport === null) return;
+    const { clockMs, reportedAtMs } = this.heirReport;
+    this.untold = {
+      type: RelayMessageType.lease,
+      lease,
+      version,
+      leftMs: untilMs - this.opts.clock.nowMs(),
+      heirTerm: { fromMs: clockMs, untilMs: clockMs + untilMs - reportedAtMs },
+      isGivenUp: true,
+    };
+    this.tellSteward();
+  }
+
+  /** Tells the steward that this VM follows what it has not been told yet. */
+  tellSteward(): void {
+    if (this.untold !== null && this.opts.send(this.untold)) this.untold = null;
+  }
+
+  private heirCandidates(): readonly HeirCandidate[] {
+    return [...this.members].flatMap(({ vm, report, sinceMs }) =>
+      vm === null || vm === this.opts.vm || report === null
+        ? []
+        : [{ vm, address: report.address, sinceMs, leaving: report.leaving }],
     );
-    const settled = fit.filter(({ sinceMs }) => nowMs - sinceMs > SETTLED_MS);
-    const best = [...(settled.length > 0 ? settled : fit)].sort((a, b) => b.sinceMs - a.sinceMs)[0];
-    if (best?.vm === undefined || best.vm === null || best.report === null) return undefined;
-    return { vm: best.vm, address: best.report.address };
+  }
+
+  private reportOf(member: Member | undefined): HeirReport | null {
+    if (member === undefined || member.report === null) return null;
+    return { clockMs: member.report.clockMs, reportedAtMs: member.reportedAtMs };
+  }
+
+  private sendLease(member: Member, told: ToldLease, isGivenUp: boolean): boolean {
+    const { lease, leftMs } = told;
+    const isHeir = member.vm !== null && lease.heir?.vm === member.vm;
+    const report = isHeir ? this.reportOf(member) : null;
+    // Counted from when the heir sent its report: a message that is late makes it shorter.
+    const heirTerm =
+      report === null
+        ? undefined
+        : {
+            fromMs: report.clockMs,
+            untilMs: report.clockMs + leftMs + (this.opts.clock.nowMs() - report.reportedAtMs),
+          };
+    return writeMessage(member.socket, {
+      type: RelayMessageType.lease,
+      ...told,
+      heirTerm,
+      isGivenUp,
+    });
   }
 
   private get acting(): boolean {
@@ -155,6 +229,7 @@
       sinceMs: nowMs,
       vm: null,
       report: null,
+      reportedAtMs: -Infinity,
       heardAtMs: nowMs,
       spokenAtMs: -Infinity,
       told: new Map(),
@@ -169,8 +244,12 @@
       this.opts.logger.debug('member-link-failed', { peer: member.vm, reason: err.message });
     });
     socket.on('close', () => this.members.delete(member));
+    // The heir may be dialled before its first look at the lease.
+    if (!this.acting) this.tick();
     if (!this.acting) {
-      socket.destroy();
+      const isIdle = this.opts.lease.renounce();
+      writeMessage(socket, { type: RelayMessageType.noOffice, isIdle });
+      socket.end();
       return;
     }
     this.members.add(member);
@@ -199,12 +278,15 @@
       case RelayMessageType.ranWhole:
         this.takeWhole(member, message);
         break;
+      case RelayMessageType.lease:
+        this.opts.lease.noteTold(message, message.heirTerm);
+        break;
       default:
     }
   }
 
   private takeReport(nowMs: number, member: Member, report: RelayMessageOf<'report'>): void {
-    Object.assign(member, { vm: report.vm, report });
+    Object.assign(member, { vm: report.vm, report, reportedAtMs: this.opts.clock.nowMs() });
     this.yard?.takeReport(nowMs, report);
     const { lender } = this;
     if (lender === null) return;
@@ -418,7 +500,7 @@
   private tellLease(member: Member): void {
     const held = this.opts.lease.held();
     if (held === null || held.version === member.toldLease) return;
-    if (writeMessage(member.socket, { type: RelayMessageType.lease, ...held })) {
+    if (this.sendLease(member, held, false)) {
       Object.assign(member, { toldLease: held.version });
     }
   }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -110,6 +110,8 @@
     enginesCheckFences: () => relay.enginesCheckFences,
     note: (before) => parts.steward?.note(before),
     noted: (note) => parts.steward?.noted(note),
+    heir: () => parts.steward?.heir() ?? null,
+    tellLanded: (landed) => parts.steward?.tellLanded(landed),
   });
   parts.lease = lease;
   const view = new FleetView(follower, clock, stewardIsHeard);
@@ -133,7 +135,8 @@
         lease.noteFence(message.fence);
         break;
       case RelayMessageType.lease:
-        lease.noteTold(message);
+        lease.noteTold(message, message.heirTerm);
+        if (message.isGivenUp) lease.noteGone(message.lease.epoch);
         break;
       case RelayMessageType.view:
         view.takeView(message);
@@ -170,8 +173,9 @@
       follower.forgetBeliefs();
       parts.reporter?.introduce();
       incidents.introduce();
+      parts.steward?.tellSteward();
     },
-    gone: (post) => lease.noteGone(post),
+    gone: (post) => lease.noteGone(post.fence),
   });
   parts.link = link;
   const isStopping = () => stopping;
@@ -196,8 +200,10 @@
     follower,
     incidents,
     lease,
+    leaseMs: settings.lease.durationMs,
     clock,
     logger: logger.child('steward'),
+    send: (message) => link.send(message),
   });
   parts.steward = steward;
   const keysTrustedMs = relay.keyRevocationMs - KEY_MARGIN_MS;
--- a/test/properties/leases/one-holder.test.ts
+++ b/test/properties/leases/one-holder.test.ts
@@ -11,19 +11,25 @@
 interface Vm {
   readonly name: string;
   readonly speed: number;
-  readonly keeper: leases.LeaseKeeper;
+  keeper: leases.LeaseKeeper;
+  heirs: leases.HeirChoice;
+  /** How often its process was started again. */
+  life: number;
+  /** When it reported to the holder last. */
+  reportedAtMs: number;
   /** The VM neither runs nor learns anything until then. */
   pausedUntilMs: number;
 }
 
 interface Flight {
   readonly vm: Vm;
+  readonly life: number;
   readonly effect: leases.LeaseEffect;
 }
 
 interface Message {
   readonly to: Vm;
-  readonly told: { lease: leases.Lease; version: number; leftMs: number };
+  readonly told: leases.ToldLease & { readonly heirTerm?: leases.HeirTerm };
 }
 
 /** Effects that call the store. */
@@ -49,14 +55,60 @@
 
   epochsHeld: number[] = [];
 
+  /** VMs that can't be named heirs, since their holder does not hear them. */
+  private readonly unheard = new Set<string>();
+
   constructor() {
     this.vms = SPEEDS.map((speed, index) => {
-      const self = `vm-${index}`;
-      const cfg = { self, durationMs: DURATION_MS, marginMs: MARGIN_MS };
-      return { name: self, speed, keeper: new leases.LeaseKeeper(cfg), pausedUntilMs: 0 };
+      const name = `vm-${index}`;
+      const heirs = new leases.HeirChoice(DURATION_MS);
+      const keeper = this.createKeeper(name);
+      return { name, speed, keeper, heirs, life: 0, reportedAtMs: -Infinity, pausedUntilMs: 0 };
+    });
+  }
+
+  /** The VM's process ends and another one is started; calls of the old one go on without it. */
+  restart(vm: Vm): void {
+    Object.assign(vm, {
+      keeper: this.createKeeper(vm.name),
+      heirs: new leases.HeirChoice(DURATION_MS),
+      life: vm.life + 1,
+      pausedUntilMs: 0,
+    });
+  }
+
+  /** A VM is heard again, or no more. */
+  toggleHeard({ name }: Vm): void {
+    if (!this.unheard.delete(name)) this.unheard.add(name);
+  }
+
+  /** Dials the steward that it knows, and learns whether it has ended or has no office. */
+  dial(vm: Vm): void {
+    const { post } = vm.keeper;
+    const peer = this.vms.find(({ name }) => name === post?.vm);
+    if (post === null || peer === undefined || peer === vm) return;
+    if (this.nowMs < peer.pausedUntilMs || !peer.keeper.renounce(this.clockOf(peer))) return;
+    this.feed(vm, { type: leases.LeaseEventType.holderGone, epoch: post.fence });
+  }
+
+  private createKeeper(self: string): leases.LeaseKeeper {
+    return new leases.LeaseKeeper({
+      self,
+      address: self,
+      durationMs: DURATION_MS,
+      marginMs: MARGIN_MS,
+      heir: () => this.heirOf(self),
     });
   }
 
+  private heirOf(self: string) {
+    const vm = this.vms.find(({ name }) => name === self);
+    const candidates = this.vms
+      .filter(({ name }) => name !== self && !this.unheard.has(name))
+      .map(({ name }) => ({ vm: name, address: name, sinceMs: 0, leaving: false }));
+    return vm?.heirs.choose(this.clockOf(vm), candidates) ?? null;
+  }
+
   clockOf({ speed }: Vm): number {
     return this.nowMs * speed;
   }
@@ -69,16 +121,27 @@
     if (this.nowMs < vm.pausedUntilMs) return;
     vm.keeper.handle(this.clockOf(vm), event).forEach((effect) => {
       if (effect.type === leases.LeaseEffectType.acquired) this.epochsHeld.push(effect.epoch);
-      else if (CALLS.has(effect.type)) this.flights.push({ vm, effect });
+      else if (CALLS.has(effect.type)) this.flights.push({ vm, life: vm.life, effect });
     });
   }
 
+  /** A VM reports; the holder's word to its heir counts from then. */
+  report(vm: Vm): void {
+    if (this.nowMs >= vm.pausedUntilMs) Object.assign(vm, { reportedAtMs: this.nowMs });
+  }
+
   /** The holder tells another VM of its lease; the message may come late, but never early. */
   tell(to: Vm): void {
-    const told = this.vms
-      .filter((vm) => vm !== to && this.nowMs >= vm.pausedUntilMs)
-      .flatMap((vm) => vm.keeper.held(this.clockOf(vm)) ?? [])[0];
-    if (told !== undefined) this.messages.push({ to, told });
+    const holder = this.vms.find(
+      (vm) => vm !== to && this.nowMs >= vm.pausedUntilMs && vm.keeper.holds(this.clockOf(vm)),
+    );
+    const told = holder?.keeper.held(this.clockOf(holder)) ?? null;
+    if (holder === undefined || told === null) return;
+    const fromMs = to.reportedAtMs * to.speed;
+    const untilMs = fromMs + told.leftMs + (this.nowMs - to.reportedAtMs) * holder.speed;
+    const isHeir = told.lease.heir?.vm === to.name && to.reportedAtMs > -Infinity;
+    const heirTerm = isHeir ? { fromMs, untilMs } : undefined;
+    this.messages.push({ to, told: { ...told, heirTerm } });
   }
 
   /** Delivers the oldest message. */
@@ -94,6 +157,11 @@
     if (flight === undefined || this.nowMs < flight.vm.pausedUntilMs) return;
     this.flights.splice(index, 1);
     const { vm, effect } = flight;
+    if (flight.life !== vm.life) {
+      // The process that called has ended; its write may take effect all the same.
+      if (fate !== 'lost') this.write(effect);
+      return;
+    }
     const { LeaseEventType } = leases;
     if (effect.type === leases.LeaseEffectType.read) {
       this.feed(
@@ -146,7 +214,15 @@
       'land',
       'release',
       'tell',
+      'tell',
+      'deliver',
       'deliver',
+      'report',
+      'report',
+      'dial',
+      'dial',
+      'restart',
+      'toggleHeard',
     ),
     a: fc.nat(5),
     ms: fc.constantFrom(0, 50, 400, 1_000, 2_900),
@@ -171,10 +247,12 @@
           else if (what === 'deliver') world.deliver();
           else if (what === 'land') world.land(a);
           else if (what === 'pause') vm.pausedUntilMs = world.nowMs + ms * 4;
-          else if (a === 5) world.feed(vm, { type: leases.LeaseEventType.release });
-          else if (a === 4) {
-            const successor = { vm: 'vm-0', address: 'there' };
-            world.feed(vm, { type: leases.LeaseEventType.release, successor });
+          else if (what === 'report') world.report(vm);
+          else if (what === 'dial') world.dial(vm);
+          else if (what === 'restart' && a > 2) world.restart(vm);
+          else if (what === 'toggleHeard') world.toggleHeard(vm);
+          else if (what === 'release' && a > 2) {
+            world.feed(vm, { type: leases.LeaseEventType.release });
           }
           mostHolders = Math.max(mostHolders, world.holders().length);
         });
@@ -198,9 +276,10 @@
     expect(world.holders()).toEqual(['vm-1']);
   });
 
-  test('is taken over at once from a process that has ended', () => {
+  test('is taken over at once from a process that has ended without an heir', () => {
     const world = new LeaseWorld();
     const [first, second] = world.vms;
+    world.vms.forEach((vm) => world.toggleHeard(vm));
     if (first === undefined || second === undefined) throw new Error('no VMs');
     [first, second].forEach((vm, at) => {
       if (at === 1) {
@@ -215,6 +294,7 @@
   test('is taken over after its holder fell silent', () => {
     const world = new LeaseWorld();
     const [first, second] = world.vms;
+    world.vms.forEach((vm) => world.toggleHeard(vm));
     if (first === undefined || second === undefined) throw new Error('no VMs');
     world.run(first, 2_000);
     expect(world.holders()).toEqual(['vm-0']);
