Wait for an unload's runs to end before the next order to an engine

The engine is busy until the model's runs have ended (up to 3.8 s) and for some 30 to 50 ms without any; the next order was sent at once and again each 30 ms, up to 55 times. Ruled out: a count that differs (the same count is accepted later), adapters (none turned down). Change: the next order waits until the steward knows of no run with that model, or until the engine's own word, newer than the unload, says that it is not busy; an order turned down all the same waits twice as long each time. Orders that are turned down are logged at info with their reason.

--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -6,6 +6,7 @@
  * that it can't run any more; until then its memory stays charged and nothing else is ordered.
  *
  * A model's load is over when the engine says so: the same order sent again would load it again.
+ * An unload is over once its runs have ended; until then the next order would be turned down.
  * An adapter's load takes a few milliseconds and lets the next order in meanwhile.
  */
 import type { HeldModel } from '../fleet-plan/index.js';
@@ -24,8 +25,9 @@
 const RESEND_MS = 100;
 /** Pause between questions whether an order has been carried out, ms. */
 const ASK_AGAIN_MS = 60;
-/** Pause after an order was turned down because another one is under way, ms. */
+/** Pause after an order was turned down because another one is under way, doubled each time, ms. */
 const CONFLICT_MS = 30;
+const LONGEST_CONFLICT_MS = 240;
 /** After this many refusals the engine's count goes before the one that was kept here. */
 const CONFLICTS_TO_DOUBT = 8;
 /** A step that takes longer than this is given up, ms. */
@@ -67,6 +69,18 @@
   nextAtMs: number;
 }
 
+/** A model's unload that was accepted and may wait for its runs. */
+interface Unloading {
+  readonly model: string;
+  /** Count of orders once it was accepted. */
+  readonly count: number;
+  readonly notBeforeMs: number;
+}
+
+function conflictPauseMs({ conflicts }: Current): number {
+  return Math.min(LONGEST_CONFLICT_MS, CONFLICT_MS * 2 ** conflicts);
+}
+
 export class EngineOrders {
   private models = new Map<string, Set<string>>();
 
@@ -82,6 +96,8 @@
 
   private notBeforeMs = 0;
 
+  private unloadUnderWay: Unloading | null = null;
+
   /** When adapters are there whose load was accepted, by MODEL/NAME. */
   private readonly readyAtMs = new Map<string, number>();
 
@@ -186,6 +202,7 @@
     const known = this.count;
     if (known !== null && count < known && !mistaken) return;
     this.count = count;
+    if (!sighting.busy && count >= (this.unloadUnderWay?.count ?? 0)) this.unloadUnderWay = null;
     if (known !== null && count !== known) this.noteOthers(sighting);
     if (this.current !== null && this.isModelLoad(this.current)) this.noteLoadSeen(sighting);
     // While it is busy with somebody else's order, what it will hold is not known.
@@ -214,7 +231,7 @@
       this.needsReport = true;
       return null;
     }
-    if (this.notBeforeMs > nowMs) return null;
+    if (this.notBeforeMs > nowMs || this.isUnloading(nowMs)) return null;
     if (this.needsReport && !current.loose && !current.accepted && current.conflicts === 0)
       return null;
     if (!current.loose && !this.fits(current.step)) {
@@ -245,7 +262,7 @@
       case OrderOutcome.conflict:
         // Not carried out by this copy: an earlier order runs, or the count has moved on.
         current.conflicts += 1;
-        current.nextAtMs = nowMs + (current.accepted ? ASK_AGAIN_MS : CONFLICT_MS);
+        current.nextAtMs = nowMs + (current.accepted ? ASK_AGAIN_MS : conflictPauseMs(current));
         if (!current.accepted) this.needsReport = true;
         break;
       case OrderOutcome.unknown:
@@ -258,9 +275,24 @@
     if (nowMs - current.begunAtMs > LONGEST_STEP_MS) this.abandon();
   }
 
+  /** Whether a model's unload still waits for its runs, as far as known. */
+  private isUnloading(nowMs: number): boolean {
+    if (this.unloadUnderWay === null) return false;
+    const { model, notBeforeMs } = this.unloadUnderWay;
+    if (nowMs < notBeforeMs) return true;
+    const waits = this.sizes.running(model) > 0;
+    if (waits) this.needsReport = true;
+    else this.unloadUnderWay = null;
+    return waits;
+  }
+
   private noteAccepted(nowMs: number, current: Current): void {
     this.count = Math.max(this.count ?? 0, current.expected + 1);
-    // An unload tells no end; until then the next order is turned down.
+    const { step } = current;
+    if (step.type === OrderStepType.unload && step.adapter === null) {
+      const notBeforeMs = nowMs + this.sizes.expectedMs(step);
+      this.unloadUnderWay = { model: step.model, count: this.count, notBeforeMs };
+    }
     if (current.step.type === OrderStepType.unload || current.step.adapter !== null) {
       this.finish(current.step);
       if (current.step.type === OrderStepType.load) {
@@ -374,6 +406,7 @@
   private restart(bornMs: number): void {
     this.bornMs = bornMs;
     this.count = null;
+    this.unloadUnderWay = null;
     this.models = new Map();
     this.abandon();
   }
--- a/src/decisions/engine-orders/types.ts
+++ b/src/decisions/engine-orders/types.ts
@@ -46,6 +46,8 @@
   readonly adapterSlots: number;
   modelMb(model: string): number;
   adapterMb(model: string): number;
-  /** Time that a step takes once it is accepted, ms. */
+  /** Time that a step takes once it is accepted, ms; an unload waits for its runs besides. */
   expectedMs(step: OrderStep): number;
+  /** Requests that run with a model on the engine, as far as known. */
+  running(model: string): number;
 }
--- a/src/entry/relay/engine-yard.ts
+++ b/src/entry/relay/engine-yard.ts
@@ -45,8 +45,8 @@
 const ADAPTER_MS = 8;
 /** Time for entry VMs to hear that a model leaves an engine before it is unloaded, ms. */
 const NOTICE_MS = 12;
-/** An unload without runs is done at once; asked again after this, ms. */
-const UNLOAD_MS = 15;
+/** Time that an engine takes to drop a model without runs, ms. */
+const UNLOAD_MS = 50;
 
 interface EngineRecord {
   server: BackendServer;
@@ -182,6 +182,7 @@
         modelMb: (model) => spec.models.get(model)?.sizeMb ?? 0,
         adapterMb: (model) => spec.models.get(model)?.adapterMb ?? 0,
         expectedMs: (step) => this.expectedMs(server.id, step),
+        running: (model) => this.uses.runningWith(server.id, model),
       }),
       copies: server.copies,
       reportedAtMs: -Infinity,
@@ -199,7 +200,7 @@
   }
 
   private expectedMs(engineId: string, step: OrderStep): number {
-    if (step.type === OrderStepType.unload) return UNLOAD_MS;
+    if (step.type === OrderStepType.unload) return step.adapter === null ? UNLOAD_MS : 0;
     if (step.adapter !== null) return ADAPTER_MS;
     const engine = this.engines.get(engineId);
     const spec = engine?.spec.models.get(step.model);
@@ -371,7 +372,14 @@
     const authority = { holder: this.opts.vm, fence };
     const outcome = await this.opts.wire.order(engine.server, order, authority, ORDER_TIMEOUT_MS);
     const nowMs = this.opts.clock.steadyMs();
-    this.opts.logger.debug('order-answered', { engine: engine.server.id, ...order, outcome });
+    const turnedDown = outcome !== OrderOutcome.accepted && outcome !== OrderOutcome.done;
+    const level = turnedDown ? 'info' : 'debug';
+    this.opts.logger[level](turnedDown ? 'order-turned-down' : 'order-answered', {
+      engine: engine.server.id,
+      ...order,
+      outcome,
+      running: this.uses.runningAt(engine.server.id),
+    });
     engine.orders.answered(nowMs, outcome);
     if (outcome === OrderOutcome.fenced) this.opts.lease.noteFence(fence + 1);
     if (outcome === OrderOutcome.unknown) Object.assign(engine, { silences: engine.silences + 1 });
--- a/src/entry/relay/use-log.ts
+++ b/src/entry/relay/use-log.ts
@@ -55,6 +55,10 @@
     return this.running.get(serverId) ?? 0;
   }
 
+  runningWith(serverId: string, model: string): number {
+    return this.running.get(`${serverId} ${model}`) ?? 0;
+  }
+
   rates(nowMs: number): ReadonlyMap<string, number> {
     return new Map([...this.rateByModel].map(([model, rate]) => [model, decayed(rate, nowMs)]));
   }
