Let requests wait for news of their customer's rate instead of refusing them as over it

Cause: a VM that was just started holds no part of any rate and hears no steward; Admission took that for a rate that never allows the request, and bounded the endless wait to 5 s. Ruled out: the balancer (the VMs are ready), the engines (what they hold is known from the list). Change: a rate that nobody has told of is its own outcome. The request waits for the steward's word for 0.3 of its life, while no more than 3 s have passed without any; then it is refused with 503 RateUnknown and 500 ms, since another VM may know. Buckets still begin at zero. Test: test/units/relay/admission.test.ts (the first two fail without the change).

--- a/src/core/errors/errors-data.ts
+++ b/src/core/errors/errors-data.ts
@@ -57,6 +57,13 @@
   message: (detail) => `The request needs ${detail} tokens, more than the rate allows in time.`,
   hint: 'Ask again after the time in Retry-After.',
 };
+export const RateUnknown: ErrorDefinition = {
+  name: 'RateUnknown',
+  title: "The customer's rate is not known here yet.",
+  status: 503,
+  message: () => 'No steward has told this entry VM of the rates.',
+  hint: 'Ask again after the time in Retry-After; see steward-found and lease-acquired in the logs.',
+};
 export const NoCapacity: ErrorDefinition = {
   name: 'NoCapacity',
   title: 'No capacity in time.',
--- a/src/decisions/rate-shares/index.ts
+++ b/src/decisions/rate-shares/index.ts
@@ -2,3 +2,4 @@
 export { ShareHolder } from './holder.js';
 export { type GrantMessage, RateLender } from './lender.js';
 export * from './types.js';
+export { type UnheardRate, waitsForRate } from './unheard.js';
--- a/src/entry/relay/admission.ts
+++ b/src/entry/relay/admission.ts
@@ -1,7 +1,7 @@
 /** Admits requests inside their customers' rates: from the parts held here, or by asking. */
 import * as clocks from '../../core/clock/index.js';
 import type { Customer } from '../../decisions/fleet-plan/index.js';
-import { SHARE_TTL_MS, ShareHolder } from '../../decisions/rate-shares/index.js';
+import { SHARE_TTL_MS, ShareHolder, waitsForRate } from '../../decisions/rate-shares/index.js';
 import type { RelayMessageOf } from './messages.js';
 import type { RequestFacts } from './types.js';
 
@@ -10,12 +10,33 @@
 /** Callers over their rate return this late at the earliest and at the latest, ms. */
 const SOONEST_RETURN_MS = 250;
 const LATEST_RETURN_MS = 5_000;
+/** A rate that is not known yet is looked for this often, ms. */
+const UNHEARD_POLL_MS = 25;
+/** Callers return this late where their rate is not known, ms: another entry VM may know it. */
+const UNHEARD_RETURN_MS = 500;
 /** Shortest time between two asks for a customer whose rate is spent, ms. */
 const ASK_PAUSE_MS = 50;
 
-export interface Admitted {
-  readonly admitted: boolean;
-  readonly retryAfterMs: number;
+export const AdmissionType = {
+  admitted: 'admitted',
+  overRate: 'over-rate',
+  /** No steward has told of the customer's rate. */
+  rateUnknown: 'rate-unknown',
+} as const;
+
+export type Admitted =
+  | { readonly type: typeof AdmissionType.admitted }
+  | {
+      readonly type: typeof AdmissionType.overRate | typeof AdmissionType.rateUnknown;
+      readonly retryAfterMs: number;
+    };
+
+/** How long a request may wait to be admitted. */
+export interface AdmissionPatience {
+  /** For units of a rate that is known, ms. */
+  readonly rateMs: number;
+  /** Until the caller or the route gives up, ms. */
+  readonly lifeMs: number;
 }
 
 type Lent = RelayMessageOf<'lent'>;
@@ -26,7 +47,11 @@
   ask(message: Omit<RelayMessageOf<'ask'>, 'type'>): boolean;
 }
 
-const YES: Admitted = { admitted: true, retryAfterMs: 0 };
+const YES: Admitted = { type: AdmissionType.admitted };
+const UNKNOWN: Admitted = {
+  type: AdmissionType.rateUnknown,
+  retryAfterMs: UNHEARD_RETURN_MS,
+};
 
 export class Admission {
   readonly holder = new ShareHolder();
@@ -41,7 +66,12 @@
 
   private closed = false;
 
-  constructor(private readonly opts: AdmissionOptions) {}
+  /** When the rates were known last. */
+  private knownAtMs: number;
+
+  constructor(private readonly opts: AdmissionOptions) {
+    this.knownAtMs = opts.clock.steadyMs();
+  }
 
   /** Last grant of the present steward that was taken in. */
   get lastSeq(): number {
@@ -60,6 +90,7 @@
   takeGrant(grant: RelayMessageOf<'grant'>): void {
     if (this.closed) return;
     this.appliedSeq = grant.seq;
+    this.knownAtMs = this.opts.clock.steadyMs();
     const fractions = new Map(Object.entries(grant.fractions));
     // Counted from when the report was sent, so that the part ends here first.
     const expiresAtMs = grant.reportSentAtMs + SHARE_TTL_MS;
@@ -82,12 +113,12 @@
     return facts.tokens === null ? customer.plainUnits : facts.tokens.prompt + facts.tokens.output;
   }
 
-  /** Admits a request, waiting up to `patienceMs` for its customer's rate to allow it. */
-  async admit(customer: Customer, units: number, patienceMs: number): Promise<Admitted> {
+  /** Admits a request, waiting for its customer's rate to be known and to allow it. */
+  async admit(customer: Customer, units: number, patience: AdmissionPatience): Promise<Admitted> {
     if (customer.ratePerS === 0) return YES;
     this.holder.noteDemand(this.opts.clock.steadyMs(), customer.name, units);
-    const first = await this.tryOnce(customer.name, units);
-    if (first.admitted || first.retryAfterMs > patienceMs) return first;
+    const first = await this.tryOnceKnown(customer.name, units, patience.lifeMs);
+    if (first.type !== AdmissionType.overRate || first.retryAfterMs > patience.rateMs) return first;
     await clocks.sleep(first.retryAfterMs);
     return this.tryOnce(customer.name, units);
   }
@@ -97,6 +128,21 @@
     this.holder.refund(this.opts.clock.steadyMs(), customer, units);
   }
 
+  /** Tries until the customer's rate is known, for as long as that is worth it. */
+  private async tryOnceKnown(customer: string, units: number, lifeMs: number): Promise<Admitted> {
+    const arrivedAtMs = this.opts.clock.steadyMs();
+    const isWorthIt = () => {
+      const unheardSinceMs = this.knownAtMs;
+      return waitsForRate(this.opts.clock.steadyMs(), { arrivedAtMs, lifeMs, unheardSinceMs });
+    };
+    let admitted = await this.tryOnce(customer, units);
+    while (admitted.type === AdmissionType.rateUnknown && isWorthIt()) {
+      await clocks.sleep(UNHEARD_POLL_MS);
+      admitted = await this.tryOnce(customer, units);
+    }
+    return admitted;
+  }
+
   private async tryOnce(customer: string, units: number): Promise<Admitted> {
     const { clock } = this.opts;
     if (this.holder.take(clock.steadyMs(), customer, units)) return YES;
@@ -109,6 +155,8 @@
     const nowMs = clock.steadyMs();
     if (lent !== null && lent.units > 0) this.holder.addLoan(nowMs, customer, lent.units);
     if (this.holder.take(nowMs, customer, units)) return YES;
+    if (this.holder.isCurrent(nowMs)) this.knownAtMs = nowMs;
+    else if (lent === null) return UNKNOWN;
     const waitMs = Math.min(localWaitMs, lent?.waitMs ?? Infinity);
     if (lent !== null) this.pausedUntilMs.set(customer, nowMs + Math.min(waitMs, ASK_PAUSE_MS));
     return this.refusal(waitMs);
@@ -116,7 +164,8 @@
 
   private refusal(waitMs: number): Admitted {
     const bounded = Math.min(LATEST_RETURN_MS, Math.max(SOONEST_RETURN_MS, waitMs));
-    return { admitted: false, retryAfterMs: waitMs < SOONEST_RETURN_MS ? waitMs : bounded };
+    const retryAfterMs = waitMs < SOONEST_RETURN_MS ? waitMs : bounded;
+    return { type: AdmissionType.overRate, retryAfterMs };
   }
 
   private ask(customer: string, units: number): Promise<Lent | null> {
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -5,7 +5,7 @@
 import { RepeatRule } from '../../decisions/fleet-plan/index.js';
 import { RequestIdentity, shortFingerprint } from '../../decisions/suspects/index.js';
 import type { Waiter } from '../../decisions/wait-list/index.js';
-import { Admission } from './admission.js';
+import { Admission, AdmissionType } from './admission.js';
 import {
   type Answer,
   AttemptEnd,
@@ -143,15 +143,20 @@
     const { customer, facts, route } = this.request;
     if (customer === null) return true;
     const units = Admission.unitsOf(customer, facts);
-    const patienceMs = route.objectiveMs * RATE_WAIT_PART;
-    const { admitted, retryAfterMs } = await this.ctx.admission.admit(customer, units, patienceMs);
-    if (admitted) this.units = units;
+    const result = await this.ctx.admission.admit(customer, units, {
+      rateMs: route.objectiveMs * RATE_WAIT_PART,
+      lifeMs: this.waiter.deadlineAtMs - this.waiter.arrivedAtMs,
+    });
+    if (result.type === AdmissionType.admitted) this.units = units;
     if (this.ended) {
       this.refund();
       return false;
     }
-    if (!admitted) this.refuse(errors.data.RateExceeded, retryAfterMs, { units });
-    return admitted;
+    if (result.type === AdmissionType.admitted) return true;
+    const isUnknown = result.type === AdmissionType.rateUnknown;
+    const reason = isUnknown ? errors.data.RateUnknown : errors.data.RateExceeded;
+    this.refuse(reason, result.retryAfterMs, { units });
+    return false;
   }
 
   private async run(): Promise<void> {
--- /dev/null
+++ b/test/units/relay/admission.test.ts
@@ -0,0 +1,59 @@
+/** Requests that come before the steward has told of their customer's rate. */
+import { describe, expect, test } from 'vitest';
+import * as clocks from '../../../src/core/clock/index.js';
+import { waitsForRate } from '../../../src/decisions/rate-shares/index.js';
+import { Admission, AdmissionType } from '../../../src/entry/relay/admission.js';
+
+const CUSTOMER = {
+  name: 'acme',
+  ratePerS: 100_000,
+  burst: 100_000,
+  countsTokens: true,
+  plainUnits: 1,
+  priority: null,
+};
+const PATIENCE = { rateMs: 400, lifeMs: 5_000 };
+
+function createAdmission(): Admission {
+  const admission = new Admission({ clock: clocks.createClock(), ask: () => false });
+  admission.setCustomers(new Map([[CUSTOMER.name, CUSTOMER]]));
+  return admission;
+}
+
+function grant(admission: Admission): void {
+  const nowMs = clocks.createClock().steadyMs();
+  admission.takeGrant({
+    type: 'grant',
+    seq: 1,
+    reportSentAtMs: nowMs,
+    reportClockMs: nowMs,
+    fractions: { acme: 1 },
+    plan: null,
+    backends: null,
+    planRevision: 0,
+  });
+}
+
+describe('a request whose rate is not known yet', () => {
+  test('is not refused as over its rate while the steward is about to be heard', async () => {
+    const admission = createAdmission();
+    const admitted = admission.admit(CUSTOMER, 10, PATIENCE);
+    await clocks.sleep(60);
+    grant(admission);
+    expect((await admitted).type).toBe(AdmissionType.admitted);
+  });
+
+  test('is refused for that very reason when no steward is heard in time', async () => {
+    const admitted = await createAdmission().admit(CUSTOMER, 10, { rateMs: 400, lifeMs: 100 });
+    expect(admitted).toMatchObject({ type: AdmissionType.rateUnknown, retryAfterMs: 500 });
+  });
+
+  test('waits for a part of its life, and not at all where no steward was heard for long', () => {
+    const request = { arrivedAtMs: 1_000, lifeMs: 4_000, unheardSinceMs: 0 };
+    expect(waitsForRate(1_000, request)).toBe(true);
+    expect(waitsForRate(2_199, request)).toBe(true);
+    expect(waitsForRate(2_201, request)).toBe(false);
+    const late = { ...request, arrivedAtMs: 3_000 };
+    expect(waitsForRate(3_000, late)).toBe(false);
+  });
+});
