Share a customer's rate out only in parts that cover its requests

Cause: a burst of 10,662 over 6 VMs makes parts of some 1,300 units and leaves the lender 2,665, while the customer's requests count for 1,900 usually and up to 4,900: neither ever covers one. Change: VMs report the usual and the largest size of each customer's requests. The lender keeps enough for the largest one, and shares out nothing where a part would not cover a usual one.

--- a/src/decisions/rate-shares/holder.ts
+++ b/src/decisions/rate-shares/holder.ts
@@ -11,6 +11,10 @@
 const DEMAND_WINDOW_MS = 2_000;
 /** A loan that was not spent by then is dropped, ms. */
 const LOAN_TTL_MS = 1_000;
+/** Time over which the largest request is forgotten, ms. */
+const LARGEST_WINDOW_MS = 30_000;
+/** Weight of a new request in the usual size. */
+const USUAL_WEIGHT = 0.1;
 const MS_PER_S = 1000;
 
 interface Loan {
@@ -23,6 +27,8 @@
   loans: Loan[];
   demandPerS: number;
   demandAtMs: number;
+  usualUnits: number;
+  largestUnits: number;
 }
 
 export class ShareHolder {
@@ -86,8 +92,11 @@
     const limit = this.limits.get(customer);
     if (limit === undefined) return;
     const holding = this.holdingOf(nowMs, customer, limit);
-    holding.demandPerS = this.demandNow(nowMs, holding) + (units * MS_PER_S) / DEMAND_WINDOW_MS;
-    holding.demandAtMs = nowMs;
+    const demandPerS = this.demandNow(nowMs, holding) + (units * MS_PER_S) / DEMAND_WINDOW_MS;
+    const largestUnits = Math.max(units, this.largestNow(nowMs, holding));
+    const before = holding.usualUnits === 0 ? units : holding.usualUnits;
+    const usualUnits = before + (units - before) * USUAL_WEIGHT;
+    Object.assign(holding, { demandPerS, largestUnits, usualUnits, demandAtMs: nowMs });
   }
 
   /** Units that the parts and loans held here cover now. */
@@ -118,6 +127,8 @@
       customer,
       fraction: holding.bucket.fraction,
       demandPerS: this.demandNow(nowMs, holding),
+      usualUnits: holding.usualUnits,
+      largestUnits: this.largestNow(nowMs, holding),
     }));
   }
 
@@ -125,7 +136,14 @@
     const known = this.holdings.get(customer);
     if (known !== undefined) return known;
     const bucket = new PartBucket(limit, nowMs);
-    const holding = { bucket, loans: [], demandPerS: 0, demandAtMs: nowMs };
+    const holding: Holding = {
+      bucket,
+      loans: [],
+      demandPerS: 0,
+      demandAtMs: nowMs,
+      usualUnits: 0,
+      largestUnits: 0,
+    };
     this.holdings.set(customer, holding);
     return holding;
   }
@@ -153,6 +171,10 @@
     return holding.demandPerS * Math.exp((holding.demandAtMs - nowMs) / DEMAND_WINDOW_MS);
   }
 
+  private largestNow(nowMs: number, { demandAtMs, largestUnits }: Holding): number {
+    return largestUnits * Math.exp((demandAtMs - nowMs) / LARGEST_WINDOW_MS);
+  }
+
   private expire(nowMs: number): void {
     if (nowMs < this.expiresAtMs) return;
     this.holdings.forEach((holding, customer) => {
--- a/src/decisions/rate-shares/lender.ts
+++ b/src/decisions/rate-shares/lender.ts
@@ -5,6 +5,10 @@
  * out until its VM has confirmed a smaller one or until it has ended. Before a VM gets any, the most
  * that it may get is written down for a successor, who counts that as out until the VM has reported
  * or the time of every part is over.
+ *
+ * Answers the load of a small customer with large requests: cut into parts, its burst covers none of
+ * them anywhere. The lender keeps enough for the largest request of late, and shares out nothing
+ * where a VM's part would not cover a usual one; then each request asks the lender.
  */
 import { PartBucket } from './bucket.js';
 import {
@@ -19,8 +23,8 @@
 const SHARED_OUT = 0.75;
 /** Part of what is shared out that goes equally to all, for demand that is not seen yet. */
 const EQUAL_PART = 0.25;
-/** A VM's part of the burst must cover a usual request to be worth having, units. */
-const MIN_PART_BURST = 1_200;
+/** The sizes of requests are summed over all VMs this often, ms: there are many VMs and reports. */
+const SIZES_MS = 250;
 /** Most that a VM may get is written down in steps of this, and with room to grow. */
 const ALLOWANCE_STEP = 0.1;
 const ALLOWANCE_ROOM = 1.3;
@@ -35,12 +39,22 @@
   readonly expiresAtMs: number;
 }
 
+/** Units of a customer's requests at one VM. */
+interface RequestSizes {
+  readonly usual: number;
+  readonly largest: number;
+}
+
+/** Sizes while none are known. */
+const FIRST_SIZES: RequestSizes = { usual: 1_200, largest: 0 };
+
 interface VmShares {
   /** As the VM confirmed it last. */
   confirmed: Fractions;
   confirmedExpiresAtMs: number;
   unconfirmed: readonly Sent[];
   demand: ReadonlyMap<string, number>;
+  sizes: ReadonlyMap<string, RequestSizes>;
   /** The most that may be out with the VM, by customer, until `outUntilMs`. */
   out: Fractions;
   outUntilMs: number;
@@ -91,6 +105,11 @@
 
   private readonly demandPerS = new Map<string, number>();
 
+  /** Sizes of customers' requests over all VMs. */
+  private readonly sizes = new Map<string, RequestSizes>();
+
+  private sizedAtMs = -Infinity;
+
   /** What a predecessor may have given to VMs that have not reported. */
   private readonly unreported: Map<string, number>;
 
@@ -156,6 +175,12 @@
         applied?.expiresAtMs ?? shares?.confirmedExpiresAtMs ?? nowMs + SHARE_TTL_MS,
       unconfirmed: known.filter(({ seq }) => seq > appliedSeq),
       demand: new Map(reports.map(({ customer, demandPerS }) => [customer, demandPerS])),
+      sizes: new Map(
+        reports.map(({ customer, usualUnits, largestUnits }) => [
+          customer,
+          { usual: usualUnits, largest: largestUnits },
+        ]),
+      ),
       out: new Map(),
       outUntilMs: Infinity,
     };
@@ -163,6 +188,7 @@
     this.vms.set(vm, next);
     addAll(this.demandPerS, next.demand, 1);
     this.recount(nowMs, next);
+    this.refreshSizes(nowMs);
     this.refreshBuckets(nowMs);
   }
 
@@ -237,11 +263,27 @@
 
   private wantedPart(vm: string, customer: string, limit: RateLimit): number {
     const count = this.vms.size;
-    if ((limit.burst * SHARED_OUT) / count < MIN_PART_BURST) return 0;
+    const { usual, largest } = this.sizes.get(customer) ?? FIRST_SIZES;
+    const sharedOut = Math.min(SHARED_OUT, 1 - largest / limit.burst);
+    if ((limit.burst * sharedOut) / count < usual) return 0;
     const total = this.demandPerS.get(customer) ?? 0;
     const own = this.vms.get(vm)?.demand.get(customer) ?? 0;
     const byDemand = total <= LEAST_DEMAND_PER_S ? 1 / count : own / total;
-    return SHARED_OUT * (EQUAL_PART / count + (1 - EQUAL_PART) * byDemand);
+    return sharedOut * (EQUAL_PART / count + (1 - EQUAL_PART) * byDemand);
+  }
+
+  private refreshSizes(nowMs: number): void {
+    if (nowMs - this.sizedAtMs < SIZES_MS) return;
+    this.sizedAtMs = nowMs;
+    this.sizes.clear();
+    this.limits.forEach((_, customer) => {
+      const known = [...this.vms.values()]
+        .flatMap(({ sizes }) => sizes.get(customer) ?? [])
+        .filter(({ usual }) => usual > 0);
+      if (known.length === 0) return;
+      const usual = known.reduce((sum, one) => sum + one.usual, 0) / known.length;
+      this.sizes.set(customer, { usual, largest: Math.max(...known.map((one) => one.largest)) });
+    });
   }
 
   private refreshBuckets(nowMs: number): void {
--- a/src/decisions/rate-shares/types.ts
+++ b/src/decisions/rate-shares/types.ts
@@ -16,6 +16,9 @@
   readonly fraction: number;
   /** Units asked of it a second, refused ones too. */
   readonly demandPerS: number;
+  /** Units of a usual request and of the largest one of late; 0 where none came. */
+  readonly usualUnits: number;
+  readonly largestUnits: number;
 }
 
 /** Parts of one entry VM, by customer; they replace what it had. */
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -21,6 +21,8 @@
   customer: z.string(),
   fraction: z.number(),
   demandPerS: z.number(),
+  usualUnits: z.number(),
+  largestUnits: z.number(),
 });
 
 const waitSchema = z.object({
--- /dev/null
+++ b/test/replay/small-customers.test.ts
@@ -0,0 +1,98 @@
+/** A small customer with large requests, spread over all entry VMs, inside its rate. */
+import { describe, expect, test } from 'vitest';
+import { createRandom } from '../../src/core/random/index.js';
+import { RateLender, SHARE_TTL_MS, ShareHolder } from '../../src/decisions/rate-shares/index.js';
+
+const CUSTOMER = 'acme';
+const LIMIT = { ratePerS: 10_700, burst: 10_700 };
+const LIMITS = new Map([[CUSTOMER, LIMIT]]);
+const REPORT_MS = 100;
+/** Part of its rate that the customer uses. */
+const USED_PART = 0.7;
+const DURATION_MS = 120_000;
+/** What comes before counts for nothing: buckets begin empty, and sizes are not known. */
+const WARM_UP_MS = 10_000;
+
+interface Vm {
+  readonly name: string;
+  readonly holder: ShareHolder;
+  appliedSeq: number;
+}
+
+/** Sends requests of 900 to 4,900 units in the order of a seed, and counts what becomes of them. */
+class Replay {
+  readonly counts = { served: 0, refusedForEver: 0 };
+
+  private readonly lender = new RateLender(0, new Map());
+
+  private readonly vms: readonly Vm[];
+
+  private readonly random;
+
+  constructor(seed: number, vms: number) {
+    this.random = createRandom(seed);
+    this.lender.setLimits(0, LIMITS);
+    this.vms = Array.from({ length: vms }, (_, at) => {
+      const holder = new ShareHolder();
+      holder.setLimits(0, LIMITS);
+      return { name: `vm-${at}`, holder, appliedSeq: 0 };
+    });
+  }
+
+  play(): void {
+    let dueMs = 0;
+    for (let nowMs = 0; nowMs < DURATION_MS; nowMs += 10) {
+      if (nowMs % REPORT_MS === 0) this.vms.forEach((vm) => this.report(nowMs, vm));
+      if (nowMs >= dueMs) {
+        const units = 900 + this.random.real() ** 3 * 4_000;
+        this.request(nowMs, units);
+        dueMs = nowMs + (units / (LIMIT.ratePerS * USED_PART)) * 1_000;
+      }
+    }
+  }
+
+  private report(nowMs: number, vm: Vm): void {
+    this.lender.noteWritten(this.lender.allowances(nowMs));
+    this.lender.noteReport(nowMs, vm.name, vm.appliedSeq, vm.holder.report(nowMs));
+    const { seq, fractions } = this.lender.grant(nowMs, vm.name);
+    Object.assign(vm, { appliedSeq: seq });
+    vm.holder.grant(nowMs, fractions, nowMs + SHARE_TTL_MS);
+  }
+
+  private request(nowMs: number, units: number): void {
+    const vm = this.vms[Math.floor(this.random.real() * this.vms.length)];
+    if (vm === undefined) throw new Error('no VMs');
+    vm.holder.noteDemand(nowMs, CUSTOMER, units);
+    const missing = units - vm.holder.available(nowMs, CUSTOMER);
+    if (missing > 0 && this.lender.lend(nowMs, CUSTOMER, missing)) {
+      vm.holder.addLoan(nowMs, CUSTOMER, missing);
+    }
+    if (nowMs < WARM_UP_MS) vm.holder.take(nowMs, CUSTOMER, units);
+    else if (vm.holder.take(nowMs, CUSTOMER, units)) this.counts.served += 1;
+    else if (!this.isOnceServed(nowMs, vm, units)) this.counts.refusedForEver += 1;
+  }
+
+  /** Whether the request would be admitted at some time, here or by the lender. */
+  private isOnceServed(nowMs: number, { holder }: Vm, units: number): boolean {
+    const missing = units - holder.available(nowMs, CUSTOMER);
+    const waits = [
+      holder.waitMs(nowMs, CUSTOMER, units),
+      this.lender.waitMs(nowMs, CUSTOMER, missing),
+    ];
+    return waits.some((waitMs) => Number.isFinite(waitMs));
+  }
+}
+
+describe('a small customer inside its rate', () => {
+  test.each([
+    [1, 6],
+    [2, 6],
+    [3, 8],
+    [4, 60],
+  ])('is never told that its requests are too large, seed %i, %i VMs', (seed, vms) => {
+    const replay = new Replay(seed, vms);
+    replay.play();
+    expect(replay.counts.refusedForEver).toBe(0);
+    expect(replay.counts.served).toBeGreaterThan(300);
+  });
+});
