--- a/src/decisions/rate-shares/holder.ts
+++ b/src/decisions/rate-shares/holder.ts
@@ -57,11 +57,6 @@
     });
   }
 
-  /** Whether the parts held here are those of a steward that was heard lately. */
-  isCurrent(nowMs: number): boolean {
-    return nowMs < this.expiresAtMs;
-  }
-
   /** Lets every part and loan go. */
   clear(): void {
     this.holdings.clear();
--- a/src/entry/relay/admission.ts
+++ b/src/entry/relay/admission.ts
@@ -155,8 +155,9 @@
     const nowMs = clock.steadyMs();
     if (lent !== null && lent.units > 0) this.holder.addLoan(nowMs, customer, lent.units);
     if (this.holder.take(nowMs, customer, units)) return YES;
-    if (this.holder.isCurrent(nowMs)) this.knownAtMs = nowMs;
-    else if (lent === null) return UNKNOWN;
+    // Without the lender's word, a part that never covers the request tells nothing of the rate.
+    if (lent === null && !Number.isFinite(localWaitMs)) return UNKNOWN;
+    this.knownAtMs = nowMs;
     const waitMs = Math.min(localWaitMs, lent?.waitMs ?? Infinity);
     if (lent !== null) this.pausedUntilMs.set(customer, nowMs + Math.min(waitMs, ASK_PAUSE_MS));
     return this.refusal(waitMs);
--- a/test/units/relay/admission.test.ts
+++ b/test/units/relay/admission.test.ts
@@ -20,14 +20,14 @@
   return admission;
 }
 
-function grant(admission: Admission): void {
+function grant(admission: Admission, fraction = 1): void {
   const nowMs = clocks.createClock().steadyMs();
   admission.takeGrant({
     type: 'grant',
     seq: 1,
     reportSentAtMs: nowMs,
     reportClockMs: nowMs,
-    fractions: { acme: 1 },
+    fractions: { acme: fraction },
     plan: null,
     backends: null,
     planRevision: 0,
@@ -43,6 +43,13 @@
     expect((await admitted).type).toBe(AdmissionType.admitted);
   });
 
+  test('is not refused as over its rate by a VM without a part while no lender is heard', async () => {
+    const admission = createAdmission();
+    grant(admission, 0);
+    const admitted = await admission.admit(CUSTOMER, 10, { rateMs: 400, lifeMs: 100 });
+    expect(admitted.type).toBe(AdmissionType.rateUnknown);
+  });
+
   test('is refused for that very reason when no steward is heard in time', async () => {
     const admitted = await createAdmission().admit(CUSTOMER, 10, { rateMs: 400, lifeMs: 100 });
     expect(admitted).toMatchObject({ type: AdmissionType.rateUnknown, retryAfterMs: 500 });
