Refuse at once what the weight store brings too late, and load it for the caller's return

Cause: four loads from the store run at once and take 6 s each, so a model may wait for its turn for longer than its callers do. Nobody told them, and the want was forgotten with the refusal. Change: the steward works out when each queued load will be ready (forecastLoads) and tells it with the loads under way. A request whose only load ends too late is refused at once with that time, and its model stays wanted until the caller is due back. What is held somewhere waits for room as before. In the latter 'not for one that does not' asked for the usual patience where a load ends too late; it is now refused at once, or waits as before if it is held.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -10,8 +10,10 @@
  */
 import { OrderStepType } from '../engine-orders/index.js';
 import type { ModelSpec } from '../fleet-plan/index.js';
+import type { QueuedLoad } from './load-forecast.js';
 import type { EngineState, Place, SwapAction, SwapView, Want } from './types.js';
 
+export { type ForecastLoad, forecastLoads, type QueuedLoad } from './load-forecast.js';
 export { StorePace } from './store-pace.js';
 export * from './types.js';
 
@@ -181,6 +183,22 @@
     return [...wanted, ...filled];
   }
 
+  /** What waits for its turn at the weight store: no engine holds it, loads it or has a copy. */
+  queuedLoads(seen: SwapView): readonly QueuedLoad[] {
+    const byPress = [...seen.wants].sort((a, b) => pressOf(seen.nowMs, b) - pressOf(seen.nowMs, a));
+    const models = new Map(byPress.map(({ model, service }) => [model, service]));
+    return [...models].flatMap(([model, service]) => {
+      const engines = seen.engines.filter((engine) => engine.sound && engine.service === service);
+      const isNear = (engine: EngineState) =>
+        engine.loading.includes(model) ||
+        hasCopy(engine, model) ||
+        placeOf(engine, model) !== undefined;
+      const spec = engines[0]?.spec.models.get(model);
+      if (spec === undefined || engines.some(isNear)) return [];
+      return [{ model, loadMs: spec.remoteLoadMs }];
+    });
+  }
+
   /** Loads what is asked for most and has the fewest places into room that is free. */
   private fill(
     view: IndexedView,
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -5,6 +5,7 @@
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import {
   byUrgency,
+  ExpectedReturns,
   giveUpAtMs,
   retryAfterMs,
   type Waiter,
@@ -39,6 +40,8 @@
 export class Dispatcher {
   private readonly waiting = new Map<string, Waiting>();
 
+  private readonly returns = new ExpectedReturns();
+
   private timer: NodeJS.Timeout | null = null;
 
   constructor(private readonly opts: DispatchOptions) {}
@@ -76,22 +79,25 @@
     inOrder.forEach((entry) => this.advance(nowMs, entry));
   }
 
-  /** What waits, by what it needs. */
+  /** What waits or is expected back, by what it needs. */
   waits(): RelayMessageOf<'report'>['waits'] {
     const nowMs = this.opts.clock.steadyMs();
+    const waiting = [...this.waiting.values()].map(({ waiter }) => ({
+      ...waiter,
+      dueAtMs: waiter.objectiveAtMs,
+    }));
+    const expected = this.returns.all(nowMs).map((one) => ({ ...one, dueAtMs: one.atMs }));
     const groups = new Map<string, RelayMessageOf<'report'>['waits'][number]>();
-    this.waiting.forEach(({ waiter }) => {
-      const { service, model, adapter } = waiter;
+    [...waiting, ...expected].forEach(({ service, model, adapter, dueAtMs }) => {
       if (model === null) return;
       const key = JSON.stringify([service, model, adapter]);
       const before = groups.get(key);
-      const dueInMs = waiter.objectiveAtMs - nowMs;
       groups.set(key, {
         service,
         model,
         adapter,
         waiting: (before?.waiting ?? 0) + 1,
-        dueInMs: Math.min(before?.dueInMs ?? Infinity, dueInMs),
+        dueInMs: Math.min(before?.dueInMs ?? Infinity, dueAtMs - nowMs),
       });
     });
     return [...groups.values()];
@@ -105,8 +111,13 @@
       return;
     }
     const readyAtMs = this.opts.view.readyAtMs(waiter);
-    if (nowMs < giveUpAtMs(waiter, readyAtMs)) return;
+    const isHeld = this.opts.view.isHeld(waiter);
+    if (nowMs < giveUpAtMs(waiter, { readyAtMs, isHeld })) return;
     this.waiting.delete(waiter.id);
+    const { service, model, adapter } = waiter;
+    if (readyAtMs !== null && !isHeld) {
+      this.returns.note({ service, model, adapter, atMs: readyAtMs });
+    }
     settle({ run: null, retryAfterMs: retryAfterMs(nowMs, readyAtMs) });
   }
 
--- a/src/entry/relay/engine-yard.ts
+++ b/src/entry/relay/engine-yard.ts
@@ -16,8 +16,12 @@
 } from '../../decisions/fleet-plan/index.js';
 import {
   type EngineState,
+  type ForecastLoad,
+  forecastLoads,
   StorePace,
+  type SwapAction,
   SwapPlanner,
+  type SwapView,
   type Want,
 } from '../../decisions/swaps/index.js';
 import type { FollowerTask } from './follower.js';
@@ -43,6 +47,8 @@
 const STORE_BURST = 2;
 /** An adapter's load takes a few milliseconds. */
 const ADAPTER_MS = 8;
+/** Shortest time that is told of a load, ms. */
+const LEAST_READY_MS = 20;
 /** Time for entry VMs to hear that a model leaves an engine before it is unloaded, ms. */
 const NOTICE_MS = 12;
 /** Time that an engine takes to drop a model without runs, ms. */
@@ -97,6 +103,9 @@
 
   private readonly storePace = new StorePace();
 
+  /** Loads from the weight store that have not begun. */
+  private forecast: readonly ForecastLoad[] = [];
+
   private plannedAtMs = -Infinity;
 
   private plannedFor = '';
@@ -142,15 +151,16 @@
     return this.uses.runningAt(engineId);
   }
 
-  /** Loads under way, with the time until they end. */
+  /** Loads under way and those that wait for the store, with the time until they end. */
   loads(nowMs: number): LoadView[] {
-    return [...this.engines.values()].flatMap((engine) =>
-      engine.orders.loading.map((model) => ({
-        model,
-        adapter: null,
-        readyInMs: Math.max(20, engine.loadEndsAtMs - nowMs),
-      })),
+    const underWay = [...this.engines.values()].flatMap((engine) =>
+      engine.orders.loading.map((model) => ({ model, readyAtMs: engine.loadEndsAtMs })),
     );
+    return [...underWay, ...this.forecast].map(({ model, readyAtMs }) => ({
+      model,
+      adapter: null,
+      readyInMs: Math.max(LEAST_READY_MS, readyAtMs - nowMs),
+    }));
   }
 
   private isKnown(engine: EngineRecord): boolean {
@@ -268,7 +278,10 @@
     const engines = [...this.engines.values()].map((engine) => this.stateOf(nowMs, engine));
     const rates = this.uses.rates(nowMs);
     const storeLoadsLeft = this.storeLoadsLeft(nowMs);
-    this.planner.plan({ nowMs, engines, wants, rates, storeLoadsLeft }).forEach((action) => {
+    const view = { nowMs, engines, wants, rates, storeLoadsLeft };
+    const actions = this.planner.plan(view);
+    this.forecastQueue(view, actions);
+    actions.forEach((action) => {
       const engine = this.engines.get(action.engineId);
       if (engine === undefined) return;
       if (action.fromStore) this.storeTokens -= 1;
@@ -296,6 +309,21 @@
     });
   }
 
+  private forecastQueue(view: SwapView, actions: readonly SwapAction[]): void {
+    const begun = new Set(actions.flatMap(({ steps }) => steps.map(({ model }) => model)));
+    const queue = this.planner.queuedLoads(view).filter(({ model }) => !begun.has(model));
+    const beginning = actions.filter(({ fromStore }) => fromStore).length;
+    const ends = this.runningStoreLoads().map(({ loadEndsAtMs }) => loadEndsAtMs);
+    const spare = this.storePace.atOnce - beginning;
+    this.forecast = forecastLoads(view.nowMs, ends, spare, queue);
+  }
+
+  private runningStoreLoads(): readonly EngineRecord[] {
+    return [...this.engines.values()].filter(
+      ({ storeLoad, orders }) => storeLoad !== null && orders.loading.length > 0,
+    );
+  }
+
   private wants(nowMs: number, reports: readonly RelayMessageOf<'report'>[]): readonly Want[] {
     const merged = new Map<string, Want>();
     reports.forEach(({ waits }) =>
@@ -348,9 +376,7 @@
     const gained = ((nowMs - this.storeTokensAtMs) / MS_PER_S) * perS;
     this.storeTokens = Math.min(STORE_BURST, this.storeTokens + gained);
     this.storeTokensAtMs = nowMs;
-    const running = [...this.engines.values()].flatMap(({ storeLoad, orders }) =>
-      storeLoad !== null && orders.loading.length > 0 ? [storeLoad] : [],
-    );
+    const running = this.runningStoreLoads().flatMap(({ storeLoad }) => storeLoad ?? []);
     running.forEach((load) =>
       Object.assign(load, { together: Math.max(load.together, running.length) }),
     );
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -96,7 +96,18 @@
     }));
   }
 
-  /** End of a load under way of what the request needs, ms; null where none is. */
+  /** Whether a server that stays holds the model that the request needs. */
+  isHeld({ service, model }: Need): boolean {
+    const nowMs = this.clock.steadyMs();
+    const heard = this.stewardIsHeard();
+    const need = { service, model, adapter: null };
+    return [...this.follower.backends.values()].some(
+      (server) =>
+        server.service === service && !server.leaving && this.holds(nowMs, server, need, heard),
+    );
+  }
+
+  /** End of the first load of what the request needs, ms; null where none is known of. */
   readyAtMs(need: Need): number | null {
     const ends = this.loads
       .filter(({ model, adapter }) => model === need.model && adapter === null)
--- a/test/units/wait-list/wait-list.test.ts
+++ b/test/units/wait-list/wait-list.test.ts
@@ -24,15 +24,30 @@
     expect(order).toEqual(['urgent', 'quick', 'patient']);
   });
 
+  const outlook = (readyAtMs: number | null, isHeld = false) => ({ readyAtMs, isHeld });
+
   test('are refused before their callers leave', () => {
-    expect(waits.giveUpAtMs(waiter({}), null)).toBeLessThan(2_000);
+    expect(waits.giveUpAtMs(waiter({}), outlook(null))).toBeLessThan(2_000);
+  });
+
+  test('wait longer for a load that ends in time', () => {
+    const withoutLoad = waits.giveUpAtMs(waiter({}), outlook(null));
+    expect(waits.giveUpAtMs(waiter({}), outlook(1_000))).toBeGreaterThan(withoutLoad);
+    expect(waits.giveUpAtMs(waiter({}), outlook(1_000))).toBeLessThan(2_000);
+  });
+
+  test('are refused at once when the only load ends too late', () => {
+    expect(waits.giveUpAtMs(waiter({ arrivedAtMs: 100 }), outlook(6_000))).toBe(100);
+    const withoutLoad = waits.giveUpAtMs(waiter({}), outlook(null));
+    expect(waits.giveUpAtMs(waiter({}), outlook(6_000, true))).toBe(withoutLoad);
   });
 
-  test('wait longer for a load that ends in time, and not for one that does not', () => {
-    const withoutLoad = waits.giveUpAtMs(waiter({}), null);
-    expect(waits.giveUpAtMs(waiter({}), 1_000)).toBeGreaterThan(withoutLoad);
-    expect(waits.giveUpAtMs(waiter({}), 1_000)).toBeLessThan(2_000);
-    expect(waits.giveUpAtMs(waiter({}), 6_000)).toBe(withoutLoad);
+  test('are expected back at the time that they were told, and not for ever', () => {
+    const returns = new waits.ExpectedReturns();
+    const expected = { service: 'drafting', model: 'm', adapter: null, atMs: 6_000 };
+    returns.note(expected);
+    expect(returns.all(6_500)).toEqual([expected]);
+    expect(returns.all(7_000)).toEqual([]);
   });
 
   test('are told to come back when the load ends', () => {
