Let an heir go on only on the word of the VM that it follows, and not after a lost lease

Trace: a data centre is cut off with resets; its VM takes the refused connections for the end of the steward and, once the cut is over, takes the lease from the living one (40.78 s). That one loses it by a conflict and answers its members that it has no office; its heir goes on under an older number (40.85 s) until the store tells it otherwise (40.88 s). Ruled out: the store's conditional updates (each write was in order), restarts at 41.1 s (they only made the third turn). Change: only the VM itself counts as proof: its word that it gave the lease up, or that its process has no office. It gives none between losing the lease and having read who holds it, and tells the newest fencing number that it knows; an heir whose number is older stays out. ECONNREFUSED tells nothing any more. A killed steward is followed once its process is back, or when its lease has run out.

--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -4,9 +4,12 @@
  * The holder counts the lease from before it sent the renewing call. Others count from when they
  * last saw the version change, plus a margin; so the lease lapses for its holder first.
  *
- * A lease names an heir with a fencing number of its own. When the holder has ended or given the
- * lease up, the heir goes on at once with what is left of it, and confirms that in the store meanwhile.
- * Nobody else takes the lease before it has run out, unless the heir has ended too.
+ * A lease names an heir with a fencing number of its own. When the holder says that it has given the
+ * lease up, or a new process of its VM says that it does not hold it, the heir goes on at once with
+ * what is left of it, and confirms that in the store meanwhile. Nobody else takes the lease before it
+ * has run out, unless the heir is gone too.
+ *
+ * A connection that is refused proves nothing: a cut may reset connections.
  */
 import {
   type Lease,
@@ -90,6 +93,12 @@
   /** Nobody acts under this epoch or an earlier one, so that their lease need not run out. */
   private goneEpoch = 0;
 
+  /** Latest epoch that anybody told of. */
+  private newestEpoch = 0;
+
+  /** Whether the lease was lost to another holder that has not been seen yet. */
+  private lostUnseen = false;
+
   private inheritance: Inheritance | null = null;
 
   private renouncedAtMs = -Infinity;
@@ -114,6 +123,11 @@
     return this.seen?.holder ?? null;
   }
 
+  /** Latest epoch that this entry VM knows of. */
+  get newest(): number {
+    return Math.max(this.newestEpoch, this.seen?.epoch ?? 0);
+  }
+
   /** Who acts under the lease as last seen: its holder, or its heir once the holder is gone. */
   get post(): LeasePost | null {
     const { seen } = this;
@@ -133,7 +147,7 @@
   renounce(nowMs: number): boolean {
     const mayInherit = this.inheritance !== null && nowMs < this.inheritance.untilMs;
     const mayAct = !this.stopping && (this.pending !== null || mayInherit);
-    if (this.holds(nowMs) || mayAct) return false;
+    if (this.holds(nowMs) || mayAct || this.lostUnseen) return false;
     // A word that names it heir may still be on its way.
     this.renouncedAtMs = nowMs;
     return true;
@@ -169,6 +183,7 @@
         return this.release(nowMs);
       case LeaseEventType.holderGone:
         this.goneEpoch = Math.max(this.goneEpoch, event.epoch);
+        this.newestEpoch = Math.max(this.newestEpoch, event.newest);
         this.nextCallAtMs = Math.min(this.nextCallAtMs, nowMs);
         return this.inherit(nowMs);
       case LeaseEventType.told:
@@ -222,13 +237,17 @@
     this.pending = null;
     // Only a renewal of the holder before can have come between; another holder shows in the read.
     const isHeir = this.unconfirmed && this.holds(nowMs);
-    if (!isHeir) return [...this.drop(), ...this.read(nowMs)];
+    if (!isHeir) {
+      this.lostUnseen = this.holds(nowMs);
+      return [...this.drop(), ...this.read(nowMs)];
+    }
     const knowsNewer = pending !== null && this.version > pending.version;
     return knowsNewer ? this.write(nowMs, this.heldEpoch) : this.read(nowMs);
   }
 
   private noteRead(nowMs: number, lease: Lease | null, version: number): readonly LeaseEffect[] {
     const isSame = version === this.version && this.seen !== null;
+    this.lostUnseen = false;
     if (!isSame) this.changedAtMs = nowMs;
     this.version = version;
     const { pending } = this;
@@ -291,7 +310,7 @@
     if (inheritance === null || this.stopping || this.holds(nowMs)) return [];
     const { lease, heir, untilMs } = inheritance;
     const isDue = lease.epoch <= this.goneEpoch && heir.epoch > this.goneEpoch;
-    const isPast = heir.epoch <= this.lastEpoch || heir.epoch < (this.seen?.epoch ?? 0);
+    const isPast = heir.epoch <= this.lastEpoch || heir.epoch < this.newest;
     const isLate = nowMs >= untilMs || isPast;
     if (!isDue || isLate) return [];
     this.inheritance = null;
--- a/src/decisions/leases/types.ts
+++ b/src/decisions/leases/types.ts
@@ -76,8 +76,15 @@
   | { readonly type: typeof LeaseEventType.writeUnknown }
   /** Gives the lease up, for a planned stop: its heir goes on, or anybody may take it. */
   | { readonly type: typeof LeaseEventType.release }
-  /** Nobody acts under this epoch any more: its holder has ended or has given it up. */
-  | { readonly type: typeof LeaseEventType.holderGone; readonly epoch: number }
+  /**
+   * Nobody acts under this epoch any more: its holder gave it up, or its VM runs another process.
+   * `newest` is the latest epoch that whoever says so has seen.
+   */
+  | {
+      readonly type: typeof LeaseEventType.holderGone;
+      readonly epoch: number;
+      readonly newest: number;
+    }
   /** The note has changed: the holder renews without waiting. */
   | { readonly type: typeof LeaseEventType.renewSoon }
   /** The holder said what it has written and for how long it holds; the heir is told its term. */
--- a/src/entry/relay/lease-task.ts
+++ b/src/entry/relay/lease-task.ts
@@ -122,9 +122,14 @@
     this.handle({ type: LeaseEventType.renewSoon });
   }
 
-  /** Nobody is steward under this fencing number any more. */
-  noteGone(fence: number): void {
-    this.handle({ type: LeaseEventType.holderGone, epoch: fence });
+  /** Nobody is steward under this fencing number any more; `newest` is the latest that is known. */
+  noteGone(fence: number, newest: number): void {
+    this.handle({ type: LeaseEventType.holderGone, epoch: fence, newest });
+  }
+
+  /** Latest fencing number that this VM knows of. */
+  get newestFence(): number {
+    return this.keeper.newest;
   }
 
   async start(): Promise<void> {
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -114,6 +114,8 @@
     type: z.literal(RelayMessageType.noOffice),
     /** Whether it will not act under any fencing number that others may know of. */
     isIdle: z.boolean(),
+    /** Latest fencing number that it knows of. */
+    newestFence: z.int(),
   }),
   /** Engines that changed; all of them when `whole`. */
   z.object({
--- a/src/entry/relay/steward-link.ts
+++ b/src/entry/relay/steward-link.ts
@@ -19,8 +19,8 @@
   message(message: RelayMessage): void;
   /** A new connection holds: nothing that was said before counts. */
   connected(post: LeasePost): void;
-  /** Nobody is steward under this post any more: its process has ended, or has no office. */
-  gone(post: LeasePost): void;
+  /** Who was dialled has no office, and knows of fencing numbers up to `newest`. */
+  gone(post: LeasePost, newest: number): void;
 }
 
 /** Reads frames from a socket; a frame that can't be read ends the connection. */
@@ -121,9 +121,8 @@
       clearTimeout(timer);
       this.events.connected(post);
     });
-    socket.on('error', (err: NodeJS.ErrnoException) => {
+    socket.on('error', (err) => {
       this.logger.debug('steward-link-failed', { peer: post.vm, reason: err.message });
-      if (err.code === 'ECONNREFUSED') this.events.gone(post);
     });
     let isFound = false;
     socket.on('close', () => {
@@ -136,7 +135,7 @@
     readMessages(socket, post.vm, this.logger, (message) => {
       if (this.socket !== socket) return;
       if (message.type === RelayMessageType.noOffice) {
-        if (message.isIdle) this.events.gone(post);
+        if (message.isIdle) this.events.gone(post, message.newestFence);
         return;
       }
       this.heardAtMs = this.clock.steadyMs();
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -247,8 +247,10 @@
     // The heir may be dialled before its first look at the lease.
     if (!this.acting) this.tick();
     if (!this.acting) {
-      const isIdle = this.opts.lease.renounce();
-      writeMessage(socket, { type: RelayMessageType.noOffice, isIdle });
+      const { lease } = this.opts;
+      const isIdle = lease.renounce();
+      const { newestFence } = lease;
+      writeMessage(socket, { type: RelayMessageType.noOffice, isIdle, newestFence });
       socket.end();
       return;
     }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -136,7 +136,7 @@
         break;
       case RelayMessageType.lease:
         lease.noteTold(message, message.heirTerm);
-        if (message.isGivenUp) lease.noteGone(message.lease.epoch);
+        if (message.isGivenUp) lease.noteGone(message.lease.epoch, message.lease.epoch);
         break;
       case RelayMessageType.view:
         view.takeView(message);
@@ -175,7 +175,7 @@
       incidents.introduce();
       parts.steward?.tellSteward();
     },
-    gone: (post) => lease.noteGone(post.fence),
+    gone: (post, newest) => lease.noteGone(post.fence, newest),
   });
   parts.link = link;
   const isStopping = () => stopping;
--- a/test/failures/steward-handover.test.ts
+++ b/test/failures/steward-handover.test.ts
@@ -16,6 +16,8 @@
 const VMS = 4;
 /** Time to wait for what must come in the end, ms. */
 const PATIENCE_MS = 8_000;
+/** Time until a killed process is started again, ms. */
+const RESTART_MS = 300;
 /** Longer than all that a case waits for, ms. */
 const WHOLE_CASE_MS = 30_000;
 
@@ -54,6 +56,13 @@
   return steward;
 }
 
+/** The platform starts a process again that was killed. */
+async function restartSoon(vm: SoakVm): Promise<void> {
+  await vm.end('SIGKILL');
+  await clocks.sleep(RESTART_MS);
+  vm.start();
+}
+
 describe('a steward that is lost while the store misbehaves', () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bilberrystand-handover-'));
   const program = path.join(folder, 'bilberrystand.cjs');
@@ -82,6 +91,7 @@
       await clocks.sleep(300);
       const endedAtMs = Date.now();
       steward.signal(signal);
+      if (signal === 'SIGKILL') void restartSoon(steward);
       // A VM that stops serves its callers on and needs a steward as well.
       const serving = cell.vms.filter((vm) => vm !== steward || signal === 'SIGTERM');
       const heardAnew = () =>
--- a/test/properties/leases/one-holder.test.ts
+++ b/test/properties/leases/one-holder.test.ts
@@ -55,6 +55,9 @@
 
   epochsHeld: number[] = [];
 
+  /** VMs that a cut with resets keeps from the others, though not from the store. */
+  private readonly cut = new Set<string>();
+
   /** VMs that can't be named heirs, since their holder does not hear them. */
   private readonly unheard = new Set<string>();
 
@@ -82,13 +85,21 @@
     if (!this.unheard.delete(name)) this.unheard.add(name);
   }
 
+  /** A VM is cut off from the others, or no more. */
+  toggleCut({ name }: Vm): void {
+    if (!this.cut.delete(name)) this.cut.add(name);
+  }
+
   /** Dials the steward that it knows, and learns whether it has ended or has no office. */
   dial(vm: Vm): void {
     const { post } = vm.keeper;
     const peer = this.vms.find(({ name }) => name === post?.vm);
     if (post === null || peer === undefined || peer === vm) return;
+    // A refused connection tells nothing.
+    if (this.cut.has(vm.name) || this.cut.has(peer.name)) return;
     if (this.nowMs < peer.pausedUntilMs || !peer.keeper.renounce(this.clockOf(peer))) return;
-    this.feed(vm, { type: leases.LeaseEventType.holderGone, epoch: post.fence });
+    const { newest } = peer.keeper;
+    this.feed(vm, { type: leases.LeaseEventType.holderGone, epoch: post.fence, newest });
   }
 
   private createKeeper(self: string): leases.LeaseKeeper {
@@ -223,6 +234,7 @@
       'dial',
       'restart',
       'toggleHeard',
+      'toggleCut',
     ),
     a: fc.nat(5),
     ms: fc.constantFrom(0, 50, 400, 1_000, 2_900),
@@ -251,6 +263,7 @@
           else if (what === 'dial') world.dial(vm);
           else if (what === 'restart' && a > 2) world.restart(vm);
           else if (what === 'toggleHeard') world.toggleHeard(vm);
+          else if (what === 'toggleCut') world.toggleCut(vm);
           else if (what === 'release' && a > 2) {
             world.feed(vm, { type: leases.LeaseEventType.release });
           }
@@ -283,7 +296,11 @@
     if (first === undefined || second === undefined) throw new Error('no VMs');
     [first, second].forEach((vm, at) => {
       if (at === 1) {
-        vm.keeper.handle(world.nowMs, { type: leases.LeaseEventType.holderGone, epoch: 1 });
+        vm.keeper.handle(world.nowMs, {
+          type: leases.LeaseEventType.holderGone,
+          epoch: 1,
+          newest: 1,
+        });
       }
       world.run(vm, 400);
     });
--- a/test/units/leases/handover.test.ts
+++ b/test/units/leases/handover.test.ts
@@ -56,7 +56,7 @@
   return { holder, heir };
 }
 
-const GONE: LeaseEvent = { type: LeaseEventType.holderGone, epoch: 1 };
+const GONE: LeaseEvent = { type: LeaseEventType.holderGone, epoch: 1, newest: 1 };
 
 describe('a holder that stops', () => {
   test('gains no office when its renewal is answered after the stop', () => {
@@ -135,6 +135,21 @@
     expect(late.handle(310, GONE)).toEqual([]);
   });
 
+  test('does not go on with a lease that its holder has lost to another VM', () => {
+    const { holder, heir } = createPair();
+    holder.handle(700, { type: LeaseEventType.tick });
+    holder.handle(800, { type: LeaseEventType.conflict });
+    // Who holds the lease now is not known until it is read.
+    expect(holder.renounce(801)).toBe(false);
+    const taken = { holder: 'vm-3', epoch: 3, durationMs: DURATION_MS, renewal: 9 };
+    holder.handle(900, { type: LeaseEventType.read, lease: taken, version: 7 });
+    expect([holder.renounce(901), holder.newest]).toEqual([true, 3]);
+    const { newest } = holder;
+    const gone: LeaseEvent = { type: LeaseEventType.holderGone, epoch: 1, newest };
+    expect(heir.handle(902, gone)).toEqual([]);
+    expect(heir.holds(902)).toBe(false);
+  });
+
   test('does not go on when its time was over while it was paused', () => {
     const { heir } = createPair();
     expect(heir.handle(DURATION_MS + 1, GONE)).toEqual([]);
@@ -152,7 +167,7 @@
     const read: LeaseEvent = { type: LeaseEventType.read, lease: told.lease, version: 1 };
     expect(third.handle(820, read)).toEqual([]);
     // Once the heir has ended too, anybody may take it, under a number that nobody had.
-    third.handle(830, { type: LeaseEventType.holderGone, epoch: 2 });
+    third.handle(830, { type: LeaseEventType.holderGone, epoch: 2, newest: 2 });
     third.handle(840, { type: LeaseEventType.tick });
     expect(writeOf(third.handle(850, read)).lease).toMatchObject({ holder: 'vm-2', epoch: 3 });
   });
