Log a lost and regained store, and each change of the list of servers, at info

Before, a VM's list of servers changed without a line (docs/incidents/server-brought-back.md), and failed calls to the store showed only at debug level. One line a change, with who told it.

--- a/src/entry/relay/follower.ts
+++ b/src/entry/relay/follower.ts
@@ -27,6 +27,8 @@
 /** Pause after a call that failed, ms, and the longest after several: refused calls are priced. */
 const RETRY_MS = 150;
 const MOST_RETRY_MS = 600;
+/** Calls that fail in a row before the store counts as lost. */
+const LOST_FROM = 2;
 /** A store that did not answer for this long was in an outage, ms. */
 const OUTAGE_MS = 1_000;
 
@@ -144,8 +146,12 @@
     if (answer.type === FeedOutcome.failed) {
       this.opts.logger.debug('store-call-failed', { kind: this.kind, reason: answer.reason });
       this.failures += 1;
+      if (this.failures === LOST_FROM) {
+        this.opts.logger.info('store-lost', { kind: this.kind, reason: answer.reason });
+      }
       return Math.min(MOST_RETRY_MS, RETRY_MS * this.failures);
     }
+    if (this.failures >= LOST_FROM) this.opts.logger.info('store-back', { kind: this.kind });
     this.failures = 0;
     // The steward's word has gone beyond this answer.
     if (!this.isUpTo(answer.revision)) return RETRY_MS;
@@ -192,6 +198,9 @@
 
   private readonly list = new BackendList();
 
+  /** The list as it was logged last: whether each server leaves. */
+  private listed: ReadonlyMap<string, boolean> = new Map();
+
   private readonly planFollower: KindFollower;
 
   private readonly backendFollower: KindFollower;
@@ -347,9 +356,22 @@
       server: item.deleted ? null : this.opts.wire.decodeBackend(item.name, item.value),
       deleted: item.deleted,
     }));
-    if (this.list.take(nowMs, decoded, whole)) {
-      this.opts.changed.send({ plan: false, backends: true });
+    if (this.list.take(nowMs, decoded, whole)) this.noteListChanged('store');
+  }
+
+  /** Logs how the list of backend servers has changed, and tells the others of it. */
+  private noteListChanged(toldBy: 'store' | 'steward' | 'time'): void {
+    const before = this.listed;
+    this.listed = new Map([...this.backends].map(([id, { leaving }]) => [id, leaving]));
+    const added = [...this.listed.keys()].filter((id) => !before.has(id));
+    const gone = [...before.keys()].filter((id) => !this.listed.has(id));
+    const leaving = [...this.listed].flatMap(([id, leaves]) =>
+      leaves && before.get(id) !== true ? [id] : [],
+    );
+    if (added.length + gone.length + leaving.length > 0) {
+      this.opts.logger.info('servers-changed', { toldBy, added, gone, leaving });
     }
+    this.opts.changed.send({ plan: false, backends: true });
   }
 
   /** Takes the steward's list over, unless more is known here. */
@@ -359,13 +381,10 @@
     this.toldIsNew = false;
     const told = [...this.told.values()];
     const missing = new Set(told.filter(({ isMissing }) => isMissing).map(({ id }) => id));
-    if (this.list.adopt(told.map(asBackendServer), missing))
-      this.opts.changed.send({ plan: false, backends: true });
+    if (this.list.adopt(told.map(asBackendServer), missing)) this.noteListChanged('steward');
   }
 
   private settle(): void {
-    if (this.list.settle(this.opts.clock.nowMs())) {
-      this.opts.changed.send({ plan: false, backends: true });
-    }
+    if (this.list.settle(this.opts.clock.nowMs())) this.noteListChanged('time');
   }
 }
