Answer what a stopping VM has just accepted before it ends its connections

Operators of similar systems saw requests cut that had just been accepted during a planned stop; it could happen here. Cause: the stop went on as soon as no request was under way, told the steward, waited 20 ms and then ended every connection, with the listener open all that time. Change: the listener is closed first, idle connections are closed as they become idle, and the rest of the stop waits until every open connection has ended by itself, or the grace period is over.

--- a/src/entry/relay/front.ts
+++ b/src/entry/relay/front.ts
@@ -1,6 +1,7 @@
 /** Takes callers' requests, checks them, and hands each to its exchange. */
 import * as http from 'node:http';
 import type { Socket } from 'node:net';
+import * as clocks from '../../core/clock/index.js';
 import * as errors from '../../core/errors/index.js';
 import * as https from '../../core/http/index.js';
 import type { LogFields, Logger } from '../../core/logger/index.js';
@@ -24,6 +25,8 @@
 
 /** Slow senders are looked for this often, ms. */
 const CHECK_CONNECTIONS_MS = 500;
+/** Connections that have become idle are closed this often while stopping, ms. */
+const DRAIN_POLL_MS = 10;
 /** Longest body while no plan is known, bytes. */
 const FIRST_MAX_BODY_BYTES = 1_048_576;
 const MS_PER_S = 1000;
@@ -136,6 +139,22 @@
     this.server?.closeIdleConnections();
   }
 
+  /**
+   * Takes no new connections, and resolves once all that are open have ended by themselves: whoever
+   * was accepted last is answered like all others.
+   */
+  async drain(untilMs: number): Promise<void> {
+    const { clock } = this.opts.ctx;
+    let isOver = false;
+    this.server?.close(() => {
+      isOver = true;
+    });
+    while (!isOver && clock.steadyMs() < untilMs) {
+      this.closeIdle();
+      await clocks.sleep(DRAIN_POLL_MS);
+    }
+  }
+
   private async take(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     this.active += 1;
     res.on('error', (err) => this.opts.logger.debug('caller-lost', { reason: err.message }));
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -281,6 +281,7 @@
       const untilMs = stopAtMs + graceMs;
       await steward.handOver();
       await drain(untilMs);
+      await front.drain(untilMs);
       reporter.farewell();
       await clocks.sleep(LAST_MESSAGES_MS);
       dispatcher.stop();
--- a/test/soak/crash-cell.ts
+++ b/test/soak/crash-cell.ts
@@ -31,6 +31,8 @@
   readonly crash: Partial<CrashRule>;
   /** Length of the run, ms. */
   readonly forMs: number;
+  /** Time that a VM has for a planned stop, ms. */
+  readonly graceMs?: number;
 }
 
 /** Statuses in the order of the requests; null where there was no answer. */
@@ -87,6 +89,9 @@
 
   private sent = 0;
 
+  /** Requests that got no answer. */
+  private readonly unanswered: string[] = [];
+
   private endsAtMs = 0;
 
   private constructor(readonly folder: string) {}
@@ -116,13 +121,14 @@
   async send(vm: SoakVm, opts: Partial<CellRequest> = {}): Promise<number | null> {
     const { route, body, crash, leaveAfterMs } = { ...SOUND, ...opts };
     this.sent += 1;
+    const id = `c${this.sent}`;
     try {
       const answer = await undici.request(`http://${vm.callers}/${route}/x`, {
         dispatcher: this.agent,
         method: 'POST',
         headers: {
           host: 'soak.example',
-          'attempt-id': `c${this.sent}`,
+          'attempt-id': id,
           authorization: `Bearer ${KEY}`,
           'deadline-ms': String(DEADLINE_MS),
           ...(crash === null ? {} : { [CRASH_HEADER]: crash }),
@@ -134,6 +140,7 @@
       return answer.statusCode;
     } catch {
       // The caller left, the VM was killed, or the answer was cut.
+      this.unanswered.push(id);
       return null;
     }
   }
@@ -143,6 +150,11 @@
     return this.sendEach(REPEAT_MS, { ...CRASHING, ...opts });
   }
 
+  /** Requests that ran and whose callers got no answer. */
+  cutRequests(): readonly string[] {
+    return this.unanswered.filter((id) => this.ledger.runs.has(id));
+  }
+
   /** Sends requests to one VM after the other until the cell's time is over. */
   async sendEach(pauseMs: number, opts: Partial<CellRequest>): Promise<Answers> {
     const answers: Promise<number | null>[] = [];
@@ -173,7 +185,10 @@
     await Promise.all(this.engines.map((engine) => engine.start()));
     for (let at = 0; at < opts.vms; at += 1) {
       const dataCentre = DATA_CENTRES[at % DATA_CENTRES.length] ?? 'a';
-      this.vms.push(await SoakVm.create(`vm-${at}`, dataCentre, address, program, this.folder));
+      const { graceMs } = opts;
+      this.vms.push(
+        await SoakVm.create(`vm-${at}`, dataCentre, address, program, this.folder, graceMs),
+      );
     }
     this.vms.forEach((vm) => vm.start());
     await Promise.all(this.vms.map((vm) => vm.untilReady()));
--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -9,6 +9,8 @@
 
 const READY_POLL_MS = 50;
 const READY_WITHIN_MS = 20_000;
+/** Time that a VM has for a planned stop, ms. */
+const GRACE_MS = 4_000;
 
 let created = 0;
 
@@ -68,6 +70,7 @@
     store: string,
     bundle: string,
     folder: string,
+    graceMs = GRACE_MS,
   ): Promise<SoakVm> {
     const [callers = '', admin = '', peers = ''] = await freeAddresses(3);
     const settings = `
@@ -85,7 +88,7 @@
       durationMs = 2000
       marginMs = 300
       [stop]
-      graceMs = 4000
+      graceMs = ${graceMs}
       [relay]
       enabled = true
       keyRevocationMs = 5000
