Take a stream that sends bytes but no event for silent

Operators of similar systems saw stalled streams that sent a byte now and then never end; here such a stream held its caller until the route's time was over, as each byte counted as a sign of life. Change: only whole events count, for the request's own silence and for the server's health. A slow stream that goes on is not left. Tests: attempt.test.ts, 'that is stalled, but sends a byte now and then' (fails with each byte counted, as before), 'that is slow, but goes on', and a late second copy of an answer on a connection that is in use again (held already).

--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -63,12 +63,23 @@
   leaves(silentMs: number): boolean;
 }
 
+/** What came of bytes of a stream. */
+export const StreamStep = {
+  /** At least one event is whole. */
+  event: 'event',
+  /** No event has ended yet. */
+  part: 'part',
+  /** The bytes can't follow what was sent before. */
+  refused: 'refused',
+} as const;
+export type StreamStep = (typeof StreamStep)[keyof typeof StreamStep];
+
 /** Takes the parts of an event stream as they come. */
 export interface StreamSink {
   /** The head of a successful stream; false to take the answer whole instead. */
   begin(res: http.IncomingMessage): boolean;
-  /** Bytes of the stream; false where they can't follow what was sent before. */
-  write(bytes: Buffer): boolean;
+  /** Bytes of the stream. */
+  write(bytes: Buffer): StreamStep;
   /** Whether the stream may end here. */
   isWhole(): boolean;
 }
@@ -111,15 +122,52 @@
   return seen;
 }
 
+/** Asks again and again, while a server is silent, whether to leave it. */
+class SilenceWatch {
+  private heardAtMs = performance.now();
+
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(
+    private readonly rule: SilenceRule,
+    private readonly leave: () => void,
+  ) {
+    this.arm(rule.afterMs);
+  }
+
+  noteHeard(): void {
+    this.heardAtMs = performance.now();
+  }
+
+  stop(): void {
+    if (this.timer !== null) clearTimeout(this.timer);
+  }
+
+  private arm(ms: number): void {
+    this.timer = setTimeout(() => this.look(), ms);
+  }
+
+  private look(): void {
+    const silentMs = performance.now() - this.heardAtMs;
+    if (silentMs < this.rule.afterMs) this.arm(this.rule.afterMs - silentMs);
+    else if (this.rule.leaves(silentMs)) this.leave();
+    else this.arm(SILENCE_POLL_MS);
+  }
+}
+
 function relayStream(
   res: http.IncomingMessage,
   sink: StreamSink,
+  watch: SilenceWatch | null,
   condemn: (reason: string) => void,
   settle: (result: AttemptResult) => void,
 ): void {
   const end = isFramed(res) ? { wasReset: false } : watchReset(res);
   res.on('data', (bytes: Buffer) => {
-    if (!sink.write(bytes)) condemn('the stream does not follow on');
+    const step = sink.write(bytes);
+    // A byte now and then, without an event, is no progress.
+    if (step === StreamStep.event) watch?.noteHeard();
+    if (step === StreamStep.refused) condemn('the stream does not follow on');
   });
   res.on('end', () => {
     if (res.complete && !end.wasReset && sink.isWhole()) settle({ type: AttemptEnd.streamed });
@@ -165,39 +213,6 @@
   });
 }
 
-/** Asks again and again, while a server is silent, whether to leave it. */
-class SilenceWatch {
-  private heardAtMs = performance.now();
-
-  private timer: NodeJS.Timeout | null = null;
-
-  constructor(
-    private readonly rule: SilenceRule,
-    private readonly leave: () => void,
-  ) {
-    this.arm(rule.afterMs);
-  }
-
-  noteHeard(): void {
-    this.heardAtMs = performance.now();
-  }
-
-  stop(): void {
-    if (this.timer !== null) clearTimeout(this.timer);
-  }
-
-  private arm(ms: number): void {
-    this.timer = setTimeout(() => this.look(), ms);
-  }
-
-  private look(): void {
-    const silentMs = performance.now() - this.heardAtMs;
-    if (silentMs < this.rule.afterMs) this.arm(this.rule.afterMs - silentMs);
-    else if (this.rule.leaves(silentMs)) this.leave();
-    else this.arm(SILENCE_POLL_MS);
-  }
-}
-
 /** Sends the request; resolves with what came of it and never rejects. */
 export function send(
   wire: PlatformWire,
@@ -261,7 +276,6 @@
       const hint = res.headers['keep-alive'];
       if (typeof hint === 'string') Object.assign(res.socket, { keepAliveHint: hint });
       watch?.noteHeard();
-      res.on('data', () => watch?.noteHeard());
       const fault = faultOf(wire, opts.id, res);
       if (fault !== null) {
         condemn(fault);
@@ -269,8 +283,12 @@
       }
       const streams =
         sink !== null && res.statusCode === 200 && isEventStream(res) && sink.begin(res);
-      if (streams) relayStream(res, sink, condemn, settle);
-      else collect(wire, res, condemn, settle);
+      if (streams) {
+        relayStream(res, sink, watch, condemn, settle);
+        return;
+      }
+      res.on('data', () => watch?.noteHeard());
+      collect(wire, res, condemn, settle);
     });
     req.end(opts.body);
   });
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -13,6 +13,7 @@
   isSuccess,
   send,
   type StreamSink,
+  StreamStep,
 } from './attempt.js';
 import type { RelayContext } from './context.js';
 import { EventCutter } from './event-stream.js';
@@ -115,14 +116,15 @@
     return true;
   }
 
-  write(bytes: Buffer): boolean {
+  write(bytes: Buffer): StreamStep {
+    const step = this.cutter.push(bytes);
+    if (!step.inOrder) return StreamStep.refused;
+    if (step.bytes.length === 0) return StreamStep.part;
     if (this.current !== null) {
       this.ctx.view.health.noteHeard(this.ctx.clock.steadyMs(), this.current.run.server.id);
     }
-    const step = this.cutter.push(bytes);
-    if (!step.inOrder) return false;
-    if (step.bytes.length > 0 && !this.ended) this.request.res.write(step.bytes);
-    return true;
+    if (!this.ended) this.request.res.write(step.bytes);
+    return StreamStep.event;
   }
 
   isWhole(): boolean {
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -9,6 +9,8 @@
   type AttemptResult,
   send,
   type SilenceRule,
+  type StreamSink,
+  StreamStep,
 } from '../../../src/entry/relay/attempt.js';
 import { Connections } from '../../../src/entry/relay/connections.js';
 
@@ -57,6 +59,7 @@
   id = 'request-1',
   kept = createConnections(),
   silence: SilenceRule | null = null,
+  sink: StreamSink | null = null,
 ): Promise<AttemptResult> {
   const wire = platform.createWire();
   return send(
@@ -72,7 +75,7 @@
       signal: new AbortController().signal,
       silence,
     },
-    null,
+    sink,
   );
 }
 
@@ -260,3 +263,64 @@
     expect(accepted.length).toBe(2);
   });
 });
+
+describe('a second copy of an answer', () => {
+  test('that comes late, when its connection is in use again, is never given to the next caller', async () => {
+    const copy = `${HEAD}Content-Length: 5\r\n\r\nwhole`;
+    const server = await startServer((socket, number) => {
+      if (number === 1) socket.write(copy);
+      else socket.write(`${copy}${copy.replaceAll('request-1', 'request-2')}`);
+    });
+    const kept = createConnections();
+    expect((await ask(server, 'request-1', kept)).type).toBe(AttemptEnd.answered);
+    const next = await ask(server, 'request-2', kept);
+    expect(next).toEqual({
+      type: AttemptEnd.broken,
+      reason: 'the answer belongs to another request',
+    });
+  });
+});
+
+describe('a stream', () => {
+  const STREAM = `${HEAD}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
+  const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+  const SILENCE_MS = 120;
+
+  /** A sink for events that end with an empty line. */
+  const sink: StreamSink = {
+    begin: () => true,
+    write: (bytes) => (bytes.toString().endsWith('\n\n') ? StreamStep.event : StreamStep.part),
+    isWhole: () => true,
+  };
+
+  /** Streams parts, each after a pause, and then ends. */
+  async function startStream(parts: readonly string[], pauseMs: number): Promise<BackendServer> {
+    return startServer((socket) => {
+      socket.write(STREAM);
+      const left = [...parts.map(chunk), '0\r\n\r\n'];
+      const timer = setInterval(() => {
+        const next = left.shift();
+        if (next === undefined || socket.destroyed) clearInterval(timer);
+        else socket.write(next);
+      }, pauseMs);
+    });
+  }
+
+  const rule: SilenceRule = { afterMs: SILENCE_MS, leaves: () => true };
+
+  test('that is stalled, but sends a byte now and then, is left like a silent one', async () => {
+    const server = await startStream(
+      Array.from({ length: 200 }, () => ':'),
+      20,
+    );
+    const result = await ask(server, 'request-1', createConnections(), rule, sink);
+    expect(result).toMatchObject({ type: AttemptEnd.broken, reason: 'the server fell silent' });
+  });
+
+  test('that is slow, but goes on, is not cut', async () => {
+    const events = Array.from({ length: 10 }, (_, at) => `id: ${at}\ndata: x\n\n`);
+    const server = await startStream(events, SILENCE_MS / 3);
+    const result = await ask(server, 'request-1', createConnections(), rule, sink);
+    expect(result.type).toBe(AttemptEnd.streamed);
+  });
+});
