Let a request wait for its customer's rate for all the time that it has

Change: it tries again while the next wait fits. Test: admission.test.ts, 'takes its turn again' (failed before).

--- a/src/entry/relay/admission.ts
+++ b/src/entry/relay/admission.ts
@@ -10,6 +10,8 @@
 /** Callers over their rate return this late at the earliest and at the latest, ms. */
 const SOONEST_RETURN_MS = 250;
 const LATEST_RETURN_MS = 5_000;
+/** Shortest wait for units of a rate, ms. */
+const LEAST_WAIT_MS = 10;
 /** A rate that is not known yet is looked for this often, ms. */
 const UNHEARD_POLL_MS = 25;
 /** Callers return this late where their rate is not known, ms: another entry VM may know it. */
@@ -116,11 +118,17 @@
   /** Admits a request, waiting for its customer's rate to be known and to allow it. */
   async admit(customer: Customer, units: number, patience: AdmissionPatience): Promise<Admitted> {
     if (customer.ratePerS === 0) return YES;
-    this.holder.noteDemand(this.opts.clock.steadyMs(), customer.name, units);
-    const first = await this.tryOnceKnown(customer.name, units, patience.lifeMs);
-    if (first.type !== AdmissionType.overRate || first.retryAfterMs > patience.rateMs) return first;
-    await clocks.sleep(first.retryAfterMs);
-    return this.tryOnce(customer.name, units);
+    const { clock } = this.opts;
+    this.holder.noteDemand(clock.steadyMs(), customer.name, units);
+    const sinceMs = clock.steadyMs();
+    let admitted = await this.tryOnceKnown(customer.name, units, patience.lifeMs);
+    const fits = (waitMs: number) => clock.steadyMs() - sinceMs + waitMs <= patience.rateMs;
+    // Others may take what became free meanwhile: the request waits on while its time lasts.
+    while (admitted.type === AdmissionType.overRate && fits(admitted.retryAfterMs)) {
+      await clocks.sleep(Math.max(LEAST_WAIT_MS, admitted.retryAfterMs));
+      admitted = await this.tryOnce(customer.name, units);
+    }
+    return admitted;
   }
 
   /** Puts back what a request took that did not run. */
--- a/test/units/relay/admission.test.ts
+++ b/test/units/relay/admission.test.ts
@@ -63,4 +63,23 @@
     const late = { ...request, arrivedAtMs: 3_000 };
     expect(waitsForRate(3_000, late)).toBe(false);
   });
+
+  test('takes its turn again where another request took what became free', async () => {
+    const waitsMs = [20, 20, 20];
+    let asks = 0;
+    const admission: Admission = new Admission({
+      clock: clocks.createClock(),
+      ask: ({ askId, customer, units }) => {
+        asks += 1;
+        const waitMs = waitsMs.shift() ?? null;
+        const lent = { type: 'lent' as const, askId, customer, waitMs };
+        const isLent = waitMs === null;
+        setImmediate(() => admission.takeLent({ ...lent, units: isLent ? units : 0 }));
+        return true;
+      },
+    });
+    admission.setCustomers(new Map([[CUSTOMER.name, CUSTOMER]]));
+    const admitted = await admission.admit(CUSTOMER, 10, PATIENCE);
+    expect([admitted.type, asks]).toEqual([AdmissionType.admitted, 4]);
+  });
 });
