List an answer that names no request among the known red

The VM passes on a failure that names no request; the servers of the run beside it answer so, and may have taken the port of a server that had ended (suspected, not traced to its end).

--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -13,6 +13,7 @@
   StreamStep,
 } from '../../../src/entry/relay/attempt.js';
 import { Connections } from '../../../src/entry/relay/connections.js';
+import { isKnownRed } from '../../known-red.js';
 
 type Answerer = (socket: net.Socket, requestNumber: number) => void;
 
@@ -264,6 +265,17 @@
   });
 });
 
+describe('a failure that names no request', () => {
+  const NAME = 'is not passed on as an answer: it may come from another server at the address';
+
+  test.skipIf(isKnownRed(NAME))(NAME, async () => {
+    const server = await startServer((socket) => {
+      socket.write('HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}');
+    });
+    expect((await ask(server)).type).toBe(AttemptEnd.broken);
+  });
+});
+
 describe('a second copy of an answer', () => {
   test('that comes late, when its connection is in use again, is never given to the next caller', async () => {
     const copy = `${HEAD}Content-Length: 5\r\n\r\nwhole`;
