Log the request limits that backend servers name, and count the requests sent meanwhile

The logs of the incident could not tell which entry VM knew of a limit, or when: no code read the header.

The header is decoded in platform/, each VM keeps what its own responses name, logs every change (throttle-changed) and counts its requests to such a server (relay_throttled_sends_total). Nothing is decided by it yet. Tests: throttle-table.test.ts, headers.test.ts.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -38,7 +38,7 @@
 
 /** Names of the users' platform, which only `platform/` knows. */
 const PLATFORM_NAMES =
-  '/(^deadline-ms$|attempt-id|response-seal|target-instance|token-count|prompt-prefix|not-executed|request-priority|path_prefix|route_kind|engine_slots|cold_remaining|at_hand|model_load|model_unload|v1.(order|report|objects|readiness))/';
+  '/(^deadline-ms$|attempt-id|response-seal|server-limit|target-instance|token-count|prompt-prefix|not-executed|request-priority|path_prefix|route_kind|engine_slots|cold_remaining|at_hand|model_load|model_unload|v1.(order|report|objects|readiness))/';
 const platformNameRules = ['Literal[value=', 'TemplateElement[value.raw=', 'Identifier[name='].map(
   (start) => ({
     selector: `${start}${PLATFORM_NAMES}]`,
--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt to send a request to a backend server, and its result. */
 import * as http from 'node:http';
-import type { PlatformWire } from './types.js';
+import type { PlatformWire, ResponseMetadata } from './types.js';
 import type { Run } from './fleet-view.js';
 
 /** Interval at which an idle attempt is re-evaluated, ms. */
@@ -54,6 +54,8 @@
   readonly signal: AbortSignal;
   /** Null if the request may not be retried elsewhere. */
   readonly idlePolicy: IdlePolicy | null;
+  /** Called with the head of a response that belongs to the request. */
+  onHead(metadata: ResponseMetadata): void;
 }
 
 /** When to abandon an idle attempt: no byte arrives or, in a stream, no event is completed. */
@@ -93,9 +95,7 @@
 }
 
 /** Why a response is not accepted for the request `id`; null if it is. */
-function responseFault(wire: PlatformWire, id: string, res: http.IncomingMessage): string | null {
-  const metadata = wire.decodeResponse(res.rawHeaders);
-  const status = res.statusCode ?? 0;
+function responseFault(metadata: ResponseMetadata, id: string, status: number): string | null {
   if (metadata.id !== null && metadata.id !== id) return 'response belongs to another request';
   if (!isSuccess(status)) return null;
   if (metadata.id === null) return 'response has no request id';
@@ -287,7 +287,9 @@
       const keepAliveHint = res.headers['keep-alive'];
       if (typeof keepAliveHint === 'string') Object.assign(res.socket, { keepAliveHint });
       idleDetector?.noteActivity();
-      const fault = responseFault(wire, opts.id, res);
+      const metadata = wire.decodeResponse(res.rawHeaders);
+      if (metadata.id === opts.id) opts.onHead(metadata);
+      const fault = responseFault(metadata, opts.id, res.statusCode ?? 0);
       if (fault !== null) {
         fail(fault);
         return;
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -223,6 +223,7 @@
     this.current = { run, sentAtMs: nowMs };
     const resumeAfter =
       this.streaming && this.splitter.lastId !== null ? String(this.splitter.lastId) : null;
+    this.ctx.throttling.noteSent(run.server);
     const result = await send(
       this.ctx.wire,
       {
@@ -243,6 +244,8 @@
         run,
         signal: this.aborter.signal,
         idlePolicy: this.retryPolicy.idlePolicy(run),
+        onHead: ({ requestsPerS }) =>
+          this.ctx.throttling.noteResponse(run.server, requestsPerS, nowMs),
       },
       route.retrySafety === RetrySafety.stream ? this : null,
     );
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -47,6 +47,11 @@
   readonly notRun: boolean;
   /** Whether the response has a content encoding. */
   readonly encoded: boolean;
+  /**
+   * Requests per second that the server currently accepts from all entry VMs together; null if it
+   * names no limit.
+   */
+  readonly requestsPerS: number | null;
 }
 
 /** An engine's report of its own state; a few hundred milliseconds out of date. */
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -24,6 +24,7 @@
 import { ReporterTask } from './reporter.js';
 import { StewardTask } from './steward.js';
 import { StewardLink } from './steward-link.js';
+import { ThrottleMonitor } from './throttling.js';
 import type { PlatformWire } from './types.js';
 
 /** Retry-After when the time until capacity is available is unknown, ms. */
@@ -88,6 +89,7 @@
     send: (message) => lateBound.link?.send(message) === true,
   });
   const retries = new RetryWindow(relay.retries, clock.steadyMs());
+  const throttling = new ThrottleMonitor({ clock, logger: logger.child('throttling'), metrics });
   const connections = new ConnectionPool();
   const isStewardConnected = () => lateBound.link?.isStewardConnected === true;
   const record = new IncidentRecordTask({
@@ -216,6 +218,7 @@
     connections,
     retries,
     incidents,
+    throttling,
     clock,
     metrics,
     defaultRetryAfterMs: DEFAULT_RETRY_AFTER_MS,
@@ -253,6 +256,7 @@
     }
     if (backends) {
       connections.retain(storeWatcher.backends);
+      throttling.retain(storeWatcher.backends);
       incidents.resolveIncidents();
     }
     dispatcher.placeQueued();
--- a/test/units/platform/headers.test.ts
+++ b/test/units/platform/headers.test.ts
@@ -89,3 +89,20 @@
     expect(canonical('X-Own', '1')).not.toBe(canonical('X-Own', '2'));
   });
 });
+
+describe('the request limit in a response', () => {
+  const limitIn = (...raw: readonly string[]) => wire.decodeResponse(raw).requestsPerS;
+
+  test('is a decimal number of requests per second', () => {
+    expect(limitIn('Server-Limit', '12')).toBe(12);
+    expect(limitIn('server-limit', ' 0.4 ')).toBe(0.4);
+    expect(limitIn('Server-Limit', '0')).toBe(0);
+  });
+
+  test('is absent if the header is missing or malformed', () => {
+    expect(limitIn('Attempt-Id', 'r1')).toBeNull();
+    ['', 'fast', '-1', '1e9', 'NaN', '1/s'].forEach((value) =>
+      expect(limitIn('Server-Limit', value)).toBeNull(),
+    );
+  });
+});
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -75,6 +75,7 @@
       run: { server, service: 'desk', model: null, adapter: null },
       signal: new AbortController().signal,
       idlePolicy,
+      onHead: () => undefined,
     },
     sink,
   );
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -50,6 +50,7 @@
   const partial = {
     retries,
     incidents: { isRefused: () => false },
+    throttling: { noteSent: () => undefined, noteResponse: () => undefined },
     clock: { steadyMs: () => NOW_MS },
     dispatcher: { place: async () => ({ run: null, retryAfterMs: 100 }), cancel: () => undefined },
     metrics: { count: () => undefined, time: () => undefined },
