Test: a backend server that names a request limit gets many times as many requests

Covers limits under one a second, at every server, falling, withdrawn and named again; the steward killed, frozen, killed for good while the store is silent; VMs stopped in turn; failing answers; orders; engines with models, where reports and orders of the steward arrive too. The stand-in server counts every request that reaches it.

--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net';
 import * as clocks from '../../src/core/clock/index.js';
 import * as httpServers from '../../src/core/http/index.js';
+import { RequestLimitRecord } from './request-limit.js';
 import type { SoakStore } from './store.js';
 
 export const STREAM_EVENTS = 8;
@@ -146,6 +147,11 @@
 
   private dropsResponses = false;
 
+  private failsHalf = false;
+
+  /** The limit that the server names in its responses, and its requests. */
+  readonly requestLimit = new RequestLimitRecord(STABLE_WINDOW_MS);
+
   private incarnation = 0;
 
   private fence = 0;
@@ -168,6 +174,7 @@
 
   async start(): Promise<void> {
     this.incarnation += 1;
+    this.nameLimit(null);
     this.id =
       this.spec.crash?.keepsId === true ? this.spec.name : `${this.spec.name}-${this.incarnation}`;
     this.bornMs = Date.now();
@@ -251,6 +258,31 @@
     }, ms);
   }
 
+  /** Fails every second request for `ms`, after having run it. */
+  failHalf(ms: number): void {
+    this.failsHalf = true;
+    setTimeout(() => {
+      this.failsHalf = false;
+    }, ms);
+  }
+
+  /** Names a request limit in all responses from now on; null to name none. */
+  nameLimit(perS: number | null): void {
+    this.requestLimit.change(perS);
+  }
+
+  private writeHead(
+    res: http.ServerResponse,
+    status: number,
+    headers: http.OutgoingHttpHeaders = {},
+  ): http.ServerResponse {
+    const { perS } = this.requestLimit;
+    return res.writeHead(status, {
+      ...(perS === null ? {} : { 'Server-Limit': String(perS) }),
+      ...headers,
+    });
+  }
+
   private register(): void {
     if (this.isUnresponsive || this.server === null) return;
     this.store.put('servers', this.id, {
@@ -285,10 +317,16 @@
       req.on('end', resolve);
     });
     if (this.isUnresponsive) return;
+    this.requestLimit.noteArrival();
     if (req.url === '/v1/report') {
-      res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(this.state()));
+      this.writeHead(res, 200, { 'content-type': 'application/json' }).end(
+        JSON.stringify(this.state()),
+      );
     } else if (req.url === '/v1/order') {
-      res.writeHead(this.order(JSON.parse(Buffer.concat(parts).toString()) as OrderBody)).end();
+      this.writeHead(
+        res,
+        this.order(JSON.parse(Buffer.concat(parts).toString()) as OrderBody),
+      ).end();
     } else {
       await this.execute(req, res, incarnation);
     }
@@ -332,7 +370,7 @@
     const id = header(req, 'attempt-id');
     const model = header(req, 'model');
     const reject = (status: number) =>
-      res.writeHead(status, { 'Attempt-Id': id, 'Not-Executed': '1' }).end();
+      this.writeHead(res, status, { 'Attempt-Id': id, 'Not-Executed': '1' }).end();
     if (header(req, 'target-instance') !== this.id) return reject(421);
     if (model !== '' && !this.loadedModels.has(model)) return reject(421);
     if (this.running >= this.spec.slots) return reject(503);
@@ -357,6 +395,10 @@
       return res;
     }
     await clocks.sleep(WORK_MS * this.slowdownFactor);
+    if (this.failsHalf && this.observations.runs.size % 2 === 0) {
+      this.running = Math.max(0, this.running - 1);
+      return this.writeHead(res, 500, { 'Attempt-Id': id, 'Response-Seal': 'seal' }).end();
+    }
     if (model === '') this.respond(res, id);
     else await this.stream(req, res, id, incarnation);
     this.running = Math.max(0, this.running - 1);
@@ -369,7 +411,7 @@
       res.socket?.resetAndDestroy();
       return;
     }
-    res.writeHead(200, { 'Attempt-Id': id, 'Response-Seal': 'seal' }).end(`whole ${id}`);
+    this.writeHead(res, 200, { 'Attempt-Id': id, 'Response-Seal': 'seal' }).end(`whole ${id}`);
   }
 
   private sendEventsBeforeCrash(
@@ -378,7 +420,7 @@
     id: string,
   ): void {
     const first = Number(header(req, 'last-event-id') || '0') + 1;
-    res.writeHead(200, {
+    this.writeHead(res, 200, {
       'Attempt-Id': id,
       'Response-Seal': 'seal',
       'Content-Type': 'text/event-stream',
@@ -395,7 +437,7 @@
     incarnation: number,
   ): Promise<void> {
     const first = Number(header(req, 'last-event-id') || '0') + 1;
-    res.writeHead(200, {
+    this.writeHead(res, 200, {
       'Attempt-Id': id,
       'Response-Seal': 'seal',
       'Content-Type': 'text/event-stream',
--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -13,6 +13,7 @@
   type CrashRule,
   DEFAULT_CRASH,
   lateArrivals,
+  MODEL_MB,
   type Observations,
   SoakEngine,
 } from './engine.js';
@@ -23,6 +24,9 @@
 /** Interval at which the caller of a crashing request retries it. */
 const REPEAT_INTERVAL_MS = 250;
 const DEADLINE_MS = 3_000;
+const SLOTS = 8;
+/** Memory of an engine: room for two models. */
+const MEMORY_MB = 2 * MODEL_MB;
 /** As for the users' servers: a heartbeat every 1.2 s, and expiry after three missed ones. */
 const REGISTRATION_TIMES = { heartbeatMs: 1_200, expiryMs: 3_600 };
 
@@ -30,6 +34,8 @@
   readonly vms: number;
   readonly servers: number;
   readonly crash: Partial<CrashRule>;
+  /** Models of the service; none for a plain service. Each server has one of them loaded. */
+  readonly models?: readonly string[];
   /** Time for which requests are sent repeatedly, ms. */
   readonly durationMs: number;
   readonly times?: VmTimes;
@@ -47,6 +53,8 @@
   readonly crash: string | null;
   /** Time after which the caller disconnects, ms; null if it waits for the response. */
   readonly disconnectAfterMs: number | null;
+  /** Null for a request to a plain service. */
+  readonly model: string | null;
 }
 
 const HARMLESS: FleetRequest = {
@@ -54,10 +62,21 @@
   body: 'sound',
   crash: null,
   disconnectAfterMs: null,
+  model: null,
 };
 const CRASHING: FleetRequest = { ...HARMLESS, body: 'crashing', crash: 'it' };
 
-function configOf() {
+function engineOf(models: readonly string[]) {
+  return {
+    engine_slots: SLOTS,
+    weights_mb: MEMORY_MB,
+    adapter_slots: 0,
+    loads_per_s: 10,
+    models: models.map((name) => ({ name, weights_mb: MODEL_MB, load_time_s: 0.2 })),
+  };
+}
+
+function configOf(models: readonly string[]) {
   const route = (name: string, kind: string) => ({
     name,
     host: 'soak.example',
@@ -76,7 +95,13 @@
       route('order', 'non_idempotent'),
       route('stream', 'streaming'),
     ],
-    services: [{ name: 'desk', max_connections: 64 }],
+    services: [
+      {
+        name: 'desk',
+        max_connections: 64,
+        ...(models.length === 0 ? {} : { engine: engineOf(models) }),
+      },
+    ],
     tenants: [{ name: CUSTOMER, api_keys: [KEY] }],
   };
 }
@@ -93,7 +118,7 @@
 
   readonly vms: SoakVm[] = [];
 
-  private readonly engines: SoakEngine[] = [];
+  readonly engines: SoakEngine[] = [];
 
   private readonly agent = new undici.Agent({ connections: 64, pipelining: 1 });
 
@@ -129,7 +154,7 @@
 
   /** Sends a request to a VM; resolves with the status, or null without a response. */
   async send(vm: SoakVm, opts: Partial<FleetRequest> = {}): Promise<number | null> {
-    const { route, body, crash, disconnectAfterMs } = { ...HARMLESS, ...opts };
+    const { route, body, crash, disconnectAfterMs, model } = { ...HARMLESS, ...opts };
     this.sent += 1;
     const id = `c${this.sent}`;
     try {
@@ -142,6 +167,7 @@
           authorization: `Bearer ${KEY}`,
           'deadline-ms': String(DEADLINE_MS),
           ...(crash === null ? {} : { [CRASH_HEADER]: crash }),
+          ...(model === null ? {} : { model, 'token-count': '20,20' }),
         },
         body,
         signal: AbortSignal.timeout(disconnectAfterMs ?? DEADLINE_MS),
@@ -190,8 +216,8 @@
 
   private async startAll(program: string, opts: RelayFleetOptions): Promise<void> {
     const address = await this.store.start();
-    this.store.put('config', 'main', configOf());
-    Array.from({ length: opts.servers }, (_, at) => this.addServer(`desk-${at}`, at, opts.crash));
+    this.store.put('config', 'main', configOf(opts.models ?? []));
+    Array.from({ length: opts.servers }, (_, at) => this.addServer(`desk-${at}`, at, opts));
     await Promise.all(this.engines.map((engine) => engine.start()));
     for (let at = 0; at < opts.vms; at += 1) {
       const dataCentre = DATA_CENTRES[at % DATA_CENTRES.length] ?? 'a';
@@ -205,14 +231,14 @@
     this.sendUntilMs = performance.now() + opts.durationMs;
   }
 
-  private addServer(name: string, at: number, crash: Partial<CrashRule>): void {
+  private addServer(name: string, at: number, { crash, models = [] }: RelayFleetOptions): void {
     const spec = {
       name,
       service: 'desk',
       dataCentre: DATA_CENTRES[at % DATA_CENTRES.length] ?? 'a',
-      slots: 8,
-      memoryMb: 0,
-      models: [],
+      slots: SLOTS,
+      memoryMb: MEMORY_MB,
+      models: models.filter((_, index) => index % models.length === at % models.length),
       registration: REGISTRATION_TIMES,
       crash: { ...DEFAULT_CRASH, ...crash },
     };
--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -37,6 +37,8 @@
 }
 
 const SLOW_RESPONSE_MS = 300;
+/** Key of the object that holds the lease. */
+const STEWARD_LEASE = 'bilberrystand/steward';
 const OBJECT_PATH = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?$/;
 
 export class SoakStore {
@@ -103,6 +105,12 @@
     this.refused.add(key);
   }
 
+  /** VM that holds the steward lease; null if there is none. */
+  leaseHolder(): string | null {
+    const stored = this.objects.get(STEWARD_LEASE)?.spec as { holder?: string } | undefined;
+    return stored?.holder ?? null;
+  }
+
   put(kind: string, name: string, spec: unknown): StoredObject {
     this.revision += 1;
     const object = { kind, metadata: { name, revision: this.revision }, spec };
