Keep the requests to a backend server within the limit that it names, over all entry VMs

Class: a bound over the fleet without an owner.

Change: each VM records what answers name and shares it through the steward. The steward issues a permit for each request to such a server, at the limit's rate, in turn to the VMs that ask; permits last 250 ms, unused ones are returned. Orders take permits, reports have a quarter of the limit more. Without a steward four VMs may send at an eighth of the limit each, from empty. New loads avoid throttled engines, unless most engines of the service are throttled. A request whose permit comes too late is rejected at once with the time of its permit. A withdrawn limit holds for a second more. Weighed: a static split over VMs (6 VMs and 0.4 a second: a request in 15 s each, and a VM without the model wastes its part); the shares of customers' rates (they are smaller than one request at such limits, and are written into the lease first); each VM for itself (six times the limit).

--- a/src/decisions/rate-shares/index.ts
+++ b/src/decisions/rate-shares/index.ts
@@ -1,4 +1,5 @@
 /** Splits customers' rate limits over the entry VMs; the shares never exceed the full limit. */
+export { ShareBucket } from './bucket.js';
 export { ShareHolder } from './holder.js';
 export { type GrantMessage, RateLender } from './lender.js';
 export * from './types.js';
--- /dev/null
+++ b/src/decisions/throttling/permit-issuer.ts
@@ -0,0 +1,161 @@
+/**
+ * Issues permits for requests to throttled servers, one for each request, at the rate of the limit
+ * that the server names.
+ *
+ * The steward issues the permits of all entry VMs, so the sum over the fleet keeps the limit. Entry
+ * VMs that wait for a permit of a server get them in turn. Reports and engine orders, which the
+ * steward itself sends, reach the server as well and count.
+ */
+import { ShareBucket } from '../rate-shares/index.js';
+
+/** Permits that may be issued at once. */
+const MIN_BURST = 1;
+/** Time in which the burst of a higher limit accumulates, s; covers the interval of issuing. */
+const BURST_S = 0.1;
+/** Limits below this count as this, requests/s: only a request shows that a limit has changed. */
+const MIN_RATE_PER_S = 0.1;
+/** Rate of report calls as a fraction of the limit, in addition to the permits. */
+const REPORT_FRACTION = 0.25;
+/** Time after which an entry VM that has not repeated its request gets no permit, ms. */
+const REQUEST_TTL_MS = 600;
+/** A limit counts as binding for this time after a request had to wait for a permit, ms. */
+const BINDING_MS = 2_000;
+const MS_PER_S = 1000;
+
+/** Outcome for one entry VM of asking for permits, or of its turn. */
+export interface PermitGrant {
+  readonly vm: string;
+  readonly serverId: string;
+  readonly permits: number;
+  /** Expected time between two permits of one entry VM, ms. */
+  readonly intervalMs: number;
+}
+
+interface WaitingVm {
+  readonly vm: string;
+  /** Number of permits that it still needs. */
+  readonly needed: number;
+  readonly untilMs: number;
+}
+
+interface ServerRecord {
+  ratePerS: number;
+  readonly permits: ShareBucket;
+  readonly reports: ShareBucket;
+  /** Entry VMs that wait for a permit; the first one is next. */
+  waiting: readonly WaitingVm[];
+  boundAtMs: number;
+}
+
+function permitLimit(ratePerS: number) {
+  return { ratePerS, burst: Math.max(MIN_BURST, ratePerS * BURST_S) };
+}
+
+function reportLimit(ratePerS: number) {
+  return { ratePerS: ratePerS * REPORT_FRACTION, burst: MIN_BURST };
+}
+
+/** Expected time between two permits of one entry VM that waits, ms. */
+function intervalOf({ waiting, ratePerS }: ServerRecord): number {
+  return (Math.max(1, waiting.length) * MS_PER_S) / ratePerS;
+}
+
+export class PermitIssuer {
+  private readonly servers = new Map<string, ServerRecord>();
+
+  /** Replaces the limits in force, requests per second by server. */
+  setLimits(nowMs: number, limits: ReadonlyMap<string, number>): void {
+    [...this.servers.keys()]
+      .filter((id) => !limits.has(id))
+      .forEach((id) => this.servers.delete(id));
+    limits.forEach((requestsPerS, id) => {
+      const ratePerS = Math.max(MIN_RATE_PER_S, requestsPerS);
+      const record = this.servers.get(id) ?? this.createRecord(nowMs, ratePerS);
+      record.ratePerS = ratePerS;
+      record.permits.configure(nowMs, permitLimit(ratePerS), 1);
+      record.reports.configure(nowMs, reportLimit(ratePerS), 1);
+      this.servers.set(id, record);
+    });
+  }
+
+  /** Records that an entry VM needs `needed` permits in all; replaces its earlier request. */
+  request(nowMs: number, vm: string, serverId: string, needed: number): void {
+    const record = this.servers.get(serverId);
+    if (record === undefined) return;
+    const entry = { vm, needed, untilMs: nowMs + REQUEST_TTL_MS };
+    const isWaiting = record.waiting.some((other) => other.vm === vm);
+    record.waiting = isWaiting
+      ? record.waiting.map((other) => (other.vm === vm ? entry : other))
+      : [...record.waiting, entry];
+  }
+
+  /** Issues the permits that are available now to the entry VMs in turn. */
+  issue(nowMs: number): readonly PermitGrant[] {
+    return [...this.servers].flatMap(([serverId, record]) =>
+      this.issueFor(nowMs, serverId, record),
+    );
+  }
+
+  /** Expected time between two permits of one entry VM, ms; null if there is no limit. */
+  intervalMs(serverId: string): number | null {
+    const record = this.servers.get(serverId);
+    return record === undefined ? null : intervalOf(record);
+  }
+
+  /** Takes back permits that an entry VM did not use. */
+  refund(nowMs: number, serverId: string, permits: number): void {
+    this.servers.get(serverId)?.permits.refund(nowMs, permits);
+  }
+
+  isThrottled(serverId: string): boolean {
+    return this.servers.has(serverId);
+  }
+
+  /** Whether requests have waited for permits of the server recently. */
+  isBinding(nowMs: number, serverId: string): boolean {
+    const record = this.servers.get(serverId);
+    return record !== undefined && nowMs - record.boundAtMs < BINDING_MS;
+  }
+
+  /** Whether an engine order may be sent to the server now. */
+  allowsOrder(nowMs: number, serverId: string): boolean {
+    const record = this.servers.get(serverId);
+    return record === undefined || record.permits.available(nowMs) >= 1;
+  }
+
+  /** Counts an engine order that is sent to the server. */
+  noteOrder(nowMs: number, serverId: string): void {
+    this.servers.get(serverId)?.permits.take(nowMs, 1);
+  }
+
+  /** Whether a report may be fetched from the server now; counts it if so. */
+  takeReport(nowMs: number, serverId: string): boolean {
+    const record = this.servers.get(serverId);
+    return record === undefined || record.reports.take(nowMs, 1);
+  }
+
+  private issueFor(nowMs: number, serverId: string, record: ServerRecord): readonly PermitGrant[] {
+    const grants: PermitGrant[] = [];
+    let waiting = record.waiting.filter(({ untilMs, needed }) => untilMs > nowMs && needed > 0);
+    const intervalMs = intervalOf({ ...record, waiting });
+    while (waiting.length > 0 && record.permits.take(nowMs, 1)) {
+      const [next, ...rest] = waiting as [WaitingVm, ...WaitingVm[]];
+      grants.push({ vm: next.vm, serverId, permits: 1, intervalMs });
+      const needed = next.needed - 1;
+      waiting = needed > 0 ? [...rest, { ...next, needed }] : rest;
+    }
+    const boundAtMs = waiting.length > 0 ? nowMs : record.boundAtMs;
+    Object.assign(record, { waiting, boundAtMs });
+    return grants;
+  }
+
+  private createRecord(nowMs: number, ratePerS: number): ServerRecord {
+    return {
+      ratePerS,
+      permits: new ShareBucket(permitLimit(ratePerS), nowMs),
+      reports: new ShareBucket(reportLimit(ratePerS), nowMs),
+      waiting: [],
+      boundAtMs: -Infinity,
+    };
+  }
+}
--- a/src/decisions/throttling/throttle-table.ts
+++ b/src/decisions/throttling/throttle-table.ts
@@ -78,6 +78,11 @@
     return nowMs < record.heldUntilMs ? record.heldPerS : null;
   }
 
+  /** Number of servers that have named a limit. */
+  get size(): number {
+    return this.records.size;
+  }
+
   /** Time since an entry VM last observed the server's limit, ms; Infinity if none did. */
   ageMs(nowMs: number, serverId: string): number {
     return nowMs - (this.records.get(serverId)?.observedAtMs ?? -Infinity);
--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -6,7 +6,8 @@
  * load that ends in time. If no load is in progress or queued, the request is rejected after a
  * fraction of its time budget. If the load will end too late, the request is rejected at once,
  * unless a server already has the model or adapter loaded. The rejection gives the end of the load
- * as the time to retry.
+ * as the time to retry. The same holds for a request whose permit for a throttled server will come
+ * too late.
  */
 
 /** A request that is queued on an entry VM. */
@@ -43,15 +44,21 @@
   readonly readyAtMs: number | null;
   /** Whether a server has the model or adapter loaded and may have a free slot soon. */
   readonly isLoaded: boolean;
+  /**
+   * Expected time of a permit if all servers are throttled; null if none is needed, or if the time
+   * is unknown.
+   */
+  readonly permitAtMs: number | null;
 }
 
 /** Returns the time at which a request that is still queued is rejected. */
 export function rejectAtMs(
   req: QueuedRequest,
-  { readyAtMs, isLoaded }: TargetAvailability,
+  { readyAtMs, isLoaded, permitAtMs }: TargetAvailability,
 ): number {
   const budgetMs = req.deadlineAtMs - req.arrivedAtMs;
   const waitUntilMs = req.arrivedAtMs + budgetMs * MAX_WAIT_FRACTION;
+  if (permitAtMs !== null && permitAtMs > waitUntilMs) return req.arrivedAtMs;
   if (readyAtMs === null) return waitUntilMs;
   const waitForLoadUntilMs = req.arrivedAtMs + budgetMs * MAX_LOAD_FRACTION;
   if (readyAtMs <= waitForLoadUntilMs) return waitForLoadUntilMs;
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -11,7 +11,7 @@
 import type { Dispatcher } from './dispatch.js';
 import type { FleetView } from './fleet-view.js';
 import type { Incidents } from './incidents.js';
-import type { ThrottleMonitor } from './throttling.js';
+import type { ThrottlingTask } from './throttling.js';
 import type { PlatformWire } from './types.js';
 
 export interface RelayContext {
@@ -22,7 +22,7 @@
   readonly connections: ConnectionPool;
   readonly retries: RetryWindow;
   readonly incidents: Incidents;
-  readonly throttling: Pick<ThrottleMonitor, 'noteResponse' | 'noteSent'>;
+  readonly throttling: Pick<ThrottlingTask, 'noteResponse' | 'noteSent'>;
   readonly clock: Clock;
   readonly metrics: Metrics;
   /** Retry-After when the time until capacity is available is unknown, ms. */
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -13,6 +13,7 @@
 import type { FleetView, Run } from './fleet-view.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { RelayMessageOf } from './messages.js';
+import type { RequestLimits } from './throttling.js';
 
 /** A run at a backend server, or a rejection with the time after which the caller should retry. */
 export type Placement =
@@ -32,6 +33,7 @@
   readonly dataCentre: string;
   readonly storeWatcher: StoreWatcherTask;
   readonly view: FleetView;
+  readonly limits: RequestLimits;
   readonly clock: Clock;
   readonly random: Random;
   /** Called when a request is queued. */
@@ -61,6 +63,9 @@
     if (run !== null) return Promise.resolve({ run, retryAfterMs: null });
     return new Promise((resolve) => {
       this.waiting.set(request.id, { request, tried, settle: resolve });
+      const needed = new Map<string, number>();
+      this.addNeeded(needed, request, tried);
+      this.opts.limits.requestPermits(needed);
       this.opts.onEnqueue();
     });
   }
@@ -77,7 +82,9 @@
     if (this.waiting.size === 0) return;
     const nowMs = this.opts.clock.steadyMs();
     const byPriority = [...this.waiting.values()].sort((a, b) => byUrgency(a.request, b.request));
-    byPriority.forEach((entry) => this.placeOrReject(nowMs, entry));
+    const needed = new Map<string, number>();
+    byPriority.forEach((entry) => this.placeOrReject(nowMs, entry, needed));
+    this.opts.limits.requestPermits(needed);
   }
 
   /** Counts queued requests and expected retries by service, model and adapter, for the report. */
@@ -106,8 +113,15 @@
     return [...groups.values()];
   }
 
-  /** Places a queued request, or rejects it once it can no longer be served in time. */
-  private placeOrReject(nowMs: number, { request, tried, settle }: QueueEntry): void {
+  /**
+   * Places a queued request, or rejects it once it can no longer be served in time.
+   * @param needed Permits that the queued requests need, by server; updated.
+   */
+  private placeOrReject(
+    nowMs: number,
+    { request, tried, settle }: QueueEntry,
+    needed: Map<string, number>,
+  ): void {
     const run = this.tryPlace(request, tried);
     if (run !== null) {
       this.waiting.delete(request.id);
@@ -116,25 +130,67 @@
     }
     const readyAtMs = this.opts.view.readyAtMs(request);
     const isLoaded = this.opts.view.isLoaded(request);
-    if (nowMs < rejectAtMs(request, { readyAtMs, isLoaded })) return;
+    const permitAtMs = this.permitAtMs(nowMs, request, this.addNeeded(needed, request, tried));
+    if (nowMs < rejectAtMs(request, { readyAtMs, isLoaded, permitAtMs })) return;
     this.waiting.delete(request.id);
     const { service, model, adapter } = request;
     if (readyAtMs !== null && !isLoaded) {
       this.expectedRetries.note({ service, model, adapter, atMs: readyAtMs });
     }
-    settle({ run: null, retryAfterMs: retryAfterMs(nowMs, readyAtMs) });
+    settle({ run: null, retryAfterMs: retryAfterMs(nowMs, readyAtMs ?? permitAtMs) });
+  }
+
+  /**
+   * Adds the permits that a queued request needs, one of each throttled server that could run it.
+   * @returns For each of these servers, the number of permits needed so far.
+   */
+  private addNeeded(
+    needed: Map<string, number>,
+    request: QueuedRequest,
+    tried: ReadonlySet<string>,
+  ): ReadonlyMap<string, number> {
+    const servers = this.opts.view.throttled(request).filter(({ id }) => !tried.has(id));
+    servers.forEach(({ id }) => needed.set(id, (needed.get(id) ?? 0) + 1));
+    return new Map(servers.map(({ id }) => [id, needed.get(id) ?? 1]));
+  }
+
+  /**
+   * Expected time of a permit for a request whose servers are all throttled; null if it is unknown.
+   * For a request that needs a model, the steward may load the model on another server instead.
+   */
+  private permitAtMs(
+    nowMs: number,
+    request: QueuedRequest,
+    positions: ReadonlyMap<string, number>,
+  ): number | null {
+    if (request.model !== null || this.opts.view.candidates(request).length > 0) return null;
+    const position = Math.max(...positions.values());
+    const waitMs = this.opts.limits.expectedWaitMs([...positions.keys()], position);
+    return waitMs === null ? null : nowMs + waitMs;
   }
 
   private tryPlace(request: QueuedRequest, tried: ReadonlySet<string>): Run | null {
-    const { dataCentre, storeWatcher, random, view } = this.opts;
+    const { dataCentre, storeWatcher, random, view, limits } = this.opts;
     const candidates = view.candidates(request);
     const chosen = chooseServer(candidates, { dataCentre, tried, random });
     const server: BackendServer | undefined =
       chosen === null ? undefined : storeWatcher.backends.get(chosen.id);
     if (server === undefined) return null;
+    limits.take(server);
+    this.probeThrottled(request, tried);
     const { service, model, adapter } = request;
     const run = { server, service, model, adapter };
     view.started(run);
     return run;
   }
+
+  /** Asks for permits of throttled servers whose limits may be out of date, for later requests. */
+  private probeThrottled(request: QueuedRequest, tried: ReadonlySet<string>): void {
+    const { view, limits } = this.opts;
+    const stale = view
+      .throttled(request)
+      .filter(({ id }) => !tried.has(id) && limits.isStale(id))
+      .map(({ id }) => [id, 1] as const);
+    limits.requestPermits(new Map(stale));
+  }
 }
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -24,6 +24,7 @@
   type SwapView,
   type PendingDemand,
 } from '../../decisions/swaps/index.js';
+import { avoidedServers, type PermitIssuer } from '../../decisions/throttling/index.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { LeaseTask } from './lease-task.js';
 import type { LoadView, RelayMessageOf } from './messages.js';
@@ -91,6 +92,8 @@
   readonly lease: LeaseTask;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Limits the requests to engines that have named a limit. */
+  readonly issuer: PermitIssuer;
 }
 
 /**
@@ -243,6 +246,7 @@
     const backoffMs = engine.consecutiveFailures * NEEDED_REPORT_PAUSE_MS * 4;
     if (engine.consecutiveFailures > 0 && nowMs - engine.reportedAtMs < backoffMs) return;
     const { server } = engine;
+    if (!this.opts.issuer.takeReport(nowMs, server.id)) return;
     Object.assign(engine, { reporting: true });
     void this.opts.wire.report(server, REPORT_TIMEOUT_MS).then((report) => {
       Object.assign(engine, { reporting: false });
@@ -295,7 +299,13 @@
     }
     this.plannedAtMs = nowMs;
     this.plannedDemand = key;
-    const engines = [...this.engines.values()].map((engine) => this.engineState(nowMs, engine));
+    const avoided = avoidedServers(
+      [...this.engines.values()].map(({ server }) => server),
+      (id) => this.opts.issuer.isThrottled(id),
+    );
+    const engines = [...this.engines.values()].map((engine) =>
+      this.engineState(nowMs, engine, avoided.has(engine.server.id)),
+    );
     const rates = this.usageTracker.rates(nowMs);
     const storeLoadsLeft = this.storeLoadsLeft(nowMs);
     const view = { nowMs, engines, pendingDemand: demand, rates, storeLoadsLeft };
@@ -368,12 +378,17 @@
     return [...merged.values()];
   }
 
-  private engineState(nowMs: number, engine: EngineRecord): EngineState {
+  /**
+   * The state of an engine for the planner. An avoided engine gets no new models; while its limit
+   * binds, its replicas do not count, so that their demand is served by other engines.
+   */
+  private engineState(nowMs: number, engine: EngineRecord, isAvoided: boolean): EngineState {
     const { server, spec, orders } = engine;
     const isHealthy =
       !server.leaving &&
       engine.consecutiveFailures < MAX_CONSECUTIVE_FAILURES &&
-      this.hasReported(engine);
+      this.hasReported(engine) &&
+      !(isAvoided && this.opts.issuer.isBinding(nowMs, server.id));
     const unloadingModels = orders.unloading;
     const unloadingAdapters = new Set(orders.unloadingAdapters);
     const remainingAdapters = (model: string, adapters: ReadonlySet<string>) =>
@@ -383,7 +398,7 @@
       service: server.service,
       spec,
       dataCentre: server.dataCentre,
-      open: isHealthy && !orders.busy && !orders.needsReport,
+      open: isHealthy && !isAvoided && !orders.busy && !orders.needsReport,
       openForAdapters: isHealthy && orders.acceptsAdapterSteps && !orders.needsReport,
       healthy: isHealthy,
       replicas: [...orders.loadedModels]
@@ -419,8 +434,10 @@
     if (engine.server.leaving) return;
     const fence = this.opts.lease.fence();
     if (fence === 0) return;
+    if (!this.opts.issuer.allowsOrder(nowMs, engine.server.id)) return;
     const order = engine.orders.next(nowMs);
     if (order === null) return;
+    this.opts.issuer.noteOrder(nowMs, engine.server.id);
     void this.sendOrder(engine, order, fence);
   }
 
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -5,6 +5,7 @@
 import { ServerHealth } from '../../decisions/server-health/index.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
+import type { RequestLimits } from './throttling.js';
 
 /**
  * Bounds of a not-loaded pause, ms. The pause starts when a server replies that a model or adapter
@@ -65,6 +66,7 @@
     private readonly storeWatcher: StoreWatcherTask,
     private readonly clock: Clock,
     private readonly isStewardConnected: () => boolean,
+    private readonly limits: Pick<RequestLimits, 'allows' | 'isAnyKnown'>,
   ) {}
 
   get members(): number {
@@ -84,8 +86,18 @@
     this.loads = view.loads.map((load) => ({ ...load, readyAtMs: nowMs + load.readyInMs }));
   }
 
-  /** Healthy servers that have loaded what the request needs. */
+  /** Healthy servers that have loaded what the request needs and may get a request now. */
   candidates(need: Need): readonly Candidate[] {
+    return this.healthyServers(need).filter(({ isAllowed }) => isAllowed);
+  }
+
+  /** Healthy servers that have loaded what the request needs, but may get no request now. */
+  throttled(need: Need): readonly Candidate[] {
+    if (!this.limits.isAnyKnown) return [];
+    return this.healthyServers(need).filter(({ isAllowed }) => !isAllowed);
+  }
+
+  private healthyServers(need: Need): readonly (Candidate & { readonly isAllowed: boolean })[] {
     const nowMs = this.clock.steadyMs();
     const isConnected = this.isStewardConnected();
     const eligible = [...this.storeWatcher.backends.values()].filter(
@@ -101,6 +113,7 @@
       slots: server.slots,
       running: this.runningAt(server.id, isConnected),
       slowness: this.health.slowness(nowMs, server.id, peers),
+      isAllowed: this.limits.allows(server),
     }));
   }
 
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -20,6 +20,10 @@
   incidents: 'incidents',
   ranWhole: 'ran-whole',
   lease: 'lease',
+  throttles: 'throttles',
+  permitRequest: 'permit-request',
+  permits: 'permits',
+  permitReturn: 'permit-return',
 } as const;
 
 /** An entry VM's share of a customer's rate limit, and the customer's demand at this VM. */
@@ -101,6 +105,14 @@
   ageMs: z.number().nonnegative(),
 });
 
+/** Request limit that a server last named, or withdrew; see `Throttle`. */
+const throttleSchema = z.object({
+  serverId: z.string(),
+  bornMs: z.number(),
+  requestsPerS: z.number().nonnegative().nullable(),
+  ageMs: z.number().nonnegative(),
+});
+
 const schemas = [
   /** State of an entry VM: its rate shares, running requests and queued requests. */
   z.object({
@@ -150,6 +162,8 @@
     loads: z.array(loadViewSchema),
     /** Number of entry VMs connected to the steward. */
     members: z.int(),
+    /** Whether the receiver may send requests to throttled servers without a steward. */
+    mayUseReserve: z.boolean().default(false),
   }),
   /** Server list update: the servers that changed since the last one; the full list if `whole`. */
   z.object({
@@ -200,6 +214,28 @@
   z.object({ type: z.literal(RelayMessageType.incidents), incidents: z.array(incidentSchema) }),
   /** Requests that ran to completion; the receiver clears their incidents. */
   z.object({ type: z.literal(RelayMessageType.ranWhole), fingerprints: z.array(z.string()) }),
+  /** Request limits of servers; sent when they change, both ways. */
+  z.object({ type: z.literal(RelayMessageType.throttles), throttles: z.array(throttleSchema) }),
+  /** Requests permits for the requests of an entry VM that wait for a throttled server. */
+  z.object({
+    type: z.literal(RelayMessageType.permitRequest),
+    serverId: z.string(),
+    needed: z.int().positive(),
+  }),
+  /** Permits for requests to a throttled server, possibly none yet. */
+  z.object({
+    type: z.literal(RelayMessageType.permits),
+    serverId: z.string(),
+    permits: z.int().nonnegative(),
+    /** Expected time between two permits of the receiver, ms. */
+    intervalMs: z.number(),
+  }),
+  /** Returns permits that expired unused. */
+  z.object({
+    type: z.literal(RelayMessageType.permitReturn),
+    serverId: z.string(),
+    permits: z.int().positive(),
+  }),
 ] as const;
 
 export const relayMessageSchema = z.discriminatedUnion('type', schemas);
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -16,9 +16,12 @@
 } from '../../decisions/leases/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import { RateLender } from '../../decisions/rate-shares/index.js';
+import { RESERVE_HOLDERS } from '../../decisions/throttling/index.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import { IncidentPublisher } from './incident-publisher.js';
 import type { IncidentTask } from './incidents.js';
+import { PermitService } from './permit-service.js';
+import type { ThrottlingTask } from './throttling.js';
 import type { LateRenewal, LeaseTask } from './lease-task.js';
 import {
   type EngineView,
@@ -74,6 +77,8 @@
   readonly beliefs: ServerListPublisher;
   /** Builds the messages with shared incidents for the member. */
   readonly incidents: IncidentPublisher;
+  /** The request limits last sent, by server. */
+  readonly sentThrottles: Map<string, string>;
 }
 
 export interface StewardOptions {
@@ -82,6 +87,7 @@
   readonly wire: PlatformWire;
   readonly storeWatcher: StoreWatcherTask;
   readonly incidents: IncidentTask;
+  readonly throttling: ThrottlingTask;
   readonly lease: LeaseTask;
   /** Duration of a lease from its renewal, ms. */
   readonly leaseMs: number;
@@ -110,6 +116,8 @@
 
   private engineController: EngineController | null = null;
 
+  private permitService: PermitService | null = null;
+
   private readonly serverListCache = new ServerListCache();
 
   /** Fencing token under which this VM acts as steward; 0 while it does not. */
@@ -256,6 +264,7 @@
       sentLeaseVersion: 0,
       beliefs: new ServerListPublisher(),
       incidents: new IncidentPublisher(),
+      sentThrottles: new Map(),
     };
     socket.on('error', (err) => {
       this.opts.logger.debug('member-link-failed', { peer: member.vm, reason: err.message });
@@ -302,6 +311,15 @@
       case RelayMessageType.lease:
         this.opts.lease.handleLeaseMessage(message, message.heirTerm);
         break;
+      case RelayMessageType.throttles:
+        this.permitService?.handleThrottles(nowMs, member, message);
+        break;
+      case RelayMessageType.permitRequest:
+        this.permitService?.handleRequest(nowMs, member, message);
+        break;
+      case RelayMessageType.permitReturn:
+        this.permitService?.handleReturn(nowMs, message);
+        break;
       default:
     }
   }
@@ -390,6 +408,7 @@
     }
     if (!this.isActing) this.beginTerm(nowMs);
     this.fence = fence;
+    this.permitService?.tick(nowMs);
     // The timer is inexact: a planning pass may run half a tick early.
     const dueMs =
       this.plannedAtMs + planningIntervalMs(this.opts.storeWatcher.backends.size) - TICK_MS / 2;
@@ -443,13 +462,22 @@
       stored === undefined ? null : new Map(Object.entries(stored)),
     );
     this.lender.notePersisted(new Map(Object.entries(this.writtenAllowances)));
+    const { vm, wire, storeWatcher, lease, clock, logger, throttling } = this.opts;
+    this.permitService = new PermitService({
+      clock,
+      storeWatcher,
+      throttling,
+      members: this.members,
+    });
+    const { issuer } = this.permitService;
     this.engineController = new EngineController({
-      vm: this.opts.vm,
-      wire: this.opts.wire,
-      storeWatcher: this.opts.storeWatcher,
-      lease: this.opts.lease,
-      clock: this.opts.clock,
-      logger: this.opts.logger,
+      vm,
+      wire,
+      storeWatcher,
+      lease,
+      clock,
+      logger,
+      issuer,
     });
   }
 
@@ -457,6 +485,7 @@
     this.fence = 0;
     this.lender = null;
     this.engineController = null;
+    this.permitService = null;
     this.members.forEach(({ socket }) => socket.destroy());
     this.members.clear();
   }
@@ -504,6 +533,7 @@
       running: Object.fromEntries(running),
       loads,
       members: this.members.size,
+      mayUseReserve: this.isReserveHolder(member),
     });
     if (!sent) return;
     changed.forEach(({ id }) => member.sentEngines.set(id, engineTexts.get(id) ?? ''));
@@ -511,6 +541,11 @@
     Object.assign(member, { sentLoads: loadsKey, sentAtMs: nowMs });
   }
 
+  /** The members that connected first may send requests to throttled servers without a steward. */
+  private isReserveHolder(member: Member): boolean {
+    return [...this.members].indexOf(member) < RESERVE_HOLDERS;
+  }
+
   /** Changed numbers of running requests by engine, at an interval that grows with the fleet. */
   private changedRunning(
     nowMs: number,
--- a/src/entry/relay/throttling.ts
+++ b/src/entry/relay/throttling.ts
@@ -1,37 +1,189 @@
-/** Observes the request limits that backend servers name in their responses. */
+/**
+ * Keeps this entry VM's requests within the limits that backend servers name: observes the limits,
+ * shares them with the other entry VMs, and obtains a permit from the steward for each request to a
+ * throttled server.
+ */
 import type { Clock } from '../../core/clock/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
+import type { Task } from '../../core/supervisor/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
-import { ThrottleTable } from '../../decisions/throttling/index.js';
+import {
+  MergeResult,
+  PermitHolder,
+  type Throttle,
+  ThrottleTable,
+} from '../../decisions/throttling/index.js';
+import { type RelayMessage, type RelayMessageOf, RelayMessageType } from './messages.js';
 
-export interface ThrottleMonitorOptions {
+const TICK_MS = 25;
+/** Time without a response after which the limit of a server may be out of date, ms. */
+const STALE_MS = 1_000;
+
+/** The operations that choosing a server needs. */
+export interface RequestLimits {
+  /** Whether any server is known to have named a limit. */
+  readonly isAnyKnown: boolean;
+  /** Whether a request may be sent to the server now. */
+  allows(server: BackendServer): boolean;
+  /** Uses a permit if the server is throttled. */
+  take(server: BackendServer): void;
+  /** Whether the limit of the server has not been observed for some time. */
+  isStale(serverId: string): boolean;
+  /** Asks the steward for permits; `needed` is the number of waiting requests by server. */
+  requestPermits(needed: ReadonlyMap<string, number>): void;
+  /** Expected time until `needed` permits of any of the servers, ms; null if unknown. */
+  expectedWaitMs(serverIds: readonly string[], needed: number): number | null;
+}
+
+export interface ThrottlingOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  isStewardConnected(): boolean;
+  /** Sends a message to the steward; false if it could not be sent. */
+  send(message: RelayMessage): boolean;
 }
 
-export class ThrottleMonitor {
+export class ThrottlingTask implements Task, RequestLimits {
+  readonly name = 'throttling';
+
   private readonly table = new ThrottleTable();
 
-  constructor(private readonly opts: ThrottleMonitorOptions) {}
+  private readonly permits = new PermitHolder();
+
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(private readonly opts: ThrottlingOptions) {}
+
+  async start(): Promise<void> {
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+  }
+
+  async stop(): Promise<void> {
+    if (this.timer !== null) clearInterval(this.timer);
+  }
+
+  get isAnyKnown(): boolean {
+    return this.table.size > 0;
+  }
+
+  allows(server: BackendServer): boolean {
+    const requestsPerS = this.requestsPerS(server);
+    if (requestsPerS === null) return true;
+    return this.permits.allows(this.opts.clock.steadyMs(), server.id, requestsPerS);
+  }
+
+  take(server: BackendServer): void {
+    const requestsPerS = this.requestsPerS(server);
+    if (requestsPerS === null) return;
+    this.permits.take(this.opts.clock.steadyMs(), server.id, requestsPerS);
+  }
+
+  isStale(serverId: string): boolean {
+    return this.table.ageMs(this.opts.clock.steadyMs(), serverId) > STALE_MS;
+  }
+
+  requestPermits(needed: ReadonlyMap<string, number>): void {
+    const nowMs = this.opts.clock.steadyMs();
+    needed.forEach((count, serverId) => {
+      if (!this.permits.shouldAsk(nowMs, serverId, count)) return;
+      this.opts.send({ type: RelayMessageType.permitRequest, serverId, needed: count });
+    });
+  }
+
+  expectedWaitMs(serverIds: readonly string[], needed: number): number | null {
+    return this.permits.expectedWaitMs(this.opts.clock.steadyMs(), serverIds, needed);
+  }
+
+  /** The limit that is in force for a server, requests per second; null for none. */
+  requestsPerS(server: BackendServer): number | null {
+    return this.table.requestsPerS(this.opts.clock.steadyMs(), server);
+  }
 
   /** Counts a request to a server that has named a limit. */
   noteSent(server: BackendServer): void {
-    const { clock, metrics } = this.opts;
-    if (this.table.requestsPerS(clock.steadyMs(), server) === null) return;
-    metrics.count('relay_throttled_sends_total', { server: server.id });
+    if (this.requestsPerS(server) === null) return;
+    this.opts.metrics.count('relay_throttled_sends_total', { server: server.id });
   }
 
-  /** Records the limit that a response names; `requestsPerS` is null for none. */
+  /**
+   * Records the limit that a response names; `requestsPerS` is null for none.
+   * @param sentAtMs When the request was sent.
+   */
   noteResponse(server: BackendServer, requestsPerS: number | null, sentAtMs: number): void {
     const nowMs = this.opts.clock.steadyMs();
     if (!this.table.observe(nowMs, server, requestsPerS, sentAtMs)) return;
-    this.opts.logger.info('throttle-changed', { server: server.id, requestsPerS, toldBy: 'here' });
+    this.logChange(server.id, requestsPerS, 'here');
+    this.share((id) => id === server.id);
+  }
+
+  /** Sends all limits to a newly connected steward, because it may not have received them. */
+  sendAll(): void {
+    this.share(() => true);
+  }
+
+  /** All limits, including withdrawn ones. */
+  all(): readonly Throttle[] {
+    return this.table.all(this.opts.clock.steadyMs());
+  }
+
+  /** Adds the limits that another entry VM sent; returns newer ones that it must receive. */
+  addReceived(
+    { throttles }: RelayMessageOf<'throttles'>,
+    source: string,
+  ): RelayMessageOf<'throttles'>['throttles'] {
+    const nowMs = this.opts.clock.steadyMs();
+    const results = throttles.map(
+      (throttle) => [throttle, this.table.merge(nowMs, throttle)] as const,
+    );
+    results
+      .filter(([, result]) => result === MergeResult.changed)
+      .forEach(([{ serverId, requestsPerS }]) => this.logChange(serverId, requestsPerS, source));
+    const outdated = new Set(
+      results.flatMap(([{ serverId }, result]) =>
+        result === MergeResult.outdated ? [serverId] : [],
+      ),
+    );
+    return this.all().filter(({ serverId }) => outdated.has(serverId));
+  }
+
+  /** Adds the steward's limits; sends newer ones back. */
+  handleStewardThrottles(message: RelayMessageOf<'throttles'>): void {
+    const throttles = this.addReceived(message, 'steward');
+    if (throttles.length > 0) this.opts.send({ type: RelayMessageType.throttles, throttles });
+  }
+
+  handlePermits({ serverId, permits, intervalMs }: RelayMessageOf<'permits'>): void {
+    this.permits.receive(this.opts.clock.steadyMs(), serverId, permits, intervalMs);
+  }
+
+  /** Sets whether this entry VM may send requests to throttled servers without a steward. */
+  setReserve(mayUseReserve: boolean): void {
+    this.permits.setReserve(mayUseReserve);
   }
 
   /** Forgets the servers that are no longer listed. */
   retain(listed: ReadonlyMap<string, BackendServer>): void {
     this.table.retain(this.opts.clock.steadyMs(), listed);
+    this.permits.retain(listed);
+  }
+
+  private tick(): void {
+    this.permits.setSteward(this.opts.isStewardConnected());
+    this.permits.expire(this.opts.clock.steadyMs()).forEach((permits, serverId) => {
+      this.opts.send({ type: RelayMessageType.permitReturn, serverId, permits });
+    });
+  }
+
+  private share(isShared: (serverId: string) => boolean): void {
+    const throttles = this.all().filter(({ serverId }) => isShared(serverId));
+    if (throttles.length > 0) {
+      this.opts.send({ type: RelayMessageType.throttles, throttles: [...throttles] });
+    }
+  }
+
+  private logChange(server: string, requestsPerS: number | null, source: string): void {
+    this.opts.logger.info('throttle-changed', { server, requestsPerS, toldBy: source });
   }
 }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -24,7 +24,7 @@
 import { ReporterTask } from './reporter.js';
 import { StewardTask } from './steward.js';
 import { StewardLink } from './steward-link.js';
-import { ThrottleMonitor } from './throttling.js';
+import { ThrottlingTask } from './throttling.js';
 import type { PlatformWire } from './types.js';
 
 /** Retry-After when the time until capacity is available is unknown, ms. */
@@ -89,9 +89,15 @@
     send: (message) => lateBound.link?.send(message) === true,
   });
   const retries = new RetryWindow(relay.retries, clock.steadyMs());
-  const throttling = new ThrottleMonitor({ clock, logger: logger.child('throttling'), metrics });
   const connections = new ConnectionPool();
   const isStewardConnected = () => lateBound.link?.isStewardConnected === true;
+  const throttling = new ThrottlingTask({
+    clock,
+    logger: logger.child('throttling'),
+    metrics,
+    isStewardConnected,
+    send: (message) => lateBound.link?.send(message) === true,
+  });
   const record = new IncidentRecordTask({
     store,
     clock,
@@ -117,11 +123,12 @@
     sendLateRenewal: (renewal) => lateBound.steward?.sendLateRenewal(renewal),
   });
   lateBound.lease = lease;
-  const view = new FleetView(storeWatcher, clock, isStewardConnected);
+  const view = new FleetView(storeWatcher, clock, isStewardConnected, throttling);
   const dispatcher = new Dispatcher({
     dataCentre: vm.dataCentre,
     storeWatcher,
     view,
+    limits: throttling,
     clock,
     random,
     onEnqueue: () => lateBound.reporter?.reportNow(),
@@ -144,6 +151,7 @@
       case RelayMessageType.view:
         view.applyView(message);
         retries.noteMembers(message.members);
+        throttling.setReserve(message.mayUseReserve);
         metrics.gauge('relay_members', message.members);
         dispatcher.placeQueued();
         break;
@@ -166,6 +174,14 @@
       case RelayMessageType.ranWhole:
         incidents.clearCompleted(message);
         break;
+      case RelayMessageType.throttles:
+        throttling.handleStewardThrottles(message);
+        dispatcher.placeQueued();
+        break;
+      case RelayMessageType.permits:
+        throttling.handlePermits(message);
+        dispatcher.placeQueued();
+        break;
       default:
     }
   };
@@ -176,6 +192,7 @@
       storeWatcher.discardStewardList();
       lateBound.reporter?.sendFullReport();
       incidents.sendAll();
+      throttling.sendAll();
       lateBound.steward?.sendPendingRenewal();
     },
     gone: (lost, newestFence) => lease.noteInactive(lost.fence, newestFence),
@@ -202,6 +219,7 @@
     wire,
     storeWatcher,
     incidents,
+    throttling,
     lease,
     leaseMs: settings.lease.durationMs,
     clock,
@@ -268,6 +286,7 @@
     lease,
     reporter,
     incidents,
+    throttling,
     record,
     callerServer,
     readiness,
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -16,6 +16,7 @@
     running: {},
     loads: [],
     members: 1,
+    mayUseReserve: false,
     ...fields,
   };
 }
@@ -39,6 +40,7 @@
     storeWatcher as unknown as StoreWatcherTask,
     clock,
     () => steward.connected,
+    { allows: () => true, isAnyKnown: false },
   );
   return { view, steward, times };
 }
