Use the permits of throttled engines for the requests that need them

Change: a probe gets a permit only after two seconds without any; orders have an eighth of the limit; a throttled engine serves its least requested models, as far as the limit goes, and the others count as missing; a request is rejected at once when its permit comes after its objective.

--- a/src/decisions/throttling/avoided-servers.ts
+++ b/src/decisions/throttling/avoided-servers.ts
@@ -1,7 +1,7 @@
 /** Decides which throttled engines new loads avoid. */
 
 /** Maximum fraction of a service's engines that may be avoided. */
-const MAX_AVOIDED_FRACTION = 0.5;
+const MAX_AVOIDED_FRACTION = 0.75;
 
 interface ServiceMember {
   readonly id: string;
@@ -9,8 +9,8 @@
 }
 
 /**
- * Ids of the throttled servers, without those of services in which more than half of the servers
- * are throttled.
+ * Ids of the throttled servers, without those of services in which nearly all servers are
+ * throttled.
  */
 export function avoidedServers(
   servers: readonly ServiceMember[],
--- a/src/decisions/throttling/index.ts
+++ b/src/decisions/throttling/index.ts
@@ -2,5 +2,6 @@
 export { avoidedServers } from './avoided-servers.js';
 export { PermitHolder, RESERVE_HOLDERS } from './permit-holder.js';
 export { type PermitGrant, PermitIssuer } from './permit-issuer.js';
+export { servableReplicas } from './servable-replicas.js';
 export { MergeResult, ThrottleTable } from './throttle-table.js';
 export * from './types.js';
--- a/src/decisions/throttling/permit-holder.ts
+++ b/src/decisions/throttling/permit-holder.ts
@@ -10,6 +10,8 @@
 const PERMIT_TTL_MS = 250;
 /** Interval at which a request for permits is repeated while requests wait, ms. */
 const REPEAT_MS = 250;
+/** Interval at which a permit for a probe is requested, ms. */
+const PROBE_MS = 1_000;
 /** Time for which the expected interval between permits is used, ms. */
 const INTERVAL_TTL_MS = 1_000;
 /** Number of entry VMs that may send requests without a steward. */
@@ -24,6 +26,7 @@
   /** Expiry times of the permits, ms. */
   expiries: readonly number[];
   askedAtMs: number;
+  probedAtMs: number;
   /** Number of permits that were asked for and not received yet. */
   missing: number;
   /** Expected time between two permits, ms, and when the steward sent it. */
@@ -92,6 +95,14 @@
     return true;
   }
 
+  /** Whether to ask the steward now for a permit for a probe. The caller then sends the request. */
+  shouldProbe(nowMs: number, serverId: string): boolean {
+    const record = this.recordOf(serverId);
+    if (nowMs - record.probedAtMs < PROBE_MS) return false;
+    record.probedAtMs = nowMs;
+    return true;
+  }
+
   /** Expected time until `needed` permits of any of the servers, ms; null if unknown. */
   expectedWaitMs(nowMs: number, serverIds: readonly string[], needed: number): number | null {
     const records = serverIds.map((id) => this.recordOf(id));
@@ -134,6 +145,7 @@
     const record = {
       expiries: [],
       askedAtMs: -Infinity,
+      probedAtMs: -Infinity,
       missing: 0,
       intervalMs: Infinity,
       intervalAtMs: -Infinity,
--- a/src/decisions/throttling/permit-issuer.ts
+++ b/src/decisions/throttling/permit-issuer.ts
@@ -4,7 +4,7 @@
  *
  * The steward issues the permits of all entry VMs, so the sum over the fleet keeps the limit. Entry
  * VMs that wait for a permit of a server get them in turn. Reports and engine orders, which the
- * steward itself sends, reach the server as well and count.
+ * steward itself sends, reach the server as well: they have small rates of their own.
  */
 import { ShareBucket } from '../rate-shares/index.js';
 
@@ -14,12 +14,13 @@
 const BURST_S = 0.1;
 /** Limits below this count as this, requests/s: only a request shows that a limit has changed. */
 const MIN_RATE_PER_S = 0.1;
-/** Rate of report calls as a fraction of the limit, in addition to the permits. */
+/** Rates of report calls and engine orders as fractions of the limit, in addition to the permits. */
 const REPORT_FRACTION = 0.25;
+const ORDER_FRACTION = 0.125;
 /** Time after which an entry VM that has not repeated its request gets no permit, ms. */
-const REQUEST_TTL_MS = 600;
-/** A limit counts as binding for this time after a request had to wait for a permit, ms. */
-const BINDING_MS = 2_000;
+const REQUEST_TTL_MS = 350;
+/** Time without a permit after which a probe gets one, ms. */
+const PROBE_INTERVAL_MS = 2_000;
 const MS_PER_S = 1000;
 
 /** Outcome for one entry VM of asking for permits, or of its turn. */
@@ -42,17 +43,19 @@
   ratePerS: number;
   readonly permits: ShareBucket;
   readonly reports: ShareBucket;
+  readonly orders: ShareBucket;
   /** Entry VMs that wait for a permit; the first one is next. */
   waiting: readonly WaitingVm[];
-  boundAtMs: number;
+  /** When the last permit was issued. */
+  issuedAtMs: number;
 }
 
 function permitLimit(ratePerS: number) {
   return { ratePerS, burst: Math.max(MIN_BURST, ratePerS * BURST_S) };
 }
 
-function reportLimit(ratePerS: number) {
-  return { ratePerS: ratePerS * REPORT_FRACTION, burst: MIN_BURST };
+function controlLimit(ratePerS: number, fraction: number) {
+  return { ratePerS: ratePerS * fraction, burst: MIN_BURST };
 }
 
 /** Expected time between two permits of one entry VM that waits, ms. */
@@ -73,7 +76,8 @@
       const record = this.servers.get(id) ?? this.createRecord(nowMs, ratePerS);
       record.ratePerS = ratePerS;
       record.permits.configure(nowMs, permitLimit(ratePerS), 1);
-      record.reports.configure(nowMs, reportLimit(ratePerS), 1);
+      record.reports.configure(nowMs, controlLimit(ratePerS, REPORT_FRACTION), 1);
+      record.orders.configure(nowMs, controlLimit(ratePerS, ORDER_FRACTION), 1);
       this.servers.set(id, record);
     });
   }
@@ -107,25 +111,36 @@
     this.servers.get(serverId)?.permits.refund(nowMs, permits);
   }
 
-  isThrottled(serverId: string): boolean {
-    return this.servers.has(serverId);
+  /**
+   * Issues a permit for a request that could run elsewhere, and whose response shows whether the
+   * limit still holds; null if other requests show it.
+   */
+  issueProbe(nowMs: number, vm: string, serverId: string): PermitGrant | null {
+    const record = this.servers.get(serverId);
+    if (record === undefined || record.waiting.length > 0) return null;
+    if (nowMs - record.issuedAtMs < PROBE_INTERVAL_MS) return null;
+    if (!record.permits.take(nowMs, 1)) return null;
+    record.issuedAtMs = nowMs;
+    return { vm, serverId, permits: 1, intervalMs: intervalOf(record) };
   }
 
-  /** Whether requests have waited for permits of the server recently. */
-  isBinding(nowMs: number, serverId: string): boolean {
-    const record = this.servers.get(serverId);
-    return record !== undefined && nowMs - record.boundAtMs < BINDING_MS;
+  /** The limit of a server, requests per second; null for none. */
+  requestsPerS(serverId: string): number | null {
+    return this.servers.get(serverId)?.ratePerS ?? null;
   }
 
   /** Whether an engine order may be sent to the server now. */
   allowsOrder(nowMs: number, serverId: string): boolean {
     const record = this.servers.get(serverId);
-    return record === undefined || record.permits.available(nowMs) >= 1;
+    if (record === undefined || record.orders.available(nowMs) >= 1) return true;
+    return record.waiting.length === 0 && record.permits.available(nowMs) >= 1;
   }
 
-  /** Counts an engine order that is sent to the server. */
+  /** Counts an engine order that is sent to the server; `allowsOrder` must hold. */
   noteOrder(nowMs: number, serverId: string): void {
-    this.servers.get(serverId)?.permits.take(nowMs, 1);
+    const record = this.servers.get(serverId);
+    if (record === undefined || record.orders.take(nowMs, 1)) return;
+    record.permits.take(nowMs, 1);
   }
 
   /** Whether a report may be fetched from the server now; counts it if so. */
@@ -144,8 +159,8 @@
       const needed = next.needed - 1;
       waiting = needed > 0 ? [...rest, { ...next, needed }] : rest;
     }
-    const boundAtMs = waiting.length > 0 ? nowMs : record.boundAtMs;
-    Object.assign(record, { waiting, boundAtMs });
+    const issuedAtMs = grants.length > 0 ? nowMs : record.issuedAtMs;
+    Object.assign(record, { waiting, issuedAtMs });
     return grants;
   }
 
@@ -153,9 +168,10 @@
     return {
       ratePerS,
       permits: new ShareBucket(permitLimit(ratePerS), nowMs),
-      reports: new ShareBucket(reportLimit(ratePerS), nowMs),
+      reports: new ShareBucket(controlLimit(ratePerS, REPORT_FRACTION), nowMs),
+      orders: new ShareBucket(controlLimit(ratePerS, ORDER_FRACTION), nowMs),
       waiting: [],
-      boundAtMs: -Infinity,
+      issuedAtMs: nowMs,
     };
   }
 }
--- a/src/decisions/throttling/throttle-table.ts
+++ b/src/decisions/throttling/throttle-table.ts
@@ -83,11 +83,6 @@
     return this.records.size;
   }
 
-  /** Time since an entry VM last observed the server's limit, ms; Infinity if none did. */
-  ageMs(nowMs: number, serverId: string): number {
-    return nowMs - (this.records.get(serverId)?.observedAtMs ?? -Infinity);
-  }
-
   /** All limits, including withdrawn ones. */
   all(nowMs: number): readonly Throttle[] {
     return [...this.records].map(([serverId, { bornMs, requestsPerS, observedAtMs }]) => ({
--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -6,8 +6,8 @@
  * load that ends in time. If no load is in progress or queued, the request is rejected after a
  * fraction of its time budget. If the load will end too late, the request is rejected at once,
  * unless a server already has the model or adapter loaded. The rejection gives the end of the load
- * as the time to retry. The same holds for a request whose permit for a throttled server will come
- * too late.
+ * as the time to retry. The same holds for a request whose permit for a throttled server comes after
+ * its latency objective: permits that go to late requests make later ones late as well.
  */
 
 /** A request that is queued on an entry VM. */
@@ -58,7 +58,7 @@
 ): number {
   const budgetMs = req.deadlineAtMs - req.arrivedAtMs;
   const waitUntilMs = req.arrivedAtMs + budgetMs * MAX_WAIT_FRACTION;
-  if (permitAtMs !== null && permitAtMs > waitUntilMs) return req.arrivedAtMs;
+  if (permitAtMs !== null && permitAtMs > req.objectiveAtMs) return req.arrivedAtMs;
   if (readyAtMs === null) return waitUntilMs;
   const waitForLoadUntilMs = req.arrivedAtMs + budgetMs * MAX_LOAD_FRACTION;
   if (readyAtMs <= waitForLoadUntilMs) return waitForLoadUntilMs;
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -155,17 +155,19 @@
   }
 
   /**
-   * Expected time of a permit for a request whose servers are all throttled; null if it is unknown.
-   * For a request that needs a model, the steward may load the model on another server instead.
+   * Expected time of a permit for a request whose servers are all throttled; null if it is unknown,
+   * or if the steward may load the model that the request needs on another server.
    */
   private permitAtMs(
     nowMs: number,
     request: QueuedRequest,
     positions: ReadonlyMap<string, number>,
   ): number | null {
-    if (request.model !== null || this.opts.view.candidates(request).length > 0) return null;
+    const { view, limits } = this.opts;
+    if (positions.size === 0 || view.candidates(request).length > 0) return null;
+    if (request.model !== null && !view.isFullyThrottled(request.service)) return null;
     const position = Math.max(...positions.values());
-    const waitMs = this.opts.limits.expectedWaitMs([...positions.keys()], position);
+    const waitMs = limits.expectedWaitMs([...positions.keys()], position);
     return waitMs === null ? null : nowMs + waitMs;
   }
 
@@ -184,13 +186,12 @@
     return run;
   }
 
-  /** Asks for permits of throttled servers whose limits may be out of date, for later requests. */
+  /** Asks for permits of throttled servers, for requests that show whether their limits hold. */
   private probeThrottled(request: QueuedRequest, tried: ReadonlySet<string>): void {
     const { view, limits } = this.opts;
-    const stale = view
+    view
       .throttled(request)
-      .filter(({ id }) => !tried.has(id) && limits.isStale(id))
-      .map(({ id }) => [id, 1] as const);
-    limits.requestPermits(new Map(stale));
+      .filter(({ id }) => !tried.has(id))
+      .forEach(({ id }) => limits.requestProbe(id));
   }
 }
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -18,13 +18,18 @@
   type EngineState,
   type ForecastLoad,
   forecastLoads,
+  type ModelRates,
   StoreConcurrencyLimiter,
   type SwapAction,
   SwapPlanner,
   type SwapView,
   type PendingDemand,
 } from '../../decisions/swaps/index.js';
-import { avoidedServers, type PermitIssuer } from '../../decisions/throttling/index.js';
+import {
+  avoidedServers,
+  type PermitIssuer,
+  servableReplicas,
+} from '../../decisions/throttling/index.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { LeaseTask } from './lease-task.js';
 import type { LoadView, RelayMessageOf } from './messages.js';
@@ -299,14 +304,8 @@
     }
     this.plannedAtMs = nowMs;
     this.plannedDemand = key;
-    const avoided = avoidedServers(
-      [...this.engines.values()].map(({ server }) => server),
-      (id) => this.opts.issuer.isThrottled(id),
-    );
-    const engines = [...this.engines.values()].map((engine) =>
-      this.engineState(nowMs, engine, avoided.has(engine.server.id)),
-    );
     const rates = this.usageTracker.rates(nowMs);
+    const engines = this.engineStates(nowMs, rates);
     const storeLoadsLeft = this.storeLoadsLeft(nowMs);
     const view = { nowMs, engines, pendingDemand: demand, rates, storeLoadsLeft };
     const actions = this.planner.plan(view);
@@ -379,16 +378,39 @@
   }
 
   /**
-   * The state of an engine for the planner. An avoided engine gets no new models; while its limit
-   * binds, its replicas do not count, so that their demand is served by other engines.
+   * The states of all engines for the planner. Avoided engines get no new models, and only those of
+   * their replicas count that their limits can serve.
    */
-  private engineState(nowMs: number, engine: EngineRecord, isAvoided: boolean): EngineState {
+  private engineStates(nowMs: number, rates: ModelRates): readonly EngineState[] {
+    const { issuer } = this.opts;
+    const engines = [...this.engines.values()];
+    const avoided = avoidedServers(
+      engines.map(({ server }) => server),
+      (id) => issuer.requestsPerS(id) !== null,
+    );
+    const replicaCounts = new Map<string, number>();
+    engines.forEach(({ orders }) =>
+      [...orders.loadedModels.keys()].forEach((model) =>
+        replicaCounts.set(model, (replicaCounts.get(model) ?? 0) + 1),
+      ),
+    );
+    const ratePerS = (model: string) =>
+      (rates.get(model) ?? 0) / Math.max(1, replicaCounts.get(model) ?? 1);
+    return engines.map((engine) => {
+      const state = this.engineState(nowMs, engine);
+      const requestsPerS = issuer.requestsPerS(state.id);
+      if (requestsPerS === null || !avoided.has(state.id)) return state;
+      const replicas = servableReplicas(state.replicas, requestsPerS, ratePerS);
+      return { ...state, open: false, replicas };
+    });
+  }
+
+  private engineState(nowMs: number, engine: EngineRecord): EngineState {
     const { server, spec, orders } = engine;
     const isHealthy =
       !server.leaving &&
       engine.consecutiveFailures < MAX_CONSECUTIVE_FAILURES &&
-      this.hasReported(engine) &&
-      !(isAvoided && this.opts.issuer.isBinding(nowMs, server.id));
+      this.hasReported(engine);
     const unloadingModels = orders.unloading;
     const unloadingAdapters = new Set(orders.unloadingAdapters);
     const remainingAdapters = (model: string, adapters: ReadonlySet<string>) =>
@@ -398,7 +420,7 @@
       service: server.service,
       spec,
       dataCentre: server.dataCentre,
-      open: isHealthy && !isAvoided && !orders.busy && !orders.needsReport,
+      open: isHealthy && !orders.busy && !orders.needsReport,
       openForAdapters: isHealthy && orders.acceptsAdapterSteps && !orders.needsReport,
       healthy: isHealthy,
       replicas: [...orders.loadedModels]
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -66,7 +66,7 @@
     private readonly storeWatcher: StoreWatcherTask,
     private readonly clock: Clock,
     private readonly isStewardConnected: () => boolean,
-    private readonly limits: Pick<RequestLimits, 'allows' | 'isAnyKnown'>,
+    private readonly limits: Pick<RequestLimits, 'allows' | 'isAnyKnown' | 'isThrottled'>,
   ) {}
 
   get members(): number {
@@ -97,24 +97,11 @@
     return this.healthyServers(need).filter(({ isAllowed }) => !isAllowed);
   }
 
-  private healthyServers(need: Need): readonly (Candidate & { readonly isAllowed: boolean })[] {
-    const nowMs = this.clock.steadyMs();
-    const isConnected = this.isStewardConnected();
-    const eligible = [...this.storeWatcher.backends.values()].filter(
-      (server) =>
-        server.service === need.service &&
-        !server.leaving &&
-        this.hasLoaded(nowMs, server, need, isConnected),
-    );
-    const peers = eligible.map(({ id }) => id);
-    return this.health.eligible(nowMs, eligible).map((server) => ({
-      id: server.id,
-      dataCentre: server.dataCentre,
-      slots: server.slots,
-      running: this.runningAt(server.id, isConnected),
-      slowness: this.health.slowness(nowMs, server.id, peers),
-      isAllowed: this.limits.allows(server),
-    }));
+  /** Whether all servers of a service that are not draining are throttled. */
+  isFullyThrottled(service: string): boolean {
+    return [...this.storeWatcher.backends.values()]
+      .filter((server) => server.service === service && !server.leaving)
+      .every((server) => this.limits.isThrottled(server));
   }
 
   /** Whether any server that is not draining has loaded the model that the request needs. */
@@ -186,6 +173,26 @@
     this.runningReported = new Map(this.runningLocally);
   }
 
+  private healthyServers(need: Need): readonly (Candidate & { readonly isAllowed: boolean })[] {
+    const nowMs = this.clock.steadyMs();
+    const isConnected = this.isStewardConnected();
+    const eligible = [...this.storeWatcher.backends.values()].filter(
+      (server) =>
+        server.service === need.service &&
+        !server.leaving &&
+        this.hasLoaded(nowMs, server, need, isConnected),
+    );
+    const peers = eligible.map(({ id }) => id);
+    return this.health.eligible(nowMs, eligible).map((server) => ({
+      id: server.id,
+      dataCentre: server.dataCentre,
+      slots: server.slots,
+      running: this.runningAt(server.id, isConnected),
+      slowness: this.health.slowness(nowMs, server.id, peers),
+      isAllowed: this.limits.allows(server),
+    }));
+  }
+
   private hasLoaded(
     nowMs: number,
     server: BackendServer,
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -221,6 +221,8 @@
     type: z.literal(RelayMessageType.permitRequest),
     serverId: z.string(),
     needed: z.int().positive(),
+    /** Whether the requests can run elsewhere, and only show whether the limit still holds. */
+    isProbe: z.boolean(),
   }),
   /** Permits for requests to a throttled server, possibly none yet. */
   z.object({
--- a/src/entry/relay/permit-service.ts
+++ b/src/entry/relay/permit-service.ts
@@ -1,7 +1,7 @@
 /** The steward's side of throttling: issues permits and publishes the limits to the members. */
 import type * as net from 'node:net';
 import type { Clock } from '../../core/clock/index.js';
-import { PermitIssuer, type Throttle } from '../../decisions/throttling/index.js';
+import { type PermitGrant, PermitIssuer, type Throttle } from '../../decisions/throttling/index.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import { type RelayMessageOf, RelayMessageType } from './messages.js';
 import { writeMessage } from './steward-link.js';
@@ -59,9 +59,13 @@
   handleRequest(
     nowMs: number,
     member: PermitMember,
-    { serverId, needed }: RelayMessageOf<'permit-request'>,
+    { serverId, needed, isProbe }: RelayMessageOf<'permit-request'>,
   ): void {
     if (member.vm === null) return;
+    if (isProbe) {
+      this.sendGrant(this.issuer.issueProbe(nowMs, member.vm, serverId));
+      return;
+    }
     this.issuer.request(nowMs, member.vm, serverId, needed);
     const servedVms = this.issuePermits(nowMs);
     const intervalMs = this.issuer.intervalMs(serverId);
@@ -82,19 +86,18 @@
   /** Sends the permits that are due; returns the entry VMs that got any. */
   private issuePermits(nowMs: number): ReadonlySet<string> {
     const grants = this.issuer.issue(nowMs);
-    grants.forEach(({ vm, serverId, permits, intervalMs }) => {
-      const member = [...this.opts.members].find((other) => other.vm === vm);
-      if (member === undefined) return;
-      writeMessage(member.socket, {
-        type: RelayMessageType.permits,
-        serverId,
-        permits,
-        intervalMs,
-      });
-    });
+    grants.forEach((grant) => this.sendGrant(grant));
     return new Set(grants.map(({ vm }) => vm));
   }
 
+  private sendGrant(grant: PermitGrant | null): void {
+    if (grant === null) return;
+    const { vm, serverId, permits, intervalMs } = grant;
+    const member = [...this.opts.members].find((other) => other.vm === vm);
+    if (member === undefined) return;
+    writeMessage(member.socket, { type: RelayMessageType.permits, serverId, permits, intervalMs });
+  }
+
   private static sendThrottles(member: PermitMember, throttles: readonly Throttle[]): void {
     const changed = throttles.filter(
       (throttle) => member.sentThrottles.get(throttle.serverId) !== keyOf(throttle),
--- a/src/entry/relay/throttling.ts
+++ b/src/entry/relay/throttling.ts
@@ -17,21 +17,21 @@
 import { type RelayMessage, type RelayMessageOf, RelayMessageType } from './messages.js';
 
 const TICK_MS = 25;
-/** Time without a response after which the limit of a server may be out of date, ms. */
-const STALE_MS = 1_000;
 
 /** The operations that choosing a server needs. */
 export interface RequestLimits {
   /** Whether any server is known to have named a limit. */
   readonly isAnyKnown: boolean;
+  /** Whether a limit of the server is in force. */
+  isThrottled(server: BackendServer): boolean;
   /** Whether a request may be sent to the server now. */
   allows(server: BackendServer): boolean;
   /** Uses a permit if the server is throttled. */
   take(server: BackendServer): void;
-  /** Whether the limit of the server has not been observed for some time. */
-  isStale(serverId: string): boolean;
   /** Asks the steward for permits; `needed` is the number of waiting requests by server. */
   requestPermits(needed: ReadonlyMap<string, number>): void;
+  /** Asks the steward for a permit for a later request, to see whether the limit still holds. */
+  requestProbe(serverId: string): void;
   /** Expected time until `needed` permits of any of the servers, ms; null if unknown. */
   expectedWaitMs(serverIds: readonly string[], needed: number): number | null;
 }
@@ -68,6 +68,10 @@
     return this.table.size > 0;
   }
 
+  isThrottled(server: BackendServer): boolean {
+    return this.requestsPerS(server) !== null;
+  }
+
   allows(server: BackendServer): boolean {
     const requestsPerS = this.requestsPerS(server);
     if (requestsPerS === null) return true;
@@ -80,18 +84,19 @@
     this.permits.take(this.opts.clock.steadyMs(), server.id, requestsPerS);
   }
 
-  isStale(serverId: string): boolean {
-    return this.table.ageMs(this.opts.clock.steadyMs(), serverId) > STALE_MS;
-  }
-
   requestPermits(needed: ReadonlyMap<string, number>): void {
     const nowMs = this.opts.clock.steadyMs();
     needed.forEach((count, serverId) => {
       if (!this.permits.shouldAsk(nowMs, serverId, count)) return;
-      this.opts.send({ type: RelayMessageType.permitRequest, serverId, needed: count });
+      this.sendRequest(serverId, count, false);
     });
   }
 
+  requestProbe(serverId: string): void {
+    if (!this.permits.shouldProbe(this.opts.clock.steadyMs(), serverId)) return;
+    this.sendRequest(serverId, 1, true);
+  }
+
   expectedWaitMs(serverIds: readonly string[], needed: number): number | null {
     return this.permits.expectedWaitMs(this.opts.clock.steadyMs(), serverIds, needed);
   }
@@ -103,7 +108,7 @@
 
   /** Counts a request to a server that has named a limit. */
   noteSent(server: BackendServer): void {
-    if (this.requestsPerS(server) === null) return;
+    if (!this.isThrottled(server)) return;
     this.opts.metrics.count('relay_throttled_sends_total', { server: server.id });
   }
 
@@ -176,6 +181,10 @@
     });
   }
 
+  private sendRequest(serverId: string, needed: number, isProbe: boolean): void {
+    this.opts.send({ type: RelayMessageType.permitRequest, serverId, needed, isProbe });
+  }
+
   private share(isShared: (serverId: string) => boolean): void {
     const throttles = this.all().filter(({ serverId }) => isShared(serverId));
     if (throttles.length > 0) {
--- a/test/properties/throttling/request-limit.test.ts
+++ b/test/properties/throttling/request-limit.test.ts
@@ -91,6 +91,10 @@
     const { nowMs } = this;
     issuer.setLimits(nowMs, new Map([[SERVER, this.requestsPerS]]));
     if (issuer.takeReport(nowMs, SERVER)) this.arrivals.push(nowMs);
+    if (issuer.allowsOrder(nowMs, SERVER)) {
+      issuer.noteOrder(nowMs, SERVER);
+      this.arrivals.push(nowMs);
+    }
     this.holders.forEach((holder, at) => {
       if (holder.shouldAsk(nowMs, SERVER, 3)) issuer.request(nowMs, String(at), SERVER, 3);
     });
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -40,7 +40,7 @@
     storeWatcher as unknown as StoreWatcherTask,
     clock,
     () => steward.connected,
-    { allows: () => true, isAnyKnown: false },
+    { allows: () => true, isAnyKnown: false, isThrottled: () => false },
   );
   return { view, steward, times };
 }
--- a/test/units/throttling/permits.test.ts
+++ b/test/units/throttling/permits.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, test } from 'vitest';
 import {
   avoidedServers,
+  servableReplicas,
   PermitHolder,
   PermitIssuer,
   RESERVE_HOLDERS,
@@ -80,13 +81,30 @@
     expect(issuer.takeReport(4_000, 'other')).toBe(true);
   });
 
-  test('show that a limit binds while requests wait for them', () => {
-    const issuer = issuerWith(1);
-    expect(issuer.isBinding(0, 's1')).toBe(false);
-    issuer.request(0, 'a', 's1', 2);
-    issuer.issue(0);
-    expect(issuer.isBinding(1_999, 's1')).toBe(true);
-    expect(issuer.isBinding(2_000, 's1')).toBe(false);
+  test('go to probes only if no other request has shown the limit for two seconds', () => {
+    const issuer = issuerWith(10);
+    expect(issuer.issueProbe(1_999, 'a', 's1')).toBeNull();
+    expect(issuer.issueProbe(2_000, 'a', 's1')).toMatchObject({ vm: 'a', permits: 1 });
+    expect(issuer.issueProbe(2_500, 'b', 's1')).toBeNull();
+    issuer.request(2_500, 'b', 's1', 1);
+    issuer.issue(2_500);
+    expect(issuer.issueProbe(4_100, 'a', 's1')).toBeNull();
+    issuer.request(5_000, 'b', 's1', 1);
+    expect(issuer.issueProbe(5_000, 'a', 's1')).toBeNull();
+    expect(issuer.issueProbe(5_000, 'a', 'other')).toBeNull();
+  });
+
+  test('are kept for engine orders from time to time, however many requests wait', () => {
+    const issuer = issuerWith(4);
+    const sent = Array.from({ length: 400 }, (_, at) => {
+      const nowMs = at * 20;
+      issuer.request(nowMs, 'a', 's1', 5);
+      issuer.issue(nowMs);
+      if (!issuer.allowsOrder(nowMs, 's1')) return 0;
+      issuer.noteOrder(nowMs, 's1');
+      return 1;
+    });
+    expect(sent.filter((count) => count > 0).length).toBeGreaterThanOrEqual(3);
   });
 });
 
@@ -146,7 +164,33 @@
 
   test('avoid throttled engines, unless most engines of the service are throttled', () => {
     expect(avoided()).toEqual([]);
-    expect(avoided('s1', 's3')).toEqual(['s1', 's3']);
-    expect(avoided('s1', 's2', 's3')).toEqual([]);
+    expect(avoided('s1', 's3', 's4')).toEqual(['s1', 's3', 's4']);
+    expect(avoided('s1', 's2', 's3', 's4')).toEqual([]);
+  });
+
+  test('replace the replicas that the limit of their engine can not serve', () => {
+    const rates = new Map([
+      ['hot', 5],
+      ['warm', 0.9],
+      ['cold', 0.3],
+    ]);
+    const replicas = ['hot', 'warm', 'cold'].map((model) => ({
+      model,
+      adapters: new Set<string>(),
+    }));
+    const servable = (requestsPerS: number) =>
+      servableReplicas(replicas, requestsPerS, (model) => rates.get(model) ?? 0).map(
+        ({ model }) => model,
+      );
+    expect(servable(20)).toEqual(['hot', 'warm', 'cold']);
+    expect(servable(2)).toEqual(['warm', 'cold']);
+    expect(servable(0.5)).toEqual(['cold']);
+    expect(servable(0.3)).toEqual([]);
+  });
+
+  test('count a replica with adapters twice, since each adapter takes an order', () => {
+    const replica = { model: 'm', adapters: new Set(['a1']) };
+    expect(servableReplicas([replica], 1, () => 0.5)).toEqual([]);
+    expect(servableReplicas([replica], 1, () => 0.4)).toEqual([replica]);
   });
 });
--- a/test/units/wait-list/wait-list.test.ts
+++ b/test/units/wait-list/wait-list.test.ts
@@ -47,8 +47,8 @@
     expect(waitList.rejectAtMs(request({}), availability(6_000, true))).toBe(withoutLoad);
   });
 
-  test('are rejected at once if their permit for a throttled server comes too late', () => {
-    const throttled = { readyAtMs: null, isLoaded: true, permitAtMs: 700 };
+  test('are rejected at once if their permit comes after their latency objective', () => {
+    const throttled = { readyAtMs: null, isLoaded: true, permitAtMs: 390 };
     const waitUntilMs = waitList.rejectAtMs(request({}), availability(null));
     expect(waitList.rejectAtMs(request({}), throttled)).toBe(waitUntilMs);
     const late = { ...throttled, permitAtMs: 1_900 };
