--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -71,6 +71,14 @@
     pick(engines, random).slowDown(2_000, 8);
     await clocks.sleep(2_000);
   },
+  engineNamesLimit: async ({ engines }, random) => {
+    const engine = pick(engines, random);
+    engine.nameLimit(0.3 + random.real() * 8);
+    await clocks.sleep(4_000);
+    engine.nameLimit(0.3 + random.real() * 4);
+    await clocks.sleep(4_000);
+    engine.nameLimit(null);
+  },
   crashingRequest: async ({ vms, sendCrashing }, random) => {
     const name = `crash ${random.real()}`;
     for (let at = 0; at < CRASHING_REQUESTS; at += 1) {
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -181,6 +181,15 @@
     return outcomes;
   }
 
+  /** Violations of the guarantees, from the observations of callers and servers. */
+  violations(): readonly string[] {
+    const overLimit = (this.fleet?.engines ?? []).flatMap(({ requestLimit }) => {
+      const excess = requestLimit.worstExcess();
+      return excess === null ? [] : [`LIMIT: a server got ${excess}`];
+    });
+    return [...this.callers.violations(), ...overLimit];
+  }
+
   async stop(): Promise<void> {
     await Promise.all((this.fleet?.vms ?? []).map((vm) => vm.terminate('SIGKILL')));
     this.fleet?.engines.forEach((engine) => engine.crash());
@@ -225,7 +234,7 @@
       onTestFailed(() => {
         keepFolder = true;
         const { arrivals, crashes } = soak.observations;
-        const violations = soak.callers.violations();
+        const violations = soak.violations();
         const seen = {
           startedAtUnixMs: performance.timeOrigin,
           arrivals,
@@ -249,7 +258,7 @@
             .filter((count) => count < 20),
         ).toEqual([]);
         const served = probes.filter(({ status }) => status === 200).length;
-        expect({ injected, violations: soak.callers.violations() }).toEqual({
+        expect({ injected, violations: soak.violations() }).toEqual({
           injected,
           violations: [],
         });
