Keep the idle connections of all entry VMs within those that a server accepts

The same class as the incident, looked for elsewhere: a bound over the fleet that nobody owns. max_connections was decoded and never used; each VM kept up to 32 idle connections a pool, whatever the number of VMs. A server resets what is beyond its number, and a reset order can't be repeated.

--- a/src/entry/relay/connections.ts
+++ b/src/entry/relay/connections.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { Socket } from 'node:net';
+import { maxIdleConnections } from '../../decisions/connection-limits/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 
 /**
@@ -13,8 +14,8 @@
 const MAX_IDLE_RETRY_SAFE_MS = 10_000;
 /** Idle connections are closed this long before the server's own keep-alive timeout, ms. */
 const IDLE_MARGIN_MS = 1_000;
-/** Maximum number of idle connections per server. */
-const MAX_IDLE_CONNECTIONS = 32;
+/** Number of entry VMs that is assumed until the actual number is known. */
+const ASSUMED_MEMBERS = 8;
 
 const KEEP_ALIVE_SECONDS = /timeout=(\d+)/i;
 
@@ -33,7 +34,7 @@
 /** Closes idle connections before the server does, or when unsolicited bytes arrive on them. */
 class IdleAgent extends http.Agent {
   constructor(private readonly maxIdleMs: number) {
-    super({ keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo' });
+    super({ keepAlive: true, scheduling: 'lifo' });
   }
 
   override keepSocketAlive(stream: Duplex): boolean {
@@ -62,13 +63,24 @@
 
   private readonly retryUnsafeAgents = new Map<string, IdleAgent>();
 
-  /** Agent for a server's connections. Those of retry-safe requests may be idle for longer. */
-  agentFor(server: BackendServer, isRetrySafe: boolean): http.Agent {
+  private members = ASSUMED_MEMBERS;
+
+  /** Sets the number of entry VMs, which share the connections that a server accepts. */
+  noteMembers(count: number): void {
+    this.members = count;
+  }
+
+  /**
+   * Agent for a server's connections. Those of retry-safe requests may be idle for longer.
+   * @param maxConnections Connections that the server accepts from all entry VMs together.
+   */
+  agentFor(server: BackendServer, isRetrySafe: boolean, maxConnections: number): http.Agent {
     const agents = isRetrySafe ? this.retrySafeAgents : this.retryUnsafeAgents;
     const key = `${server.id} ${server.address}`;
-    const existing = agents.get(key);
-    if (existing !== undefined) return existing;
-    const agent = new IdleAgent(isRetrySafe ? MAX_IDLE_RETRY_SAFE_MS : MAX_IDLE_RETRY_UNSAFE_MS);
+    const maxIdleMs = isRetrySafe ? MAX_IDLE_RETRY_SAFE_MS : MAX_IDLE_RETRY_UNSAFE_MS;
+    const agent = agents.get(key) ?? new IdleAgent(maxIdleMs);
+    const { slots } = server;
+    agent.maxFreeSockets = maxIdleConnections({ maxConnections, slots, members: this.members });
     agents.set(key, agent);
     return agent;
   }
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -240,7 +240,11 @@
           hasBody: body.length > 0 || req.method === 'POST' || req.method === 'PUT',
         }),
         body,
-        agent: this.ctx.connections.agentFor(run.server, route.retrySafety !== RetrySafety.once),
+        agent: this.ctx.connections.agentFor(
+          run.server,
+          route.retrySafety !== RetrySafety.once,
+          this.maxConnections(),
+        ),
         run,
         signal: this.aborter.signal,
         idlePolicy: this.retryPolicy.idlePolicy(run),
@@ -255,6 +259,12 @@
     return result;
   }
 
+  /** Connections that a server of the service accepts. */
+  private maxConnections(): number {
+    const { plan, service } = this.request;
+    return plan.services.get(service)?.maxConnections ?? 0;
+  }
+
   /** Handles the result of an attempt; true if the request is to be placed again. */
   private handleResult(run: Run, result: AttemptResult): boolean {
     const nowMs = this.ctx.clock.steadyMs();
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -151,6 +151,7 @@
       case RelayMessageType.view:
         view.applyView(message);
         retries.noteMembers(message.members);
+        connections.noteMembers(message.members);
         throttling.setReserve(message.mayUseReserve);
         metrics.gauge('relay_members', message.members);
         dispatcher.placeQueued();
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -71,7 +71,7 @@
       url: '/stock',
       headers: ['Host', 'desk.example', 'Attempt-Id', id],
       body: Buffer.alloc(0),
-      agent: pool.agentFor(server, true),
+      agent: pool.agentFor(server, true, 64),
       run: { server, service: 'desk', model: null, adapter: null },
       signal: new AbortController().signal,
       idlePolicy,
@@ -243,7 +243,7 @@
       await new Promise((resolve) => {
         setImmediate(resolve);
       });
-      const [free] = Object.values(pool.agentFor(server, true).freeSockets);
+      const [free] = Object.values(pool.agentFor(server, true, 64).freeSockets);
       listeners.push(free?.[0]?.listenerCount('error') ?? -1);
     }
     expect(new Set(listeners).size).toBe(1);
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -36,7 +36,7 @@
       promptSegments: [],
       lastEventId: null,
     },
-    plan: {} as RoutedRequest['plan'],
+    plan: { services: new Map() } as unknown as RoutedRequest['plan'],
     route: ROUTE,
     service: 'drafting',
     customer: null,
