Let no permit outlive a suspension of its entry VM

A permit lasts 250 ms, but was timed by the monotonic clock, which stands still while a VM is suspended: it would be used after the VM wakes, however late. Found by reading. The permits are timed by the clock that also runs during suspension. The proof list gets the issuing of permits.

--- a/src/entry/relay/throttling.ts
+++ b/src/entry/relay/throttling.ts
@@ -50,6 +50,7 @@
 
   private readonly table = new ThrottleTable();
 
+  /** Its times are from the clock that also runs during suspension, so that no permit outlives it. */
   private readonly permits = new PermitHolder();
 
   private timer: NodeJS.Timeout | null = null;
@@ -75,17 +76,17 @@
   allows(server: BackendServer): boolean {
     const requestsPerS = this.requestsPerS(server);
     if (requestsPerS === null) return true;
-    return this.permits.allows(this.opts.clock.steadyMs(), server.id, requestsPerS);
+    return this.permits.allows(this.opts.clock.nowMs(), server.id, requestsPerS);
   }
 
   take(server: BackendServer): void {
     const requestsPerS = this.requestsPerS(server);
     if (requestsPerS === null) return;
-    this.permits.take(this.opts.clock.steadyMs(), server.id, requestsPerS);
+    this.permits.take(this.opts.clock.nowMs(), server.id, requestsPerS);
   }
 
   requestPermits(needed: ReadonlyMap<string, number>): void {
-    const nowMs = this.opts.clock.steadyMs();
+    const nowMs = this.opts.clock.nowMs();
     needed.forEach((count, serverId) => {
       if (!this.permits.shouldAsk(nowMs, serverId, count)) return;
       this.sendRequest(serverId, count, false);
@@ -93,12 +94,12 @@
   }
 
   requestProbe(serverId: string): void {
-    if (!this.permits.shouldProbe(this.opts.clock.steadyMs(), serverId)) return;
+    if (!this.permits.shouldProbe(this.opts.clock.nowMs(), serverId)) return;
     this.sendRequest(serverId, 1, true);
   }
 
   expectedWaitMs(serverIds: readonly string[], needed: number): number | null {
-    return this.permits.expectedWaitMs(this.opts.clock.steadyMs(), serverIds, needed);
+    return this.permits.expectedWaitMs(this.opts.clock.nowMs(), serverIds, needed);
   }
 
   /** The limit that is in force for a server, requests per second; null for none. */
@@ -160,7 +161,7 @@
   }
 
   handlePermits({ serverId, permits, intervalMs }: RelayMessageOf<'permits'>): void {
-    this.permits.receive(this.opts.clock.steadyMs(), serverId, permits, intervalMs);
+    this.permits.receive(this.opts.clock.nowMs(), serverId, permits, intervalMs);
   }
 
   /** Sets whether this entry VM may send requests to throttled servers without a steward. */
@@ -176,7 +177,7 @@
 
   private tick(): void {
     this.permits.setSteward(this.opts.isStewardConnected());
-    this.permits.expire(this.opts.clock.steadyMs()).forEach((permits, serverId) => {
+    this.permits.expire(this.opts.clock.nowMs()).forEach((permits, serverId) => {
       this.opts.send({ type: RelayMessageType.permitReturn, serverId, permits });
     });
   }
--- a/test/proofs/mutations.ts
+++ b/test/proofs/mutations.ts
@@ -174,4 +174,11 @@
     edits: [['await gateway.drain(settings.stop.graceMs);', 'await gateway.drain(0);']],
     test: 'test/failures/processes.test.ts',
   },
+  {
+    guarantee: 'A backend server gets no more requests than it says it accepts',
+    mechanism: 'the steward issues permits at the rate of the limit',
+    file: 'src/decisions/throttling/permit-issuer.ts',
+    edits: [['waiting.length > 0 && record.permits.take(nowMs, 1)', 'waiting.length > 0']],
+    test: 'test/properties/throttling/request-limit.test.ts',
+  },
 ];
