Keep the limit of a server whose address answers for another one

A response that says 'not run' (421, 503) may come from another server at an address that is used again; it names no limit, and was taken for the withdrawal of the limit of the server that the request was meant for. Found by reading. Test: throttling.test.ts, 'another server at its address', failed before (no limit where 2 was wanted).

--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -248,8 +248,7 @@
         run,
         signal: this.aborter.signal,
         idlePolicy: this.retryPolicy.idlePolicy(run),
-        onHead: ({ requestsPerS }) =>
-          this.ctx.throttling.noteResponse(run.server, requestsPerS, nowMs),
+        onHead: (head) => this.ctx.throttling.noteResponse(run.server, head, nowMs),
       },
       route.retrySafety === RetrySafety.stream ? this : null,
     );
--- a/src/entry/relay/throttling.ts
+++ b/src/entry/relay/throttling.ts
@@ -15,6 +15,7 @@
   ThrottleTable,
 } from '../../decisions/throttling/index.js';
 import { type RelayMessage, type RelayMessageOf, RelayMessageType } from './messages.js';
+import type { ResponseMetadata } from './types.js';
 
 const TICK_MS = 25;
 
@@ -114,10 +115,16 @@
   }
 
   /**
-   * Records the limit that a response names; `requestsPerS` is null for none.
+   * Records the limit that a response names, or that it names none.
    * @param sentAtMs When the request was sent.
    */
-  noteResponse(server: BackendServer, requestsPerS: number | null, sentAtMs: number): void {
+  noteResponse(
+    server: BackendServer,
+    { requestsPerS, notRun }: Pick<ResponseMetadata, 'requestsPerS' | 'notRun'>,
+    sentAtMs: number,
+  ): void {
+    // A request that was not run may have reached another server, at an address that is used again.
+    if (notRun && requestsPerS === null) return;
     const nowMs = this.opts.clock.steadyMs();
     if (!this.table.observe(nowMs, server, requestsPerS, sentAtMs)) return;
     this.logChange(server.id, requestsPerS, 'here');
--- a/test/units/relay/throttling.test.ts
+++ b/test/units/relay/throttling.test.ts
@@ -22,8 +22,8 @@
     isStewardConnected: () => true,
     send: (message) => sent.push(message) > 0,
   });
-  const name = (requestsPerS: number | null) =>
-    throttling.noteResponse(SERVER, requestsPerS, times.steadyMs);
+  const name = (requestsPerS: number | null, notRun = false) =>
+    throttling.noteResponse(SERVER, { requestsPerS, notRun }, times.steadyMs);
   const permit = () =>
     throttling.handlePermits({
       type: RelayMessageType.permits,
@@ -54,6 +54,18 @@
     expect(throttling.allows(SERVER)).toBe(false);
   });
 
+  test('does not withdraw it by a response that another server at its address may have sent', () => {
+    const { throttling, times, name } = setUp();
+    name(2);
+    times.steadyMs += 100;
+    name(null, true);
+    times.steadyMs += 5_000;
+    expect(throttling.requestsPerS(SERVER)).toBe(2);
+    name(null);
+    times.steadyMs += 5_000;
+    expect(throttling.requestsPerS(SERVER)).toBeNull();
+  });
+
   test('is reported to the steward once for each change, and to each new steward', () => {
     const { throttling, times, sent, name } = setUp();
     const throttle = { serverId: 's1', bornMs: 5, requestsPerS: 2, ageMs: 0 };
