Withhold a newly named limit while the requests just before it still count

Cause: a server in need got its usual requests until it named its limit, and the rule sums a VM's requests over 4 s, from 3 s after the naming: the last second before it may count, as the monitoring of the incident suggests (29 requests in 4 s, of which at most 26 fall after the first half second). With 8 requests a second before, a limit of 2 and permits from the start, 17 to 18 of 17 would be reached. Change: from the naming on, nothing for the time of five requests at the limit, at most 2.5 s.

--- a/src/decisions/throttling/permit-issuer.ts
+++ b/src/decisions/throttling/permit-issuer.ts
@@ -17,6 +17,12 @@
 /** Rates of report calls and engine orders as fractions of the limit, in addition to the permits. */
 const REPORT_FRACTION = 0.25;
 const ORDER_FRACTION = 0.125;
+/**
+ * Requests for which a newly named limit is withheld: the server has got too many just before. The
+ * time that they take at the limit's rate is at most `MAX_WITHHELD_MS`.
+ */
+const WITHHELD_REQUESTS = 5;
+const MAX_WITHHELD_MS = 2_500;
 /** Time after which an entry VM that has not repeated its request gets no permit, ms. */
 const REQUEST_TTL_MS = 350;
 /** Time without a permit after which a probe gets one, ms. */
@@ -32,6 +38,13 @@
   readonly intervalMs: number;
 }
 
+/** A limit that is in force. */
+export interface NamedLimit {
+  readonly requestsPerS: number;
+  /** Since when the server has named a limit. */
+  readonly namedSinceMs: number;
+}
+
 interface WaitingVm {
   readonly vm: string;
   /** Number of permits that it still needs. */
@@ -48,6 +61,8 @@
   waiting: readonly WaitingVm[];
   /** When the last permit was issued. */
   issuedAtMs: number;
+  /** Time until which the server gets nothing. */
+  withheldUntilMs: number;
 }
 
 function permitLimit(ratePerS: number) {
@@ -58,6 +73,10 @@
   return { ratePerS: ratePerS * fraction, burst: MIN_BURST };
 }
 
+function withheldUntilMs(ratePerS: number, namedSinceMs: number): number {
+  return namedSinceMs + Math.min(MAX_WITHHELD_MS, (WITHHELD_REQUESTS / ratePerS) * MS_PER_S);
+}
+
 /** Expected time between two permits of one entry VM that waits, ms. */
 function intervalOf({ waiting, ratePerS }: ServerRecord): number {
   return (Math.max(1, waiting.length) * MS_PER_S) / ratePerS;
@@ -66,15 +85,16 @@
 export class PermitIssuer {
   private readonly servers = new Map<string, ServerRecord>();
 
-  /** Replaces the limits in force, requests per second by server. */
-  setLimits(nowMs: number, limits: ReadonlyMap<string, number>): void {
+  /** Replaces the limits in force, by server. */
+  setLimits(nowMs: number, limits: ReadonlyMap<string, NamedLimit>): void {
     [...this.servers.keys()]
       .filter((id) => !limits.has(id))
       .forEach((id) => this.servers.delete(id));
-    limits.forEach((requestsPerS, id) => {
+    limits.forEach(({ requestsPerS, namedSinceMs }, id) => {
       const ratePerS = Math.max(MIN_RATE_PER_S, requestsPerS);
       const record = this.servers.get(id) ?? this.createRecord(nowMs, ratePerS);
       record.ratePerS = ratePerS;
+      record.withheldUntilMs = withheldUntilMs(ratePerS, namedSinceMs);
       record.permits.configure(nowMs, permitLimit(ratePerS), 1);
       record.reports.configure(nowMs, controlLimit(ratePerS, REPORT_FRACTION), 1);
       record.orders.configure(nowMs, controlLimit(ratePerS, ORDER_FRACTION), 1);
@@ -118,6 +138,7 @@
   issueProbe(nowMs: number, vm: string, serverId: string): PermitGrant | null {
     const record = this.servers.get(serverId);
     if (record === undefined || record.waiting.length > 0) return null;
+    if (nowMs < record.withheldUntilMs) return null;
     if (nowMs - record.issuedAtMs < PROBE_INTERVAL_MS) return null;
     if (!record.permits.take(nowMs, 1)) return null;
     record.issuedAtMs = nowMs;
@@ -132,7 +153,9 @@
   /** Whether an engine order may be sent to the server now. */
   allowsOrder(nowMs: number, serverId: string): boolean {
     const record = this.servers.get(serverId);
-    if (record === undefined || record.orders.available(nowMs) >= 1) return true;
+    if (record === undefined) return true;
+    if (nowMs < record.withheldUntilMs) return false;
+    if (record.orders.available(nowMs) >= 1) return true;
     return record.waiting.length === 0 && record.permits.available(nowMs) >= 1;
   }
 
@@ -146,14 +169,16 @@
   /** Whether a report may be fetched from the server now; counts it if so. */
   takeReport(nowMs: number, serverId: string): boolean {
     const record = this.servers.get(serverId);
-    return record === undefined || record.reports.take(nowMs, 1);
+    if (record === undefined) return true;
+    return nowMs >= record.withheldUntilMs && record.reports.take(nowMs, 1);
   }
 
   private issueFor(nowMs: number, serverId: string, record: ServerRecord): readonly PermitGrant[] {
     const grants: PermitGrant[] = [];
     let waiting = record.waiting.filter(({ untilMs, needed }) => untilMs > nowMs && needed > 0);
     const intervalMs = intervalOf({ ...record, waiting });
-    while (waiting.length > 0 && record.permits.take(nowMs, 1)) {
+    const isWithheld = nowMs < record.withheldUntilMs;
+    while (!isWithheld && waiting.length > 0 && record.permits.take(nowMs, 1)) {
       const [next, ...rest] = waiting as [WaitingVm, ...WaitingVm[]];
       grants.push({ vm: next.vm, serverId, permits: 1, intervalMs });
       const needed = next.needed - 1;
@@ -172,6 +197,7 @@
       orders: new ShareBucket(controlLimit(ratePerS, ORDER_FRACTION), nowMs),
       waiting: [],
       issuedAtMs: nowMs,
+      withheldUntilMs: -Infinity,
     };
   }
 }
--- a/src/decisions/throttling/throttle-table.ts
+++ b/src/decisions/throttling/throttle-table.ts
@@ -17,6 +17,8 @@
   readonly observedAtMs: number;
   /** When this entry VM learned it. */
   readonly learnedAtMs: number;
+  /** Since when the server has named a limit without a withdrawal. */
+  readonly namedSinceMs: number;
 }
 
 /** Result of adding a limit that another entry VM observed. */
@@ -78,6 +80,11 @@
     return nowMs < record.heldUntilMs ? record.heldPerS : null;
   }
 
+  /** Since when a server has named a limit, on this entry VM's clock; -Infinity for none. */
+  namedSinceMs(serverId: string): number {
+    return this.records.get(serverId)?.namedSinceMs ?? -Infinity;
+  }
+
   /** Number of servers that have named a limit. */
   get size(): number {
     return this.records.size;
@@ -109,6 +116,7 @@
     const before = this.records.get(id);
     const heldPerS = before?.bornMs === bornMs ? (before.requestsPerS ?? before.heldPerS) : 0;
     const isWithdrawn = requestsPerS === null && before?.requestsPerS !== null;
+    const wasNamed = before?.bornMs === bornMs && before.requestsPerS !== null;
     this.records.set(id, {
       bornMs,
       requestsPerS,
@@ -116,6 +124,7 @@
       heldUntilMs: isWithdrawn ? nowMs + HOLD_DOWN_MS : (before?.heldUntilMs ?? -Infinity),
       observedAtMs,
       learnedAtMs: nowMs,
+      namedSinceMs: wasNamed ? before.namedSinceMs : nowMs,
     });
   }
 }
--- a/src/entry/relay/permit-service.ts
+++ b/src/entry/relay/permit-service.ts
@@ -39,8 +39,8 @@
     if (throttles.length === 0) return;
     const inForce = throttles.flatMap(({ serverId }) => {
       const server = storeWatcher.backends.get(serverId);
-      const requestsPerS = server === undefined ? null : throttling.requestsPerS(server);
-      return requestsPerS === null ? [] : [[serverId, requestsPerS] as const];
+      const limit = server === undefined ? null : throttling.limitOf(server);
+      return limit === null ? [] : [[serverId, limit] as const];
     });
     this.issuer.setLimits(nowMs, new Map(inForce));
     this.opts.members.forEach((member) => PermitService.sendThrottles(member, throttles));
--- a/src/entry/relay/throttling.ts
+++ b/src/entry/relay/throttling.ts
@@ -10,6 +10,7 @@
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import {
   MergeResult,
+  type NamedLimit,
   PermitHolder,
   type Throttle,
   ThrottleTable,
@@ -108,6 +109,13 @@
     return this.table.requestsPerS(this.opts.clock.steadyMs(), server);
   }
 
+  /** The limit that is in force for a server, and since when; null for none. */
+  limitOf(server: BackendServer): NamedLimit | null {
+    const requestsPerS = this.requestsPerS(server);
+    if (requestsPerS === null) return null;
+    return { requestsPerS, namedSinceMs: this.table.namedSinceMs(server.id) };
+  }
+
   /** Counts a request to a server that has named a limit. */
   noteSent(server: BackendServer): void {
     if (!this.isThrottled(server)) return;
