--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -173,6 +173,7 @@
     this.runningReported = new Map(this.runningLocally);
   }
 
+  /** Healthy servers that have loaded what the request needs, throttled ones included. */
   private healthyServers(need: Need): readonly (Candidate & { readonly isAllowed: boolean })[] {
     const nowMs = this.clock.steadyMs();
     const isConnected = this.isStewardConnected();
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -79,6 +79,8 @@
   readonly incidents: IncidentPublisher;
   /** The request limits last sent, by server. */
   readonly sentThrottles: Map<string, string>;
+  /** Whether it may send requests to throttled servers without a steward. */
+  mayUseReserve: boolean;
 }
 
 export interface StewardOptions {
@@ -265,6 +267,7 @@
       beliefs: new ServerListPublisher(),
       incidents: new IncidentPublisher(),
       sentThrottles: new Map(),
+      mayUseReserve: false,
     };
     socket.on('error', (err) => {
       this.opts.logger.debug('member-link-failed', { peer: member.vm, reason: err.message });
@@ -502,6 +505,9 @@
     const engineTexts = new Map(engines.map((engine) => [engine.id, JSON.stringify(engine)]));
     const loads = this.engineController?.loads(nowMs) ?? [];
     const loadsKey = loads.map(({ model, adapter }) => `${model}/${adapter}`).join();
+    [...this.members].forEach((member, at) =>
+      Object.assign(member, { mayUseReserve: at < RESERVE_HOLDERS }),
+    );
     this.members.forEach((member) =>
       this.sendUpdate(nowMs, member, engines, engineTexts, loads, loadsKey),
     );
@@ -533,7 +539,7 @@
       running: Object.fromEntries(running),
       loads,
       members: this.members.size,
-      mayUseReserve: this.isReserveHolder(member),
+      mayUseReserve: member.mayUseReserve,
     });
     if (!sent) return;
     changed.forEach(({ id }) => member.sentEngines.set(id, engineTexts.get(id) ?? ''));
@@ -541,11 +547,6 @@
     Object.assign(member, { sentLoads: loadsKey, sentAtMs: nowMs });
   }
 
-  /** The members that connected first may send requests to throttled servers without a steward. */
-  private isReserveHolder(member: Member): boolean {
-    return [...this.members].indexOf(member) < RESERVE_HOLDERS;
-  }
-
   /** Changed numbers of running requests by engine, at an interval that grows with the fleet. */
   private changedRunning(
     nowMs: number,
