Serve a server at once whose limit was withdrawn before a VM learned of it

A VM that joins gets the withdrawn limits as well, and held them for a second as a limit of zero: it sent such a server nothing. The same for a new process of the server. Found in review. Test: throttle-table.test.ts, 'withdrawn before this entry VM learned of it', failed before (0 where none was wanted). An option of the permit service that nothing used goes.

--- a/src/decisions/throttling/throttle-table.ts
+++ b/src/decisions/throttling/throttle-table.ts
@@ -114,17 +114,17 @@
     observedAtMs: number,
   ): void {
     const before = this.records.get(id);
-    const heldPerS = before?.bornMs === bornMs ? (before.requestsPerS ?? before.heldPerS) : 0;
-    const isWithdrawn = requestsPerS === null && before?.requestsPerS !== null;
-    const wasNamed = before?.bornMs === bornMs && before.requestsPerS !== null;
+    const known = before?.bornMs === bornMs ? before : undefined;
+    const namedPerS = known?.requestsPerS ?? null;
+    const isWithdrawn = requestsPerS === null && namedPerS !== null;
     this.records.set(id, {
       bornMs,
       requestsPerS,
-      heldPerS,
-      heldUntilMs: isWithdrawn ? nowMs + HOLD_DOWN_MS : (before?.heldUntilMs ?? -Infinity),
+      heldPerS: namedPerS ?? known?.heldPerS ?? 0,
+      heldUntilMs: isWithdrawn ? nowMs + HOLD_DOWN_MS : (known?.heldUntilMs ?? -Infinity),
       observedAtMs,
       learnedAtMs: nowMs,
-      namedSinceMs: wasNamed ? before.namedSinceMs : nowMs,
+      namedSinceMs: known !== undefined && namedPerS !== null ? known.namedSinceMs : nowMs,
     });
   }
 }
--- a/src/entry/relay/permit-service.ts
+++ b/src/entry/relay/permit-service.ts
@@ -1,6 +1,5 @@
 /** The steward's side of throttling: issues permits and publishes the limits to the members. */
 import type * as net from 'node:net';
-import type { Clock } from '../../core/clock/index.js';
 import { type PermitGrant, PermitIssuer, type Throttle } from '../../decisions/throttling/index.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import { type RelayMessageOf, RelayMessageType } from './messages.js';
@@ -17,7 +16,6 @@
 }
 
 export interface PermitServiceOptions {
-  readonly clock: Clock;
   readonly storeWatcher: StoreWatcherTask;
   readonly throttling: ThrottlingTask;
   readonly members: ReadonlySet<PermitMember>;
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -467,7 +467,6 @@
     this.lender.notePersisted(new Map(Object.entries(this.writtenAllowances)));
     const { vm, wire, storeWatcher, lease, clock, logger, throttling } = this.opts;
     this.permitService = new PermitService({
-      clock,
       storeWatcher,
       throttling,
       members: this.members,
--- a/test/units/throttling/throttle-table.test.ts
+++ b/test/units/throttling/throttle-table.test.ts
@@ -69,6 +69,15 @@
     expect(table.requestsPerS(1_200, SERVER)).toBeNull();
   });
 
+  test('does not hold here if it was withdrawn before this entry VM learned of it', () => {
+    const table = new ThrottleTable();
+    table.merge(100, told(null, 50));
+    expect(table.requestsPerS(110, SERVER)).toBeNull();
+    table.merge(120, told(2, 0));
+    table.merge(130, { ...told(null, 0), bornMs: 6 });
+    expect(table.requestsPerS(140, { id: 's1', bornMs: 6 })).toBeNull();
+  });
+
   test('is not lifted by a response to a request that was sent before it was learned', () => {
     const table = new ThrottleTable();
     table.merge(100, told(2, 0));
