Bound the requests for permits that reach a steward in a large fleet

Each VM repeated its request for each server every 250 ms: 74 VMs that wait for 60 servers would send 17,760 a second (computed, not run). The interval grows with both numbers now, to 400 a second over all, as other messages do; the first request of a need is still sent at once.

--- a/src/decisions/throttling/permit-holder.ts
+++ b/src/decisions/throttling/permit-holder.ts
@@ -8,8 +8,6 @@
 
 /** Time for which a permit is valid, ms. */
 const PERMIT_TTL_MS = 250;
-/** Interval at which a request for permits is repeated while requests wait, ms. */
-const REPEAT_MS = 250;
 /** Interval at which a permit for a probe is requested, ms. */
 const PROBE_MS = 1_000;
 /** Time for which the expected interval between permits is used, ms. */
@@ -85,11 +83,12 @@
   /**
    * Whether to ask the steward now for the permits of `needed` waiting requests. The caller then
    * sends the request.
+   * @param repeatMs Interval at which an unanswered request is repeated.
    */
-  shouldAsk(nowMs: number, serverId: string, needed: number): boolean {
+  shouldAsk(nowMs: number, serverId: string, needed: number, repeatMs: number): boolean {
     const record = this.recordOf(serverId);
     const isAnswered = record.missing === 0;
-    if (!isAnswered && nowMs - record.askedAtMs < REPEAT_MS) return false;
+    if (!isAnswered && nowMs - record.askedAtMs < repeatMs) return false;
     record.askedAtMs = nowMs;
     record.missing = needed;
     return true;
--- a/src/decisions/throttling/permit-issuer.ts
+++ b/src/decisions/throttling/permit-issuer.ts
@@ -23,8 +23,6 @@
  */
 const WITHHELD_REQUESTS = 5;
 const MAX_WITHHELD_MS = 2_500;
-/** Time after which an entry VM that has not repeated its request gets no permit, ms. */
-const REQUEST_TTL_MS = 350;
 /** Time without a permit after which a probe gets one, ms. */
 const PROBE_INTERVAL_MS = 2_000;
 const MS_PER_S = 1000;
@@ -102,17 +100,25 @@
     });
   }
 
-  /** Records that an entry VM needs `needed` permits in all; replaces its earlier request. */
-  request(nowMs: number, vm: string, serverId: string, needed: number): void {
+  /**
+   * Records that an entry VM needs `needed` permits in all; replaces its earlier request.
+   * @param validMs Time after which the request expires unless it is repeated.
+   */
+  request(nowMs: number, vm: string, serverId: string, needed: number, validMs: number): void {
     const record = this.servers.get(serverId);
     if (record === undefined) return;
-    const entry = { vm, needed, untilMs: nowMs + REQUEST_TTL_MS };
+    const entry = { vm, needed, untilMs: nowMs + validMs };
     const isWaiting = record.waiting.some((other) => other.vm === vm);
     record.waiting = isWaiting
       ? record.waiting.map((other) => (other.vm === vm ? entry : other))
       : [...record.waiting, entry];
   }
 
+  /** Number of throttled servers. */
+  get size(): number {
+    return this.servers.size;
+  }
+
   /** Issues the permits that are available now to the entry VMs in turn. */
   issue(nowMs: number): readonly PermitGrant[] {
     return [...this.servers].flatMap(([serverId, record]) =>
--- a/src/entry/relay/intervals.ts
+++ b/src/entry/relay/intervals.ts
@@ -15,6 +15,14 @@
   return Math.max(MIN_MESSAGE_INTERVAL_MS, (members * MS_PER_S) / MAX_MESSAGES_PER_S);
 }
 
+/** Minimum interval at which an entry VM repeats a request for permits, ms. */
+const MIN_PERMIT_REPEAT_MS = 250;
+
+/** Interval at which one member repeats its requests for permits of throttled servers, ms. */
+export function permitRepeatMs(members: number, servers: number): number {
+  return Math.max(MIN_PERMIT_REPEAT_MS, (members * servers * MS_PER_S) / MAX_MESSAGES_PER_S);
+}
+
 /** Interval between the steward's planning passes over all engines and pending demand, ms. */
 export function planningIntervalMs(engines: number): number {
   return Math.min(
--- a/src/entry/relay/permit-service.ts
+++ b/src/entry/relay/permit-service.ts
@@ -1,11 +1,15 @@
 /** The steward's side of throttling: issues permits and publishes the limits to the members. */
 import type * as net from 'node:net';
 import { type PermitGrant, PermitIssuer, type Throttle } from '../../decisions/throttling/index.js';
+import { permitRepeatMs } from './intervals.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import { type RelayMessageOf, RelayMessageType } from './messages.js';
 import { writeMessage } from './steward-link.js';
 import type { ThrottlingTask } from './throttling.js';
 
+/** Number of repeat intervals for which a request for permits is valid. */
+const VALID_REPEATS = 1.4;
+
 /** An entry VM that is connected to the steward. */
 export interface PermitMember {
   readonly socket: net.Socket;
@@ -64,7 +68,8 @@
       this.sendGrant(this.issuer.issueProbe(nowMs, member.vm, serverId));
       return;
     }
-    this.issuer.request(nowMs, member.vm, serverId, needed);
+    const repeatMs = permitRepeatMs(this.opts.members.size, this.issuer.size);
+    this.issuer.request(nowMs, member.vm, serverId, needed, repeatMs * VALID_REPEATS);
     const servedVms = this.issuePermits(nowMs);
     const intervalMs = this.issuer.intervalMs(serverId);
     if (servedVms.has(member.vm) || intervalMs === null) return;
--- a/src/entry/relay/throttling.ts
+++ b/src/entry/relay/throttling.ts
@@ -15,6 +15,7 @@
   type Throttle,
   ThrottleTable,
 } from '../../decisions/throttling/index.js';
+import { permitRepeatMs } from './intervals.js';
 import { type RelayMessage, type RelayMessageOf, RelayMessageType } from './messages.js';
 import type { ResponseMetadata } from './types.js';
 
@@ -42,6 +43,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Number of entry VMs connected to the steward. */
+  members(): number;
   isStewardConnected(): boolean;
   /** Sends a message to the steward; false if it could not be sent. */
   send(message: RelayMessage): boolean;
@@ -89,8 +92,9 @@
 
   requestPermits(needed: ReadonlyMap<string, number>): void {
     const nowMs = this.opts.clock.nowMs();
+    const repeatMs = permitRepeatMs(this.opts.members(), needed.size);
     needed.forEach((count, serverId) => {
-      if (!this.permits.shouldAsk(nowMs, serverId, count)) return;
+      if (!this.permits.shouldAsk(nowMs, serverId, count, repeatMs)) return;
       this.sendRequest(serverId, count, false);
     });
   }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -69,6 +69,7 @@
   const lateBound: {
     lease?: LeaseTask;
     reporter?: ReporterTask;
+    view?: FleetView;
     link?: StewardLink;
     steward?: StewardTask;
   } = {};
@@ -95,6 +96,7 @@
     clock,
     logger: logger.child('throttling'),
     metrics,
+    members: () => lateBound.view?.members ?? 1,
     isStewardConnected,
     send: (message) => lateBound.link?.send(message) === true,
   });
@@ -124,6 +126,7 @@
   });
   lateBound.lease = lease;
   const view = new FleetView(storeWatcher, clock, isStewardConnected, throttling);
+  lateBound.view = view;
   const dispatcher = new Dispatcher({
     dataCentre: vm.dataCentre,
     storeWatcher,
--- a/test/properties/throttling/request-limit.test.ts
+++ b/test/properties/throttling/request-limit.test.ts
@@ -10,6 +10,8 @@
 const SERVER = 's1';
 const VM_COUNT = 8;
 const STEP_MS = 20;
+const REPEAT_MS = 250;
+const VALID_MS = 350;
 /** Span in which the requests of the server are counted, and its bound: 1.5 times the limit + 5. */
 const SPAN_MS = 4_000;
 const LIMIT_FACTOR = 1.5;
@@ -97,7 +99,8 @@
       this.arrivals.push(nowMs);
     }
     this.holders.forEach((holder, at) => {
-      if (holder.shouldAsk(nowMs, SERVER, 3)) issuer.request(nowMs, String(at), SERVER, 3);
+      if (holder.shouldAsk(nowMs, SERVER, 3, REPEAT_MS))
+        issuer.request(nowMs, String(at), SERVER, 3, VALID_MS);
     });
     issuer.issue(nowMs).forEach(({ vm, permits, intervalMs }) => {
       const atMs = nowMs + delayMs;
--- a/test/units/relay/throttling.test.ts
+++ b/test/units/relay/throttling.test.ts
@@ -19,6 +19,7 @@
     },
     logger: { info: () => undefined } as unknown as Logger,
     metrics: createMetrics(),
+    members: () => 1,
     isStewardConnected: () => true,
     send: (message) => sent.push(message) > 0,
   });
--- a/test/units/throttling/permits.test.ts
+++ b/test/units/throttling/permits.test.ts
@@ -8,6 +8,9 @@
   RESERVE_HOLDERS,
 } from '../../../src/decisions/throttling/index.js';
 
+const VALID_MS = 350;
+const REPEAT_MS = 250;
+
 /** A limit that was named long ago, unless `namedSinceMs` is given. */
 function limitOf(requestsPerS: number, namedSinceMs = -60_000) {
   return new Map([['s1', { requestsPerS, namedSinceMs }]]);
@@ -23,7 +26,7 @@
 function issuedUntil(issuer: PermitIssuer, untilMs: number, needed: ReadonlyMap<string, number>) {
   const steps = Array.from({ length: untilMs / 20 }, (_, at) => (at + 1) * 20);
   return steps.flatMap((nowMs) => {
-    needed.forEach((count, vm) => issuer.request(nowMs, vm, 's1', count));
+    needed.forEach((count, vm) => issuer.request(nowMs, vm, 's1', count, VALID_MS));
     return issuer.issue(nowMs).map(({ vm }) => vm);
   });
 }
@@ -54,16 +57,16 @@
 
   test('are not issued to an entry VM that no longer asks', () => {
     const issuer = issuerWith(0.5);
-    issuer.request(0, 'a', 's1', 1);
+    issuer.request(0, 'a', 's1', 1, VALID_MS);
     expect(issuer.issue(2_000)).toEqual([]);
   });
 
   test('follow a limit that falls, at once', () => {
     const issuer = issuerWith(100);
     issuer.setLimits(1_000, limitOf(0.4));
-    issuer.request(1_000, 'a', 's1', 50);
+    issuer.request(1_000, 'a', 's1', 50, VALID_MS);
     expect(issuer.issue(1_000)).toHaveLength(1);
-    issuer.request(3_000, 'a', 's1', 50);
+    issuer.request(3_000, 'a', 's1', 50, VALID_MS);
     expect(issuer.issue(3_000)).toEqual([]);
   });
 
@@ -72,7 +75,7 @@
       const issuer = new PermitIssuer();
       issuer.setLimits(0, limitOf(requestsPerS, 0));
       const isSent = (nowMs: number) => {
-        issuer.request(nowMs, 'a', 's1', 1);
+        issuer.request(nowMs, 'a', 's1', 1, VALID_MS);
         return (
           issuer.issue(nowMs).length > 0 ||
           issuer.takeReport(nowMs, 's1') ||
@@ -92,7 +95,7 @@
     expect(issuer.allowsOrder(500, 's1')).toBe(false);
     expect(issuer.allowsOrder(1_000, 's1')).toBe(true);
     issuer.noteOrder(1_000, 's1');
-    issuer.request(1_000, 'a', 's1', 1);
+    issuer.request(1_000, 'a', 's1', 1, VALID_MS);
     expect(issuer.issue(1_000)).toEqual([]);
     issuer.refund(1_000, 's1', 1);
     expect(issuer.issue(1_000)).toHaveLength(1);
@@ -111,10 +114,10 @@
     expect(issuer.issueProbe(1_999, 'a', 's1')).toBeNull();
     expect(issuer.issueProbe(2_000, 'a', 's1')).toMatchObject({ vm: 'a', permits: 1 });
     expect(issuer.issueProbe(2_500, 'b', 's1')).toBeNull();
-    issuer.request(2_500, 'b', 's1', 1);
+    issuer.request(2_500, 'b', 's1', 1, VALID_MS);
     issuer.issue(2_500);
     expect(issuer.issueProbe(4_100, 'a', 's1')).toBeNull();
-    issuer.request(5_000, 'b', 's1', 1);
+    issuer.request(5_000, 'b', 's1', 1, VALID_MS);
     expect(issuer.issueProbe(5_000, 'a', 's1')).toBeNull();
     expect(issuer.issueProbe(5_000, 'a', 'other')).toBeNull();
   });
@@ -123,7 +126,7 @@
     const issuer = issuerWith(4);
     const sent = Array.from({ length: 400 }, (_, at) => {
       const nowMs = at * 20;
-      issuer.request(nowMs, 'a', 's1', 5);
+      issuer.request(nowMs, 'a', 's1', 5, VALID_MS);
       issuer.issue(nowMs);
       if (!issuer.allowsOrder(nowMs, 's1')) return 0;
       issuer.noteOrder(nowMs, 's1');
@@ -148,11 +151,11 @@
 
   test('asks once until the answer or a quarter of a second later', () => {
     const holder = new PermitHolder();
-    expect(holder.shouldAsk(0, 's1', 2)).toBe(true);
-    expect(holder.shouldAsk(100, 's1', 3)).toBe(false);
-    expect(holder.shouldAsk(250, 's1', 3)).toBe(true);
+    expect(holder.shouldAsk(0, 's1', 2, REPEAT_MS)).toBe(true);
+    expect(holder.shouldAsk(100, 's1', 3, REPEAT_MS)).toBe(false);
+    expect(holder.shouldAsk(250, 's1', 3, REPEAT_MS)).toBe(true);
     holder.receive(260, 's1', 3, 500);
-    expect(holder.shouldAsk(270, 's1', 1)).toBe(true);
+    expect(holder.shouldAsk(270, 's1', 1, REPEAT_MS)).toBe(true);
   });
 
   test('estimates the wait from the intervals of all servers that could run a request', () => {
