Decode the head of a buffered response once

Since limits are read from it, the head is decoded when it arrives; the end of a buffered response decoded it again. It gets the decoded one now. Found reading the whole change; behaviour as before, no test changed.

--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -180,7 +180,7 @@
 }
 
 function bufferResponse(
-  wire: PlatformWire,
+  { notRun }: ResponseMetadata,
   res: http.IncomingMessage,
   fail: (reason: string) => void,
   settle: (result: AttemptResult) => void,
@@ -201,7 +201,7 @@
   res.on('end', () => {
     if (!res.complete || conn.wasReset) {
       settle({ type: AttemptEnd.broken, reason: 'response is incomplete' });
-    } else if (wire.decodeResponse(res.rawHeaders).notRun) {
+    } else if (notRun) {
       settle({
         type: AttemptEnd.notRun,
         reason: `refused with ${status}`,
@@ -301,7 +301,7 @@
         return;
       }
       res.on('data', () => idleDetector?.noteActivity());
-      bufferResponse(wire, res, fail, settle);
+      bufferResponse(metadata, res, fail, settle);
     });
     req.end(opts.body);
   });
