--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -51,6 +51,12 @@
   };
 }
 
+/** When the parts of an attempt's response arrived; null for a part that did not. */
+interface AttemptProgress {
+  headAtMs: number | null;
+  firstEventAtMs: number | null;
+}
+
 export class Exchange implements StreamSink {
   private readonly aborter = new AbortController();
 
@@ -79,6 +85,9 @@
   /** The attempt in progress. */
   private current: { readonly run: Run; readonly sentAtMs: number } | null = null;
 
+  /** How far the last attempt got, for logs. */
+  private progress: AttemptProgress = { headAtMs: null, firstEventAtMs: null };
+
   private timer: NodeJS.Timeout | null = null;
 
   constructor(
@@ -135,6 +144,7 @@
     const split = this.splitter.push(bytes);
     if (!split.isInOrder) return WriteResult.refused;
     if (split.bytes.length === 0) return WriteResult.part;
+    this.progress.firstEventAtMs ??= this.ctx.clock.steadyMs();
     if (this.current !== null) {
       this.ctx.view.health.noteDataReceived(this.ctx.clock.steadyMs(), this.current.run.server.id);
     }
@@ -221,6 +231,7 @@
     const { req, metadata, customer, route, body } = this.request;
     const nowMs = this.ctx.clock.steadyMs();
     this.current = { run, sentAtMs: nowMs };
+    this.progress = { headAtMs: null, firstEventAtMs: null };
     const resumeAfter =
       this.streaming && this.splitter.lastId !== null ? String(this.splitter.lastId) : null;
     this.ctx.throttling.noteSent(run.server);
@@ -248,7 +259,10 @@
         run,
         signal: this.aborter.signal,
         idlePolicy: this.retryPolicy.idlePolicy(run),
-        onHead: (head) => this.ctx.throttling.noteResponse(run.server, head, nowMs),
+        onHead: (head) => {
+          this.progress.headAtMs = this.ctx.clock.steadyMs();
+          this.ctx.throttling.noteResponse(run.server, head, nowMs);
+        },
       },
       route.retrySafety === RetrySafety.stream ? this : null,
     );
@@ -326,11 +340,16 @@
   }
 
   private handleBroken(nowMs: number, run: Run, reason: string): boolean {
+    const { headAtMs, firstEventAtMs } = this.progress;
+    const ageOf = (atMs: number | null) => (atMs === null ? null : Math.round(nowMs - atMs));
     this.ctx.log('broken', this.request.metadata.id, {
       server: run.server.id,
       reason,
       fingerprint: shortFingerprint(this.identity.broad),
       callerWaits: !this.ended,
+      segments: this.request.metadata.promptSegments.slice(0, -1),
+      headAgeMs: ageOf(headAtMs),
+      firstEventAgeMs: ageOf(firstEventAtMs),
     });
     // Also recorded after the caller has disconnected: the request may still crash the server that
     // began to run it.
