Test: requests with a crashing prompt segment go on reaching servers

The stand-in engine crashes under a segment of the prompt, before the head, after it or after events.

--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -18,6 +18,8 @@
 const REGISTRATION_EXPIRY_MS = 750;
 /** A request with this header crashes the server that runs it; its value names the request. */
 export const CRASH_HEADER = 'x-crash';
+/** A request whose prompt has a segment of this prefix, not as its last, crashes the server too. */
+export const CRASHING_SEGMENT_PREFIX = 'dead';
 /** Events that a stream sends before its server crashes. */
 const EVENTS_BEFORE_CRASH = 2;
 export const MODEL_MB = 10;
@@ -54,6 +56,8 @@
   readonly keepsId: boolean;
   /** Time that the server is unresponsive before it crashes, ms. */
   readonly unresponsiveMs: number;
+  /** What a stream has sent before its server crashes. */
+  readonly streamSends: 'nothing' | 'head' | 'events';
 }
 
 export const DEFAULT_CRASH: CrashRule = {
@@ -61,6 +65,7 @@
   downMs: 2_000,
   keepsId: false,
   unresponsiveMs: 0,
+  streamSends: 'events',
 };
 
 /**
@@ -77,7 +82,7 @@
   readonly atMs: number;
   readonly serverId: string;
   readonly requestId: string;
-  /** Name of the crashing request: its retries share it. */
+  /** Name of the crashing request, which its retries share, or the crashing segment. */
   readonly name: string;
 }
 
@@ -94,7 +99,8 @@
 }
 
 /**
- * Number of arrivals of a crashing request more than `STABLE_WINDOW_MS` after its third crash.
+ * Number of arrivals of a crashing request more than `STABLE_WINDOW_MS` after its third crash, or
+ * of the requests with a crashing segment after their fifth.
  * @param isCounted Whether an arrival counts; by default all do.
  */
 export function lateArrivals(
@@ -102,15 +108,16 @@
   name: string,
   isCounted: (arrival: Arrival) => boolean = () => true,
 ): number {
-  const thirdCrashAtMs = crashes
+  const allowedCrashes = name.startsWith(CRASHING_SEGMENT_PREFIX) ? 5 : 3;
+  const lastAllowedAtMs = crashes
     .filter((crash) => crash.name === name)
     .map(({ atMs }) => atMs)
-    .sort((a, b) => a - b)[2];
-  if (thirdCrashAtMs === undefined) return 0;
+    .sort((a, b) => a - b)[allowedCrashes - 1];
+  if (lastAllowedAtMs === undefined) return 0;
   return arrivals.filter(
     (arrival) =>
       arrival.name === name &&
-      arrival.atMs > thirdCrashAtMs + STABLE_WINDOW_MS &&
+      arrival.atMs > lastAllowedAtMs + STABLE_WINDOW_MS &&
       isCounted(arrival),
   ).length;
 }
@@ -129,6 +136,13 @@
   return typeof value === 'string' ? value : '';
 }
 
+/** Name of a crashing request or the crashing segment of its prompt; empty for any other request. */
+function crashNameOf(req: http.IncomingMessage): string {
+  const segments = header(req, 'prompt-prefix').split(',').slice(0, -1);
+  const crashing = segments.find((segment) => segment.startsWith(CRASHING_SEGMENT_PREFIX));
+  return crashing?.split(':', 1)[0] ?? header(req, CRASH_HEADER);
+}
+
 export class SoakEngine {
   private id = '';
 
@@ -417,7 +431,7 @@
     this.running += 1;
     this.observations.runs.set(id, (this.observations.runs.get(id) ?? 0) + 1);
     const { crash } = this.spec;
-    const crashName = header(req, CRASH_HEADER);
+    const crashName = crashNameOf(req);
     if (crash !== undefined && crashName !== '') {
       this.observations.arrivals.push({
         atMs: performance.now(),
@@ -425,7 +439,9 @@
         requestId: id,
         name: crashName,
       });
-      if (req.url?.startsWith('/stream/') === true) this.sendEventsBeforeCrash(req, res, id);
+      if (req.url?.startsWith('/stream/') === true) {
+        this.sendBeforeCrash(req, res, id, crash.streamSends);
+      }
       await this.crashAndRestart(crashName, crash, incarnation);
       return res;
     }
@@ -449,17 +465,23 @@
     this.writeHead(res, 200, { 'Attempt-Id': id, 'Response-Seal': 'seal' }).end(`whole ${id}`);
   }
 
-  private sendEventsBeforeCrash(
+  private sendBeforeCrash(
     req: http.IncomingMessage,
     res: http.ServerResponse,
     id: string,
+    sends: CrashRule['streamSends'],
   ): void {
+    if (sends === 'nothing') return;
     const first = Number(header(req, 'last-event-id') || '0') + 1;
     this.writeHead(res, 200, {
       'Attempt-Id': id,
       'Response-Seal': 'seal',
       'Content-Type': 'text/event-stream',
     });
+    if (sends === 'head') {
+      res.flushHeaders();
+      return;
+    }
     for (let at = first; at < first + EVENTS_BEFORE_CRASH; at += 1) {
       res.write(`id: ${at}\ndata: ${id} ${at}\n\n`);
     }
--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -59,6 +59,8 @@
   readonly disconnectAfterMs: number | null;
   /** Null for a request to a plain service. */
   readonly model: string | null;
+  /** Segments of the prompt with their tokens, as ID:TOKENS; a `#` becomes the index. */
+  readonly segments: readonly string[];
 }
 
 const HARMLESS: FleetRequest = {
@@ -67,6 +69,7 @@
   crash: null,
   disconnectAfterMs: null,
   model: null,
+  segments: [],
 };
 const CRASHING: FleetRequest = { ...HARMLESS, body: 'crashing', crash: 'it' };
 
@@ -164,7 +167,7 @@
 
   /** Sends a request to a VM; resolves with the status, or null without a response. */
   async send(vm: SoakVm, opts: Partial<FleetRequest> = {}): Promise<number | null> {
-    const { route, body, crash, disconnectAfterMs, model } = { ...HARMLESS, ...opts };
+    const { route, body, crash, disconnectAfterMs, model, segments } = { ...HARMLESS, ...opts };
     this.sent += 1;
     const id = `c${this.sent}`;
     try {
@@ -178,6 +181,7 @@
           'deadline-ms': String(DEADLINE_MS),
           ...(crash === null ? {} : { [CRASH_HEADER]: crash }),
           ...(model === null ? {} : { model, 'token-count': '20,20' }),
+          ...(segments.length === 0 ? {} : { 'prompt-prefix': segments.join() }),
         },
         body,
         signal: AbortSignal.timeout(disconnectAfterMs ?? DEADLINE_MS),
@@ -201,13 +205,17 @@
     return this.unanswered.filter((id) => this.observations.runs.has(id));
   }
 
-  /** Sends requests to the VMs in turn for `durationMs`; a `#` in the body becomes the index. */
+  /**
+   * Sends requests to the VMs in turn for `durationMs`; a `#` in the body or in a segment becomes the
+   * index.
+   */
   async sendRepeatedly(pauseMs: number, opts: Partial<FleetRequest>): Promise<Statuses> {
     const statuses: Promise<number | null>[] = [];
     for (let at = 0; performance.now() < this.sendUntilMs; at += 1) {
       const vm = this.vms[at % this.vms.length] as SoakVm;
       const body = (opts.body ?? '').replace('#', String(at));
-      statuses.push(this.send(vm, { ...opts, body }));
+      const segments = (opts.segments ?? []).map((segment) => segment.replace('#', String(at)));
+      statuses.push(this.send(vm, { ...opts, body, segments }));
       await clocks.sleep(pauseMs);
     }
     return Promise.all(statuses);
