Refuse requests with a prompt segment that crashes the servers which begin to answer it

Cause: evidence against a request was kept under the fingerprint of path, customer and body. Requests that share only a part of their prompt never added up, and the retry of each crashed a second engine. Class: evidence kept under the wrong key.

Now each segment that requests may share has incidents of its own, in the same table, messages and stored record. A run that a server had begun and sent no event of weighs most, one that may not have been begun less, one that this side gave up counts once the server is known to have crashed. A response is proof for all its segments. Segments that were in all runs at fault are refused together, so that sound requests with some of them run and tell them apart. Requests that wait or run are withdrawn when their segment is refused.

--- a/src/core/errors/errors-data.ts
+++ b/src/core/errors/errors-data.ts
@@ -93,6 +93,14 @@
   message: () => 'Backend servers crashed while running this request, so it is not run again.',
   hint: 'Change the request, or report it to the operator.',
 };
+export const PromptBlocked: ErrorDefinition = {
+  name: 'PromptBlocked',
+  title: 'A segment of the prompt crashes backend servers.',
+  status: 503,
+  message: () =>
+    'Backend servers crashed while running other requests with a segment of this prompt, so this one was not run.',
+  hint: 'Send the request without the segment, or report it to the operator.',
+};
 export const KeysUnconfirmed: ErrorDefinition = {
   name: 'KeysUnconfirmed',
   title: 'Keys cannot be verified at the moment.',
--- a/src/decisions/suspects/incident-table.ts
+++ b/src/decisions/suspects/incident-table.ts
@@ -7,26 +7,46 @@
  * outage. The list resolves the incident afterwards. A server that is missing or has restarted has
  * crashed. If the server keeps running, the incident is cleared. A request that runs to completion
  * on any server clears its earlier incidents, because it did not cause those crashes.
+ *
+ * Different requests that share a prompt segment may crash servers too. An incident is therefore
+ * recorded for each of these segments as well, and weighed by other rules; see `segment-evidence`.
  */
-import type { AgedIncident, Incident, KnownServers } from './types.js';
+import { isSegmentFingerprint } from './fingerprint.js';
+import { RecentTimes } from './recent-times.js';
+import {
+  companionsOf,
+  isSegmentSuspected,
+  probeDelayMs,
+  type SegmentIncident,
+} from './segment-evidence.js';
+import { type AgedIncident, type Incident, type KnownServers, RunProgress } from './types.js';
 
 /**
  * A request with this many incidents is refused. A request that only ran beside a crashing one may
  * have some incidents too, but usually fewer.
  */
 const INCIDENTS_TO_REFUSE = 3;
-/** Number of incidents at which a request's incidents are reported to all entry VMs and stored. */
-export const MIN_SHARED_INCIDENTS = 2;
+/**
+ * Number of incidents at which those of a request or segment are reported to all entry VMs and
+ * stored. A single one is reported if the server had begun the run.
+ */
+const MIN_SHARED_INCIDENTS = 2;
 /** A crash is visible in the server list within this time: three missed heartbeats. */
 const CRASH_VISIBLE_MS = 6_000;
 /** Time after which an incident no longer counts. */
 const INCIDENT_TTL_MS = 600_000;
 /** Late reports of a cleared incident are ignored for this time. */
 const CLEARED_TTL_MS = 30_000;
+/** Maximum difference between the times that different entry VMs record for one event, ms. */
+const REPORT_JITTER_MS = 200;
 /** Maximum number of incidents; the oldest are evicted. */
 const MAX_INCIDENTS = 4_096;
-/** Maximum number of recorded completed requests; the oldest are evicted. */
+/** Maximum number of recorded completed requests, and of proven segments. */
 const MAX_COMPLETED = 4_096;
+/** Number of proofs of other segments from which on a segment without any counts as new. */
+const MIN_PROOFS = 20;
+/** Maximum number of server processes that are known to have closed connections. */
+const MAX_LOST_SERVERS = 1_024;
 /** Lower bound on the Retry-After time of a refused request. */
 const MIN_RETRY_AFTER_MS = 1_000;
 
@@ -53,6 +73,24 @@
   return `${fingerprint} ${serverId} ${bornMs}`;
 }
 
+/** Key of a server's process. */
+function serverKey({ serverId, bornMs }: Incident): string {
+  return `${serverId} ${bornMs}`;
+}
+
+const STRENGTHS = [RunProgress.abandoned, RunProgress.unclear, RunProgress.begun] as const;
+
+/** Whether an incident is stronger evidence against a segment than the recorded one. */
+function isStronger({ run }: Incident, recorded: Incident): boolean {
+  if (run === undefined || recorded.run === undefined) return false;
+  return STRENGTHS.indexOf(run.progress) > STRENGTHS.indexOf(recorded.run.progress);
+}
+
+/** Key of an incident with its evidence: a stronger report of a known incident has another key. */
+export function reportKey(incident: Incident): string {
+  return `${incidentKey(incident)} ${incident.run?.progress ?? ''}`;
+}
+
 /**
  * Whether the server list lacks the server or shows a restart. A list that was confirmed before the
  * incident was recorded does not count.
@@ -80,11 +118,23 @@
   /** Keys of the incidents of each request. */
   private readonly keysByFingerprint = new Map<string, Set<string>>();
 
-  /** Time until which late reports of a cleared incident are ignored, by incident key. */
-  private readonly clearedUntilMs = new Map<string, number>();
+  /** When incidents were cleared, by incident key; reports of earlier incidents are then late. */
+  private readonly clearedAtMs = new Map<string, number>();
+
+  /** When requests last ran to completion. */
+  private readonly completed = new RecentTimes(MAX_COMPLETED);
 
-  /** When requests last ran to completion, by fingerprint. */
-  private readonly completedAtMs = new Map<string, number>();
+  /** When segments were last proven to be sound. Separate: there are far fewer than requests. */
+  private readonly proven = new RecentTimes(MAX_COMPLETED);
+
+  /** When server processes last closed the connection of a run. */
+  private readonly lostServers = new RecentTimes(MAX_LOST_SERVERS);
+
+  /** When refused segments were last probed. */
+  private readonly probed = new RecentTimes(MAX_LOST_SERVERS);
+
+  /** Number of times that a segment was proven to be sound. */
+  private proofs = 0;
 
   private sharedChangeCount = 0;
 
@@ -102,37 +152,49 @@
    */
   note(nowMs: number, incident: Incident, ageMs = 0): boolean {
     const key = incidentKey(incident);
-    if (this.entries.has(key) || (this.clearedUntilMs.get(key) ?? 0) > nowMs) return false;
+    const progress = incident.run?.progress;
+    if (progress !== undefined && progress !== RunProgress.abandoned) {
+      this.lostServers.note(serverKey(incident), nowMs);
+    }
+    const existing = this.entries.get(key);
+    if (existing !== undefined && !isStronger(incident, existing.incident)) return false;
+    if (nowMs - ageMs <= (this.clearedAtMs.get(key) ?? -Infinity) + REPORT_JITTER_MS) return false;
     if (ageMs >= INCIDENT_TTL_MS) return false;
     if (this.hasCompletedSince(nowMs, incident.fingerprint, ageMs)) return false;
     if (this.entries.size >= MAX_INCIDENTS) this.dropOldest();
-    this.entries.set(key, { incident, atMs: nowMs - ageMs, recordedAtMs: nowMs, died: false });
+    const died = existing?.died === true;
+    this.entries.set(key, { incident, atMs: nowMs - ageMs, recordedAtMs: nowMs, died });
     const keys = this.keysByFingerprint.get(incident.fingerprint) ?? new Set<string>();
     this.keysByFingerprint.set(incident.fingerprint, keys.add(key));
-    if (keys.size >= MIN_SHARED_INCIDENTS) this.sharedChangeCount += 1;
+    if (this.isShared(incident.fingerprint)) this.sharedChangeCount += 1;
     return true;
   }
 
-  /** Records that a request ran to completion; returns the number of incidents that this clears. */
+  /** Whether the incidents of a request or segment are reported to all entry VMs and stored. */
+  isShared(fingerprint: string): boolean {
+    const keys = [...(this.keysByFingerprint.get(fingerprint) ?? [])];
+    const isBegun = (key: string) =>
+      this.entries.get(key)?.incident.run?.progress === RunProgress.begun;
+    return keys.length >= MIN_SHARED_INCIDENTS || keys.some(isBegun);
+  }
+
+  /** Records that a request ran to completion, or that a segment is sound; returns the number of incidents that this clears. */
   noteCompleted(nowMs: number, fingerprint: string): number {
-    this.completedAtMs.delete(fingerprint);
-    this.completedAtMs.set(fingerprint, nowMs);
-    const [oldest] = this.completedAtMs.keys();
-    if (this.completedAtMs.size > MAX_COMPLETED && oldest !== undefined)
-      this.completedAtMs.delete(oldest);
+    this.completionsOf(fingerprint).note(fingerprint, nowMs);
+    if (isSegmentFingerprint(fingerprint)) this.proofs += 1;
     const known = this.entriesOf(nowMs, fingerprint);
     known.forEach(({ incident }) => this.clear(nowMs, incident));
     return known.length;
   }
 
-  /** Whether the request has run to completion before. */
+  /** Whether the request has run to completion before, or the segment was proven to be sound. */
   ranWhole(fingerprint: string): boolean {
-    return this.completedAtMs.has(fingerprint);
+    return this.completionsOf(fingerprint).get(fingerprint) !== null;
   }
 
   /** Whether the request has run to completion after an event that occurred `ageMs` ago. */
   hasCompletedSince(nowMs: number, fingerprint: string, ageMs: number): boolean {
-    return (this.completedAtMs.get(fingerprint) ?? -Infinity) > nowMs - ageMs;
+    return (this.completionsOf(fingerprint).get(fingerprint) ?? -Infinity) > nowMs - ageMs;
   }
 
   /** Resolves open incidents by the platform's server list. */
@@ -148,16 +210,39 @@
     return { died: incidentsOf(died), cleared: incidentsOf(cleared) };
   }
 
-  /** Whether a request with any of these fingerprints is refused. */
+  /** Whether a request with these fingerprints, those of its segments included, is refused. */
   isRefused(nowMs: number, fingerprints: readonly string[]): boolean {
-    return fingerprints.some((one) => this.count(nowMs, one) >= INCIDENTS_TO_REFUSE);
+    return this.refusedFor(nowMs, fingerprints).length > 0;
+  }
+
+  /**
+   * Segments any of which may be at fault for the crashes that tell against this one; empty if there
+   * is not enough evidence. Requests with all of them are refused.
+   */
+  suspectedWith(nowMs: number, segment: string): readonly string[] {
+    const incidents = this.segmentIncidents(nowMs, segment);
+    if (!isSegmentSuspected(incidents, this.isNew(segment))) return [];
+    return companionsOf(incidents).filter((one) => this.count(nowMs, one) > 0);
+  }
+
+  /**
+   * Whether a refused request may run to probe its segments. Only one request may until the next
+   * probe is due.
+   */
+  takeProbe(nowMs: number, fingerprints: readonly string[]): boolean {
+    const refused = this.refusedFor(nowMs, fingerprints);
+    const isDue = refused.every(
+      (one) => isSegmentFingerprint(one) && this.probeAtMs(nowMs, one) <= nowMs,
+    );
+    if (isDue) refused.forEach((one) => this.probed.note(one, nowMs));
+    return isDue;
   }
 
   /** Time until a refused request may be accepted again, ms. */
   retryAfterMs(nowMs: number, fingerprints: readonly string[]): number {
-    const remainingMs = fingerprints
-      .filter((one) => this.isRefused(nowMs, [one]))
-      .map((one) => this.refusedForMs(nowMs, one));
+    const remainingMs = this.refusedFor(nowMs, fingerprints).map((one) =>
+      this.refusedForMs(nowMs, one),
+    );
     return Math.max(MIN_RETRY_AFTER_MS, ...remainingMs);
   }
 
@@ -173,17 +258,65 @@
       .map(({ incident, atMs }) => ({ ...incident, ageMs: nowMs - atMs }));
   }
 
+  /** Incidents to report to all entry VMs and to store. */
+  shared(nowMs: number): readonly AgedIncident[] {
+    return [...this.keysByFingerprint.keys()]
+      .filter((fingerprint) => this.isShared(fingerprint))
+      .flatMap((fingerprint) => this.entriesOf(nowMs, fingerprint))
+      .map(({ incident, atMs }) => ({ ...incident, ageMs: nowMs - atMs }));
+  }
+
+  /** The fingerprints for which a request that has all of them is refused. */
+  private refusedFor(nowMs: number, fingerprints: readonly string[]): readonly string[] {
+    return fingerprints.filter((one) => {
+      if (!isSegmentFingerprint(one)) return this.count(nowMs, one) >= INCIDENTS_TO_REFUSE;
+      const suspected = this.suspectedWith(nowMs, one);
+      const isSuspected =
+        suspected.length > 0 && suspected.every((other) => fingerprints.includes(other));
+      return isSuspected || this.isRepeated(nowMs, one, fingerprints);
+    });
+  }
+
   /**
-   * Incidents of requests with at least `MIN_SHARED_INCIDENTS`, to report to all entry VMs and to
-   * store.
+   * Whether a request with a new segment was itself begun by a server that then crashed. Most likely it is at fault, and another crash would not tell whether the segment is.
    */
-  shared(nowMs: number): readonly AgedIncident[] {
-    return this.all(nowMs).filter(
-      (one) => this.count(nowMs, one.fingerprint) >= MIN_SHARED_INCIDENTS,
+  private isRepeated(nowMs: number, segment: string, fingerprints: readonly string[]): boolean {
+    if (!this.isNew(segment)) return false;
+    return this.segmentIncidents(nowMs, segment).some(
+      ({ run }) => run.progress === RunProgress.begun && fingerprints.includes(run.request),
     );
   }
 
+  /** When the next probe of a segment is due. */
+  private probeAtMs(nowMs: number, fingerprint: string): number {
+    const times = this.entriesOf(nowMs, fingerprint).map(({ atMs }) => atMs);
+    const sinceMs = Math.max(...times, this.probed.get(fingerprint) ?? -Infinity);
+    const incidents = this.segmentIncidents(nowMs, fingerprint);
+    return sinceMs + probeDelayMs(incidents, this.isNew(fingerprint));
+  }
+
+  private segmentIncidents(nowMs: number, fingerprint: string): readonly SegmentIncident[] {
+    return this.entriesOf(nowMs, fingerprint).flatMap(({ incident, died }) => {
+      const { run } = incident;
+      if (run === undefined) return [];
+      return [{ run, isConfirmed: died || this.lostServers.get(serverKey(incident)) !== null }];
+    });
+  }
+
+  /**
+   * Whether a segment was never proven to be sound, though others were. Shortly after the start of
+   * this entry VM it is not known what was.
+   */
+  private isNew(segment: string): boolean {
+    return this.proofs >= MIN_PROOFS && !this.ranWhole(segment);
+  }
+
+  private completionsOf(fingerprint: string): RecentTimes {
+    return isSegmentFingerprint(fingerprint) ? this.proven : this.completed;
+  }
+
   private refusedForMs(nowMs: number, fingerprint: string): number {
+    if (isSegmentFingerprint(fingerprint)) return this.probeAtMs(nowMs, fingerprint) - nowMs;
     const known = this.entriesOf(nowMs, fingerprint);
     const isUnconfirmed = known.filter(({ died }) => died).length < INCIDENTS_TO_REFUSE;
     const times = known.map(({ atMs, recordedAtMs }) =>
@@ -200,30 +333,35 @@
   }
 
   private clear(nowMs: number, incident: Incident): void {
-    this.clearedUntilMs.set(incidentKey(incident), nowMs + CLEARED_TTL_MS);
+    this.clearedAtMs.set(incidentKey(incident), nowMs);
     this.drop(incident);
   }
 
   private drop(incident: Incident): void {
     const key = incidentKey(incident);
+    if (this.isShared(incident.fingerprint)) this.sharedChangeCount += 1;
     this.entries.delete(key);
     const keys = this.keysByFingerprint.get(incident.fingerprint);
-    if ((keys?.size ?? 0) >= MIN_SHARED_INCIDENTS) this.sharedChangeCount += 1;
     keys?.delete(key);
     if (keys?.size === 0) this.keysByFingerprint.delete(incident.fingerprint);
   }
 
+  /** Evicts the oldest incident, preferably one that is the only one of its request or segment. */
   private dropOldest(): void {
     const [oldest] = this.entries.values();
-    if (oldest !== undefined) this.drop(oldest.incident);
+    const single = [...this.entries.values()].find(
+      ({ incident }) => this.keysByFingerprint.get(incident.fingerprint)?.size === 1,
+    );
+    const evicted = single ?? oldest;
+    if (evicted !== undefined) this.drop(evicted.incident);
   }
 
   private expire(nowMs: number): void {
     [...this.entries.values()]
       .filter(({ atMs }) => nowMs - atMs >= INCIDENT_TTL_MS)
       .forEach(({ incident }) => this.drop(incident));
-    [...this.clearedUntilMs]
-      .filter(([, untilMs]) => untilMs <= nowMs)
-      .forEach(([key]) => this.clearedUntilMs.delete(key));
+    [...this.clearedAtMs]
+      .filter(([, atMs]) => nowMs - atMs >= CLEARED_TTL_MS)
+      .forEach(([key]) => this.clearedAtMs.delete(key));
   }
 }
--- a/src/decisions/suspects/index.ts
+++ b/src/decisions/suspects/index.ts
@@ -8,12 +8,7 @@
  */
 
 export { RequestIdentity } from './request-identity.js';
-export {
-  incidentKey,
-  IncidentTable,
-  MIN_SHARED_INCIDENTS,
-  type ResolvedIncidents,
-} from './incident-table.js';
+export { IncidentTable, reportKey, type ResolvedIncidents } from './incident-table.js';
 export * from './fingerprint.js';
 export * from './types.js';
 
--- a/src/decisions/suspects/request-identity.ts
+++ b/src/decisions/suspects/request-identity.ts
@@ -1,19 +1,31 @@
-/** Identity of a request that all of its attempts share. */
-import { fingerprintOf } from './fingerprint.js';
+/** Identity of a request that all of its attempts share, and of what it has in common with others. */
+import { fingerprintOf, segmentFingerprint } from './fingerprint.js';
+
+/** Maximum number of prompt segments of one request that are tracked. */
+const MAX_SEGMENTS = 32;
 
 export class RequestIdentity {
   /** Fingerprint of path, customer and body; the same when the caller repeats the request. */
   readonly broad: string;
 
+  /** Fingerprints of the prompt segments that other requests may share. */
+  readonly segments: readonly string[];
+
   private cachedExact: string | null = null;
 
-  /** @param describeHeaders Returns the request's significant headers; called only when needed. */
+  /**
+   * @param describeHeaders Returns the request's significant headers; called only when needed.
+   * @param promptSegments Ids of the prompt's segments; the last one belongs to the request alone.
+   */
   constructor(
     target: string,
     body: string,
     private readonly describeHeaders: () => string,
+    promptSegments: readonly string[] = [],
   ) {
     this.broad = fingerprintOf(target, body);
+    const shared = promptSegments.slice(0, -1).slice(0, MAX_SEGMENTS);
+    this.segments = [...new Set(shared.map(segmentFingerprint))];
   }
 
   /**
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -3,7 +3,7 @@
 import * as errors from '../../core/errors/index.js';
 import type { LogFields } from '../../core/logger/index.js';
 import { RetrySafety } from '../../decisions/fleet-plan/index.js';
-import { RequestIdentity, shortFingerprint } from '../../decisions/suspects/index.js';
+import { RequestIdentity, RunProgress, shortFingerprint } from '../../decisions/suspects/index.js';
 import type { QueuedRequest } from '../../decisions/wait-list/index.js';
 import { Admission, AdmissionType } from './admission.js';
 import {
@@ -33,6 +33,11 @@
 const BASE_FIRST_BYTE_MS = 20;
 /** Prompt tokens that are expected to add 1 ms to the time to the first byte. */
 const PROMPT_TOKENS_PER_MS = 20;
+/**
+ * Time for which a stream sends events until its prompt counts as sound, ms. A server may crash
+ * shortly after the first event.
+ */
+const SOUND_STREAM_MS = 250;
 /** Weight of an error response in the server's health; a broken attempt has a weight of 1. */
 const ERROR_RESPONSE_WEIGHT = 0.25;
 
@@ -55,6 +60,12 @@
 interface AttemptProgress {
   headAtMs: number | null;
   firstEventAtMs: number | null;
+  /** Whether the response has shown that the prompt is sound. */
+  isSound: boolean;
+}
+
+function noProgress(): AttemptProgress {
+  return { headAtMs: null, firstEventAtMs: null, isSound: false };
 }
 
 export class Exchange implements StreamSink {
@@ -85,8 +96,14 @@
   /** The attempt in progress. */
   private current: { readonly run: Run; readonly sentAtMs: number } | null = null;
 
-  /** How far the last attempt got, for logs. */
-  private progress: AttemptProgress = { headAtMs: null, firstEventAtMs: null };
+  /** How far the last attempt got. */
+  private progress = noProgress();
+
+  /** Whether an attempt was aborted because a segment of the prompt is refused. */
+  private isWithdrawn = false;
+
+  /** Whether the request runs although segments of its prompt are refused. */
+  private isProbe = false;
 
   private timer: NodeJS.Timeout | null = null;
 
@@ -101,6 +118,7 @@
       `${customer?.name ?? ''} ${req.url}`,
       body.toString('latin1'),
       () => ctx.wire.canonicalHeaders(req.rawHeaders),
+      metadata.promptSegments,
     );
     this.queuedRequest = createQueuedRequest(request, this.deadlineAtMs);
     this.retryPolicy = new RetryPolicy(
@@ -118,11 +136,13 @@
     res.on('close', () => this.handleClose());
     const leftMs = this.deadlineAtMs - this.ctx.clock.steadyMs();
     this.timer = setTimeout(() => this.handleTimeout(), Math.max(0, leftMs));
+    const unwatch = this.ctx.incidents.watch(this.identity, () => this.handleRefused());
     try {
       if (this.refuseIfSuspected()) return;
       if (!(await this.admit())) return;
       await this.run();
     } finally {
+      unwatch();
       if (this.timer !== null) clearTimeout(this.timer);
     }
   }
@@ -144,7 +164,7 @@
     const split = this.splitter.push(bytes);
     if (!split.isInOrder) return WriteResult.refused;
     if (split.bytes.length === 0) return WriteResult.part;
-    this.progress.firstEventAtMs ??= this.ctx.clock.steadyMs();
+    this.noteEvent(this.ctx.clock.steadyMs());
     if (this.current !== null) {
       this.ctx.view.health.noteDataReceived(this.ctx.clock.steadyMs(), this.current.run.server.id);
     }
@@ -156,14 +176,29 @@
     return !this.splitter.hasPartialEvent;
   }
 
+  private noteEvent(nowMs: number): void {
+    const { progress } = this;
+    progress.firstEventAtMs ??= nowMs;
+    if (progress.isSound || nowMs - progress.firstEventAtMs < SOUND_STREAM_MS) return;
+    progress.isSound = true;
+    this.ctx.incidents.noteSound(this.identity);
+  }
+
   /** Refuses a request that is suspected of crashing backend servers; true if it was refused. */
   private refuseIfSuspected(): boolean {
     const { incidents } = this.ctx;
-    const isRefused = incidents.isRefused(this.identity);
-    if (isRefused) {
-      this.refuse(errors.data.RequestBlocked, incidents.retryAfterMs(this.identity));
-    }
-    return isRefused;
+    if (!incidents.isRefused(this.identity)) return false;
+    this.isProbe = incidents.takeProbe(this.identity);
+    if (!this.isProbe) this.rejectSuspected();
+    return !this.isProbe;
+  }
+
+  private rejectSuspected(): void {
+    const { incidents } = this.ctx;
+    const reason = incidents.isPromptRefused(this.identity)
+      ? errors.data.PromptBlocked
+      : errors.data.RequestBlocked;
+    this.reject(incidents.retryAfterMs(this.identity), reason);
   }
 
   private async admit(): Promise<boolean> {
@@ -196,14 +231,14 @@
         if (placement.run !== null) this.ctx.view.ended(placement.run);
         break;
       }
-      if (placement.run === null) {
-        this.reject(placement.retryAfterMs);
+      // While this request was queued, identical or similar requests may have crashed servers.
+      if (!this.isProbe && this.ctx.incidents.isRefused(this.identity)) {
+        if (placement.run !== null) this.ctx.view.ended(placement.run);
+        this.rejectSuspected();
         return;
       }
-      // While this request was queued, identical requests may have crashed servers.
-      if (this.ctx.incidents.isRefused(this.identity)) {
-        this.ctx.view.ended(placement.run);
-        this.reject(this.ctx.incidents.retryAfterMs(this.identity), errors.data.RequestBlocked);
+      if (placement.run === null) {
+        this.reject(placement.retryAfterMs);
         return;
       }
       if (!this.ctx.hasFreshKeys(this.request.customer)) {
@@ -231,7 +266,8 @@
     const { req, metadata, customer, route, body } = this.request;
     const nowMs = this.ctx.clock.steadyMs();
     this.current = { run, sentAtMs: nowMs };
-    this.progress = { headAtMs: null, firstEventAtMs: null };
+    this.progress = noProgress();
+    this.isProbe = false;
     const resumeAfter =
       this.streaming && this.splitter.lastId !== null ? String(this.splitter.lastId) : null;
     this.ctx.throttling.noteSent(run.server);
@@ -294,7 +330,7 @@
         return this.handleNotExecuted(nowMs, run, result.reached, result.status, result.reason);
       default:
         this.mayHaveRun = true;
-        return this.handleBroken(nowMs, run, result.reason);
+        return this.handleBroken(nowMs, run, result.reason, result.connectionLost);
     }
   }
 
@@ -339,7 +375,8 @@
     return isRetried;
   }
 
-  private handleBroken(nowMs: number, run: Run, reason: string): boolean {
+  private handleBroken(nowMs: number, run: Run, reason: string, connectionLost: boolean): boolean {
+    const progress = this.runProgress(nowMs, connectionLost);
     const { headAtMs, firstEventAtMs } = this.progress;
     const ageOf = (atMs: number | null) => (atMs === null ? null : Math.round(nowMs - atMs));
     this.ctx.log('broken', this.request.metadata.id, {
@@ -353,15 +390,23 @@
     });
     // Also recorded after the caller has disconnected: the request may still crash the server that
     // began to run it.
-    this.ctx.incidents.noteCutOff(this.identity, run);
+    this.ctx.incidents.noteCutOff(this.identity, run, progress);
     if (this.ended) return false;
-    this.ctx.view.health.noteFailure(nowMs, run.server.id);
+    if (!this.isWithdrawn) this.ctx.view.health.noteFailure(nowMs, run.server.id);
     if (this.retryPolicy.allowRetryAfterRun(nowMs, run)) return true;
     if (this.streaming) this.cut(reason);
     else this.fail(errors.data.BackendFailed, reason);
     return false;
   }
 
+  /** How far an interrupted run had come; null if its response shows that the prompt is sound. */
+  private runProgress(nowMs: number, connectionLost: boolean): RunProgress | null {
+    const { headAtMs, firstEventAtMs, isSound } = this.progress;
+    if (isSound || nowMs - (firstEventAtMs ?? nowMs) >= SOUND_STREAM_MS) return null;
+    if (!connectionLost) return RunProgress.abandoned;
+    return headAtMs !== null && firstEventAtMs === null ? RunProgress.begun : RunProgress.unclear;
+  }
+
   private deliver(response: BackendResponse): void {
     this.ended = true;
     this.writeHead(response.status, response.statusText, response.rawHeaders, response.body.length);
@@ -475,6 +520,16 @@
     });
   }
 
+  /** Called when a segment of the prompt is refused: the request is not run, or no longer. */
+  private handleRefused(): void {
+    if (this.ended || this.progress.isSound) return;
+    this.ctx.dispatcher.cancel(this.queuedRequest.id);
+    // A request that may run only once is not aborted, so that its outcome is known.
+    if (this.request.route.retrySafety === RetrySafety.once) return;
+    this.isWithdrawn = true;
+    this.aborter.abort();
+  }
+
   /** Called when the caller has disconnected or its response has been sent. */
   private handleClose(): void {
     if (this.ended) return;
--- a/src/entry/relay/incident-publisher.ts
+++ b/src/entry/relay/incident-publisher.ts
@@ -1,5 +1,5 @@
 /** Builds the messages with shared incidents for one entry VM; each incident is sent once. */
-import { type AgedIncident, incidentKey } from '../../decisions/suspects/index.js';
+import { type AgedIncident, reportKey } from '../../decisions/suspects/index.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
 
 /** The incidents that all entry VMs should have. */
@@ -22,8 +22,8 @@
     if (incidents.sharedVersion === this.version) return null;
     this.version = incidents.sharedVersion;
     const shared = incidents.shared();
-    const unsent = shared.filter((incident) => !this.sentKeys.has(incidentKey(incident)));
-    this.sentKeys = new Set(shared.map(incidentKey));
+    const unsent = shared.filter((incident) => !this.sentKeys.has(reportKey(incident)));
+    this.sentKeys = new Set(shared.map(reportKey));
     if (unsent.length === 0) return null;
     return { type: RelayMessageType.incidents, incidents: unsent };
   }
--- a/src/entry/relay/incident-record.ts
+++ b/src/entry/relay/incident-record.ts
@@ -10,7 +10,12 @@
 import type { Clock } from '../../core/clock/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { Task } from '../../core/supervisor/index.js';
-import { type AgedIncident, type Incident, incidentKey } from '../../decisions/suspects/index.js';
+import {
+  type AgedIncident,
+  type Incident,
+  reportKey,
+  segmentRunSchema,
+} from '../../decisions/suspects/index.js';
 import { PlatformOutcome } from '../platform/index.js';
 import type { SharedIncidents } from './incident-publisher.js';
 import type { RelayStore } from './types.js';
@@ -28,6 +33,7 @@
       fingerprint: z.string(),
       serverId: z.string(),
       bornMs: z.number(),
+      run: segmentRunSchema.optional(),
       /** Wall-clock time. Clock skew between entry VMs only shifts the end of a refusal. */
       atUnixMs: z.number(),
     }),
@@ -49,7 +55,7 @@
 }
 
 function keysOf(incidents: readonly Incident[]): string {
-  return incidents.map(incidentKey).sort().join();
+  return incidents.map(reportKey).sort().join();
 }
 
 export class IncidentRecordTask implements Task {
--- a/src/entry/relay/incidents.ts
+++ b/src/entry/relay/incidents.ts
@@ -12,8 +12,9 @@
   type AgedIncident,
   type Incident,
   IncidentTable,
+  isSegmentFingerprint,
   type RequestIdentity,
-  MIN_SHARED_INCIDENTS,
+  type RunProgress,
   shortFingerprint,
 } from '../../decisions/suspects/index.js';
 import type { Run } from './fleet-view.js';
@@ -32,12 +33,32 @@
 /** The operations on incidents that an exchange needs for its request. */
 export interface Incidents {
   isRefused(request: RequestIdentity): boolean;
+  /** Whether a request is refused because of a segment of its prompt, not because of its own runs. */
+  isPromptRefused(request: RequestIdentity): boolean;
+  /** Whether a refused request runs nevertheless, to probe the segments of its prompt. */
+  takeProbe(request: RequestIdentity): boolean;
   /** Time until a refused request may be served, ms. */
   retryAfterMs(request: RequestIdentity): number;
-  /** Records a run that was cut off, also if its caller had disconnected. */
-  noteCutOff(request: RequestIdentity, run: Run): void;
+  /**
+   * Records a run that was cut off, also if its caller had disconnected.
+   * @param progress How far the run had come; null if it proves that its segments are sound.
+   */
+  noteCutOff(request: RequestIdentity, run: Run, progress: RunProgress | null): void;
   /** Records a run that completed. */
   noteCompleted(request: RequestIdentity): void;
+  /** Records that the segments of a request's prompt are sound: a server writes a response to it. */
+  noteSound(request: RequestIdentity): void;
+  /**
+   * Calls `onRefused` once a prompt segment of the request is refused.
+   * @returns Function that ends the watch.
+   */
+  watch(request: RequestIdentity, onRefused: () => void): () => void;
+}
+
+/** A request in progress that is told when it is refused. */
+interface Watch {
+  readonly request: RequestIdentity;
+  onRefused(): void;
 }
 
 export interface IncidentOptions {
@@ -47,10 +68,12 @@
   readonly metrics: Metrics;
   /** Sends a message to the steward; false if it could not be sent. */
   send(message: RelayMessage): boolean;
+  /** Whether this entry VM may probe refused segments: one of those that hear each other may. */
+  mayProbe(): boolean;
 }
 
-function fieldsOf({ fingerprint, serverId }: Incident) {
-  return { fingerprint: shortFingerprint(fingerprint), server: serverId };
+function fieldsOf({ fingerprint, serverId, run }: Incident) {
+  return { fingerprint: shortFingerprint(fingerprint), server: serverId, progress: run?.progress };
 }
 
 export class IncidentTask implements Task, Incidents, SharedIncidents {
@@ -58,6 +81,11 @@
 
   private readonly table = new IncidentTable();
 
+  private readonly watches = new Set<Watch>();
+
+  /** Suspected segments, each with those that are suspected together with it, to log changes. */
+  private readonly suspected = new Map<string, string>();
+
   /** Since when the list of servers has been confirmed without a gap. */
   private confirmedSinceMs: number;
 
@@ -76,19 +104,41 @@
   }
 
   isRefused(request: RequestIdentity): boolean {
-    return this.table.isRefused(this.opts.clock.steadyMs(), this.fingerprintsOf(request));
+    return this.table.isRefused(this.opts.clock.steadyMs(), this.subjectsOf(request));
+  }
+
+  isPromptRefused({ segments }: RequestIdentity): boolean {
+    return this.table.isRefused(this.opts.clock.steadyMs(), segments);
+  }
+
+  takeProbe(request: RequestIdentity): boolean {
+    if (!this.opts.mayProbe()) return false;
+    const isProbe = this.table.takeProbe(this.opts.clock.steadyMs(), this.subjectsOf(request));
+    if (isProbe) this.opts.logger.info('segments-probed', { segments: request.segments });
+    return isProbe;
   }
 
   retryAfterMs(request: RequestIdentity): number {
-    return this.table.retryAfterMs(this.opts.clock.steadyMs(), this.fingerprintsOf(request));
+    return this.table.retryAfterMs(this.opts.clock.steadyMs(), this.subjectsOf(request));
   }
 
-  noteCutOff(request: RequestIdentity, { server }: Run): void {
+  watch(request: RequestIdentity, onRefused: () => void): () => void {
+    const entry = { request, onRefused };
+    if (request.segments.length > 0) this.watches.add(entry);
+    return () => this.watches.delete(entry);
+  }
+
+  noteCutOff(request: RequestIdentity, { server }: Run, progress: RunProgress | null): void {
     // A draining server exits as planned: runs cut off there are no evidence against the request.
     if (this.opts.storeWatcher.backends.get(server.id)?.leaving === true) return;
-    const added = this.fingerprintsOf(request)
-      .map((fingerprint) => ({ fingerprint, serverId: server.id, bornMs: server.bornMs }))
-      .filter((incident) => this.note(incident, 0, LOCAL));
+    const { id: serverId, bornMs } = server;
+    const segments = progress === null ? [] : request.segments;
+    const run =
+      progress === null ? undefined : { request: request.broad, segments: [...segments], progress };
+    const added: readonly Incident[] = [
+      ...this.fingerprintsOf(request).map((fingerprint) => ({ fingerprint, serverId, bornMs })),
+      ...segments.map((fingerprint) => ({ fingerprint, serverId, bornMs, run })),
+    ].filter((incident) => this.note(incident, 0, LOCAL));
     if (added.length === 0) return;
     const incidents = added.map((incident) => ({ ...incident, ageMs: 0 }));
     if (this.opts.send({ type: RelayMessageType.incidents, incidents })) return;
@@ -96,8 +146,11 @@
   }
 
   noteCompleted(request: RequestIdentity): void {
-    const fingerprints = this.clear(this.fingerprintsOf(request), 1);
-    if (fingerprints.length > 0) this.opts.send({ type: RelayMessageType.ranWhole, fingerprints });
+    this.clearAndReport(this.subjectsOf(request));
+  }
+
+  noteSound({ segments }: RequestIdentity): void {
+    this.clearAndReport(segments);
   }
 
   get sharedVersion(): number {
@@ -149,7 +202,9 @@
    * @returns Fingerprints whose incidents had been shared with other VMs.
    */
   clearCompleted({ fingerprints }: RelayMessageOf<'ran-whole'>): string[] {
-    return this.clear(fingerprints, MIN_SHARED_INCIDENTS);
+    const shared = fingerprints.filter((fingerprint) => this.table.isShared(fingerprint));
+    this.clear(fingerprints);
+    return shared;
   }
 
   /** Resolves open incidents with the list of servers, which shows whether a server crashed. */
@@ -165,7 +220,11 @@
       confirmedAtMs: nowMs - backends.ageMs,
       confirmedSinceMs: this.confirmedSinceMs,
     });
-    died.forEach((incident) => logger.info('incident-died', fieldsOf(incident)));
+    died
+      .filter(({ fingerprint }) => this.table.isShared(fingerprint))
+      .forEach((incident) => logger.info('incident-died', fieldsOf(incident)));
+    [...died, ...cleared].forEach(({ fingerprint }) => this.updateSuspicion(fingerprint));
+    [...this.suspected.keys()].forEach((fingerprint) => this.updateSuspicion(fingerprint));
     cleared.forEach((incident) => logger.debug('incident-cleared', fieldsOf(incident)));
     metrics.count('relay_incidents_total', { verdict: 'died' }, died.length);
     metrics.count('relay_incidents_total', { verdict: 'cleared' }, cleared.length);
@@ -181,14 +240,45 @@
     return this.table.ranWhole(broad) ? [broad, request.exact] : [broad];
   }
 
-  /** Clears the incidents of requests; returns requests that had at least `minCount` of them. */
-  private clear(fingerprints: readonly string[], minCount: number): string[] {
+  /** Fingerprints of a request and of the segments of its prompt. */
+  private subjectsOf(request: RequestIdentity): readonly string[] {
+    return [...this.fingerprintsOf(request), ...request.segments];
+  }
+
+  private clearAndReport(subjects: readonly string[]): void {
+    const fingerprints = this.clear(subjects);
+    if (fingerprints.length > 0) this.opts.send({ type: RelayMessageType.ranWhole, fingerprints });
+  }
+
+  /** Logs changes of the suspicion against a segment, and tells the requests in progress. */
+  private updateSuspicion(fingerprint: string): void {
+    if (!isSegmentFingerprint(fingerprint)) return;
+    const nowMs = this.opts.clock.steadyMs();
+    const suspected = this.table.suspectedWith(nowMs, fingerprint);
+    const before = this.suspected.get(fingerprint) ?? '';
+    if (suspected.join() === before) return;
+    if (suspected.length === 0) {
+      this.suspected.delete(fingerprint);
+      this.opts.logger.warn('segment-accepted', { fingerprint });
+      return;
+    }
+    this.suspected.set(fingerprint, suspected.join());
+    this.opts.logger.warn('segment-refused', { fingerprint, together: suspected });
+    this.opts.metrics.count('relay_segments_refused_total', {});
+    [...this.watches]
+      .filter(({ request }) => request.segments.includes(fingerprint) && this.isRefused(request))
+      .forEach(({ onRefused }) => onRefused());
+  }
+
+  /** Clears the incidents of requests and segments; returns those that had any. */
+  private clear(fingerprints: readonly string[]): string[] {
     const nowMs = this.opts.clock.steadyMs();
     const cleared = fingerprints.filter(
-      (fingerprint) => this.table.noteCompleted(nowMs, fingerprint) >= minCount,
+      (fingerprint) => this.table.noteCompleted(nowMs, fingerprint) > 0,
     );
     cleared.forEach((fingerprint) => {
       this.opts.logger.debug('request-cleared', { fingerprint: shortFingerprint(fingerprint) });
+      this.updateSuspicion(fingerprint);
     });
     return cleared;
   }
@@ -200,8 +290,10 @@
     if (!this.table.note(nowMs, incident, ageMs)) return false;
     const incidents = this.table.count(nowMs, incident.fingerprint);
     const fields = { ...fieldsOf(incident), toldBy: source, incidents };
-    if (source === LOCAL || incidents >= MIN_SHARED_INCIDENTS) logger.info('incident', fields);
+    const isLogged = source === LOCAL || this.table.isShared(incident.fingerprint);
+    if (isLogged) logger.info('incident', fields);
     metrics.count('relay_incidents_total', { verdict: 'open' });
+    this.updateSuspicion(incident.fingerprint);
     return true;
   }
 }
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -6,6 +6,7 @@
  */
 import { z } from 'zod';
 import { successorTermSchema, leaseSchema } from '../../decisions/leases/index.js';
+import { segmentRunSchema } from '../../decisions/suspects/index.js';
 
 export const RelayMessageType = {
   report: 'report',
@@ -102,6 +103,7 @@
   fingerprint: z.string(),
   serverId: z.string(),
   bornMs: z.number(),
+  run: segmentRunSchema.optional(),
   ageMs: z.number().nonnegative(),
 });
 
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -74,6 +74,7 @@
     steward?: StewardTask;
   } = {};
   const isSteward = () => lateBound.lease !== undefined && lateBound.lease.fence() > 0;
+  const isStewardConnected = () => lateBound.link?.isStewardConnected === true;
   const storeWatcher = new StoreWatcherTask({
     wire,
     store,
@@ -88,10 +89,10 @@
     logger: logger.child('incidents'),
     metrics,
     send: (message) => lateBound.link?.send(message) === true,
+    mayProbe: () => isSteward() || !isStewardConnected(),
   });
   const retries = new RetryWindow(relay.retries, clock.steadyMs());
   const connections = new ConnectionPool();
-  const isStewardConnected = () => lateBound.link?.isStewardConnected === true;
   const throttling = new ThrottlingTask({
     clock,
     logger: logger.child('throttling'),
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -290,6 +290,7 @@
     expect(next).toEqual({
       type: AttemptEnd.broken,
       reason: 'response belongs to another request',
+      connectionLost: false,
     });
   });
 });
