Do not take a stream without length for complete before its first event

Reported by other operators: a stream breaks off, and the next server's response makes it look complete. One form did, with two tests that failed before: a server writes the head of a stream without length or chunks and closes; its end was taken for the end of the answer, and counted as proof that the prompt is sound. Such a stream has to have an event now; otherwise it was broken off.

--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -185,15 +185,21 @@
   fail: (reason: string) => void,
   settle: (result: AttemptResult) => void,
 ): void {
-  const conn = isFramed(res) ? { wasReset: false } : watchReset(res);
+  const framed = isFramed(res);
+  const conn = framed ? { wasReset: false } : watchReset(res);
+  let hasEvents = false;
+  // The end of a connection without any event looks the same whether the server has finished or not.
+  const isComplete = () =>
+    res.complete && !conn.wasReset && sink.isComplete() && (framed || hasEvents);
   res.on('data', (bytes: Buffer) => {
     const written = sink.write(bytes);
+    hasEvents ||= written === WriteResult.event;
     // Bytes that complete no event, such as keep-alive comments, do not reset the idle time.
     if (written === WriteResult.event) idleDetector?.noteActivity();
     if (written === WriteResult.refused) fail('events out of order or event too long');
   });
   res.on('end', () => {
-    if (res.complete && !conn.wasReset && sink.isComplete()) settle({ type: AttemptEnd.streamed });
+    if (isComplete()) settle({ type: AttemptEnd.streamed });
     else settle(lost('event stream ended prematurely'));
   });
   res.on('error', (err) => settle(lost(err.message)));
--- /dev/null
+++ b/test/units/relay/broken-stream.test.ts
@@ -0,0 +1,211 @@
+/** What the caller of a stream receives when its server breaks off, and what the next one responds. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import { afterEach, describe, expect, test } from 'vitest';
+import * as platform from '../../../platform/index.js';
+import * as https from '../../../src/core/http/index.js';
+import { RetrySafety, type Route } from '../../../src/decisions/fleet-plan/index.js';
+import { RetryWindow } from '../../../src/decisions/retries/index.js';
+import type { RelayContext } from '../../../src/entry/relay/context.js';
+import { Exchange } from '../../../src/entry/relay/exchange.js';
+import type { RoutedRequest } from '../../../src/entry/relay/routed-request.js';
+
+const ID = 'request-1';
+/** Window of the retry budget; an entry VM that was just started has none for this time. */
+const WINDOW_MS = 10_000;
+const HEAD = `HTTP/1.1 200 OK\r\nAttempt-Id: ${ID}\r\nResponse-Seal: s\r\n`;
+const STREAM_HEAD = `${HEAD}Content-Type: text/event-stream\r\n`;
+const event = (id: number) => `id: ${id}\ndata: x\n\n`;
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+/** Last chunk of a complete chunked response. */
+const LAST_CHUNK = '0\r\n\r\n';
+
+const ROUTE = {
+  name: 'drafts',
+  retrySafety: RetrySafety.stream,
+  resumable: true,
+  objectiveMs: 400,
+  timeoutMs: 4_000,
+  callerTimeoutMs: 2_000,
+  attempts: 2,
+  priority: 1,
+} as unknown as Route;
+
+const servers: (net.Server | http.Server)[] = [];
+
+afterEach(() => {
+  servers.splice(0).forEach((server) => server.close());
+});
+
+/** Starts a backend server that writes `response` to each request and closes the connection. */
+async function startBackend(response: string): Promise<string> {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => socket.end(response));
+  });
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+}
+
+/** A relay that sends the attempts of a request to the servers at `addresses` in turn. */
+function relayTo(addresses: readonly string[]): RelayContext {
+  const left = [...addresses];
+  const nothing = () => undefined;
+  const retries = new RetryWindow({ ratio: 0.2, windowMs: WINDOW_MS, slack: 52 }, -2 * WINDOW_MS);
+  retries.noteMembers(1);
+  return {
+    wire: platform.createWire(),
+    retries,
+    incidents: {
+      isRefused: () => false,
+      watch: () => nothing,
+      noteCutOff: nothing,
+      noteCompleted: nothing,
+      noteSound: nothing,
+    },
+    throttling: { noteSent: nothing, noteResponse: nothing },
+    clock: { steadyMs: () => performance.now() },
+    dispatcher: {
+      place: async () => {
+        const address = left.shift();
+        if (address === undefined) return { run: null, retryAfterMs: 100 };
+        const server = { id: address, address };
+        return {
+          run: { server, service: 'drafting', model: 'm', adapter: null },
+          retryAfterMs: null,
+        };
+      },
+      cancel: nothing,
+      placeQueued: nothing,
+    },
+    view: {
+      ended: nothing,
+      candidates: () => [],
+      noteNotLoaded: nothing,
+      health: {
+        noteAnswer: nothing,
+        noteFailure: nothing,
+        noteDataReceived: nothing,
+        noteConnectFailure: nothing,
+        lastReceivedAtMs: () => 0,
+      },
+    },
+    connections: { agentFor: () => new http.Agent() },
+    metrics: { count: nothing, time: nothing },
+    defaultRetryAfterMs: 1_000,
+    hasFreshKeys: () => true,
+    isStopping: () => false,
+    recordModelUse: nothing,
+    log: nothing,
+    sendLocalResponse: (res: http.ServerResponse, _id: string, failure: { status: number }) => {
+      res.writeHead(failure.status, { 'Content-Length': 0 });
+      res.end();
+    },
+  } as unknown as RelayContext;
+}
+
+/** All bytes that a caller receives whose request goes to servers with these responses in turn. */
+async function receive(responses: readonly string[]): Promise<string> {
+  const addresses = await Promise.all(responses.map(startBackend));
+  const relay = relayTo(addresses);
+  const front = http.createServer((req, res) => {
+    const request = {
+      req,
+      res,
+      metadata: {
+        id: ID,
+        deadlineMs: 4_000,
+        key: null,
+        model: 'm',
+        adapter: null,
+        tokens: null,
+        promptSegments: [],
+        lastEventId: null,
+      },
+      plan: { services: new Map() },
+      route: ROUTE,
+      service: 'drafting',
+      customer: null,
+      body: Buffer.alloc(0),
+      arrivedAtMs: performance.now(),
+    } as unknown as RoutedRequest;
+    void new Exchange(relay, request).serve();
+  });
+  servers.push(front);
+  const [host, port] = (await https.listen(front, '127.0.0.1:0')).split(':');
+  return new Promise((resolve) => {
+    const socket = net.connect(Number(port), host);
+    let received = '';
+    socket.on('data', (bytes) => {
+      received += bytes.toString();
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => resolve(received));
+    socket.write(
+      'POST /drafts HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n',
+    );
+  });
+}
+
+const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
+/** A stream that breaks off after its first event, inside the second one. */
+const BROKEN_OFF = `${STREAM_HEAD}${CHUNKED}${chunk(`${event(1)}id: 2\nda`)}`;
+
+describe('a stream that broke off', () => {
+  const ERRORS: readonly (readonly [string, string])[] = [
+    ['an error', `HTTP/1.1 500 Bad\r\nAttempt-Id: ${ID}\r\nContent-Length: 5\r\n\r\nerror`],
+    [
+      'a signed error',
+      `HTTP/1.1 500 Bad\r\nAttempt-Id: ${ID}\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\nerror`,
+    ],
+    ['an unknown path', `HTTP/1.1 404 Not\r\nAttempt-Id: ${ID}\r\nContent-Length: 5\r\n\r\nerror`],
+    [
+      'a refusal',
+      `HTTP/1.1 503 Full\r\nAttempt-Id: ${ID}\r\nNot-Executed: 1\r\nContent-Length: 5\r\n\r\nerror`,
+    ],
+    [
+      'an error in the form of a stream',
+      `HTTP/1.1 500 Bad\r\nAttempt-Id: ${ID}\r\nContent-Type: text/event-stream\r\n${CHUNKED}${chunk(event(2))}${LAST_CHUNK}`,
+    ],
+    ['a response that is no stream', `${HEAD}Content-Length: 5\r\n\r\nerror`],
+    ['bytes that are no response', 'error error error\r\n\r\n'],
+    ['a part of a head', `${STREAM_HEAD}Transfer-Enc`],
+    ['a stream without length that ends before its first event', `${STREAM_HEAD}\r\n`],
+    ['a stream without length that ends inside an event', `${STREAM_HEAD}\r\n${event(2)}id: 3\nda`],
+  ];
+
+  test.each(ERRORS)('does not look complete when the next server sends %s', async (_name, next) => {
+    const received = await receive([BROKEN_OFF, next]);
+    expect(received).toContain(event(1));
+    expect(received).not.toContain('error');
+    expect(received).not.toContain('id: 3');
+    expect(received.match(/HTTP\/1\.1/g)).toHaveLength(1);
+    expect(received.endsWith(LAST_CHUNK)).toBe(false);
+  });
+
+  test('goes on with the next server, also one that gives no length', async () => {
+    const rest = `${event(2)}${event(3)}`;
+    const received = await receive([BROKEN_OFF, `${STREAM_HEAD}\r\n${rest}`]);
+    expect(received).toContain(event(3));
+    expect(received.endsWith(LAST_CHUNK)).toBe(true);
+  });
+});
+
+describe('a stream without length', () => {
+  test('is complete at the end of its connection', async () => {
+    const received = await receive([`${STREAM_HEAD}\r\n${event(1)}${event(2)}`]);
+    expect(received).toContain(event(2));
+    expect(received.endsWith(LAST_CHUNK)).toBe(true);
+  });
+
+  test.each([
+    ['inside an event', `${event(1)}id: 2\ndata: x\n`],
+    ['before its first event', ''],
+  ])('is not complete when it ends %s', async (_where, events) => {
+    const received = await receive([`${STREAM_HEAD}\r\n${events}`]);
+    expect(received.endsWith(LAST_CHUNK)).toBe(false);
+  });
+});
