Keep the record of incidents below the store's value limit

An incident of a segment names the segments of its run, so that 4,096 of them can exceed the megabyte that the store takes; the record would then never be written. Only the newest 1,000 are stored; long ids are hashed and at most 16 segments of a request are tracked.

--- a/src/decisions/suspects/fingerprint.ts
+++ b/src/decisions/suspects/fingerprint.ts
@@ -2,8 +2,8 @@
 import { createHash } from 'node:crypto';
 
 const SEGMENT_PREFIX = 'segment:';
-/** Longer segment ids are hashed. */
-const MAX_SEGMENT_ID_LENGTH = 64;
+/** Longer segment ids are hashed, to this length. */
+const MAX_SEGMENT_ID_LENGTH = 32;
 
 /** Whether this is the fingerprint of a prompt segment, not of a request. */
 export function isSegmentFingerprint(fingerprint: string): boolean {
@@ -23,5 +23,6 @@
 /** Fingerprint of a prompt segment, which different requests may share. */
 export function segmentFingerprint(segmentId: string): string {
   const isShort = segmentId.length <= MAX_SEGMENT_ID_LENGTH;
-  return SEGMENT_PREFIX + (isShort ? segmentId : fingerprintOf(segmentId, ''));
+  const hash = () => fingerprintOf(segmentId, '').slice(0, MAX_SEGMENT_ID_LENGTH);
+  return SEGMENT_PREFIX + (isShort ? segmentId : hash());
 }
--- a/src/decisions/suspects/request-identity.ts
+++ b/src/decisions/suspects/request-identity.ts
@@ -2,7 +2,7 @@
 import { fingerprintOf, segmentFingerprint } from './fingerprint.js';
 
 /** Maximum number of prompt segments of one request that are tracked. */
-const MAX_SEGMENTS = 32;
+const MAX_SEGMENTS = 16;
 
 export class RequestIdentity {
   /** Fingerprint of path, customer and body; the same when the caller repeats the request. */
--- a/src/entry/relay/incident-record.ts
+++ b/src/entry/relay/incident-record.ts
@@ -24,6 +24,8 @@
 const TICK_MS = 100;
 /** Minimum time between two calls for the record, ms: each call is billed. */
 const MIN_CALL_PAUSE_MS = 250;
+/** Maximum number of stored incidents, the newest; keeps the record below the store's value limit. */
+const MAX_STORED_INCIDENTS = 1_000;
 /** Interval at which a VM without a connected steward reads the record, ms. */
 const DISCONNECTED_READ_MS = 1_000;
 
@@ -124,11 +126,17 @@
     const { isStewardConnected, incidents, isSteward } = this.opts;
     if (!isSteward() && isStewardConnected()) return false;
     if (incidents.sharedVersion === this.storedSharedVersion) return false;
-    const isSame = keysOf(incidents.shared()) === this.storedKeys;
+    const isSame = keysOf(this.incidentsToStore()) === this.storedKeys;
     if (isSame) this.storedSharedVersion = incidents.sharedVersion;
     return !isSame;
   }
 
+  private incidentsToStore(): readonly AgedIncident[] {
+    return [...this.opts.incidents.shared()]
+      .sort((a, b) => a.ageMs - b.ageMs)
+      .slice(0, MAX_STORED_INCIDENTS);
+  }
+
   private async call(nowMs: number, make: () => Promise<void>): Promise<void> {
     this.calling = true;
     this.calledAtMs = nowMs;
@@ -165,7 +173,7 @@
   private async write(): Promise<void> {
     const { incidents, logger, store, unixMs } = this.opts;
     const { sharedVersion } = incidents;
-    const shared = incidents.shared();
+    const shared = this.incidentsToStore();
     const nowUnixMs = unixMs();
     const record = {
       incidents: shared.map(({ ageMs, ...incident }) => ({
--- a/test/units/relay/incident-record.test.ts
+++ b/test/units/relay/incident-record.test.ts
@@ -1,6 +1,11 @@
 /** The record of incidents in the platform's store, which survives the exit of all entry VMs. */
 import { describe, expect, test } from 'vitest';
-import { IncidentTable, type Incident } from '../../../src/decisions/suspects/index.js';
+import {
+  IncidentTable,
+  type Incident,
+  RunProgress,
+  segmentFingerprint,
+} from '../../../src/decisions/suspects/index.js';
 import { IncidentRecordTask, INCIDENTS_KEY } from '../../../src/entry/relay/incident-record.js';
 import {
   PlatformOutcome,
@@ -180,6 +185,27 @@
     expect(store.servers).toEqual([]);
   });
 
+  test('stays below the value limit of the store and keeps the newest incidents', async () => {
+    const store = new FakeStore();
+    const steward = createVm(store, { steward: true, connected: true });
+    const segmentsOf = (at: number) =>
+      Array.from({ length: 16 }, (_, index) =>
+        segmentFingerprint(`${index}-${at}`.padEnd(32, 'x')),
+      );
+    Array.from({ length: 3_000 }, (_, at) => {
+      const run = { request: `r${at}`, segments: segmentsOf(at), progress: RunProgress.begun };
+      const noted = { fingerprint: segmentFingerprint(`s${at}`), serverId: `s${at}`, bornMs: 1 };
+      return steward.table.note(at, { ...noted, run });
+    });
+    await steward.steps(10);
+    expect(JSON.stringify(store.object?.value).length).toBeLessThan(1_048_576);
+    expect(store.servers).toContain('s2999');
+    expect(store.servers).not.toContain('s0');
+    const { calls } = store;
+    await steward.steps(10);
+    expect(store.calls).toBe(calls);
+  });
+
   test('replaces a record that cannot be decoded', async () => {
     const store = new FakeStore();
     store.object = { version: 3, value: 'nonsense' };
