--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -456,6 +456,7 @@
     this.ctx.log('refused', this.request.metadata.id, {
       reason: def.name,
       fingerprint: shortFingerprint(this.identity.broad),
+      segments: def === errors.data.PromptBlocked ? this.identity.segments : undefined,
       retryAfterMs,
       customer: this.request.customer?.name,
       ...fields,
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -18,6 +18,8 @@
 /** Statuses that guarantee that the request was not executed and will not be. */
 const NOT_EXECUTED_STATUSES: readonly number[] = [408, 421, 429, 503];
 const DEADLINE_MS = 3_000;
+/** Prompt segments of all streams, besides one of their own. */
+const SHARED_SEGMENTS = ['base:100', 'subject:60'];
 
 export const KEY = 'soak-key';
 export const CUSTOMER = 'acme';
@@ -71,6 +73,14 @@
     await this.call(vm.callers, id, RequestKind.lookup, '', name);
   }
 
+  /** Sends a stream of its own whose prompt has a segment that crashes its server. */
+  async sendCrashingSegment(vm: SoakVm, segment: string, model: string): Promise<void> {
+    this.sent += 1;
+    const id = `r${this.sent}`;
+    this.vmOfCrashingRequest.set(id, vm);
+    await this.call(vm.callers, id, RequestKind.stream, model, null, [`${segment}:40`]);
+  }
+
   /** Violations of the guarantees, from the observations of both callers and servers. */
   violations(): readonly string[] {
     const runsOf = (id: string) => this.observations.runs.get(id) ?? 0;
@@ -92,7 +102,7 @@
       .filter(({ late }) => late > MAX_LATE_ARRIVALS)
       .map(
         ({ name, late }) =>
-          `BUDGET: ${name} reached servers ${late} times too late after its third crash`,
+          `BUDGET: ${name} reached servers ${late} times too late after its last allowed crash`,
       );
     return [
       ...this.observations.violations,
@@ -124,7 +134,9 @@
     kind: RequestKind,
     model: string,
     crashName: string | null = null,
+    segments: readonly string[] = [],
   ): Promise<number | null> {
+    const prompt = [...SHARED_SEGMENTS, ...segments, `own-${id}:20`].join();
     try {
       const { statusCode, headers, body } = await undici.request(`http://${address}/${kind}/x`, {
         dispatcher: this.agent,
@@ -134,7 +146,9 @@
           'attempt-id': id,
           authorization: `Bearer ${KEY}`,
           'deadline-ms': String(DEADLINE_MS),
-          ...(kind === RequestKind.stream ? { model, 'token-count': '20,20' } : {}),
+          ...(kind === RequestKind.stream
+            ? { model, 'token-count': '20,20', 'prompt-prefix': prompt }
+            : {}),
           ...(crashName === null ? {} : { [CRASH_HEADER]: crashName }),
         },
         body: `body of ${crashName ?? id}`,
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -1,7 +1,7 @@
 /** Faults that the soak test injects; random choices are drawn from the seed. */
 import * as clocks from '../../src/core/clock/index.js';
 import type { Random } from '../../src/core/random/index.js';
-import type { SoakEngine } from './engine.js';
+import { CRASHING_SEGMENT_PREFIX, type SoakEngine } from './engine.js';
 import { type SoakStore, StoreMode } from './store.js';
 import type { SoakVm } from './vms.js';
 
@@ -14,6 +14,8 @@
   changeConfig(): void;
   /** Sends a request that crashes its server to one VM. */
   sendCrashing(vm: SoakVm, name: string): Promise<void>;
+  /** Sends a request with a prompt segment that crashes its server to one VM. */
+  sendCrashingSegment(vm: SoakVm, segment: string): Promise<void>;
 }
 
 /** Injects a fault and resolves once it is over. */
@@ -86,5 +88,12 @@
       await clocks.sleep(CRASHING_INTERVAL_MS);
     }
   },
+  crashingSegment: async ({ vms, sendCrashingSegment }, random) => {
+    const segment = `${CRASHING_SEGMENT_PREFIX}${Math.floor(random.real() * 1_000_000)}`;
+    for (let at = 0; at < CRASHING_REQUESTS; at += 1) {
+      void sendCrashingSegment(pick(vms, random), segment);
+      await clocks.sleep(CRASHING_INTERVAL_MS);
+    }
+  },
   configChange: async ({ changeConfig }) => changeConfig(),
 };
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -148,7 +148,16 @@
     vms.forEach((vm) => vm.start());
     await Promise.all(vms.map((vm) => vm.waitUntilReady()));
     const sendCrashing = (vm: SoakVm, name: string) => this.callers.sendCrashing(vm, name);
-    this.fleet = { store: this.store, engines, vms, changeConfig, sendCrashing };
+    const sendCrashingSegment = (vm: SoakVm, segment: string) =>
+      this.callers.sendCrashingSegment(vm, segment, MODELS[0] ?? '');
+    this.fleet = {
+      store: this.store,
+      engines,
+      vms,
+      changeConfig,
+      sendCrashing,
+      sendCrashingSegment,
+    };
   }
 
   /** Injects `faults` faults, which may overlap, and returns their names. */
