Refuse chat completions with a message that crashes the engines which run it

The same class of fault in the product's own interface: a request was suspected by its own fingerprint only, so that chat completions which share a message (a system prompt, say) crashed engines without end. Messages but the last are the segments of such a prompt. Crashes are verified there, so each counts like a run that had begun; peers are told the segments with the crash, later ones too, and only the steward of a data centre probes. Prompts without messages have no segments: open.

--- a/src/core/messages/types.ts
+++ b/src/core/messages/types.ts
@@ -142,6 +142,8 @@
     ranMs: z.number(),
     /** Time since the crash, ms. */
     agoMs: z.number().default(0),
+    /** Fingerprints of the prompt's segments that may have caused the crash. */
+    segments: z.array(z.string()).default([]),
   }),
 ] as const;
 
--- a/src/decisions/suspects/index.ts
+++ b/src/decisions/suspects/index.ts
@@ -7,8 +7,9 @@
  * crash to each other.
  */
 
-export { RequestIdentity } from './request-identity.js';
+export { RequestIdentity, sharedSegments } from './request-identity.js';
 export { IncidentTable, reportKey, type ResolvedIncidents } from './incident-table.js';
+export { CrashSegments } from './crash-segments.js';
 export * from './fingerprint.js';
 export * from './types.js';
 
@@ -28,6 +29,8 @@
   readonly ranMs: number;
   /** Time since the crash, ms. */
   readonly agoMs: number;
+  /** Fingerprints of the prompt's shared segments, unless the response shows that they are sound. */
+  readonly segments: readonly string[];
 }
 
 interface SuspectRecord {
@@ -63,7 +66,13 @@
     this.expire(nowMs);
     return [...this.records].flatMap(([fingerprint, { crashedAtMs }]) =>
       [...crashedAtMs].flatMap(([engineId, times]) =>
-        times.map((atMs) => ({ fingerprint, engineId, ranMs: 0, agoMs: nowMs - atMs })),
+        times.map((atMs) => ({
+          fingerprint,
+          engineId,
+          ranMs: 0,
+          agoMs: nowMs - atMs,
+          segments: [],
+        })),
       ),
     );
   }
--- a/src/decisions/suspects/request-identity.ts
+++ b/src/decisions/suspects/request-identity.ts
@@ -4,6 +4,15 @@
 /** Maximum number of prompt segments of one request that are tracked. */
 const MAX_SEGMENTS = 16;
 
+/**
+ * Fingerprints of the segments of a prompt that other requests may share.
+ * @param promptSegments Ids of the prompt's segments; the last one belongs to the request alone.
+ */
+export function sharedSegments(promptSegments: readonly string[]): readonly string[] {
+  const shared = promptSegments.slice(0, -1).slice(0, MAX_SEGMENTS);
+  return [...new Set(shared.map(segmentFingerprint))];
+}
+
 export class RequestIdentity {
   /** Fingerprint of path, customer and body; the same when the caller repeats the request. */
   readonly broad: string;
@@ -15,7 +24,7 @@
 
   /**
    * @param describeHeaders Returns the request's significant headers; called only when needed.
-   * @param promptSegments Ids of the prompt's segments; the last one belongs to the request alone.
+   * @param promptSegments Ids of the prompt's segments, as for `sharedSegments`.
    */
   constructor(
     target: string,
@@ -24,8 +33,7 @@
     promptSegments: readonly string[] = [],
   ) {
     this.broad = fingerprintOf(target, body);
-    const shared = promptSegments.slice(0, -1).slice(0, MAX_SEGMENTS);
-    this.segments = [...new Set(shared.map(segmentFingerprint))];
+    this.segments = sharedSegments(promptSegments);
   }
 
   /**
--- a/src/entry/dispatch/index.ts
+++ b/src/entry/dispatch/index.ts
@@ -12,7 +12,7 @@
 import * as fairQueue from '../../decisions/fair-queue/index.js';
 import * as placement from '../../decisions/placement/index.js';
 import * as routing from '../../decisions/routing/index.js';
-import { type EngineCrash, SuspectTable } from '../../decisions/suspects/index.js';
+import { CrashSegments, type EngineCrash, SuspectTable } from '../../decisions/suspects/index.js';
 import type { LoadsUpdate, RoutesUpdate } from '../inventory/index.js';
 import type { Inbound, Peers } from '../peers/index.js';
 import { loadingDataCentres } from './loading-data-centres.js';
@@ -45,6 +45,8 @@
   readonly connected: Channel<string>;
   currentCatalog(): Catalog | null;
   readonly maxQueue: number;
+  /** Whether this entry VM may probe refused segments: only the steward of a data centre may. */
+  mayProbe(): boolean;
   readonly clock: Clock;
   readonly random: Random;
   readonly metrics: Metrics;
@@ -57,6 +59,10 @@
   resolve(dispatched: Dispatched): void;
 }
 
+function crashMessage(crash: EngineCrash): messages.PeerMessageOf<'death'> {
+  return { type: messages.PeerMessageType.death, ...crash, segments: [...crash.segments] };
+}
+
 export class DispatchTask implements Task, Dispatcher {
   readonly name = 'dispatch';
 
@@ -68,6 +74,8 @@
 
   private readonly suspects = new SuspectTable();
 
+  private readonly crashSegments = new CrashSegments();
+
   private readonly drainEstimator = new DrainEstimator();
 
   private readonly engines = new Map<string, routing.EngineRoute>();
@@ -92,7 +100,7 @@
     // Peers send known crashes to a VM as soon as it connects, possibly before this task starts.
     deps.inbox.subscribe(({ message }) => {
       if (message.type !== messages.PeerMessageType.death) return;
-      this.suspects.note(deps.clock.nowMs(), message);
+      this.noteCrash(message);
     });
   }
 
@@ -155,13 +163,19 @@
   }
 
   reportCrash(crash: EngineCrash): void {
-    this.suspects.note(this.deps.clock.nowMs(), crash);
-    this.deps.peers.sendAll({ type: messages.PeerMessageType.death, ...crash });
+    this.noteCrash(crash);
+    this.deps.peers.sendAll(crashMessage(crash));
     this.deps.metrics.count('engine_deaths', { engine: crash.engineId });
   }
 
-  noteCompleted(fingerprint: string): void {
+  noteCompleted(fingerprint: string, segments: readonly string[]): void {
     this.suspects.clear(fingerprint);
+    this.crashSegments.noteCompleted(this.deps.clock.nowMs(), segments);
+  }
+
+  promptBlockedForMs(segments: readonly string[]): number | null {
+    const { clock, mayProbe } = this.deps;
+    return this.crashSegments.refusedForMs(clock.nowMs(), segments, mayProbe());
   }
 
   blockedForMs(fingerprint: string): number | null {
@@ -171,10 +185,20 @@
       : null;
   }
 
+  private noteCrash(crash: EngineCrash): void {
+    const nowMs = this.deps.clock.nowMs();
+    this.suspects.note(nowMs, crash);
+    this.crashSegments.note(nowMs, crash);
+  }
+
   /** Sends known crashes to a newly connected peer, which may have started after them. */
   private sendCrashes(address: string): void {
-    this.suspects.knownCrashes(this.deps.clock.nowMs()).forEach((crash) => {
-      this.deps.peers.sendTo(address, { type: messages.PeerMessageType.death, ...crash });
+    const nowMs = this.deps.clock.nowMs();
+    const crashes = [this.suspects, this.crashSegments].flatMap((known) => [
+      ...known.knownCrashes(nowMs),
+    ]);
+    crashes.forEach((crash) => {
+      this.deps.peers.sendTo(address, crashMessage(crash));
     });
   }
 
--- a/src/entry/dispatch/types.ts
+++ b/src/entry/dispatch/types.ts
@@ -43,8 +43,13 @@
   release(req: DispatchRequest, engine: EngineRoute, outcome: EngineOutcome): void;
   /** Records that an engine crashed while running the request, and notifies the peers. */
   reportCrash(crash: EngineCrash): void;
-  /** Records that the request ran to completion, so that it is no longer a suspect. */
-  noteCompleted(fingerprint: string): void;
+  /** Records that the request ran to completion: neither it nor its segments are suspects. */
+  noteCompleted(fingerprint: string, segments: readonly string[]): void;
   /** Time until a request that crashed too many engines may be retried, ms; null for all others. */
   blockedForMs(fingerprint: string): number | null;
+  /**
+   * Time until requests with these prompt segments may be retried, ms; null unless other requests
+   * with them crashed too many engines.
+   */
+  promptBlockedForMs(segments: readonly string[]): number | null;
 }
--- a/src/entry/gateway/model-handler.ts
+++ b/src/entry/gateway/model-handler.ts
@@ -140,6 +140,10 @@
       const ranStatus = executed === 0 ? errors.Ran.no : errors.Ran.unknown;
       const blockedMs = this.deps.dispatcher.blockedForMs(fingerprint);
       if (blockedMs !== null) return this.suspectRefusal(job, ranStatus, blockedMs);
+      const promptBlockedMs = this.deps.dispatcher.promptBlockedForMs(job.request.segments);
+      if (promptBlockedMs !== null) {
+        return this.suspectRefusal(job, ranStatus, promptBlockedMs, errors.data.PromptBlocked);
+      }
       ctx.phase = RequestPhase.waiting;
       const avoid = failures.map(({ engineId }) => engineId);
       const dispatch = this.dispatchRequest(job, tokens, avoid);
@@ -186,7 +190,7 @@
     try {
       await this.stream(job, dispatch.id, engine);
       this.deps.dispatcher.release(dispatch, engine, EngineOutcome.healthy);
-      this.deps.dispatcher.noteCompleted(fingerprint);
+      this.deps.dispatcher.noteCompleted(fingerprint, job.request.segments);
       job.response.finish();
       this.deps.traces.note(ctx.id, 'whole', { tokens: job.response.tokens });
       this.deps.retries.earn(job.target.retryRatio);
@@ -255,7 +259,7 @@
    * cut off the stream still holds it.
    */
   private async reportIfCrashed(
-    { fingerprint, target }: Job,
+    { fingerprint, target, request, response }: Job,
     { address, engineId }: EngineRoute,
     startedAtMs: number,
   ): Promise<boolean> {
@@ -264,7 +268,8 @@
       report.isOk && report.value.replicas.some((replica) => replica.target === target.name);
     if (holdsReplica) return false;
     const ranMs = this.deps.clock.nowMs() - startedAtMs;
-    this.deps.dispatcher.reportCrash({ fingerprint, engineId, ranMs, agoMs: 0 });
+    const segments = response.tokens === 0 ? request.segments : [];
+    this.deps.dispatcher.reportCrash({ fingerprint, engineId, ranMs, agoMs: 0, segments });
     return true;
   }
 
@@ -287,12 +292,13 @@
     return { failure, ran, retryAfterMs: RETRY_AFTER_FAILURE_MS };
   }
 
-  private suspectRefusal({ target }: Job, ran: errors.Ran, retryAfterMs: number): Refusal {
-    const failure = errors.createFailure(
-      errors.data.RequestSuspected,
-      'check request',
-      target.name,
-    );
+  private suspectRefusal(
+    { target }: Job,
+    ran: errors.Ran,
+    retryAfterMs: number,
+    reason: errors.ErrorDefinition = errors.data.RequestSuspected,
+  ): Refusal {
+    const failure = errors.createFailure(reason, 'check request', target.name);
     return { failure, ran, retryAfterMs };
   }
 }
--- a/src/entry/gateway/model-request.ts
+++ b/src/entry/gateway/model-request.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod';
 import * as errors from '../../core/errors/index.js';
 import { formatIssues } from '../../core/settings/index.js';
+import { fingerprintOf, sharedSegments } from '../../decisions/suspects/index.js';
 import { createRefusal } from './reply.js';
 import type { Refusal } from './types.js';
 
@@ -31,6 +32,12 @@
   readonly promptTokens: number;
   /** Prefix by which requests are routed to the same engine; null for short prompts. */
   readonly prefixKey: string | null;
+  /** Fingerprints of the messages that other requests may share; empty without messages. */
+  readonly segments: readonly string[];
+}
+
+function segmentsOf(messages: readonly z.infer<typeof message>[]): readonly string[] {
+  return sharedSegments(messages.map(({ role, content }) => fingerprintOf(role, content)));
 }
 
 export function parseModelRequest(raw: Buffer, isChat: boolean): Result<ModelRequest, Refusal> {
@@ -54,5 +61,6 @@
     prompt,
     promptTokens: Math.ceil(prompt.length / CHARS_PER_TOKEN),
     prefixKey: prompt.length >= PREFIX_CHARS ? prompt.slice(0, PREFIX_CHARS) : null,
+    segments: isChat ? segmentsOf(body.messages ?? []) : [],
   });
 }
--- a/src/entry/wire.ts
+++ b/src/entry/wire.ts
@@ -139,6 +139,7 @@
     connected,
     currentCatalog,
     maxQueue: limits.queue,
+    mayProbe: () => (peers.stewardOf(dataCentre)?.vm ?? id) === id,
     clock,
     random,
     metrics,
--- a/test/units/suspects/suspects.test.ts
+++ b/test/units/suspects/suspects.test.ts
@@ -2,7 +2,13 @@
 import { describe, expect, test } from 'vitest';
 import { SuspectTable } from '../../../src/decisions/suspects/index.js';
 
-const crash = (ranMs: number) => ({ fingerprint: 'f', engineId: 'e', ranMs, agoMs: 0 });
+const crash = (ranMs: number) => ({
+  fingerprint: 'f',
+  engineId: 'e',
+  ranMs,
+  agoMs: 0,
+  segments: [],
+});
 
 describe('the suspect table', () => {
   test('counts two reports of one crash once', () => {
