Do not refuse sound requests for segments whose crashes a more special segment explains

A request with the crashing segment took the probe of the sound ones, crashed, and so prolonged it. A suspected segment that was only in runs with another one now explains the other's incidents at the same servers, unless a begun run crashed a server without it; and a request that is refused for further segments probes none.

--- a/src/decisions/suspects/incident-table.ts
+++ b/src/decisions/suspects/incident-table.ts
@@ -222,7 +222,33 @@
   suspectedWith(nowMs: number, segment: string): readonly string[] {
     const incidents = this.segmentIncidents(nowMs, segment);
     if (!isSegmentSuspected(incidents, this.isNew(segment))) return [];
-    return companionsOf(incidents).filter((one) => this.count(nowMs, one) > 0);
+    const companions = companionsOf(incidents).filter((one) => this.count(nowMs, one) > 0);
+    const special = this.moreSpecialSuspects(nowMs, segment).filter(
+      (one) => !companions.includes(one),
+    );
+    const explained = new Set(
+      special.flatMap((one) => this.segmentIncidents(nowMs, one).map(({ serverKey: key }) => key)),
+    );
+    const unexplained = incidents.filter(({ serverKey: key }) => !explained.has(key));
+    const isAtFaultAlone =
+      isSegmentSuspected(unexplained, this.isNew(segment)) ||
+      unexplained.some(({ run }) => run.progress === RunProgress.begun);
+    return isAtFaultAlone ? companions : [...companions, ...special];
+  }
+
+  /**
+   * Suspected segments that were only in runs with this one. They explain its incidents at the same
+   * servers, since sound runs with it broke off there too.
+   */
+  private moreSpecialSuspects(nowMs: number, segment: string): readonly string[] {
+    return [...this.keysByFingerprint.keys()].filter((other) => {
+      if (other === segment || !isSegmentFingerprint(other)) return false;
+      const incidents = this.segmentIncidents(nowMs, other);
+      return (
+        isSegmentSuspected(incidents, this.isNew(other)) &&
+        companionsOf(incidents).includes(segment)
+      );
+    });
   }
 
   /**
@@ -231,8 +257,12 @@
    */
   takeProbe(nowMs: number, fingerprints: readonly string[]): boolean {
     const refused = this.refusedFor(nowMs, fingerprints);
+    // A request that is refused for further segments would crash for those, and prove nothing.
     const isDue = refused.every(
-      (one) => isSegmentFingerprint(one) && this.probeAtMs(nowMs, one) <= nowMs,
+      (one) =>
+        isSegmentFingerprint(one) &&
+        this.probeAtMs(nowMs, one) <= nowMs &&
+        this.suspectedWith(nowMs, one).length >= refused.length,
     );
     if (isDue) refused.forEach((one) => this.probed.note(one, nowMs));
     return isDue;
@@ -299,7 +329,8 @@
     return this.entriesOf(nowMs, fingerprint).flatMap(({ incident, died }) => {
       const { run } = incident;
       if (run === undefined) return [];
-      return [{ run, isConfirmed: died || this.lostServers.get(serverKey(incident)) !== null }];
+      const key = serverKey(incident);
+      return [{ run, serverKey: key, isConfirmed: died || this.lostServers.get(key) !== null }];
     });
   }
 
--- a/src/decisions/suspects/segment-evidence.ts
+++ b/src/decisions/suspects/segment-evidence.ts
@@ -33,6 +33,8 @@
 /** An interrupted run of a request with the segment. */
 export interface SegmentIncident {
   readonly run: SegmentRun;
+  /** Key of the server's process. */
+  readonly serverKey: string;
   /** Whether the server is known to have crashed. */
   readonly isConfirmed: boolean;
 }
--- a/test/units/suspects/segment-incidents.test.ts
+++ b/test/units/suspects/segment-incidents.test.ts
@@ -151,6 +151,53 @@
   });
 });
 
+describe('segments of sound requests that break off in every crash under another segment', () => {
+  /** Crashes at `count` servers, each of a run with the dead segment and of a sound one. */
+  function tableWithNeighbours(count: number): IncidentTable {
+    const table = new IncidentTable();
+    const progress = RunProgress.unclear;
+    Array.from({ length: count }, (_, at) => {
+      const crash = { atMs: at, serverId: `s${at}`, progress };
+      noteCrash(table, { ...crash, request: `sound${at}`, segments: [BASE, SUBJECT] });
+      noteCrash(table, { ...crash, request: `dead${at}`, segments: [BASE, SUBJECT, DEAD] });
+      return table;
+    });
+    return table;
+  }
+
+  test('are not refused without it', () => {
+    const table = tableWithNeighbours(6);
+    expect(table.isRefused(10, [BASE, SUBJECT, DEAD])).toBe(true);
+    expect(table.isRefused(10, [BASE, SUBJECT])).toBe(false);
+  });
+
+  test('are refused if as many servers crash without it', () => {
+    const table = tableWithNeighbours(6);
+    Array.from({ length: 5 }, (_, at) =>
+      noteCrash(table, {
+        atMs: 10 + at,
+        serverId: `t${at}`,
+        request: `t${at}`,
+        segments: [BASE, SUBJECT],
+        progress: RunProgress.unclear,
+      }),
+    );
+    expect(table.isRefused(20, [BASE, SUBJECT])).toBe(true);
+  });
+
+  test('are probed by a request without it', () => {
+    const table = tableWithNeighbours(6);
+    const begun = { request: 't', segments: [BASE, SUBJECT] };
+    [1, 2, 3].forEach((at) =>
+      noteCrash(table, { ...begun, atMs: 10, serverId: `t${at}`, request: `t${at}` }),
+    );
+    const laterMs = 600_000 - 1_000;
+    expect(table.isRefused(laterMs, [BASE, SUBJECT])).toBe(true);
+    expect(table.takeProbe(laterMs, [BASE, SUBJECT, DEAD])).toBe(false);
+    expect(table.takeProbe(laterMs, [BASE, SUBJECT])).toBe(true);
+  });
+});
+
 describe('a segment that was proven before', () => {
   test('is refused after three requests', () => {
     const table = createTable();
