--- a/src/decisions/suspects/incident-table.ts
+++ b/src/decisions/suspects/incident-table.ts
@@ -178,7 +178,10 @@
     return keys.length >= MIN_SHARED_INCIDENTS || keys.some(isBegun);
   }
 
-  /** Records that a request ran to completion, or that a segment is sound; returns the number of incidents that this clears. */
+  /**
+   * Records that a request ran to completion, or that a segment is sound; returns the number of
+   * incidents that this clears.
+   */
   noteCompleted(nowMs: number, fingerprint: string): number {
     this.completionsOf(fingerprint).note(fingerprint, nowMs);
     if (isSegmentFingerprint(fingerprint)) this.proofs += 1;
@@ -242,7 +245,8 @@
    */
   private moreSpecialSuspects(nowMs: number, segment: string): readonly string[] {
     return [...this.keysByFingerprint.keys()].filter((other) => {
-      if (other === segment || !isSegmentFingerprint(other)) return false;
+      const isSingle = this.keysByFingerprint.get(other)?.size === 1;
+      if (other === segment || isSingle || !isSegmentFingerprint(other)) return false;
       const incidents = this.segmentIncidents(nowMs, other);
       return (
         isSegmentSuspected(incidents, this.isNew(other)) &&
@@ -308,7 +312,8 @@
   }
 
   /**
-   * Whether a request with a new segment was itself begun by a server that then crashed. Most likely it is at fault, and another crash would not tell whether the segment is.
+   * Whether a request with a new segment was itself begun by a server that then crashed. Most likely
+   * it is at fault, and another crash would not tell whether the segment is.
    */
   private isRepeated(nowMs: number, segment: string, fingerprints: readonly string[]): boolean {
     if (!this.isNew(segment)) return false;
