--- a/src/decisions/suspects/incident-table.ts
+++ b/src/decisions/suspects/incident-table.ts
@@ -47,6 +47,8 @@
 const MIN_PROOFS = 20;
 /** Maximum number of server processes that are known to have closed connections. */
 const MAX_LOST_SERVERS = 1_024;
+/** Maximum number of segments whose last probe is kept. */
+const MAX_PROBED = 1_024;
 /** Lower bound on the Retry-After time of a refused request. */
 const MIN_RETRY_AFTER_MS = 1_000;
 
@@ -131,7 +133,7 @@
   private readonly lostServers = new RecentTimes(MAX_LOST_SERVERS);
 
   /** When refused segments were last probed. */
-  private readonly probed = new RecentTimes(MAX_LOST_SERVERS);
+  private readonly probed = new RecentTimes(MAX_PROBED);
 
   /** Number of times that a segment was proven to be sound. */
   private proofs = 0;
