--- a/src/decisions/backend-list/index.ts
+++ b/src/decisions/backend-list/index.ts
@@ -51,6 +51,11 @@
     return this.missingIds;
   }
 
+  /** Whether a newer entry of the server has been seen. */
+  isOutdated(id: string, revision: number): boolean {
+    return revision < (this.newestRevision.get(id) ?? 0);
+  }
+
   /** Starts the grace period after the store was unreachable. */
   startGracePeriod(nowMs: number): void {
     this.graceUntilMs = nowMs + REREGISTRATION_MS;
@@ -108,7 +113,7 @@
   }
 
   private applyEntry(nowMs: number, { id, revision, server, deleted }: ListedEntry): void {
-    if (revision < (this.newestRevision.get(id) ?? 0)) return;
+    if (this.isOutdated(id, revision)) return;
     this.newestRevision.set(id, revision);
     if (deleted) {
       this.remove(nowMs, id);
--- a/src/entry/relay/store-watcher.ts
+++ b/src/entry/relay/store-watcher.ts
@@ -71,6 +71,9 @@
 
   private failures = 0;
 
+  /** Highest era of the store that a call has shown; -1 before the first call. */
+  private era = -1;
+
   private stopped = false;
 
   constructor(
@@ -164,6 +167,7 @@
     if (this.failures >= STORE_LOST_FAILURES)
       this.opts.logger.info('store-back', { kind: this.kind });
     this.failures = 0;
+    this.logAnswer(answer);
     // Discards the answer: the steward has confirmed a newer revision in the meantime.
     if (!this.isCurrent(answer.revision)) return MIN_RETRY_MS;
     if (sentAtMs - this.confirmedAtMs > OUTAGE_MS + WATCH_MS) this.noteOutage();
@@ -173,6 +177,18 @@
     return answer.items.length > 0 && since !== null ? CHANGE_PAUSE_MS : 0;
   }
 
+  /** Logs a restore of the store and the objects of an answer that is older than the copy. */
+  private logAnswer({ era, revision, items }: Extract<FeedResult<FeedEvent>, { era: number }>) {
+    const { kind } = this;
+    if (era > this.era && this.era >= 0) {
+      this.opts.logger.warn('store-restored', { kind, era, revision, known: this.revision });
+    }
+    this.era = Math.max(this.era, era);
+    if (this.isCurrent(revision)) return;
+    const names = items.map(({ name }) => name);
+    this.opts.logger.info('answer-dropped', { kind, era, revision, known: this.revision, names });
+  }
+
   /** Whether a confirmation is overdue, as after failed calls. The next call returns at once. */
   private isOverdue(nowMs: number): boolean {
     return nowMs - this.confirmedAtMs > WATCH_MS * 1.5;
@@ -345,7 +361,12 @@
       .filter(({ name, deleted }) => name === this.opts.wire.planName && !deleted)
       .sort((a, b) => a.revision - b.revision)
       .at(-1);
-    if (newest === undefined || newest.revision <= this.currentPlanRevision) return;
+    if (newest === undefined) return;
+    if (newest.revision <= this.currentPlanRevision) {
+      const { revision } = newest;
+      this.opts.logger.info('plan-dropped', { revision, known: this.currentPlanRevision });
+      return;
+    }
     this.currentPlanRevision = newest.revision;
     this.planValue = newest.value;
     const plan = this.opts.wire.decodePlan(newest.value);
@@ -375,6 +396,10 @@
       server: item.deleted ? null : this.opts.wire.decodeBackend(item.name, item.value),
       deleted: item.deleted,
     }));
+    const dropped = decoded.filter(({ id, revision }) => this.list.isOutdated(id, revision));
+    if (dropped.length > 0) {
+      this.opts.logger.info('entries-dropped', { servers: dropped.map(({ id }) => id) });
+    }
     if (this.list.applyEntries(nowMs, decoded, whole)) this.noteListChanged('store');
   }
 
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -93,6 +93,8 @@
 export type FeedResult<T> =
   | {
       readonly type: typeof FeedOutcome.ok;
+      /** Number of the store's restores from a copy; 0 if the store does not tell. */
+      readonly era: number;
       readonly revision: number;
       readonly items: readonly T[];
     }
