--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -31,12 +31,20 @@
   readonly deleted: boolean;
 }
 
+/** What a store holds at one moment. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly objects: ReadonlyMap<string, StoredObject>;
+}
+
 interface StoreResponse {
   readonly status: number;
   readonly body: unknown;
 }
 
 const SLOW_RESPONSE_MS = 300;
+/** Kinds of objects that the operator and the backend servers write. */
+const FOREIGN_KINDS: ReadonlySet<string> = new Set(['config', 'servers']);
 /** Key of the object that holds the lease. */
 const STEWARD_LEASE = 'bilberrystand/steward';
 const OBJECT_PATH = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?$/;
@@ -49,6 +57,9 @@
 
   private revision = 1;
 
+  /** Increases by one when the store returns from a copy. */
+  private era = 1;
+
   private readonly objects = new Map<string, StoredObject>();
 
   private history: Change[] = [];
@@ -100,6 +111,34 @@
     this.notifyWatchers();
   }
 
+  copy(): StoreCopy {
+    return { revision: this.revision, objects: new Map(this.objects) };
+  }
+
+  /** Returns from a copy: later writes are lost, and their revisions are assigned again. */
+  restore({ revision, objects }: StoreCopy): void {
+    this.era += 1;
+    this.revision = revision;
+    this.objects.clear();
+    objects.forEach((object, key) => this.objects.set(key, object));
+    this.history = this.history.filter((change) => change.revision <= revision);
+    this.compactedRevision = Math.min(this.compactedRevision, revision);
+    this.notifyWatchers();
+  }
+
+  /** Writes again what other writers than the entry VMs had stored before a restore. */
+  rewrite({ objects }: StoreCopy): void {
+    const isForeign = (key: string) => FOREIGN_KINDS.has(key.split('/')[0] ?? '');
+    const changed = ([key, { spec }]: [string, StoredObject]) =>
+      JSON.stringify(this.objects.get(key)?.spec) !== JSON.stringify(spec);
+    [...objects]
+      .filter((entry) => isForeign(entry[0]) && changed(entry))
+      .forEach(([, { kind, metadata, spec }]) => this.put(kind, metadata.name, spec));
+    [...this.objects]
+      .filter(([key]) => isForeign(key) && !objects.has(key))
+      .forEach(([, { kind, metadata }]) => this.remove(kind, metadata.name));
+  }
+
   /** Rejects all calls for an object; `key` is KIND/NAME. */
   rejectCallsFor(key: string): void {
     this.refused.add(key);
@@ -140,7 +179,7 @@
     const { mode } = this;
     if (mode === StoreMode.silent) return;
     if (mode === StoreMode.busy) {
-      res.writeHead(503).end();
+      res.writeHead(503, this.eraHeader()).end();
       return;
     }
     const parts: Buffer[] = [];
@@ -156,7 +195,13 @@
       req.socket.destroy();
       return;
     }
-    res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+    res
+      .writeHead(status, { 'content-type': 'application/json', ...this.eraHeader() })
+      .end(JSON.stringify(body));
+  }
+
+  private eraHeader(): Readonly<Record<string, string>> {
+    return { 'store-era': String(this.era) };
   }
 
   private async process(req: http.IncomingMessage, text: string): Promise<StoreResponse> {
@@ -191,10 +236,10 @@
     const untilMs = performance.now() + waitMs;
     const events = () =>
       this.history.filter((change) => change.kind === kind && change.revision > since);
-    const isOver = () =>
-      since < this.compactedRevision || events().length > 0 || performance.now() >= untilMs;
+    const isGone = () => since < this.compactedRevision || since > this.revision;
+    const isOver = () => isGone() || events().length > 0 || performance.now() >= untilMs;
     while (!isOver()) await this.waitForChange(untilMs);
-    if (since < this.compactedRevision) return { status: 410, body: {} };
+    if (isGone()) return { status: 410, body: {} };
     return { status: 200, body: { events: events(), current_rev: this.revision } };
   }
 
