Write the record of incidents again after the store has lost it

The writer compared the record with what it had stored itself, so that a record that the store had lost was not written until another incident came. The record is read and compared again when a call shows a new era.

--- a/src/entry/relay/incident-record.ts
+++ b/src/entry/relay/incident-record.ts
@@ -16,6 +16,7 @@
   reportKey,
   segmentRunSchema,
 } from '../../decisions/suspects/index.js';
+import * as storeVersions from '../../decisions/store-versions/index.js';
 import { PlatformOutcome } from '../platform/index.js';
 import type { SharedIncidents } from './incident-publisher.js';
 import type { RelayStore } from './types.js';
@@ -43,7 +44,7 @@
 });
 
 export interface IncidentRecordOptions {
-  readonly store: Pick<RelayStore, 'read' | 'write'>;
+  readonly store: Pick<RelayStore, 'read' | 'write' | 'era'>;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly incidents: SharedIncidents & {
@@ -103,6 +104,7 @@
   /** Reads or writes the record if either is due, with at most one store call. */
   async tick(): Promise<void> {
     const nowMs = this.opts.clock.steadyMs();
+    this.noteEra();
     if (this.calling || nowMs - this.calledAtMs < MIN_CALL_PAUSE_MS) return;
     const isChanged = this.hasRead && this.isChanged();
     if (isChanged && this.version !== null) await this.call(nowMs, () => this.write());
@@ -111,6 +113,15 @@
     }
   }
 
+  /** Makes the record be read and compared again after the store has returned from a copy. */
+  private noteEra(): void {
+    const { era } = this.opts.store;
+    if (this.version === null || storeVersions.eraOf(this.version) >= era) return;
+    this.version = null;
+    this.storedKeys = '';
+    this.storedSharedVersion = -1;
+  }
+
   private isDisconnectedReadDue(nowMs: number): boolean {
     const { isStewardConnected, incidents, isSteward } = this.opts;
     return (
--- a/test/units/relay/incident-record.test.ts
+++ b/test/units/relay/incident-record.test.ts
@@ -24,6 +24,8 @@
 });
 
 class FakeStore {
+  readonly era = 0;
+
   object: StoredObject | null = null;
 
   calls = 0;
