Log the software version of servers that streams are resumed at, and decode which attempt began a stream

The lines of a VM told neither the version of a server nor whether a request takes a stream up, so that the hypotheses could not be told apart.

--- a/src/decisions/backend-list/index.ts
+++ b/src/decisions/backend-list/index.ts
@@ -212,6 +212,7 @@
       old.bornMs === bornMs &&
       old.address === server.address &&
       old.service === server.service &&
+      old.version === server.version &&
       old.leaving === server.leaving &&
       old.slots === server.slots;
     this.known.set(id, { server: same ? old : server, fromSteward: true });
--- a/src/decisions/fleet-plan/types.ts
+++ b/src/decisions/fleet-plan/types.ts
@@ -123,6 +123,8 @@
   readonly service: string;
   readonly address: string;
   readonly dataCentre: string;
+  /** Version of its software; empty if it names none. */
+  readonly version: string;
   readonly leaving: boolean;
   readonly slots: number;
   /** Number of engine orders that the server has accepted since its start. */
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -270,6 +270,7 @@
     this.isProbe = false;
     const resumeAfter =
       this.streaming && this.splitter.lastId !== null ? String(this.splitter.lastId) : null;
+    this.logResumption(run);
     this.ctx.throttling.noteSent(run.server);
     const result = await send(
       this.ctx.wire,
@@ -309,6 +310,14 @@
     return result;
   }
 
+  /** Logs a stream that goes on at another server, or that its caller takes up again. */
+  private logResumption(run: Run): void {
+    const { metadata } = this.request;
+    if (!this.streaming && metadata.lastEventId === null) return;
+    const { id: server, version } = run.server;
+    this.ctx.log('resumed', metadata.id, { server, version, begunBy: metadata.begunBy });
+  }
+
   /** Connections that a server of the service accepts. */
   private maxConnections(): number {
     const { plan, service } = this.request;
@@ -459,6 +468,7 @@
       segments: def === errors.data.PromptBlocked ? this.identity.segments : undefined,
       retryAfterMs,
       customer: this.request.customer?.name,
+      isTakeUp: this.request.metadata.lastEventId !== null,
       ...fields,
       model: this.request.metadata.model,
       adapter: this.request.metadata.adapter,
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -74,6 +74,8 @@
   service: z.string(),
   address: z.string(),
   dataCentre: z.string(),
+  /** Version of its software; empty if it names none. */
+  version: z.string().default(''),
   /** Whether the server is draining. */
   leaving: z.boolean(),
   slots: z.number(),
--- a/src/entry/relay/server-list-publisher.ts
+++ b/src/entry/relay/server-list-publisher.ts
@@ -29,8 +29,8 @@
 type SentList = ReadonlyMap<string, SentServer>;
 
 function toEntry(server: BackendServer, isMissing: boolean): SentServer {
-  const { id, service, address, dataCentre, leaving, slots, bornMs } = server;
-  const listed = { id, service, address, dataCentre, leaving, slots, bornMs, isMissing };
+  const { id, service, address, dataCentre, version, leaving, slots, bornMs } = server;
+  const listed = { id, service, address, dataCentre, version, leaving, slots, bornMs, isMissing };
   return { server: listed, text: JSON.stringify(listed) };
 }
 
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -22,6 +22,8 @@
   readonly promptSegments: readonly string[];
   /** Id of the last event that the caller received in an earlier attempt; null for a new stream. */
   readonly lastEventId: string | null;
+  /** Id of the attempt that brought the stream's first event; null if the caller names none. */
+  readonly begunBy: string | null;
 }
 
 /** Values of the headers that the relay sets on a request to a backend server. */
--- a/test/units/backend-list/backend-list.test.ts
+++ b/test/units/backend-list/backend-list.test.ts
@@ -10,6 +10,7 @@
     service: 'desk',
     address: '10.0.0.1:80',
     dataCentre: 'a',
+    version: 'v1',
     leaving: false,
     slots: 4,
     orderCount: 0,
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -39,6 +39,7 @@
     service: 'desk',
     address: `127.0.0.1:${port}`,
     dataCentre: 'a',
+    version: 'v1',
     leaving: false,
     slots: 4,
     orderCount: 0,
--- a/test/units/relay/backend-server.ts
+++ b/test/units/relay/backend-server.ts
@@ -10,6 +10,7 @@
     service: 'drafting',
     address: '10.0.0.1:80',
     dataCentre: 'a',
+    version: 'v1',
     leaving: false,
     slots: 8,
     orderCount: 0,
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -35,6 +35,7 @@
       tokens: null,
       promptSegments: [],
       lastEventId: null,
+      begunBy: null,
     },
     plan: { services: new Map() } as unknown as RoutedRequest['plan'],
     route: ROUTE,
--- a/test/units/relay/store-watcher.test.ts
+++ b/test/units/relay/store-watcher.test.ts
@@ -75,6 +75,7 @@
   service: 'drafting',
   address: '10.0.0.1:80',
   dataCentre: 'a',
+  version: 'v1',
   leaving: false,
   slots: 8,
   bornMs: 1_000,
