--- /dev/null
+++ b/test/failures/software-versions.test.ts
@@ -0,0 +1,174 @@
+/** Streams while the servers of a service run two software versions, over real processes. */
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import { afterAll, afterEach, beforeAll, describe, expect, test } from 'vitest';
+import * as undici from 'undici';
+import * as clocks from '../../src/core/clock/index.js';
+import { bundle } from '../../src/lab/fleet/bundle.js';
+import { isKnownRed } from '../known-red.js';
+import { KEY } from '../soak/callers.js';
+import { STREAM_EVENTS } from '../soak/engine.js';
+import { RelayFleet } from '../soak/relay-fleet.js';
+import type { SoakVm } from '../soak/vms.js';
+
+const STREAMS = 24;
+const DEADLINE_MS = 6_000;
+/** Streams take about a second, so that they can be interrupted. */
+const SLOWDOWN = 10;
+const MID_STREAM_MS = 550;
+
+/** What the caller of a stream has received. */
+interface Received {
+  readonly id: string;
+  readonly status: number | null;
+  /** Software versions of the events, in order. */
+  readonly versions: readonly string[];
+  /** Id of the attempt that brought the first event; null before it. */
+  readonly begunBy: string | null;
+  readonly isWhole: boolean;
+}
+
+const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bilberrystand-versions-'));
+const program = path.join(folder, 'bilberrystand.cjs');
+const agent = new undici.Agent({ connections: 64, pipelining: 1 });
+let attempts = 0;
+
+async function startFleet(): Promise<RelayFleet> {
+  const fleet = await RelayFleet.start(program, {
+    vms: 3,
+    servers: 8,
+    crash: {},
+    models: ['m0'],
+    // Both versions in both data centres.
+    versions: ['v1', 'v1', 'v2', 'v2'],
+    durationMs: 1,
+  });
+  fleet.engines.forEach((engine) => engine.slowDown(60_000, SLOWDOWN));
+  return fleet;
+}
+
+/** Sends a stream, or takes up an interrupted one; resolves with all that its caller then has. */
+async function stream(vm: SoakVm, before?: Received): Promise<Received> {
+  attempts += 1;
+  const id = `v${attempts}`;
+  const begun = before?.versions ?? [];
+  let text = '';
+  let status: number | null = null;
+  let isWhole = false;
+  try {
+    const res = await undici.request(`http://${vm.callers}/stream/x`, {
+      dispatcher: agent,
+      method: 'POST',
+      headers: {
+        host: 'soak.example',
+        'attempt-id': id,
+        authorization: `Bearer ${KEY}`,
+        'deadline-ms': String(DEADLINE_MS),
+        model: 'm0',
+        'token-count': '20,20',
+        ...(begun.length === 0 ? {} : { 'last-event-id': String(begun.length) }),
+        ...(before?.begunBy == null ? {} : { resumes: before.begunBy }),
+      },
+      body: 'stream',
+    });
+    status = res.statusCode;
+    res.body.setEncoding('utf8');
+    for await (const part of res.body) text += String(part);
+    isWhole = status === 200;
+  } catch {
+    // The stream was interrupted.
+  }
+  const events = [...text.matchAll(/^data: \S+ \d+ (\S+)\n\n/gm)].map(
+    ([, version = '']) => version,
+  );
+  const versions = [...begun, ...(status === 200 ? events : [])];
+  const begunBy = before?.begunBy ?? (versions.length > 0 ? id : null);
+  return { id, status, versions, begunBy, isWhole: isWhole && versions.length === STREAM_EVENTS };
+}
+
+function joinedFromTwo(streams: readonly Received[]): readonly Received[] {
+  return streams.filter(({ versions }) => new Set(versions).size > 1);
+}
+
+/** Takes interrupted streams up at VMs in turn, as their callers do: at most three times. */
+async function takeUp(vms: readonly SoakVm[], interrupted: readonly Received[]) {
+  return Promise.all(
+    interrupted.map(async (received, at) => {
+      let last = received;
+      for (let tries = 0; tries < 3 && !last.isWhole; tries += 1) {
+        last = await stream(vms[(at + tries) % vms.length] as SoakVm, last);
+        if (!last.isWhole) await clocks.sleep(300);
+      }
+      return last;
+    }),
+  );
+}
+
+beforeAll(() => bundle(program));
+
+let fleet: RelayFleet | null = null;
+
+afterEach(async () => {
+  await fleet?.stop();
+  fleet = null;
+});
+
+afterAll(async () => {
+  await agent.destroy();
+  fs.rmSync(folder, { recursive: true, force: true });
+});
+
+describe('a stream that breaks off while servers of two versions serve', () => {
+  const crashed = 'goes on at a server of its version after its server has crashed';
+  test.skipIf(isKnownRed(crashed))(crashed, async () => {
+    fleet = await startFleet();
+    const { vms, engines } = fleet;
+    const streams = Array.from({ length: STREAMS }, (_, at) =>
+      stream(vms[at % vms.length] as SoakVm),
+    );
+    await clocks.sleep(MID_STREAM_MS);
+    engines.slice(0, 2).forEach((engine) => engine.retire());
+    const received = await Promise.all(streams);
+    expect(joinedFromTwo(received)).toEqual([]);
+    expect(received.filter(({ isWhole }) => isWhole).length).toBeGreaterThanOrEqual(STREAMS / 2);
+  });
+
+  const killed = 'is taken up at a server of its version after its VM was killed';
+  test.skipIf(isKnownRed(killed))(killed, async () => {
+    fleet = await startFleet();
+    const { vms } = fleet;
+    const streams = Array.from({ length: STREAMS }, () => stream(vms[0] as SoakVm));
+    await clocks.sleep(MID_STREAM_MS);
+    await vms[0]?.terminate('SIGKILL');
+    const interrupted = (await Promise.all(streams)).filter(({ versions }) => versions.length > 0);
+    expect(interrupted.length).toBeGreaterThanOrEqual(STREAMS / 2);
+    const received = await takeUp(vms.slice(1), interrupted);
+    expect(joinedFromTwo(received)).toEqual([]);
+    const whole = received.filter(({ isWhole }) => isWhole).length;
+    expect(whole).toBeGreaterThanOrEqual(interrupted.length / 2);
+  });
+
+  const lost = 'is taken up at a server of its version after all VMs were killed';
+  test.skipIf(isKnownRed(lost))(lost, async () => {
+    fleet = await startFleet();
+    const { vms } = fleet;
+    // As in steady state, the streams began at different times before the kill.
+    const streams = Array.from({ length: STREAMS }, async (_, at) => {
+      await clocks.sleep(at * 25);
+      return stream(vms[at % vms.length] as SoakVm);
+    });
+    await clocks.sleep(MID_STREAM_MS + 450);
+    await Promise.all(vms.map((vm) => vm.terminate('SIGKILL')));
+    const interrupted = (await Promise.all(streams)).filter(
+      ({ versions, isWhole }) => versions.length > 0 && !isWhole,
+    );
+    vms.forEach((vm) => vm.start());
+    await Promise.all(vms.map((vm) => vm.waitUntilReady()));
+    expect(interrupted.length).toBeGreaterThanOrEqual(STREAMS / 4);
+    const received = await takeUp(vms, interrupted);
+    expect(joinedFromTwo(received)).toEqual([]);
+    const whole = received.filter(({ isWhole }) => isWhole).length;
+    expect(whole).toBeGreaterThanOrEqual(interrupted.length / 2);
+  });
+});
--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -22,6 +22,7 @@
 export const CRASHING_SEGMENT_PREFIX = 'dead';
 /** Events that a stream sends before its server crashes. */
 const EVENTS_BEFORE_CRASH = 2;
+export const DEFAULT_VERSION = 'v1';
 export const MODEL_MB = 10;
 /** Adapters that an engine can hold, over all of its models. */
 export const ADAPTER_SLOTS = 8;
@@ -33,6 +34,8 @@
   readonly slots: number;
   readonly memoryMb: number;
   readonly models: readonly string[];
+  /** Version of its software, by default `DEFAULT_VERSION`; any other one is named in each event. */
+  readonly version?: string;
   /** By default, `HEARTBEAT_MS` and `REGISTRATION_EXPIRY_MS`. */
   readonly registration?: RegistrationTimes;
   /** Without it, crashing requests run normally. */
@@ -307,7 +310,7 @@
       service: this.spec.service,
       address: this.address,
       zone: this.spec.dataCentre,
-      version: 'v1',
+      version: this.spec.version ?? DEFAULT_VERSION,
       engine_slots: this.spec.slots,
       state: 'ready',
       ...this.state(),
@@ -504,7 +507,8 @@
       while (this.isUnresponsive) await clocks.sleep(EVENT_INTERVAL_MS);
       if (incarnation !== this.incarnation || res.destroyed) return;
       if (this.dropsResponses && at === STREAM_EVENTS / 2) res.socket?.resetAndDestroy();
-      res.write(`id: ${at}\ndata: ${id} ${at}\n\n`);
+      const { version } = this.spec;
+      res.write(`id: ${at}\ndata: ${id} ${at}${version === undefined ? '' : ` ${version}`}\n\n`);
     }
     res.end();
   }
--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -40,6 +40,8 @@
   readonly crash: Partial<CrashRule>;
   /** Models of the service; none for a plain service. Each server has one of them loaded. */
   readonly models?: readonly string[];
+  /** Software versions that the servers have in turn; none for servers of one version. */
+  readonly versions?: readonly string[];
   /** Time for which requests are sent repeatedly, ms. */
   readonly durationMs: number;
   readonly times?: VmTimes;
@@ -265,7 +267,11 @@
     this.sendUntilMs = performance.now() + opts.durationMs;
   }
 
-  private addServer(name: string, at: number, { crash, models = [] }: RelayFleetOptions): void {
+  private addServer(
+    name: string,
+    at: number,
+    { crash, models = [], versions = [] }: RelayFleetOptions,
+  ): void {
     const spec = {
       name,
       service: 'desk',
@@ -274,6 +280,7 @@
       memoryMb: MEMORY_MB,
       models: models.filter((_, index) => index % models.length === at % models.length),
       registration: REGISTRATION_TIMES,
+      version: versions[at % versions.length],
       crash: { ...DEFAULT_CRASH, ...crash },
     };
     this.engines.push(new SoakEngine(spec, this.store, this.observations));
