Resume streams only at the software version that began them

Callers got streams whose first part one software version had written and the rest another. Within an answer, the rest of a broken stream was placed like a new request; a stream that its caller took up at another VM was one, as `Resumes` was not read. One cause for both: the version of a stream was kept nowhere.

A stream is bound to the version of the server that sent its first event; the queue and the choice of a server know it. Where no server of that version accepts requests, the answer ends at once, and a take-up is refused ("not run"). Each VM notes which version began which attempt. While several versions have served a service within 30 s, VMs tell the steward of newly begun streams each 25 ms, which passes them on and stores them each 500 ms at most; a VM reads that record before it is ready. While one version serves, nothing is sent or stored, and a stream that nobody knows goes on at that version. A take-up of a stream that may have begun at two is refused after 300 ms.

--- a/src/core/errors/errors-data.ts
+++ b/src/core/errors/errors-data.ts
@@ -72,6 +72,20 @@
   message: (detail) => `The request cannot be served before its deadline: ${detail}.`,
   hint: 'Retry after the time in Retry-After.',
 };
+export const StreamVersionUnknown: ErrorDefinition = {
+  name: 'StreamVersionUnknown',
+  title: 'It is not known which software version began the stream.',
+  status: 503,
+  message: () => 'The stream cannot be resumed: the version that began it is not known here.',
+  hint: 'Send the request as a new stream; see stream-record in the logs.',
+};
+export const StreamVersionGone: ErrorDefinition = {
+  name: 'StreamVersionGone',
+  title: 'No server has the software version that began the stream.',
+  status: 503,
+  message: () => 'The stream cannot be resumed: no server of its version accepts requests.',
+  hint: 'Send the request as a new stream.',
+};
 export const BackendFailed: ErrorDefinition = {
   name: 'BackendFailed',
   title: 'The backend server failed.',
--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -16,6 +16,8 @@
   readonly service: string;
   readonly model: string | null;
   readonly adapter: string | null;
+  /** Software version of the servers that may run it; null for any. Set when a stream begins. */
+  version: string | null;
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly arrivedAtMs: number;
--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -192,7 +192,7 @@
       this.sendRefusal(res, metadata?.id ?? null, checked as Refusal);
       return;
     }
-    const service = pickTarget(checked.route.targets, this.opts.random.real());
+    const service = this.pickService(checked.route, metadata);
     if (service === undefined) {
       this.sendRefusal(res, metadata.id, refusal(errors.data.NoCapacity, UNREADY_RETRY_MS));
       return;
@@ -208,6 +208,15 @@
     }).serve();
   }
 
+  /** A stream that its caller takes up goes to the service that began it. */
+  private pickService({ targets }: Route, metadata: RequestMetadata): string | undefined {
+    const { ctx, random } = this.opts;
+    const begunAt =
+      metadata.lastEventId === null ? undefined : ctx.streams.serviceOf(metadata.begunBy);
+    if (begunAt === undefined) return pickTarget(targets, random.real());
+    return targets.find(({ service }) => service === begunAt)?.service;
+  }
+
   /** Finds the route and customer of a request, or the reason to refuse it. */
   private check(
     req: http.IncomingMessage,
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -11,6 +11,7 @@
 import type { Dispatcher } from './dispatch.js';
 import type { FleetView } from './fleet-view.js';
 import type { Incidents } from './incidents.js';
+import type { StreamVersionsTask } from './stream-versions.js';
 import type { ThrottlingTask } from './throttling.js';
 import type { PlatformWire } from './types.js';
 
@@ -22,6 +23,7 @@
   readonly connections: ConnectionPool;
   readonly retries: RetryWindow;
   readonly incidents: Incidents;
+  readonly streams: Pick<StreamVersionsTask, 'noteBegun' | 'serviceOf' | 'versionFor'>;
   readonly throttling: Pick<ThrottlingTask, 'noteResponse' | 'noteSent'>;
   readonly clock: Clock;
   readonly metrics: Metrics;
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -27,6 +27,8 @@
 const LOGGED_WAIT_FRACTION = 0.25;
 /** Time for which a request that may run only once continues after its deadline, ms. */
 const OUTCOME_WAIT_MS = 2_000;
+/** Last event id of a caller that has received no event. */
+const NO_EVENT_ID = '0';
 /** Backend servers accept urgencies from 0 to 9. */
 const LOWEST_URGENCY = 9;
 /** Expected time to the first byte of a request without a prompt, ms. */
@@ -49,6 +51,7 @@
     service,
     model: metadata.model,
     adapter: metadata.adapter,
+    version: null,
     priority: customer?.priority ?? route.priority,
     arrivedAtMs,
     objectiveAtMs: arrivedAtMs + route.objectiveMs,
@@ -139,6 +142,7 @@
     const unwatch = this.ctx.incidents.watch(this.identity, () => this.handleRefused());
     try {
       if (this.refuseIfSuspected()) return;
+      if (!(await this.pinVersion())) return;
       if (!(await this.admit())) return;
       await this.run();
     } finally {
@@ -177,13 +181,21 @@
   }
 
   private noteEvent(nowMs: number): void {
-    const { progress } = this;
+    const { progress, current } = this;
+    if (progress.firstEventAtMs === null && current !== null) this.noteBegun(current.run);
     progress.firstEventAtMs ??= nowMs;
     if (progress.isSound || nowMs - progress.firstEventAtMs < SOUND_STREAM_MS) return;
     progress.isSound = true;
     this.ctx.incidents.noteSound(this.identity);
   }
 
+  /** Binds the stream to the version of the server that has sent an event of it. */
+  private noteBegun({ server }: Run): void {
+    const { metadata } = this.request;
+    Object.assign(this.queuedRequest, { version: server.version });
+    this.ctx.streams.noteBegun(metadata.begunBy ?? metadata.id, server);
+  }
+
   /** Refuses a request that is suspected of crashing backend servers; true if it was refused. */
   private refuseIfSuspected(): boolean {
     const { incidents } = this.ctx;
@@ -201,6 +213,30 @@
     this.reject(incidents.retryAfterMs(this.identity), reason);
   }
 
+  /** Whether the caller takes up a stream of which it has events. */
+  private get isTakeUp(): boolean {
+    const { route, metadata } = this.request;
+    const { lastEventId } = metadata;
+    const isStream = route.retrySafety === RetrySafety.stream;
+    return isStream && lastEventId !== null && lastEventId !== NO_EVENT_ID;
+  }
+
+  /** Restricts a stream that its caller takes up to the version that began it; false if refused. */
+  private async pinVersion(): Promise<boolean> {
+    if (!this.isTakeUp) return true;
+    const { metadata, service } = this.request;
+    const version = await this.ctx.streams.versionFor(metadata.begunBy, service);
+    Object.assign(this.queuedRequest, { version });
+    if (version === null) this.refuse(errors.data.StreamVersionUnknown, null);
+    else if (this.isVersionGone()) this.refuse(errors.data.StreamVersionGone, null);
+    return !this.ended;
+  }
+
+  /** Whether no server can continue the stream, as none of its version accepts requests. */
+  private isVersionGone(): boolean {
+    return this.queuedRequest.version !== null && !this.ctx.view.hasServers(this.queuedRequest);
+  }
+
   private async admit(): Promise<boolean> {
     const { customer, metadata, route } = this.request;
     if (customer === null) return true;
@@ -226,6 +262,10 @@
     this.ctx.retries.noteRequest(this.ctx.clock.steadyMs(), service);
     if (metadata.model !== null) this.ctx.recordModelUse(metadata.model);
     while (!this.ended) {
+      if (this.isVersionGone()) {
+        this.reject(null, errors.data.StreamVersionGone);
+        return;
+      }
       const placement = await this.ctx.dispatcher.place(this.queuedRequest, this.retryPolicy.tried);
       if (this.ended) {
         if (placement.run !== null) this.ctx.view.ended(placement.run);
@@ -313,7 +353,7 @@
   /** Logs a stream that goes on at another server, or that its caller takes up again. */
   private logResumption(run: Run): void {
     const { metadata } = this.request;
-    if (!this.streaming && metadata.lastEventId === null) return;
+    if (!this.streaming && !this.isTakeUp) return;
     const { id: server, version } = run.server;
     this.ctx.log('resumed', metadata.id, { server, version, begunBy: metadata.begunBy });
   }
@@ -468,7 +508,7 @@
       segments: def === errors.data.PromptBlocked ? this.identity.segments : undefined,
       retryAfterMs,
       customer: this.request.customer?.name,
-      isTakeUp: this.request.metadata.lastEventId !== null,
+      isTakeUp: this.isTakeUp,
       ...fields,
       model: this.request.metadata.model,
       adapter: this.request.metadata.adapter,
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -22,6 +22,12 @@
   readonly service: string;
   readonly model: string | null;
   readonly adapter: string | null;
+  /** Software version that the server must have; null or undefined for any. */
+  readonly version?: string | null;
+}
+
+function hasVersion(server: BackendServer, { version }: Need): boolean {
+  return version == null || server.version === version;
 }
 
 /** A request running on a server. */
@@ -105,18 +111,26 @@
   }
 
   /** Whether any server that is not draining has loaded the model that the request needs. */
-  isLoaded({ service, model }: Need): boolean {
+  isLoaded({ service, model, version }: Need): boolean {
     const nowMs = this.clock.steadyMs();
     const isConnected = this.isStewardConnected();
-    const need = { service, model, adapter: null };
+    const need = { service, model, adapter: null, version };
     return [...this.storeWatcher.backends.values()].some(
       (server) =>
         server.service === service &&
         !server.leaving &&
+        hasVersion(server, need) &&
         this.hasLoaded(nowMs, server, need, isConnected),
     );
   }
 
+  /** Whether any server that is not draining has the version that the request needs. */
+  hasServers(need: Need): boolean {
+    return [...this.storeWatcher.backends.values()].some(
+      (server) => server.service === need.service && !server.leaving && hasVersion(server, need),
+    );
+  }
+
   /** Earliest expected end of a load of the needed model, ms; null if unknown. */
   readyAtMs(need: Need): number | null {
     const ends = this.loads
@@ -181,6 +195,7 @@
       (server) =>
         server.service === need.service &&
         !server.leaving &&
+        hasVersion(server, need) &&
         this.hasLoaded(nowMs, server, need, isConnected),
     );
     const peers = eligible.map(({ id }) => id);
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -25,6 +25,7 @@
   permitRequest: 'permit-request',
   permits: 'permits',
   permitReturn: 'permit-return',
+  streams: 'streams',
 } as const;
 
 /** An entry VM's share of a customer's rate limit, and the customer's demand at this VM. */
@@ -117,6 +118,14 @@
   ageMs: z.number().nonnegative(),
 });
 
+/** A stream that a server has begun; see `BegunStream`. */
+const begunStreamSchema = z.object({
+  id: z.string(),
+  service: z.string(),
+  version: z.string(),
+  ageMs: z.number().nonnegative(),
+});
+
 const schemas = [
   /** State of an entry VM: its rate shares, running requests and queued requests. */
   z.object({
@@ -242,6 +251,8 @@
     serverId: z.string(),
     permits: z.int().positive(),
   }),
+  /** Newly begun streams; sent both ways, and only while servers of several versions serve. */
+  z.object({ type: z.literal(RelayMessageType.streams), streams: z.array(begunStreamSchema) }),
 ] as const;
 
 export const relayMessageSchema = z.discriminatedUnion('type', schemas);
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -21,6 +21,7 @@
 import { IncidentPublisher } from './incident-publisher.js';
 import type { IncidentTask } from './incidents.js';
 import { PermitService } from './permit-service.js';
+import type { StreamVersionsTask } from './stream-versions.js';
 import type { ThrottlingTask } from './throttling.js';
 import type { LateRenewal, LeaseTask } from './lease-task.js';
 import {
@@ -90,6 +91,7 @@
   readonly storeWatcher: StoreWatcherTask;
   readonly incidents: IncidentTask;
   readonly throttling: ThrottlingTask;
+  readonly streams: StreamVersionsTask;
   readonly lease: LeaseTask;
   /** Duration of a lease from its renewal, ms. */
   readonly leaseMs: number;
@@ -314,6 +316,9 @@
       case RelayMessageType.lease:
         this.opts.lease.handleLeaseMessage(message, message.heirTerm);
         break;
+      case RelayMessageType.streams:
+        this.handleStreams(member, message);
+        break;
       case RelayMessageType.throttles:
         this.permitService?.handleThrottles(nowMs, member, message);
         break;
@@ -327,7 +332,16 @@
     }
   }
 
+  /** Passes on the streams that a member has begun, which also is the member of this VM. */
+  private handleStreams(member: Member, message: RelayMessageOf<'streams'>): void {
+    this.opts.streams.addReceived(message);
+    this.members.forEach((other) => {
+      if (other !== member) writeMessage(other.socket, message);
+    });
+  }
+
   private handleReport(nowMs: number, member: Member, report: RelayMessageOf<'report'>): void {
+    if (member.vm === null) this.sendAllStreams(member);
     Object.assign(member, { vm: report.vm, report, reportedAtMs: this.opts.clock.nowMs() });
     this.engineController?.addReport(nowMs, report);
     const { lender } = this;
@@ -384,6 +398,11 @@
     });
   }
 
+  private sendAllStreams({ socket }: Member): void {
+    const message = this.opts.streams.fullMessage();
+    if (message !== null) writeMessage(socket, message);
+  }
+
   private sendIncidents(member: Member): void {
     const message = member.incidents.nextMessage(this.opts.incidents);
     if (message !== null && !writeMessage(member.socket, message)) member.incidents.resendAll();
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -24,6 +24,8 @@
 import { ReporterTask } from './reporter.js';
 import { StewardTask } from './steward.js';
 import { StewardLink } from './steward-link.js';
+import { StreamRecordTask } from './stream-record.js';
+import { StreamVersionsTask } from './stream-versions.js';
 import { ThrottlingTask } from './throttling.js';
 import type { PlatformWire } from './types.js';
 
@@ -72,6 +74,7 @@
     view?: FleetView;
     link?: StewardLink;
     steward?: StewardTask;
+    streamRecord?: StreamRecordTask;
   } = {};
   const isSteward = () => lateBound.lease !== undefined && lateBound.lease.fence() > 0;
   const isStewardConnected = () => lateBound.link?.isStewardConnected === true;
@@ -101,6 +104,20 @@
     isStewardConnected,
     send: (message) => lateBound.link?.send(message) === true,
   });
+  const streams = new StreamVersionsTask({
+    clock,
+    send: (message) => lateBound.link?.send(message) === true,
+    isLoaded: () => lateBound.streamRecord?.isLoaded === true || isStewardConnected(),
+  });
+  const streamRecord = new StreamRecordTask({
+    store,
+    clock,
+    logger: logger.child('stream-record'),
+    streams,
+    isSteward,
+    unixMs: () => Date.now(),
+  });
+  lateBound.streamRecord = streamRecord;
   const record = new IncidentRecordTask({
     store,
     clock,
@@ -183,6 +200,9 @@
         throttling.handleStewardThrottles(message);
         dispatcher.placeQueued();
         break;
+      case RelayMessageType.streams:
+        streams.addReceived(message);
+        break;
       case RelayMessageType.permits:
         throttling.handlePermits(message);
         dispatcher.placeQueued();
@@ -198,6 +218,7 @@
       lateBound.reporter?.sendFullReport();
       incidents.sendAll();
       throttling.sendAll();
+      streams.sendAll();
       lateBound.steward?.sendPendingRenewal();
     },
     gone: (lost, newestFence) => lease.noteInactive(lost.fence, newestFence),
@@ -225,6 +246,7 @@
     storeWatcher,
     incidents,
     throttling,
+    streams,
     lease,
     leaseMs: settings.lease.durationMs,
     clock,
@@ -241,6 +263,7 @@
     connections,
     retries,
     incidents,
+    streams,
     throttling,
     clock,
     metrics,
@@ -268,7 +291,7 @@
     metrics,
     isReady: () =>
       !stopping &&
-      (record.isLoaded || isStewardConnected()) &&
+      ((record.isLoaded && streamRecord.isLoaded) || isStewardConnected()) &&
       storeWatcher.plan !== null &&
       storeWatcher.planAgeMs() < keyFreshnessMs,
   });
@@ -280,6 +303,7 @@
     if (backends) {
       connections.retain(storeWatcher.backends);
       throttling.retain(storeWatcher.backends);
+      streams.noteServers(storeWatcher.backends);
       incidents.resolveIncidents();
     }
     dispatcher.placeQueued();
@@ -292,6 +316,8 @@
     reporter,
     incidents,
     throttling,
+    streams,
+    streamRecord,
     record,
     callerServer,
     readiness,
--- a/test/failures/software-versions.test.ts
+++ b/test/failures/software-versions.test.ts
@@ -6,7 +6,6 @@
 import * as undici from 'undici';
 import * as clocks from '../../src/core/clock/index.js';
 import { bundle } from '../../src/lab/fleet/bundle.js';
-import { isKnownRed } from '../known-red.js';
 import { KEY } from '../soak/callers.js';
 import { STREAM_EVENTS } from '../soak/engine.js';
 import { RelayFleet } from '../soak/relay-fleet.js';
@@ -17,6 +16,8 @@
 /** Streams take about a second, so that they can be interrupted. */
 const SLOWDOWN = 10;
 const MID_STREAM_MS = 550;
+/** Time in which the VMs connect to their first steward. */
+const CONNECT_MS = 500;
 
 /** What the caller of a stream has received. */
 interface Received {
@@ -44,6 +45,8 @@
     versions: ['v1', 'v1', 'v2', 'v2'],
     durationMs: 1,
   });
+  while (fleet.store.leaseHolder() === null) await clocks.sleep(10);
+  await clocks.sleep(CONNECT_MS);
   fleet.engines.forEach((engine) => engine.slowDown(60_000, SLOWDOWN));
   return fleet;
 }
@@ -120,8 +123,7 @@
 });
 
 describe('a stream that breaks off while servers of two versions serve', () => {
-  const crashed = 'goes on at a server of its version after its server has crashed';
-  test.skipIf(isKnownRed(crashed))(crashed, async () => {
+  test('goes on at a server of its version after its server has crashed', async () => {
     fleet = await startFleet();
     const { vms, engines } = fleet;
     const streams = Array.from({ length: STREAMS }, (_, at) =>
@@ -134,8 +136,7 @@
     expect(received.filter(({ isWhole }) => isWhole).length).toBeGreaterThanOrEqual(STREAMS / 2);
   });
 
-  const killed = 'is taken up at a server of its version after its VM was killed';
-  test.skipIf(isKnownRed(killed))(killed, async () => {
+  test('is taken up at a server of its version after its VM was killed', async () => {
     fleet = await startFleet();
     const { vms } = fleet;
     const streams = Array.from({ length: STREAMS }, () => stream(vms[0] as SoakVm));
@@ -149,8 +150,7 @@
     expect(whole).toBeGreaterThanOrEqual(interrupted.length / 2);
   });
 
-  const lost = 'is taken up at a server of its version after all VMs were killed';
-  test.skipIf(isKnownRed(lost))(lost, async () => {
+  test('is taken up at a server of its version after all VMs were killed', async () => {
     fleet = await startFleet();
     const { vms } = fleet;
     // As in steady state, the streams began at different times before the kill.
--- a/test/units/platform/headers.test.ts
+++ b/test/units/platform/headers.test.ts
@@ -68,6 +68,14 @@
     });
   });
 
+  test('names the attempt that began its stream, if it does, and is still the same request', () => {
+    const takenUp = [...raw, 'Last-Event-Id', '3', 'Resumes', 'r0'];
+    expect(wire.decodeRequest(takenUp)).toMatchObject({ begunBy: 'r0', lastEventId: '3' });
+    expect(wire.decodeRequest([...raw, 'Resumes', 'not an id'])?.begunBy).toBeNull();
+    expect(wire.decodeRequest(raw)?.begunBy).toBeNull();
+    expect(wire.canonicalHeaders(takenUp)).toBe(wire.canonicalHeaders(raw));
+  });
+
   test('with a missing or duplicated id or a malformed deadline is rejected', () => {
     expect(wire.decodeRequest(['Host', 'a'])).toBeNull();
     expect(wire.decodeRequest(['Attempt-Id', 'a', 'attempt-id', 'b'])).toBeNull();
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -51,7 +51,10 @@
 }
 
 /** A relay that sends the attempts of a request to the servers at `addresses` in turn. */
-function relayTo(addresses: readonly string[]): RelayContext {
+function relayTo(
+  addresses: readonly string[],
+  hasServers: () => boolean = () => true,
+): RelayContext {
   const left = [...addresses];
   const nothing = () => undefined;
   const retries = new RetryWindow({ ratio: 0.2, windowMs: WINDOW_MS, slack: 52 }, -2 * WINDOW_MS);
@@ -67,12 +70,13 @@
       noteSound: nothing,
     },
     throttling: { noteSent: nothing, noteResponse: nothing },
+    streams: { noteBegun: nothing },
     clock: { steadyMs: () => performance.now() },
     dispatcher: {
       place: async () => {
         const address = left.shift();
         if (address === undefined) return { run: null, retryAfterMs: 100 };
-        const server = { id: address, address };
+        const server = { id: address, address, version: 'v1' };
         return {
           run: { server, service: 'drafting', model: 'm', adapter: null },
           retryAfterMs: null,
@@ -83,6 +87,7 @@
     },
     view: {
       ended: nothing,
+      hasServers,
       candidates: () => [],
       noteNotLoaded: nothing,
       health: {
@@ -108,9 +113,9 @@
 }
 
 /** All bytes that a caller receives whose request goes to servers with these responses in turn. */
-async function receive(responses: readonly string[]): Promise<string> {
+async function receive(responses: readonly string[], hasServers?: () => boolean): Promise<string> {
   const addresses = await Promise.all(responses.map(startBackend));
-  const relay = relayTo(addresses);
+  const relay = relayTo(addresses, hasServers);
   const front = http.createServer((req, res) => {
     const request = {
       req,
@@ -194,6 +199,16 @@
   });
 });
 
+describe('a stream that broke off while no other server has its software version', () => {
+  test('ends and does not look complete', async () => {
+    const rest = `${event(2)}${event(3)}`;
+    const received = await receive([BROKEN_OFF, `${STREAM_HEAD}\r\n${rest}`], () => false);
+    expect(received).toContain(event(1));
+    expect(received).not.toContain('id: 2');
+    expect(received.endsWith(LAST_CHUNK)).toBe(false);
+  });
+});
+
 describe('a stream without length', () => {
   test('is complete at the end of its connection', async () => {
     const received = await receive([`${STREAM_HEAD}\r\n${event(1)}${event(2)}`]);
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -101,3 +101,14 @@
     expect(view.candidates(NEED)).toHaveLength(1);
   });
 });
+
+describe('a stream of a software version', () => {
+  test('has only servers of that version as candidates', () => {
+    const { view } = setUp(true);
+    view.applyView(LOADED_VIEW);
+    expect(view.candidates({ ...NEED, version: SERVER.version })).toHaveLength(1);
+    expect(view.candidates({ ...NEED, version: 'v2' })).toHaveLength(0);
+    expect(view.hasServers({ ...NEED, version: 'v2' })).toBe(false);
+    expect(view.isLoaded({ ...NEED, version: 'v2' })).toBe(false);
+  });
+});
--- /dev/null
+++ b/test/units/relay/stream-record.test.ts
@@ -0,0 +1,107 @@
+/** The stored record of the software versions of recent streams. */
+import { afterEach, describe, expect, test } from 'vitest';
+import * as platform from '../../../platform/index.js';
+import * as clocks from '../../../src/core/clock/index.js';
+import { createLogger } from '../../../src/core/logger/index.js';
+import type { BackendServer } from '../../../src/decisions/fleet-plan/index.js';
+import { STREAMS_KEY, StreamRecordTask } from '../../../src/entry/relay/stream-record.js';
+import { StreamVersionsTask } from '../../../src/entry/relay/stream-versions.js';
+import { SoakStore } from '../../soak/store.js';
+import { createBackendServer } from './backend-server.js';
+
+const WAIT_MS = 5_000;
+const cleanups: (() => Promise<void>)[] = [];
+
+async function startStore() {
+  const store = new SoakStore();
+  const address = await store.start();
+  cleanups.push(async () => store.stop());
+  return { store, address };
+}
+
+async function startVm(address: string, isSteward: boolean, versions: readonly string[]) {
+  const client = platform.createWire().createStore(address, 500);
+  const streams: StreamVersionsTask = new StreamVersionsTask({
+    clock: clocks.createClock(),
+    send: () => true,
+    isLoaded: () => record.isLoaded,
+  });
+  const record: StreamRecordTask = new StreamRecordTask({
+    store: client,
+    clock: clocks.createClock(),
+    logger: createLogger('test', 'silent'),
+    streams,
+    isSteward: () => isSteward,
+    unixMs: () => Date.now(),
+  });
+  const servers = versions.map((version) => serverOf(version));
+  streams.noteServers(new Map(servers.map((server) => [server.id, server])));
+  await record.start(() => undefined);
+  cleanups.push(async () => {
+    await record.stop();
+    await client.close();
+  });
+  return { streams, record, client };
+}
+
+function serverOf(version: string): BackendServer {
+  return createBackendServer(`s-${version}`, { version });
+}
+
+async function until(isTrue: () => boolean): Promise<void> {
+  const untilMs = performance.now() + WAIT_MS;
+  while (!isTrue() && performance.now() < untilMs) await clocks.sleep(10);
+}
+
+afterEach(async () => {
+  await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+});
+
+describe('the record of the versions of streams', () => {
+  test('is not written while only one version serves', async () => {
+    const { store, address } = await startStore();
+    const { streams, record } = await startVm(address, true, ['v1']);
+    await until(() => record.isLoaded);
+    streams.noteBegun('s1', serverOf('v1'));
+    await clocks.sleep(700);
+    expect(store.copy().objects.has(STREAMS_KEY)).toBe(false);
+  });
+
+  test('tells a VM that starts later which version began a stream', async () => {
+    const { store, address } = await startStore();
+    const { streams } = await startVm(address, true, ['v1', 'v2']);
+    streams.noteBegun('s1', serverOf('v1'));
+    streams.noteBegun('s2', serverOf('v2'));
+    const isStored = () =>
+      JSON.stringify(store.copy().objects.get(STREAMS_KEY) ?? '').includes('s2');
+    await until(isStored);
+    const later = await startVm(address, false, ['v2']);
+    await until(() => later.record.isLoaded);
+    expect(await later.streams.versionFor('s1', 'drafting')).toBe('v1');
+    expect(await later.streams.versionFor('s2', 'drafting')).toBe('v2');
+    expect(await later.streams.versionFor('s3', 'drafting')).toBeNull();
+  });
+
+  test('is written again after the store has returned from a copy without it', async () => {
+    const { store, address } = await startStore();
+    const copy = store.copy();
+    const { streams, client } = await startVm(address, true, ['v1', 'v2']);
+    streams.noteBegun('s1', serverOf('v1'));
+    const isStored = () => store.copy().objects.has(STREAMS_KEY);
+    await until(isStored);
+    store.restore(copy);
+    await client.read('other/o1');
+    await until(isStored);
+    expect(isStored()).toBe(true);
+  });
+});
+
+describe('a stream that is not known', () => {
+  test('may be resumed at the only version, once the record has been read', async () => {
+    const { address } = await startStore();
+    const { streams, record } = await startVm(address, false, ['v1']);
+    await until(() => record.isLoaded);
+    expect(await streams.versionFor('s1', 'drafting')).toBe('v1');
+    expect(await streams.versionFor(null, 'drafting')).toBe('v1');
+  });
+});
--- a/test/units/wait-list/wait-list.test.ts
+++ b/test/units/wait-list/wait-list.test.ts
@@ -8,6 +8,7 @@
     service: 'drafting',
     model: 'm',
     adapter: null,
+    version: null,
     priority: 1,
     arrivedAtMs: 0,
     objectiveAtMs: 400,
