Admit resumed streams before new requests of a customer that is over its rate

The lines of refusals name the cause: RateExceeded. Rates begin at zero then, a request waits for 0.4 of its latency objective, and one whose wait is not known is refused at once.

A take-up waits for up to 0.6 of its caller's patience, tries again each 100 ms, and new requests of its customer at this VM leave it the units that become free. It is charged like any other request. Without that the new test fails.

--- a/src/entry/relay/admission.ts
+++ b/src/entry/relay/admission.ts
@@ -17,6 +17,8 @@
 const UNKNOWN_RATE_POLL_MS = 25;
 /** Retry-After while the rate share is unknown, ms: another entry VM may know its own share. */
 const UNKNOWN_RATE_RETRY_AFTER_MS = 500;
+/** Maximum pause between two attempts of a resumed stream to take units of a rate, ms. */
+const RESUME_POLL_MS = 100;
 /** Maximum pause between a refused loan and the customer's next loan request, ms. */
 const LOAN_PAUSE_MS = 50;
 
@@ -34,12 +36,17 @@
       readonly retryAfterMs: number;
     };
 
-/** Time limits of a request that waits for admission. */
+/** How a request waits for admission. */
 export interface AdmissionWaitLimits {
   /** Maximum wait for units when the rate share is known, ms. */
   readonly maxRateWaitMs: number;
   /** Time from arrival until the caller or the route times out, ms. */
   readonly timeBudgetMs: number;
+  /**
+   * Whether the request resumes a stream. It then waits as long as it may, and new requests of its
+   * customer wait for it: the customer has part of the stream already.
+   */
+  readonly isResumed?: boolean;
 }
 
 type LoanReply = RelayMessageOf<'lent'>;
@@ -63,6 +70,9 @@
 
   private readonly noLoanUntilMs = new Map<string, number>();
 
+  /** Number of resumed streams that wait for units, by customer. */
+  private readonly resuming = new Map<string, number>();
+
   private lastAskId = 0;
 
   private appliedSeq = 0;
@@ -132,18 +142,40 @@
     if (customer.ratePerS === 0) return ADMITTED;
     const { clock } = this.opts;
     this.holder.noteDemand(clock.steadyMs(), customer.name, units);
+    if (limits.isResumed === true) return this.admitResumed(customer.name, units, limits);
     const sinceMs = clock.steadyMs();
-    let result = await this.tryUntilRateKnown(customer.name, units, limits.timeBudgetMs);
+    const attempt = () => this.tryNew(customer.name, units);
+    let result = await this.tryUntilRateKnown(attempt, limits.timeBudgetMs);
     const fits = (waitMs: number) => clock.steadyMs() - sinceMs + waitMs <= limits.maxRateWaitMs;
     // Other requests may take the units while this one sleeps. This request then waits again, as
     // long as its limit allows.
     while (result.type === AdmissionType.overRate && fits(result.retryAfterMs)) {
       await clocks.sleep(Math.max(MIN_WAIT_MS, result.retryAfterMs));
-      result = await this.tryOnce(customer.name, units);
+      result = await attempt();
     }
     return result;
   }
 
+  private async admitResumed(
+    customer: string,
+    units: number,
+    limits: AdmissionWaitLimits,
+  ): Promise<AdmissionResult> {
+    const untilMs = this.opts.clock.steadyMs() + limits.maxRateWaitMs;
+    const attempt = () => this.tryOnce(customer, units);
+    this.resuming.set(customer, (this.resuming.get(customer) ?? 0) + 1);
+    try {
+      let result = await this.tryUntilRateKnown(attempt, limits.timeBudgetMs);
+      while (result.type === AdmissionType.overRate && this.opts.clock.steadyMs() < untilMs) {
+        await clocks.sleep(Math.max(MIN_WAIT_MS, Math.min(RESUME_POLL_MS, result.retryAfterMs)));
+        result = await attempt();
+      }
+      return result;
+    } finally {
+      this.resuming.set(customer, (this.resuming.get(customer) ?? 0) - 1);
+    }
+  }
+
   /** Credits back the units of a request that was not executed. */
   refund(customer: string, units: number): void {
     this.holder.refund(this.opts.clock.steadyMs(), customer, units);
@@ -151,8 +183,7 @@
 
   /** Retries until the rate share is known, as long as `shouldWaitForRate` allows. */
   private async tryUntilRateKnown(
-    customer: string,
-    units: number,
+    attempt: () => Promise<AdmissionResult>,
     budgetMs: number,
   ): Promise<AdmissionResult> {
     const arrivedAtMs = this.opts.clock.steadyMs();
@@ -164,14 +195,20 @@
         unknownSinceMs,
       });
     };
-    let result = await this.tryOnce(customer, units);
+    let result = await attempt();
     while (result.type === AdmissionType.rateUnknown && shouldWait()) {
       await clocks.sleep(UNKNOWN_RATE_POLL_MS);
-      result = await this.tryOnce(customer, units);
+      result = await attempt();
     }
     return result;
   }
 
+  /** Leaves the units that become free to resumed streams that wait for them. */
+  private async tryNew(customer: string, units: number): Promise<AdmissionResult> {
+    const isYielding = (this.resuming.get(customer) ?? 0) > 0;
+    return isYielding ? this.overRate(LOAN_PAUSE_MS) : this.tryOnce(customer, units);
+  }
+
   private async tryOnce(customer: string, units: number): Promise<AdmissionResult> {
     const { clock } = this.opts;
     if (this.holder.take(clock.steadyMs(), customer, units)) return ADMITTED;
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -23,6 +23,11 @@
 
 /** Maximum wait for units of the customer's rate, as a fraction of the latency objective. */
 const MAX_RATE_WAIT_FRACTION = 0.4;
+/**
+ * The same for a stream that its caller takes up, as a fraction of the caller's patience: its objective
+ * was met by the first event.
+ */
+const MAX_RESUME_RATE_WAIT_FRACTION = 0.6;
 /** Waits of at least this fraction of the latency objective are logged. */
 const LOGGED_WAIT_FRACTION = 0.25;
 /** Time for which a request that may run only once continues after its deadline, ms. */
@@ -242,7 +247,10 @@
     if (customer === null) return true;
     const units = Admission.unitsFor(customer, metadata);
     const result = await this.ctx.admission.admit(customer, units, {
-      maxRateWaitMs: route.objectiveMs * MAX_RATE_WAIT_FRACTION,
+      isResumed: this.isTakeUp,
+      maxRateWaitMs: this.isTakeUp
+        ? route.callerTimeoutMs * MAX_RESUME_RATE_WAIT_FRACTION
+        : route.objectiveMs * MAX_RATE_WAIT_FRACTION,
       timeBudgetMs: this.queuedRequest.deadlineAtMs - this.queuedRequest.arrivedAtMs,
     });
     if (result.type === AdmissionType.admitted) this.units = units;
--- a/test/units/relay/admission.test.ts
+++ b/test/units/relay/admission.test.ts
@@ -89,3 +89,21 @@
     expect([admitted.type, asks]).toEqual([AdmissionType.admitted, 4]);
   });
 });
+
+describe('a stream that its caller takes up while its customer is over its rate', () => {
+  test('is admitted before a new request that needs the same units', async () => {
+    const small = { ...CUSTOMER, ratePerS: 100, burst: 100 };
+    const admission = new Admission({ clock: clocks.createClock(), ask: () => false });
+    admission.setCustomers(new Map([[small.name, small]]));
+    grant(admission);
+    const resumed = admission.admit(small, 40, {
+      ...WAIT_LIMITS,
+      maxRateWaitMs: 1_000,
+      isResumed: true,
+    });
+    const others = [1, 2, 3].map(() => admission.admit(small, 20, WAIT_LIMITS));
+    expect((await resumed).type).toBe(AdmissionType.admitted);
+    const types = (await Promise.all(others)).map(({ type }) => type);
+    expect(types).toEqual(Array(3).fill(AdmissionType.overRate));
+  });
+});
--- a/test/units/relay/stream-record.test.ts
+++ b/test/units/relay/stream-record.test.ts
@@ -19,14 +19,19 @@
   return { store, address };
 }
 
+function serverOf(version: string): BackendServer {
+  return createBackendServer(`s-${version}`, { version });
+}
+
 async function startVm(address: string, isSteward: boolean, versions: readonly string[]) {
   const client = platform.createWire().createStore(address, 500);
-  const streams: StreamVersionsTask = new StreamVersionsTask({
+  const lateBound: { record?: StreamRecordTask } = {};
+  const streams = new StreamVersionsTask({
     clock: clocks.createClock(),
     send: () => true,
-    isLoaded: () => record.isLoaded,
+    isLoaded: () => lateBound.record?.isLoaded === true,
   });
-  const record: StreamRecordTask = new StreamRecordTask({
+  const record = new StreamRecordTask({
     store: client,
     clock: clocks.createClock(),
     logger: createLogger('test', 'silent'),
@@ -34,6 +39,7 @@
     isSteward: () => isSteward,
     unixMs: () => Date.now(),
   });
+  lateBound.record = record;
   const servers = versions.map((version) => serverOf(version));
   streams.noteServers(new Map(servers.map((server) => [server.id, server])));
   await record.start(() => undefined);
@@ -44,10 +50,6 @@
   return { streams, record, client };
 }
 
-function serverOf(version: string): BackendServer {
-  return createBackendServer(`s-${version}`, { version });
-}
-
 async function until(isTrue: () => boolean): Promise<void> {
   const untilMs = performance.now() + WAIT_MS;
   while (!isTrue() && performance.now() < untilMs) await clocks.sleep(10);
