Send no more requests to a server that states in a response that it is leaving

A server that leaves says so in all its answers (`Server-Leaving: 1`), which nothing read: it got requests until its entry told, which may be late, or never. The VM that hears it marks the server's process as leaving in its list, also against entries that say otherwise, until the server is started again.

--- a/src/decisions/backend-list/index.ts
+++ b/src/decisions/backend-list/index.ts
@@ -41,6 +41,9 @@
 
   private readonly newestBornMs = new Map<string, number>();
 
+  /** Start times of the server processes that stated in a response that they are draining, by id. */
+  private readonly statedLeaving = new Map<string, number>();
+
   /** Servers retained without an entry since an outage. The set is replaced when it changes. */
   private missingIds: ReadonlySet<string> = new Set();
 
@@ -138,6 +141,25 @@
     return this.known.get(id)?.fromSteward === true;
   }
 
+  /**
+   * Records that a server process stated in a response that it is draining, which its entry may
+   * tell later or never.
+   * @returns True if the list has changed.
+   */
+  noteLeaving({ id, bornMs }: BackendServer): boolean {
+    this.statedLeaving.set(id, bornMs);
+    const entry = this.known.get(id);
+    if (entry === undefined || entry.server.leaving || entry.server.bornMs !== bornMs) return false;
+    this.known.set(id, { ...entry, server: { ...entry.server, leaving: true } });
+    this.rebuildView();
+    return true;
+  }
+
+  private withStatement(server: BackendServer): BackendServer {
+    const isLeaving = this.statedLeaving.get(server.id) === server.bornMs;
+    return isLeaving && !server.leaving ? { ...server, leaving: true } : server;
+  }
+
   /**
    * Removes missing servers after the grace period, and lists those that were held back once their
    * entries must have expired if they had left. Returns true if the list has changed.
@@ -177,7 +199,7 @@
     return isKnownProcess && old?.leaving === true ? { ...server, leaving: true } : server;
   }
 
-  private applyEntry(nowMs: number, { id, revision, server, deleted }: ListedEntry): void {
+  private applyEntry(nowMs: number, { id, revision, server: stored, deleted }: ListedEntry): void {
     if (this.isOutdated(id, revision)) return;
     this.newestRevision.set(id, revision);
     this.heldBack.delete(id);
@@ -185,6 +207,7 @@
       this.remove(nowMs, id);
       return;
     }
+    const server = stored === null ? null : this.withStatement(stored);
     if (server === null || server.bornMs < (this.newestBornMs.get(id) ?? 0)) return;
     const old = this.known.get(id)?.server;
     const isOutdated =
@@ -199,7 +222,8 @@
   }
 
   /** @param mayBeCopied Whether the steward may know the server from the store's copy only. */
-  private applyStewardServer(listed: BackendServer, mayBeCopied: boolean): void {
+  private applyStewardServer(sent: BackendServer, mayBeCopied: boolean): void {
+    const listed = this.withStatement(sent);
     const { id, bornMs } = listed;
     if (bornMs < (this.newestBornMs.get(id) ?? 0)) return;
     const entry = { server: listed, fromSteward: true };
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -4,7 +4,7 @@
 import type * as errors from '../../core/errors/index.js';
 import type { LogFields } from '../../core/logger/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
-import type { Customer } from '../../decisions/fleet-plan/index.js';
+import type { BackendServer, Customer } from '../../decisions/fleet-plan/index.js';
 import type { RetryWindow } from '../../decisions/retries/index.js';
 import type { Admission } from './admission.js';
 import type { ConnectionPool } from './connections.js';
@@ -34,6 +34,8 @@
   acceptsRequest(isStream: boolean): boolean;
   /** Whether the cached plan is recent enough to trust that the customer's key is not revoked. */
   hasFreshKeys(customer: Customer | null): boolean;
+  /** Records that a server stated in a response that it is draining. */
+  noteLeaving(server: BackendServer): void;
   /** Counts an admitted request for a model as demand. */
   recordModelUse(model: string): void;
   log(event: string, id: string, fields: LogFields): void;
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -348,6 +348,7 @@
         onHead: (head) => {
           this.progress.headAtMs = this.ctx.clock.steadyMs();
           this.ctx.throttling.noteResponse(run.server, head, nowMs);
+          if (head.leaving) this.ctx.noteLeaving(run.server);
         },
       },
       route.retrySafety === RetrySafety.stream ? this : null,
--- a/src/entry/relay/store-watcher.ts
+++ b/src/entry/relay/store-watcher.ts
@@ -294,6 +294,11 @@
     return this.planValue;
   }
 
+  /** Records that a server stated in a response that it is draining. */
+  noteLeaving(server: BackendServer): void {
+    if (this.list.noteLeaving(server)) this.noteListChanged('server');
+  }
+
   /** Whether the entry comes from the steward's list, which does not include loaded models. */
   isFromSteward(id: string): boolean {
     return this.list.isFromSteward(id);
@@ -436,7 +441,7 @@
   }
 
   /** Logs the changes of the list of backend servers and notifies the subscribers. */
-  private noteListChanged(source: 'store' | 'steward' | 'time'): void {
+  private noteListChanged(source: 'store' | 'steward' | 'server' | 'time'): void {
     const before = this.loggedServers;
     this.loggedServers = new Map([...this.backends].map(([id, { leaving }]) => [id, leaving]));
     const added = [...this.loggedServers.keys()].filter((id) => !before.has(id));
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -49,6 +49,8 @@
   readonly notRun: boolean;
   /** Whether the response has a content encoding. */
   readonly encoded: boolean;
+  /** Whether the server states that it is draining. */
+  readonly leaving: boolean;
   /**
    * Requests per second that the server currently accepts from all entry VMs together; null if it
    * names no limit.
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -272,6 +272,7 @@
     acceptsRequest: (isStream) =>
       stopRules.acceptsRequest(clock.steadyMs() - stopAtMs, graceMs, isStream),
     hasFreshKeys: (customer) => customer === null || storeWatcher.planAgeMs() < keyFreshnessMs,
+    noteLeaving: (server) => storeWatcher.noteLeaving(server),
     recordModelUse: (model) => reporter.noteUse(model),
     log: (event, id, fields) => logger.info(event, { id, ...fields }),
     sendLocalResponse: (res, id, failure, retryAfterMs) =>
--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -170,6 +170,13 @@
 
   private failsHalf = false;
 
+  private statesLeaving = false;
+
+  private turnsAwayUntilMs = -Infinity;
+
+  /** Requests that have arrived, whether they ran or not. */
+  arrivals = 0;
+
   /** The limit that the server names in its responses, and its requests. */
   readonly requestLimit = new RequestLimitRecord(STABLE_WINDOW_MS);
 
@@ -287,6 +294,16 @@
     }, ms);
   }
 
+  /** States in all responses that the server is leaving; its entry does not tell. */
+  stateLeaving(): void {
+    this.statesLeaving = true;
+  }
+
+  /** Turns requests away for `ms` and asks for none as long. */
+  turnAway(ms: number): void {
+    this.turnsAwayUntilMs = performance.now() + ms;
+  }
+
   /** Names a request limit in all responses from now on; null to name none. */
   nameLimit(perS: number | null): void {
     this.requestLimit.change(perS);
@@ -300,6 +317,7 @@
     const perS = this.requestLimit.nameInResponse();
     return res.writeHead(status, {
       ...(perS === null ? {} : { 'Server-Limit': String(perS) }),
+      ...(this.statesLeaving ? { 'Server-Leaving': '1' } : {}),
       ...headers,
     });
   }
@@ -423,6 +441,16 @@
     const model = header(req, 'model');
     const reject = (status: number) =>
       this.writeHead(res, status, { 'Attempt-Id': id, 'Not-Executed': '1' }).end();
+    this.arrivals += 1;
+    const pauseMs = this.turnsAwayUntilMs - performance.now();
+    if (pauseMs > 0) {
+      const retryAfter = { 'Retry-After': (pauseMs / 1_000).toFixed(3) };
+      return this.writeHead(res, 503, {
+        'Attempt-Id': id,
+        'Not-Executed': '1',
+        ...retryAfter,
+      }).end();
+    }
     if (header(req, 'target-instance') !== this.id) return reject(421);
     if (model !== '' && !this.hasLoaded(model)) return reject(421);
     if (this.running >= this.spec.slots) return reject(503);
--- a/test/units/backend-list/backend-list.test.ts
+++ b/test/units/backend-list/backend-list.test.ts
@@ -137,3 +137,18 @@
     expect(list.servers.has('e2')).toBe(false);
   });
 });
+
+describe('a server that states in a response that it is leaving', () => {
+  test('stays so whatever its entry says, until it is started again', () => {
+    const list = new BackendList();
+    list.applyEntries(0, [listed(1, server('e1'))], true);
+    expect(list.noteLeaving(server('e1'))).toBe(true);
+    expect(list.servers.get('e1')?.leaving).toBe(true);
+    list.applyEntries(10, [listed(2, server('e1', { slots: 5 }))], false);
+    expect(list.servers.get('e1')).toMatchObject({ leaving: true, slots: 5 });
+    list.applyStewardList(20, [server('e1')], new Set());
+    expect(list.servers.get('e1')?.leaving).toBe(true);
+    list.applyEntries(30, [listed(3, server('e1', { bornMs: 200 }))], false);
+    expect(list.servers.get('e1')?.leaving).toBe(false);
+  });
+});
