Send no request to a server that asked for a pause until the pause is over

A server that turns a request away with 503 may say for how long it wants nothing from that machine (`Retry-After`), which nothing read: the next request went there at once. The VM keeps the end of the pause by server and passes it over; a request that no other server can run waits, or is refused.

The test over processes fails without the change. A VM that was just started has no retries for a window, so that it may refuse the request that was turned away; the test allows one refusal a VM.

--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -65,7 +65,7 @@
    */
   readonly wasRefused: boolean;
   /** Called with the head of a response that belongs to the request. */
-  onHead(metadata: ResponseMetadata): void;
+  onHead(metadata: ResponseMetadata, status: number): void;
 }
 
 /** When to abandon an idle attempt: no byte arrives or, in a stream, no event is completed. */
@@ -318,7 +318,7 @@
       if (typeof keepAliveHint === 'string') Object.assign(res.socket, { keepAliveHint });
       idleDetector?.noteActivity();
       const metadata = wire.decodeResponse(res.rawHeaders);
-      if (metadata.id === opts.id) opts.onHead(metadata);
+      if (metadata.id === opts.id) opts.onHead(metadata, res.statusCode ?? 0);
       const fault = responseFault(metadata, opts.id, res.statusCode ?? 0, req.reusedSocket);
       if (fault !== null) {
         fail(fault);
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -345,10 +345,13 @@
         signal: this.aborter.signal,
         idlePolicy: this.retryPolicy.idlePolicy(run),
         wasRefused: this.retryPolicy.refusedBy.has(run.server.id),
-        onHead: (head) => {
+        onHead: (head, status) => {
           this.progress.headAtMs = this.ctx.clock.steadyMs();
           this.ctx.throttling.noteResponse(run.server, head, nowMs);
           if (head.leaving) this.ctx.noteLeaving(run.server);
+          if (status === 503 && head.retryAfterMs !== null) {
+            this.ctx.view.notePause(run.server, head.retryAfterMs);
+          }
         },
       },
       route.retrySafety === RetrySafety.stream ? this : null,
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -17,6 +17,9 @@
 /** A pause that starts this long after the end of the last one has the minimum length, ms. */
 const NOT_LOADED_RESET_MS = 3_000;
 
+/** Maximum pause that a server can ask for, ms. */
+const MAX_REQUESTED_PAUSE_MS = 600_000;
+
 /** What a server must have loaded for a request; `model` is null for a service without models. */
 export interface Need {
   readonly service: string;
@@ -68,6 +71,9 @@
   /** Pauses for models and adapters that are not loaded on a server, by server and name. */
   private readonly notLoaded = new Map<string, { untilMs: number; pauseMs: number }>();
 
+  /** Ends of the pauses that servers have asked for, by server. */
+  private readonly pausedUntilMs = new Map<string, number>();
+
   constructor(
     private readonly storeWatcher: StoreWatcherTask,
     private readonly clock: Clock,
@@ -153,6 +159,12 @@
     this.notLoaded.set(key, { untilMs: nowMs + pauseMs, pauseMs });
   }
 
+  /** Records that a server wants no request from this entry VM for some time. */
+  notePause({ id }: BackendServer, pauseMs: number): void {
+    const untilMs = this.clock.steadyMs() + Math.min(MAX_REQUESTED_PAUSE_MS, pauseMs);
+    this.pausedUntilMs.set(id, Math.max(untilMs, this.pausedUntilMs.get(id) ?? 0));
+  }
+
   started(run: Run): void {
     const key = runKey(run);
     const entry = this.runs.get(key) ?? { run, count: 0 };
@@ -196,6 +208,7 @@
         server.service === need.service &&
         !server.leaving &&
         hasVersion(server, need) &&
+        (this.pausedUntilMs.get(server.id) ?? 0) <= nowMs &&
         this.hasLoaded(nowMs, server, need, isConnected),
     );
     const peers = eligible.map(({ id }) => id);
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -56,6 +56,8 @@
    * names no limit.
    */
   readonly requestsPerS: number | null;
+  /** Time for which the server wants no further request from this entry VM, ms; null for none. */
+  readonly retryAfterMs: number | null;
 }
 
 /** An engine's report of its own state; a few hundred milliseconds out of date. */
--- a/test/failures/server-requests.test.ts
+++ b/test/failures/server-requests.test.ts
@@ -43,4 +43,19 @@
     expect(new Set(await statuses)).toEqual(new Set([200]));
     expect(leaving?.arrivals).toBe(before);
   });
+
+  test('that asks for a pause gets no request from a VM until its end, and then some again', async () => {
+    const { engines, sendRepeatedly } = await startFleet();
+    const [pausing] = engines;
+    pausing?.turnAway(IN_FLIGHT_MS + OBSERVED_MS / 2);
+    const statuses = sendRepeatedly.call(fleet, 10, { body: '#' });
+    await clocks.sleep(IN_FLIGHT_MS);
+    const before = pausing?.arrivals ?? 0;
+    await clocks.sleep(OBSERVED_MS / 2 - 100);
+    expect(before).toBeGreaterThan(0);
+    expect((pausing?.arrivals ?? 0) - before).toBe(0);
+    // A VM that was just started may not have a retry yet for the request that was turned away.
+    expect((await statuses).filter((status) => status !== 200).length).toBeLessThanOrEqual(VMS);
+    expect(pausing?.arrivals).toBeGreaterThan(before);
+  });
 });
--- a/test/units/platform/headers.test.ts
+++ b/test/units/platform/headers.test.ts
@@ -99,6 +99,13 @@
 });
 
 describe('the request limit in a response', () => {
+  test('tells whether the server leaves, and for how long it wants no request', () => {
+    const raw = ['Server-Leaving', '1', 'Retry-After', '1.5'];
+    expect(wire.decodeResponse(raw)).toMatchObject({ leaving: true, retryAfterMs: 1_500 });
+    const other = ['Server-Leaving', '0', 'Retry-After', 'Fri, 31 Dec 2027 23:59:59 GMT'];
+    expect(wire.decodeResponse(other)).toMatchObject({ leaving: false, retryAfterMs: null });
+  });
+
   const limitIn = (...raw: readonly string[]) => wire.decodeResponse(raw).requestsPerS;
 
   test('is a decimal number of requests per second', () => {
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -112,3 +112,16 @@
     expect(view.isLoaded({ ...NEED, version: 'v2' })).toBe(false);
   });
 });
+
+describe('a server that asks for a pause', () => {
+  test('is no candidate until its end, also if it is the only one', () => {
+    const { view, times } = setUp(true);
+    view.applyView(LOADED_VIEW);
+    view.notePause(SERVER, 300);
+    view.notePause(SERVER, 100);
+    times.nowMs = 299;
+    expect(view.candidates(NEED)).toHaveLength(0);
+    times.nowMs = 300;
+    expect(view.candidates(NEED)).toHaveLength(1);
+  });
+});
