Accept late in a planned stop only what must end before the exit, and answer what is still open

Reported by operators of systems like this one, and shown here: with servers that take 2.4 s, orders that came between 5.2 and 6.1 s after SIGTERM were taken and passed on, and cut without an answer at the end of the grace period (3 of about 60 in the new test). A request was accepted while 1.5 s were left, whatever its own time limit.

Once the load balancer has noticed the stop, a request is accepted if its deadline and its route's timeout end before the exit; any other one is refused at once ("not run") for another VM. What is still open at the end is answered: refused if it was not sent, "unknown" if it may have run.

--- a/src/decisions/stopping/index.ts
+++ b/src/decisions/stopping/index.ts
@@ -2,22 +2,33 @@
  * Decides which requests an entry VM accepts during its shutdown.
  *
  * All requests are accepted until the load balancer has detected the shutdown, which takes some
- * seconds. After that, only non-streaming requests that finish before the process exits are
- * accepted. A truncated stream is worse for the caller than a stream that another entry VM serves
+ * seconds. After that, only non-streaming requests whose own time limit ends before the process exits
+ * are accepted: their servers may be slow. A truncated stream is worse for the caller than a stream that another entry VM serves
  * from its start.
  */
 
 /** Detection time: the load balancer checks once per second and drops a VM after two failures. */
 export const SHUTDOWN_DETECTION_MS = 2_500;
-/** Upper bound on the duration of a non-streaming request. */
+/** Shortest time in which a request is expected to be answered if its limit allows less, ms. */
 const SHORT_REQUEST_MS = 1_500;
 
+/** A request that arrives during the shutdown. */
+export interface LateRequest {
+  readonly isStream: boolean;
+  /** Time within which the request ends, whatever its server does, ms. */
+  readonly timeLimitMs: number;
+}
+
 /**
  * Whether to accept a request that arrives during the shutdown.
  * @param sinceMs Time since the shutdown began.
  * @param graceMs Time from the start of the shutdown to the exit of the process.
  */
-export function acceptsRequest(sinceMs: number, graceMs: number, isStream: boolean): boolean {
+export function acceptsRequest(
+  sinceMs: number,
+  graceMs: number,
+  { isStream, timeLimitMs }: LateRequest,
+): boolean {
   if (sinceMs < SHUTDOWN_DETECTION_MS) return true;
-  return !isStream && graceMs - sinceMs > SHORT_REQUEST_MS;
+  return !isStream && graceMs - sinceMs > Math.max(SHORT_REQUEST_MS, timeLimitMs);
 }
--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -94,6 +94,9 @@
 
   private active = 0;
 
+  /** Requests that are being served. */
+  private readonly exchanges = new Set<Exchange>();
+
   constructor(private readonly opts: CallerServerOptions) {}
 
   get activeCount(): number {
@@ -155,6 +158,11 @@
     }
   }
 
+  /** Answers the requests that are still open when the process is about to exit. */
+  endOpenRequests(): void {
+    this.exchanges.forEach((exchange) => exchange.endForShutdown());
+  }
+
   private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     this.active += 1;
     res.on('error', (err) => this.opts.logger.debug('caller-lost', { reason: err.message }));
@@ -197,7 +205,7 @@
       this.sendRefusal(res, metadata.id, refusal(errors.data.NoCapacity, UNREADY_RETRY_MS));
       return;
     }
-    await new Exchange(this.opts.ctx, {
+    const exchange = new Exchange(this.opts.ctx, {
       req,
       res,
       metadata,
@@ -205,7 +213,13 @@
       service,
       body: body.value,
       arrivedAtMs,
-    }).serve();
+    });
+    this.exchanges.add(exchange);
+    try {
+      await exchange.serve();
+    } finally {
+      this.exchanges.delete(exchange);
+    }
   }
 
   /** A stream that its caller takes up goes to the service that began it. */
@@ -231,7 +245,9 @@
       isStale ? refusal(errors.data.PlatformDown, UNREADY_RETRY_MS) : refusal(def);
     const route = findRoute(plan, req.headers.host ?? '', req.url ?? '/');
     if (route === undefined) return unknownOrStale(errors.data.UnknownRoute);
-    if (!ctx.acceptsRequest(route.retrySafety === RetrySafety.stream)) {
+    const isStream = route.retrySafety === RetrySafety.stream;
+    const timeLimitMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? Infinity);
+    if (!ctx.acceptsRequest({ isStream, timeLimitMs })) {
       return refusal(errors.data.Leaving, STOPPING_RETRY_MS);
     }
     if (route.isPublic || !plan.needsKeys) return { plan, route, customer: null };
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from '../../core/metrics/index.js';
 import type { BackendServer, Customer } from '../../decisions/fleet-plan/index.js';
 import type { RetryWindow } from '../../decisions/retries/index.js';
+import type { LateRequest } from '../../decisions/stopping/index.js';
 import type { Admission } from './admission.js';
 import type { ConnectionPool } from './connections.js';
 import type { Dispatcher } from './dispatch.js';
@@ -30,8 +31,8 @@
   /** Retry-After when the time until capacity is available is unknown, ms. */
   readonly defaultRetryAfterMs: number;
   isStopping(): boolean;
-  /** Whether new requests are accepted; during shutdown this depends on the kind of request. */
-  acceptsRequest(isStream: boolean): boolean;
+  /** Whether new requests are accepted; during shutdown this depends on the request. */
+  acceptsRequest(request: LateRequest): boolean;
   /** Whether the cached plan is recent enough to trust that the customer's key is not revoked. */
   hasFreshKeys(customer: Customer | null): boolean;
   /** Records that a server stated in a response that it is draining. */
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -156,6 +156,12 @@
     }
   }
 
+  /** Ends the request before the process exits; a caller gets an answer unless it has a part of one. */
+  endForShutdown(): void {
+    this.endUnserved('entry VM shuts down', errors.data.Leaving, errors.data.BackendFailed);
+    this.ctx.dispatcher.cancel(this.queuedRequest.id);
+  }
+
   begin(res: http.IncomingMessage): boolean {
     this.recordFirstByte();
     if (this.ended) return true;
@@ -541,6 +547,21 @@
     this.finish(failure.status);
   }
 
+  /**
+   * Ends a request that is not served in time.
+   * @param refusal Reason if the request was not sent to a server.
+   * @param failure Reason if the request may have run.
+   */
+  private endUnserved(
+    reason: string,
+    refusal: errors.ErrorDefinition,
+    failure: errors.ErrorDefinition,
+  ): void {
+    if (this.streaming) this.cut(reason);
+    else if (this.mayHaveRun || this.current !== null) this.fail(failure, reason);
+    else this.refuse(refusal, null);
+  }
+
   private refund(): void {
     const { customer } = this.request;
     if (customer !== null && this.units > 0) this.ctx.admission.refund(customer.name, this.units);
@@ -609,10 +630,7 @@
     }
     if (this.ended) return;
     this.ctx.dispatcher.cancel(this.queuedRequest.id);
-    const sent = this.mayHaveRun || this.current !== null;
-    if (this.streaming) this.cut('deadline exceeded');
-    else if (sent) this.fail(errors.data.TimedOut, 'deadline exceeded');
-    else this.refuse(errors.data.NoCapacity, null);
+    this.endUnserved('deadline exceeded', errors.data.NoCapacity, errors.data.TimedOut);
     if (this.request.route.retrySafety !== RetrySafety.once) this.aborter.abort();
   }
 }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -269,8 +269,8 @@
     metrics,
     defaultRetryAfterMs: DEFAULT_RETRY_AFTER_MS,
     isStopping,
-    acceptsRequest: (isStream) =>
-      stopRules.acceptsRequest(clock.steadyMs() - stopAtMs, graceMs, isStream),
+    acceptsRequest: (request) =>
+      stopRules.acceptsRequest(clock.steadyMs() - stopAtMs, graceMs, request),
     hasFreshKeys: (customer) => customer === null || storeWatcher.planAgeMs() < keyFreshnessMs,
     noteLeaving: (server) => storeWatcher.noteLeaving(server),
     recordModelUse: (model) => reporter.noteUse(model),
@@ -347,6 +347,7 @@
       await steward.handOver();
       await drain(untilMs);
       await callerServer.drain(untilMs);
+      callerServer.endOpenRequests();
       reporter.sendFinalReport();
       await clocks.sleep(FLUSH_MS);
       dispatcher.stop();
--- a/test/failures/planned-stop.test.ts
+++ b/test/failures/planned-stop.test.ts
@@ -8,7 +8,7 @@
 import { afterAll, beforeAll, describe, expect, test } from 'vitest';
 import * as clocks from '../../src/core/clock/index.js';
 import { bundle } from '../../src/lab/fleet/bundle.js';
-import { RelayFleet } from '../soak/relay-fleet.js';
+import { type FleetRequest, RelayFleet } from '../soak/relay-fleet.js';
 import type { SoakVm } from '../soak/vms.js';
 
 const CALLERS = 10;
@@ -17,16 +17,20 @@
 const GRACE_PERIOD_MS = 8_000;
 /** Time limit for the process to exit: its grace period plus time for the exit itself. */
 const EXIT_TIMEOUT_MS = 12_000;
+/** Makes a request take about 2.4 s, so that one that comes late in the grace period outlasts it. */
+const SLOWDOWN = 160;
+const CALLER_OFFSET_MS = 240;
 
 /** Sends requests to a VM one at a time until `isOver`; returns how many were answered with 200. */
 async function sendContinuously(
   fleet: RelayFleet,
   vm: SoakVm,
   isOver: () => boolean,
+  opts: Partial<FleetRequest> = {},
 ): Promise<number> {
   let succeeded = 0;
   while (!isOver()) {
-    const status = await fleet.send(vm);
+    const status = await fleet.send(vm, opts);
     if (status === 200) succeeded += 1;
     await clocks.sleep(CALLER_PAUSE_MS);
   }
@@ -65,4 +69,25 @@
       await fleet.stop();
     }
   });
+
+  test('leaves no request that may run only once without an answer, though servers are slow', async () => {
+    const opts = { vms: 2, servers: 6, crash: {}, durationMs: 0 };
+    const fleet = await RelayFleet.start(program, { ...opts, times: { graceMs: GRACE_PERIOD_MS } });
+    try {
+      const [vm] = fleet.vms as [SoakVm];
+      fleet.engines.forEach((engine) => engine.slowDown(60_000, SLOWDOWN));
+      let isOver = false;
+      const callers = Array.from({ length: CALLERS }, async (_, at) => {
+        await clocks.sleep(at * CALLER_OFFSET_MS);
+        return sendContinuously(fleet, vm, () => isOver, { route: 'order' });
+      });
+      await clocks.sleep(CALLERS * CALLER_OFFSET_MS);
+      await vm.terminate('SIGTERM');
+      isOver = true;
+      await Promise.all(callers);
+      expect(fleet.executedWithoutResponse()).toEqual([]);
+    } finally {
+      await fleet.stop();
+    }
+  });
 });
--- a/test/properties/settings/platform-values.test.ts
+++ b/test/properties/settings/platform-values.test.ts
@@ -84,7 +84,7 @@
           const window = new RetryWindow(settings.relay.retries, 0);
           window.noteRequest(1, 'desk');
           window.spend(2, 'desk');
-          acceptsRequest(1, settings.stop.graceMs, true);
+          acceptsRequest(1, settings.stop.graceMs, { isStream: true, timeLimitMs: 1 });
         },
       ),
       { seed: 16 },
