--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -69,6 +69,8 @@
   /** Objects whose calls are rejected, KIND/NAME. */
   private readonly refused = new Set<string>();
 
+  private replaced = { text: '', by: '' };
+
   private readonly watchers = new Set<() => void>();
 
   private readonly sockets = new Set<Socket>();
@@ -139,6 +141,11 @@
       .forEach(([, { kind, metadata }]) => this.remove(kind, metadata.name));
   }
 
+  /** Replaces a text in all bodies, for values that `JSON.stringify` can't write. */
+  replaceInBodies(text: string, by: string): void {
+    this.replaced = { text, by };
+  }
+
   /** Rejects all calls for an object; `key` is KIND/NAME. */
   rejectCallsFor(key: string): void {
     this.refused.add(key);
@@ -197,7 +204,7 @@
     }
     res
       .writeHead(status, { 'content-type': 'application/json', ...this.eraHeader() })
-      .end(JSON.stringify(body));
+      .end(JSON.stringify(body).replace(this.replaced.text, this.replaced.by));
   }
 
   private eraHeader(): Readonly<Record<string, string>> {
