--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -54,6 +54,15 @@
   storeUnresponsive: ({ store }) => store.runInMode(StoreMode.silent, 2_500),
   storeSlow: ({ store }) => store.runInMode(StoreMode.slow, 2_000),
   storeLosesResponses: ({ store }) => store.runInMode(StoreMode.responseLost, 1_500),
+  storeRestored: async ({ store }, random) => {
+    const copy = store.copy();
+    await clocks.sleep(500 + random.real() * 3_000);
+    const returned = store.runInMode(StoreMode.silent, 800);
+    const lost = store.copy();
+    store.restore(copy);
+    await returned;
+    store.rewrite(lost);
+  },
   storeCompaction: async ({ store }) => store.compact(),
   engineCrash: async ({ engines }, random) => {
     const engine = pick(engines, random);
--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -43,8 +43,6 @@
 }
 
 const SLOW_RESPONSE_MS = 300;
-/** Kinds of objects that the operator and the backend servers write. */
-const FOREIGN_KINDS: ReadonlySet<string> = new Set(['config', 'servers']);
 /** Key of the object that holds the lease. */
 const STEWARD_LEASE = 'bilberrystand/steward';
 const OBJECT_PATH = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?$/;
@@ -128,16 +126,13 @@
     this.notifyWatchers();
   }
 
-  /** Writes again what other writers than the entry VMs had stored before a restore. */
+  /** Writes the configuration again that a restore has lost, and removes the servers that had left. */
   rewrite({ objects }: StoreCopy): void {
-    const isForeign = (key: string) => FOREIGN_KINDS.has(key.split('/')[0] ?? '');
-    const changed = ([key, { spec }]: [string, StoredObject]) =>
-      JSON.stringify(this.objects.get(key)?.spec) !== JSON.stringify(spec);
-    [...objects]
-      .filter((entry) => isForeign(entry[0]) && changed(entry))
-      .forEach(([, { kind, metadata, spec }]) => this.put(kind, metadata.name, spec));
+    [...objects.values()]
+      .filter(({ kind }) => kind === 'config')
+      .forEach(({ kind, metadata, spec }) => this.put(kind, metadata.name, spec));
     [...this.objects]
-      .filter(([key]) => isForeign(key) && !objects.has(key))
+      .filter(([key, { kind }]) => kind === 'servers' && !objects.has(key))
       .forEach(([, { kind, metadata }]) => this.remove(kind, metadata.name));
   }
 
