--- a/src/decisions/stream-versions/index.ts
+++ b/src/decisions/stream-versions/index.ts
@@ -69,11 +69,23 @@
     this.noteSeen(stream);
     if (this.streams.has(stream.id)) return false;
     this.streams.set(stream.id, stream);
-    const [oldest] = this.streams.keys();
-    if (this.streams.size > MAX_STREAMS && oldest !== undefined) this.streams.delete(oldest);
+    this.dropOldest(stream.atMs);
     return true;
   }
 
+  /** Drops the oldest streams that have expired, or that are too many. */
+  private dropOldest(nowMs: number): void {
+    let [oldest] = this.streams.values();
+    while (oldest !== undefined && this.isDropped(nowMs, oldest)) {
+      this.streams.delete(oldest.id);
+      [oldest] = this.streams.values();
+    }
+  }
+
+  private isDropped(nowMs: number, { atMs }: BegunStream): boolean {
+    return nowMs - atMs > STREAM_TTL_MS || this.streams.size > MAX_STREAMS;
+  }
+
   find(id: string): BegunStream | undefined {
     return this.streams.get(id);
   }
--- a/test/units/stream-versions/stream-versions.test.ts
+++ b/test/units/stream-versions/stream-versions.test.ts
@@ -39,6 +39,16 @@
     expect(streams.find('s1')).toBeUndefined();
   });
 
+  test('are forgotten as others begin, so that a VM holds few of them', () => {
+    const streams = new StreamVersions();
+    streams.noteBegun(begun('s1', 'v1'));
+    streams.noteBegun(begun('s2', 'v1', STREAM_TTL_MS));
+    expect(streams.find('s1')).toBeDefined();
+    streams.noteBegun(begun('s3', 'v1', STREAM_TTL_MS + 1));
+    expect(streams.find('s1')).toBeUndefined();
+    expect(streams.find('s2')).toBeDefined();
+  });
+
   test('include a version that is known only from a stream', () => {
     const streams = new StreamVersions();
     streams.noteServers(0, [server('v2')]);
