Put edits into force that the platform accepts after it has returned from a copy

The platform's answers name its era now, its client makes versions of era and revision as the relay's does, and the tree's revisions are above all those of earlier eras. The stand-in makes a copy and returns to it.

--- a/src/entry/platform/index.ts
+++ b/src/entry/platform/index.ts
@@ -2,7 +2,9 @@
 import * as undici from 'undici';
 import { z } from 'zod';
 import * as errors from '../../core/errors/index.js';
+import * as storeVersions from '../../decisions/store-versions/index.js';
 import {
+  ERA_HEADER,
   type ListedObject,
   type ListedVm,
   type PlatformClient,
@@ -36,6 +38,12 @@
 interface HttpResponse {
   readonly status: number;
   readonly body: unknown;
+  readonly era: number;
+}
+
+/** Replaces the version that the platform assigned by one that also increases with its era. */
+function withEra<T extends { readonly version: number }>(era: number, object: T): T {
+  return { ...object, version: storeVersions.versionOf(era, object.version) };
 }
 
 type Method = 'GET' | 'PUT' | 'DELETE';
@@ -43,6 +51,9 @@
 class HttpPlatformClient implements PlatformClient {
   private readonly pool: undici.Pool;
 
+  /** Highest era that a response has named. */
+  private lastEra = 0;
+
   constructor(
     address: string,
     private readonly timeoutMs: number,
@@ -54,8 +65,8 @@
   }
 
   async read(key: string): Promise<ReadOutcome<StoredObject | null>> {
-    return this.ask(`/objects/${encodeURIComponent(key)}`, ({ status, body }) =>
-      status === STATUS_NOT_FOUND ? null : objectSchema.parse(body),
+    return this.ask(`/objects/${encodeURIComponent(key)}`, ({ status, body, era }) =>
+      status === STATUS_NOT_FOUND ? null : withEra(era, objectSchema.parse(body)),
     );
   }
 
@@ -68,15 +79,18 @@
   }
 
   async list(prefix: string): Promise<ReadOutcome<readonly ListedObject[]>> {
-    return this.ask(
-      `/list?prefix=${encodeURIComponent(prefix)}`,
-      ({ body }) => listSchema.parse(body).objects,
+    return this.ask(`/list?prefix=${encodeURIComponent(prefix)}`, ({ body, era }) =>
+      listSchema.parse(body).objects.map((object) => withEra(era, object)),
     );
   }
 
   async watch(key: string, since: number, waitMs: number): Promise<ReadOutcome<StoredObject>> {
-    const query = `key=${encodeURIComponent(key)}&since=${since}&timeoutMs=${waitMs}`;
-    return this.ask(`/watch?${query}`, ({ body }) => objectSchema.parse(body), waitMs);
+    // A version of a past era is not waited for: it may have been assigned again.
+    const isPast = storeVersions.eraOf(since) < this.lastEra;
+    const known = isPast ? -1 : storeVersions.revisionOf(since);
+    const query = `key=${encodeURIComponent(key)}&since=${known}&timeoutMs=${waitMs}`;
+    const parse = ({ body, era }: HttpResponse) => withEra(era, objectSchema.parse(body));
+    return this.ask(`/watch?${query}`, parse, waitMs);
   }
 
   async vms(): Promise<ReadOutcome<readonly ListedVm[]>> {
@@ -106,7 +120,13 @@
     version: number,
     body?: string,
   ): Promise<WriteOutcome> {
-    const headers = { 'if-match': String(version), 'content-type': 'application/json' };
+    const isCreated = storeVersions.revisionOf(version) === 0;
+    const isPast = !isCreated && storeVersions.eraOf(version) < this.lastEra;
+    if (isPast) return { type: PlatformOutcome.conflict };
+    const headers = {
+      'if-match': String(storeVersions.revisionOf(version)),
+      'content-type': 'application/json',
+    };
     try {
       const response = await this.call(
         method,
@@ -115,7 +135,8 @@
         body,
       );
       if (response.status === STATUS_CONFLICT) return { type: PlatformOutcome.conflict };
-      return { type: PlatformOutcome.ok, version: versionSchema.parse(response.body).version };
+      const written = withEra(response.era, versionSchema.parse(response.body));
+      return { type: PlatformOutcome.ok, version: written.version };
     } catch (err) {
       return { type: PlatformOutcome.unknown, reason: errors.describe(err) };
     }
@@ -129,7 +150,11 @@
     extraMs = 0,
   ): Promise<HttpResponse> {
     const waitMs = this.timeoutMs + extraMs;
-    const { statusCode: status, body: response } = await this.pool.request({
+    const {
+      statusCode: status,
+      headers: responseHeaders,
+      body: response,
+    } = await this.pool.request({
       method,
       path,
       headers,
@@ -141,7 +166,13 @@
       await response.dump();
       throw new Error(`the platform responded with status ${status}`);
     }
-    return { status, body: await response.json() };
+    const era = Number(responseHeaders[ERA_HEADER] ?? 0);
+    if (!storeVersions.isValid(era, 0) || era < this.lastEra) {
+      await response.dump();
+      throw new Error(`the platform responded from a past era, ${era}`);
+    }
+    this.lastEra = era;
+    return { status, body: await response.json(), era };
   }
 }
 
--- a/src/entry/platform/types.ts
+++ b/src/entry/platform/types.ts
@@ -1,5 +1,8 @@
 /** Types of the client of the platform's object API. */
 
+/** Response header: how often the platform has returned from an older copy of its objects. */
+export const ERA_HEADER = 'x-platform-era';
+
 /** An object with its version, which conditional updates refer to. */
 export interface StoredObject {
   readonly version: number;
--- a/src/entry/settings/tree-store.ts
+++ b/src/entry/settings/tree-store.ts
@@ -2,6 +2,7 @@
 import { Result } from 'true-myth';
 import * as errors from '../../core/errors/index.js';
 import * as settingsTree from '../../decisions/settings-tree/index.js';
+import * as storeVersions from '../../decisions/store-versions/index.js';
 import { type PlatformClient, PlatformOutcome } from '../platform/index.js';
 
 export const ROOT_KEY = 'settings/root';
@@ -104,7 +105,7 @@
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
       const stored = await this.read();
       if (stored.isErr) return Result.err(stored.error);
-      const { tree, root } = stored.value;
+      const { tree, root, version } = stored.value;
       if (root.edits.some(({ id }) => id === editId)) return stored;
       const conflict = base === null ? null : settingsTree.conflictingPathOf(base, tree, edits);
       if (conflict !== null) {
@@ -112,7 +113,10 @@
           errors.createFailure(errors.data.Conflict, 'edit tree', 'platform', conflict),
         );
       }
-      const next = settingsTree.applyEdits(tree, edits);
+      // Revisions that the platform has lost are in force at daemons, which accept only higher ones.
+      const lowest = storeVersions.versionOf(storeVersions.eraOf(version), 0);
+      const revision = Math.max(tree.revision, lowest);
+      const next = settingsTree.applyEdits({ ...tree, revision }, edits);
       if (next.isErr) return Result.err(next.error);
       const written = await this.writeRevision(stored.value, next.value, edits, editId);
       if (written !== null) return written;
--- a/src/standins/platform/index.ts
+++ b/src/standins/platform/index.ts
@@ -1,6 +1,7 @@
 /** Stand-in for the platform: versioned objects, conditional writes, watches and the VM list. */
 import type * as http from 'node:http';
 import * as clock from '../../core/clock/index.js';
+import { ERA_HEADER } from '../../entry/platform/types.js';
 import * as standinHttp from '../http/index.js';
 
 /** Faults that can be changed at run time. */
@@ -52,6 +53,16 @@
 
   private lastVersion = 0;
 
+  /** How often the platform has returned from a copy. */
+  private era = 0;
+
+  /** A copy of the objects, from which the platform can return. */
+  private copy: { readonly objects: ReadonlyMap<string, StoredObject>; readonly version: number } =
+    {
+      objects: new Map(),
+      version: 0,
+    };
+
   private readonly counts = { reads: 0, writes: 0, conflicts: 0, lists: 0, watches: 0, vmLists: 0 };
 
   async handle(req: standinHttp.StandinRequest, res: http.ServerResponse): Promise<void> {
@@ -60,6 +71,7 @@
       this.setVms(req, res);
       return;
     }
+    if (this.handleCopy(req, res)) return;
     if (this.faults.down) {
       res.destroy();
       return;
@@ -68,11 +80,30 @@
     await this.handleApi(req, res);
   }
 
+  /** Control endpoints that make a copy of the objects, and return to it: later writes are lost. */
+  private handleCopy(req: standinHttp.StandinRequest, res: http.ServerResponse): boolean {
+    const { pathname } = req.url;
+    if (pathname === '/_copy') {
+      this.copy = { objects: new Map(this.objects), version: this.lastVersion };
+    } else if (pathname === '/_restore') {
+      this.era += 1;
+      this.objects.clear();
+      this.copy.objects.forEach((object, key) => this.objects.set(key, object));
+      this.lastVersion = this.copy.version;
+      [...this.watchers.values()].forEach((callbacks) => callbacks.forEach((notify) => notify()));
+    } else {
+      return false;
+    }
+    standinHttp.sendJson(res, 200, {});
+    return true;
+  }
+
   private async handleApi(
     req: standinHttp.StandinRequest,
     res: http.ServerResponse,
   ): Promise<void> {
     const { pathname } = req.url;
+    res.setHeader(ERA_HEADER, String(this.era));
     if (pathname === '/list') this.list(req, res);
     else if (pathname === '/watch') await this.watch(req, res);
     else if (pathname === '/vms') this.listVms(res);
@@ -135,6 +166,7 @@
     const since = Number(req.url.searchParams.get('since') ?? 0);
     const waitMs = Math.min(MAX_WATCH_MS, Number(req.url.searchParams.get('timeoutMs') ?? 0));
     if ((this.objects.get(key)?.version ?? 0) === since) await this.waitForChange(key, waitMs, res);
+    res.setHeader(ERA_HEADER, String(this.era));
     if (this.faults.down) res.destroy();
     else standinHttp.sendJson(res, 200, this.objects.get(key) ?? { version: 0, value: null });
   }
