Take a store without a lease for a new one, so that its first steward does not wait

A missing lease counts as lost only for a process that has seen an earlier era of the store. A test of a lease that is lost altogether (a whole term, unknown allowances) is new.

--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -80,11 +80,6 @@
   return Math.max(lease?.epoch ?? 0, lease?.heir?.epoch ?? 0, lowest) + 1;
 }
 
-/** Whether a later lease may have been lost when the store returned from a copy. */
-function mayBeOutdated(lease: Lease | null, version: number): boolean {
-  return (lease?.era ?? 0) < storeVersions.eraOf(version);
-}
-
 export class LeaseManager {
   private version = 0;
 
@@ -128,6 +123,12 @@
   /** Expiry of the lease that a conflict has ended, until the lease has been read. */
   private conflictHeldUntilMs = 0;
 
+  /** Era of the store in which a version of the lease was last seen; null before the first one. */
+  private seenEra: number | null = null;
+
+  /** Era to which the store returned from a copy since this process started; null for none. */
+  private returnedInEra: number | null = null;
+
   /** Whether the lease was lost and its new holder has not been read from the store yet. */
   private newHolderUnknown = false;
 
@@ -246,7 +247,7 @@
   private write(nowMs: number, epoch: number): readonly LeaseEffect[] {
     const renewal = (this.lastSeen?.renewal ?? 0) + 1;
     const { self: holder, address, durationMs } = this.cfg;
-    const noteBefore = mayBeOutdated(this.lastSeen, this.version) ? null : this.lastSeen?.note;
+    const noteBefore = this.mayBeOutdated(this.lastSeen, this.version) ? null : this.lastSeen?.note;
     const note = this.cfg.note?.(noteBefore);
     const heir = this.nextSuccessor(epoch);
     const era = storeVersions.eraOf(this.version);
@@ -291,7 +292,8 @@
     this.version = version;
     const { pending } = this;
     this.pending = null;
-    if (mayBeOutdated(lease, version)) return this.onOutdated(nowMs, lease, heldUntilMs);
+    this.noteEra(version);
+    if (this.mayBeOutdated(lease, version)) return this.onOutdated(nowMs, lease, heldUntilMs);
     if (pending !== null && lease !== null && this.isSameWrite(lease, pending.lease)) {
       this.lastSeen = lease;
       return this.onOwnWrite(nowMs, pending);
@@ -307,6 +309,21 @@
     return [...this.clearHeld(), ...this.acquireIfFree(nowMs, lease)];
   }
 
+  private noteEra(version: number): void {
+    const era = storeVersions.eraOf(version);
+    if (this.seenEra !== null && era > this.seenEra) this.returnedInEra = era;
+    this.seenEra = Math.max(this.seenEra ?? 0, era);
+  }
+
+  /**
+   * Whether a later lease may have been lost when the store returned from a copy. A store without a
+   * lease is new, unless this process has seen an earlier era of it.
+   */
+  private mayBeOutdated(lease: Lease | null, version: number): boolean {
+    const era = storeVersions.eraOf(version);
+    return lease === null ? this.returnedInEra === era : (lease.era ?? 0) < era;
+  }
+
   /** Handles a lease that the store may have held before a lease that it has lost. */
   private onOutdated(
     nowMs: number,
@@ -345,6 +362,7 @@
       version > this.version ||
       (version === this.version && lease.epoch > (this.lastSeen?.epoch ?? 0));
     if (this.callInFlight || !isNewer) return this.takeOver(nowMs);
+    this.noteEra(version);
     this.version = version;
     this.lastSeen = lease;
     this.versionChangedAtMs = nowMs - Math.max(0, lease.durationMs - leftMs);
@@ -425,7 +443,7 @@
     const { pending } = this;
     if (pending === null) return [];
     // The store has returned from a copy, so the write may have replaced a lease of its new era.
-    if (mayBeOutdated(pending.lease, version)) return this.read(nowMs);
+    if (this.mayBeOutdated(pending.lease, version)) return this.read(nowMs);
     this.pending = null;
     this.version = version;
     this.lastSeen = pending.lease;
--- a/test/properties/leases/one-holder.test.ts
+++ b/test/properties/leases/one-holder.test.ts
@@ -94,12 +94,15 @@
     return storeVersions.versionOf(this.era, this.revision);
   }
 
+  /** A store without a lease is taken for a new one, so that only copies with a lease are made. */
   copyStore(): void {
+    if (this.stored === null) return;
     this.copy = { stored: this.stored, revision: this.revision };
   }
 
   /** Returns the store from its copy; revisions are then assigned again. */
   restoreStore(): void {
+    if (this.copy.stored === null) return;
     this.era += 1;
     this.stored = this.copy.stored;
     this.revision = this.copy.revision;
@@ -372,4 +375,47 @@
     expect(world.holders()).toEqual(['vm-1']);
     expect(world.stored?.epoch).toBe(2);
   });
+
+  test('is acquired at once in a new store, whatever its era', () => {
+    const world = new LeaseWorld(3);
+    const [first] = world.vms;
+    if (first === undefined) throw new Error('no VMs');
+    world.run(first, 200);
+    expect(world.holders()).toEqual(['vm-0']);
+  });
+});
+
+describe('a lease that the store has lost altogether', () => {
+  const manager = (self: string) =>
+    new leases.LeaseManager({ self, durationMs: DURATION_MS, marginMs: MARGIN_MS });
+  const { LeaseEventType, LeaseEffectType } = leases;
+  const typesOf = (effects: readonly leases.LeaseEffect[]) => effects.map(({ type }) => type);
+  const held = { holder: 'vm-0', epoch: 9, durationMs: DURATION_MS, era: 1, renewal: 1 };
+  const lost = {
+    type: LeaseEventType.read,
+    lease: null,
+    version: storeVersions.versionOf(2, 0),
+  } as const;
+
+  test('is acquired by a VM that knew it only after a whole term, with unknown allowances', () => {
+    const vm = manager('vm-1');
+    vm.handle(0, { type: LeaseEventType.tick });
+    vm.handle(0, {
+      type: LeaseEventType.read,
+      lease: held,
+      version: storeVersions.versionOf(1, 7),
+    });
+    vm.handle(2_000, { type: LeaseEventType.tick });
+    expect(typesOf(vm.handle(2_000, lost))).toEqual([]);
+    vm.handle(5_400, { type: LeaseEventType.tick });
+    expect(typesOf(vm.handle(5_400, lost))).toEqual([]);
+    vm.handle(5_600, { type: LeaseEventType.tick });
+    expect(typesOf(vm.handle(5_600, lost))).toEqual([LeaseEffectType.write]);
+    const written = {
+      type: LeaseEventType.written,
+      version: storeVersions.versionOf(2, 1),
+    } as const;
+    const acquired = vm.handle(5_600, written)[0];
+    expect(acquired).toMatchObject({ type: LeaseEffectType.acquired, note: null });
+  });
 });
