--- a/test/failures/software-versions.test.ts
+++ b/test/failures/software-versions.test.ts
@@ -13,9 +13,11 @@
 
 const STREAMS = 24;
 const DEADLINE_MS = 6_000;
-/** Streams take about a second, so that they can be interrupted. */
-const SLOWDOWN = 10;
-const MID_STREAM_MS = 550;
+/** Streams take about two seconds, so that they can be interrupted. */
+const SLOWDOWN = 20;
+/** Time after the first events in which the VMs tell each other of the streams and store them. */
+const SHARED_MS = 1_000;
+const BEGIN_TIMEOUT_MS = 5_000;
 /** Time in which the VMs connect to their first steward. */
 const CONNECT_MS = 500;
 
@@ -34,6 +36,8 @@
 const program = path.join(folder, 'bilberrystand.cjs');
 const agent = new undici.Agent({ connections: 64, pipelining: 1 });
 let attempts = 0;
+/** Streams of the current test of which an event has arrived. */
+let begun = 0;
 
 async function startFleet(): Promise<RelayFleet> {
   const fleet = await RelayFleet.start(program, {
@@ -47,6 +51,7 @@
   });
   while (fleet.store.leaseHolder() === null) await clocks.sleep(10);
   await clocks.sleep(CONNECT_MS);
+  begun = 0;
   fleet.engines.forEach((engine) => engine.slowDown(60_000, SLOWDOWN));
   return fleet;
 }
@@ -55,7 +60,7 @@
 async function stream(vm: SoakVm, before?: Received): Promise<Received> {
   attempts += 1;
   const id = `v${attempts}`;
-  const begun = before?.versions ?? [];
+  const received = before?.versions ?? [];
   let text = '';
   let status: number | null = null;
   let isWhole = false;
@@ -70,14 +75,17 @@
         'deadline-ms': String(DEADLINE_MS),
         model: 'm0',
         'token-count': '20,20',
-        ...(begun.length === 0 ? {} : { 'last-event-id': String(begun.length) }),
+        ...(received.length === 0 ? {} : { 'last-event-id': String(received.length) }),
         ...(before?.begunBy == null ? {} : { resumes: before.begunBy }),
       },
       body: 'stream',
     });
     status = res.statusCode;
     res.body.setEncoding('utf8');
-    for await (const part of res.body) text += String(part);
+    for await (const part of res.body) {
+      if (text === '') begun += 1;
+      text += String(part);
+    }
     isWhole = status === 200;
   } catch {
     // The stream was interrupted.
@@ -85,11 +93,18 @@
   const events = [...text.matchAll(/^data: \S+ \d+ (\S+)\n\n/gm)].map(
     ([, version = '']) => version,
   );
-  const versions = [...begun, ...(status === 200 ? events : [])];
+  const versions = [...received, ...(status === 200 ? events : [])];
   const begunBy = before?.begunBy ?? (versions.length > 0 ? id : null);
   return { id, status, versions, begunBy, isWhole: isWhole && versions.length === STREAM_EVENTS };
 }
 
+/** Resolves once half of the streams have begun and the VMs have shared them. */
+async function midStream(): Promise<void> {
+  const untilMs = performance.now() + BEGIN_TIMEOUT_MS;
+  while (begun < STREAMS / 2 && performance.now() < untilMs) await clocks.sleep(10);
+  await clocks.sleep(SHARED_MS);
+}
+
 function joinedFromTwo(streams: readonly Received[]): readonly Received[] {
   return streams.filter(({ versions }) => new Set(versions).size > 1);
 }
@@ -129,7 +144,7 @@
     const streams = Array.from({ length: STREAMS }, (_, at) =>
       stream(vms[at % vms.length] as SoakVm),
     );
-    await clocks.sleep(MID_STREAM_MS);
+    await midStream();
     engines.slice(0, 2).forEach((engine) => engine.retire());
     const received = await Promise.all(streams);
     expect(joinedFromTwo(received)).toEqual([]);
@@ -140,7 +155,7 @@
     fleet = await startFleet();
     const { vms } = fleet;
     const streams = Array.from({ length: STREAMS }, () => stream(vms[0] as SoakVm));
-    await clocks.sleep(MID_STREAM_MS);
+    await midStream();
     await vms[0]?.terminate('SIGKILL');
     const interrupted = (await Promise.all(streams)).filter(({ versions }) => versions.length > 0);
     expect(interrupted.length).toBeGreaterThanOrEqual(STREAMS / 2);
@@ -158,7 +173,7 @@
       await clocks.sleep(at * 25);
       return stream(vms[at % vms.length] as SoakVm);
     });
-    await clocks.sleep(MID_STREAM_MS + 450);
+    await midStream();
     await Promise.all(vms.map((vm) => vm.terminate('SIGKILL')));
     const interrupted = (await Promise.all(streams)).filter(
       ({ versions, isWhole }) => versions.length > 0 && !isWhole,
