Share the watched store of two tests, and say what the late limit of a stop is

Two tests built the same store, client and watcher. The comment of SHORT_REQUEST_MS told the opposite of what it bounds: the time that must be left.

--- a/src/decisions/stopping/index.ts
+++ b/src/decisions/stopping/index.ts
@@ -2,14 +2,14 @@
  * Decides which requests an entry VM accepts during its shutdown.
  *
  * All requests are accepted until the load balancer has detected the shutdown, which takes some
- * seconds. After that, only non-streaming requests whose own time limit ends before the process exits
- * are accepted: their servers may be slow. A truncated stream is worse for the caller than a stream that another entry VM serves
- * from its start.
+ * seconds. After that, only non-streaming requests whose own time limit ends before the process
+ * exits are accepted: their servers may be slow. A truncated stream is worse for the caller than a
+ * stream that another entry VM serves from its start.
  */
 
 /** Detection time: the load balancer checks once per second and drops a VM after two failures. */
 export const SHUTDOWN_DETECTION_MS = 2_500;
-/** Shortest time in which a request is expected to be answered if its limit allows less, ms. */
+/** Minimum time that must be left for a non-streaming request, whatever its limit, ms. */
 const SHORT_REQUEST_MS = 1_500;
 
 /** A request that arrives during the shutdown. */
--- a/test/units/platform/odd-entries.test.ts
+++ b/test/units/platform/odd-entries.test.ts
@@ -1,11 +1,8 @@
 /** Entries of servers that another writer has left in the store, as their decoder and watcher take them. */
 import { afterEach, describe, expect, test } from 'vitest';
 import * as platform from '../../../platform/index.js';
-import * as channels from '../../../src/core/channels/index.js';
 import * as clocks from '../../../src/core/clock/index.js';
-import { createLogger } from '../../../src/core/logger/index.js';
-import { type FleetChange, StoreWatcherTask } from '../../../src/entry/relay/store-watcher.js';
-import { SoakStore } from '../../soak/store.js';
+import { createWatchedStore } from '../relay/watched-store.js';
 
 const DEPTH = 100_000;
 const wire = platform.createWire();
@@ -55,21 +52,8 @@
 
 describe('the list of servers', () => {
   test('is followed although it holds odd entries', async () => {
-    const store = new SoakStore();
-    const client = wire.createStore(await store.start(), 2_000);
-    const watcher = new StoreWatcherTask({
-      wire,
-      store: client,
-      clock: clocks.createClock(),
-      logger: createLogger('test', 'silent'),
-      changed: channels.createChannel<FleetChange>(() => undefined),
-      isSteward: () => true,
-    });
-    cleanups.push(async () => {
-      await watcher.stop();
-      await client.close();
-      store.stop();
-    });
+    const { store, watcher, stop } = await createWatchedStore(2_000);
+    cleanups.push(stop);
     Object.entries(ODD)
       .filter(([name]) => !name.includes('nest'))
       .forEach(([name, value]) => store.put('servers', name, value));
--- a/test/units/relay/restored-store.test.ts
+++ b/test/units/relay/restored-store.test.ts
@@ -1,14 +1,10 @@
 /** The relay's copies of the store after the store has returned from an older copy. */
 import { afterEach, describe, expect, test } from 'vitest';
-import * as platform from '../../../platform/index.js';
-import * as channels from '../../../src/core/channels/index.js';
 import * as clocks from '../../../src/core/clock/index.js';
 import { createLogger } from '../../../src/core/logger/index.js';
-import { type FleetChange, StoreWatcherTask } from '../../../src/entry/relay/store-watcher.js';
 import { PlatformOutcome } from '../../../src/entry/platform/index.js';
 import { INCIDENTS_KEY, IncidentRecordTask } from '../../../src/entry/relay/incident-record.js';
-import type { RelayStore } from '../../../src/entry/relay/types.js';
-import { SoakStore } from '../../soak/store.js';
+import { createWatchedStore } from './watched-store.js';
 
 const TIMEOUT_MS = 500;
 const WAIT_MS = 5_000;
@@ -26,23 +22,9 @@
 const cleanups: (() => Promise<void>)[] = [];
 
 async function createWatcher() {
-  const store = new SoakStore();
-  const wire = platform.createWire();
-  const client: RelayStore = wire.createStore(await store.start(), TIMEOUT_MS);
-  const watcher = new StoreWatcherTask({
-    wire,
-    store: client,
-    clock: clocks.createClock(),
-    logger: createLogger('test', 'silent'),
-    changed: channels.createChannel<FleetChange>(() => undefined),
-    isSteward: () => true,
-  });
-  cleanups.push(async () => {
-    await watcher.stop();
-    await client.close();
-    store.stop();
-  });
-  return { store, watcher, client };
+  const { stop, ...created } = await createWatchedStore(TIMEOUT_MS);
+  cleanups.push(stop);
+  return created;
 }
 
 async function until(isTrue: () => boolean): Promise<void> {
