--- /dev/null
+++ b/review/standins/engine.ts
@@ -0,0 +1,173 @@
+/**
+ * Engine or plain server that speaks the platform's protocol. It behaves like a sound one, unless a
+ * test gives it a `Fault`, which answers a request in its place.
+ */
+import * as http from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { SoakStore } from '../../test/soak/store.js';
+import type { Recorder } from './record.js';
+
+const HEARTBEAT_MS = 1_200;
+const EVENT_INTERVAL_MS = 20;
+
+export interface EngineSpec {
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly slots: number;
+  /** Time that a request without a stream takes, ms. */
+  readonly workMs: number;
+  /** Events of a stream. */
+  readonly events: number;
+  /** Loaded models; none for a plain server. */
+  readonly models: readonly string[];
+}
+
+/** Answers a request that has arrived; false to answer it soundly. */
+export type Fault = (req: http.IncomingMessage, socket: Socket, id: string) => boolean;
+
+export function headerOf(req: http.IncomingMessage, name: string): string {
+  const value = req.headers[name];
+  return typeof value === 'string' ? value : '';
+}
+
+export class Engine {
+  /** Ids of the requests that have begun to run here. */
+  readonly begun = new Set<string>();
+
+  fault: Fault | null = null;
+
+  private running = 0;
+
+  private readonly bornMs = Date.now();
+
+  private seq = 0;
+
+  private readonly models: Set<string>;
+
+  private heartbeat: NodeJS.Timeout | null = null;
+
+  private address = '';
+
+  private readonly sockets = new Set<Socket>();
+
+  private readonly server = http.createServer((req, res) => {
+    req.resume();
+    req.on('end', () => this.handle(req, res));
+  });
+
+  constructor(
+    readonly spec: EngineSpec,
+    private readonly store: SoakStore,
+    private readonly recorder: Recorder,
+  ) {
+    this.models = new Set(spec.models);
+  }
+
+  async start(): Promise<void> {
+    this.server.keepAliveTimeout = 15_000;
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    this.register();
+    this.heartbeat = setInterval(() => this.register(), HEARTBEAT_MS);
+  }
+
+  stop(): void {
+    if (this.heartbeat !== null) clearInterval(this.heartbeat);
+    this.server.close();
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+
+  private register(): void {
+    const { id, service, zone, slots } = this.spec;
+    this.store.put('servers', id, {
+      service,
+      address: this.address,
+      zone,
+      version: 'v1',
+      engine_slots: slots,
+      state: 'ready',
+      cold_remaining_ms: 0,
+      ...this.state(),
+    });
+  }
+
+  private state() {
+    return {
+      seq: this.seq,
+      born: this.bornMs,
+      models: [...this.models].map((name) => ({ name, version: 1, adapters: [] })),
+      at_hand: { in_memory: [], on_disk: [] },
+    };
+  }
+
+  private handle(req: http.IncomingMessage, res: http.ServerResponse): void {
+    if (req.url === '/v1/report') {
+      const load = { stage: 'colocated', busy: false, queued: 0, in_flight: this.running };
+      const report = { ...this.state(), ...load, kv_used: 0, kv_total: 90_000, handles: 0 };
+      res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(report));
+    } else if (req.url === '/health') {
+      res.writeHead(200, { 'Instance-Id': this.spec.id }).end();
+    } else if (req.url === '/v1/order') {
+      res.writeHead(409).end();
+    } else {
+      this.execute(req, res);
+    }
+  }
+
+  private execute(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const id = headerOf(req, 'attempt-id');
+    const reject = (status: number) => {
+      this.recorder.note(this.spec.id, `turns ${id} away with ${status}, not executed`);
+      res.writeHead(status, { 'Attempt-Id': id, 'Not-Executed': '1' }).end();
+    };
+    if (headerOf(req, 'target-instance') !== this.spec.id) return reject(421);
+    const model = headerOf(req, 'model');
+    if (model !== '' && !this.models.has(model)) return reject(421);
+    if (this.running >= this.spec.slots) return reject(503);
+    this.running += 1;
+    this.begun.add(id);
+    this.recorder.note(this.spec.id, `runs ${id}`);
+    res.on('close', () => {
+      this.running -= 1;
+    });
+    if (this.fault?.(req, res.socket as Socket, id) === true) return undefined;
+    if (model === '') this.answer(res, id);
+    else this.stream(req, res, id);
+    return undefined;
+  }
+
+  private answer(res: http.ServerResponse, id: string): void {
+    setTimeout(() => {
+      if (res.destroyed) return;
+      res.writeHead(200, { 'Attempt-Id': id, 'Response-Seal': `seal ${id}` });
+      res.end(`whole ${id}`);
+    }, this.spec.workMs);
+  }
+
+  private stream(req: http.IncomingMessage, res: http.ServerResponse, id: string): void {
+    let last = Number(headerOf(req, 'last-event-id') || '0');
+    res.writeHead(200, {
+      'Attempt-Id': id,
+      'Response-Seal': `seal ${id}`,
+      'Weight-Versions': '1',
+      'Content-Type': 'text/event-stream',
+    });
+    const timer = setInterval(() => {
+      if (res.destroyed || last >= this.spec.events) {
+        clearInterval(timer);
+        res.end();
+        return;
+      }
+      last += 1;
+      res.write(`id: ${last}\ndata: ${id} ${last}\n\n`);
+    }, EVENT_INTERVAL_MS);
+  }
+}
