--- a/review/standins/deployment.ts
+++ b/review/standins/deployment.ts
@@ -80,7 +80,7 @@
   /** How often the process was killed for its memory. */
   memoryKills = 0;
 
-  /** Highest resident memory that was seen, MB. */
+  /** Highest resident memory, without files, that was seen, MB. */
   peakMb = 0;
 
   private child: ChildProcess | null = null;
@@ -153,7 +153,7 @@
     } catch {
       return;
     }
-    const mb = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / KB_PER_MB;
+    const mb = Number(/RssAnon:\s+(\d+)/.exec(status)?.[1] ?? 0) / KB_PER_MB;
     this.peakMb = Math.max(this.peakMb, mb);
     if (mb <= MEMORY_MB) return;
     this.memoryKills += 1;
@@ -224,7 +224,7 @@
   }
 }
 
-/** A configuration with a service of models, a plain service and three routes. */
+/** A configuration with a service of models, a plain service and four routes. */
 export function configOf(models: readonly string[]) {
   const route = (name: string, kind: string, service: string) => ({
     name,
@@ -235,6 +235,7 @@
   });
   const once = { timeout_ms: 4_000, target_latency_ms: 386, priority: 2, attempts: 1 };
   const stream = { timeout_ms: 12_000, target_latency_ms: 400, gap_aim_ms: 200, priority: 1 };
+  const tender = { ...stream, timeout_ms: 20_000, target_latency_ms: 2_000 };
   const engine = {
     engine_slots: 64,
     kv_capacity: 114_341,
@@ -255,6 +256,7 @@
       { ...route('order', 'non_idempotent', 'desk'), ...once },
       { ...route('stock', 'idempotent', 'desk'), ...once, attempts: 2 },
       { ...route('draft', 'streaming', 'writer'), ...stream, attempts: 2, resumable: true },
+      { ...route('tender', 'streaming', 'writer'), ...tender, attempts: 1, resumable: false },
     ],
     services: [
       { name: 'desk', health_check: '/health', max_connections: 96 },
