--- a/review/standins/deployment.ts
+++ b/review/standins/deployment.ts
@@ -10,6 +10,7 @@
 import * as path from 'node:path';
 import { SoakStore } from '../../test/soak/store.js';
 import { Engine, type EngineSpec } from './engine.js';
+import { Link } from './link.js';
 import type { Recorder } from './record.js';
 
 export const HOST = 'shop.example';
@@ -87,12 +88,16 @@
 
   private isStopping = false;
 
+  private isSignalled = false;
+
   private readonly memoryTimer: NodeJS.Timeout;
 
   constructor(
     readonly name: string,
     readonly front: string,
     private readonly ready: string,
+    /** Its link to the platform's store. */
+    readonly link: Link,
     private readonly folder: string,
     private readonly recorder: Recorder,
   ) {
@@ -114,11 +119,19 @@
     child.once('exit', (code, signal) => this.handleExit(code, signal));
   }
 
+  /** Sends the process a signal. If it ends, the platform starts it again. */
+  signal(signal: NodeJS.Signals): void {
+    this.recorder.note(this.name, `gets ${signal}`);
+    this.isSignalled = true;
+    this.child?.kill(signal);
+  }
+
   /** Kills the process; it is not started again. */
   stop(): void {
     this.isStopping = true;
     clearInterval(this.memoryTimer);
     this.child?.kill('SIGKILL');
+    this.link.stop();
   }
 
   async waitUntilReady(): Promise<void> {
@@ -131,6 +144,18 @@
 
   private handleExit(code: number | null, signal: string | null): void {
     if (this.isStopping) return;
+    if (this.isSignalled) this.restart();
+    else this.noteEnd(code, signal);
+  }
+
+  private restart(): void {
+    setTimeout(() => {
+      this.isSignalled = false;
+      if (!this.isStopping) this.start();
+    }, RESTART_MS);
+  }
+
+  private noteEnd(code: number | null, signal: string | null): void {
     this.ends += 1;
     this.recorder.note(this.name, `its process ends by itself, code ${code}, signal ${signal}`);
     const log = fs.readFileSync(path.join(this.folder, `${this.name}.log`), 'utf8');
@@ -138,9 +163,7 @@
     trace
       .slice(0, 12)
       .forEach((line) => this.recorder.note(this.name, `  | ${line.slice(0, 160)}`));
-    setTimeout(() => {
-      if (!this.isStopping) this.start();
-    }, RESTART_MS);
+    this.restart();
   }
 
   /** Kills the process if it exceeds its memory, as the platform does. */
@@ -209,7 +232,15 @@
     const { pid } = process;
     const ip = `127.${1 + (pid % 250)}.${1 + (Math.floor(pid / 250) % 250)}.${at + 1}`;
     const [front, ready, peers] = [await freePort(ip), await freePort(ip), await freePort(ip)];
-    const vm = new EntryVm(name, `${ip}:${front}`, `${ip}:${ready}`, this.folder, this.recorder);
+    const link = new Link(store);
+    const vm = new EntryVm(
+      name,
+      `${ip}:${front}`,
+      `${ip}:${ready}`,
+      link,
+      this.folder,
+      this.recorder,
+    );
     const values = {
       node: name,
       zone,
@@ -217,7 +248,7 @@
       'listen.ready': `${ip}:${ready}`,
       ip,
       'port_range.0': String(peers),
-      'platform.address': store,
+      'platform.address': await link.start(),
     };
     fs.writeFileSync(vm.settings, fillIn(values));
     return vm;
--- a/review/standins/engine.ts
+++ b/review/standins/engine.ts
@@ -47,6 +47,12 @@
 
   fault: Fault | null = null;
 
+  /** When the entry was removed from the store, from `performance.now()`; Infinity before. */
+  removedAtMs = Infinity;
+
+  /** Requests that have arrived since the entry was removed, with the time since then, ms. */
+  readonly arrivedAfterRemoval: { readonly id: string; readonly afterMs: number }[] = [];
+
   private running = 0;
 
   private readonly bornMs = Date.now();
@@ -105,6 +111,15 @@
     this.sockets.forEach((socket) => socket.destroy());
   }
 
+  /** Removes its entry without having reported that it drains, and serves on. */
+  removeEntry(): void {
+    if (this.heartbeat !== null) clearInterval(this.heartbeat);
+    this.heartbeat = null;
+    this.store.remove('servers', this.spec.id);
+    this.removedAtMs = performance.now();
+    this.recorder.note(this.spec.id, 'its entry is removed; it serves on');
+  }
+
   private register(): void {
     const { id, service, zone, slots } = this.spec;
     this.store.put('servers', id, {
@@ -161,6 +176,8 @@
 
   private execute(req: http.IncomingMessage, res: http.ServerResponse): void {
     const id = headerOf(req, 'attempt-id');
+    const afterMs = performance.now() - this.removedAtMs;
+    if (afterMs > 0) this.arrivedAfterRemoval.push({ id, afterMs });
     const reject = (status: number) => {
       this.recorder.note(this.spec.id, `turns ${id} away with ${status}, not executed`);
       res.writeHead(status, { 'Attempt-Id': id, 'Not-Executed': '1' }).end();
