--- a/review/standins/client.ts
+++ b/review/standins/client.ts
@@ -20,6 +20,8 @@
   readonly deadlineMs: number;
   /** Null for a route to the plain service. */
   readonly model: string | null;
+  /** POST by default. */
+  readonly method?: string;
 }
 
 let clients = 0;
@@ -43,7 +45,7 @@
   }
 
   /** Sends a request; never rejects. */
-  send({ id, route, deadlineMs, model }: ClientRequest): Promise<Outcome> {
+  send({ id, route, deadlineMs, model, method = 'POST' }: ClientRequest): Promise<Outcome> {
     const [host = '', port = '0'] = this.address.split(':');
     this.recorder.note(this.name, `sends ${id} (${route}) to ${this.address}`);
     return new Promise((resolve) => {
@@ -57,7 +59,7 @@
       const req = http.request({
         host,
         port: Number(port),
-        method: 'POST',
+        method,
         path: `/${route}/x`,
         agent: this.agent,
         headers: {
--- a/review/standins/engine.ts
+++ b/review/standins/engine.ts
@@ -63,6 +63,8 @@
 
   private busy = false;
 
+  private isDraining = false;
+
   private readonly models: Set<string>;
 
   private heartbeat: NodeJS.Timeout | null = null;
@@ -111,6 +113,22 @@
     this.sockets.forEach((socket) => socket.destroy());
   }
 
+  /** Reports that it drains, and serves on. */
+  drain(): void {
+    this.isDraining = true;
+    this.register();
+    this.recorder.note(this.spec.id, 'reports that it is draining');
+  }
+
+  /** Exits as planned: its entry is removed, and its connections are closed. */
+  exit(): void {
+    if (this.heartbeat !== null) clearInterval(this.heartbeat);
+    this.store.remove('servers', this.spec.id);
+    this.recorder.note(this.spec.id, `exits; running requests: ${this.running}`);
+    this.server.close();
+    this.sockets.forEach((socket) => socket.end());
+  }
+
   /** Removes its entry without having reported that it drains, and serves on. */
   removeEntry(): void {
     if (this.heartbeat !== null) clearInterval(this.heartbeat);
@@ -128,7 +146,7 @@
       zone,
       version: 'v1',
       engine_slots: slots,
-      state: 'ready',
+      state: this.isDraining ? 'draining' : 'ready',
       cold_remaining_ms: 0,
       ...this.state(),
     });
@@ -193,16 +211,19 @@
       this.running -= 1;
     });
     if (this.fault?.(req, res.socket as Socket, id) === true) return undefined;
-    if (model === '') this.answer(res, id);
+    if (model === '') this.answer(req, res, id);
     else this.stream(req, res, id);
     return undefined;
   }
 
-  private answer(res: http.ServerResponse, id: string): void {
+  /** Answers with a body, or to a PUT with 204, which has none. */
+  private answer(req: http.IncomingMessage, res: http.ServerResponse, id: string): void {
+    const isUpdate = req.method === 'PUT';
     setTimeout(() => {
       if (res.destroyed) return;
-      res.writeHead(200, { 'Attempt-Id': id, 'Response-Seal': `seal ${id}` });
-      res.end(`whole ${id}`);
+      const headers = { 'Attempt-Id': id, 'Response-Seal': `seal ${id}` };
+      res.writeHead(isUpdate ? 204 : 200, headers);
+      res.end(isUpdate ? '' : `whole ${id}`);
     }, this.spec.workMs);
   }
 
