Review case 3: streams are taken up at another software version at a VM that is cut off

Seen: an entry VM that is cut off from the store and its peers takes streams up at v1 that v2 has begun. Promise: ORDER (at most two streams with events of two versions).

--- a/review/2/main.ts
+++ b/review/2/main.ts
@@ -1,77 +1,64 @@
 /**
- * A model engine answers with bytes without end. Meanwhile, requests of other clients run at sound
- * servers.
+ * Servers answer updates with 204, which has no body. One of them is taken away as planned.
+ * Meanwhile, requests of other clients run at another one.
  */
-import type { Socket } from 'node:net';
 import * as path from 'node:path';
 import { Client, type Outcome } from '../standins/client.js';
-import { configOf, Deployment, type EntryVm, MEMORY_MB, sleep } from '../standins/deployment.js';
+import { configOf, Deployment, type EntryVm, sleep } from '../standins/deployment.js';
 import type { EngineSpec } from '../standins/engine.js';
 import { Recorder } from '../standins/record.js';
 
-const SOUND_MODEL = 'm0';
-const FAULTY_MODEL = 'm1';
-/** Clients of the model whose engine is faulty, by entry VM. */
-const CLIENTS = [45, 10];
-/** Clients at the first entry VM that place one order after the other. */
-const OWNERS = 8;
-/** Time for which the engine is faulty, ms. */
-const FAULTY_MS = 5_500;
-/** Bytes of one piece, and the pause between pieces: 55 answers fill a link of 1,000 Mbit/s. */
-const PIECE = Buffer.alloc(54_000, 'x');
-const PIECE_PAUSE_MS = 24;
+/** Clients of each entry VM that send updates, and that place orders. */
+const CLIENTS_PER_VM = 4;
+const UPDATES_PER_CLIENT = 10;
+/** One of them leaves: a share of 0.143. */
+const SERVERS = 7;
+const DRAIN_MS = 2_000;
+/** Time for which the server serves on after `DRAIN_MS`, ms. */
+const LINGER_MS = 1_000;
 /** Kept connections that LOST allows to be closed without an answer. */
 const ALLOWED = 3;
 const STABLE_WINDOW_MS = 3_000;
 
-const plain: EngineSpec = {
+const desk: EngineSpec = {
   id: 'i-desk-1',
   service: 'desk',
   zone: 'a',
-  slots: 12,
-  workMs: 300,
+  slots: 6,
+  workMs: 250,
   events: 0,
   models: [],
 };
-const writer: EngineSpec = {
-  ...plain,
-  id: 'i-writer-1',
-  service: 'writer',
-  slots: 64,
-  events: 8,
-  models: [SOUND_MODEL],
-};
-
-/** Sends a sound head and bytes that are no answer until the caller closes. */
-function sendWithoutEnd(socket: Socket, id: string): void {
-  const head = [
-    'HTTP/1.1 200 OK',
-    `Attempt-Id: ${id}`,
-    `Response-Seal: seal ${id}`,
-    'Content-Type: text/plain',
-  ];
-  socket.write(`${head.join('\r\n')}\r\n\r\n`);
-  const timer = setInterval(() => {
-    if (socket.destroyed) clearInterval(timer);
-    else if (socket.writableLength === 0) socket.write(PIECE);
-  }, PIECE_PAUSE_MS);
-}
 
 async function play(recorder: Recorder, deployment: Deployment): Promise<boolean> {
-  const { vms } = deployment;
-  const faulty = deployment.engines.find(({ spec }) => spec.models.includes(FAULTY_MODEL));
-  const desk = deployment.engines.find(({ spec }) => spec.service === 'desk');
-  const [first, second] = vms;
-  if (faulty === undefined || first === undefined || second === undefined)
-    throw new Error('the deployment is not complete');
+  const { vms, engines } = deployment;
+  const [leaving, ...staying] = engines;
+  if (leaving === undefined) throw new Error('there is no server');
+  const runsElsewhere = (id: string) => staying.some(({ begun }) => begun.has(id));
   const clients: Client[] = [];
-  const clientOf = (vm: EntryVm) => {
-    const client = new Client(recorder, vm.front);
-    clients.push(client);
-    return client;
-  };
+  const clientsOf = (vm: EntryVm) =>
+    Array.from({ length: CLIENTS_PER_VM }, () => {
+      const client = new Client(recorder, vm.front);
+      clients.push(client);
+      return client;
+    });
   await sleep(STABLE_WINDOW_MS);
 
+  // Updates: each server answers some of them for each entry VM.
+  const outcomes = await Promise.all(
+    vms.flatMap(clientsOf).map(async (client, at) => {
+      const results: Outcome[] = [];
+      for (let turn = 0; turn < UPDATES_PER_CLIENT; turn += 1) {
+        const id = `update-${at}-${turn}`;
+        const request = { id, route: 'stock', deadlineMs: 4_000, model: null, method: 'PUT' };
+        results.push(await client.send(request));
+      }
+      return results;
+    }),
+  );
+  if (outcomes.flat().some(({ status }) => status !== 204)) throw new Error('updates failed');
+
+  // Orders, one after the other on each connection.
   let isOver = false;
   const lost: Outcome[] = [];
   const placeOrders = async (client: Client, owner: number) => {
@@ -80,45 +67,24 @@
       const outcome = await client.send({ id, route: 'order', deadlineMs: 4_000, model: null });
       if (outcome.status === null) {
         // Only a connection that had served a request before counts as kept.
-        if (turn > 0 && desk?.begun.has(id) === true) lost.push(outcome);
+        if (turn > 0 && runsElsewhere(id)) lost.push(outcome);
         return;
       }
     }
   };
-  const orders = Array.from({ length: OWNERS }, (_, owner) => placeOrders(clientOf(first), owner));
-  await sleep(1_500);
+  const orders = vms.flatMap(clientsOf).map(placeOrders);
+  await sleep(500);
 
-  if (process.env.TROUBLE !== '0') {
-    recorder.note(faulty.spec.id, 'answers with bytes without end from now on');
-    faulty.fault = (_, socket, id) => {
-      sendWithoutEnd(socket, id);
-      return true;
-    };
-  }
-  const askTender = async (vm: EntryVm, other: EntryVm, id: string) => {
-    const client = clientOf(vm);
-    const request = { id, route: 'tender', deadlineMs: 20_000, model: FAULTY_MODEL };
-    const outcome = await client.send(request);
-    if (outcome.status !== null || isOver) return;
-    // The client retries once, at another entry VM.
-    client.moveTo(other.front);
-    await client.send({ ...request, id: `${id}-again` });
-  };
-  const tenders = vms.flatMap((vm, at) =>
-    Array.from({ length: CLIENTS[at] ?? 0 }, (_, number) =>
-      askTender(vm, vm === first ? second : first, `tender-${at}-${number}`),
-    ),
-  );
-  await sleep(FAULTY_MS);
-  faulty.fault = null;
+  if (process.env.TROUBLE !== '0') leaving.drain();
+  await sleep(DRAIN_MS + LINGER_MS);
+  if (process.env.TROUBLE !== '0') leaving.exit();
+  await sleep(1_500);
   isOver = true;
-  await Promise.race([Promise.all([...orders, ...tenders]), sleep(10_000)]);
+  await Promise.race([Promise.all(orders), sleep(5_000)]);
   clients.forEach((client) => client.close());
 
-  vms.forEach(({ name, peakMb, memoryKills, ends }) => {
-    const memory = `up to ${peakMb.toFixed(0)} MB of ${MEMORY_MB} MB`;
-    recorder.note('test', `${name}: ${memory}, killed for it ${memoryKills}, ended ${ends}`);
-  });
+  const ends = vms.map(({ name, ends: count }) => `${name} ${count}`).join(', ');
+  recorder.note('test', `processes that ended by themselves: ${ends}`);
   recorder.note('test', `orders passed on and closed without an answer: ${lost.length}`);
   return lost.length > ALLOWED;
 }
@@ -126,14 +92,13 @@
 async function main(): Promise<number> {
   const recorder = new Recorder(path.join(process.argv[2] ?? '.', 'record.txt'));
   const deployment = new Deployment(recorder, {
-    zones: ['a', 'b'],
-    engines: [
-      plain,
-      writer,
-      { ...writer, id: 'i-writer-2', zone: 'b', models: [FAULTY_MODEL] },
-      { ...writer, id: 'i-writer-3', zone: 'b' },
-    ],
-    config: configOf([SOUND_MODEL, FAULTY_MODEL]),
+    zones: ['a', 'b', 'c'],
+    engines: Array.from({ length: SERVERS }, (_, at) => ({
+      ...desk,
+      id: `i-desk-${at + 1}`,
+      zone: ['a', 'b', 'c'][at % 3] ?? 'a',
+    })),
+    config: configOf([]),
   });
   try {
     await deployment.start();
--- a/review/3/main.ts
+++ b/review/3/main.ts
@@ -1,106 +1,109 @@
 /**
- * The steward has been cut off from the store for some seconds. When it is back, a server is taken
- * away that never reports that it drains, and then the steward's process is killed.
+ * While one entry VM is cut off from the store and the others, servers of a newer software version
+ * are added. Then another VM is killed, and its clients take their streams up at the first one.
  */
 import * as path from 'node:path';
-import { Client } from '../standins/client.js';
-import { configOf, Deployment, type EntryVm, sleep } from '../standins/deployment.js';
-import type { EngineSpec } from '../standins/engine.js';
+import { Client, type Outcome } from '../standins/client.js';
+import { configOf, Deployment, sleep } from '../standins/deployment.js';
+import { Engine, type EngineSpec } from '../standins/engine.js';
 import { Recorder } from '../standins/record.js';
 
-const CLIENTS_PER_VM = 4;
-const CUT_MS = 4_000;
-/** Times after the steward's first call to the store that gets through, ms. */
-const REMOVED_AFTER_MS = 1_100;
-const KILLED_AFTER_MS = 2_100;
-/** Time for which the server serves on after its entry was removed, ms. */
-const LINGER_MS = 8_000;
-const DRAIN_MS = 2_000;
+const STREAMS = 16;
+/** Streams with events of two versions that ORDER allows. */
+const ALLOWED = 2;
 const STABLE_WINDOW_MS = 3_000;
 
-const desk: EngineSpec = {
-  id: 'i-desk-1',
-  service: 'desk',
+const older: EngineSpec = {
+  id: 'i-talk-1',
+  service: 'talk',
   zone: 'a',
-  slots: 6,
-  workMs: 60,
-  events: 0,
+  slots: 32,
+  workMs: 0,
+  events: 150,
   models: [],
+  version: 'v1',
 };
+const newer: EngineSpec = { ...older, id: 'i-talk-3', version: 'v2' };
+
+/** Software versions of the servers whose events came. */
+function versionsIn(text: string): readonly string[] {
+  return [...text.matchAll(/^data: \S+ \d+ (\S+)$/gm)].map((match) => match[1] ?? '');
+}
+
+function lastEventIn(text: string): number {
+  const whole = text.slice(0, text.lastIndexOf('\n\n') + 1);
+  return Number([...whole.matchAll(/^id: (\d+)$/gm)].at(-1)?.[1] ?? 0);
+}
 
 async function play(recorder: Recorder, deployment: Deployment): Promise<boolean> {
-  const { vms, engines, store } = deployment;
+  const { vms, store } = deployment;
   const isTrouble = process.env.TROUBLE !== '0';
-  const leaving = engines.find(({ spec }) => spec.id === 'i-desk-3');
+  const cut = vms.at(-1);
+  const killed = vms.find((vm) => vm !== cut && vm.name !== store.leaseHolder());
+  if (cut === undefined || killed === undefined) throw new Error('the deployment is not complete');
   await sleep(STABLE_WINDOW_MS);
-  const steward = vms.find(({ name }) => name === store.leaseHolder());
-  if (steward === undefined || leaving === undefined) throw new Error('there is no steward');
-  recorder.note('test', `the steward is ${steward.name}`);
-
-  // Lookups by the other entry VMs, which stay undisturbed all the while.
-  let isOver = false;
-  const look = async (vm: EntryVm, number: number) => {
-    const client = new Client(recorder, vm.front);
-    for (let turn = 0; !isOver; turn += 1) {
-      const id = `${vm.name}-${number}-${turn}`;
-      await client.send({ id, route: 'stock', deadlineMs: 4_000, model: null });
-    }
-    client.close();
-  };
-  const calm = vms.filter((vm) => vm !== steward);
-  const lookups = calm.flatMap((vm) =>
-    Array.from({ length: CLIENTS_PER_VM }, (_, number) => look(vm, number)),
-  );
-  await sleep(1_000);
+  recorder.note('test', `the steward is ${store.leaseHolder()}`);
 
   if (isTrouble) {
-    recorder.note(steward.name, 'is cut off from the store');
-    steward.link.cut();
-    await sleep(CUT_MS);
-    recorder.note(steward.name, `reaches the store again; the lease is ${store.leaseHolder()}'s`);
-    const isBack = new Promise<void>((resolve) => {
-      steward.link.onSent = (bytes) => {
-        if (bytes.includes('GET /v1/objects/servers')) resolve();
-      };
-    });
-    steward.link.heal();
-    await isBack;
-    recorder.note(steward.name, 'calls the store again');
+    recorder.note(cut.name, 'is cut off from the store and the other entry VMs');
+    [cut.link, ...deployment.peerLinks].forEach((link) => link.cut());
   }
-  await sleep(REMOVED_AFTER_MS);
-  leaving.removeEntry();
-  await sleep(KILLED_AFTER_MS - REMOVED_AFTER_MS);
-  if (isTrouble) steward.signal('SIGKILL');
-  await sleep(LINGER_MS - (KILLED_AFTER_MS - REMOVED_AFTER_MS));
-  isOver = true;
-  leaving.stop();
-  recorder.note(leaving.spec.id, 'has ended');
-  await Promise.race([Promise.all(lookups), sleep(5_000)]);
+  const added = [newer, { ...newer, id: 'i-talk-4' }].map(
+    (spec) => new Engine(spec, store, recorder),
+  );
+  await Promise.all(added.map((engine) => engine.start()));
+  deployment.engines.push(...added);
+  await sleep(800);
 
-  const late = leaving.arrivedAfterRemoval.filter(({ afterMs }) => afterMs > DRAIN_MS);
-  const last = late.at(-1);
-  recorder.note('test', `the steward is ${store.leaseHolder()}`);
-  recorder.note(
-    'test',
-    `requests that reached ${leaving.spec.id} over ${DRAIN_MS} ms after the removal: ${late.length}`,
+  const clients = Array.from({ length: STREAMS }, () => new Client(recorder, killed.front));
+  const request = (id: string) => ({ id, route: 'talk', deadlineMs: 12_000, model: null });
+  const tries = clients.map((client, at) => client.send(request(`stream-${at}`)));
+  await sleep(900);
+  if (isTrouble) killed.signal('SIGKILL');
+  const first = await Promise.all(tries);
+  recorder.note(cut.name, (await cut.isReady()) ? 'says that it is ready' : 'is not ready');
+  // Each client whose stream was broken off takes it up at another entry VM.
+  const second = await Promise.all(
+    first.map(async ({ id, text, isWhole }, at) => {
+      const client = clients[at];
+      if (client === undefined || isWhole) return null;
+      client.moveTo(cut.front);
+      const resumes = { id, lastEventId: lastEventIn(text) };
+      return client.send({ ...request(`${id}-again`), resumes });
+    }),
   );
-  if (last !== undefined) {
-    recorder.note('test', `the last one ${last.afterMs.toFixed(0)} ms after: ${last.id}`);
+  if (isTrouble) {
+    [cut.link, ...deployment.peerLinks].forEach((link) => link.heal());
+    recorder.note(cut.name, 'is connected again');
   }
-  return late.length > 0;
+  const textOf = (outcome: Outcome | null | undefined) =>
+    outcome?.status === 200 ? outcome.text : '';
+  const mixed = first.filter((outcome, at) => {
+    const versions = [
+      ...new Set([...versionsIn(textOf(outcome)), ...versionsIn(textOf(second[at]))]),
+    ];
+    recorder.note('test', `${outcome.id}: events of ${versions.join(' and ')}`);
+    return versions.length > 1;
+  });
+  clients.forEach((client) => client.close());
+  const resumed = second.filter((outcome) => outcome?.status === 200);
+  recorder.note('test', `streams that went on at ${cut.name}: ${resumed.length}`);
+  recorder.note('test', `streams with events of two versions: ${mixed.length}`);
+  return mixed.length > ALLOWED;
 }
 
 async function main(): Promise<number> {
   const recorder = new Recorder(path.join(process.argv[2] ?? '.', 'record.txt'));
   const deployment = new Deployment(recorder, {
-    zones: ['a', 'b', 'c'],
-    engines: [desk, { ...desk, id: 'i-desk-2', zone: 'b' }, { ...desk, id: 'i-desk-3', zone: 'c' }],
+    zones: ['a', 'b', 'a', 'b'],
+    engines: [older, { ...older, id: 'i-talk-2', zone: 'b' }],
     config: configOf([]),
+    isLastLinked: true,
   });
   try {
     await deployment.start();
     const isBroken = await play(recorder, deployment);
-    recorder.note('test', isBroken ? 'DRAIN is broken' : 'DRAIN held');
+    recorder.note('test', isBroken ? 'ORDER is broken' : 'ORDER held');
     return isBroken ? 1 : 0;
   } catch (err) {
     recorder.note('test', `the case couldn't run: ${String(err)}`);
--- a/review/standins/client.ts
+++ b/review/standins/client.ts
@@ -20,6 +20,8 @@
   readonly deadlineMs: number;
   /** Null for a route to the plain service. */
   readonly model: string | null;
+  /** For a stream that is taken up: the attempt that began it, and the last event that came. */
+  readonly resumes?: { readonly id: string; readonly lastEventId: number };
   /** POST by default. */
   readonly method?: string;
 }
@@ -45,7 +47,14 @@
   }
 
   /** Sends a request; never rejects. */
-  send({ id, route, deadlineMs, model, method = 'POST' }: ClientRequest): Promise<Outcome> {
+  send({
+    id,
+    route,
+    deadlineMs,
+    model,
+    resumes,
+    method = 'POST',
+  }: ClientRequest): Promise<Outcome> {
     const [host = '', port = '0'] = this.address.split(':');
     this.recorder.note(this.name, `sends ${id} (${route}) to ${this.address}`);
     return new Promise((resolve) => {
@@ -67,6 +76,9 @@
           'Attempt-Id': id,
           'Deadline-Ms': String(deadlineMs),
           Authorization: `Bearer ${KEY}`,
+          ...(resumes === undefined
+            ? {}
+            : { Resumes: resumes.id, 'Last-Event-Id': String(resumes.lastEventId) }),
           ...(model === null
             ? {}
             : { Model: model, 'Token-Count': '60,20', 'Prompt-Prefix': `5c1e07a2:40,${id}:20` }),
--- a/review/standins/deployment.ts
+++ b/review/standins/deployment.ts
@@ -21,6 +21,9 @@
 /** The platform restarts a process that has ended after a short delay. */
 const RESTART_MS = 500;
 const MEMORY_POLL_MS = 10;
+/** Last bytes of the VMs' loopback addresses, and of those of the links to them. */
+const FIRST_HOST = 101;
+const LINK_HOST_OFFSET = 100;
 const KB_PER_MB = 1_024;
 
 /** The figures of the sheet of Ruedas Compartidas. */
@@ -134,9 +137,13 @@
     this.link.stop();
   }
 
+  isReady(): Promise<boolean> {
+    return isReadyAt(this.ready);
+  }
+
   async waitUntilReady(): Promise<void> {
     const untilMs = performance.now() + READY_TIMEOUT_MS;
-    while (!(await isReadyAt(this.ready))) {
+    while (!(await this.isReady())) {
       if (performance.now() > untilMs) throw new Error(`${this.name} was not ready in time`);
       await sleep(50);
     }
@@ -189,6 +196,8 @@
   readonly zones: readonly string[];
   readonly engines: readonly EngineSpec[];
   readonly config: unknown;
+  /** Whether the last entry VM starts after the others, and reaches them over links. */
+  readonly isLastLinked?: boolean;
 }
 
 export class Deployment {
@@ -198,6 +207,12 @@
 
   readonly engines: Engine[] = [];
 
+  /** Links of the last entry VM to the others, if it has any. */
+  readonly peerLinks: Link[] = [];
+
+  /** Addresses of the entry VMs for their peers. */
+  private readonly peerAddresses: string[] = [];
+
   private readonly folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bilberrystand-review-'));
 
   constructor(
@@ -216,23 +231,50 @@
     for (let at = 0; at < zones.length; at += 1) {
       this.vms.push(await this.createVm(`edge-${at + 1}`, zones[at] ?? '', at, store));
     }
-    this.vms.forEach((vm) => vm.start());
-    await Promise.all(this.vms.map((vm) => vm.waitUntilReady()));
+    const last = this.opts.isLastLinked === true ? this.vms.slice(-1) : [];
+    const first = this.vms.filter((vm) => !last.includes(vm));
+    first.forEach((vm) => vm.start());
+    await Promise.all(first.map((vm) => vm.waitUntilReady()));
+    last.forEach((vm) => vm.start());
+    await Promise.all(last.map((vm) => vm.waitUntilReady()));
     this.recorder.note('platform', `${this.vms.length} entry VMs are ready`);
   }
 
   stop(): void {
     this.vms.forEach((vm) => vm.stop());
+    this.peerLinks.forEach((link) => link.stop());
     this.engines.forEach((engine) => engine.stop());
     this.store.stop();
     fs.rmSync(this.folder, { recursive: true, force: true });
   }
 
+  /** Creates the links to the entry VMs so far; returns their addresses by those of the VMs. */
+  private async linkPeers(): Promise<ReadonlyMap<string, string>> {
+    const linked = new Map(
+      this.peerAddresses.map((address) => {
+        const [host = '', port = ''] = address.split(':');
+        const bytes = host.split('.').map(Number);
+        const link = [...bytes.slice(0, -1), (bytes.at(-1) ?? 0) + LINK_HOST_OFFSET].join('.');
+        return [address, `${link}:${port}`];
+      }),
+    );
+    await Promise.all(
+      [...linked].map(async ([address, linkAddress]) => {
+        const link = new Link(address, linked);
+        this.peerLinks.push(link);
+        await link.start(linkAddress);
+      }),
+    );
+    return linked;
+  }
+
   private async createVm(name: string, zone: string, at: number, store: string): Promise<EntryVm> {
     const { pid } = process;
-    const ip = `127.${1 + (pid % 250)}.${1 + (Math.floor(pid / 250) % 250)}.${at + 1}`;
+    const ip = `127.${1 + (pid % 250)}.${1 + (Math.floor(pid / 250) % 250)}.${FIRST_HOST + at}`;
     const [front, ready, peers] = [await freePort(ip), await freePort(ip), await freePort(ip)];
-    const link = new Link(store);
+    const isLinked = this.opts.isLastLinked === true && at === this.opts.zones.length - 1;
+    const link = new Link(store, isLinked ? await this.linkPeers() : new Map());
+    this.peerAddresses.push(`${ip}:${peers}`);
     const vm = new EntryVm(
       name,
       `${ip}:${front}`,
@@ -255,7 +297,7 @@
   }
 }
 
-/** A configuration with a service of models, a plain service and four routes. */
+/** A configuration with a service of models, plain services and five routes. */
 export function configOf(models: readonly string[]) {
   const route = (name: string, kind: string, service: string) => ({
     name,
@@ -286,11 +328,13 @@
     routes: [
       { ...route('order', 'non_idempotent', 'desk'), ...once },
       { ...route('stock', 'idempotent', 'desk'), ...once, attempts: 2 },
+      { ...route('talk', 'streaming', 'talk'), ...stream, attempts: 2, resumable: true },
       { ...route('draft', 'streaming', 'writer'), ...stream, attempts: 2, resumable: true },
       { ...route('tender', 'streaming', 'writer'), ...tender, attempts: 1, resumable: false },
     ],
     services: [
       { name: 'desk', health_check: '/health', max_connections: 96 },
+      { name: 'talk', health_check: '/health', max_connections: 96 },
       { name: 'writer', health_check: '/health', max_connections: 360, engine },
     ],
     limits: {
--- a/review/standins/engine.ts
+++ b/review/standins/engine.ts
@@ -31,6 +31,8 @@
   readonly events: number;
   /** Loaded models; none for a plain server. */
   readonly models: readonly string[];
+  /** Version of its software; v1 by default. */
+  readonly version?: string;
 }
 
 /** Answers a request that has arrived; false to answer it soundly. */
@@ -53,6 +55,8 @@
   /** Requests that have arrived since the entry was removed, with the time since then, ms. */
   readonly arrivedAfterRemoval: { readonly id: string; readonly afterMs: number }[] = [];
 
+  private readonly version: string;
+
   private running = 0;
 
   private readonly bornMs = Date.now();
@@ -90,6 +94,7 @@
     private readonly recorder: Recorder,
   ) {
     this.models = new Set(spec.models);
+    this.version = spec.version ?? 'v1';
   }
 
   async start(): Promise<void> {
@@ -144,7 +149,7 @@
       service,
       address: this.address,
       zone,
-      version: 'v1',
+      version: this.version,
       engine_slots: slots,
       state: this.isDraining ? 'draining' : 'ready',
       cold_remaining_ms: 0,
@@ -211,7 +216,7 @@
       this.running -= 1;
     });
     if (this.fault?.(req, res.socket as Socket, id) === true) return undefined;
-    if (model === '') this.answer(req, res, id);
+    if (this.spec.events === 0) this.answer(req, res, id);
     else this.stream(req, res, id);
     return undefined;
   }
@@ -242,7 +247,7 @@
         return;
       }
       last += 1;
-      res.write(`id: ${last}\ndata: ${id} ${last}\n\n`);
+      res.write(`id: ${last}\ndata: ${id} ${last} ${this.version}\n\n`);
     }, EVENT_INTERVAL_MS);
   }
 }
--- a/review/standins/link.ts
+++ b/review/standins/link.ts
@@ -1,4 +1,4 @@
-/** A link between an entry VM and the platform's store, which can be cut without a reset. */
+/** A link of an entry VM to the platform's store or to a peer, which can be cut without a reset. */
 import * as net from 'node:net';
 
 /** One connection over the link. */
@@ -17,11 +17,19 @@
 
   private readonly server = net.createServer({ pauseOnConnect: true }, (near) => this.join(near));
 
-  constructor(private readonly target: string) {}
+  /**
+   * @param translations Addresses that the target names, each with the one at which the entry VM
+   * reaches it over a link of its own. Both have the same length.
+   */
+  constructor(
+    private readonly target: string,
+    private readonly translations: ReadonlyMap<string, string> = new Map(),
+  ) {}
 
-  async start(): Promise<string> {
+  async start(address = '127.0.0.1:0'): Promise<string> {
+    const [host = '', port = '0'] = address.split(':');
     await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
+      this.server.listen(Number(port), host, resolve);
     });
     return `127.0.0.1:${(this.server.address() as net.AddressInfo).port}`;
   }
@@ -65,7 +73,7 @@
       this.onSent?.(bytes);
       far.write(bytes);
     });
-    far.on('data', (bytes: Buffer) => near.write(bytes));
+    far.on('data', (bytes: Buffer) => near.write(this.translate(bytes)));
     [near, far].forEach((socket) => {
       socket.on('error', end);
       socket.on('close', end);
@@ -73,4 +81,13 @@
     if (this.isCut) far.pause();
     else near.resume();
   }
+
+  private translate(bytes: Buffer): Buffer {
+    if (this.translations.size === 0) return bytes;
+    const text = [...this.translations].reduce(
+      (before, [from, to]) => before.replaceAll(from, to),
+      bytes.toString('latin1'),
+    );
+    return Buffer.from(text, 'latin1');
+  }
 }
