--- a/review/1/main.ts
+++ b/review/1/main.ts
@@ -12,8 +12,11 @@
 const MODEL = 'm0';
 /** Orders in progress at the first entry VM when the answer is spoiled. */
 const ORDERS = 8;
-/** Streams before the spoiled answer; with a share of 0.03, one answer in 34 may be spoiled. */
-const STREAMS_BEFORE = 120;
+/** Clients of each entry VM, and streams of each client, before the spoiled answer. */
+const CLIENTS_PER_VM = 6;
+const STREAMS_PER_CLIENT = 16;
+/** Sound answers of the engine before the spoiled one: with x = 0.03, one answer in 34 is spoiled. */
+const SOUND_ANSWERS = 40;
 /** Kept connections that LOST allows to be closed without an answer. */
 const ALLOWED = 3;
 const STABLE_WINDOW_MS = 3_000;
@@ -56,7 +59,9 @@
   const streamer = new Client(recorder, first.front);
   const stream = (id: string, client = streamer) =>
     client.send({ id, route: 'draft', deadlineMs: 12_000, model: MODEL });
-  const others = Array.from({ length: 12 }, () => new Client(recorder, second.front));
+  const others = deployment.vms.flatMap(({ front }) =>
+    Array.from({ length: CLIENTS_PER_VM }, () => new Client(recorder, front)),
+  );
   const owners = Array.from({ length: ORDERS }, () => new Client(recorder, first.front));
   const order = (name: string) =>
     owners.map((client, at) =>
@@ -65,10 +70,10 @@
 
   await sleep(STABLE_WINDOW_MS);
   // Sound traffic: streams by both entry VMs, and one order on each connection that is kept.
-  const perClient = STREAMS_BEFORE / others.length;
   await Promise.all(
     others.map(async (client, at) => {
-      for (let turn = 0; turn < perClient; turn += 1) await stream(`s-${at}-${turn}`, client);
+      for (let turn = 0; turn < STREAMS_PER_CLIENT; turn += 1)
+        await stream(`s-${at}-${turn}`, client);
     }),
   );
   const before = await Promise.all(order('early'));
@@ -80,7 +85,7 @@
   engines.forEach((engine) => {
     Object.assign(engine, {
       fault: (_: unknown, socket: Socket, id: string) => {
-        if (isSpoiled) return false;
+        if (isSpoiled || engine.begun.size <= SOUND_ANSWERS) return false;
         isSpoiled = true;
         recorder.note(engine.spec.id, `answers ${id} with bytes that are no answer`);
         spoil(socket, id);
--- a/review/standins/engine.ts
+++ b/review/standins/engine.ts
@@ -215,7 +215,8 @@
     res.on('close', () => {
       this.running -= 1;
     });
-    if (this.fault?.(req, res.socket as Socket, id) === true) return undefined;
+    const { socket } = res;
+    if (socket === null || this.fault?.(req, socket, id) === true) return undefined;
     if (this.spec.events === 0) this.answer(req, res, id);
     else this.stream(req, res, id);
     return undefined;
