--- a/review/standins/deployment.ts
+++ b/review/standins/deployment.ts
@@ -221,6 +221,11 @@
   ) {}
 
   async start(): Promise<void> {
+    // Also when the script ends by an exception or a signal.
+    process.once('exit', () => this.stop());
+    ['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((signal) => {
+      process.once(signal, () => process.exit(2));
+    });
     const store = await this.store.start();
     this.store.put('config', 'main', this.opts.config);
     this.opts.engines.forEach((spec) => {
