Log which version a refused take-up needs, and which engines do not respond to the steward

Lines 'refused' and 'cut' name the version, 'servers-changed' those of added servers, 'order-planned' that of the engine; 'engine-unresponsive' and 'engine-responds' are new. No decision changes.

--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -262,10 +262,12 @@
   private applyReport(engine: EngineRecord, report: EngineReport | null): void {
     const nowMs = this.opts.clock.steadyMs();
     if (report === null) {
-      Object.assign(engine, { consecutiveFailures: engine.consecutiveFailures + 1 });
+      this.noteFailure(engine);
       if (this.hasReported(engine)) Object.assign(engine, { reportedAtMs: nowMs });
       return;
     }
+    if (engine.consecutiveFailures >= MAX_CONSECUTIVE_FAILURES)
+      this.opts.logger.info('engine-responds', { engine: engine.server.id });
     Object.assign(engine, { consecutiveFailures: 0, reportedAtMs: nowMs });
     const loading = engine.orders.loading.length > 0;
     if (report.copies !== null) Object.assign(engine, { copies: report.copies });
@@ -284,6 +286,15 @@
     }
   }
 
+  /** Counts a call without an answer. */
+  private noteFailure(engine: EngineRecord): void {
+    const consecutiveFailures = engine.consecutiveFailures + 1;
+    Object.assign(engine, { consecutiveFailures });
+    if (consecutiveFailures !== MAX_CONSECUTIVE_FAILURES) return;
+    const { loading } = engine.orders;
+    this.opts.logger.info('engine-unresponsive', { engine: engine.server.id, loading });
+  }
+
   private noteStoreLoad(nowMs: number, { storeLoad }: EngineRecord): void {
     if (storeLoad === null) return;
     const { startedAtMs, usualMs, maxConcurrent } = storeLoad;
@@ -333,6 +344,7 @@
         );
       this.opts.logger.info('order-planned', {
         engine: action.engineId,
+        version: engine.server.version,
         steps: action.steps.map(({ type, model, adapter }) => [type, model, adapter].join(' ')),
         fromStore: action.fromStore,
         reason: action.reason,
@@ -477,8 +489,7 @@
     });
     engine.orders.answered(nowMs, outcome);
     if (outcome === OrderOutcome.fenced) this.opts.lease.noteFence(fence + 1);
-    if (outcome === OrderOutcome.unknown)
-      Object.assign(engine, { consecutiveFailures: engine.consecutiveFailures + 1 });
+    if (outcome === OrderOutcome.unknown) this.noteFailure(engine);
     if (this.engines.get(engine.server.id) === engine) this.sendDueOrder(nowMs, engine);
   }
 }
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -539,7 +539,9 @@
   private cut(reason: string): void {
     if (this.ended) return;
     this.ended = true;
-    this.ctx.log('cut', this.request.metadata.id, { reason });
+    const { model, adapter } = this.request.metadata;
+    const { version } = this.queuedRequest;
+    this.ctx.log('cut', this.request.metadata.id, { reason, model, adapter, version });
     this.request.res.destroy();
   }
 
@@ -573,6 +575,7 @@
       retryAfterMs,
       customer: this.request.customer?.name,
       isTakeUp: this.isTakeUp,
+      version: this.queuedRequest.version,
       ...fields,
       model: this.request.metadata.model,
       adapter: this.request.metadata.adapter,
--- a/src/entry/relay/store-watcher.ts
+++ b/src/entry/relay/store-watcher.ts
@@ -517,7 +517,8 @@
       isDraining && before.get(id) !== true ? [id] : [],
     );
     if (added.length + gone.length + leaving.length > 0) {
-      this.opts.logger.info('servers-changed', { toldBy: source, added, gone, leaving });
+      const versions = added.map((id) => this.backends.get(id)?.version);
+      this.opts.logger.info('servers-changed', { toldBy: source, added, versions, gone, leaving });
     }
     this.opts.changed.send({ plan: false, backends: true });
   }
