Count no loads of engines that do not respond

Cause: the planner counts an engine that is loading a model, or is to load it, as progress, whether it responds or not. A load that is planned on an engine just as it crashes keeps all other engines from loading the model until the list of servers drops the engine, 3.5 s later; callers of streams leave after 2 s.

Change: loads of models and adapters count as progress only while their engine responds, as replicas do already: for the need of another load, the benefit of another replica, the loads that VMs are told of, and the concurrency of the weight store. The memory that they reserve stays reserved, as a late order may still run.

The three tests of swaps.test.ts failed before (no load, no load, another model preloaded).

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -150,6 +150,11 @@
   return engine.replicas.find((replica) => replica.model === model);
 }
 
+/** Whether a load of the model is expected to end: an engine that does not respond may never do it. */
+function isLoading({ healthy, loading }: EngineState, model: string): boolean {
+  return healthy && loading.includes(model);
+}
+
 /**
  * Returns the urgency of a demand: one for each queued request, plus an amount that grows from
  * `URGENCY_LEAD_MS` before the latency objective. Long queues go first, but a single request does
@@ -224,7 +229,7 @@
         (engine) => engine.healthy && engine.service === service,
       );
       const isAvailable = (engine: EngineState) =>
-        engine.loading.includes(model) ||
+        isLoading(engine, model) ||
         hasCopy(engine, model) ||
         replicaOf(engine, model) !== undefined;
       const spec = engines[0]?.spec.models.get(model);
@@ -268,8 +273,7 @@
     const engines = view.enginesByService.get(service) ?? [];
     const replicaCount = engines.filter(
       (engine) =>
-        engine.loading.includes(model) ||
-        (engine.healthy && replicaOf(engine, model) !== undefined),
+        isLoading(engine, model) || (engine.healthy && replicaOf(engine, model) !== undefined),
     ).length;
     return rate / (1 + replicaCount * replicaCount * 4);
   }
@@ -284,11 +288,13 @@
     if (adapter === null) return null;
     const name = `${model}/${adapter}`;
     const engines = view.enginesByService.get(demand.service) ?? [];
-    const isLoading = engines.some((engine) => engine.loadingAdapters.includes(name));
-    const isLoaded = engines.some(
-      (engine) => engine.healthy && replicaOf(engine, model)?.adapters.has(adapter) === true,
+    const isAvailable = engines.some(
+      (engine) =>
+        engine.healthy &&
+        (engine.loadingAdapters.includes(name) ||
+          replicaOf(engine, model)?.adapters.has(adapter) === true),
     );
-    if (isLoading || isLoaded) return null;
+    if (isAvailable) return null;
     const options = engines
       .filter((engine) => engine.openForAdapters && !assignedEngines.has(engine.id))
       .flatMap((engine) => this.adapterOptions(view.nowMs, engine, model))
@@ -396,7 +402,7 @@
     demand: PendingDemand,
   ): boolean {
     const { model } = demand;
-    const loadingCount = engines.filter((engine) => engine.loading.includes(model)).length;
+    const loadingCount = engines.filter((engine) => isLoading(engine, model)).length;
     const holders = view.holdersByModel.get(modelKey(demand.service, model)) ?? [];
     if (loadingCount === 0 && holders.length === 0) return demand.waiting > 0;
     if (holders.length + loadingCount >= engines.length / 2) return false;
--- a/src/decisions/swaps/types.ts
+++ b/src/decisions/swaps/types.ts
@@ -33,7 +33,7 @@
    * pending.
    */
   readonly openForAdapters: boolean;
-  /** Whether the engine responds and is not draining. Only replicas on healthy engines count. */
+  /** Whether the engine responds and is not draining. Other engines' replicas and loads do not count. */
   readonly healthy: boolean;
   readonly replicas: readonly Replica[];
   /** Models that are being loaded or queued to be loaded. */
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -114,6 +114,11 @@
   });
 }
 
+/** Whether the engine has answered one of the last calls of the steward. */
+function isResponsive({ consecutiveFailures }: EngineRecord): boolean {
+  return consecutiveFailures < MAX_CONSECUTIVE_FAILURES;
+}
+
 export class EngineController {
   private readonly engines = new Map<string, EngineRecord>();
 
@@ -157,7 +162,7 @@
   availableModels(server: BackendServer): readonly LoadedModel[] {
     const engine = this.engines.get(server.id);
     if (engine === undefined || !this.hasReported(engine)) return server.models;
-    if (engine.consecutiveFailures >= MAX_CONSECUTIVE_FAILURES) return [];
+    if (!isResponsive(engine)) return [];
     const unloading = [...engine.orders.unloading, ...engine.orders.unloadingAdapters];
     const nowMs = this.opts.clock.steadyMs();
     const loaded = [...engine.orders.loadedModels.keys()].filter(
@@ -178,9 +183,11 @@
 
   /** Loads in progress or queued for the weight store, each with its expected remaining time. */
   loads(nowMs: number): LoadView[] {
-    const inProgress = [...this.engines.values()].flatMap((engine) =>
-      engine.orders.loading.map((model) => ({ model, readyAtMs: engine.loadEndsAtMs })),
-    );
+    const inProgress = [...this.engines.values()]
+      .filter(isResponsive)
+      .flatMap((engine) =>
+        engine.orders.loading.map((model) => ({ model, readyAtMs: engine.loadEndsAtMs })),
+      );
     return [...inProgress, ...this.forecast].map(({ model, readyAtMs }) => ({
       model,
       adapter: null,
@@ -266,7 +273,7 @@
       if (this.hasReported(engine)) Object.assign(engine, { reportedAtMs: nowMs });
       return;
     }
-    if (engine.consecutiveFailures >= MAX_CONSECUTIVE_FAILURES)
+    if (!isResponsive(engine))
       this.opts.logger.info('engine-responds', { engine: engine.server.id });
     Object.assign(engine, { consecutiveFailures: 0, reportedAtMs: nowMs });
     const loading = engine.orders.loading.length > 0;
@@ -363,7 +370,8 @@
 
   private runningStoreLoads(): readonly EngineRecord[] {
     return [...this.engines.values()].filter(
-      ({ storeLoad, orders }) => storeLoad !== null && orders.loading.length > 0,
+      (engine) =>
+        isResponsive(engine) && engine.storeLoad !== null && engine.orders.loading.length > 0,
     );
   }
 
@@ -419,10 +427,7 @@
 
   private engineState(nowMs: number, engine: EngineRecord): EngineState {
     const { server, spec, orders } = engine;
-    const isHealthy =
-      !server.leaving &&
-      engine.consecutiveFailures < MAX_CONSECUTIVE_FAILURES &&
-      this.hasReported(engine);
+    const isHealthy = !server.leaving && isResponsive(engine) && this.hasReported(engine);
     const unloadingModels = orders.unloading;
     const unloadingAdapters = new Set(orders.unloadingAdapters);
     const remainingAdapters = (model: string, adapters: ReadonlySet<string>) =>
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -317,6 +317,37 @@
   });
 });
 
+describe('an engine that stops responding before its load ends', () => {
+  // Such a load must not count as progress until the engine is gone from the list of servers.
+  const crashed = (fields: Partial<EngineState>) =>
+    engine('e1', [replica('m1')], ['m5'], {
+      open: false,
+      openForAdapters: false,
+      healthy: false,
+      ...fields,
+    });
+
+  test('does not keep its model from being loaded on another engine', () => {
+    const engines = [crashed({ loading: ['m5'] }), engine('e2', [], ['m5'])];
+    expect(loadsOf(plan({ engines, pendingDemand: [demandFor('m5')] }))).toEqual(['e2 m5']);
+  });
+
+  test('does not keep an adapter from being loaded on another engine', () => {
+    const engines = [crashed({ loadingAdapters: ['m5/a1'] }), engine('e2', [replica('m5')], [])];
+    const actions = plan({ engines, pendingDemand: [demandFor('m5', { adapter: 'a1' })] });
+    expect(actions.map(({ engineId }) => engineId)).toEqual(['e2']);
+  });
+
+  test('does not lower the benefit of another replica', () => {
+    const engines = [crashed({ loading: ['hot'] }), engine('e2', [], ['hot', 'm1'])];
+    const rates = new Map([
+      ['hot', 4],
+      ['m1', 2],
+    ]);
+    expect(loadsOf(plan({ engines, pendingDemand: [], rates }))).toEqual(['e2 hot']);
+  });
+});
+
 describe('simultaneous demand for many adapters of one model', () => {
   const pendingDemand = ['a1', 'a2', 'a3'].map((adapter) => demandFor('m5', { adapter }));
   const engines = ['e1', 'e2', 'e3'].map((id) =>
