Count demand for streams at the version that began them

What callers saw: a stream that breaks off while servers of two software versions serve can only go on at its own version.

Cause: VMs report what their queued requests need without the version, and the planner counts replicas and loads at any version. Replicas at the other version look like what the callers wait for, so nothing is loaded.

Change: a software version is part of what demand needs, from the queue through the report to the planner: engines, replicas, loads, copies and evictions are counted for it. VMs wait only for loads at that version. The lookup tables of the planner are a module of their own now.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -14,6 +14,7 @@
 import type { ModelSpec } from '../fleet-plan/index.js';
 import type { QueuedLoad } from './load-forecast.js';
 import type { EngineState, Replica, SwapAction, SwapView, PendingDemand } from './types.js';
+import { type IndexedView, indexView, modelKey, type ModelNeed, targetKey } from './view-index.js';
 
 export { type ForecastLoad, forecastLoads, type QueuedLoad } from './load-forecast.js';
 export { StoreConcurrencyLimiter } from './store-concurrency.js';
@@ -32,13 +33,6 @@
 const RUN_END_MS = 2_000;
 /** Eviction cost of a replica for each request per second to its model, ms. */
 const EVICTION_COST_PER_RATE_MS = 1_500;
-/**
- * Cost of a model load for each request per second to those models on the engine that have adapters
- * loaded, ms. Adapter orders wait until the model load has ended.
- */
-const ADAPTER_DELAY_PER_RATE_MS = 300;
-/** Upper bound of the cost of delayed adapter orders, ms. */
-const MAX_ADAPTER_DELAY_MS = 2_500;
 /** Time before the latency objective of a demand at which its urgency starts to grow, ms. */
 const URGENCY_LEAD_MS = 2_000;
 /** Time in which the urgency grows by 1, as much as one more queued request adds, ms. */
@@ -74,63 +68,6 @@
   readonly delayToOthersMs: number;
 }
 
-/** The view with lookup tables, which are built once per plan. */
-interface IndexedView extends SwapView {
-  readonly enginesByService: ReadonlyMap<string, readonly EngineState[]>;
-  /** Healthy engines with each model loaded, by service and model. */
-  readonly holdersByModel: ReadonlyMap<string, readonly EngineState[]>;
-  readonly modelsInDemand: ReadonlySet<string>;
-  /** Queued requests for each model, with any adapter or none, by service and model. */
-  readonly queuedByModel: ReadonlyMap<string, number>;
-  /** Cost of the adapter orders that a load on the engine delays, ms, by engine. */
-  readonly adapterDelayMs: ReadonlyMap<string, number>;
-}
-
-function groupBy<T>(entries: readonly (readonly [string, T])[]): ReadonlyMap<string, readonly T[]> {
-  const groups = new Map<string, T[]>();
-  entries.forEach(([key, value]) => {
-    const group = groups.get(key);
-    if (group === undefined) groups.set(key, [value]);
-    else group.push(value);
-  });
-  return groups;
-}
-
-function modelKey(service: string, model: string): string {
-  return `${service} ${model}`;
-}
-
-function adapterDelayPenaltyMs(view: SwapView, engine: EngineState): number {
-  const rates = engine.replicas
-    .filter(({ adapters }) => adapters.size > 0)
-    .map(({ model }) => view.rates.get(model) ?? 0);
-  const delayMs = rates.reduce((sum, rate) => sum + rate, 0) * ADAPTER_DELAY_PER_RATE_MS;
-  return Math.min(MAX_ADAPTER_DELAY_MS, delayMs);
-}
-
-function indexView(view: SwapView): IndexedView {
-  const replicas = view.engines
-    .filter(({ healthy }) => healthy)
-    .flatMap((engine) =>
-      engine.replicas.map(({ model }) => [modelKey(engine.service, model), engine] as const),
-    );
-  const queuedByModel = new Map<string, number>();
-  view.pendingDemand.forEach(({ service, model, waiting }) => {
-    const key = modelKey(service, model);
-    queuedByModel.set(key, (queuedByModel.get(key) ?? 0) + waiting);
-  });
-  return {
-    ...view,
-    queuedByModel,
-    enginesByService: groupBy(view.engines.map((engine) => [engine.service, engine] as const)),
-    holdersByModel: groupBy(replicas),
-    modelsInDemand: new Set(view.pendingDemand.map(({ model }) => model)),
-    adapterDelayMs: new Map(
-      view.engines.map((engine) => [engine.id, adapterDelayPenaltyMs(view, engine)]),
-    ),
-  };
-}
-
 function specOf(engine: EngineState, model: string): ModelSpec | undefined {
   return engine.spec.models.get(model);
 }
@@ -168,6 +105,19 @@
   return holders.reduce((sum, engine) => sum + (replicaOf(engine, model)?.running ?? 0), 0);
 }
 
+/** The needs that an action serves: its model at any version, and at that of its engine. */
+export function servedBy(
+  { engines }: Pick<SwapView, 'engines'>,
+  { engineId, steps }: SwapAction,
+): readonly ModelNeed[] {
+  const engine = engines.find(({ id }) => id === engineId);
+  if (engine === undefined) return [];
+  const { service } = engine;
+  return steps
+    .filter(({ type, adapter }) => type === OrderStepType.load && adapter === null)
+    .flatMap(({ model }) => [null, engine.version].map((version) => ({ service, model, version })));
+}
+
 export class SwapPlanner {
   /** Returns at most one action for each engine that accepts orders now. */
   plan(input: SwapView): readonly SwapAction[] {
@@ -182,7 +132,7 @@
       (demand) => this.loadAdapter(view, demand, assignedEngines),
       // One plan loads a model on one engine only, however many of its adapters are in demand.
       (demand) =>
-        placedModels.has(demand.model)
+        placedModels.has(modelKey(demand))
           ? null
           : this.loadModel(view, demand, assignedEngines, storeLoadsLeft),
     ];
@@ -191,7 +141,9 @@
         const action = pass(demand);
         if (action === null) return [];
         assignedEngines.add(action.engineId);
-        if (pass === passes[1]) placedModels.add(demand.model);
+        if (pass === passes[1]) {
+          servedBy(view, action).forEach((served) => placedModels.add(modelKey(served)));
+        }
         if (action.fromStore) storeLoadsLeft -= 1;
         return [action];
       }),
@@ -223,10 +175,18 @@
     const byUrgency = [...input.pendingDemand].sort(
       (a, b) => urgencyOf(input.nowMs, b) - urgencyOf(input.nowMs, a),
     );
-    const models = new Map(byUrgency.map(({ model, service }) => [model, service]));
-    return [...models].flatMap(([model, service]) => {
+    const needs = new Map(
+      byUrgency.map(({ service, model, version }) => {
+        const need = { service, model, version };
+        return [modelKey(need), need];
+      }),
+    );
+    return [...needs.values()].flatMap(({ service, model, version }) => {
       const engines = input.engines.filter(
-        (engine) => engine.healthy && engine.service === service,
+        (engine) =>
+          engine.healthy &&
+          engine.service === service &&
+          (version === null || engine.version === version),
       );
       const isAvailable = (engine: EngineState) =>
         isLoading(engine, model) ||
@@ -234,7 +194,7 @@
         replicaOf(engine, model) !== undefined;
       const spec = engines[0]?.spec.models.get(model);
       if (spec === undefined || engines.some(isAvailable)) return [];
-      return [{ model, loadMs: spec.remoteLoadMs }];
+      return [{ model, version, loadMs: spec.remoteLoadMs }];
     });
   }
 
@@ -270,7 +230,7 @@
   private benefitOf(view: IndexedView, service: string, model: string): number {
     const rate = view.rates.get(model) ?? 0;
     if (rate < MIN_PRELOAD_RATE_PER_S) return 0;
-    const engines = view.enginesByService.get(service) ?? [];
+    const engines = view.enginesByTarget.get(targetKey({ service, version: null })) ?? [];
     const replicaCount = engines.filter(
       (engine) =>
         isLoading(engine, model) || (engine.healthy && replicaOf(engine, model) !== undefined),
@@ -287,7 +247,7 @@
     const { adapter, model } = demand;
     if (adapter === null) return null;
     const name = `${model}/${adapter}`;
-    const engines = view.enginesByService.get(demand.service) ?? [];
+    const engines = view.enginesByTarget.get(targetKey(demand)) ?? [];
     const isAvailable = engines.some(
       (engine) =>
         engine.healthy &&
@@ -355,9 +315,9 @@
     storeLoadsLeft: number,
   ): SwapAction | null {
     const { model } = demand;
-    const engines = view.enginesByService.get(demand.service) ?? [];
+    const engines = view.enginesByTarget.get(targetKey(demand)) ?? [];
     if (!this.needsReplica(view, engines, demand)) return null;
-    const holders = view.holdersByModel.get(modelKey(demand.service, model)) ?? [];
+    const holders = view.holdersByModel.get(modelKey(demand)) ?? [];
     const overdue = view.nowMs > demand.dueAtMs + OVERDUE_MS;
     const options = engines
       .filter((engine) => engine.open && !assignedEngines.has(engine.id))
@@ -403,7 +363,7 @@
   ): boolean {
     const { model } = demand;
     const loadingCount = engines.filter((engine) => isLoading(engine, model)).length;
-    const holders = view.holdersByModel.get(modelKey(demand.service, model)) ?? [];
+    const holders = view.holdersByModel.get(modelKey(demand)) ?? [];
     if (loadingCount === 0 && holders.length === 0) return demand.waiting > 0;
     if (holders.length + loadingCount >= engines.length / 2) return false;
     if (loadingCount > 0)
@@ -418,11 +378,11 @@
   private replicasNeeded(
     view: IndexedView,
     holders: readonly EngineState[],
-    { service, model }: PendingDemand,
+    demand: PendingDemand,
   ): number {
-    const slots = view.enginesByService.get(service)?.[0]?.spec.slots ?? 1;
-    const waiting = view.queuedByModel.get(modelKey(service, model)) ?? 0;
-    return (runningRequests(holders, model) + waiting) / (slots * MAX_UTILISATION);
+    const slots = view.enginesByTarget.get(targetKey(demand))?.[0]?.spec.slots ?? 1;
+    const waiting = view.queuedByModel.get(modelKey(demand)) ?? 0;
+    return (runningRequests(holders, demand.model) + waiting) / (slots * MAX_UTILISATION);
   }
 
   private isOverloaded(holders: readonly EngineState[], model: string): boolean {
@@ -527,7 +487,8 @@
     incomingModel: string,
   ): number {
     const rate = view.rates.get(replica.model) ?? 0;
-    const holders = view.holdersByModel.get(modelKey(engine.service, replica.model)) ?? [];
+    const anyVersion = { service: engine.service, model: replica.model, version: null };
+    const holders = view.holdersByModel.get(modelKey(anyVersion)) ?? [];
     const otherReplicas = holders.filter(({ id }) => id !== engine.id).length;
     const incomingRate = view.rates.get(incomingModel) ?? 0;
     const coldStartMs =
@@ -535,7 +496,10 @@
     const runEndMs = replica.running > 0 ? RUN_END_MS + replica.running * 50 : 0;
     const recentUseMs = view.nowMs - replica.usedAtMs < RECENT_USE_MS ? RECENT_USE_MS : 0;
     // High enough that a model with pending demand is rarely evicted.
-    const demandMs = view.modelsInDemand.has(replica.model) ? 10_000 : 0;
+    const isInDemand = [anyVersion, { ...anyVersion, version: engine.version }].some((need) =>
+      view.modelsInDemand.has(modelKey(need)),
+    );
+    const demandMs = isInDemand ? 10_000 : 0;
     return coldStartMs + runEndMs + recentUseMs + demandMs;
   }
 }
--- a/src/decisions/swaps/load-forecast.ts
+++ b/src/decisions/swaps/load-forecast.ts
@@ -9,12 +9,13 @@
 /** A model that is queued for a load from the weight store. */
 export interface QueuedLoad {
   readonly model: string;
+  /** Software version of the engines that may load it; null for any. */
+  readonly version: string | null;
   /** Duration of its load, ms. */
   readonly loadMs: number;
 }
 
-export interface ForecastLoad {
-  readonly model: string;
+export interface ForecastLoad extends Pick<QueuedLoad, 'model' | 'version'> {
   readonly readyAtMs: number;
 }
 
@@ -36,10 +37,10 @@
     .map((atMs) => Math.max(nowMs, atMs))
     .sort((a, b) => a - b)
     .slice(-slotCount);
-  return queue.map(({ model, loadMs }) => {
+  return queue.map(({ model, version, loadMs }) => {
     const readyAtMs = (slotFreeAtMs.shift() ?? nowMs) + loadMs;
     slotFreeAtMs.push(readyAtMs);
     slotFreeAtMs.sort((a, b) => a - b);
-    return { model, readyAtMs };
+    return { model, version, readyAtMs };
   });
 }
--- a/src/decisions/swaps/types.ts
+++ b/src/decisions/swaps/types.ts
@@ -21,6 +21,8 @@
 export interface EngineState {
   readonly id: string;
   readonly service: string;
+  /** Version of its software. */
+  readonly version: string;
   readonly spec: EngineSpec;
   readonly dataCentre: string;
   /**
@@ -49,11 +51,16 @@
   readonly copies: WeightCopies;
 }
 
-/** Pending demand: the requests for one model or adapter that are queued on the entry VMs. */
+/**
+ * Pending demand: the requests for one model or adapter, and of one version, that are queued on the
+ * entry VMs.
+ */
 export interface PendingDemand {
   readonly service: string;
   readonly model: string;
   readonly adapter: string | null;
+  /** Software version of the engines that may serve it; null for any. */
+  readonly version: string | null;
   /** Number of queued requests. */
   readonly waiting: number;
   /** Earliest latency objective of the queued requests. */
--- /dev/null
+++ b/src/decisions/swaps/view-index.ts
@@ -0,0 +1,96 @@
+/** Lookup tables over the state of the fleet, which the swap planner builds once per plan. */
+import type { EngineState, PendingDemand, SwapView } from './types.js';
+
+/**
+ * Cost of a model load for each request per second to those models on the engine that have adapters
+ * loaded, ms. Adapter orders wait until the model load has ended.
+ */
+const ADAPTER_DELAY_PER_RATE_MS = 300;
+/** Upper bound of the cost of delayed adapter orders, ms. */
+const MAX_ADAPTER_DELAY_MS = 2_500;
+
+/**
+ * A model of a service, at servers of one software version or, with null, of any. A stream can only
+ * go on at the version that began it, so that replicas at other versions are of no use to it.
+ */
+export type ModelNeed = Pick<PendingDemand, 'service' | 'model' | 'version'>;
+
+/** The view with lookup tables. */
+export interface IndexedView extends SwapView {
+  /** Engines by service, and by service and version. */
+  readonly enginesByTarget: ReadonlyMap<string, readonly EngineState[]>;
+  /** Healthy engines with each model loaded, by `modelKey`. */
+  readonly holdersByModel: ReadonlyMap<string, readonly EngineState[]>;
+  /** The models in demand, by `modelKey`. */
+  readonly modelsInDemand: ReadonlySet<string>;
+  /** Queued requests that a replica would serve, with any adapter or none, by `modelKey`. */
+  readonly queuedByModel: ReadonlyMap<string, number>;
+  /** Cost of the adapter orders that a load on the engine delays, ms, by engine. */
+  readonly adapterDelayMs: ReadonlyMap<string, number>;
+}
+
+/** Key of the engines that can serve a need. */
+export function targetKey({ service, version }: Pick<ModelNeed, 'service' | 'version'>): string {
+  return version === null ? service : `${service} =${version}`;
+}
+
+export function modelKey(need: ModelNeed): string {
+  return `${targetKey(need)} ${need.model}`;
+}
+
+function groupBy<T>(entries: readonly (readonly [string, T])[]): ReadonlyMap<string, readonly T[]> {
+  const groups = new Map<string, T[]>();
+  entries.forEach(([key, value]) => {
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [value]);
+    else group.push(value);
+  });
+  return groups;
+}
+
+/** The targets of demand that an engine belongs to. */
+function targetsOf({ service, version }: EngineState) {
+  return [null, version].map((target) => ({ service, version: target }));
+}
+
+function countQueued(demand: readonly PendingDemand[]): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  const add = (key: string, waiting: number) => counts.set(key, (counts.get(key) ?? 0) + waiting);
+  demand.forEach((pending) => {
+    add(modelKey({ ...pending, version: null }), pending.waiting);
+    if (pending.version !== null) add(modelKey(pending), pending.waiting);
+  });
+  return counts;
+}
+
+function adapterDelayPenaltyMs(view: SwapView, engine: EngineState): number {
+  const rates = engine.replicas
+    .filter(({ adapters }) => adapters.size > 0)
+    .map(({ model }) => view.rates.get(model) ?? 0);
+  const delayMs = rates.reduce((sum, rate) => sum + rate, 0) * ADAPTER_DELAY_PER_RATE_MS;
+  return Math.min(MAX_ADAPTER_DELAY_MS, delayMs);
+}
+
+export function indexView(view: SwapView): IndexedView {
+  const replicas = view.engines
+    .filter(({ healthy }) => healthy)
+    .flatMap((engine) =>
+      engine.replicas.flatMap(({ model }) =>
+        targetsOf(engine).map((target) => [modelKey({ ...target, model }), engine] as const),
+      ),
+    );
+  return {
+    ...view,
+    queuedByModel: countQueued(view.pendingDemand),
+    enginesByTarget: groupBy(
+      view.engines.flatMap((engine) =>
+        targetsOf(engine).map((target) => [targetKey(target), engine] as const),
+      ),
+    ),
+    holdersByModel: groupBy(replicas),
+    modelsInDemand: new Set(view.pendingDemand.map(modelKey)),
+    adapterDelayMs: new Map(
+      view.engines.map((engine) => [engine.id, adapterDelayPenaltyMs(view, engine)]),
+    ),
+  };
+}
--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -74,7 +74,10 @@
 }
 
 /** A rejected request whose caller was given a time to retry. */
-export interface ExpectedRetry extends Pick<QueuedRequest, 'service' | 'model' | 'adapter'> {
+export interface ExpectedRetry extends Pick<
+  QueuedRequest,
+  'service' | 'model' | 'adapter' | 'version'
+> {
   readonly atMs: number;
 }
 
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -87,7 +87,7 @@
     this.opts.limits.requestPermits(needed);
   }
 
-  /** Counts queued requests and expected retries by service, model and adapter, for the report. */
+  /** Counts queued requests and expected retries by what they need, for the report. */
   waits(): RelayMessageOf<'report'>['waits'] {
     const nowMs = this.opts.clock.steadyMs();
     const waiting = [...this.waiting.values()].map(({ request }) => ({
@@ -98,14 +98,15 @@
       .all(nowMs)
       .map((retry) => ({ ...retry, dueAtMs: retry.atMs }));
     const groups = new Map<string, RelayMessageOf<'report'>['waits'][number]>();
-    [...waiting, ...expected].forEach(({ service, model, adapter, dueAtMs }) => {
+    [...waiting, ...expected].forEach(({ service, model, adapter, version, dueAtMs }) => {
       if (model === null) return;
-      const key = JSON.stringify([service, model, adapter]);
+      const key = JSON.stringify([service, model, adapter, version]);
       const before = groups.get(key);
       groups.set(key, {
         service,
         model,
         adapter,
+        version,
         waiting: (before?.waiting ?? 0) + 1,
         dueInMs: Math.min(before?.dueInMs ?? Infinity, dueAtMs - nowMs),
       });
@@ -133,9 +134,9 @@
     const permitAtMs = this.permitAtMs(nowMs, request, this.addNeeded(needed, request, tried));
     if (nowMs < rejectAtMs(request, { readyAtMs, isLoaded, permitAtMs })) return;
     this.waiting.delete(request.id);
-    const { service, model, adapter } = request;
+    const { service, model, adapter, version } = request;
     if (readyAtMs !== null && !isLoaded) {
-      this.expectedRetries.note({ service, model, adapter, atMs: readyAtMs });
+      this.expectedRetries.note({ service, model, adapter, version, atMs: readyAtMs });
     }
     settle({ run: null, retryAfterMs: retryAfterMs(nowMs, readyAtMs ?? permitAtMs) });
   }
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -19,6 +19,8 @@
   type ForecastLoad,
   forecastLoads,
   type ModelRates,
+  type QueuedLoad,
+  servedBy,
   StoreConcurrencyLimiter,
   type SwapAction,
   SwapPlanner,
@@ -133,7 +135,7 @@
 
   private plannedAtMs = -Infinity;
 
-  /** Models and adapters with pending demand at the last plan, joined. */
+  /** Models, adapters and versions with pending demand at the last plan, joined. */
   private plannedDemand = '';
 
   /** Tokens in the bucket for loads from the weight store. */
@@ -183,14 +185,17 @@
 
   /** Loads in progress or queued for the weight store, each with its expected remaining time. */
   loads(nowMs: number): LoadView[] {
-    const inProgress = [...this.engines.values()]
-      .filter(isResponsive)
-      .flatMap((engine) =>
-        engine.orders.loading.map((model) => ({ model, readyAtMs: engine.loadEndsAtMs })),
-      );
-    return [...inProgress, ...this.forecast].map(({ model, readyAtMs }) => ({
+    const inProgress = [...this.engines.values()].filter(isResponsive).flatMap((engine) =>
+      engine.orders.loading.map((model) => ({
+        model,
+        version: engine.server.version,
+        readyAtMs: engine.loadEndsAtMs,
+      })),
+    );
+    return [...inProgress, ...this.forecast].map(({ model, version, readyAtMs }) => ({
       model,
       adapter: null,
+      version,
       readyInMs: Math.max(MIN_READY_MS, readyAtMs - nowMs),
     }));
   }
@@ -313,7 +318,9 @@
 
   private plan(nowMs: number, reports: readonly RelayMessageOf<'report'>[]): void {
     const demand = this.pendingDemand(nowMs, reports);
-    const key = demand.map(({ model, adapter }) => `${model}/${adapter}`).join();
+    const key = demand
+      .map(({ model, adapter, version }) => `${model}/${adapter}@${version}`)
+      .join();
     if (
       nowMs - this.plannedAtMs < (demand.length > 0 ? 0 : REPLAN_MS) &&
       key === this.plannedDemand
@@ -360,8 +367,10 @@
   }
 
   private forecastQueue(view: SwapView, actions: readonly SwapAction[]): void {
-    const started = new Set(actions.flatMap(({ steps }) => steps.map(({ model }) => model)));
-    const queue = this.planner.queuedLoads(view).filter(({ model }) => !started.has(model));
+    const started = actions.flatMap((action) => servedBy(view, action));
+    const isStarted = ({ model, version }: QueuedLoad) =>
+      started.some((served) => served.model === model && served.version === version);
+    const queue = this.planner.queuedLoads(view).filter((load) => !isStarted(load));
     const startedFromStore = actions.filter(({ fromStore }) => fromStore).length;
     const ends = this.runningStoreLoads().map(({ loadEndsAtMs }) => loadEndsAtMs);
     const maxLoads = this.storeConcurrency.atOnce - startedFromStore;
@@ -375,20 +384,21 @@
     );
   }
 
-  /** Sums the queued requests of all entry VMs by service, model and adapter. */
+  /** Sums the queued requests of all entry VMs by what they need. */
   private pendingDemand(
     nowMs: number,
     reports: readonly RelayMessageOf<'report'>[],
   ): readonly PendingDemand[] {
     const merged = new Map<string, PendingDemand>();
     reports.forEach(({ waits }) =>
-      waits.forEach(({ service, model, adapter, waiting, dueInMs }) => {
-        const key = `${service} ${model}/${adapter}`;
+      waits.forEach(({ service, model, adapter, version, waiting, dueInMs }) => {
+        const key = JSON.stringify([service, model, adapter, version]);
         const before = merged.get(key);
         merged.set(key, {
           service,
           model,
           adapter,
+          version,
           waiting: (before?.waiting ?? 0) + waiting,
           dueAtMs: Math.min(before?.dueAtMs ?? Infinity, nowMs + dueInMs),
         });
@@ -435,6 +445,7 @@
     return {
       id: server.id,
       service: server.service,
+      version: server.version,
       spec,
       dataCentre: server.dataCentre,
       open: isHealthy && !orders.busy && !orders.needsReport,
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -140,7 +140,12 @@
   /** Earliest expected end of a load of the needed model, ms; null if unknown. */
   readyAtMs(need: Need): number | null {
     const ends = this.loads
-      .filter(({ model, adapter }) => model === need.model && adapter === null)
+      .filter(
+        ({ model, adapter, version }) =>
+          model === need.model &&
+          adapter === null &&
+          (need.version == null || version === need.version),
+      )
       .map(({ readyAtMs }) => readyAtMs);
     return ends.length === 0 || !this.isStewardConnected() ? null : Math.min(...ends);
   }
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -44,6 +44,8 @@
   service: z.string(),
   model: z.string(),
   adapter: z.string().nullable(),
+  /** Software version of the servers that may run them; null for any. */
+  version: z.string().nullable().default(null),
   waiting: z.int(),
   /** Time until the first request misses its objective, ms; relative, since VM clocks differ. */
   dueInMs: z.number(),
@@ -97,6 +99,8 @@
 const loadViewSchema = z.object({
   model: z.string(),
   adapter: z.string().nullable(),
+  /** Software version of the engine; null if it is not known yet. */
+  version: z.string().nullable().default(null),
   readyInMs: z.number(),
 });
 export type LoadView = z.infer<typeof loadViewSchema>;
--- a/test/failures/software-versions.test.ts
+++ b/test/failures/software-versions.test.ts
@@ -8,10 +8,12 @@
 import { bundle } from '../../src/lab/fleet/bundle.js';
 import { KEY } from '../soak/callers.js';
 import { STREAM_EVENTS } from '../soak/engine.js';
-import { RelayFleet } from '../soak/relay-fleet.js';
+import { RelayFleet, type RelayFleetOptions } from '../soak/relay-fleet.js';
 import type { SoakVm } from '../soak/vms.js';
 
 const STREAMS = 24;
+/** So few that their servers are not overloaded, which would load their model elsewhere. */
+const FEW_STREAMS = 16;
 const DEADLINE_MS = 6_000;
 /** Streams take about two seconds, so that they can be interrupted. */
 const SLOWDOWN = 20;
@@ -43,6 +45,7 @@
 
 async function startFleet(
   versions: readonly string[] = ['v1', 'v1', 'v2', 'v2'],
+  opts: Partial<RelayFleetOptions> = {},
 ): Promise<RelayFleet> {
   const fleet = await RelayFleet.start(program, {
     vms: 3,
@@ -52,6 +55,7 @@
     // By default, both versions in both data centres.
     versions,
     durationMs: 1,
+    ...opts,
   });
   await fleet.waitUntilConnected();
   begun = 0;
@@ -101,10 +105,10 @@
   return { id, status, versions, begunBy, isWhole: isWhole && versions.length === STREAM_EVENTS };
 }
 
-/** Resolves once half of the streams have begun. */
-async function hasBegun(): Promise<void> {
+/** Resolves once `count` streams have begun, by default half of them. */
+async function hasBegun(count = STREAMS / 2): Promise<void> {
   const untilMs = performance.now() + BEGIN_TIMEOUT_MS;
-  while (begun < STREAMS / 2 && performance.now() < untilMs) await clocks.sleep(10);
+  while (begun < count && performance.now() < untilMs) await clocks.sleep(10);
 }
 
 /** Resolves once half of the streams have begun and the VMs have shared them. */
@@ -195,6 +199,27 @@
     expect(whole).toBeGreaterThanOrEqual(interrupted.length / 2);
   });
 
+  // Its take-ups were refused as long as servers of the other version had its model loaded.
+  test('goes on although only servers of the other version still have its model loaded', async () => {
+    const versions = ['v1', 'v1', 'v2', 'v1', 'v2', 'v1', 'v2', 'v1'];
+    // Every other server has m0, among them one of v1; the others must unload m1 to load it.
+    fleet = await startFleet(versions, { models: ['m0', 'm1'], roomModels: 1 });
+    const { vms, engines } = fleet;
+    const streams = Array.from({ length: FEW_STREAMS }, (_, at) =>
+      stream(vms[at % vms.length] as SoakVm),
+    );
+    await hasBegun(FEW_STREAMS);
+    await clocks.sleep(SHARED_MS);
+    engines[0]?.retire();
+    const received = await takeUp(vms, await Promise.all(streams));
+    const ofLostServer = received.filter((each) => each.versions[0] === 'v1');
+    expect(joinedFromTwo(received)).toEqual([]);
+    expect(ofLostServer.length).toBeGreaterThan(0);
+    expect(ofLostServer.filter(({ isWhole }) => isWhole).length).toBeGreaterThanOrEqual(
+      ofLostServer.length / 2,
+    );
+  });
+
   // A VM that is out of step once resumed streams of a version that it had not heard of at its own.
   test('is not taken up at another version by a VM that stood still as its version joined', async () => {
     fleet = await startFleet(['v1']);
--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -32,8 +32,8 @@
 /** Adapters of each model. */
 const ADAPTERS = 6;
 const ADAPTER_MB = 0.1;
-/** Memory of an engine: room for two models with adapters. */
-const MEMORY_MB = 2 * MODEL_MB + ADAPTER_SLOTS * ADAPTER_MB;
+/** Models that an engine has room for, by default. */
+const ROOM_MODELS = 2;
 /** As for the users' servers: a heartbeat every 1.2 s, and expiry after three missed ones. */
 const REGISTRATION_TIMES = { heartbeatMs: 1_200, expiryMs: 3_600 };
 
@@ -43,6 +43,8 @@
   readonly crash: Partial<CrashRule>;
   /** Models of the service; none for a plain service. Each server has one of them loaded. */
   readonly models?: readonly string[];
+  /** Models that a server has room for; `ROOM_MODELS` by default. */
+  readonly roomModels?: number;
   /** Requests that a server runs at once; `SLOTS` by default. */
   readonly slots?: number;
   /** Software versions that the servers have in turn; none for servers of one version. */
@@ -83,10 +85,15 @@
 };
 const CRASHING: FleetRequest = { ...HARMLESS, body: 'crashing', crash: 'it' };
 
-function engineOf(models: readonly string[], slots: number) {
+/** Memory of an engine, with room for models and their adapters. */
+function memoryMb(roomModels = ROOM_MODELS): number {
+  return roomModels * MODEL_MB + ADAPTER_SLOTS * ADAPTER_MB;
+}
+
+function engineOf(models: readonly string[], slots: number, weightsMb: number) {
   return {
     engine_slots: slots,
-    weights_mb: MEMORY_MB,
+    weights_mb: weightsMb,
     adapter_slots: ADAPTER_SLOTS,
     loads_per_s: 10,
     models: models.map((name) => ({
@@ -99,7 +106,7 @@
   };
 }
 
-function configOf(models: readonly string[], slots: number) {
+function configOf({ models = [], slots = SLOTS, roomModels }: RelayFleetOptions) {
   const route = (name: string, kind: string) => ({
     name,
     host: 'soak.example',
@@ -122,7 +129,7 @@
       {
         name: 'desk',
         max_connections: 8 * slots,
-        ...(models.length === 0 ? {} : { engine: engineOf(models, slots) }),
+        ...(models.length === 0 ? {} : { engine: engineOf(models, slots, memoryMb(roomModels)) }),
       },
     ],
     tenants: [{ name: CUSTOMER, api_keys: [KEY] }],
@@ -274,7 +281,7 @@
   private async startAll(program: string): Promise<void> {
     const { opts } = this;
     const address = await this.store.start();
-    this.store.put('config', 'main', configOf(opts.models ?? [], opts.slots ?? SLOTS));
+    this.store.put('config', 'main', configOf(opts));
     Array.from({ length: opts.servers }, (_, at) => this.addServer(`desk-${at}`, at, opts));
     await Promise.all(this.engines.map((engine) => engine.start()));
     for (let at = 0; at < opts.vms; at += 1) {
@@ -292,14 +299,14 @@
   private addServer(
     name: string,
     at: number,
-    { crash, slots = SLOTS, models = [], versions = [] }: RelayFleetOptions,
+    { crash, slots = SLOTS, models = [], versions = [], roomModels }: RelayFleetOptions,
   ): void {
     const spec = {
       name,
       service: 'desk',
       dataCentre: DATA_CENTRES[at % DATA_CENTRES.length] ?? 'a',
       slots,
-      memoryMb: MEMORY_MB,
+      memoryMb: memoryMb(roomModels),
       models: models.filter((_, index) => index % models.length === at % models.length),
       registration: REGISTRATION_TIMES,
       version: versions[at % versions.length],
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -45,6 +45,23 @@
   return { view, steward, times };
 }
 
+describe('loads that the steward announces', () => {
+  const loadAt = (version: string | null, readyInMs: number) => ({
+    model: 'm1',
+    adapter: null,
+    version,
+    readyInMs,
+  });
+
+  test('are awaited by a stream only at the version that began it', () => {
+    const { view } = setUp(true);
+    view.applyView(viewOf({ loads: [loadAt('v2', 500), loadAt('v1', 900), loadAt(null, 100)] }));
+    expect(view.readyAtMs(NEED)).toBe(100);
+    expect(view.readyAtMs({ ...NEED, version: 'v1' })).toBe(900);
+    expect(view.readyAtMs({ ...NEED, version: 'v3' })).toBeNull();
+  });
+});
+
 describe('engine states from the steward', () => {
   test('set the number of running requests over all entry VMs until the next update', () => {
     const { view } = setUp(true);
--- a/test/units/swaps/load-forecast.test.ts
+++ b/test/units/swaps/load-forecast.test.ts
@@ -6,7 +6,7 @@
 
 describe('forecastLoads', () => {
   test('assigns each queued load to the slot that is free first', () => {
-    const queue = ['a', 'b', 'c', 'd'].map((model) => ({ model, loadMs: LOAD_MS }));
+    const queue = ['a', 'b', 'c', 'd'].map((model) => ({ model, version: null, loadMs: LOAD_MS }));
     const readyAtMs = forecastLoads(1_000, [3_000, 2_000, 500], 4, queue).map(
       (load) => load.readyAtMs,
     );
@@ -15,9 +15,9 @@
   });
 
   test('waits for all running loads if more are running than the maximum', () => {
-    const queue = [{ model: 'a', loadMs: LOAD_MS }];
+    const queue = [{ model: 'a', version: null, loadMs: LOAD_MS }];
     expect(forecastLoads(0, [1_000, 2_000], 1, queue)).toEqual([
-      { model: 'a', readyAtMs: 2_000 + LOAD_MS },
+      { model: 'a', version: null, readyAtMs: 2_000 + LOAD_MS },
     ]);
   });
 });
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -55,6 +55,7 @@
   return {
     id,
     service: 'drafting',
+    version: 'v1',
     spec: SPEC,
     dataCentre: 'a',
     open: true,
@@ -75,6 +76,7 @@
     service: 'drafting',
     model,
     adapter: null,
+    version: null,
     waiting: 1,
     dueAtMs: NOW_MS + 2_000,
     ...fields,
@@ -317,6 +319,58 @@
   });
 });
 
+describe('streams that only servers of one version can continue', () => {
+  // Replicas at another version were taken for what their callers wait for.
+  const onlyOther = [
+    engine('e1', [replica('m5')], ['m5'], { version: 'v2' }),
+    engine('e2', [], ['m5'], { version: 'v2' }),
+    engine('e3', [], ['m5'], { version: 'v1' }),
+  ];
+
+  test('have their model loaded at their version', () => {
+    const pendingDemand = [demandFor('m5', { version: 'v1' })];
+    expect(loadsOf(plan({ engines: onlyOther, pendingDemand }))).toEqual(['e3 m5']);
+  });
+
+  test('need no load at another version, nor a second one beside new requests', () => {
+    const noReplica = onlyOther.slice(1);
+    const pendingDemand = [demandFor('m5', { version: 'v1' }), demandFor('m5')];
+    expect(loadsOf(plan({ engines: noReplica, pendingDemand }))).toEqual(['e3 m5']);
+  });
+
+  test('have their adapter loaded at their version', () => {
+    const engines = [
+      engine('e1', [replica('m5', { adapters: new Set(['a1']) })], [], { version: 'v2' }),
+      engine('e2', [replica('m5')], [], { version: 'v1' }),
+    ];
+    const pendingDemand = [demandFor('m5', { adapter: 'a1', version: 'v1' })];
+    expect(plan({ engines, pendingDemand }).map(({ engineId }) => engineId)).toEqual(['e2']);
+  });
+
+  test('keep the replica that they need from being evicted', () => {
+    const engines = [
+      engine('e1', [replica('m5'), replica('m1')], ['m6'], { version: 'v1', reservedMb: 200 }),
+    ];
+    const pendingDemand = [demandFor('m6'), demandFor('m5', { version: 'v1' })];
+    expect(unloadsOf(plan({ engines, pendingDemand }))).toEqual(['m1']);
+  });
+
+  test('are queued for the weight store beside requests for a version that has a copy', () => {
+    const engines = [
+      engine('e1', [replica('m5')], ['m5'], { version: 'v2' }),
+      engine('e2', [], [], { version: 'v1' }),
+    ];
+    const queued = new SwapPlanner().queuedLoads({
+      nowMs: NOW_MS,
+      engines,
+      pendingDemand: [demandFor('m5'), demandFor('m5', { version: 'v1' })],
+      rates: new Map(),
+      storeLoadsLeft: 0,
+    });
+    expect(queued.map(({ model, version }) => [model, version])).toEqual([['m5', 'v1']]);
+  });
+});
+
 describe('an engine that stops responding before its load ends', () => {
   // Such a load must not count as progress until the engine is gone from the list of servers.
   const crashed = (fields: Partial<EngineState>) =>
--- a/test/units/wait-list/wait-list.test.ts
+++ b/test/units/wait-list/wait-list.test.ts
@@ -59,7 +59,7 @@
 
   test('are expected to be retried until shortly after the given retry time', () => {
     const retries = new waitList.ExpectedRetries();
-    const expected = { service: 'drafting', model: 'm', adapter: null, atMs: 6_000 };
+    const expected = { service: 'drafting', model: 'm', adapter: null, version: null, atMs: 6_000 };
     retries.note(expected);
     expect(retries.all(6_500)).toEqual([expected]);
     expect(retries.all(7_000)).toEqual([]);
