Let a stream that broke off wait for a server as long as its caller waits

What callers saw: a stream whose server crashed was cut at once if it had begun longer than 0.9 s ago, although a server of its version had room some milliseconds later. Its caller used up a retry to take it up, and was refused at the next VM when that one found no room either.

Cause: the time for which a queued request may wait is counted from its arrival. For a stream that has sent events for longer than callers wait for a first one, that time is over when it breaks off.

Change: once a caller has events, the wait and the priority in the queue count from the last one: the next event is due, and the caller's patience begins anew. The deadline of the request holds as before.

Test: broken-stream.test.ts, 'waits for the next server as long as its caller waits for the next event', failed before (deadline of the wait 2 s before the break-off).

--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -3,7 +3,7 @@
 import { contain } from '../../core/contain/index.js';
 import * as errors from '../../core/errors/index.js';
 import type { LogFields } from '../../core/logger/index.js';
-import { RetrySafety } from '../../decisions/fleet-plan/index.js';
+import { RetrySafety, type Route } from '../../decisions/fleet-plan/index.js';
 import { RequestIdentity, RunProgress, shortFingerprint } from '../../decisions/suspects/index.js';
 import type { QueuedRequest } from '../../decisions/wait-list/index.js';
 import { Admission, AdmissionType } from './admission.js';
@@ -67,6 +67,18 @@
   };
 }
 
+/**
+ * The times of a queued request whose caller last received an event at `eventAtMs`: the next event is
+ * due, and the caller's patience begins anew.
+ */
+function timesAfterEvent(eventAtMs: number, route: Route, deadlineAtMs: number) {
+  return {
+    arrivedAtMs: eventAtMs,
+    objectiveAtMs: eventAtMs,
+    deadlineAtMs: Math.min(deadlineAtMs, eventAtMs + route.callerTimeoutMs),
+  };
+}
+
 type Answered = Extract<AttemptResult, { type: typeof AttemptEnd.answered }>;
 
 /** When the parts of an attempt's response arrived; null for a part that did not. */
@@ -109,6 +121,9 @@
   /** The attempt in progress. */
   private current: { readonly run: Run; readonly sentAtMs: number } | null = null;
 
+  /** When the last event of a stream was passed on; null before the first. */
+  private lastEventAtMs: number | null = null;
+
   /** How far the last attempt got. */
   private progress = noProgress();
 
@@ -223,6 +238,7 @@
 
   private noteEvent(nowMs: number): void {
     const { progress, current } = this;
+    this.lastEventAtMs = nowMs;
     if (progress.firstEventAtMs === null && current !== null) this.noteBegun(current.run);
     progress.firstEventAtMs ??= nowMs;
     if (progress.isSound || nowMs - progress.firstEventAtMs < SOUND_STREAM_MS) return;
@@ -310,6 +326,7 @@
         this.reject(null, errors.data.StreamVersionGone);
         return;
       }
+      this.renewWait();
       const placement = await this.ctx.dispatcher.place(this.queuedRequest, this.retryPolicy.tried);
       if (this.ended) {
         if (placement.run !== null) this.ctx.view.ended(placement.run);
@@ -337,6 +354,14 @@
     if (!this.mayHaveRun) this.refund();
   }
 
+  /** A stream that broke off waits for a server as long as its caller waits for the next event. */
+  private renewWait(): void {
+    const { lastEventAtMs, deadlineAtMs } = this;
+    if (lastEventAtMs === null) return;
+    const times = timesAfterEvent(lastEventAtMs, this.request.route, deadlineAtMs);
+    Object.assign(this.queuedRequest, times);
+  }
+
   /** Logs a wait that may have caused the request to miss its latency objective. */
   private logWait(run: Run): void {
     const { arrivedAtMs, metadata, route } = this.request;
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -8,10 +8,12 @@
 import { RetryWindow } from '../../../src/decisions/retries/index.js';
 import type { RelayContext } from '../../../src/entry/relay/context.js';
 import { Exchange } from '../../../src/entry/relay/exchange.js';
+import type { QueuedRequest } from '../../../src/decisions/wait-list/index.js';
 import { createResponseMemory } from './response-memory.js';
 import type { RoutedRequest } from '../../../src/entry/relay/routed-request.js';
 
 const ID = 'request-1';
+const DEADLINE_MS = 4_000;
 /** Window of the retry budget; an entry VM that was just started has none for this time. */
 const WINDOW_MS = 10_000;
 const HEAD = `HTTP/1.1 200 OK\r\nAttempt-Id: ${ID}\r\nResponse-Seal: s\r\n`;
@@ -26,7 +28,7 @@
   retrySafety: RetrySafety.stream,
   resumable: true,
   objectiveMs: 400,
-  timeoutMs: 4_000,
+  timeoutMs: DEADLINE_MS,
   callerTimeoutMs: 2_000,
   attempts: 2,
   priority: 1,
@@ -36,13 +38,17 @@
 
 afterEach(() => {
   servers.splice(0).forEach((server) => server.close());
+  placed.length = 0;
 });
 
-/** Starts a backend server that writes `response` to each request and closes the connection. */
-async function startBackend(response: string): Promise<string> {
+/** The requests as they were queued, since the last test. */
+const placed: QueuedRequest[] = [];
+
+/** Starts a backend server that writes `response` to each request after `delayMs`, and closes. */
+async function startBackend(response: string, delayMs: number): Promise<string> {
   const server = net.createServer((socket) => {
     socket.on('error', () => undefined);
-    socket.on('data', () => socket.end(response));
+    socket.on('data', () => setTimeout(() => socket.end(response), delayMs));
   });
   servers.push(server);
   await new Promise<void>((resolve) => {
@@ -74,7 +80,8 @@
     streams: { noteBegun: nothing },
     clock: { steadyMs: () => performance.now() },
     dispatcher: {
-      place: async () => {
+      place: async (queued: QueuedRequest) => {
+        placed.push({ ...queued });
         const address = left.shift();
         if (address === undefined) return { run: null, retryAfterMs: 100 };
         const server = { id: address, address, version: 'v1' };
@@ -115,8 +122,12 @@
 }
 
 /** All bytes that a caller receives whose request goes to servers with these responses in turn. */
-async function receive(responses: readonly string[], hasServers?: () => boolean): Promise<string> {
-  const addresses = await Promise.all(responses.map(startBackend));
+async function receive(
+  responses: readonly string[],
+  hasServers?: () => boolean,
+  delayMs = 0,
+): Promise<string> {
+  const addresses = await Promise.all(responses.map((text) => startBackend(text, delayMs)));
   const relay = relayTo(addresses, hasServers);
   const front = http.createServer((req, res) => {
     const request = {
@@ -124,7 +135,7 @@
       res,
       metadata: {
         id: ID,
-        deadlineMs: 4_000,
+        deadlineMs: DEADLINE_MS,
         key: null,
         model: 'm',
         adapter: null,
@@ -193,6 +204,19 @@
     expect(received.endsWith(LAST_CHUNK)).toBe(false);
   });
 
+  // It was given up at once if it had begun longer ago than callers wait for a first event.
+  test('waits for the next server as long as its caller waits for the next event', async () => {
+    await receive([BROKEN_OFF], undefined, ROUTE.callerTimeoutMs);
+    const [first, second] = placed as [QueuedRequest, QueuedRequest];
+    expect(placed).toHaveLength(2);
+    const eventAtMs = second.arrivedAtMs;
+    expect(eventAtMs).toBeGreaterThan(first.deadlineAtMs);
+    // The deadline of the request still holds.
+    expect(second.deadlineAtMs).toBe(
+      Math.min(eventAtMs + ROUTE.callerTimeoutMs, first.arrivedAtMs + DEADLINE_MS),
+    );
+  });
+
   test('goes on with the next server, also one that gives no length', async () => {
     const rest = `${event(2)}${event(3)}`;
     const received = await receive([BROKEN_OFF, `${STREAM_HEAD}\r\n${rest}`]);
