Ask an engine at once when an entry VM can't connect to it

What callers saw: after servers had crashed, streams were sent on to other servers that had crashed as well, and waited for models whose only replicas were on such servers, until they were refused.

Callers of streams leave after 2 s. The VMs know within milliseconds, by their failed connections, and tell nobody.

Change: reports name the servers that the VM can't connect to. The steward asks such an engine at once, and an engine that missed one call after 60 ms. It decides by its own calls, as a VM may be cut off by itself: each failure costs one call at most where the engine answers.

Test: engine-controller.test.ts; both cases failed before (still in use 0.3 s later; not asked).

--- a/src/decisions/server-health/index.ts
+++ b/src/decisions/server-health/index.ts
@@ -37,6 +37,8 @@
   ejectedUntilMs: number;
   /** Consecutive failed connection attempts. */
   failedConnects: number;
+  /** When the last of these attempts failed. */
+  connectFailedAtMs: number;
   unreachableUntilMs: number;
   /** Moving average of the time to the first byte, relative to the expected time. */
   averageRatio: number;
@@ -45,6 +47,12 @@
   lastReceivedAtMs: number;
 }
 
+/** A failed connection attempt to a server. */
+export interface ConnectFailure {
+  readonly id: string;
+  readonly atMs: number;
+}
+
 interface Identified {
   readonly id: string;
 }
@@ -55,6 +63,7 @@
     ejections: 0,
     ejectedUntilMs: -Infinity,
     failedConnects: 0,
+    connectFailedAtMs: -Infinity,
     unreachableUntilMs: -Infinity,
     averageRatio: 0,
     measuredAtMs: -Infinity,
@@ -109,9 +118,17 @@
     if (nowMs < record.unreachableUntilMs) return;
     const retryMs = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** record.failedConnects);
     record.failedConnects += 1;
+    record.connectFailedAtMs = nowMs;
     record.unreachableUntilMs = nowMs + retryMs;
   }
 
+  /** Servers that can't be reached now, each with the time of its last failed connection attempt. */
+  unreachable(nowMs: number): readonly ConnectFailure[] {
+    return [...this.records]
+      .filter(([, { unreachableUntilMs }]) => nowMs < unreachableUntilMs)
+      .map(([id, { connectFailedAtMs }]) => ({ id, atMs: connectFailedAtMs }));
+  }
+
   /**
    * Returns the reachable servers that are not ejected, or all reachable servers if more than half
    * of them are ejected.
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -78,6 +78,8 @@
   reporting: boolean;
   /** Consecutive calls without an answer. */
   consecutiveFailures: number;
+  /** When an entry VM last failed to connect to the engine. */
+  unreachableAtMs: number;
   /** Expected end of the last planned action, ms. */
   loadEndsAtMs: number;
   /** Load of the last planned action; null if that action loads nothing from the weight store. */
@@ -121,6 +123,15 @@
   return consecutiveFailures < MAX_CONSECUTIVE_FAILURES;
 }
 
+/**
+ * Whether an engine may have ended since it last answered: a call of the steward had no answer, or an
+ * entry VM could not connect to it. Until that is known, its models and loads count.
+ */
+function isDoubtful(engine: EngineRecord): boolean {
+  const { consecutiveFailures, unreachableAtMs, reportedAtMs } = engine;
+  return isResponsive(engine) && (consecutiveFailures > 0 || unreachableAtMs > reportedAtMs);
+}
+
 export class EngineController {
   private readonly engines = new Map<string, EngineRecord>();
 
@@ -149,6 +160,11 @@
 
   addReport(nowMs: number, report: RelayMessageOf<'report'>): void {
     this.usageTracker.note(nowMs, report);
+    report.unreachable.forEach(({ server, ageMs }) => {
+      const engine = this.engines.get(server);
+      if (engine === undefined) return;
+      engine.unreachableAtMs = Math.max(engine.unreachableAtMs, nowMs - ageMs);
+    });
   }
 
   /** Runs one planning pass, with the latest report of each entry VM. */
@@ -235,6 +251,7 @@
       reportedAtMs: -Infinity,
       reporting: false,
       consecutiveFailures: 0,
+      unreachableAtMs: -Infinity,
       loadEndsAtMs: 0,
       storeLoad: null,
     };
@@ -258,10 +275,11 @@
   }
 
   private pollReport(nowMs: number, engine: EngineRecord): void {
-    const pauseMs = engine.orders.needsReport ? NEEDED_REPORT_PAUSE_MS : REPORT_PAUSE_MS;
+    const isNeeded = engine.orders.needsReport || isDoubtful(engine);
+    const pauseMs = isNeeded ? NEEDED_REPORT_PAUSE_MS : REPORT_PAUSE_MS;
     if (engine.reporting || nowMs - engine.reportedAtMs < pauseMs) return;
     const backoffMs = engine.consecutiveFailures * NEEDED_REPORT_PAUSE_MS * 4;
-    if (engine.consecutiveFailures > 0 && nowMs - engine.reportedAtMs < backoffMs) return;
+    if (!isResponsive(engine) && nowMs - engine.reportedAtMs < backoffMs) return;
     const { server } = engine;
     if (!this.opts.issuer.takeReport(nowMs, server.id)) return;
     Object.assign(engine, { reporting: true });
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -199,6 +199,14 @@
     }));
   }
 
+  /** Servers that this entry VM can't connect to, for the report to the steward. */
+  unreachable(): RelayMessageOf<'report'>['unreachable'] {
+    const nowMs = this.clock.steadyMs();
+    return this.health
+      .unreachable(nowMs)
+      .map(({ id, atMs }) => ({ server: id, ageMs: nowMs - atMs }));
+  }
+
   /** Records that the numbers of running requests were reported to the steward. */
   noteReported(): void {
     this.runningReported = new Map(this.runningLocally);
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -62,6 +62,9 @@
 /** Requests admitted for a model since the last report. */
 const usageSchema = z.object({ model: z.string(), requests: z.int() });
 
+/** A server, and the age of the last failed attempt of an entry VM to connect to it. */
+const connectFailureSchema = z.object({ server: z.string(), ageMs: z.number().nonnegative() });
+
 /** Models and adapters of an engine to which requests may be sent. */
 const engineViewSchema = z.object({
   id: z.string(),
@@ -149,6 +152,8 @@
     running: z.array(runningRequestsSchema),
     waits: z.array(queuedRequestsSchema),
     usage: z.array(usageSchema),
+    /** Servers that the sender can't connect to. */
+    unreachable: z.array(connectFailureSchema).default([]),
     /** Whether the sender is stopping. */
     leaving: z.boolean(),
   }),
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -109,6 +109,7 @@
       running,
       waits: queued,
       usage: [...this.usage].map(([model, requests]) => ({ model, requests })),
+      unreachable: this.opts.view.unreachable(),
       leaving: this.opts.isStopping(),
     };
     if (!this.opts.link.send(message)) return;
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -35,15 +35,14 @@
 } as unknown as Route;
 
 const servers: (net.Server | http.Server)[] = [];
+/** The requests as they were queued. */
+const placed: QueuedRequest[] = [];
 
 afterEach(() => {
   servers.splice(0).forEach((server) => server.close());
   placed.length = 0;
 });
 
-/** The requests as they were queued, since the last test. */
-const placed: QueuedRequest[] = [];
-
 /** Starts a backend server that writes `response` to each request after `delayMs`, and closes. */
 async function startBackend(response: string, delayMs: number): Promise<string> {
   const server = net.createServer((socket) => {
--- /dev/null
+++ b/test/units/relay/engine-controller.test.ts
@@ -0,0 +1,112 @@
+/** How soon the steward knows that an engine has ended. */
+import { describe, expect, test } from 'vitest';
+import { createLogger } from '../../../src/core/logger/index.js';
+import type { FleetPlan } from '../../../src/decisions/fleet-plan/index.js';
+import { PermitIssuer } from '../../../src/decisions/throttling/index.js';
+import {
+  EngineController,
+  type EngineControllerOptions,
+} from '../../../src/entry/relay/engine-controller.js';
+import { type RelayMessageOf, RelayMessageType } from '../../../src/entry/relay/messages.js';
+import type { EngineReport } from '../../../src/entry/relay/types.js';
+import { createBackendServer } from './backend-server.js';
+
+const TICK_MS = 20;
+/**
+ * A queued stream waits for 0.9 s where no load is in progress, and a load from an engine's disk takes
+ * 0.6 s: a load that begins this late still ends in time.
+ */
+const MAX_DETECTION_MS = 300;
+
+const MODELS = [{ name: 'm1', version: 1, adapters: [] }];
+const SERVER = createBackendServer('e1', { models: MODELS });
+const REPORT: EngineReport = {
+  bornMs: SERVER.bornMs,
+  busy: false,
+  orderCount: 0,
+  models: MODELS,
+  pendingAdapters: [],
+  copies: null,
+  queued: 0,
+  running: 0,
+};
+
+function memberReport(
+  unreachable: RelayMessageOf<'report'>['unreachable'],
+): RelayMessageOf<'report'> {
+  return {
+    type: RelayMessageType.report,
+    vm: 'vm-1',
+    address: '127.0.0.1:1',
+    sentAtMs: 0,
+    clockMs: 0,
+    planRevision: 1,
+    appliedSeq: 0,
+    shares: [],
+    running: [],
+    waits: [],
+    usage: [],
+    unreachable,
+    leaving: false,
+  };
+}
+
+function setUp() {
+  const engine = { isUp: true, calls: 0 };
+  const times = { nowMs: 1_000 };
+  const spec = { models: new Map(), memoryMb: 100, adapterSlots: 1, loadsPerS: 1, slots: 8 };
+  const plan = { services: new Map([[SERVER.service, { engine: spec }]]) } as unknown as FleetPlan;
+  const controller = new EngineController({
+    vm: 'vm-0',
+    wire: {
+      report: async () => {
+        engine.calls += 1;
+        return engine.isUp ? REPORT : null;
+      },
+    },
+    storeWatcher: { plan, backends: new Map([[SERVER.id, SERVER]]) },
+    lease: { fence: () => 0 },
+    clock: { nowMs: () => times.nowMs, steadyMs: () => times.nowMs, onJump: () => undefined },
+    logger: createLogger('test', 'silent'),
+    issuer: new PermitIssuer(),
+  } as unknown as EngineControllerOptions);
+  const runFor = async (durationMs: number) => {
+    const untilMs = times.nowMs + durationMs;
+    while (times.nowMs < untilMs) {
+      times.nowMs += TICK_MS;
+      controller.tick(times.nowMs, []);
+      // Lets the report arrive.
+      await new Promise(setImmediate);
+    }
+  };
+  return { controller, engine, times, runFor };
+}
+
+describe('an engine that has ended', () => {
+  test('is known to the steward soon after an entry VM could not connect to it', async () => {
+    const { controller, engine, times, runFor } = setUp();
+    await runFor(100);
+    expect(controller.availableModels(SERVER).map(({ name }) => name)).toEqual(['m1']);
+    engine.isUp = false;
+    controller.addReport(times.nowMs, memberReport([{ server: SERVER.id, ageMs: 0 }]));
+    await runFor(MAX_DETECTION_MS);
+    expect(controller.availableModels(SERVER)).toEqual([]);
+  });
+});
+
+describe('an engine that one entry VM can not reach', () => {
+  test('is asked once more, and stays in use if it answers the steward', async () => {
+    const { controller, engine, times, runFor } = setUp();
+    await runFor(100);
+    const before = engine.calls;
+    const failedAtMs = times.nowMs;
+    // The VM names the same failure until it connects anew.
+    for (let at = 0; at < 5; at += 1) {
+      const ageMs = times.nowMs - failedAtMs;
+      controller.addReport(times.nowMs, memberReport([{ server: SERVER.id, ageMs }]));
+      await runFor(40);
+    }
+    expect(engine.calls).toBe(before + 1);
+    expect(controller.availableModels(SERVER)).toHaveLength(1);
+  });
+});
--- a/test/units/server-health/server-health.test.ts
+++ b/test/units/server-health/server-health.test.ts
@@ -22,6 +22,15 @@
     expect(ids(health.eligible(2_500, SERVERS))).not.toContain('a');
   });
 
+  test('names the servers that can not be reached, until they are tried again', () => {
+    const health = new ServerHealth();
+    health.noteFailure(0, 'a', 2);
+    health.noteConnectFailure(100, 'b');
+    health.noteConnectFailure(200, 'b');
+    expect(health.unreachable(300)).toEqual([{ id: 'b', atMs: 100 }]);
+    expect(health.unreachable(700)).toEqual([]);
+  });
+
   test('never ejects more than half of a set', () => {
     const health = new ServerHealth();
     ['a', 'b', 'c'].forEach((id) => health.noteFailure(0, id, 2));
