Test: take streams up that began just before all VMs were killed

The test kills all VMs 0.4 s after the first event and lets callers take their streams up again and again.

--- a/test/failures/software-versions.test.ts
+++ b/test/failures/software-versions.test.ts
@@ -8,6 +8,7 @@
 import { bundle } from '../../src/lab/fleet/bundle.js';
 import { KEY } from '../soak/callers.js';
 import { STREAM_EVENTS } from '../soak/engine.js';
+import { isKnownRed } from '../known-red.js';
 import { RelayFleet, type RelayFleetOptions } from '../soak/relay-fleet.js';
 import type { SoakVm } from '../soak/vms.js';
 
@@ -20,6 +21,14 @@
 /** Time after the first events in which the VMs tell each other of the streams and store them. */
 const SHARED_MS = 1_000;
 const BEGIN_TIMEOUT_MS = 5_000;
+/** Time between the starts of streams that begin just before all VMs are killed. */
+const START_INTERVAL_MS = 12;
+/** Time from the first event of these streams to the kill. */
+const KILLED_AFTER_MS = 400;
+/** Pause of a caller between two attempts to take its stream up. */
+const RETRY_MS = 300;
+const KILLED_EARLY =
+  'is taken up at a server of its version if all VMs are killed 0.4 s after the first event';
 /** Servers of a new version that join. */
 const JOINING = 8;
 /** Time in which servers that have joined are known to the VMs. */
@@ -135,6 +144,17 @@
   );
 }
 
+/** Takes an interrupted stream up at VMs in turn until its caller's deadline. */
+async function takeUpUntilDeadline(vms: readonly SoakVm[], interrupted: Received, at: number) {
+  const untilMs = performance.now() + DEADLINE_MS;
+  let last = interrupted;
+  for (let tries = at; performance.now() < untilMs && !last.isWhole; tries += 1) {
+    last = await stream(vms[tries % vms.length] as SoakVm, last);
+    if (!last.isWhole) await clocks.sleep(RETRY_MS);
+  }
+  return last;
+}
+
 beforeAll(() => bundle(program));
 
 let fleet: RelayFleet | null = null;
@@ -220,6 +240,36 @@
     );
   });
 
+  // Streams of the last half second were recorded nowhere, and refused until their deadline.
+  test.skipIf(isKnownRed(KILLED_EARLY))(KILLED_EARLY, async () => {
+    fleet = await startFleet();
+    const { vms } = fleet;
+    const streams = Array.from({ length: STREAMS }, async (_, at) => {
+      await clocks.sleep(at * START_INTERVAL_MS);
+      return stream(vms[at % vms.length] as SoakVm);
+    });
+    await hasBegun(1);
+    await clocks.sleep(KILLED_AFTER_MS);
+    await Promise.all(vms.map((vm) => vm.terminate('SIGKILL')));
+    const interrupted = (await Promise.all(streams)).filter(
+      ({ versions, isWhole }) => versions.length > 0 && !isWhole,
+    );
+    expect(interrupted.length).toBeGreaterThanOrEqual(STREAMS / 2);
+    vms.forEach((vm) => vm.start());
+    await Promise.all(vms.map((vm) => vm.waitUntilReady()));
+    const started = Array.from({ length: STREAMS / 2 }, (_, at) =>
+      stream(vms[at % vms.length] as SoakVm),
+    );
+    const received = await Promise.all(
+      interrupted.map((before, at) => takeUpUntilDeadline(vms, before, at)),
+    );
+    expect(joinedFromTwo(received)).toEqual([]);
+    const newBegun = (await Promise.all(started)).filter(({ versions }) => versions.length > 0);
+    const newShare = newBegun.length / started.length;
+    const goneOn = received.filter(({ isWhole }) => isWhole).length;
+    expect(goneOn).toBeGreaterThanOrEqual((interrupted.length * newShare) / 2);
+  });
+
   // A VM that is out of step once resumed streams of a version that it had not heard of at its own.
   test('is not taken up at another version by a VM that stood still as its version joined', async () => {
     fleet = await startFleet(['v1']);
