Store the versions of streams each 50 ms, in objects of one second each

Cause: the steward wrote all streams of 30 s in one object, so that it wrote each 500 ms at most.

Now the record is a ring of 64 objects bilberrystand/streams-N. Each holds the streams that became known in one second, and the steward writes each 50 ms at most, only while several versions serve. Writes are conditional; all objects are read by one list call at the start, by a new steward, after a conflict, a call without an answer and a return of the store, and what they lack is written again. The one object of earlier releases is still read; earlier releases don't read the new ones.

--- a/src/entry/relay/stream-record.ts
+++ b/src/entry/relay/stream-record.ts
@@ -10,18 +10,27 @@
 import type { Logger } from '../../core/logger/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import * as storeVersions from '../../decisions/store-versions/index.js';
-import { type BegunStream, type SeenVersion } from '../../decisions/stream-versions/index.js';
+import { type StoredSpan, StreamSpans } from '../../decisions/stream-spans/index.js';
+import {
+  type BegunStream,
+  type SeenVersion,
+  STREAM_TTL_MS,
+} from '../../decisions/stream-versions/index.js';
 import { PlatformOutcome } from '../platform/index.js';
-import type { RelayStore } from './types.js';
+import { FeedOutcome, type FeedObject, type RelayStore } from './types.js';
 
-export const STREAMS_KEY = 'bilberrystand/streams';
-const TICK_MS = 50;
+/** Kind of all objects of the relay, among them the spans of `stream-spans`. */
+export const RELAY_KIND = 'bilberrystand';
+/** Object in which earlier releases stored all recent streams; only read. */
+export const EARLIER_NAME = 'streams';
+const TICK_MS = 25;
 /** Minimum time between two writes, ms: each call is billed. */
-const WRITE_INTERVAL_MS = 500;
+const WRITE_INTERVAL_MS = 50;
 /** Minimum time between two failed calls, ms. */
 const RETRY_MS = 250;
-/** Streams whose first events came in the same span share one entry, ms. */
-const SPAN_MS = 1_000;
+/** Streams whose first events came in the same time span share one entry, ms. */
+const ENTRY_SPAN_MS = 1_000;
+const SLOT_NAME = /^streams-(\d{1,4})$/;
 
 const recordSchema = z.object({
   versions: z.array(z.object({ service: z.string(), version: z.string(), atUnixMs: z.number() })),
@@ -48,7 +57,7 @@
 }
 
 export interface StreamRecordOptions {
-  readonly store: Pick<RelayStore, 'read' | 'write' | 'era'>;
+  readonly store: Pick<RelayStore, 'list' | 'write' | 'era'>;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly streams: SharedStreams;
@@ -65,8 +74,10 @@
 
   private nextCallAtMs = -Infinity;
 
-  /** Version of the stored record; null if it must be read before the next write. */
-  private version: number | null = null;
+  /** The stored record and its era; null if it must be read before the next write. */
+  private spans: { readonly era: number; readonly spans: StreamSpans } | null = null;
+
+  private wasSteward = false;
 
   /** `changes` of the streams when they were last stored; -1 for never. */
   private storedChanges = -1;
@@ -109,80 +120,122 @@
     if (this.timer !== null) clearInterval(this.timer);
   }
 
-  /** Reads or writes the record if either is due, with at most one store call. */
+  /** Reads or writes the record if either is due, one at a time. */
   async tick(): Promise<void> {
-    const { clock, store, isSteward, streams } = this.opts;
-    const nowMs = clock.steadyMs();
+    const nowMs = this.opts.clock.steadyMs();
+    this.noteChanges();
     if (this.calling || nowMs < this.nextCallAtMs) return;
-    if (this.version !== null && storeVersions.eraOf(this.version) < store.era) {
-      this.version = null;
-      this.storedChanges = -1;
-    }
-    const isChanged = isSteward() && streams.isMixed && streams.changes !== this.storedChanges;
     const isReadDue = !this.hasRead || this.isStale;
-    if (!isReadDue && !isChanged) return;
+    const isReadForWrite = this.spans === null && this.isChanged;
+    const { spans } = this;
     this.calling = true;
-    this.nextCallAtMs = nowMs + RETRY_MS;
     try {
-      if (this.version === null || isReadDue) await this.read();
-      else await this.write(nowMs, this.version);
+      if (isReadDue || isReadForWrite) await this.read(nowMs);
+      else if (spans !== null && this.isChanged) await this.write(nowMs, spans.spans);
     } finally {
       this.calling = false;
     }
   }
 
-  private async read(): Promise<void> {
-    const { store, logger, clock, streams, unixMs } = this.opts;
+  /** Makes the record be read before the next write, if another steward or a copy may have changed it. */
+  private noteChanges(): void {
+    const isSteward = this.opts.isSteward();
+    const isNewSteward = isSteward && !this.wasSteward;
+    this.wasSteward = isSteward;
+    const isReturned = this.spans !== null && this.spans.era < this.opts.store.era;
+    if (isNewSteward || isReturned) this.forgetSpans();
+  }
+
+  private forgetSpans(): void {
+    this.spans = null;
+    this.storedChanges = -1;
+  }
+
+  /** Whether this VM writes the record, and streams have been added since. */
+  private get isChanged(): boolean {
+    const { isSteward, streams } = this.opts;
+    return isSteward() && streams.isMixed && streams.changes !== this.storedChanges;
+  }
+
+  private async read(nowMs: number): Promise<void> {
+    const { store, logger } = this.opts;
     const { outages } = this;
-    const answer = await store.read(STREAMS_KEY);
-    if (answer.type !== PlatformOutcome.ok) {
-      logger.debug('record-not-read', { reason: answer.reason });
+    this.nextCallAtMs = nowMs + RETRY_MS;
+    const listed = await store.list(RELAY_KIND);
+    if (listed.type !== FeedOutcome.ok) {
+      const reason = listed.type === FeedOutcome.failed ? listed.reason : listed.type;
+      logger.debug('record-not-read', { key: RELAY_KIND, reason });
       return;
     }
     this.hasRead = true;
     this.outagesRead = outages;
     this.nextCallAtMs = -Infinity;
-    this.version = answer.value?.version ?? 0;
-    const record = recordSchema.safeParse(answer.value?.value ?? { versions: [], streams: [] });
-    if (!record.success) logger.warn('record-unreadable', { key: STREAMS_KEY });
+    const spans = listed.items.flatMap((item) => this.addObject(item));
+    const era = storeVersions.eraOf(listed.revision);
+    this.spans = { era, spans: new StreamSpans(spans, storeVersions.versionOf(era, 0)) };
+  }
+
+  /** Adds the streams of a stored object, if it holds any; returns it if it is a slot. */
+  private addObject({ name, revision, value }: FeedObject): StoredSpan[] {
+    const slot = SLOT_NAME.exec(name)?.[1];
+    if (slot === undefined && name !== EARLIER_NAME) return [];
+    const streams = this.addRecord(`${RELAY_KIND}/${name}`, value);
+    return slot === undefined ? [] : [{ slot: Number(slot), version: revision, streams }];
+  }
+
+  /** Adds the streams of a stored object that can still be resumed, and returns all of them. */
+  private addRecord(key: string, value: unknown): readonly BegunStream[] {
+    const { logger, clock, streams, unixMs } = this.opts;
+    const record = recordSchema.safeParse(value);
+    if (!record.success) {
+      logger.warn('record-unreadable', { key });
+      return [];
+    }
     const nowMs = clock.nowMs();
     const nowUnixMs = unixMs();
     const toAtMs = (atUnixMs: number) => nowMs - Math.max(0, nowUnixMs - atUnixMs);
-    const { versions, streams: stored } = record.data ?? { versions: [], streams: [] };
-    streams.addSeenVersions(
-      versions.map(({ atUnixMs, ...seen }) => ({ ...seen, atMs: toAtMs(atUnixMs) })),
-    );
-    streams.addStreams(
-      stored.flatMap(({ ids, atUnixMs, ...begun }) =>
-        ids.split(' ').map((id) => ({ ...begun, id, atMs: toAtMs(atUnixMs) })),
-      ),
+    const isRecent = ({ atMs }: { readonly atMs: number }) => nowMs - atMs <= STREAM_TTL_MS;
+    const versions = record.data.versions.map(({ atUnixMs, ...seen }) => ({
+      ...seen,
+      atMs: toAtMs(atUnixMs),
+    }));
+    const begun = record.data.streams.flatMap(({ ids, atUnixMs, ...stream }) =>
+      ids.split(' ').map((id) => ({ ...stream, id, atMs: toAtMs(atUnixMs) })),
     );
+    streams.addSeenVersions(versions.filter(isRecent));
+    streams.addStreams(begun.filter(isRecent));
+    return begun;
   }
 
-  private async write(nowMs: number, version: number): Promise<void> {
-    const { store, logger, streams } = this.opts;
+  private async write(nowMs: number, spans: StreamSpans): Promise<void> {
+    const { store, logger, streams, clock } = this.opts;
     const { changes } = streams;
-    const answer = await store.write(STREAMS_KEY, this.record(), version);
-    if (answer.type !== PlatformOutcome.ok) {
-      logger.info('record-not-written', { key: STREAMS_KEY, outcome: answer.type });
-      this.version = null;
+    const span = spans.next(clock.nowMs(), streams.recentStreams());
+    if (span === null) {
+      this.storedChanges = changes;
+      return;
+    }
+    const key = `${RELAY_KIND}/streams-${span.slot}`;
+    const answer = await store.write(key, this.record(span.streams), span.version);
+    if (answer.type === PlatformOutcome.ok) {
+      // The timer is inexact: a tick may come half a tick early.
+      this.nextCallAtMs = nowMs + WRITE_INTERVAL_MS - TICK_MS / 2;
+      spans.noteWritten(span, answer.version);
       return;
     }
-    this.nextCallAtMs = nowMs + WRITE_INTERVAL_MS;
-    this.version = answer.version;
-    this.storedChanges = changes;
+    const isConflict = answer.type === PlatformOutcome.conflict;
+    this.nextCallAtMs = nowMs + (isConflict ? WRITE_INTERVAL_MS : RETRY_MS);
+    logger.info('record-not-written', { key, outcome: answer.type });
+    this.forgetSpans();
   }
 
-  private record(): StreamRecord {
+  private record(begun: readonly BegunStream[]): StreamRecord {
     const { clock, unixMs, streams } = this.opts;
     const toUnixMs = (atMs: number) => Math.round(unixMs() - (clock.nowMs() - atMs));
     const groups = new Map<string, BegunStream[]>();
-    streams.recentStreams().forEach((stream) => {
-      const key = JSON.stringify([
-        stream.service,
-        stream.version,
-        Math.floor(stream.atMs / SPAN_MS),
-      ]);
+    begun.forEach((stream) => {
+      const { service, version, atMs } = stream;
+      const key = JSON.stringify([service, version, Math.floor(atMs / ENTRY_SPAN_MS)]);
       const group = groups.get(key) ?? [];
       group.push(stream);
       groups.set(key, group);
--- a/test/units/relay/stream-record.test.ts
+++ b/test/units/relay/stream-record.test.ts
@@ -4,8 +4,13 @@
 import * as clocks from '../../../src/core/clock/index.js';
 import { createLogger } from '../../../src/core/logger/index.js';
 import type { BackendServer } from '../../../src/decisions/fleet-plan/index.js';
-import { STREAMS_KEY, StreamRecordTask } from '../../../src/entry/relay/stream-record.js';
+import {
+  EARLIER_NAME,
+  RELAY_KIND,
+  StreamRecordTask,
+} from '../../../src/entry/relay/stream-record.js';
 import { StreamVersionsTask } from '../../../src/entry/relay/stream-versions.js';
+import { SPAN_MS } from '../../../src/decisions/stream-spans/index.js';
 import { SoakStore } from '../../soak/store.js';
 import { createBackendServer } from './backend-server.js';
 
@@ -62,6 +67,12 @@
   return { streams, record, client, confirm };
 }
 
+/** What the store holds of streams, as text. */
+function storedText(store: SoakStore): string {
+  const objects = [...store.copy().objects.values()];
+  return JSON.stringify(objects.filter(({ kind }) => kind === RELAY_KIND));
+}
+
 async function until(isTrue: () => boolean): Promise<void> {
   const untilMs = performance.now() + WAIT_MS;
   while (!isTrue() && performance.now() < untilMs) await clocks.sleep(10);
@@ -78,7 +89,7 @@
     await until(() => record.isLoaded);
     streams.noteBegun('s1', serverOf('v1'));
     await clocks.sleep(700);
-    expect(store.copy().objects.has(STREAMS_KEY)).toBe(false);
+    expect(storedText(store)).toBe('[]');
   });
 
   test('tells a VM that starts later which version began a stream', async () => {
@@ -86,9 +97,7 @@
     const { streams } = await startVm(address, true, ['v1', 'v2']);
     streams.noteBegun('s1', serverOf('v1'));
     streams.noteBegun('s2', serverOf('v2'));
-    const isStored = () =>
-      JSON.stringify(store.copy().objects.get(STREAMS_KEY) ?? '').includes('s2');
-    await until(isStored);
+    await until(() => storedText(store).includes('s2'));
     const later = await startVm(address, false, ['v2']);
     await until(() => later.record.isLoaded);
     expect(await later.streams.versionFor('s1', 'drafting')).toBe('v1');
@@ -101,7 +110,7 @@
     const copy = store.copy();
     const { streams, client } = await startVm(address, true, ['v1', 'v2']);
     streams.noteBegun('s1', serverOf('v1'));
-    const isStored = () => store.copy().objects.has(STREAMS_KEY);
+    const isStored = () => storedText(store).includes('s1');
     await until(isStored);
     store.restore(copy);
     await client.read('other/o1');
@@ -110,21 +119,63 @@
   });
 });
 
+describe('the spans of the record', () => {
+  test('hold only the streams of their time, and all of them are read', async () => {
+    const { store, address } = await startStore();
+    const { streams } = await startVm(address, true, ['v1', 'v2']);
+    streams.noteBegun('s1', serverOf('v1'));
+    await until(() => storedText(store).includes('s1'));
+    await clocks.sleep(SPAN_MS + 50);
+    streams.noteBegun('s2', serverOf('v2'));
+    await until(() => storedText(store).includes('s2'));
+    const names = [...store.copy().objects.keys()];
+    expect(names).toEqual([`${RELAY_KIND}/streams-0`, `${RELAY_KIND}/streams-1`]);
+    const later = await startVm(address, false, ['v2']);
+    await until(() => later.record.isLoaded);
+    expect(await later.streams.versionFor('s1', 'drafting')).toBe('v1');
+    expect(await later.streams.versionFor('s2', 'drafting')).toBe('v2');
+  });
+
+  test('keep what another steward has stored', async () => {
+    const { store, address } = await startStore();
+    const first = await startVm(address, true, ['v1', 'v2']);
+    const second = await startVm(address, true, ['v1', 'v2']);
+    await until(() => first.record.isLoaded && second.record.isLoaded);
+    [...Array(10).keys()].forEach((at) => {
+      first.streams.noteBegun(`a${at}`, serverOf('v1'));
+      second.streams.noteBegun(`b${at}`, serverOf('v2'));
+    });
+    await until(() => storedText(store).includes('a9') && storedText(store).includes('b9'));
+    const later = await startVm(address, false, ['v1', 'v2']);
+    await until(() => later.record.isLoaded);
+    expect(await later.streams.versionFor('a0', 'drafting')).toBe('v1');
+    expect(await later.streams.versionFor('b9', 'drafting')).toBe('v2');
+  });
+});
+
+describe('the record of earlier releases', () => {
+  test('is read too', async () => {
+    const { store, address } = await startStore();
+    const seen = { service: 'drafting', version: 'v1', atUnixMs: Date.now() };
+    store.put(RELAY_KIND, EARLIER_NAME, { versions: [seen], streams: [{ ...seen, ids: 's1 s2' }] });
+    const { streams, record } = await startVm(address, false, ['v2']);
+    await until(() => record.isLoaded);
+    expect(await streams.versionFor('s2', 'drafting')).toBe('v1');
+    expect(await streams.versionFor('s3', 'drafting')).toBeNull();
+  });
+});
+
 // A VM that is out of touch once took the only version that it knew of for the one of every stream.
 describe('a VM that was out of touch', () => {
   test('reads again which versions began streams meanwhile, before it resumes an unknown one', async () => {
-    const { address } = await startStore();
+    const { store, address } = await startStore();
     const { streams, record } = await startVm(address, false, ['v1']);
     await until(() => record.isLoaded);
     // Servers of v2 join, begin a stream and leave while this VM does not hear of it.
     const steward = await startVm(address, true, ['v1', 'v2']);
     await until(() => steward.record.isLoaded);
     steward.streams.noteBegun('s2', serverOf('v2'));
-    const isStored = async () => {
-      const answer = await steward.client.read(STREAMS_KEY);
-      return JSON.stringify(answer).includes('s2');
-    };
-    while (!(await isStored())) await clocks.sleep(10);
+    await until(() => storedText(store).includes('s2'));
     record.noteOutage();
     expect(record.isStale).toBe(true);
     expect(await streams.versionFor('s2', 'drafting')).toBe('v2');
