Read what has arrived before closing connections as idle

Callers that had sent whole requests while a VM stood still (busy machine) got a reset later than 200 ms after their last byte: in a planned stop, and on kept connections near their idle timeout.

Timers run before input is read, so after a standstill the stop's check for idle connections and the idle timeout of Node.js judged connections by old input, and connections that were not accepted yet were reset with the listener. A connection is now closed as idle only if nothing has come on it after what waited was accepted and read; the stop accepts what waits before it closes its listener.

--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -4,7 +4,7 @@
 import type { Result } from 'true-myth';
 import * as clocks from '../../core/clock/index.js';
 import * as errors from '../../core/errors/index.js';
-import { spareUnwrittenResponses } from '../../core/http/connections.js';
+import { spareBusyConnections, waitUntilInputRead } from '../../core/http/connections.js';
 import * as https from '../../core/http/index.js';
 import type { LogFields, Logger } from '../../core/logger/index.js';
 import type { Random } from '../../core/random/index.js';
@@ -119,7 +119,7 @@
       requireHostHeader: true,
     });
     this.server = server;
-    spareUnwrittenResponses(server);
+    spareBusyConnections(server);
     server.requestTimeout = 0;
     server.on('request', (req, res) => {
       void this.handle(req, res);
@@ -158,6 +158,8 @@
   async drain(untilMs: number): Promise<void> {
     const { clock } = this.opts.ctx;
     let isOver = false;
+    // Connections that have not been accepted yet are reset when the server stops accepting.
+    await waitUntilInputRead();
     this.server?.close(() => {
       isOver = true;
     });
--- a/test/failures/planned-stop.test.ts
+++ b/test/failures/planned-stop.test.ts
@@ -4,6 +4,7 @@
  */
 import * as fs from 'node:fs';
 import * as http from 'node:http';
+import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import { afterAll, beforeAll, describe, expect, test } from 'vitest';
@@ -29,6 +30,39 @@
 /** Time after which a slow caller takes its answer, ms: once the balancer has noticed the stop. */
 const READ_PAUSE_MS = 4_000;
 
+const KEPT_CONNECTIONS = 10;
+const NEW_CONNECTIONS = 5;
+/** Time from the signal to the standstill, ms: before the balancer has noticed the stop. */
+const STANDSTILL_AFTER_MS = 1_800;
+/** Duration of the standstill, ms: beyond the time at which idle connections are closed. */
+const STANDSTILL_MS = 2_000;
+
+/** Writes an order to a connection; resolves with whether an answer of any status has come. */
+function writeOrder(socket: net.Socket, id: string): Promise<boolean> {
+  const head = [
+    'POST /order/x HTTP/1.1',
+    'Host: soak.example',
+    `Attempt-Id: ${id}`,
+    `Authorization: Bearer ${KEY}`,
+    'Deadline-Ms: 3000',
+    'Content-Length: 1',
+  ];
+  return new Promise((resolve) => {
+    socket.once('data', () => resolve(true));
+    socket.once('error', () => resolve(false));
+    socket.once('close', () => resolve(false));
+    socket.write(`${head.join('\r\n')}\r\n\r\nx`);
+  });
+}
+
+function connectTo(vm: SoakVm): net.Socket {
+  const [host, port] = vm.callers.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  // A connection that is cut off counts as unanswered.
+  socket.on('error', () => undefined);
+  return socket;
+}
+
 /** Sends a lookup and takes its answer after a pause; resolves with the bytes of the body. */
 function receiveSlowly(vm: SoakVm, id: string, pauseMs: number): Promise<number> {
   const [host, port] = vm.callers.split(':');
@@ -175,4 +209,31 @@
       await fleet.stop();
     }
   });
+
+  // Connections once counted as idle while a whole request waited on them to be read.
+  test('answers requests that came while the VM stood still', async () => {
+    const opts = { vms: 2, servers: 6, crash: {}, durationMs: 0 };
+    const fleet = await RelayFleet.start(program, { ...opts, times: { graceMs: GRACE_PERIOD_MS } });
+    try {
+      const [vm] = fleet.vms as [SoakVm];
+      const kept = Array.from({ length: KEPT_CONNECTIONS }, () => connectTo(vm));
+      const before = await Promise.all(
+        kept.map((socket, at) => writeOrder(socket, `before-${at}`)),
+      );
+      const exited = vm.terminate('SIGTERM');
+      await clocks.sleep(STANDSTILL_AFTER_MS);
+      vm.signal('SIGSTOP');
+      const added = Array.from({ length: NEW_CONNECTIONS }, () => connectTo(vm));
+      const sockets = [...kept, ...added];
+      const answered = sockets.map((socket, at) => writeOrder(socket, `during-${at}`));
+      await clocks.sleep(STANDSTILL_MS);
+      vm.signal('SIGCONT');
+      expect(before).not.toContain(false);
+      expect(await Promise.all(answered)).not.toContain(false);
+      sockets.forEach((socket) => socket.destroy());
+      await exited;
+    } finally {
+      await fleet.stop();
+    }
+  });
 });
