Place the second replica of a model at the version of the first

What callers saw: after the crash of the only server that had a model loaded at their version, streams that were taken up were refused for six seconds, although the model had two replicas for this case.

Cause: the second replica of a model in high demand was loaded at any version. With one replica at each of two versions, neither can continue the streams of the other.

Change: a replica at another version than the others costs 1.5 s in the choice of an engine, and a model in high demand lacks its second replica until one version has two.

Both tests failed before (replica at the other version; none).

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -49,6 +49,11 @@
 const MAX_COST_PER_QUEUED_MS = 500;
 /** Requests per second above which a model gets a second replica, in case the first one fails. */
 const SECOND_REPLICA_RATE_PER_S = 3;
+/**
+ * Cost of a replica at another software version than the model's other replicas, ms: the streams of
+ * one version can't go on at the other.
+ */
+const OTHER_VERSION_COST_MS = 1_500;
 /** Slot utilisation, over all engines with a model, above which the model gets another replica. */
 const MAX_UTILISATION = 0.6;
 /** Queued requests without an adapter at which a loaded model gets another replica. */
@@ -101,6 +106,14 @@
   return waiting + Math.max(0, nowMs - dueAtMs + URGENCY_LEAD_MS) / URGENCY_STEP_MS;
 }
 
+/** The largest number of engines that have the same software version. */
+function mostAtOneVersion(engines: readonly EngineState[]): number {
+  const counts = engines.map(
+    ({ version }) => engines.filter((other) => other.version === version).length,
+  );
+  return Math.max(0, ...counts);
+}
+
 function runningRequests(holders: readonly EngineState[], model: string): number {
   return holders.reduce((sum, engine) => sum + (replicaOf(engine, model)?.running ?? 0), 0);
 }
@@ -323,7 +336,8 @@
       .filter((engine) => engine.open && !assignedEngines.has(engine.id))
       .filter((engine) => replicaOf(engine, model) === undefined)
       .flatMap((engine) => this.cheapestOption(view, engine, model, overdue))
-      .sort((a, b) => a.costMs - b.costMs);
+      .map((option) => ({ ...option, rank: option.costMs + this.splitCostMs(option, holders) }))
+      .sort((a, b) => a.rank - b.rank);
     // A load from the store evicts replicas only if no engine has a copy of the weights.
     const copyExists = engines.some((engine) => engine.healthy && hasCopy(engine, model));
     const maxCostMs = MAX_COST_MS + demand.waiting * MAX_COST_PER_QUEUED_MS;
@@ -353,6 +367,13 @@
     };
   }
 
+  /** Cost of a replica that does not help the streams of the model's present replicas, ms. */
+  private splitCostMs({ engine }: LoadOption, holders: readonly EngineState[]): number {
+    const isSplit =
+      holders.length > 0 && !holders.some(({ version }) => version === engine.version);
+    return isSplit ? OTHER_VERSION_COST_MS : 0;
+  }
+
   /**
    * Whether the model's queued requests, running requests or request rate call for another replica.
    */
@@ -371,7 +392,9 @@
     if (this.lacksAdapterSlots(view.nowMs, holders, demand)) return true;
     if (demand.adapter === null && demand.waiting >= QUEUED_FOR_ANOTHER_REPLICA) return true;
     if (this.isOverloaded(holders, model)) return true;
-    return holders.length < 2 && (view.rates.get(model) ?? 0) > SECOND_REPLICA_RATE_PER_S;
+    return (
+      mostAtOneVersion(holders) < 2 && (view.rates.get(model) ?? 0) > SECOND_REPLICA_RATE_PER_S
+    );
   }
 
   /** Number of replicas needed to serve queued and running requests at `MAX_UTILISATION`. */
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -371,6 +371,36 @@
   });
 });
 
+describe('a second replica in case the first one fails', () => {
+  const rates = new Map([['hot', 15]]);
+  const pendingDemand = [demandFor('hot')];
+  const at = (id: string, version: string, replicas: readonly Replica[]) =>
+    engine(id, replicas, ['hot'], { version });
+  const full = [replica('m1'), replica('m2'), replica('m3')];
+
+  test('is loaded at the version of the first one', () => {
+    const engines = [
+      at('e1', 'v1', [replica('hot')]),
+      at('e2', 'v2', full),
+      at('e3', 'v1', full),
+      at('e4', 'v2', full),
+    ];
+    expect(loadsOf(plan({ engines, pendingDemand, rates }))).toEqual(['e3 hot']);
+  });
+
+  // Of two replicas at different versions, neither can continue the streams of the other.
+  test('is still missing if another version has one', () => {
+    const engines = [
+      at('e1', 'v1', [replica('hot')]),
+      at('e2', 'v2', [replica('hot')]),
+      at('e3', 'v3', full),
+      at('e4', 'v1', full),
+      at('e5', 'v3', full),
+    ];
+    expect(loadsOf(plan({ engines, pendingDemand, rates }))).toEqual(['e4 hot']);
+  });
+});
+
 describe('an engine that stops responding before its load ends', () => {
   // Such a load must not count as progress until the engine is gone from the list of servers.
   const crashed = (fields: Partial<EngineState>) =>
