Accept all connections that wait before the listener closes

The stop made two passes of the event loop before it closed its listener, but libuv accepts one connection in each pass.

--- a/src/core/http/connections.ts
+++ b/src/core/http/connections.ts
@@ -3,6 +3,9 @@
 import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
 
+/** Connections that wait for a server at most, by the default of Node.js. */
+const MAX_WAITING_CONNECTIONS = 511;
+
 interface Connection {
   /** Requests whose responses have not been written out to the connection. */
   pending: number;
@@ -11,11 +14,27 @@
 }
 
 /**
- * Resolves once the event loop has read what had reached the process before, also from connections
- * that it had not accepted yet. Timers run before that: after a standstill, requests may wait.
+ * Resolves right after the event loop has accepted the connections that were waiting; it accepts one
+ * in each pass. Timers run before that: after a standstill, many may wait.
  */
-export async function waitUntilInputRead(): Promise<void> {
-  // The first pass accepts connections, the second one reads from them.
+export async function acceptWaitingConnections(server: http.Server): Promise<void> {
+  let accepted = 0;
+  let idlePasses = 0;
+  const noteConnection = () => {
+    accepted += 1;
+    idlePasses = 0;
+  };
+  server.on('connection', noteConnection);
+  // The first pass may be over before the event loop looks for connections.
+  while (idlePasses < 2 && accepted < MAX_WAITING_CONNECTIONS) {
+    idlePasses += 1;
+    await setImmediate();
+  }
+  server.off('connection', noteConnection);
+}
+
+/** Resolves once the event loop has read what had come before on the connections that it knows. */
+async function waitUntilInputRead(): Promise<void> {
   await setImmediate();
   await setImmediate();
 }
--- a/src/entry/gateway/index.ts
+++ b/src/entry/gateway/index.ts
@@ -4,7 +4,7 @@
 import type { Channel, Unsubscribe } from '../../core/channels/index.js';
 import * as clock from '../../core/clock/index.js';
 import * as errors from '../../core/errors/index.js';
-import { spareBusyConnections, waitUntilInputRead } from '../../core/http/connections.js';
+import { spareBusyConnections, acceptWaitingConnections } from '../../core/http/connections.js';
 import * as httpServers from '../../core/http/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import type { Catalog } from '../../decisions/catalog/index.js';
@@ -105,7 +105,7 @@
    */
   async drain(graceMs: number): Promise<void> {
     this.draining = true;
-    await waitUntilInputRead();
+    if (this.server !== null) await acceptWaitingConnections(this.server);
     this.server?.close();
     const untilMs = this.deps.clock.nowMs() + graceMs;
     while (this.active.size > 0 && this.deps.clock.nowMs() < untilMs) {
--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -4,7 +4,7 @@
 import type { Result } from 'true-myth';
 import * as clocks from '../../core/clock/index.js';
 import * as errors from '../../core/errors/index.js';
-import { spareBusyConnections, waitUntilInputRead } from '../../core/http/connections.js';
+import { acceptWaitingConnections, spareBusyConnections } from '../../core/http/connections.js';
 import * as https from '../../core/http/index.js';
 import type { LogFields, Logger } from '../../core/logger/index.js';
 import type { Random } from '../../core/random/index.js';
@@ -159,7 +159,7 @@
     const { clock } = this.opts.ctx;
     let isOver = false;
     // Connections that have not been accepted yet are reset when the server stops accepting.
-    await waitUntilInputRead();
+    if (this.server !== null) await acceptWaitingConnections(this.server);
     this.server?.close(() => {
       isOver = true;
     });
