Handle the requests of a connection in turn

A request that a caller sent behind another one was passed on at once.

Requests of a connection are handled one after another now, and not at all once it is closed; in a stop only the answer to the latest one closes it.

--- a/src/core/http/connections.ts
+++ b/src/core/http/connections.ts
@@ -1,4 +1,4 @@
-/** Closes only those connections of an HTTP server that are idle. */
+/** Tells which connections of an HTTP server are in use, and closes only those that are idle. */
 import type * as http from 'node:http';
 import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
@@ -13,6 +13,14 @@
   readBytes: number;
 }
 
+/** The latest request of each connection. */
+const latestRequests = new WeakMap<Socket, http.IncomingMessage>();
+
+/** The latest request that was received on a connection; undefined if there was none. */
+export function latestRequest(socket: Socket): http.IncomingMessage | undefined {
+  return latestRequests.get(socket);
+}
+
 /**
  * Resolves right after the event loop has accepted the connections that were waiting; it accepts one
  * in each pass. Timers run before that: after a standstill, many may wait.
@@ -51,7 +59,9 @@
     connections.set(socket, { pending: 0, readBytes: 0 });
     socket.on('close', () => connections.delete(socket));
   });
-  server.prependListener('request', ({ socket }, res) => {
+  server.prependListener('request', (req, res) => {
+    const { socket } = req;
+    latestRequests.set(socket, req);
     const connection = connections.get(socket);
     if (connection === undefined) return;
     connection.pending += 1;
--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -4,7 +4,11 @@
 import type { Result } from 'true-myth';
 import * as clocks from '../../core/clock/index.js';
 import * as errors from '../../core/errors/index.js';
-import { acceptWaitingConnections, spareBusyConnections } from '../../core/http/connections.js';
+import {
+  acceptWaitingConnections,
+  latestRequest,
+  spareBusyConnections,
+} from '../../core/http/connections.js';
 import * as https from '../../core/http/index.js';
 import type { LogFields, Logger } from '../../core/logger/index.js';
 import type { Random } from '../../core/random/index.js';
@@ -67,13 +71,21 @@
   return (Math.ceil(ms) / MS_PER_S).toString();
 }
 
+/**
+ * Whether to close the connection after a response. Later requests of it that have been received are
+ * answered first.
+ */
+export function closesConnection(res: http.ServerResponse, isStopping: boolean): boolean {
+  return isStopping && latestRequest(res.req.socket) === res.req;
+}
+
 /** Sends a local response with a failure, and a Retry-After header if `retryAfterMs` is set. */
 export function sendLocalResponse(
   res: http.ServerResponse,
   platformHeaders: readonly string[],
   failure: errors.Failure,
   retryAfterMs: number | null,
-  closeConnection: boolean,
+  isStopping: boolean,
 ): void {
   if (res.headersSent || res.destroyed) {
     res.destroy();
@@ -90,7 +102,7 @@
     String(Buffer.byteLength(body)),
   ];
   if (retryAfterMs !== null) headers.push('Retry-After', formatRetryAfter(retryAfterMs));
-  if (closeConnection || !res.req.complete) headers.push('Connection', 'close');
+  if (closesConnection(res, isStopping) || !res.req.complete) headers.push('Connection', 'close');
   res.writeHead(failure.status, headers);
   res.end(body);
 }
@@ -102,6 +114,9 @@
 
   private active = 0;
 
+  /** The end of the latest request of each connection. */
+  private readonly ends = new WeakMap<Socket, Promise<void>>();
+
   /** Requests that are being served. */
   private readonly exchanges = new Set<Exchange>();
 
@@ -122,7 +137,7 @@
     spareBusyConnections(server);
     server.requestTimeout = 0;
     server.on('request', (req, res) => {
-      void this.handle(req, res);
+      void this.handleInTurn(req, res);
     });
     server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
       this.handleClientError(err, socket as Socket),
@@ -174,11 +189,31 @@
     this.exchanges.forEach((exchange) => exchange.endForShutdown());
   }
 
-  private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+  /**
+   * Handles a request once the requests before it on its connection are answered. It is not handled
+   * if one of them has closed the connection.
+   */
+  private async handleInTurn(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const { socket } = req;
+    const arrivedAtMs = this.opts.ctx.clock.steadyMs();
+    const before = this.ends.get(socket);
+    const end = new Promise<void>((resolve) => {
+      res.once('close', resolve);
+    });
+    this.ends.set(socket, end);
+    if (before !== undefined) await before;
+    if (socket.writable) await this.handle(req, res, arrivedAtMs);
+  }
+
+  private async handle(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    arrivedAtMs: number,
+  ): Promise<void> {
     this.active += 1;
     res.on('error', (err) => this.opts.logger.debug('caller-lost', { reason: err.message }));
     try {
-      await this.serve(req, res);
+      await this.serve(req, res, arrivedAtMs);
     } catch (err) {
       this.opts.logger.error('request-failed', { reason: errors.describe(err) });
       this.sendRefusal(res, null, refusal(errors.data.BackendFailed));
@@ -187,10 +222,12 @@
     }
   }
 
-  private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    const { clock, wire } = this.opts.ctx;
-    const arrivedAtMs = clock.steadyMs();
-    const metadata = wire.decodeRequest(req.rawHeaders);
+  private async serve(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    arrivedAtMs: number,
+  ): Promise<void> {
+    const metadata = this.opts.ctx.wire.decodeRequest(req.rawHeaders);
     if (metadata === null) {
       this.sendRefusal(res, null, refusal(errors.data.BadRequest));
       return;
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -33,7 +33,8 @@
   readonly metrics: Metrics;
   /** Retry-After when the time until capacity is available is unknown, ms. */
   readonly defaultRetryAfterMs: number;
-  isStopping(): boolean;
+  /** Whether the caller's connection is closed after this response. */
+  closesConnection(res: http.ServerResponse): boolean;
   /** Whether new requests are accepted; during shutdown this depends on the request. */
   acceptsRequest(request: LateRequest): boolean;
   /** Whether the cached plan is recent enough to trust that the customer's key is not revoked. */
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -659,7 +659,7 @@
     const { status, statusText, rawHeaders, contentLength } = head;
     const headers = [...this.ctx.wire.encodeResponse(rawHeaders)];
     if (contentLength !== null) headers.push('Content-Length', String(contentLength));
-    if (this.ctx.isStopping()) headers.push('Connection', 'close');
+    if (this.ctx.closesConnection(this.request.res)) headers.push('Connection', 'close');
     this.request.res.writeHead(status, statusText, headers);
   }
 
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -11,7 +11,7 @@
 import * as stopRules from '../../decisions/stopping/index.js';
 import { Admission } from './admission.js';
 import { BodyMemory } from './body-memory.js';
-import { CallerServerTask, sendLocalResponse } from './caller-server.js';
+import { CallerServerTask, closesConnection, sendLocalResponse } from './caller-server.js';
 import { ConnectionPool } from './connections.js';
 import type { RelayContext } from './context.js';
 import { Dispatcher } from './dispatch.js';
@@ -286,7 +286,7 @@
     clock,
     metrics,
     defaultRetryAfterMs: DEFAULT_RETRY_AFTER_MS,
-    isStopping,
+    closesConnection: (res) => closesConnection(res, stopping),
     acceptsRequest: (request) =>
       stopRules.acceptsRequest(clock.steadyMs() - stopAtMs, graceMs, request),
     hasFreshKeys: (customer) => customer === null || storeWatcher.planAgeMs() < keyFreshnessMs,
--- /dev/null
+++ b/test/failures/unread-requests.test.ts
@@ -0,0 +1,107 @@
+/**
+ * Requests that are refused before they are read, and requests behind another one on a connection:
+ * their callers get an answer, or the request is not run.
+ */
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import { afterAll, beforeAll, describe, expect, test } from 'vitest';
+import * as clocks from '../../src/core/clock/index.js';
+import { bundle } from '../../src/lab/fleet/bundle.js';
+import { KEY } from '../soak/callers.js';
+import { RelayFleet } from '../soak/relay-fleet.js';
+import type { SoakVm } from '../soak/vms.js';
+
+const POLL_MS = 5;
+const ANSWER_TIMEOUT_MS = 5_000;
+const PIPELINED = 10;
+const GRACE_PERIOD_MS = 8_000;
+/** Makes a request take about 600 ms, so that a stop begins while requests wait. */
+const SLOWDOWN = 40;
+
+function requestText(route: string, id: string, bodyBytes: number): string {
+  const head = [
+    `POST /${route}/x HTTP/1.1`,
+    'Host: soak.example',
+    `Attempt-Id: ${id}`,
+    `Authorization: Bearer ${KEY}`,
+    'Deadline-Ms: 3000',
+    `Content-Length: ${bodyBytes}`,
+  ];
+  return `${head.join('\r\n')}\r\n\r\n`;
+}
+
+function connect(vm: SoakVm) {
+  const [host, port] = vm.callers.split(':');
+  const socket = net.connect({ host, port: Number(port), noDelay: true });
+  let text = '';
+  let isClosed = false;
+  socket.on('data', (bytes) => {
+    text += bytes.toString('latin1');
+  });
+  // A caller that can't write any more drops its connection, with what it has not read.
+  socket.on('error', () => socket.destroy());
+  socket.on('close', () => {
+    isClosed = true;
+  });
+  const statuses = () =>
+    [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => Number(status));
+  /** Resolves with the statuses of `count` answers, or of all until the connection was closed. */
+  const answers = async (count: number): Promise<readonly number[]> => {
+    const untilMs = performance.now() + ANSWER_TIMEOUT_MS;
+    while (statuses().length < count && !isClosed && performance.now() < untilMs) {
+      await clocks.sleep(POLL_MS);
+    }
+    return statuses();
+  };
+  return { socket, answers };
+}
+
+describe('requests to an entry VM', () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bilberrystand-unread-'));
+  const program = path.join(folder, 'bilberrystand.cjs');
+  const opts = { vms: 2, servers: 6, crash: {}, durationMs: 0 };
+  let fleet: RelayFleet;
+
+  beforeAll(async () => {
+    await bundle(program);
+    fleet = await RelayFleet.start(program, { ...opts, times: { graceMs: GRACE_PERIOD_MS } });
+    await fleet.waitUntilConnected();
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+    fs.rmSync(folder, { recursive: true, force: true });
+  });
+
+  // Each was once passed on at once, and lost when the answer before it closed the connection.
+  test('are answered, or not run, if an answer before them closes the connection', async () => {
+    const [vm] = fleet.vms as [SoakVm];
+    const results = Array.from({ length: PIPELINED }, async (_, at) => {
+      const { socket, answers } = connect(vm);
+      const refused = `${requestText('unknown', `first-${at}`, 1)}x`;
+      socket.write(`${refused}${requestText('order', `behind-${at}`, 1)}x`);
+      const statuses = await answers(2);
+      socket.destroy();
+      const isAnswered = statuses.length === 2;
+      return isAnswered || !fleet.observations.runs.has(`behind-${at}`);
+    });
+    expect(await Promise.all(results)).not.toContain(false);
+  });
+
+  test('are answered in a planned stop, though they wait behind another one', async () => {
+    const vm = fleet.vms[1] as SoakVm;
+    fleet.engines.forEach((engine) => engine.slowDown(ANSWER_TIMEOUT_MS, SLOWDOWN));
+    const connections = Array.from({ length: PIPELINED }, () => connect(vm));
+    connections.forEach(({ socket }, at) => {
+      const first = `${requestText('lookup', `stop-first-${at}`, 1)}x`;
+      socket.write(`${first}${requestText('order', `stop-behind-${at}`, 1)}x`);
+    });
+    await clocks.sleep(POLL_MS * SLOWDOWN);
+    const exited = vm.terminate('SIGTERM');
+    const results = await Promise.all(connections.map(({ answers }) => answers(2)));
+    expect(results.map(({ length }) => length)).toEqual(results.map(() => 2));
+    await exited;
+  });
+});
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -110,7 +110,7 @@
     metrics: { count: nothing, time: nothing },
     defaultRetryAfterMs: 1_000,
     hasFreshKeys: () => true,
-    isStopping: () => false,
+    closesConnection: () => false,
     recordModelUse: nothing,
     log: nothing,
     sendLocalResponse: (res: http.ServerResponse, _id: string, failure: { status: number }) => {
