Read a refused request before answering it

A request that was refused by its head was answered with Connection: close at once.

Its body is read and discarded first, up to the bound of bodies, and the connection is kept.

The new test failed before (no connection was kept) and passes now.

--- a/src/entry/gateway/read-body.ts
+++ b/src/entry/gateway/read-body.ts
@@ -54,3 +54,23 @@
     );
   });
 }
+
+/**
+ * Reads the rest of a refused request and discards it, so that its caller gets the response: a
+ * connection that is closed with unread bytes is reset. Gives up at a body larger than `maxBytes`.
+ */
+export function discardBody(req: http.IncomingMessage, maxBytes: number): Promise<void> {
+  if (req.complete || Number(req.headers['content-length'] ?? 0) > maxBytes) {
+    return Promise.resolve();
+  }
+  return new Promise((resolve) => {
+    let bytes = 0;
+    req.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maxBytes) resolve();
+    });
+    req.once('end', resolve);
+    req.once('close', resolve);
+    req.resume();
+  });
+}
--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -22,7 +22,7 @@
   RetrySafety,
   type Route,
 } from '../../decisions/fleet-plan/index.js';
-import { readBody } from '../gateway/read-body.js';
+import { discardBody, readBody } from '../gateway/read-body.js';
 import { errorBody } from '../gateway/reply.js';
 import type { BodyClaim, BodyMemory } from './body-memory.js';
 import type { RelayContext } from './context.js';
@@ -229,12 +229,12 @@
   ): Promise<void> {
     const metadata = this.opts.ctx.wire.decodeRequest(req.rawHeaders);
     if (metadata === null) {
-      this.sendRefusal(res, null, refusal(errors.data.BadRequest));
+      await this.refuseWhenRead(res, null, refusal(errors.data.BadRequest));
       return;
     }
     const preliminary = this.check(req, metadata);
     if ('def' in preliminary) {
-      this.sendRefusal(res, metadata.id, preliminary);
+      await this.refuseWhenRead(res, metadata.id, preliminary);
       return;
     }
     const claim = this.opts.bodies.open();
@@ -253,8 +253,7 @@
     req: http.IncomingMessage,
     claim: BodyClaim,
   ): Promise<Result<Buffer, Refusal>> {
-    const maxBytes = this.opts.storeWatcher.plan?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await readBody(req, maxBytes, claim.take);
+    const body = await readBody(req, this.maxBodyBytes, claim.take);
     return body.mapErr(({ failure }) => {
       const isFull = failure.name === errors.data.MemoryFull.name;
       return isFull
@@ -263,6 +262,21 @@
     });
   }
 
+  private get maxBodyBytes(): number {
+    return this.opts.storeWatcher.plan?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+  }
+
+  /** Refuses a request once its body was read; does nothing if its caller has disconnected before. */
+  private async refuseWhenRead(
+    res: http.ServerResponse,
+    id: string | null,
+    reason: Refusal,
+  ): Promise<void> {
+    const { req } = res;
+    await discardBody(req, this.maxBodyBytes);
+    if (!req.destroyed || req.complete) this.sendRefusal(res, id, reason);
+  }
+
   private async serveWithBody(received: ReceivedRequest): Promise<void> {
     const { req, res, metadata } = received;
     // Checked again, because the plan may have changed while the body was being received.
--- a/test/failures/unread-requests.test.ts
+++ b/test/failures/unread-requests.test.ts
@@ -15,6 +15,11 @@
 
 const POLL_MS = 5;
 const ANSWER_TIMEOUT_MS = 5_000;
+const CALLERS = 40;
+const BODY_PARTS = 8;
+const PART = 'x'.repeat(100);
+/** Longest pause of a caller between two parts of a request, ms. */
+const PART_PAUSE_MS = 10;
 const PIPELINED = 10;
 const GRACE_PERIOD_MS = 8_000;
 /** Makes a request take about 600 ms, so that a stop begins while requests wait. */
@@ -75,6 +80,26 @@
     fs.rmSync(folder, { recursive: true, force: true });
   });
 
+  // The connection was once closed while the rest of the request was still to come.
+  test('get the refusal and keep the connection, though it is due before the body has come', async () => {
+    const [vm] = fleet.vms as [SoakVm];
+    const results = Array.from({ length: CALLERS }, async (_, at) => {
+      const { socket, answers } = connect(vm);
+      socket.write(requestText('unknown', `refused-${at}`, BODY_PARTS * PART.length));
+      await Array.from({ length: BODY_PARTS }).reduce<Promise<void>>(async (before) => {
+        await before;
+        await clocks.sleep((at * PART_PAUSE_MS) / CALLERS);
+        if (!socket.destroyed) socket.write(PART);
+      }, Promise.resolve());
+      await answers(1);
+      if (!socket.destroyed) socket.write(`${requestText('unknown', `next-${at}`, 1)}x`);
+      const statuses = await answers(2);
+      socket.destroy();
+      return statuses;
+    });
+    expect(await Promise.all(results)).toEqual(results.map(() => [404, 404]));
+  });
+
   // Each was once passed on at once, and lost when the answer before it closed the connection.
   test('are answered, or not run, if an answer before them closes the connection', async () => {
     const [vm] = fleet.vms as [SoakVm];
