Measure the delay of the event loop in relay mode

When an entry VM answers late or misses readiness checks, logs could not tell its own work from a freeze or a slow server. The task loop-delay samples how late its timer runs: as relay_loop_delay_seconds and relay_loop_delay_max_seconds in the metrics, and from 200 ms on as a line loop-delayed with the CPU time used meanwhile, the requests in progress and those queued.

--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -49,6 +49,11 @@
 
   constructor(private readonly opts: DispatchOptions) {}
 
+  /** Number of requests that wait for a server. */
+  get queuedCount(): number {
+    return this.waiting.size;
+  }
+
   start(): void {
     this.timer = setInterval(() => this.placeQueued(), QUEUE_POLL_MS);
   }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -20,6 +20,7 @@
 import { IncidentRecordTask } from './incident-record.js';
 import { IncidentTask } from './incidents.js';
 import { LeaseTask } from './lease-task.js';
+import { LoopDelayTask } from './loop-delay.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
 import { ReadinessTask } from './readiness.js';
 import { ReporterTask } from './reporter.js';
@@ -333,7 +334,16 @@
     dispatcher.placeQueued();
   });
 
+  const loopDelay = new LoopDelayTask({
+    clock,
+    logger: logger.child('loop'),
+    metrics,
+    cpuUsage: () => process.cpuUsage(),
+    active: () => callerServer.activeCount,
+    queued: () => dispatcher.queuedCount,
+  });
   const tasks = [
+    loopDelay,
     storeWatcher,
     steward,
     lease,
