--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -7,7 +7,6 @@
 import * as clocks from '../../src/core/clock/index.js';
 import * as httpServers from '../../src/core/http/index.js';
 import { RequestLimitRecord } from './request-limit.js';
-import type { SoakStore } from './store.js';
 
 export const STREAM_EVENTS = 8;
 const WORK_MS = 15;
@@ -63,6 +62,12 @@
   readonly streamSends: 'nothing' | 'head' | 'events';
 }
 
+/** Where a server writes its entry. */
+export interface EntryStore {
+  put(kind: string, name: string, spec: unknown): unknown;
+  remove(kind: string, name: string): void;
+}
+
 /** Writes raw bytes in place of the response to the request `id`. */
 export type ResponseFault = (socket: Socket, id: string) => void;
 
@@ -201,7 +206,7 @@
 
   constructor(
     private readonly spec: EngineSpec,
-    private readonly store: SoakStore,
+    private readonly store: EntryStore,
     private readonly observations: Observations,
   ) {}
 
--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -224,11 +224,14 @@
     return this.sendRepeatedly(REPEAT_INTERVAL_MS, { ...CRASHING, ...opts });
   }
 
+  /** Text of a VM's log. */
+  logOf({ name }: SoakVm): string {
+    return fs.readFileSync(path.join(this.folder, `${name}.log`), 'utf8');
+  }
+
   /** Ids of the requests that were refused for a segment of their prompt, from the VMs' logs. */
   refusedForPrompt(): ReadonlySet<string> {
-    const lines = this.vms.flatMap(({ name }) =>
-      fs.readFileSync(path.join(this.folder, `${name}.log`), 'utf8').split('\n'),
-    );
+    const lines = this.vms.flatMap((vm) => this.logOf(vm).split('\n'));
     const refused = lines.filter((line) => line.includes('"reason":"PromptBlocked"'));
     return new Set(refused.flatMap((line) => /"id":"([^"]+)"/.exec(line)?.[1] ?? []));
   }
--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -171,7 +171,8 @@
     }
   }
 
-  private async isReady(): Promise<boolean> {
+  /** Whether the process answers the balancer's question for readiness with yes. */
+  async isReady(): Promise<boolean> {
     try {
       const { statusCode, body } = await undici.request(`http://${this.admin}/v1/readiness`);
       await body.dump();
