Split event streams by their bytes, without converting them to text

Each chunk of an event stream was converted to text, searched by a regular expression and, once an event ended in it, joined, converted and searched again. The splitter now looks for line feeds in the bytes. The property test compares it with a model on the whole text: the same events, ids and order.

--- a/src/entry/relay/event-stream.ts
+++ b/src/entry/relay/event-stream.ts
@@ -1,7 +1,11 @@
 /** Splits an event stream into events and checks their order, also if another server resumes. */
 
-const EVENT_END = /\r\n\r\n|\n\n/g;
-const ID_LINE = /^id:[ ]?(\d+)\r?$/m;
+const ID_FIELD = Buffer.from('id:');
+const SPACE = 0x20;
+const CR = 0x0d;
+const LF = 0x0a;
+const DIGIT_0 = 0x30;
+const DIGIT_9 = 0x39;
 
 /** Maximum length of an event, bytes; bounds the buffer for an incomplete event. */
 const MAX_EVENT_BYTES = 1_048_576;
@@ -14,8 +18,68 @@
   readonly isInOrder: boolean;
 }
 
-/** Characters of earlier bytes that may begin the end of an event. */
-const MAX_SPLIT_END_CHARS = 3;
+/** Earlier bytes that may begin the end of an event. */
+const MAX_SPLIT_END_BYTES = 3;
+
+const isLineEnd = (byte: number | undefined) => byte === CR || byte === LF;
+
+/** Whether the line feed at `at` ends an event: an empty line that begins at `from` or later. */
+function endsEvent(bytes: Buffer, at: number, from: number): boolean {
+  if (at > from && bytes[at - 1] === LF) return true;
+  return (
+    at >= from + MAX_SPLIT_END_BYTES &&
+    bytes[at - 1] === CR &&
+    bytes[at - 2] === LF &&
+    bytes[at - 3] === CR
+  );
+}
+
+/** Position after the first end of an event that begins at `from` or later; -1 if there is none. */
+function eventEnd(bytes: Buffer, from: number): number {
+  let at = bytes.indexOf(LF, from);
+  while (at >= 0 && !endsEvent(bytes, at, from)) at = bytes.indexOf(LF, at + 1);
+  return at < 0 ? -1 : at + 1;
+}
+
+/** Positions after the events in `bytes` whose ends begin at `from` or later. */
+function eventEnds(bytes: Buffer, from: number): readonly number[] {
+  const ends: number[] = [];
+  let end = eventEnd(bytes, from);
+  while (end >= 0) {
+    ends.push(end);
+    end = eventEnd(bytes, end);
+  }
+  return ends;
+}
+
+/** Value of the `id` field at `at`; null if the rest of its line is no number. */
+function idAt(bytes: Buffer, at: number): number | null {
+  const field = at + ID_FIELD.length;
+  const start = bytes[field] === SPACE ? field + 1 : field;
+  let end = start;
+  while ((bytes[end] ?? 0) >= DIGIT_0 && (bytes[end] ?? 0) <= DIGIT_9) end += 1;
+  if (end === start || !isLineEnd(bytes[end])) return null;
+  return Number(bytes.toString('latin1', start, end));
+}
+
+/** Whether an `id` field stands at the start of the event; most servers send it there. */
+function startsWithId(bytes: Buffer, start: number): boolean {
+  return ID_FIELD.every((byte, index) => bytes[start + index] === byte);
+}
+
+/** Value of the first `id` line of the complete event from `start` to `end`; null if it has none. */
+function idOf(bytes: Buffer, start: number, end: number): number | null {
+  const first = startsWithId(bytes, start) ? idAt(bytes, start) : null;
+  if (first !== null) return first;
+  const event = bytes.subarray(start, end);
+  let at = event.indexOf(ID_FIELD, 1);
+  while (at >= 0) {
+    const id = isLineEnd(event[at - 1]) ? idAt(event, at) : null;
+    if (id !== null) return id;
+    at = event.indexOf(ID_FIELD, at + ID_FIELD.length);
+  }
+  return null;
+}
 
 export class EventSplitter {
   /** Bytes of the incomplete event, as they arrived. */
@@ -23,8 +87,8 @@
 
   private partialLength = 0;
 
-  /** Last characters of the incomplete event. */
-  private tail = '';
+  /** Last bytes of the incomplete event. */
+  private tail: Buffer = Buffer.alloc(0);
 
   /** Id of the last complete event that has one; null before the first. */
   lastId: number | null;
@@ -46,25 +110,27 @@
 
   /** Adds bytes of the stream; returns the events that they complete. */
   push(bytes: Buffer): SplitResult {
+    const border = Buffer.concat([this.tail, bytes.subarray(0, MAX_SPLIT_END_BYTES)]);
+    const scannedBytes = this.partialLength - this.tail.length;
     this.parts.push(bytes);
     this.partialLength += bytes.length;
-    const added = this.tail + bytes.toString('latin1');
     // Only an event that ends is assembled, so that a long one is not copied for each of its parts.
-    if (added.search(EVENT_END) < 0) {
-      this.tail = added.slice(-MAX_SPLIT_END_CHARS);
-      const isInOrder = this.partialLength <= MAX_EVENT_BYTES;
-      return { bytes: Buffer.alloc(0), isInOrder };
-    }
-    return this.split(Buffer.concat(this.parts));
+    if (eventEnd(border, 0) >= 0 || eventEnd(bytes, 0) >= 0) return this.split(scannedBytes);
+    const last = bytes.length < MAX_SPLIT_END_BYTES ? border : bytes;
+    this.tail = last.subarray(-MAX_SPLIT_END_BYTES);
+    const isInOrder = this.partialLength <= MAX_EVENT_BYTES;
+    return { bytes: Buffer.alloc(0), isInOrder };
   }
 
-  private split(buffered: Buffer): SplitResult {
-    const text = buffered.toString('latin1');
-    const ends = [...text.matchAll(EVENT_END)].map((match) => match.index + match[0].length);
+  /** @param scannedBytes Bytes of the incomplete event in which no end of an event begins. */
+  private split(scannedBytes: number): SplitResult {
+    const [first] = this.parts;
+    const buffered =
+      this.parts.length === 1 && first !== undefined ? first : Buffer.concat(this.parts);
+    const ends = eventEnds(buffered, scannedBytes);
     const completeLength = ends.at(-1) ?? 0;
-    const starts = [0, ...ends.slice(0, -1)];
     const areConsecutive = ends.every((end, index) =>
-      this.isNextEvent(text.slice(starts[index], end)),
+      this.isNextId(idOf(buffered, ends[index - 1] ?? 0, end)),
     );
     this.setPartial(buffered.subarray(completeLength));
     return {
@@ -76,14 +142,12 @@
   private setPartial(bytes: Buffer): void {
     this.parts = bytes.length === 0 ? [] : [bytes];
     this.partialLength = bytes.length;
-    this.tail = bytes.subarray(-MAX_SPLIT_END_CHARS).toString('latin1');
+    this.tail = bytes.subarray(-MAX_SPLIT_END_BYTES);
   }
 
-  /** Whether an event has the next id. An event without an id is accepted at any position. */
-  private isNextEvent(event: string): boolean {
-    const id = ID_LINE.exec(event)?.[1];
-    if (id === undefined) return true;
-    const next = Number(id);
+  /** Whether an event's id is the next one. An event without an id is accepted at any position. */
+  private isNextId(next: number | null): boolean {
+    if (next === null) return true;
     const isNext = this.lastId === null || next === this.lastId + 1;
     if (isNext) this.lastId = next;
     return isNext;
--- a/test/units/relay/event-stream.test.ts
+++ b/test/units/relay/event-stream.test.ts
@@ -1,3 +1,4 @@
+import * as fc from 'fast-check';
 import { describe, expect, test } from 'vitest';
 import { EventSplitter } from '../../../src/entry/relay/event-stream.js';
 
@@ -60,3 +61,56 @@
     expect(parts).toBe(1_048_576 / part.length);
   });
 });
+
+/** What the splitter must do, on the whole text of the stream so far. */
+class SplitterModel {
+  private partial = '';
+
+  lastId: number | null = null;
+
+  push(text: string): { readonly text: string; readonly isInOrder: boolean } {
+    const buffered = this.partial + text;
+    const events = buffered.match(/[^]*?(?:\r\n\r\n|\n\n)/g) ?? [];
+    const complete = events.join('');
+    this.partial = buffered.slice(complete.length);
+    const isInOrder = events.every((one) => {
+      const id = /^id:[ ]?(\d+)\r?$/m.exec(one)?.[1];
+      const isNext = id === undefined || this.lastId === null || Number(id) === this.lastId + 1;
+      if (id !== undefined && isNext) this.lastId = Number(id);
+      return isNext;
+    });
+    return { text: complete, isInOrder };
+  }
+
+  get partialBytes(): number {
+    return this.partial.length;
+  }
+}
+
+describe('any bytes in any parts', () => {
+  const piece = fc.oneof(
+    fc.constantFrom('\n', '\r', '\n\n', '\r\n', '\r\n\r\n', 'id:', 'id: ', ':', ' ', '\xff'),
+    fc.integer({ min: 1, max: 4 }).map((id) => `id: ${id}\n`),
+    fc.integer({ min: 1, max: 4 }).map(String),
+    fc.string({ maxLength: 3 }),
+  );
+  const part = fc.array(piece, { maxLength: 6 }).map((pieces) => pieces.join(''));
+
+  test('are split and checked as the whole text would be', () => {
+    fc.assert(
+      fc.property(fc.array(part, { maxLength: 12 }), (parts) => {
+        const splitter = new EventSplitter(null);
+        const model = new SplitterModel();
+        parts.forEach((text) => {
+          const bytes = Buffer.from(text, 'latin1');
+          const expected = model.push(bytes.toString('latin1'));
+          const { bytes: complete, isInOrder } = splitter.push(bytes);
+          expect({ text: complete.toString('latin1'), isInOrder }).toEqual(expected);
+          expect(splitter.lastId).toBe(model.lastId);
+          expect(splitter.partialBytes).toBe(model.partialBytes);
+        });
+      }),
+      { seed: 38, numRuns: 5_000 },
+    );
+  });
+});
