Relay event streams for a bounded time in each turn of the event loop

Callers saw orders answered seconds after their deadline, and the balancer missed readiness checks, while a VM had many streams of large events. Each turn of the event loop read, checked and wrote a chunk of every stream that had one, 0.2 to 0.7 s of work, and accepted one connection, as libuv does. WorkTurns lets streams run for 5 ms in a turn, 1 ms in a turn in which a caller connects; the other streams are paused and go on in later turns, first come first served. While a stream waits for its turn, its server does not count as idle, and the waiting bytes count for the memory of responses. The writes, which Node.js defers to the end of a tick, count as work too.

--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -14,6 +14,7 @@
   type ResponseHead,
 } from './response-head.js';
 import type { PlatformWire, ResponseMetadata } from './types.js';
+import type { WorkTurns } from './work-turns.js';
 import type { Run } from './fleet-view.js';
 
 /** Timeout of a new connection, ms. */
@@ -84,6 +85,8 @@
   readonly wasRefused: boolean;
   /** Counts the bytes of the responses of all requests. */
   readonly memory: Pick<ResponseMemory, 'open'>;
+  /** Bounds the time for which one turn of the event loop relays streams. */
+  readonly turns: Pick<WorkTurns, 'isOpen' | 'run' | 'whenNext'>;
   /** Called with the head of a response that belongs to the request. */
   onHead(metadata: ResponseMetadata, status: number): void;
   /** Called when a handler of the attempt has thrown an exception, which ends the attempt. */
@@ -168,6 +171,8 @@
 
 /** How the handlers of a response end the attempt. */
 interface AttemptEnding {
+  /** Whether the attempt has ended. */
+  readonly isSettled: boolean;
   /** Closes the connection; the attempt is broken. */
   fail(reason: string): void;
   settle(result: AttemptResult): void;
@@ -180,18 +185,80 @@
   return { type: AttemptEnd.notRun, reason, reached: false, status: null };
 }
 
-/** Reads no more of a stream until its caller has taken the events that wait. */
-function pauseWhileBlocked(
-  res: http.IncomingMessage,
-  sink: StreamSink,
-  idleDetector: IdleDetector | null,
-): void {
-  res.pause();
-  idleDetector?.suspend();
-  sink.onWritable(() => {
-    idleDetector?.resume();
-    res.resume();
-  });
+/** Relays an event stream chunk by chunk: no more than its caller takes, and than a turn has time for. */
+class StreamRelay {
+  /** Bytes that wait for a later turn of the event loop; null for none. */
+  private pending: Buffer | null = null;
+
+  private withdraw: () => void = () => undefined;
+
+  private hasEvents = false;
+
+  constructor(
+    private readonly res: http.IncomingMessage,
+    private readonly sink: StreamSink,
+    private readonly idleDetector: IdleDetector | null,
+    private readonly held: HeldResponse,
+    private readonly turns: AttemptRequest['turns'],
+    private readonly ending: AttemptEnding,
+  ) {}
+
+  /** Whether an event was relayed. */
+  get hasRelayedEvent(): boolean {
+    return this.hasEvents;
+  }
+
+  /** Relays bytes at once, or in a later turn if this one has spent its time. */
+  handleData(bytes: Buffer): void {
+    const { turns, held, sink, ending } = this;
+    if (this.pending === null && turns.isOpen) {
+      turns.run(() => this.relay(bytes));
+      return;
+    }
+    this.withdraw();
+    this.pending = this.pending === null ? bytes : Buffer.concat([this.pending, bytes]);
+    held.hold(sink.heldBytes() + this.pending.length);
+    this.pause();
+    this.withdraw = turns.whenNext(
+      contain(
+        () => this.relayPending(),
+        (err) => ending.onException(err),
+      ),
+    );
+  }
+
+  /** Relays the bytes that wait, before the attempt ends or reads more. */
+  relayPending(): void {
+    const { pending } = this;
+    this.withdraw();
+    this.pending = null;
+    if (pending === null || this.ending.isSettled) return;
+    this.relay(pending);
+    if (!this.sink.isBlocked()) this.resume();
+  }
+
+  private relay(bytes: Buffer): void {
+    const { sink, res, idleDetector, ending, held } = this;
+    const written = sink.write(bytes);
+    this.hasEvents ||= written === WriteResult.event;
+    // Bytes that complete no event, such as keep-alive comments, do not reset the idle time.
+    if (written === WriteResult.event) idleDetector?.noteActivity();
+    if (written === WriteResult.refused) ending.fail('events out of order or event too long');
+    held.hold(sink.heldBytes());
+    if (!sink.isBlocked()) return;
+    if (!res.isPaused()) this.pause();
+    sink.onWritable(() => this.resume());
+  }
+
+  private pause(): void {
+    this.res.pause();
+    this.idleDetector?.suspend();
+  }
+
+  private resume(): void {
+    this.idleDetector?.resume();
+    this.res.resume();
+  }
 }
 
 function relayStream(
@@ -200,34 +267,39 @@
   sink: StreamSink,
   idleDetector: IdleDetector | null,
   held: HeldResponse,
+  turns: AttemptRequest['turns'],
   ending: AttemptEnding,
 ): void {
   const onException = (err: unknown) => ending.onException(err);
   const conn = watchReset(res, end);
-  let hasEvents = false;
+  const relay = new StreamRelay(res, sink, idleDetector, held, turns, ending);
   // The end of a connection without any event looks the same whether the server has finished or not.
   const isComplete = () =>
     res.complete &&
     !conn.wasReset &&
     sink.isComplete() &&
-    (end !== BodyEnd.connection || hasEvents);
-  const handleData = (bytes: Buffer) => {
-    const written = sink.write(bytes);
-    hasEvents ||= written === WriteResult.event;
-    // Bytes that complete no event, such as keep-alive comments, do not reset the idle time.
-    if (written === WriteResult.event) idleDetector?.noteActivity();
-    if (written === WriteResult.refused) ending.fail('events out of order or event too long');
-    held.hold(sink.heldBytes());
-    if (sink.isBlocked() && !res.isPaused()) pauseWhileBlocked(res, sink, idleDetector);
-  };
+    (end !== BodyEnd.connection || relay.hasRelayedEvent);
   const handleEnd = () => {
     if (isComplete()) ending.settle({ type: AttemptEnd.streamed });
     else ending.settle(lost('event stream ended prematurely'));
   };
-  res.on('data', contain(handleData, onException));
+  const handleLoss = (reason: string) => {
+    relay.relayPending();
+    ending.settle(lost(reason));
+  };
+  res.on(
+    'data',
+    contain((bytes: Buffer) => relay.handleData(bytes), onException),
+  );
   res.on('end', contain(handleEnd, onException));
-  res.on('error', (err) => ending.settle(lost(err.message)));
-  res.on('close', () => ending.settle(lost('connection closed during the event stream')));
+  res.on(
+    'error',
+    contain((err: Error) => handleLoss(err.message), onException),
+  );
+  res.on(
+    'close',
+    contain(() => handleLoss('connection closed during the event stream'), onException),
+  );
 }
 
 function bufferResponse(
@@ -368,6 +440,10 @@
     req.end(opts.body);
   }
 
+  get isSettled(): boolean {
+    return this.settled;
+  }
+
   settle(result: AttemptResult): void {
     if (this.settled) return;
     this.settled = true;
@@ -445,7 +521,7 @@
     }
     const end = bodyEnd(opts.method, head);
     if (sink !== null && status === 200 && isEventStream(res) && sink.begin(res)) {
-      relayStream(res, end, sink, idleDetector, this.held, this);
+      relayStream(res, end, sink, idleDetector, this.held, opts.turns, this);
       return;
     }
     res.on('data', () => idleDetector?.noteActivity());
--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -136,6 +136,7 @@
     this.server = server;
     spareBusyConnections(server);
     server.requestTimeout = 0;
+    server.on('connection', () => this.opts.ctx.turns.noteConnection());
     server.on('request', (req, res) => {
       void this.handleInTurn(req, res);
     });
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -16,6 +16,7 @@
 import type { StreamVersionsTask } from './stream-versions.js';
 import type { ThrottlingTask } from './throttling.js';
 import type { PlatformWire } from './types.js';
+import type { WorkTurns } from './work-turns.js';
 
 export interface RelayContext {
   readonly wire: PlatformWire;
@@ -29,6 +30,8 @@
   readonly throttling: Pick<ThrottlingTask, 'noteResponse' | 'noteSent'>;
   /** Counts the bytes of the responses of all requests. */
   readonly memory: Pick<ResponseMemory, 'open'>;
+  /** Bounds the time for which one turn of the event loop relays streams. */
+  readonly turns: Pick<WorkTurns, 'isOpen' | 'run' | 'whenNext' | 'noteConnection'>;
   readonly clock: Clock;
   readonly metrics: Metrics;
   /** Retry-After when the time until capacity is available is unknown, ms. */
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -417,6 +417,7 @@
         idlePolicy: this.retryPolicy.idlePolicy(run),
         wasRefused: this.retryPolicy.refusedBy.has(run.server.id),
         memory: this.ctx.memory,
+        turns: this.ctx.turns,
         onException: (err) => this.ctx.reportException(metadata.id, err),
         onHead: (head, status) => {
           this.progress.headAtMs = this.ctx.clock.steadyMs();
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -31,6 +31,7 @@
 import { StreamVersionsTask } from './stream-versions.js';
 import { ThrottlingTask } from './throttling.js';
 import type { PlatformWire } from './types.js';
+import { WorkTurns } from './work-turns.js';
 
 /** Retry-After when the time until capacity is available is unknown, ms. */
 const DEFAULT_RETRY_AFTER_MS = 1_000;
@@ -286,6 +287,7 @@
     streams,
     throttling,
     memory,
+    turns: new WorkTurns(),
     clock,
     metrics,
     defaultRetryAfterMs: DEFAULT_RETRY_AFTER_MS,
--- /dev/null
+++ b/src/entry/relay/work-turns.ts
@@ -0,0 +1,105 @@
+/**
+ * Bounds the time for which one turn of the event loop relays event streams, so that connections,
+ * timers and the requests of others are served in between, however many streams have data.
+ */
+
+/** Time for which one turn may relay event streams, ms. */
+const MAX_TURN_MS = 5;
+/**
+ * The same in a turn in which a caller has connected, ms. A turn of the event loop accepts one
+ * connection, so that long turns would let a crowd of new callers wait.
+ */
+const MAX_ACCEPTING_TURN_MS = 1;
+
+export interface WorkTurnsOptions {
+  /** Current time, ms. */
+  nowMs(): number;
+  /** Calls `handler` after the event loop has polled for events. */
+  schedule(handler: () => void): void;
+  /** Calls `handler` after what the work has deferred: Node.js writes a response's bytes then. */
+  defer(handler: () => void): void;
+}
+
+const SYSTEM: WorkTurnsOptions = {
+  nowMs: () => performance.now(),
+  schedule: (handler) => {
+    setImmediate(handler);
+  },
+  defer: (handler) => {
+    process.nextTick(handler);
+  },
+};
+
+export class WorkTurns {
+  /** Work that waits for a later turn, first come first served. */
+  private readonly waiting = new Set<() => void>();
+
+  private spentMs = 0;
+
+  private maxTurnMs = MAX_TURN_MS;
+
+  private isScheduled = false;
+
+  constructor(private readonly opts: WorkTurnsOptions = SYSTEM) {}
+
+  /** Whether work may run now; otherwise it has to wait for `whenNext`. */
+  get isOpen(): boolean {
+    return this.waiting.size === 0 && this.spentMs < this.maxTurnMs;
+  }
+
+  /** Runs work and counts its time, deferred writes included, for the current turn. */
+  run(work: () => void): void {
+    this.scheduleNext();
+    this.runThen(work, () => undefined);
+  }
+
+  /**
+   * Runs work in a later turn; it must not throw.
+   * @returns Withdraws the work if it has not run yet.
+   */
+  whenNext(work: () => void): () => void {
+    this.scheduleNext();
+    this.waiting.add(work);
+    return () => this.waiting.delete(work);
+  }
+
+  /** Shortens the current turn, as more callers may be about to connect. */
+  noteConnection(): void {
+    this.scheduleNext();
+    this.maxTurnMs = MAX_ACCEPTING_TURN_MS;
+  }
+
+  private scheduleNext(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    this.opts.schedule(() => this.begin());
+  }
+
+  private begin(): void {
+    this.isScheduled = false;
+    this.spentMs = 0;
+    const { maxTurnMs } = this;
+    this.maxTurnMs = MAX_TURN_MS;
+    this.runWaiting(maxTurnMs);
+  }
+
+  private runWaiting(maxTurnMs: number): void {
+    const [work] = this.waiting;
+    if (this.spentMs > 0) this.scheduleNext();
+    if (work === undefined || this.spentMs >= maxTurnMs) return;
+    this.waiting.delete(work);
+    this.runThen(work, () => this.runWaiting(maxTurnMs));
+  }
+
+  private runThen(work: () => void, handler: () => void): void {
+    const startedAtMs = this.opts.nowMs();
+    try {
+      work();
+    } finally {
+      this.opts.defer(() => {
+        this.spentMs += this.opts.nowMs() - startedAtMs;
+        handler();
+      });
+    }
+  }
+}
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -13,6 +13,7 @@
   WriteResult,
 } from '../../../src/entry/relay/attempt.js';
 import type { IdlePolicy } from '../../../src/entry/relay/idle-detector.js';
+import { WorkTurns } from '../../../src/entry/relay/work-turns.js';
 import { createResponseMemory } from './response-memory.js';
 import { ConnectionPool } from '../../../src/entry/relay/connections.js';
 
@@ -61,7 +62,7 @@
 
 /** What a test can set besides the request itself. */
 type SendOptions = Partial<
-  Pick<AttemptRequest, 'idlePolicy' | 'wasRefused' | 'memory' | 'signal'>
+  Pick<AttemptRequest, 'idlePolicy' | 'wasRefused' | 'memory' | 'signal' | 'turns'>
 > & { readonly sink?: StreamSink | null };
 
 function sendRequest(
@@ -85,6 +86,7 @@
       idlePolicy: null,
       wasRefused: false,
       memory: createResponseMemory(64 * 1_048_576),
+      turns: new WorkTurns(),
       onHead: () => undefined,
       onException: (err) => exceptions.push(err),
       ...opts,
@@ -571,3 +573,59 @@
     expect(results[0]).toMatchObject({ reason: 'responses exceed their share of the memory' });
   });
 });
+
+describe('a stream that is relayed in later turns of the event loop', () => {
+  const EVENTS = 200;
+  const HEADERS = `${HEAD}Content-Type: text/event-stream\r\n`;
+  const events = Array.from(
+    { length: EVENTS },
+    (_, at) => `id: ${at}\ndata: ${'x'.repeat(2_000)}\n\n`,
+  );
+
+  /** Turns without time for any work at once. */
+  function laterTurns(): AttemptRequest['turns'] {
+    const turns = new WorkTurns();
+    return {
+      isOpen: false,
+      run: (work) => turns.run(work),
+      whenNext: (work) => turns.whenNext(work),
+    };
+  }
+
+  async function relayed(
+    writeTo: (socket: net.Socket) => void,
+    turns: AttemptRequest['turns'],
+  ): Promise<{ readonly type: string; readonly text: string }> {
+    const server = await startServer(writeTo);
+    const written: Buffer[] = [];
+    const sink: StreamSink = {
+      ...UNBLOCKED,
+      begin: () => true,
+      write: (bytes) => {
+        written.push(Buffer.from(bytes));
+        return WriteResult.event;
+      },
+      isComplete: () => true,
+    };
+    const { type } = await sendRequest(server, 'request-1', createPool(), { sink, turns });
+    return { type, text: Buffer.concat(written).toString() };
+  }
+
+  test('arrives complete and in order', async () => {
+    const result = await relayed((socket) => {
+      socket.write(`${HEADERS}Transfer-Encoding: chunked\r\n\r\n`);
+      events.forEach((event) => socket.write(`${event.length.toString(16)}\r\n${event}\r\n`));
+      socket.write('0\r\n\r\n');
+    }, laterTurns());
+    expect(result).toEqual({ type: AttemptEnd.streamed, text: events.join('') });
+  });
+
+  test('keeps the bytes that waited when its server breaks off', async () => {
+    const never = { ...laterTurns(), whenNext: () => () => undefined };
+    const result = await relayed((socket) => {
+      socket.write(`${HEADERS}Content-Length: 100000\r\n\r\n${events[0]}`);
+      setTimeout(() => socket.destroy(), 50);
+    }, never);
+    expect(result).toEqual({ type: AttemptEnd.broken, text: events[0] });
+  });
+});
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -9,6 +9,7 @@
 import type { RelayContext } from '../../../src/entry/relay/context.js';
 import { Exchange } from '../../../src/entry/relay/exchange.js';
 import type { QueuedRequest } from '../../../src/decisions/wait-list/index.js';
+import { WorkTurns } from '../../../src/entry/relay/work-turns.js';
 import { createResponseMemory } from './response-memory.js';
 import type { RoutedRequest } from '../../../src/entry/relay/routed-request.js';
 
@@ -107,6 +108,7 @@
     },
     connections: { agentFor: () => new http.Agent() },
     memory: createResponseMemory(1_048_576),
+    turns: new WorkTurns(),
     metrics: { count: nothing, time: nothing },
     defaultRetryAfterMs: 1_000,
     hasFreshKeys: () => true,
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -8,6 +8,7 @@
 import { RetrySafety, type Route } from '../../../src/decisions/fleet-plan/index.js';
 import type { RelayContext } from '../../../src/entry/relay/context.js';
 import { Exchange } from '../../../src/entry/relay/exchange.js';
+import { WorkTurns } from '../../../src/entry/relay/work-turns.js';
 import { createResponseMemory } from './response-memory.js';
 import type { RoutedRequest } from '../../../src/entry/relay/routed-request.js';
 
@@ -120,6 +121,7 @@
     view: { ended: () => undefined, candidates: () => [] },
     connections: { agentFor: () => new http.Agent() },
     memory: createResponseMemory(1_048_576),
+    turns: new WorkTurns(),
     wire: { encodeRequest: () => ['Host', 'x', 'Content-Length', '0'] },
     hasFreshKeys: () => true,
     incidents: {
--- /dev/null
+++ b/test/units/relay/work-turns.test.ts
@@ -0,0 +1,87 @@
+import { describe, expect, test } from 'vitest';
+import { WorkTurns } from '../../../src/entry/relay/work-turns.js';
+
+function setUp() {
+  const state = { nowMs: 0 };
+  const scheduled: (() => void)[] = [];
+  const deferred: (() => void)[] = [];
+  const done: string[] = [];
+  const turns = new WorkTurns({
+    nowMs: () => state.nowMs,
+    schedule: (handler) => scheduled.push(handler),
+    defer: (handler) => deferred.push(handler),
+  });
+  const work = (name: string, ms: number) => () => {
+    state.nowMs += ms;
+    done.push(name);
+  };
+  const runDeferred = () => {
+    while (deferred.length > 0) deferred.shift()?.();
+  };
+  const nextTurn = () => {
+    scheduled.splice(0).forEach((handler) => handler());
+    runDeferred();
+  };
+  const runNow = (handler: () => void) => {
+    turns.run(handler);
+    runDeferred();
+  };
+  return { runNow, runDeferred, deferred, turns, work, done, nextTurn, scheduled };
+}
+
+describe('work of many streams', () => {
+  test('runs at once until the time of a turn is spent, and then first come first served', () => {
+    const { turns, runNow, work, done, nextTurn, scheduled } = setUp();
+    expect(turns.isOpen).toBe(true);
+    runNow(work('a', 4));
+    expect(turns.isOpen).toBe(true);
+    runNow(work('b', 4));
+    expect(turns.isOpen).toBe(false);
+    ['c', 'd', 'e', 'f'].forEach((name) => turns.whenNext(work(name, 3)));
+    nextTurn();
+    expect(done).toEqual(['a', 'b', 'c', 'd']);
+    expect(turns.isOpen).toBe(false);
+    nextTurn();
+    expect(done).toEqual(['a', 'b', 'c', 'd', 'e', 'f']);
+    nextTurn();
+    expect(turns.isOpen).toBe(true);
+    expect(scheduled).toEqual([]);
+  });
+
+  test('that is withdrawn does not run', () => {
+    const { turns, work, done, nextTurn } = setUp();
+    const withdraw = turns.whenNext(work('a', 1));
+    turns.whenNext(work('b', 1));
+    withdraw();
+    nextTurn();
+    expect(done).toEqual(['b']);
+  });
+
+  test('takes less of a turn in which a caller connects', () => {
+    const { turns, work, done, nextTurn } = setUp();
+    ['a', 'b', 'c', 'd'].forEach((name) => turns.whenNext(work(name, 1)));
+    turns.noteConnection();
+    nextTurn();
+    expect(done).toEqual(['a']);
+    nextTurn();
+    expect(done).toEqual(['a', 'b', 'c', 'd']);
+  });
+
+  test('counts with what it has deferred', () => {
+    const { turns, work, deferred, runDeferred } = setUp();
+    turns.run(() => deferred.push(work('write', 9)));
+    runDeferred();
+    expect(turns.isOpen).toBe(false);
+  });
+
+  test('that throws still counts for its turn', () => {
+    const { turns, work, runDeferred } = setUp();
+    const failing = () => {
+      work('a', 9)();
+      throw new Error('failed');
+    };
+    expect(() => turns.run(failing)).toThrow('failed');
+    runDeferred();
+    expect(turns.isOpen).toBe(false);
+  });
+});
