Pass over the queue of requests at most once for all changes in a turn

Each end of an attempt, message of the steward and change of the fleet passed over the whole queue at once, so that many ends in one turn of the event loop cost as many passes. They now schedule one pass at the end of the turn. A request that arrives meanwhile has the pass run first, as a server that has just become free is for the queued requests; otherwise it is placed at once, as before.

Found by reading.

--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -47,6 +47,8 @@
 
   private timer: NodeJS.Timeout | null = null;
 
+  private isScheduled = false;
+
   constructor(private readonly opts: DispatchOptions) {}
 
   /** Number of requests that wait for a server. */
@@ -55,7 +57,7 @@
   }
 
   start(): void {
-    this.timer = setInterval(() => this.placeQueued(), QUEUE_POLL_MS);
+    this.timer = setInterval(() => this.schedulePlacement(), QUEUE_POLL_MS);
   }
 
   stop(): void {
@@ -64,6 +66,8 @@
 
   /** Resolves with a run at a server that is not in `tried`, or with a rejection. */
   place(request: QueuedRequest, tried: ReadonlySet<string>): Promise<Placement> {
+    // A server that has just become free is for the queued requests first.
+    if (this.isScheduled) this.placeQueued();
     const run = this.tryPlace(request, tried);
     if (run !== null) return Promise.resolve({ run, retryAfterMs: null });
     return new Promise((resolve) => {
@@ -82,8 +86,16 @@
     entry?.settle({ run: null, retryAfterMs: 0 });
   }
 
+  /** Places the queued requests in this turn of the event loop, once for all changes in the turn. */
+  schedulePlacement(): void {
+    if (this.isScheduled || this.waiting.size === 0) return;
+    this.isScheduled = true;
+    setImmediate(() => this.placeQueued());
+  }
+
   /** Places the queued requests that a server can run now, most urgent first. */
-  placeQueued(): void {
+  private placeQueued(): void {
+    this.isScheduled = false;
     if (this.waiting.size === 0) return;
     const nowMs = this.opts.clock.steadyMs();
     const byPriority = [...this.waiting.values()].sort((a, b) => byUrgency(a.request, b.request));
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -385,7 +385,7 @@
     } finally {
       this.current = null;
       this.ctx.view.ended(run);
-      this.ctx.dispatcher.placeQueued();
+      this.ctx.dispatcher.schedulePlacement();
     }
   }
 
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -196,7 +196,7 @@
         connections.noteMembers(message.members);
         throttling.setReserve(message.mayUseReserve);
         metrics.gauge('relay_members', message.members);
-        dispatcher.placeQueued();
+        dispatcher.schedulePlacement();
         break;
       case RelayMessageType.grant:
         admission.applyGrant(message);
@@ -219,14 +219,14 @@
         break;
       case RelayMessageType.throttles:
         throttling.handleStewardThrottles(message);
-        dispatcher.placeQueued();
+        dispatcher.schedulePlacement();
         break;
       case RelayMessageType.streams:
         streams.addReceived(message);
         break;
       case RelayMessageType.permits:
         throttling.handlePermits(message);
-        dispatcher.placeQueued();
+        dispatcher.schedulePlacement();
         break;
       default:
     }
@@ -333,7 +333,7 @@
       streams.noteServers(storeWatcher.backends);
       incidents.resolveIncidents();
     }
-    dispatcher.placeQueued();
+    dispatcher.schedulePlacement();
   });
 
   const loopDelay = new LoopDelayTask({
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -91,7 +91,7 @@
         };
       },
       cancel: nothing,
-      placeQueued: nothing,
+      schedulePlacement: nothing,
     },
     view: {
       ended: nothing,
--- /dev/null
+++ b/test/units/relay/dispatch.test.ts
@@ -0,0 +1,88 @@
+import { describe, expect, test } from 'vitest';
+import { createRandom } from '../../../src/core/random/index.js';
+import type { QueuedRequest } from '../../../src/decisions/wait-list/index.js';
+import { Dispatcher, type DispatchOptions } from '../../../src/entry/relay/dispatch.js';
+import { createBackendServer } from './backend-server.js';
+
+const SERVER_ID = 'server-1';
+
+function setUp() {
+  const state = { free: 0, passes: 0 };
+  const nothing = () => undefined;
+  const view = {
+    candidates: () => {
+      state.passes += 1;
+      const one = { id: SERVER_ID, dataCentre: 'a', slots: 1, running: 0, slowness: 1 };
+      return state.free > 0 ? [one] : [];
+    },
+    throttled: () => [],
+    readyAtMs: () => null,
+    isLoaded: () => true,
+    started: () => {
+      state.free -= 1;
+    },
+  };
+  const limits = { requestPermits: nothing, take: nothing, requestProbe: nothing };
+  const dispatcher = new Dispatcher({
+    dataCentre: 'a',
+    storeWatcher: { backends: new Map([[SERVER_ID, createBackendServer(SERVER_ID)]]) },
+    view,
+    limits,
+    clock: { steadyMs: () => 0 },
+    random: createRandom(1),
+    onEnqueue: nothing,
+  } as unknown as DispatchOptions);
+  const placed: string[] = [];
+  const place = async (id: string, priority: number) => {
+    const request: QueuedRequest = {
+      id,
+      service: 'desk',
+      model: null,
+      adapter: null,
+      version: null,
+      priority,
+      arrivedAtMs: 0,
+      objectiveAtMs: 400,
+      deadlineAtMs: 3_000,
+    };
+    await dispatcher.place(request, new Set());
+    placed.push(id);
+  };
+  const turn = () =>
+    new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  return { dispatcher, state, place, placed, turn };
+}
+
+describe('the queue of requests', () => {
+  test('is passed over once for all changes of a turn, most urgent first', async () => {
+    const { dispatcher, state, place, placed, turn } = setUp();
+    void place('late', 5);
+    void place('urgent', 0);
+    void place('normal', 3);
+    state.passes = 0;
+    state.free = 2;
+    Array.from({ length: 100 }, () => dispatcher.schedulePlacement());
+    await turn();
+    expect(placed).toEqual(['urgent', 'normal']);
+    expect(state.passes).toBeLessThan(10);
+  });
+
+  test('comes before a request that arrives after a server has become free', async () => {
+    const { dispatcher, state, place, placed, turn } = setUp();
+    void place('queued', 3);
+    state.free = 1;
+    dispatcher.schedulePlacement();
+    void place('new', 3);
+    await turn();
+    expect(placed).toEqual(['queued']);
+  });
+
+  test('does not delay a request that a server can run', async () => {
+    const { state, place, placed } = setUp();
+    state.free = 1;
+    await place('new', 3);
+    expect(placed).toEqual(['new']);
+  });
+});
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -116,7 +116,7 @@
     dispatcher: {
       place: async () => ({ run, retryAfterMs: null }),
       cancel: () => undefined,
-      placeQueued: () => undefined,
+      schedulePlacement: () => undefined,
     },
     view: { ended: () => undefined, candidates: () => [] },
     connections: { agentFor: () => new http.Agent() },
