--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -478,16 +478,22 @@
       this.connected = true;
       return;
     }
-    this.connectTimer = setTimeout(() => {
-      if (this.connected) return;
-      this.req?.destroy(new Error(`connect timed out after ${CONNECT_TIMEOUT_MS} ms`));
-    }, CONNECT_TIMEOUT_MS);
+    // The connection may have been made while this process was busy, and its event not handled yet.
+    this.connectTimer = setTimeout(
+      () => setImmediate(() => this.checkConnected()),
+      CONNECT_TIMEOUT_MS,
+    );
     socket.once('connect', () => {
       this.connected = true;
       if (this.connectTimer !== null) clearTimeout(this.connectTimer);
     });
   }
 
+  private checkConnected(): void {
+    if (this.connected || this.settled) return;
+    this.req?.destroy(new Error(`connect timed out after ${CONNECT_TIMEOUT_MS} ms`));
+  }
+
   private handleError({ message }: Error): void {
     this.settle(this.connected ? lost(message) : notReached(message));
   }
--- a/src/entry/relay/idle-detector.ts
+++ b/src/entry/relay/idle-detector.ts
@@ -20,6 +20,8 @@
 
   private suspended = false;
 
+  private isStopped = false;
+
   constructor(
     private readonly policy: IdlePolicy,
     private readonly abandon: () => void,
@@ -43,17 +45,18 @@
   }
 
   stop(): void {
+    this.isStopped = true;
     if (this.timer !== null) clearTimeout(this.timer);
   }
 
   private arm(ms: number): void {
-    this.timer = setTimeout(
-      contain(() => this.poll(), this.onException),
-      ms,
-    );
+    const poll = contain(() => this.poll(), this.onException);
+    // Bytes may have arrived while this process was busy, and their events not been handled yet.
+    this.timer = setTimeout(() => setImmediate(poll), ms);
   }
 
   private poll(): void {
+    if (this.isStopped) return;
     if (this.suspended) this.noteActivity();
     const idleMs = performance.now() - this.activeAtMs;
     if (idleMs < this.policy.afterMs) this.arm(this.policy.afterMs - idleMs);
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -629,3 +629,38 @@
     expect(result).toEqual({ type: AttemptEnd.broken, text: events[0] });
   });
 });
+
+describe('a process that was busy', () => {
+  const block = (ms: number) => {
+    const untilMs = performance.now() + ms;
+    while (performance.now() < untilMs);
+  };
+  const RESPONSE = `${HEAD}Content-Length: 2\r\n\r\nok`;
+  const nextTick = () =>
+    new Promise((resolve) => {
+      process.nextTick(resolve);
+    });
+
+  test('does not take a connection made meanwhile for one that timed out', async () => {
+    const server = await startServer((socket) => socket.write(RESPONSE));
+    // Timers come first after this.
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    const result = sendRequest(server);
+    await nextTick();
+    await nextTick();
+    block(600);
+    expect(await result).toMatchObject({ type: AttemptEnd.answered });
+  });
+
+  test('does not take a response that arrived meanwhile for none', async () => {
+    const server = await startServer((socket) => {
+      socket.write(RESPONSE);
+      block(300);
+    });
+    const idlePolicy = { afterMs: 150, shouldAbandon: () => true };
+    const result = await sendRequest(server, 'request-1', createPool(), { idlePolicy });
+    expect(result).toMatchObject({ type: AttemptEnd.answered });
+  });
+});
