Wait for a settings file that is still being written

Callers saw: an entry VM did not start. Its process exits with 1 if its settings file is missing, empty or half written; of the 463 places at which the filled template can be cut off, 18 started it in the other mode, in which it never is ready.

Cause: the first reading of the file was final, and the sections without defaults came first.

Evidence (the new tests with the old sources and template): "waits for a settings file that is missing, and then half written" and "ends by SIGTERM while it waits for its settings file": the process ended with 1; "are invalid while the file is incomplete": 23 incomplete files were accepted.

Uncaught exceptions and signals are handled while the tasks start.

--- a/src/cli/serve/index.ts
+++ b/src/cli/serve/index.ts
@@ -1,13 +1,14 @@
 /** `bilberrystand serve`: runs a daemon. */
 import { defineCommand } from 'citty';
 import { createLogger, type Logger } from '../../core/logger/index.js';
-import { isRelay, readSettings } from '../../core/settings/index.js';
+import { isRelay } from '../../core/settings/index.js';
 import { stopOnUncaught } from '../../core/uncaught/index.js';
 import { startRelay } from '../../entry/relay/wire.js';
 import { startDaemon } from '../../entry/wire.js';
 import * as platform from '../../../platform/index.js';
 import { signals } from '../signals/index.js';
 import { ExitCode, printFailure } from '../shared/index.js';
+import { awaitSettings } from './await-settings.js';
 
 function exitFailed(): void {
   process.exit(ExitCode.failed);
@@ -31,18 +32,28 @@
     settings: { type: 'string', required: true, description: 'Settings file (TOML).' },
   },
   async run({ args }) {
-    const settings = readSettings(args.settings);
+    const settings = await awaitSettings(args.settings, {
+      isStopping: () => signals?.isStopping === true,
+      onInvalid: ({ message }) =>
+        createLogger('serve', 'info').warn('settings-awaited', {
+          path: args.settings,
+          reason: message,
+        }),
+    });
     if (settings.isErr) {
-      printFailure(settings.error);
+      if (signals?.isStopping !== true) printFailure(settings.error);
       return;
     }
     const logger = createLogger(settings.value.vm.id, settings.value.log.level);
     if (isRelay(settings.value)) {
-      const relay = await startRelay(settings.value, platform.createWire(), logger);
-      stopOnUncaught(process, { logger, stop: () => relay.stop(), exit: exitFailed });
+      const relay = startRelay(settings.value, platform.createWire(), logger);
+      const stop = async () => (await relay).stop();
+      // Before the start is complete, since its tasks already handle events.
+      stopOnUncaught(process, { logger, stop, exit: exitFailed });
       handleSignals(logger, () => {
-        void relay.stop().then(exitOk);
+        void stop().then(exitOk);
       });
+      await relay;
       return;
     }
     const daemon = await startDaemon(settings.value, logger);
--- a/src/cli/signals/index.ts
+++ b/src/cli/signals/index.ts
@@ -26,6 +26,11 @@
     SIGNALS.forEach((signal) => source.on(signal, () => this.receive(signal)));
   }
 
+  /** Whether a signal to stop waits for its handler. */
+  get isStopping(): boolean {
+    return this.early.includes('SIGTERM');
+  }
+
   /** Handles all signals from now on, and first those that have arrived before. */
   handle(handler: (signal: DaemonSignal) => void): void {
     this.handler = handler;
--- a/test/failures/process-start.test.ts
+++ b/test/failures/process-start.test.ts
@@ -13,16 +13,17 @@
 const program = path.join(folder, 'bilberrystand.cjs');
 const PLAN = { version: 1, routes: [], services: [], tenants: [] };
 const POLL_MS = 5;
+const settings = path.join(folder, 'vm.toml');
 
 let store: SoakStore;
 let vm: SoakVm;
+let settingsText = '';
 let child: ChildProcess | null = null;
 
 /** Starts the program with its output in `out`; `exits` collects how it ended. */
 function start(out: string): string[] {
   const exits: string[] = [];
   const fd = fs.openSync(out, 'a');
-  const settings = path.join(folder, 'vm.toml');
   child = spawn(process.execPath, [program, 'serve', '--settings', settings], {
     stdio: ['ignore', fd, 'inherit'],
   });
@@ -42,14 +43,26 @@
   while (!handlesHangUp()) await clocks.sleep(POLL_MS);
 }
 
+/** Resolves once the log contains `text`; rejects if the process ends before. */
+async function untilLogged(log: string, text: string, exits: readonly string[]): Promise<void> {
+  while (!fs.readFileSync(log, 'utf8').includes(text)) {
+    if (exits.length > 0) throw new Error(`the process ended: ${exits.join()}`);
+    await clocks.sleep(POLL_MS);
+  }
+}
+
 beforeAll(async () => {
   await bundle(program);
   store = new SoakStore();
   vm = await SoakVm.create('vm', 'a', await store.start(), program, folder);
   store.put('config', 'main', PLAN);
+  settingsText = fs.readFileSync(settings, 'utf8');
 });
 
-afterEach(() => child?.kill('SIGKILL'));
+afterEach(() => {
+  child?.kill('SIGKILL');
+  fs.writeFileSync(settings, settingsText);
+});
 
 afterAll(() => {
   store.stop();
@@ -74,4 +87,27 @@
     await vm.waitUntilReady();
     expect(exits).toEqual([]);
   });
+
+  // It once exited, and so did each process that was started while the file was being written.
+  test('waits for a settings file that is missing, and then half written', async () => {
+    fs.rmSync(settings);
+    const log = path.join(folder, 'late-settings.log');
+    const exits = start(log);
+    await untilLogged(log, 'ENOENT', exits);
+    fs.writeFileSync(settings, '[vm]\nid = "v');
+    await untilLogged(log, 'unfinished string', exits);
+    fs.writeFileSync(settings, settingsText);
+    await vm.waitUntilReady();
+    expect(exits).toEqual([]);
+  });
+
+  test('ends by SIGTERM while it waits for its settings file', async () => {
+    fs.rmSync(settings);
+    const log = path.join(folder, 'no-settings.log');
+    const exits = start(log);
+    await untilLogged(log, 'settings-awaited', exits);
+    child?.kill('SIGTERM');
+    while (exits.length === 0) await clocks.sleep(POLL_MS);
+    expect(exits).toEqual(['0 null']);
+  });
 });
--- a/test/properties/settings/platform-values.test.ts
+++ b/test/properties/settings/platform-values.test.ts
@@ -63,6 +63,15 @@
 ];
 
 describe('settings that the platform fills in', () => {
+  // A file that was cut off before its relay section once started a daemon of the other mode.
+  test('are invalid while the file is incomplete', () => {
+    const text = fill(VALID_FIELDS).trimEnd();
+    const accepted = Array.from({ length: text.length }, (_, length) =>
+      text.slice(0, length),
+    ).filter((part) => parseSettings(part, 'node.yaml').isOk);
+    expect(accepted).toEqual([]);
+  });
+
   test('accepts a fractional retry slack', () => {
     expect(errorOf({ ...VALID_FIELDS, 'bounds.budget_slack': '138.5' })).toBe('');
   });
