Count no run for a connection that failed at once

Callers saw: requests that were never sent get 502 ("may have run"), and count as incidents that hold requests back, while an entry VM has no free descriptor or no route to a server.

Cause: a socket that is not connecting was taken for connected. If connect() itself fails (EMFILE, ENETUNREACH, EADDRNOTAVAIL), the new socket is destroyed before the attempt gets it.

The new unit test got "broken" instead of "not-run".

Change: a new socket that is destroyed already was never connected. A reused one still counts as connected.

--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -509,7 +509,8 @@
 
   private handleSocket(socket: Socket): void {
     if (!socket.connecting) {
-      this.connected = true;
+      // A new connection that has failed already, as without a free descriptor, was never made.
+      this.connected = !socket.destroyed || this.req?.reusedSocket === true;
       return;
     }
     // The connection may have been made while this process was busy, and its event not handled yet.
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -1,4 +1,5 @@
 /** Which responses of a backend server are accepted for a request; over real sockets. */
+import * as http from 'node:http';
 import * as net from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { afterEach, describe, expect, test } from 'vitest';
@@ -62,7 +63,7 @@
 
 /** What a test can set besides the request itself. */
 type SendOptions = Partial<
-  Pick<AttemptRequest, 'idlePolicy' | 'wasRefused' | 'memory' | 'signal' | 'turns'>
+  Pick<AttemptRequest, 'agent' | 'idlePolicy' | 'wasRefused' | 'memory' | 'signal' | 'turns'>
 > & { readonly sink?: StreamSink | null };
 
 function sendRequest(
@@ -321,6 +322,24 @@
   });
 });
 
+describe('a connection that fails at once', () => {
+  // As without a free descriptor or a route. It once counted as made, so that the request may have run.
+  test('leaves the request not run', async () => {
+    const server = await startServer(() => undefined);
+    // No address of this host, so that the local end can't be bound.
+    const agent = new http.Agent({ keepAlive: true });
+    const create = agent.createConnection.bind(agent);
+    Object.assign(agent, {
+      createConnection: (opts: net.NetConnectOpts) =>
+        create({ ...opts, localAddress: '192.0.2.1' }),
+    });
+    expect(await sendRequest(server, 'request-1', createPool(), { agent })).toMatchObject({
+      type: AttemptEnd.notRun,
+      reached: false,
+    });
+  });
+});
+
 describe('an exception in a handler of a response', () => {
   test('ends its attempt only, and is reported', async () => {
     const server = await startServer((socket) => {
