Let VMs without a steward store their own streams each 100 ms, bounded over all VMs

The interval is 100 ms now, and grows with the number of VMs, so that all of them together write at most 100 times a second (unit test).

--- a/src/entry/relay/intervals.ts
+++ b/src/entry/relay/intervals.ts
@@ -23,6 +23,16 @@
   return Math.max(MIN_PERMIT_REPEAT_MS, (members * servers * MS_PER_S) / MAX_MESSAGES_PER_S);
 }
 
+/** Minimum interval between two writes of a VM's own streams, ms. */
+const MIN_OWN_WRITE_INTERVAL_MS = 100;
+/** Maximum writes per second of all VMs for their own streams: a quarter of the store's rate. */
+const MAX_OWN_WRITES_PER_S = 100;
+
+/** Interval at which a VM without a connected steward stores its own streams, ms. */
+export function ownWriteIntervalMs(members: number): number {
+  return Math.max(MIN_OWN_WRITE_INTERVAL_MS, (members * MS_PER_S) / MAX_OWN_WRITES_PER_S);
+}
+
 /** Interval between the steward's planning passes over all engines and pending demand, ms. */
 export function planningIntervalMs(engines: number): number {
   return Math.min(
--- a/src/entry/relay/stream-record.ts
+++ b/src/entry/relay/stream-record.ts
@@ -18,6 +18,7 @@
 } from '../../decisions/stream-spans/index.js';
 import type { BegunStream, SeenVersion } from '../../decisions/stream-versions/index.js';
 import { PlatformOutcome } from '../platform/index.js';
+import { ownWriteIntervalMs } from './intervals.js';
 import { FeedOutcome, type FeedObject, type RelayStore } from './types.js';
 
 /** Kind of all objects of the relay, among them the spans of `stream-spans`. */
@@ -27,8 +28,6 @@
 const TICK_MS = 25;
 /** Minimum time between two writes, ms: each call is billed. */
 const WRITE_INTERVAL_MS = 50;
-/** Minimum time between two writes of a VM without a connected steward, ms: all VMs may be such. */
-const OWN_WRITE_INTERVAL_MS = 200;
 /** Minimum time between two failed calls, ms. */
 const RETRY_MS = 250;
 /** Streams whose first events came in the same time span share one entry, ms. */
@@ -90,6 +89,8 @@
   readonly streams: SharedStreams;
   isSteward(): boolean;
   isStewardConnected(): boolean;
+  /** Number of entry VMs, as last known. */
+  members(): number;
   unixMs(): number;
 }
 
@@ -270,14 +271,14 @@
 
   /** The streams that this VM has begun, which no steward may know; null if there are none. */
   private ownObject(stored: StoredRecord): DueWrite | null {
-    const { vm, streams } = this.opts;
+    const { vm, streams, members } = this.opts;
     const own = streams.ownStreams().slice(-MAX_SLOT_STREAMS);
     if (own.length === 0) return null;
     return {
       name: `${OWN_PREFIX}${vm}`,
       version: stored.ownVersion,
       streams: own,
-      pauseMs: OWN_WRITE_INTERVAL_MS,
+      pauseMs: ownWriteIntervalMs(members()),
       noteWritten: (ownVersion) => {
         this.stored = { ...stored, ownVersion };
       },
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -136,6 +136,7 @@
     streams,
     isSteward,
     isStewardConnected,
+    members: () => lateBound.view?.members ?? 1,
     unixMs: () => Date.now(),
   });
   lateBound.streamRecord = streamRecord;
--- a/test/units/relay/intervals.test.ts
+++ b/test/units/relay/intervals.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, test } from 'vitest';
 import {
   messageIntervalMs,
+  ownWriteIntervalMs,
   permitRepeatMs,
   planningIntervalMs,
 } from '../../../src/entry/relay/intervals.js';
@@ -17,6 +18,13 @@
   });
 });
 
+describe('the interval at which VMs without a steward store their own streams', () => {
+  test('keeps all of them at or below 100 writes per second', () => {
+    const perS = [3, 8, 74].map((members) => (members * 1000) / ownWriteIntervalMs(members));
+    perS.forEach((writes) => expect(writes).toBeLessThanOrEqual(100));
+  });
+});
+
 describe('the planning interval', () => {
   test('grows with the number of engines between its bounds', () => {
     expect([15, 83, 600].map(planningIntervalMs)).toEqual([20, 41.5, 150]);
--- a/test/units/relay/stream-record.test.ts
+++ b/test/units/relay/stream-record.test.ts
@@ -61,6 +61,7 @@
     streams,
     isSteward: () => isSteward,
     isStewardConnected: () => isStewardConnected,
+    members: () => 1,
     unixMs: () => Date.now(),
   });
   lateBound.record = record;
