Compare servers only by answers whose time was measured

What callers saw: orders were sent to a server that answered them without end, although a sound server had their model (502, in half of the runs of endless-responses.test.ts 'events that their callers do not take' once VMs no longer stood still).

Cause: an answer that is no stream counted as just in time (ratio 1). Beside streams whose first bytes came in a tenth of the expected time, the server of such answers was taken for seven times slower than its peers. Before, the VM's own delays hid this.

Evidence: logs of two failing runs: nine orders each to the faulty server, while the sound one was idle; none in five runs on.

Change: an answer without a measured time resets the failure counts only.

The unit test failed before by the code (slowness 10); the process test passes 4 of 4 now, 2 of 5 before.

--- a/src/decisions/server-health/index.ts
+++ b/src/decisions/server-health/index.ts
@@ -76,19 +76,20 @@
 
   /**
    * Records a response, which resets the failure counts.
-   * @param ratio Time to its first byte, divided by the expected time.
+   * @param ratio Time to its first byte, divided by the expected time; null if that was not measured.
    */
-  noteAnswer(nowMs: number, id: string, ratio: number): void {
+  noteAnswer(nowMs: number, id: string, ratio: number | null): void {
     const record = this.recordOf(id);
     record.failures = 0;
     record.ejections = 0;
     record.failedConnects = 0;
+    record.lastReceivedAtMs = nowMs;
+    if (ratio === null) return;
     const isExpired = nowMs - record.measuredAtMs > AVERAGE_TTL_MS;
     record.averageRatio = isExpired
       ? ratio
       : record.averageRatio + (ratio - record.averageRatio) * EWMA_WEIGHT;
     record.measuredAtMs = nowMs;
-    record.lastReceivedAtMs = nowMs;
   }
 
   /** Records that a server sent data for any request. */
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -478,7 +478,7 @@
   private retryOrCut(nowMs: number, run: Run, response: BackendResponse): boolean {
     const isError = response.status >= 500;
     if (isSuccess(response.status)) this.ctx.incidents.noteCompleted(this.identity);
-    if (!isError) this.ctx.view.health.noteAnswer(nowMs, run.server.id, 1);
+    if (!isError) this.ctx.view.health.noteAnswer(nowMs, run.server.id, null);
     if (this.ended) return false;
     if (isError && !this.streaming) {
       this.ctx.view.health.noteFailure(nowMs, run.server.id, ERROR_RESPONSE_WEIGHT);
--- a/test/units/server-health/server-health.test.ts
+++ b/test/units/server-health/server-health.test.ts
@@ -22,6 +22,14 @@
     expect(ids(health.eligible(2_500, SERVERS))).not.toContain('a');
   });
 
+  // Answers without a measured time counted as just in time, which is slow beside fast streams.
+  test('does not take a server for slow by answers whose time was not measured', () => {
+    const health = new ServerHealth();
+    health.noteAnswer(0, 'a', null);
+    health.noteAnswer(0, 'b', 0.1);
+    expect(health.slowness(1, 'a', ['a', 'b'])).toBe(1);
+  });
+
   test('names the servers that can not be reached, until they are tried again', () => {
     const health = new ServerHealth();
     health.noteFailure(0, 'a', 2);
