Keep the events of a stream that come together with one out of order

Cause: the splitter remembers each sound event as the last one, but nothing of a piece with a wrong one was written. Since what is read at once is relayed at once, that holds for separate chunks of one read too; before, for events in one chunk.

Change: the events before the first wrong one are written and noted, then the attempt ends.

The new case of broken-stream.test.ts got events 3 and 4 of four before. The model of the splitter's property test returns these events now, which asks for more than before.

--- a/src/entry/relay/event-stream.ts
+++ b/src/entry/relay/event-stream.ts
@@ -13,7 +13,7 @@
 
 /** Result of adding bytes to the splitter. */
 export interface SplitResult {
-  /** The events that are now complete; they may be sent to the caller if `isInOrder`. */
+  /** The events that are now complete, up to the first one that is out of order. */
   readonly bytes: Buffer;
   /** Whether the event ids are consecutive and no event exceeds the maximum length. */
   readonly isInOrder: boolean;
@@ -134,14 +134,14 @@
   /** @param scannedBytes Bytes at the start of `buffered` in which no end of an event begins. */
   private split(buffered: Buffer, scannedBytes: number): SplitResult {
     const ends = eventEnds(buffered, scannedBytes);
-    const completeLength = ends.at(-1) ?? 0;
-    const areConsecutive = ends.every((end, index) =>
-      this.isNextId(idOf(buffered, ends[index - 1] ?? 0, end)),
+    const wrongAt = ends.findIndex(
+      (end, index) => !this.isNextId(idOf(buffered, ends[index - 1] ?? 0, end)),
     );
-    this.setPartial(buffered.subarray(completeLength));
+    const inOrder = wrongAt < 0 ? ends : ends.slice(0, wrongAt);
+    this.setPartial(buffered.subarray(ends.at(-1) ?? 0));
     return {
-      bytes: buffered.subarray(0, completeLength),
-      isInOrder: areConsecutive && this.partial.length <= MAX_EVENT_BYTES,
+      bytes: buffered.subarray(0, inOrder.at(-1) ?? 0),
+      isInOrder: wrongAt < 0 && this.partial.length <= MAX_EVENT_BYTES,
     };
   }
 
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -207,14 +207,19 @@
 
   write(bytes: Buffer): WriteResult {
     const split = this.splitter.push(bytes);
+    // The stream goes on after the last event in order, also if a wrong one came with it.
+    if (split.bytes.length > 0) this.writeEvents(split.bytes);
     if (!split.isInOrder) return WriteResult.refused;
-    if (split.bytes.length === 0) return WriteResult.part;
-    this.noteEvent(this.ctx.clock.steadyMs());
+    return split.bytes.length > 0 ? WriteResult.event : WriteResult.part;
+  }
+
+  private writeEvents(bytes: Buffer): void {
+    const nowMs = this.ctx.clock.steadyMs();
+    this.noteEvent(nowMs);
     if (this.current !== null) {
-      this.ctx.view.health.noteDataReceived(this.ctx.clock.steadyMs(), this.current.run.server.id);
+      this.ctx.view.health.noteDataReceived(nowMs, this.current.run.server.id);
     }
-    if (!this.ended) this.request.res.write(split.bytes);
-    return WriteResult.event;
+    if (!this.ended) this.request.res.write(bytes);
   }
 
   isComplete(): boolean {
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -218,6 +218,19 @@
     );
   });
 
+  // The sound events were dropped with the wrong one, and the stream went on behind them.
+  test('keeps the events that came together with one out of order', async () => {
+    const events = [event(1), event(2), event(9)].map(chunk).join('');
+    const rest = `${event(3)}${event(4)}`;
+    const received = await receive([
+      `${STREAM_HEAD}${CHUNKED}${events}`,
+      `${STREAM_HEAD}${CHUNKED}${chunk(rest)}${LAST_CHUNK}`,
+    ]);
+    const ids = [...received.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id);
+    expect(ids).toEqual(['1', '2', '3', '4']);
+    expect(placed.at(-1)?.version).toBe('v1');
+  });
+
   test('goes on with the next server, also one that gives no length', async () => {
     const rest = `${event(2)}${event(3)}`;
     const received = await receive([BROKEN_OFF, `${STREAM_HEAD}\r\n${rest}`]);
--- a/test/units/relay/event-stream.test.ts
+++ b/test/units/relay/event-stream.test.ts
@@ -73,13 +73,14 @@
     const events = buffered.match(/[^]*?(?:\r\n\r\n|\n\n)/g) ?? [];
     const complete = events.join('');
     this.partial = buffered.slice(complete.length);
-    const isInOrder = events.every((one) => {
+    const wrongAt = events.findIndex((one) => {
       const id = /^id:[ ]?(\d+)\r?$/m.exec(one)?.[1];
       const isNext = id === undefined || this.lastId === null || Number(id) === this.lastId + 1;
       if (id !== undefined && isNext) this.lastId = Number(id);
-      return isNext;
+      return !isNext;
     });
-    return { text: complete, isInOrder };
+    const inOrder = wrongAt < 0 ? events : events.slice(0, wrongAt);
+    return { text: inOrder.join(''), isInOrder: wrongAt < 0 };
   }
 
   get partialBytes(): number {
