Bound the time for which a planned stop accepts waiting connections

A stop accepts the connections that wait before it closes its listener. It takes 200 ms at most now.

--- a/src/core/http/connections.ts
+++ b/src/core/http/connections.ts
@@ -5,6 +5,8 @@
 
 /** Connections that wait for a server at most, by the default of Node.js. */
 const MAX_WAITING_CONNECTIONS = 511;
+/** Maximum time for accepting them, ms: callers may go on connecting. */
+const MAX_ACCEPT_MS = 200;
 
 interface Connection {
   /** Requests whose responses have not been written out to the connection. */
@@ -26,6 +28,7 @@
  * in each pass. Timers run before that: after a standstill, many may wait.
  */
 export async function acceptWaitingConnections(server: http.Server): Promise<void> {
+  const untilMs = performance.now() + MAX_ACCEPT_MS;
   let accepted = 0;
   let idlePasses = 0;
   const noteConnection = () => {
@@ -34,7 +37,8 @@
   };
   server.on('connection', noteConnection);
   // The first pass may be over before the event loop looks for connections.
-  while (idlePasses < 2 && accepted < MAX_WAITING_CONNECTIONS) {
+  const isOver = () => accepted >= MAX_WAITING_CONNECTIONS || performance.now() >= untilMs;
+  while (idlePasses < 2 && !isOver()) {
     idlePasses += 1;
     await setImmediate();
   }
--- a/test/units/http/idle-connections.test.ts
+++ b/test/units/http/idle-connections.test.ts
@@ -4,7 +4,10 @@
 import * as net from 'node:net';
 import { afterEach, describe, expect, test } from 'vitest';
 import * as clocks from '../../../src/core/clock/index.js';
-import { spareBusyConnections } from '../../../src/core/http/connections.js';
+import {
+  acceptWaitingConnections,
+  spareBusyConnections,
+} from '../../../src/core/http/connections.js';
 import * as httpServers from '../../../src/core/http/index.js';
 
 const IDLE_TIMEOUT_MS = 1_000;
@@ -12,6 +15,8 @@
 const IDLE_MS = 500;
 /** Longer than the time after which Node.js closes a connection: the idle timeout and a second. */
 const STANDSTILL_MS = 2_500;
+/** Far below the grace of a planned stop. */
+const MAX_ACCEPT_MS = 1_000;
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 
 const cleanups: (() => void)[] = [];
@@ -120,3 +125,20 @@
     expect(await isAnswered()).toBe(false);
   });
 });
+
+describe('connections that wait to be accepted', () => {
+  // A stop would otherwise last as long as callers go on connecting.
+  test('are accepted for a bounded time', async () => {
+    const { server, address } = await startServer();
+    server.on('connection', () => {
+      // Each pass accepts a connection and makes the next caller connect.
+      standStill(5);
+      void connect(address);
+    });
+    await connect(address);
+    await connect(address);
+    const sinceMs = performance.now();
+    await acceptWaitingConnections(server);
+    expect(performance.now() - sinceMs).toBeLessThan(MAX_ACCEPT_MS);
+  });
+});
