Read no more requests of a connection while many of them wait

Since requests of a connection are handled in turn, those behind a slow one have no answers that would stop Node.js from reading more: 90,000 small requests behind one lookup took a VM from 102 to 296 MB.

--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -37,6 +37,8 @@
 const DRAIN_POLL_MS = 10;
 /** Maximum request body while no plan is loaded, bytes. */
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
+/** Requests that may wait on a connection until no more are read from it. */
+const MAX_WAITING_REQUESTS = 16;
 const MS_PER_S = 1000;
 /** Retry-After while this entry VM shuts down, ms; another entry VM can serve the request. */
 const STOPPING_RETRY_MS = 50;
@@ -57,6 +59,14 @@
 
 type ReceivedRequest = Pick<RoutedRequest, 'req' | 'res' | 'metadata' | 'body' | 'arrivedAtMs'>;
 
+/** The requests of a connection, which are handled one after another. */
+interface ConnectionTurns {
+  /** The end of the latest request. */
+  end: Promise<void>;
+  /** Requests that wait for the end of those before them. */
+  waiting: number;
+}
+
 interface Refusal {
   readonly def: errors.ErrorDefinition;
   readonly retryAfterMs: number | null;
@@ -114,8 +124,7 @@
 
   private active = 0;
 
-  /** The end of the latest request of each connection. */
-  private readonly ends = new WeakMap<Socket, Promise<void>>();
+  private readonly turns = new WeakMap<Socket, ConnectionTurns>();
 
   /** Requests that are being served. */
   private readonly exchanges = new Set<Exchange>();
@@ -197,12 +206,18 @@
   private async handleInTurn(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const { socket } = req;
     const arrivedAtMs = this.opts.ctx.clock.steadyMs();
-    const before = this.ends.get(socket);
-    const end = new Promise<void>((resolve) => {
+    const turns = this.turns.get(socket) ?? { end: Promise.resolve(), waiting: 0 };
+    this.turns.set(socket, turns);
+    const before = turns.end;
+    turns.end = new Promise((resolve) => {
       res.once('close', resolve);
     });
-    this.ends.set(socket, end);
-    if (before !== undefined) await before;
+    turns.waiting += 1;
+    // Node.js resumes the connection after each request that it has read.
+    if (turns.waiting === MAX_WAITING_REQUESTS) process.nextTick(() => socket.pause());
+    await before;
+    if (turns.waiting === MAX_WAITING_REQUESTS) socket.resume();
+    turns.waiting -= 1;
     if (socket.writable) await this.handle(req, res, arrivedAtMs);
   }
 
--- a/test/failures/unread-requests.test.ts
+++ b/test/failures/unread-requests.test.ts
@@ -21,6 +21,8 @@
 /** Longest pause of a caller between two parts of a request, ms. */
 const PART_PAUSE_MS = 10;
 const PIPELINED = 10;
+/** Requests of some 12 MB together, more than the kernel's buffers hold. */
+const MANY_PIPELINED = 90_000;
 const GRACE_PERIOD_MS = 8_000;
 /** Makes a request take about 600 ms, so that a stop begins while requests wait. */
 const SLOWDOWN = 40;
@@ -115,6 +117,23 @@
     expect(await Promise.all(results)).not.toContain(false);
   });
 
+  // All of them were read and kept, as none had an answer that would have stopped the reading.
+  test('take no more memory than others while many wait behind another one', async () => {
+    const [vm] = fleet.vms as [SoakVm];
+    fleet.engines.forEach((engine) => engine.slowDown(ANSWER_TIMEOUT_MS, SLOWDOWN * 5));
+    const { socket, answers } = connect(vm);
+    socket.write(`${requestText('lookup', 'many-first', 1)}x`);
+    const behind = Array.from({ length: MANY_PIPELINED }, (_, at) =>
+      requestText('unknown', `many-${at}`, 0),
+    );
+    socket.write(behind.join(''));
+    await answers(1);
+    const isReadOn = socket.writableLength === 0;
+    socket.destroy();
+    expect(isReadOn).toBe(false);
+    expect(vm.unexpectedExits).toBe(0);
+  });
+
   test('are answered in a planned stop, though they wait behind another one', async () => {
     const vm = fleet.vms[1] as SoakVm;
     fleet.engines.forEach((engine) => engine.slowDown(ANSWER_TIMEOUT_MS, SLOWDOWN));
