Refuse a request whose body does not come after a second

The refusal of a request by its head waited for the body without a bound, so that a caller which never sends it got none, and held a planned stop. Found by the reviewer, by reading; no test of its own.

--- a/src/entry/gateway/read-body.ts
+++ b/src/entry/gateway/read-body.ts
@@ -53,22 +53,31 @@
   });
 }
 
+/** Maximum time for which the body of a refused request is awaited, ms. */
+const MAX_DISCARD_MS = 1_000;
+
 /**
  * Reads the rest of a refused request and discards it, so that its caller gets the response: a
- * connection that is closed with unread bytes is reset. Gives up at a body larger than `maxBytes`.
+ * connection that is closed with unread bytes is reset. Gives up at a body larger than `maxBytes`, or
+ * one that takes too long.
  */
 export function discardBody(req: http.IncomingMessage, maxBytes: number): Promise<void> {
   if (req.complete || Number(req.headers['content-length'] ?? 0) > maxBytes) {
     return Promise.resolve();
   }
   return new Promise((resolve) => {
+    const timer = setTimeout(resolve, MAX_DISCARD_MS);
+    const settle = () => {
+      clearTimeout(timer);
+      resolve();
+    };
     let bytes = 0;
     req.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes > maxBytes) resolve();
+      if (bytes > maxBytes) settle();
     });
-    req.once('end', resolve);
-    req.once('close', resolve);
+    req.once('end', settle);
+    req.once('close', settle);
     req.resume();
   });
 }
