Give a message up for small pieces within a second, not over its life

A message of more than 1,024 pieces with a mean below 8 bytes was given up, however slowly it came: a stream whose lines are chunks of their own ended at event 342, a body in 5-byte chunks at its 1,025th (502 for an order that had run, 400 for a caller's body). What the bound protects is time per turn of the event loop, so it counts the pieces of a second now, 4,096 of them, and a sound message of that size passes at once. Found by the reviewer.

--- a/src/entry/gateway/read-body.ts
+++ b/src/entry/gateway/read-body.ts
@@ -41,7 +41,8 @@
         isRefused = true;
         resolve(refusal);
       };
-      if (!pieces.add(chunk.length)) refuse(malformed('The body arrives in too small pieces.'));
+      if (!pieces.add(performance.now(), chunk.length))
+        refuse(malformed('The body arrives in too small pieces.'));
       else if (bytes > maxBytes) refuse(tooLarge());
       else if (claim(chunk.length)) body.push(chunk);
       else refuse(memoryFull());
--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -221,7 +221,7 @@
   /** Takes bytes; they are relayed once all that was read with them has been taken. */
   handleData(bytes: Buffer): void {
     const { pieces, gathered, ending } = this;
-    if (!pieces.add(bytes.length)) {
+    if (!pieces.add(performance.now(), bytes.length)) {
       gathered.clear();
       ending.fail(TOO_SMALL_PIECES);
       return;
@@ -344,7 +344,7 @@
   const conn = watchReset(res, end);
   const pieces = new PieceCount();
   const handleData = (bytes: Buffer) => {
-    if (!pieces.add(bytes.length)) {
+    if (!pieces.add(performance.now(), bytes.length)) {
       ending.fail(TOO_SMALL_PIECES);
       return;
     }
