--- a/src/decisions/server-health/index.ts
+++ b/src/decisions/server-health/index.ts
@@ -102,10 +102,14 @@
     return this.records.get(id)?.lastReceivedAtMs ?? -Infinity;
   }
 
-  /** Records a failure of a server. Returns true if this failure ejects the server. */
+  /**
+   * Records a failure of a server. Returns true if this failure ejects the server. The first bytes of
+   * a response that then broke off do not show that the server is faster than its peers.
+   */
   noteFailure(nowMs: number, id: string, weight = 1): boolean {
     const record = this.recordOf(id);
     record.failures += weight;
+    if (weight >= 1) record.measuredAtMs = -Infinity;
     if (record.failures < FAILURES_TO_EJECT || nowMs < record.ejectedUntilMs) return false;
     const ejectionMs = Math.min(MAX_EJECTION_MS, MIN_EJECTION_MS * 2 ** record.ejections);
     record.ejections += 1;
--- a/test/units/server-health/server-health.test.ts
+++ b/test/units/server-health/server-health.test.ts
@@ -30,6 +30,16 @@
     expect(health.slowness(1, 'a', ['a', 'b'])).toBe(1);
   });
 
+  // Sound servers were taken for slow beside one that begins responses at once and breaks them off.
+  test('does not compare servers with one whose response broke off', () => {
+    const health = new ServerHealth();
+    health.noteAnswer(0, 'a', 1);
+    health.noteAnswer(0, 'b', 0.1);
+    expect(health.slowness(1, 'a', ['a', 'b'])).toBe(10);
+    health.noteFailure(2, 'b');
+    expect(health.slowness(3, 'a', ['a', 'b'])).toBe(1);
+  });
+
   test('names the servers that can not be reached, until they are tried again', () => {
     const health = new ServerHealth();
     health.noteFailure(0, 'a', 2);
