Read what has arrived before giving the steward up as unresponsive

A VM that stood still for 0.8 s closed its connection to the steward by a timer, before the messages that had arrived were read, and refused requests meanwhile.

--- a/src/entry/relay/steward-link.ts
+++ b/src/entry/relay/steward-link.ts
@@ -103,15 +103,23 @@
       this.nextConnectAtMs = nowMs;
     }
     if (this.socket !== null) this.steward = steward;
-    const isUnresponsive =
-      this.socket !== null &&
-      !this.isStewardConnected &&
-      nowMs - this.connectedAtMs > STEWARD_TIMEOUT_MS;
-    if (isUnresponsive) this.close();
+    if (this.isUnresponsive) this.closeIfUnresponsive(this.socket);
     if (this.socket !== null || nowMs < this.nextConnectAtMs) return;
     this.connect(steward, nowMs);
   }
 
+  private get isUnresponsive(): boolean {
+    const sinceMs = this.clock.steadyMs() - this.connectedAtMs;
+    return this.socket !== null && !this.isStewardConnected && sinceMs > STEWARD_TIMEOUT_MS;
+  }
+
+  /** Closes the connection unless a message has arrived that this VM, after a standstill, had not read. */
+  private closeIfUnresponsive(socket: net.Socket | null): void {
+    setImmediate(() => {
+      if (this.socket === socket && this.isUnresponsive) this.close();
+    });
+  }
+
   send(message: RelayMessage): boolean {
     return this.socket !== null && writeMessage(this.socket, message);
   }
