Count no unanswered calls to engines while the steward stood still

A steward that stands still for longer than a call's timeout aborts calls whose answers wait in its sockets. After two of them, an engine is useless to all VMs. A call that ends more than 100 ms after its timeout is repeated now and not counted.

--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -42,6 +42,8 @@
 const ORDER_TIMEOUT_MS = 250;
 /** Timeout of a call that fetches a report, ms. */
 const REPORT_TIMEOUT_MS = 300;
+/** Delay of a timeout beyond which the call says nothing about the engine, ms. */
+const MAX_TIMEOUT_DELAY_MS = 100;
 /** Pause between report calls while no order needs a report, ms: each is billed as a probe. */
 const REPORT_PAUSE_MS = 700;
 /** Pause between report calls while an order needs a report, ms: reports lag by about 100 ms. */
@@ -285,10 +287,20 @@
     Object.assign(engine, { reporting: true });
     void this.opts.wire.report(server, REPORT_TIMEOUT_MS).then((report) => {
       Object.assign(engine, { reporting: false });
-      if (engine.server.id === server.id) this.applyReport(engine, report);
+      if (engine.server.id !== server.id) return;
+      const isLate = this.isLate(nowMs, REPORT_TIMEOUT_MS);
+      if (report !== null || !isLate) this.applyReport(engine, report);
     });
   }
 
+  /**
+   * Whether a call ended so long after its timeout that this VM stood still meanwhile: its answer may
+   * have arrived without being read.
+   */
+  private isLate(sentAtMs: number, timeoutMs: number): boolean {
+    return this.opts.clock.steadyMs() - sentAtMs > timeoutMs + MAX_TIMEOUT_DELAY_MS;
+  }
+
   private applyReport(engine: EngineRecord, report: EngineReport | null): void {
     const nowMs = this.opts.clock.steadyMs();
     if (report === null) {
@@ -511,6 +523,7 @@
 
   private async sendOrder(engine: EngineRecord, order: Order, fence: number): Promise<void> {
     const authority = { holder: this.opts.vm, fence };
+    const sentAtMs = this.opts.clock.steadyMs();
     const outcome = await this.opts.wire.order(engine.server, order, authority, ORDER_TIMEOUT_MS);
     const nowMs = this.opts.clock.steadyMs();
     const isRejected = outcome !== OrderOutcome.accepted && outcome !== OrderOutcome.done;
@@ -523,7 +536,8 @@
     });
     engine.orders.answered(nowMs, outcome);
     if (outcome === OrderOutcome.fenced) this.opts.lease.noteFence(fence + 1);
-    if (outcome === OrderOutcome.unknown) this.noteFailure(engine);
+    const isUnanswered = outcome === OrderOutcome.unknown;
+    if (isUnanswered && !this.isLate(sentAtMs, ORDER_TIMEOUT_MS)) this.noteFailure(engine);
     if (this.engines.get(engine.server.id) === engine) this.sendDueOrder(nowMs, engine);
   }
 }
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -12,6 +12,8 @@
 import { createBackendServer } from './backend-server.js';
 
 const TICK_MS = 20;
+/** Longer than the timeout of a call for a report. */
+const STANDSTILL_MS = 1_000;
 /**
  * A queued stream waits for 0.9 s where no load is in progress, and a load from an engine's disk takes
  * 0.6 s: a load that begins this late still ends in time.
@@ -52,7 +54,7 @@
 }
 
 function setUp() {
-  const engine = { isUp: true, calls: 0 };
+  const engine = { isUp: true, calls: 0, delay: () => undefined as void };
   const times = { nowMs: 1_000 };
   const spec = { models: new Map(), memoryMb: 100, adapterSlots: 1, loadsPerS: 1, slots: 8 };
   const plan = { services: new Map([[SERVER.service, { engine: spec }]]) } as unknown as FleetPlan;
@@ -61,6 +63,7 @@
     wire: {
       report: async () => {
         engine.calls += 1;
+        engine.delay();
         return engine.isUp ? REPORT : null;
       },
     },
@@ -94,6 +97,21 @@
   });
 });
 
+describe('an engine whose answer was not read in time, as the steward stood still', () => {
+  // Two such calls once made a sound engine useless to all entry VMs.
+  test('stays in use', async () => {
+    const { controller, engine, times, runFor } = setUp();
+    await runFor(100);
+    engine.isUp = false;
+    engine.delay = () => {
+      times.nowMs += STANDSTILL_MS;
+    };
+    await runFor(3 * STANDSTILL_MS);
+    expect(engine.calls).toBeGreaterThan(2);
+    expect(controller.availableModels(SERVER)).toHaveLength(1);
+  });
+});
+
 describe('an engine that one entry VM can not reach', () => {
   test('is asked once more, and stays in use if it answers the steward', async () => {
     const { controller, engine, times, runFor } = setUp();
