--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -68,13 +68,13 @@
 }
 
 /**
- * The times of a queued request whose caller last received an event at `eventAtMs`: the next event is
- * due, and the caller's patience begins anew.
+ * The times of a queued request whose caller last received an event at `eventAtMs`: they count from
+ * that event as those of a new request do from its arrival.
  */
 function timesAfterEvent(eventAtMs: number, route: Route, deadlineAtMs: number) {
   return {
     arrivedAtMs: eventAtMs,
-    objectiveAtMs: eventAtMs,
+    objectiveAtMs: eventAtMs + route.objectiveMs,
     deadlineAtMs: Math.min(deadlineAtMs, eventAtMs + route.callerTimeoutMs),
   };
 }
