--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -512,6 +512,21 @@
     expect(result).toMatchObject({ type: AttemptEnd.broken, connectionLost: false });
   }, 5_000);
 
+  test('whose caller leaves while its last events wait is ended, also if its server has finished', async () => {
+    const server = await startServer((socket) => {
+      const events = `${chunk('id: 1\ndata: x\n\n')}${chunk('id: 2\ndata: x\n\n')}`;
+      socket.end(`${STREAM}${events}0\r\n\r\n`);
+    });
+    const blocked: StreamSink = { ...sink, isBlocked: () => true };
+    const left = new AbortController();
+    setTimeout(() => left.abort(), IDLE_MS);
+    const result = await sendRequest(server, 'request-1', createPool(), {
+      sink: blocked,
+      signal: left.signal,
+    });
+    expect(result).toMatchObject({ type: AttemptEnd.streamed });
+  }, 5_000);
+
   // Events for a caller that takes none were once kept without a bound; and the end of the connection
   // once ended the attempt before the last events were read.
   test.each([
