--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -15,6 +15,12 @@
   headFault,
   type ResponseHead,
 } from './response-head.js';
+import {
+  StreamRelay,
+  type StreamSink,
+  TOO_SMALL_PIECES,
+  type StreamEnding,
+} from './stream-relay.js';
 import type { PlatformWire, ResponseMetadata } from './types.js';
 import type { WorkTurns } from './work-turns.js';
 import type { Run } from './fleet-view.js';
@@ -26,7 +32,6 @@
 const MAX_RESPONSE_BYTES = 8_388_608;
 /** Maximum number of informational (1xx) responses before the final one. */
 const MAX_INFO_RESPONSES = 16;
-const TOO_SMALL_PIECES = 'response arrives in too small pieces';
 
 export const AttemptEnd = {
   /** The response is complete. */
@@ -96,32 +101,6 @@
   onException(err: unknown): void;
 }
 
-/** Result of writing bytes to a stream sink. */
-export const WriteResult = {
-  /** At least one event was completed. */
-  event: 'event',
-  /** No event was completed. */
-  part: 'part',
-  /** An event is out of order or too long. */
-  refused: 'refused',
-} as const;
-export type WriteResult = (typeof WriteResult)[keyof typeof WriteResult];
-
-/** Receives an event stream chunk by chunk. */
-export interface StreamSink {
-  /** Starts a stream with its response head; false to buffer the response instead. */
-  begin(res: http.IncomingMessage): boolean;
-  write(bytes: Buffer): WriteResult;
-  /** Whether the stream may end here, without an incomplete event. */
-  isComplete(): boolean;
-  /** Bytes that are held for the stream: an incomplete event, and events that wait for the caller. */
-  heldBytes(): number;
-  /** Whether the caller takes no more events at the moment. */
-  isBlocked(): boolean;
-  /** Calls `handler` once when the caller takes events again. */
-  onWritable(handler: () => void): void;
-}
-
 export function headOf(res: http.IncomingMessage): ResponseHead {
   const { rawHeaders, statusCode: status = 0, statusMessage: statusText = '' } = res;
   return { status, statusText, rawHeaders };
@@ -173,14 +152,8 @@
 }
 
 /** How the handlers of a response end the attempt. */
-interface AttemptEnding {
-  /** Whether the attempt has ended. */
-  readonly isSettled: boolean;
-  /** Closes the connection; the attempt is broken. */
-  fail(reason: string): void;
+interface AttemptEnding extends StreamEnding {
   settle(result: AttemptResult): void;
-  /** Ends the attempt after an exception in a handler. */
-  onException(err: unknown): void;
 }
 
 /** Result of an attempt for which no connection was made. */
@@ -188,106 +161,6 @@
   return { type: AttemptEnd.notRun, reason, reached: false, status: null };
 }
 
-/**
- * Relays an event stream: no more than its caller takes, and than a turn of the event loop has time
- * for. What was read at once is relayed at once, as each write takes memory until the caller has it.
- */
-class StreamRelay {
-  /** Bytes that have been read and not been relayed. */
-  private readonly gathered = new ByteCollector();
-
-  private readonly pieces = new PieceCount();
-
-  private withdraw: () => void = () => undefined;
-
-  private pausedSocket: Socket | null = null;
-
-  private hasEvents = false;
-
-  constructor(
-    private readonly res: http.IncomingMessage,
-    private readonly sink: StreamSink,
-    private readonly idleDetector: IdleDetector | null,
-    private readonly held: HeldResponse,
-    private readonly turns: AttemptRequest['turns'],
-    private readonly ending: AttemptEnding,
-  ) {}
-
-  /** Whether an event was relayed. */
-  get hasRelayedEvent(): boolean {
-    return this.hasEvents;
-  }
-
-  /** Takes bytes; they are relayed once all that was read with them has been taken. */
-  handleData(bytes: Buffer): void {
-    const { pieces, gathered, ending } = this;
-    if (!pieces.add(performance.now(), bytes.length)) {
-      gathered.clear();
-      ending.fail(TOO_SMALL_PIECES);
-      return;
-    }
-    if (gathered.length === 0) process.nextTick(() => this.contained(() => this.relayInTurn()));
-    gathered.push(bytes);
-  }
-
-  /** Relays the bytes that wait, before the attempt ends or reads more. */
-  relayPending(): void {
-    this.withdraw();
-    if (this.gathered.length === 0 || this.ending.isSettled) return;
-    this.relay();
-    if (!this.sink.isBlocked()) this.resume();
-  }
-
-  /** Relays the bytes that wait at once, or in a later turn if this one has spent its time. */
-  private relayInTurn(): void {
-    const { turns, held, sink, gathered } = this;
-    if (gathered.length === 0 || this.ending.isSettled) return;
-    if (turns.isOpen) {
-      turns.run(() => this.relay());
-      return;
-    }
-    held.hold(sink.heldBytes() + gathered.heldBytes);
-    this.pause();
-    this.withdraw = turns.whenNext(() => this.contained(() => this.relayPending()));
-  }
-
-  private relay(): void {
-    const { sink, res, idleDetector, ending, held } = this;
-    const written = sink.write(this.gathered.take());
-    this.hasEvents ||= written === WriteResult.event;
-    // Bytes that complete no event, such as keep-alive comments, do not reset the idle time.
-    if (written === WriteResult.event) idleDetector?.noteActivity();
-    if (written === WriteResult.refused) ending.fail('events out of order or event too long');
-    held.hold(sink.heldBytes());
-    if (!sink.isBlocked()) return;
-    if (!res.isPaused()) this.pause();
-    sink.onWritable(() => this.resume());
-  }
-
-  private contained(handler: () => void): void {
-    contain(handler, (err) => this.ending.onException(err))();
-  }
-
-  /**
-   * Pauses the response. If it is paused alone, it keeps the pieces of what its connection reads; once
-   * it is complete, its connection may serve another request.
-   */
-  private pause(): void {
-    const { res } = this;
-    res.pause();
-    this.pausedSocket = res.complete ? null : res.socket;
-    this.pausedSocket?.pause();
-    this.idleDetector?.suspend();
-  }
-
-  private resume(): void {
-    this.idleDetector?.resume();
-    this.pausedSocket?.resume();
-    this.pausedSocket = null;
-    this.res.resume();
-  }
-}
-
 function relayStream(
   res: http.IncomingMessage,
   end: BodyEnd,
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -14,8 +14,6 @@
   headOf,
   isSuccess,
   send,
-  type StreamSink,
-  WriteResult,
 } from './attempt.js';
 import type { RelayContext } from './context.js';
 import { EventSplitter } from './event-stream.js';
@@ -23,6 +21,7 @@
 import type { RoutedRequest } from './routed-request.js';
 import type { HeldResponse } from './response-memory.js';
 import { RetryPolicy } from './retry-policy.js';
+import { type StreamSink, WriteResult } from './stream-relay.js';
 
 /** Maximum wait for units of the customer's rate, as a fraction of the latency objective. */
 const MAX_RATE_WAIT_FRACTION = 0.4;
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -10,9 +10,8 @@
   type AttemptRequest,
   type AttemptResult,
   send,
-  type StreamSink,
-  WriteResult,
 } from '../../../src/entry/relay/attempt.js';
+import { type StreamSink, WriteResult } from '../../../src/entry/relay/stream-relay.js';
 import type { IdlePolicy } from '../../../src/entry/relay/idle-detector.js';
 import { WorkTurns } from '../../../src/entry/relay/work-turns.js';
 import { createResponseMemory } from './response-memory.js';
