Give a message up at 1,024 small pieces within a second

The unit test asks for 1,000 pieces at once to be accepted and 5,000 to be given up, as at first, and for slow ones to be accepted. The cases of the process test can be listed as known reds by name; none is.

--- a/src/decisions/fragments/index.ts
+++ b/src/decisions/fragments/index.ts
@@ -6,7 +6,7 @@
 /** Span in which small pieces are counted, ms. */
 const SPAN_MS = 1_000;
 /** Pieces that any message may have in a span: a sound message of that many bytes passes at once. */
-const MAX_SMALL_PIECES = 4_096;
+const MAX_SMALL_PIECES = 1_024;
 /** Minimum mean length of the pieces of a span that has more, bytes. */
 const MIN_MEAN_PIECE_BYTES = 8;
 
--- a/test/failures/endless-responses.test.ts
+++ b/test/failures/endless-responses.test.ts
@@ -10,6 +10,7 @@
 import { bundle } from '../../src/lab/fleet/bundle.js';
 import { KEY } from '../soak/callers.js';
 import { RelayFleet } from '../soak/relay-fleet.js';
+import { isKnownRed } from '../known-red.js';
 import type { SoakVm } from '../soak/vms.js';
 
 const SOUND_MODEL = 'm0';
@@ -101,52 +102,58 @@
 
 // The process once kept all of these bytes and was killed for its memory, with all of its requests.
 describe('a server that sends without end takes no memory from others', () => {
-  test.each([
-    ['a body without length', [], () => FILLER, false],
-    ['a body in chunks', [CHUNKED], () => chunk(FILLER), false],
-    ['a body shorter than its length', ['Content-Length: 9000000000'], () => FILLER, false],
-    ['an event without end', [EVENT_STREAM, CHUNKED], () => chunk(FILLER), false],
+  const FORMS: readonly (readonly [string, readonly string[], (at: number) => string, boolean])[] =
     [
-      'events that their callers do not take',
-      [EVENT_STREAM, CHUNKED],
-      (at: number) => chunk(`id: ${at}\ndata: ${FILLER}\n\n`),
-      true,
-    ],
-    // Each piece once took some hundred bytes beside its own, which no bound counted.
-    ['a body in chunks of a byte', [CHUNKED], () => TINY_CHUNKS, false],
-    ['an event in chunks of a byte', [EVENT_STREAM, CHUNKED], () => TINY_CHUNKS, false],
-    [
-      'empty events that their callers do not take',
-      [EVENT_STREAM, CHUNKED],
-      () => TINY_EVENTS,
-      true,
-    ],
-  ])('in the form of %s', async (_form, headers, piece, isSlow) => {
-    fleet = await RelayFleet.start(program, {
-      vms: 1,
-      servers: 2,
-      crash: {},
-      models: [SOUND_MODEL, FAULTY_MODEL],
-      slots: SLOTS,
-      durationMs: FAULTY_MS + CONNECT_MS,
-    });
-    const [vm] = fleet.vms as [SoakVm];
-    await clocks.sleep(CONNECT_MS);
-    fleet.engines[1]?.setFault(writeWithoutEnd(headers, piece));
-    let peakBytes = 0;
-    const timer = setInterval(() => {
-      peakBytes = Math.max(peakBytes, vm.residentBytes());
-    }, POLL_MS);
-    for (let at = 0; at < CALLERS; at += 1) ask(vm, at, isSlow);
-    const orders = await fleet.sendRepeatedly(ORDER_PAUSE_MS, {
-      route: 'order',
-      model: SOUND_MODEL,
-    });
-    clearInterval(timer);
-    expect(peakBytes).toBeLessThan(MAX_RESIDENT_BYTES);
-    expect(vm.unexpectedExits).toBe(0);
-    expect(new Set(orders)).toEqual(new Set([200]));
-  });
+      ['a body without length', [], () => FILLER, false],
+      ['a body in chunks', [CHUNKED], () => chunk(FILLER), false],
+      ['a body shorter than its length', ['Content-Length: 9000000000'], () => FILLER, false],
+      ['an event without end', [EVENT_STREAM, CHUNKED], () => chunk(FILLER), false],
+      [
+        'events that their callers do not take',
+        [EVENT_STREAM, CHUNKED],
+        (at: number) => chunk(`id: ${at}\ndata: ${FILLER}\n\n`),
+        true,
+      ],
+      // Each piece once took some hundred bytes beside its own, which no bound counted.
+      ['a body in chunks of a byte', [CHUNKED], () => TINY_CHUNKS, false],
+      ['an event in chunks of a byte', [EVENT_STREAM, CHUNKED], () => TINY_CHUNKS, false],
+      [
+        'empty events that their callers do not take',
+        [EVENT_STREAM, CHUNKED],
+        () => TINY_EVENTS,
+        true,
+      ],
+    ];
+
+  test.each(FORMS.filter(([form]) => !isKnownRed(`in the form of ${form}`)))(
+    'in the form of %s',
+    async (_form, headers, piece, isSlow) => {
+      fleet = await RelayFleet.start(program, {
+        vms: 1,
+        servers: 2,
+        crash: {},
+        models: [SOUND_MODEL, FAULTY_MODEL],
+        slots: SLOTS,
+        durationMs: FAULTY_MS + CONNECT_MS,
+      });
+      const [vm] = fleet.vms as [SoakVm];
+      await clocks.sleep(CONNECT_MS);
+      fleet.engines[1]?.setFault(writeWithoutEnd(headers, piece));
+      let peakBytes = 0;
+      const timer = setInterval(() => {
+        peakBytes = Math.max(peakBytes, vm.residentBytes());
+      }, POLL_MS);
+      for (let at = 0; at < CALLERS; at += 1) ask(vm, at, isSlow);
+      const orders = await fleet.sendRepeatedly(ORDER_PAUSE_MS, {
+        route: 'order',
+        model: SOUND_MODEL,
+      });
+      clearInterval(timer);
+      expect(peakBytes).toBeLessThan(MAX_RESIDENT_BYTES);
+      expect(vm.unexpectedExits).toBe(0);
+      expect(new Set(orders)).toEqual(new Set([200]));
+    },
+  );
 });
 
 /** Bodies that their callers never finish, and the bytes of each. */
--- a/test/units/fragments/fragments.test.ts
+++ b/test/units/fragments/fragments.test.ts
@@ -17,7 +17,7 @@
   });
 
   test('may have some small pieces, and any number of events', () => {
-    expect(isAccepted(4_000, 1)).toBe(true);
+    expect(isAccepted(1_000, 1)).toBe(true);
     expect(isAccepted(100_000, 'data:x\n\n'.length)).toBe(true);
   });
 
