--- a/test/failures/endless-responses.test.ts
+++ b/test/failures/endless-responses.test.ts
@@ -125,32 +125,34 @@
       ],
     ];
 
-  test.each(FORMS)('in the form of %s', async (form, headers, piece, isSlow) => {
-    if (isKnownRed(`in the form of ${form}`)) return;
-    fleet = await RelayFleet.start(program, {
-      vms: 1,
-      servers: 2,
-      crash: {},
-      models: [SOUND_MODEL, FAULTY_MODEL],
-      slots: SLOTS,
-      durationMs: FAULTY_MS + CONNECT_MS,
-    });
-    const [vm] = fleet.vms as [SoakVm];
-    await clocks.sleep(CONNECT_MS);
-    fleet.engines[1]?.setFault(writeWithoutEnd(headers, piece));
-    let peakBytes = 0;
-    const timer = setInterval(() => {
-      peakBytes = Math.max(peakBytes, vm.residentBytes());
-    }, POLL_MS);
-    for (let at = 0; at < CALLERS; at += 1) ask(vm, at, isSlow);
-    const orders = await fleet.sendRepeatedly(ORDER_PAUSE_MS, {
-      route: 'order',
-      model: SOUND_MODEL,
+  FORMS.forEach(([form, headers, piece, isSlow]) => {
+    const name = `in the form of ${form}`;
+    test.skipIf(isKnownRed(name))(name, async () => {
+      fleet = await RelayFleet.start(program, {
+        vms: 1,
+        servers: 2,
+        crash: {},
+        models: [SOUND_MODEL, FAULTY_MODEL],
+        slots: SLOTS,
+        durationMs: FAULTY_MS + CONNECT_MS,
+      });
+      const [vm] = fleet.vms as [SoakVm];
+      await clocks.sleep(CONNECT_MS);
+      fleet.engines[1]?.setFault(writeWithoutEnd(headers, piece));
+      let peakBytes = 0;
+      const timer = setInterval(() => {
+        peakBytes = Math.max(peakBytes, vm.residentBytes());
+      }, POLL_MS);
+      for (let at = 0; at < CALLERS; at += 1) ask(vm, at, isSlow);
+      const orders = await fleet.sendRepeatedly(ORDER_PAUSE_MS, {
+        route: 'order',
+        model: SOUND_MODEL,
+      });
+      clearInterval(timer);
+      expect(peakBytes).toBeLessThan(MAX_RESIDENT_BYTES);
+      expect(vm.unexpectedExits).toBe(0);
+      expect(new Set(orders)).toEqual(new Set([200]));
     });
-    clearInterval(timer);
-    expect(peakBytes).toBeLessThan(MAX_RESIDENT_BYTES);
-    expect(vm.unexpectedExits).toBe(0);
-    expect(new Set(orders)).toEqual(new Set([200]));
   });
 });
 
