--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -203,7 +203,8 @@
 
   /** Loads in progress or queued for the weight store, each with its expected remaining time. */
   loads(nowMs: number): LoadView[] {
-    const inProgress = [...this.engines.values()].filter(isResponsive).flatMap((engine) =>
+    const healthy = [...this.engines.values()].filter((engine) => this.isHealthy(engine));
+    const inProgress = healthy.flatMap((engine) =>
       engine.orders.loading.map((model) => ({
         model,
         version: engine.server.version,
@@ -218,6 +219,11 @@
     }));
   }
 
+  /** Whether the engine's replicas and loads count: it responds and is not draining. */
+  private isHealthy(engine: EngineRecord): boolean {
+    return !engine.server.leaving && isResponsive(engine) && this.hasReported(engine);
+  }
+
   private hasReported(engine: EngineRecord): boolean {
     return engine.reportedAtMs > -Infinity;
   }
@@ -467,7 +473,7 @@
 
   private engineState(nowMs: number, engine: EngineRecord): EngineState {
     const { server, spec, orders } = engine;
-    const isHealthy = !server.leaving && isResponsive(engine) && this.hasReported(engine);
+    const isHealthy = this.isHealthy(engine);
     const unloadingModels = orders.unloading;
     const unloadingAdapters = new Set(orders.unloadingAdapters);
     const remainingAdapters = (model: string, adapters: ReadonlySet<string>) =>
