Test: judge what servers ask for by the VMs that have heard it

No caller saw anything: the check was wrong. The platform's rule counts from the answer that a machine has had; the check counted from the time at which the server began to turn requests away, over both VMs. A VM prefers servers of its own data centre, and its first request to this server may come later than 500 ms.

The server records, for each of its answers, the request and the end that it states, by its own clock. Of each VM that has had such an answer, no request may come between 0.5 s after it and that end: up to the very end (before: 100 ms less), and for the leaving server up to the end of the test. The pause starts with the first request, so that it is observed in whole. As before, some must come before and some after. Both tests send requests for 1 s first and then expect 200 of all; before, the test of the pause let two fail, as a VM that was just started may have no retry yet.

--- a/test/failures/server-requests.test.ts
+++ b/test/failures/server-requests.test.ts
@@ -8,17 +8,25 @@
 import { RelayFleet } from '../soak/relay-fleet.js';
 
 const VMS = 2;
-/** Time in which requests that were sent before a statement was heard still arrive, ms. */
-const IN_FLIGHT_MS = 500;
-const OBSERVED_MS = 2_000;
+/** Time for which requests are sent besides a pause, ms. */
+const OBSERVED_MS = 3_000;
+/** Time in which a VM must have sent the leaving server a request, ms; the rest is observed. */
+const INFORMED_MS = 1_000;
+/** Pause that a server asks for, ms. */
+const PAUSE_MS = 1_500;
+/** Time for which requests are sent before a server asks for anything, ms. */
+const WARM_UP_MS = 1_000;
 
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bilberrystand-asked-'));
 const program = path.join(folder, 'bilberrystand.cjs');
 let fleet: RelayFleet | null = null;
 
 async function startFleet(): Promise<RelayFleet> {
-  const spec = { vms: VMS, servers: 3, crash: {}, durationMs: IN_FLIGHT_MS + OBSERVED_MS };
+  const spec = { vms: VMS, servers: 3, crash: {}, durationMs: 0 };
   fleet = await RelayFleet.start(program, spec);
+  // A VM that was just started may not have a retry yet for a request that was turned away.
+  await fleet.waitUntilConnected();
+  await fleet.sendFor(WARM_UP_MS, 10, { body: 'before #' });
   return fleet;
 }
 
@@ -31,31 +39,31 @@
 
 afterAll(() => fs.rmSync(folder, { recursive: true, force: true }));
 
+/** The VM that a request was sent to, from the ids in the order of sending. */
+function vmFrom(ids: readonly string[]) {
+  return (id: string) => ids.indexOf(id) % VMS;
+}
+
 describe('a server', () => {
   test('that states that it leaves gets no more requests, although its entry does not tell', async () => {
-    const { engines, sendRepeatedly } = await startFleet();
-    const [leaving] = engines;
-    leaving?.stateLeaving();
-    const statuses = sendRepeatedly.call(fleet, 10, { body: '#' });
-    await clocks.sleep(IN_FLIGHT_MS);
-    const before = leaving?.arrivals;
-    expect(before).toBeGreaterThan(0);
+    const started = await startFleet();
+    const record = started.engines[0]?.stateLeaving();
+    const ids: string[] = [];
+    const statuses = started.sendFor(OBSERVED_MS, 10, { body: '#', ids });
+    await clocks.sleep(INFORMED_MS);
+    expect(record?.informed(vmFrom(ids)).size).toBeGreaterThan(0);
     expect(new Set(await statuses)).toEqual(new Set([200]));
-    expect(leaving?.arrivals).toBe(before);
+    expect(record?.violations(vmFrom(ids))).toEqual([]);
   });
 
   test('that asks for a pause gets no request from a VM until its end, and then some again', async () => {
-    const { engines, sendRepeatedly } = await startFleet();
-    const [pausing] = engines;
-    pausing?.turnAway(IN_FLIGHT_MS + OBSERVED_MS / 2);
-    const statuses = sendRepeatedly.call(fleet, 10, { body: '#' });
-    await clocks.sleep(IN_FLIGHT_MS);
-    const before = pausing?.arrivals ?? 0;
-    await clocks.sleep(OBSERVED_MS / 2 - 100);
-    expect(before).toBeGreaterThan(0);
-    expect((pausing?.arrivals ?? 0) - before).toBe(0);
-    // A VM that was just started may not have a retry yet for the request that was turned away.
-    expect((await statuses).filter((status) => status !== 200).length).toBeLessThanOrEqual(VMS);
-    expect(pausing?.arrivals).toBeGreaterThan(before);
+    const started = await startFleet();
+    const record = started.engines[0]?.turnAway(PAUSE_MS);
+    const ids: string[] = [];
+    const statuses = await started.sendFor(PAUSE_MS + OBSERVED_MS, 10, { body: '#', ids });
+    expect(record?.informed(vmFrom(ids)).size).toBeGreaterThan(0);
+    expect(record?.violations(vmFrom(ids))).toEqual([]);
+    expect(record?.arrivalsAfterEnd).toBeGreaterThan(0);
+    expect(new Set(statuses)).toEqual(new Set([200]));
   });
 });
--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -7,8 +7,10 @@
 import * as clocks from '../../src/core/clock/index.js';
 import * as httpServers from '../../src/core/http/index.js';
 import { RequestLimitRecord } from './request-limit.js';
+import { StatementRecord } from './statement-record.js';
 
 export const STREAM_EVENTS = 8;
+const MS_PER_S = 1_000;
 const WORK_MS = 15;
 const EVENT_INTERVAL_MS = 12;
 const LOAD_MS = 150;
@@ -180,12 +182,13 @@
 
   private statesLeaving = false;
 
-  private turnsAwayUntilMs = -Infinity;
+  /** Pause that the server asks for, and its end once a request has come; null for none. */
+  private pause: { readonly ms: number; untilMs: number | null } | null = null;
 
-  private fault: ResponseFault | null = null;
+  /** The server's statements that it leaves or wants a pause; null if it made none. */
+  private statements: StatementRecord | null = null;
 
-  /** Requests that have arrived, whether they ran or not. */
-  arrivals = 0;
+  private fault: ResponseFault | null = null;
 
   /** The limit that the server names in its responses, and its requests. */
   readonly requestLimit = new RequestLimitRecord(STABLE_WINDOW_MS);
@@ -305,13 +308,29 @@
   }
 
   /** States in all responses that the server is leaving; its entry does not tell. */
-  stateLeaving(): void {
+  stateLeaving(): StatementRecord {
     this.statesLeaving = true;
+    this.statements = new StatementRecord();
+    return this.statements;
   }
 
-  /** Turns requests away for `ms` and asks for none as long. */
-  turnAway(ms: number): void {
-    this.turnsAwayUntilMs = performance.now() + ms;
+  /** Turns requests away for `ms` from the first one on, and asks for none as long. */
+  turnAway(ms: number): StatementRecord {
+    this.pause = { ms, untilMs: null };
+    this.statements = new StatementRecord();
+    return this.statements;
+  }
+
+  /** The `Retry-After` of the answer to request `id` if it comes in the pause, else null. */
+  private retryAfter(id: string): string | null {
+    if (this.pause === null) return null;
+    const nowMs = performance.now();
+    this.pause.untilMs ??= nowMs + this.pause.ms;
+    const leftMs = this.pause.untilMs - nowMs;
+    if (leftMs <= 0) return null;
+    const seconds = (leftMs / MS_PER_S).toFixed(3);
+    this.statements?.noteStatement(id, nowMs + Number(seconds) * MS_PER_S);
+    return seconds;
   }
 
   /** Answers requests by `fault` from now on, after having begun to run them; null to stop. */
@@ -330,6 +349,8 @@
     headers: http.OutgoingHttpHeaders = {},
   ): http.ServerResponse {
     const perS = this.requestLimit.nameInResponse();
+    const id = headers['Attempt-Id'];
+    if (this.statesLeaving && typeof id === 'string') this.statements?.noteStatement(id, Infinity);
     return res.writeHead(status, {
       ...(perS === null ? {} : { 'Server-Limit': String(perS) }),
       ...(this.statesLeaving ? { 'Server-Leaving': '1' } : {}),
@@ -454,18 +475,11 @@
   private async execute(req: http.IncomingMessage, res: http.ServerResponse, incarnation: number) {
     const id = header(req, 'attempt-id');
     const model = header(req, 'model');
-    const reject = (status: number) =>
-      this.writeHead(res, status, { 'Attempt-Id': id, 'Not-Executed': '1' }).end();
-    this.arrivals += 1;
-    const pauseMs = this.turnsAwayUntilMs - performance.now();
-    if (pauseMs > 0) {
-      const retryAfter = { 'Retry-After': (pauseMs / 1_000).toFixed(3) };
-      return this.writeHead(res, 503, {
-        'Attempt-Id': id,
-        'Not-Executed': '1',
-        ...retryAfter,
-      }).end();
-    }
+    const reject = (status: number, headers: http.OutgoingHttpHeaders = {}) =>
+      this.writeHead(res, status, { 'Attempt-Id': id, 'Not-Executed': '1', ...headers }).end();
+    this.statements?.noteArrival(id);
+    const retryAfter = this.retryAfter(id);
+    if (retryAfter !== null) return reject(503, { 'Retry-After': retryAfter });
     if (header(req, 'target-instance') !== this.id) return reject(421);
     if (model !== '' && !this.hasLoaded(model)) return reject(421);
     if (this.running >= this.spec.slots) return reject(503);
--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -257,6 +257,12 @@
     return Promise.all(statuses);
   }
 
+  /** Sends requests as `sendRepeatedly` does, for `ms` from now on. */
+  sendFor(ms: number, pauseMs: number, opts: Partial<FleetRequest>): Promise<Statuses> {
+    this.sendUntilMs = performance.now() + ms;
+    return this.sendRepeatedly(pauseMs, opts);
+  }
+
   /** Resolves `ms` after the first crash of a server. */
   async waitAfterFirstCrash(ms: number): Promise<void> {
     while (this.observations.crashes.length === 0) await clocks.sleep(10);
