Give up answers of the platform's store that are too large

The platform's objects are 1 MB at most and the pages of a list about as much. The store of the tests has pages now.

Not bounded: the client of the product's own platform (src/entry/platform).

--- a/src/core/errors/errors-data.ts
+++ b/src/core/errors/errors-data.ts
@@ -166,6 +166,13 @@
   message: (detail) => `An operation on the platform's object API failed: ${detail}.`,
   hint: 'Retry after the time in Retry-After.',
 };
+export const StoreAnswerTooLarge: ErrorDefinition = {
+  name: 'StoreAnswerTooLarge',
+  title: 'An answer of the store is too large.',
+  status: 503,
+  message: (detail) => `The answer was given up, as it is larger than ${detail} bytes.`,
+  hint: 'Look for an object in the store that is larger than the platform allows.',
+};
 export const Leaving: ErrorDefinition = {
   name: 'Leaving',
   title: 'This entry VM is shutting down.',
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -1,4 +1,5 @@
 /** Interface between the relay and the platform that it runs on. */
+import type { Logger } from '../../core/logger/index.js';
 import type { Order, OrderOutcome } from '../../decisions/engine-orders/index.js';
 import type {
   BackendServer,
@@ -149,6 +150,6 @@
     authority: OrderAuthority,
     timeoutMs: number,
   ): Promise<OrderOutcome>;
-  createStore(address: string, timeoutMs: number): RelayStore;
+  createStore(address: string, timeoutMs: number, logger: Logger): RelayStore;
   close(): Promise<void>;
 }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -68,7 +68,11 @@
   const clock = clocks.createClock();
   const random = createRandom(Date.now() + process.pid);
   const metrics = createMetrics();
-  const store = wire.createStore(settings.platform.address, settings.platform.timeoutMs);
+  const store = wire.createStore(
+    settings.platform.address,
+    settings.platform.timeoutMs,
+    logger.child('store'),
+  );
   const changed = channels.createChannel<FleetChange>((err) => {
     logger.error('message-failed', { reason: errors.describe(err) });
   });
--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -43,6 +43,9 @@
 }
 
 const SLOW_RESPONSE_MS = 300;
+/** A page of a list holds about this much at most. */
+const MAX_PAGE_OBJECTS = 500;
+const MAX_PAGE_BYTES = 1_048_576;
 /** Key of the object that holds the lease. */
 const STEWARD_LEASE = 'bilberrystand/steward';
 const OBJECT_PATH = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?$/;
@@ -215,8 +218,7 @@
       return this.watch(kind, Number(since), Number(url.searchParams.get('wait_ms') ?? 0));
     }
     if (req.method === 'GET' && name === undefined) {
-      const items = [...this.objects.values()].filter((object) => object.kind === kind);
-      return { status: 200, body: { items, has_more: false, current_rev: this.revision } };
+      return this.list(kind, url.searchParams.get('after') ?? '');
     }
     if (req.method === 'GET') {
       const object = this.objects.get(`${kind}/${name}`);
@@ -225,6 +227,22 @@
     return this.write(kind, name, text);
   }
 
+  /** A page of the objects of a kind, by name; it ends with the object that fills it. */
+  private list(kind: string, after: string): StoreResponse {
+    const left = [...this.objects.values()]
+      .filter((object) => object.kind === kind && object.metadata.name > after)
+      .sort((a, b) => (a.metadata.name < b.metadata.name ? -1 : 1));
+    const items: StoredObject[] = [];
+    let bytes = 0;
+    while (items.length < Math.min(left.length, MAX_PAGE_OBJECTS) && bytes < MAX_PAGE_BYTES) {
+      const object = left[items.length] as StoredObject;
+      bytes += Buffer.byteLength(JSON.stringify(object));
+      items.push(object);
+    }
+    const hasMore = items.length < left.length;
+    return { status: 200, body: { items, has_more: hasMore, current_rev: this.revision } };
+  }
+
   private write(kind: string, name: string | undefined, text: string): StoreResponse {
     const { metadata, spec } = JSON.parse(text) as StoredObject;
     const stored = this.objects.get(`${kind}/${name ?? metadata.name}`);
--- a/test/units/relay/stream-record.test.ts
+++ b/test/units/relay/stream-record.test.ts
@@ -34,7 +34,7 @@
   versions: readonly string[],
   isStewardConnected = true,
 ) {
-  const client = platform.createWire().createStore(address, 500);
+  const client = platform.createWire().createStore(address, 500, createLogger('test', 'silent'));
   const lateBound: { record?: StreamRecordTask; streams?: StreamVersionsTask } = {};
   const confirm: { isComplete: boolean; joined: BackendServer[] } = {
     isComplete: true,
--- a/test/units/relay/watched-store.ts
+++ b/test/units/relay/watched-store.ts
@@ -10,13 +10,14 @@
 /** Creates the store and starts it; the watcher is started by the test. */
 export async function createWatchedStore(timeoutMs: number) {
   const store = new SoakStore();
+  const logger = createLogger('test', 'silent');
   const wire = platform.createWire();
-  const client: RelayStore = wire.createStore(await store.start(), timeoutMs);
+  const client: RelayStore = wire.createStore(await store.start(), timeoutMs, logger);
   const watcher = new StoreWatcherTask({
     wire,
     store: client,
     clock: clocks.createClock(),
-    logger: createLogger('test', 'silent'),
+    logger,
     changed: channels.createChannel<FleetChange>(() => undefined),
     isSteward: () => true,
     onOutage: () => undefined,
