--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -35,6 +35,7 @@
 
 function memberReport(
   unreachable: RelayMessageOf<'report'>['unreachable'],
+  waits: RelayMessageOf<'report'>['waits'] = [],
 ): RelayMessageOf<'report'> {
   return {
     type: RelayMessageType.report,
@@ -46,7 +47,7 @@
     appliedSeq: 0,
     shares: [],
     running: [],
-    waits: [],
+    waits,
     usage: [],
     unreachable,
     leaving: false,
@@ -56,7 +57,10 @@
 function setUp() {
   const engine = { isUp: true, calls: 0, delay: () => undefined as void };
   const times = { nowMs: 1_000 };
-  const spec = { models: new Map(), memoryMb: 100, adapterSlots: 1, loadsPerS: 1, slots: 8 };
+  const cold = { name: 'm2', sizeMb: 10, adapterMb: 1, remoteLoadMs: 6_000, localLoadMs: 600 };
+  const models = new Map([[cold.name, cold]]);
+  const spec = { models, memoryMb: 100, adapterSlots: 1, loadsPerS: 1, slots: 8 };
+  const backends = new Map([[SERVER.id, SERVER]]);
   const plan = { services: new Map([[SERVER.service, { engine: spec }]]) } as unknown as FleetPlan;
   const controller = new EngineController({
     vm: 'vm-0',
@@ -67,22 +71,22 @@
         return engine.isUp ? REPORT : null;
       },
     },
-    storeWatcher: { plan, backends: new Map([[SERVER.id, SERVER]]) },
+    storeWatcher: { plan, backends },
     lease: { fence: () => 0 },
     clock: { nowMs: () => times.nowMs, steadyMs: () => times.nowMs, onJump: () => undefined },
     logger: createLogger('test', 'silent'),
     issuer: new PermitIssuer(),
   } as unknown as EngineControllerOptions);
-  const runFor = async (durationMs: number) => {
+  const runFor = async (durationMs: number, reports: RelayMessageOf<'report'>[] = []) => {
     const untilMs = times.nowMs + durationMs;
     while (times.nowMs < untilMs) {
       times.nowMs += TICK_MS;
-      controller.tick(times.nowMs, []);
+      controller.tick(times.nowMs, reports);
       // Lets the report arrive.
       await new Promise(setImmediate);
     }
   };
-  return { controller, engine, times, runFor };
+  return { controller, engine, times, backends, runFor };
 }
 
 describe('an engine that has ended', () => {
@@ -128,3 +132,18 @@
     expect(controller.availableModels(SERVER)).toHaveLength(1);
   });
 });
+
+describe('a load of an engine that then leaves', () => {
+  // Requests would wait for it and then find no server.
+  test('is no longer announced to the entry VMs', async () => {
+    const { controller, times, backends, runFor } = setUp();
+    const { service } = SERVER;
+    const need = { service, model: 'm2', adapter: null, version: null };
+    const report = memberReport([], [{ ...need, waiting: 3, dueInMs: 500 }]);
+    await runFor(200, [report]);
+    expect(controller.loads(times.nowMs).map(({ model }) => model)).toEqual(['m2']);
+    backends.set(SERVER.id, { ...SERVER, leaving: true });
+    await runFor(TICK_MS, [report]);
+    expect(controller.loads(times.nowMs)).toEqual([]);
+  });
+});
