Begin requests in several turns, and accept a crowd first

Callers saw orders answered after up to 4.6 s (bound 1.5 s), on new connections to a VM to which 500 streams came at once.

Cause, traced on the old sources at a load of 36 to 45 on 8 cores: libuv accepts one connection in a turn of the event loop. One turn began all the requests that had been read: 226 in 445 ms (346 in 721 ms in another run); later turns took 5 to 30 ms, for new requests and for relaying what the first streams sent. An order was accepted 4,484 ms after it had connected; its head was read 4 ms later. The last of 500 callers was accepted after 4.7 s (9.4 s in the other run).

RequestTurns begins requests for 5 ms in a turn, and streams get 1 ms while requests wait. While a caller connects in each turn, both wait, for 100 ms at most, so that the turns are short. The request with the shortest time limit begins first, whatever its route; one whose limit has passed is refused at once, and no longer sent to a server. Tried and replaced: in the order of arrival, orders waited behind 500 streams (4.8 s); the earliest deadline first, behind the older streams (2.5 s); with streams at 1 ms in the turns that accept, the last caller was accepted after 1.7 s.

test/failures/own-work.test.ts failed in 3 of 3 runs on the old sources at loads of 23 to 45 (9.4 s, 4.6 s, a readiness check not answered). In a traced run the last of 500 callers was accepted after 0.44 s. request-turns.test.ts and the two new cases of work-turns and exchange name what failed; "takes less of a turn in which a caller connects" became the case of waiting requests, whose check is the same, and one of a turn that takes nothing. planned-stop, requests, orders, unread-requests and units/http pass.

--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -27,6 +27,7 @@
 import type { BodyClaim, BodyMemory } from './body-memory.js';
 import type { RelayContext } from './context.js';
 import { Exchange } from './exchange.js';
+import { type RequestTimes, RequestTurns } from './request-turns.js';
 import type { RoutedRequest } from './routed-request.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { RequestMetadata } from './types.js';
@@ -39,6 +40,11 @@
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 /** Requests that may wait on a connection until no more are read from it. */
 const MAX_WAITING_REQUESTS = 16;
+/**
+ * Time for which other work waits at most while a caller connects in each turn of the event loop, ms:
+ * a turn accepts one connection.
+ */
+const MAX_HOLD_MS = 100;
 const MS_PER_S = 1000;
 /** Retry-After while this entry VM shuts down, ms; another entry VM can serve the request. */
 const STOPPING_RETRY_MS = 50;
@@ -126,6 +132,14 @@
 
   private readonly turns = new WeakMap<Socket, ConnectionTurns>();
 
+  private readonly requestTurns = new RequestTurns({
+    nowMs: () => this.opts.ctx.clock.steadyMs(),
+    onWait: () => this.opts.ctx.turns.shorten(),
+  });
+
+  /** Since when work waits for new callers; null if it has run since the last one. */
+  private heldSinceMs: number | null = null;
+
   /** Requests that are being served. */
   private readonly exchanges = new Set<Exchange>();
 
@@ -145,7 +159,7 @@
     this.server = server;
     spareBusyConnections(server);
     server.requestTimeout = 0;
-    server.on('connection', () => this.opts.ctx.turns.noteConnection());
+    server.on('connection', () => this.holdTurn());
     server.on('request', (req, res) => {
       void this.handleInTurn(req, res);
     });
@@ -221,6 +235,28 @@
     if (socket.writable) await this.handle(req, res, arrivedAtMs);
   }
 
+  /** Lets other work wait for the next turn, as more callers may be about to connect. */
+  private holdTurn(): void {
+    const { clock, turns } = this.opts.ctx;
+    const nowMs = clock.steadyMs();
+    this.heldSinceMs ??= nowMs;
+    if (nowMs - this.heldSinceMs < MAX_HOLD_MS) {
+      turns.hold();
+      this.requestTurns.hold();
+    } else {
+      this.heldSinceMs = null;
+    }
+  }
+
+  /** Until when a request can wait to begin; not at all if it will be refused. */
+  private timesOf(req: http.IncomingMessage, arrivedAtMs: number): RequestTimes {
+    const { plan } = this.opts.storeWatcher;
+    const metadata = this.opts.ctx.wire.decodeRequest(req.rawHeaders);
+    const route = plan === null ? null : findRoute(plan, req.headers.host ?? '', req.url ?? '/');
+    const limitMs = Math.min(route?.timeoutMs ?? 0, metadata?.deadlineMs ?? Infinity);
+    return { arrivedAtMs, limitMs };
+  }
+
   private async handle(
     req: http.IncomingMessage,
     res: http.ServerResponse,
@@ -229,7 +265,8 @@
     this.active += 1;
     res.on('error', (err) => this.opts.logger.debug('caller-lost', { reason: err.message }));
     try {
-      await this.serve(req, res, arrivedAtMs);
+      await this.requestTurns.whenNext(this.timesOf(req, arrivedAtMs));
+      if (req.socket.writable) await this.serve(req, res, arrivedAtMs);
     } catch (err) {
       this.opts.logger.error('request-failed', { reason: errors.describe(err) });
       this.sendRefusal(res, null, refusal(errors.data.BackendFailed));
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -31,7 +31,7 @@
   /** Counts the bytes of the responses of all requests. */
   readonly memory: Pick<ResponseMemory, 'open'>;
   /** Bounds the time for which one turn of the event loop relays streams. */
-  readonly turns: Pick<WorkTurns, 'isOpen' | 'run' | 'whenNext' | 'noteConnection'>;
+  readonly turns: Pick<WorkTurns, 'isOpen' | 'run' | 'whenNext' | 'shorten' | 'hold'>;
   readonly clock: Clock;
   readonly metrics: Metrics;
   /** Retry-After when the time until capacity is available is unknown, ms. */
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -160,15 +160,19 @@
   /** Processes the request. Failures of the caller or of servers do not reject the promise. */
   async serve(): Promise<void> {
     const { res } = this.request;
+    const leftMs = this.deadlineAtMs - this.ctx.clock.steadyMs();
+    if (leftMs <= 0) {
+      this.refuse(errors.data.NoCapacity, null);
+      return;
+    }
     const contained = (handler: () => void) => contain(handler, (err) => this.abort(err));
     res.on(
       'close',
       contained(() => this.handleClose()),
     );
-    const leftMs = this.deadlineAtMs - this.ctx.clock.steadyMs();
     this.timer = setTimeout(
       contained(() => this.handleTimeout()),
-      Math.max(0, leftMs),
+      leftMs,
     );
     const unwatch = this.ctx.incidents.watch(
       this.identity,
--- /dev/null
+++ b/src/entry/relay/request-turns.ts
@@ -0,0 +1,110 @@
+/**
+ * Bounds the requests that begin in one turn of the event loop: a turn accepts one connection, so
+ * that a turn which begins the requests of a crowd lets all callers behind them wait unheard.
+ */
+
+/** Time after which no further request begins in a turn, ms. */
+const MAX_TURN_MS = 5;
+/** Requests that begin in a turn at most. */
+const MAX_REQUESTS = 32;
+
+export interface RequestTurnsOptions {
+  /** Current time, ms. */
+  nowMs(): number;
+  /** Calls `handler` after the event loop has polled; what it defers runs before the next handler. */
+  schedule(handler: () => void): void;
+  /** Called at the end of a turn after which requests wait. */
+  onWait(): void;
+}
+
+const SYSTEM: Omit<RequestTurnsOptions, 'onWait'> = {
+  nowMs: () => performance.now(),
+  schedule: (handler) => {
+    setImmediate(handler);
+  },
+};
+
+/** Until when a request can wait to begin. */
+export interface RequestTimes {
+  readonly arrivedAtMs: number;
+  /** Time from its arrival in which its response is due, ms. */
+  readonly limitMs: number;
+}
+
+interface Waiting extends RequestTimes {
+  begin(): void;
+}
+
+/** The lower, the sooner a request begins; one that is due already will be refused, which is short. */
+function urgency(nowMs: number, { arrivedAtMs, limitMs }: RequestTimes): number {
+  return nowMs - arrivedAtMs >= limitMs ? 0 : limitMs;
+}
+
+export class RequestTurns {
+  /** Requests that wait to begin, in the order of their arrival. */
+  private readonly waiting = new Set<Waiting>();
+
+  private isScheduled = false;
+
+  private isHeld = false;
+
+  private readonly opts: RequestTurnsOptions;
+
+  constructor(opts: Pick<RequestTurnsOptions, 'onWait'> & Partial<RequestTurnsOptions>) {
+    this.opts = { ...SYSTEM, ...opts };
+  }
+
+  /** Resolves when a request may begin, in this turn or a later one; the shortest limit is first. */
+  whenNext(times: RequestTimes): Promise<void> {
+    return new Promise((begin) => {
+      this.waiting.add({ ...times, begin });
+      this.scheduleTurn();
+    });
+  }
+
+  /** Begins no request in the current turn. */
+  hold(): void {
+    this.isHeld = true;
+    this.scheduleTurn();
+  }
+
+  private scheduleTurn(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    const { opts } = this;
+    let untilMs = -Infinity;
+    opts.schedule(() => {
+      if (!this.isHeld) untilMs = opts.nowMs() + MAX_TURN_MS;
+      this.isHeld = false;
+    });
+    Array.from({ length: MAX_REQUESTS }, () =>
+      opts.schedule(() => {
+        const nowMs = opts.nowMs();
+        if (nowMs < untilMs) this.beginNext(nowMs);
+      }),
+    );
+    opts.schedule(() => this.endTurn());
+  }
+
+  private beginNext(nowMs: number): void {
+    const next = this.mostUrgent(nowMs);
+    if (next === undefined) return;
+    this.waiting.delete(next);
+    next.begin();
+  }
+
+  private mostUrgent(nowMs: number): Waiting | undefined {
+    return [...this.waiting].reduce<Waiting | undefined>(
+      (best, entry) =>
+        best === undefined || urgency(nowMs, entry) < urgency(nowMs, best) ? entry : best,
+      undefined,
+    );
+  }
+
+  private endTurn(): void {
+    this.isScheduled = false;
+    if (this.waiting.size === 0) return;
+    this.opts.onWait();
+    this.scheduleTurn();
+  }
+}
--- a/src/entry/relay/work-turns.ts
+++ b/src/entry/relay/work-turns.ts
@@ -5,11 +5,8 @@
 
 /** Time for which one turn may relay event streams, ms. */
 const MAX_TURN_MS = 5;
-/**
- * The same in a turn in which a caller has connected, ms. A turn of the event loop accepts one
- * connection, so that long turns would let a crowd of new callers wait.
- */
-const MAX_ACCEPTING_TURN_MS = 1;
+/** The same in a turn in which requests wait to begin, ms. */
+const MAX_CROWDED_TURN_MS = 1;
 
 export interface WorkTurnsOptions {
   /** Current time, ms. */
@@ -63,10 +60,19 @@
     return () => this.waiting.delete(work);
   }
 
-  /** Shortens the current turn, as more callers may be about to connect. */
-  noteConnection(): void {
+  /** Shortens the current turn, as requests wait to begin. */
+  shorten(): void {
+    this.limit(MAX_CROWDED_TURN_MS);
+  }
+
+  /** Lets all work of the current turn wait. */
+  hold(): void {
+    this.limit(0);
+  }
+
+  private limit(maxTurnMs: number): void {
     this.scheduleNext();
-    this.maxTurnMs = MAX_ACCEPTING_TURN_MS;
+    this.maxTurnMs = Math.min(this.maxTurnMs, maxTurnMs);
   }
 
   private scheduleNext(): void {
@@ -85,7 +91,7 @@
 
   private runWaiting(maxTurnMs: number): void {
     const [work] = this.waiting;
-    if (this.spentMs > 0) this.scheduleNext();
+    if (this.spentMs > 0 || maxTurnMs === 0) this.scheduleNext();
     if (work === undefined || this.spentMs >= maxTurnMs) return;
     this.waiting.delete(work);
     this.runThen(work, () => this.runWaiting(maxTurnMs));
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -151,6 +151,23 @@
   });
 });
 
+// After a wait in the VM, a server once got an order whose caller had given it up.
+describe('a request whose deadline has passed before it begins', () => {
+  test('is refused, and is not placed', async () => {
+    const refusals: string[] = [];
+    const uses: string[] = [];
+    const relay = {
+      ...relayWithoutServers(uses, new RetryWindow({ ratio: 0.2, windowMs: 10_000, slack: 0 }, 0)),
+      sendLocalResponse: (_res: unknown, _id: string, failure: { name: string }) =>
+        refusals.push(failure.name),
+    } as unknown as RelayContext;
+    const request = { ...requestFor('m1'), arrivedAtMs: NOW_MS - ROUTE.timeoutMs };
+    await new Exchange(relay, request).serve();
+    expect(refusals).toEqual(['NoCapacity']);
+    expect(uses).toEqual([]);
+  });
+});
+
 describe('a run-once request whose server does not respond', () => {
   test('is aborted some time after the route timeout', async () => {
     const server = http.createServer(() => undefined);
--- /dev/null
+++ b/test/units/relay/request-turns.test.ts
@@ -0,0 +1,84 @@
+import { describe, expect, test } from 'vitest';
+import * as clocks from '../../../src/core/clock/index.js';
+import { RequestTurns } from '../../../src/entry/relay/request-turns.js';
+
+function setUp() {
+  const state = { nowMs: 0, waits: 0 };
+  const scheduled: (() => void)[] = [];
+  const begun: string[] = [];
+  const turns = new RequestTurns({
+    nowMs: () => state.nowMs,
+    schedule: (handler) => scheduled.push(handler),
+    onWait: () => {
+      state.waits += 1;
+    },
+  });
+  const waitToBegin = async (name: string, tookMs: number, limitMs: number) => {
+    await turns.whenNext({ arrivedAtMs: state.nowMs, limitMs });
+    state.nowMs += tookMs;
+    begun.push(name);
+  };
+  const arrive = (name: string, tookMs: number, limitMs = 1_000) => {
+    waitToBegin(name, tookMs, limitMs).catch(() => undefined);
+  };
+  /** As in Node.js, what a handler has deferred runs before the next handler. */
+  const nextTurn = async () => {
+    await scheduled.splice(0).reduce(async (before, handler) => {
+      await before;
+      handler();
+      await clocks.sleep(0);
+    }, Promise.resolve());
+    return begun.splice(0);
+  };
+  return { turns, state, arrive, nextTurn, scheduled };
+}
+
+// A turn once began the requests of hundreds of callers, while those behind them were not accepted.
+describe('requests that come at once', () => {
+  test('begin in several turns if they take long, first come first served', async () => {
+    const { arrive, nextTurn, scheduled, state } = setUp();
+    ['a', 'b', 'c', 'd', 'e'].forEach((name) => arrive(name, 2));
+    expect(await nextTurn()).toEqual(['a', 'b', 'c']);
+    expect(state.waits).toBe(1);
+    expect(await nextTurn()).toEqual(['d', 'e']);
+    expect(state.waits).toBe(1);
+    expect(scheduled).toEqual([]);
+  });
+
+  test('begin in several turns if they are many', async () => {
+    const { arrive, nextTurn } = setUp();
+    const names = Array.from({ length: 50 }, (_, at) => `r${at}`);
+    names.forEach((name) => arrive(name, 0));
+    expect(await nextTurn()).toEqual(names.slice(0, 32));
+    expect(await nextTurn()).toEqual(names.slice(32));
+  });
+
+  test('begin in the order of the time in which they are due, so that the short ones are not late', async () => {
+    const { arrive, nextTurn } = setUp();
+    arrive('long', 6, 3_000);
+    arrive('longer', 6, 4_000);
+    arrive('short', 6, 1_000);
+    expect(await nextTurn()).toEqual(['short']);
+    arrive('another', 6, 1_000);
+    expect(await nextTurn()).toEqual(['another']);
+    expect(await nextTurn()).toEqual(['long']);
+    expect(await nextTurn()).toEqual(['longer']);
+  });
+
+  test('begin first if their time is over, to be refused', async () => {
+    const { arrive, nextTurn, state } = setUp();
+    arrive('due', 6, 3_000);
+    state.nowMs = 3_000;
+    arrive('short', 6, 1_000);
+    expect(await nextTurn()).toEqual(['due']);
+    expect(await nextTurn()).toEqual(['short']);
+  });
+
+  test('wait for the next turn while a caller connects', async () => {
+    const { turns, arrive, nextTurn } = setUp();
+    arrive('a', 1);
+    turns.hold();
+    expect(await nextTurn()).toEqual([]);
+    expect(await nextTurn()).toEqual(['a']);
+  });
+});
--- a/test/units/relay/work-turns.test.ts
+++ b/test/units/relay/work-turns.test.ts
@@ -57,16 +57,31 @@
     expect(done).toEqual(['b']);
   });
 
-  test('takes less of a turn in which a caller connects', () => {
+  test('takes less of a turn in which requests wait to begin', () => {
     const { turns, work, done, nextTurn } = setUp();
     ['a', 'b', 'c', 'd'].forEach((name) => turns.whenNext(work(name, 1)));
-    turns.noteConnection();
+    turns.shorten();
     nextTurn();
     expect(done).toEqual(['a']);
     nextTurn();
     expect(done).toEqual(['a', 'b', 'c', 'd']);
   });
 
+  test('takes nothing of a turn in which a caller connects, and goes on in the next', () => {
+    const { turns, work, done, nextTurn, scheduled } = setUp();
+    turns.hold();
+    expect(turns.isOpen).toBe(false);
+    ['a', 'b'].forEach((name) => turns.whenNext(work(name, 1)));
+    turns.shorten();
+    nextTurn();
+    expect(done).toEqual([]);
+    nextTurn();
+    expect(done).toEqual(['a', 'b']);
+    nextTurn();
+    expect(turns.isOpen).toBe(true);
+    expect(scheduled).toEqual([]);
+  });
+
   test('counts with what it has deferred', () => {
     const { turns, work, deferred, runDeferred } = setUp();
     turns.run(() => deferred.push(work('write', 9)));
