Begin the oldest request of several waiting ones, whatever its limit

Every fourth request that begins is the oldest one now. The new test of request-turns.test.ts fails without it by construction: eight requests with shorter limits arrive, one a turn, and each of them is chosen first.

--- a/src/entry/relay/request-turns.ts
+++ b/src/entry/relay/request-turns.ts
@@ -7,6 +7,8 @@
 const MAX_TURN_MS = 5;
 /** Requests that begin in a turn at most. */
 const MAX_REQUESTS = 32;
+/** One of so many requests is the oldest one, so that those with short limits starve no others. */
+const OLDEST_EACH = 4;
 
 export interface RequestTurnsOptions {
   /** Current time, ms. */
@@ -44,6 +46,9 @@
   /** Requests that wait to begin, in the order of their arrival. */
   private readonly waiting = new Set<Waiting>();
 
+  /** Requests that have begun. */
+  private begun = 0;
+
   private isScheduled = false;
 
   private isHeld = false;
@@ -54,7 +59,7 @@
     this.opts = { ...SYSTEM, ...opts };
   }
 
-  /** Resolves when a request may begin, in this turn or a later one; the shortest limit is first. */
+  /** Resolves when a request may begin, in this turn or a later one; mostly, the shortest limit is first. */
   whenNext(times: RequestTimes): Promise<void> {
     return new Promise((begin) => {
       this.waiting.add({ ...times, begin });
@@ -87,8 +92,11 @@
   }
 
   private beginNext(nowMs: number): void {
-    const next = this.mostUrgent(nowMs);
+    const isOldestNext = (this.begun + 1) % OLDEST_EACH === 0;
+    const [oldest] = this.waiting;
+    const next = isOldestNext ? oldest : this.mostUrgent(nowMs);
     if (next === undefined) return;
+    this.begun += 1;
     this.waiting.delete(next);
     next.begin();
   }
--- a/test/units/relay/request-turns.test.ts
+++ b/test/units/relay/request-turns.test.ts
@@ -65,6 +65,17 @@
     expect(await nextTurn()).toEqual(['longer']);
   });
 
+  test('begin although others with shorter limits go on arriving', async () => {
+    const { arrive, nextTurn } = setUp();
+    arrive('long', 6, 20_000);
+    const begun: string[] = [];
+    for (let at = 0; at < 8; at += 1) {
+      arrive(`short ${at}`, 6, 1_000);
+      begun.push(...(await nextTurn()));
+    }
+    expect(begun).toContain('long');
+  });
+
   test('begin first if their time is over, to be refused', async () => {
     const { arrive, nextTurn, state } = setUp();
     arrive('due', 6, 3_000);
