Abort attempts in several turns when many deadlines pass at once

Callers saw orders answered up to 0.6 s later than without it, as the VM stood still in the turn in which 500 streams reached their deadline.

The caller still gets its answer, or the end of its stream, when the timer fires.

--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -712,6 +712,15 @@
     if (this.request.route.retrySafety !== RetrySafety.once) this.aborter.abort();
   }
 
+  /** Aborts the attempt in this or a later turn: the deadlines of many requests may pass at once. */
+  private abortInTurn(): void {
+    const abort = contain(
+      () => this.aborter.abort(),
+      (err) => this.abort(err),
+    );
+    this.ctx.turns.whenNext(abort);
+  }
+
   private handleTimeout(): void {
     if (this.request.route.retrySafety === RetrySafety.once) {
       this.timer = setTimeout(() => this.aborter.abort(), OUTCOME_WAIT_MS);
@@ -719,6 +728,6 @@
     if (this.ended) return;
     this.ctx.dispatcher.cancel(this.queuedRequest.id);
     this.endUnserved('deadline exceeded', errors.data.NoCapacity, errors.data.TimedOut);
-    if (this.request.route.retrySafety !== RetrySafety.once) this.aborter.abort();
+    if (this.request.route.retrySafety !== RetrySafety.once) this.abortInTurn();
   }
 }
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -1,6 +1,6 @@
 /** Effects of a request on demand, the retry budget and incidents, however it ends. */
 import * as http from 'node:http';
-import { EventEmitter } from 'node:events';
+import { EventEmitter, once } from 'node:events';
 
 import { describe, expect, test } from 'vitest';
 import * as https from '../../../src/core/http/index.js';
@@ -168,6 +168,33 @@
   });
 });
 
+// The deadlines of 500 streams once passed in one turn, which lasted for 0.5 s: all were aborted in it.
+describe('a request whose deadline passes while a server runs it', () => {
+  test('is answered at once, and aborted when a turn has time for it', async () => {
+    const server = http.createServer(() => undefined);
+    const address = await https.listen(server, '127.0.0.1:0');
+    const cutOffServers: string[] = [];
+    const works: (() => void)[] = [];
+    const answer = new EventEmitter();
+    const answered = once(answer, 'sent');
+    const relay = {
+      ...relayTo(address, cutOffServers),
+      turns: { whenNext: (work: () => void) => works.push(work) },
+      sendLocalResponse: () => answer.emit('sent'),
+    } as unknown as RelayContext;
+    const route = { ...ROUTE, timeoutMs: 100 };
+    const request = { ...requestFor(null), route, arrivedAtMs: performance.now() };
+    const served = new Exchange(relay, request).serve();
+    await answered;
+    expect(cutOffServers).toEqual([]);
+    works.forEach((work) => work());
+    await served;
+    await https.close(server);
+    expect(works).toHaveLength(1);
+    expect(cutOffServers).toEqual(['s1']);
+  });
+});
+
 describe('a run-once request whose server does not respond', () => {
   test('is aborted some time after the route timeout', async () => {
     const server = http.createServer(() => undefined);
