Tell the service of the loads that requests wait for

A request whose model has no replica waits for the loads that the steward announces, by model and software version. Found by reading: a load of a model of the same name in another service counted too, so that a caller waited for it, or was refused with its time, though its own service loads nothing then. The forecast of queued loads had the same fault.

Announced loads name their service. Those of an older steward name none and count for each service, as before.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -207,7 +207,7 @@
         replicaOf(engine, model) !== undefined;
       const spec = engines[0]?.spec.models.get(model);
       if (spec === undefined || engines.some(isAvailable)) return [];
-      return [{ model, version, loadMs: spec.remoteLoadMs }];
+      return [{ service, model, version, loadMs: spec.remoteLoadMs }];
     });
   }
 
--- a/src/decisions/swaps/load-forecast.ts
+++ b/src/decisions/swaps/load-forecast.ts
@@ -8,6 +8,7 @@
 
 /** A model that is queued for a load from the weight store. */
 export interface QueuedLoad {
+  readonly service: string;
   readonly model: string;
   /** Software version of the engines that may load it; null for any. */
   readonly version: string | null;
@@ -15,7 +16,7 @@
   readonly loadMs: number;
 }
 
-export interface ForecastLoad extends Pick<QueuedLoad, 'model' | 'version'> {
+export interface ForecastLoad extends Pick<QueuedLoad, 'service' | 'model' | 'version'> {
   readonly readyAtMs: number;
 }
 
@@ -37,10 +38,10 @@
     .map((atMs) => Math.max(nowMs, atMs))
     .sort((a, b) => a - b)
     .slice(-slotCount);
-  return queue.map(({ model, version, loadMs }) => {
+  return queue.map(({ service, model, version, loadMs }) => {
     const readyAtMs = (slotFreeAtMs.shift() ?? nowMs) + loadMs;
     slotFreeAtMs.push(readyAtMs);
     slotFreeAtMs.sort((a, b) => a - b);
-    return { model, version, readyAtMs };
+    return { service, model, version, readyAtMs };
   });
 }
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -206,12 +206,14 @@
     const healthy = [...this.engines.values()].filter((engine) => this.isHealthy(engine));
     const inProgress = healthy.flatMap((engine) =>
       engine.orders.loading.map((model) => ({
+        service: engine.server.service,
         model,
         version: engine.server.version,
         readyAtMs: engine.loadEndsAtMs,
       })),
     );
-    return [...inProgress, ...this.forecast].map(({ model, version, readyAtMs }) => ({
+    return [...inProgress, ...this.forecast].map(({ service, model, version, readyAtMs }) => ({
+      service,
       model,
       adapter: null,
       version,
@@ -404,8 +406,11 @@
 
   private forecastQueue(view: SwapView, actions: readonly SwapAction[]): void {
     const started = actions.flatMap((action) => servedBy(view, action));
-    const isStarted = ({ model, version }: QueuedLoad) =>
-      started.some((served) => served.model === model && served.version === version);
+    const isStarted = ({ service, model, version }: QueuedLoad) =>
+      started.some(
+        (served) =>
+          served.service === service && served.model === model && served.version === version,
+      );
     const queue = this.planner.queuedLoads(view).filter((load) => !isStarted(load));
     const startedFromStore = actions.filter(({ fromStore }) => fromStore).length;
     const ends = this.runningStoreLoads().map(({ loadEndsAtMs }) => loadEndsAtMs);
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -141,7 +141,8 @@
   readyAtMs(need: Need): number | null {
     const ends = this.loads
       .filter(
-        ({ model, adapter, version }) =>
+        ({ service, model, adapter, version }) =>
+          (service === null || service === need.service) &&
           model === need.model &&
           adapter === null &&
           (need.version == null || version === need.version),
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -100,6 +100,8 @@
 
 /** A model load that is in progress or queued, and the expected time to its end. */
 const loadViewSchema = z.object({
+  /** Service of the engine; null if an older steward does not tell it. */
+  service: z.string().nullable().default(null),
   model: z.string(),
   adapter: z.string().nullable(),
   /** Software version of the engine; null if it is not known yet. */
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -521,7 +521,9 @@
     const engines = this.engineViews();
     const engineTexts = new Map(engines.map((engine) => [engine.id, JSON.stringify(engine)]));
     const loads = this.engineController?.loads(nowMs) ?? [];
-    const loadsKey = loads.map(({ model, adapter }) => `${model}/${adapter}`).join();
+    const loadsKey = loads
+      .map(({ service, model, adapter }) => `${service}/${model}/${adapter}`)
+      .join();
     [...this.members].forEach((member, at) =>
       Object.assign(member, { mayUseReserve: at < RESERVE_HOLDERS }),
     );
