Load a model from a copy while a load from the weight store is in progress

What callers see: after a crash, requests for a model wait for a load of 6 s from the weight store that began before, although another server has a copy of the weights, from which it is loaded in 0.6 s.

Cause: a load in progress counts as a replica of the future, however long it takes.

Test: swaps.test.ts, 'is loaded from a copy at once if no engine has it loaded', failed before (no load planned).

Change: if no server has the model loaded and all its loads come from the store, it is also loaded from a copy, never a second time from the store.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -329,8 +329,9 @@
   ): SwapAction | null {
     const { model } = demand;
     const engines = view.enginesByTarget.get(targetKey(demand)) ?? [];
-    if (!this.needsReplica(view, engines, demand)) return null;
     const holders = view.holdersByModel.get(modelKey(demand)) ?? [];
+    const isNeeded = this.needsReplica(view, engines, demand);
+    if (!isNeeded && (holders.length > 0 || !this.isOnlyLoadedSlowly(engines, model))) return null;
     const overdue = view.nowMs > demand.dueAtMs + OVERDUE_MS;
     const options = engines
       .filter((engine) => engine.open && !assignedEngines.has(engine.id))
@@ -346,6 +347,7 @@
     );
     const isUsable = ({ fromStore, evict, delayToOthersMs: delayMs }: LoadOption) => {
       if (!fromStore) return true;
+      if (!isNeeded) return false;
       if (holders.length === 0) return storeLoadsLeft > 0 && (!copyExists || evict.length === 0);
       // If only engines that hold the model have a copy, another replica can only come from the
       // store.
@@ -397,6 +399,12 @@
     );
   }
 
+  /** Whether all loads of the model come from the weight store. */
+  private isOnlyLoadedSlowly(engines: readonly EngineState[], model: string): boolean {
+    const loading = engines.filter((engine) => isLoading(engine, model));
+    return loading.length > 0 && !loading.some((engine) => hasCopy(engine, model));
+  }
+
   /** Number of replicas needed to serve queued and running requests at `MAX_UTILISATION`. */
   private replicasNeeded(
     view: IndexedView,
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -463,6 +463,15 @@
     expect(loadsOf(actions).filter((text) => text === 'e3 hot')).toHaveLength(1);
   });
 
+  // After a crash, requests waited for the load of 6 s instead.
+  test('is loaded from a copy at once if no engine has it loaded', () => {
+    const pendingDemand = [demandFor('hot', { waiting: 2 })];
+    const withCopy = [loadingEngine, engineWithCopy, ...others];
+    expect(loadsOf(plan({ engines: withCopy, pendingDemand }))).toEqual(['e3 hot']);
+    const noCopy = [loadingEngine, ...others];
+    expect(plan({ engines: noCopy, pendingDemand })).toEqual([]);
+  });
+
   test('is not loaded again if the load in progress is enough', () => {
     expect(plan({ engines, pendingDemand: [demandFor('hot', { waiting: 4 })] })).toEqual([]);
   });
