Test: keep the sound model off the server that sends without end

Seen: orders of "in the form of ..." answered 502 (also 504, or not at all). Traced in the VM's log (endless-responses beside three files of real processes): each order with 502 had been sent to desk-1, the faulty server ("broken ... desk-1-1, response arrives in too small pieces"). A server had room for two models, so that the steward loaded the sound model at the faulty server as orders waited ("order-planned desk-1-1 load m0, free memory"), and the faulty model at the sound one. The test means to ask whether the faulty server of one model takes anything from orders for another.

Change: each server has room for its own model only.

--- a/test/failures/endless-responses.test.ts
+++ b/test/failures/endless-responses.test.ts
@@ -133,6 +133,8 @@
         servers: 2,
         crash: {},
         models: [SOUND_MODEL, FAULTY_MODEL],
+        // The faulty server would otherwise be told to load the sound model too.
+        roomModels: 1,
         slots: SLOTS,
         durationMs: FAULTY_MS + CONNECT_MS,
       });
