Begin requests that can be served before those whose time is over

Callers of orders still had answers up to 2.5 s late (2,457 ms, bound 1.5 s) beside three busy processes (load 41), though their heads were read within 0.3 s: since, requests whose limit had passed were begun first, to be refused, and at 3.1 s the limits of 467 of 500 streams passed.

--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -27,7 +27,7 @@
 import type { BodyClaim, BodyMemory } from './body-memory.js';
 import type { RelayContext } from './context.js';
 import { Exchange } from './exchange.js';
-import { type RequestTimes, RequestTurns } from './request-turns.js';
+import { RequestTurns } from './request-turns.js';
 import type { RoutedRequest } from './routed-request.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { RequestMetadata } from './types.js';
@@ -133,7 +133,6 @@
   private readonly turns = new WeakMap<Socket, ConnectionTurns>();
 
   private readonly requestTurns = new RequestTurns({
-    nowMs: () => this.opts.ctx.clock.steadyMs(),
     onWait: () => this.opts.ctx.turns.shorten(),
   });
 
@@ -248,13 +247,12 @@
     }
   }
 
-  /** Until when a request can wait to begin; not at all if it will be refused. */
-  private timesOf(req: http.IncomingMessage, arrivedAtMs: number): RequestTimes {
+  /** Time from its arrival in which the response to a request is due, ms; 0 if it will be refused. */
+  private limitMs(req: http.IncomingMessage): number {
     const { plan } = this.opts.storeWatcher;
     const metadata = this.opts.ctx.wire.decodeRequest(req.rawHeaders);
     const route = plan === null ? null : findRoute(plan, req.headers.host ?? '', req.url ?? '/');
-    const limitMs = Math.min(route?.timeoutMs ?? 0, metadata?.deadlineMs ?? Infinity);
-    return { arrivedAtMs, limitMs };
+    return Math.min(route?.timeoutMs ?? 0, metadata?.deadlineMs ?? Infinity);
   }
 
   private async handle(
@@ -265,7 +263,7 @@
     this.active += 1;
     res.on('error', (err) => this.opts.logger.debug('caller-lost', { reason: err.message }));
     try {
-      await this.requestTurns.whenNext(this.timesOf(req, arrivedAtMs));
+      await this.requestTurns.whenNext(this.limitMs(req));
       if (req.socket.writable) await this.serve(req, res, arrivedAtMs);
     } catch (err) {
       this.opts.logger.error('request-failed', { reason: errors.describe(err) });
--- a/src/entry/relay/request-turns.ts
+++ b/src/entry/relay/request-turns.ts
@@ -26,22 +26,11 @@
   },
 };
 
-/** Until when a request can wait to begin. */
-export interface RequestTimes {
-  readonly arrivedAtMs: number;
-  /** Time from its arrival in which its response is due, ms. */
+interface Waiting {
   readonly limitMs: number;
-}
-
-interface Waiting extends RequestTimes {
   begin(): void;
 }
 
-/** The lower, the sooner a request begins; one that is due already will be refused, which is short. */
-function urgency(nowMs: number, { arrivedAtMs, limitMs }: RequestTimes): number {
-  return nowMs - arrivedAtMs >= limitMs ? 0 : limitMs;
-}
-
 export class RequestTurns {
   /** Requests that wait to begin, in the order of their arrival. */
   private readonly waiting = new Set<Waiting>();
@@ -59,10 +48,13 @@
     this.opts = { ...SYSTEM, ...opts };
   }
 
-  /** Resolves when a request may begin, in this turn or a later one; mostly, the shortest limit is first. */
-  whenNext(times: RequestTimes): Promise<void> {
+  /**
+   * Resolves when a request may begin, in this turn or a later one; the shortest limit is mostly first.
+   * @param limitMs Time from its arrival in which its response is due, ms.
+   */
+  whenNext(limitMs: number): Promise<void> {
     return new Promise((begin) => {
-      this.waiting.add({ ...times, begin });
+      this.waiting.add({ limitMs, begin });
       this.scheduleTurn();
     });
   }
@@ -84,27 +76,25 @@
     });
     Array.from({ length: MAX_REQUESTS }, () =>
       opts.schedule(() => {
-        const nowMs = opts.nowMs();
-        if (nowMs < untilMs) this.beginNext(nowMs);
+        if (opts.nowMs() < untilMs) this.beginNext();
       }),
     );
     opts.schedule(() => this.endTurn());
   }
 
-  private beginNext(nowMs: number): void {
+  private beginNext(): void {
     const isOldestNext = (this.begun + 1) % OLDEST_EACH === 0;
     const [oldest] = this.waiting;
-    const next = isOldestNext ? oldest : this.mostUrgent(nowMs);
+    const next = isOldestNext ? oldest : this.mostUrgent();
     if (next === undefined) return;
     this.begun += 1;
     this.waiting.delete(next);
     next.begin();
   }
 
-  private mostUrgent(nowMs: number): Waiting | undefined {
+  private mostUrgent(): Waiting | undefined {
     return [...this.waiting].reduce<Waiting | undefined>(
-      (best, entry) =>
-        best === undefined || urgency(nowMs, entry) < urgency(nowMs, best) ? entry : best,
+      (best, entry) => (best === undefined || entry.limitMs < best.limitMs ? entry : best),
       undefined,
     );
   }
