Keep crowded models at three servers of each version while several serve

After a release, the servers of one version that had the model asked for most crashed together. Its streams can only go on at that version, and the next server had the model 6 s later.

Cause: places are counted when requests wait, not by what a crash would take away.

Change: while several versions of a service serve, each model asked for more than three times a second that has four requests or more at a version is to have three places there (loaded, being loaded, or a copy). Missing ones are loaded from the store ahead of queued requests; a second one may exceed the limit of concurrent loads by one. With one version nothing changes.

Test: swaps.test.ts, 'crowded streams that only a few servers of one version can continue': five of its cases failed before (no load planned).

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -10,10 +10,11 @@
  * in highest demand are preloaded into free memory, so that a new engine can serve requests for
  * them at once.
  */
-import { OrderStepType } from '../engine-orders/index.js';
+import { type OrderStep, OrderStepType } from '../engine-orders/index.js';
 import type { ModelSpec } from '../fleet-plan/index.js';
 import type { QueuedLoad } from './load-forecast.js';
 import type { EngineState, Replica, SwapAction, SwapView, PendingDemand } from './types.js';
+import { findPlaceNeeds, type PlaceNeed } from './version-places.js';
 import { type IndexedView, indexView, modelKey, type ModelNeed, targetKey } from './view-index.js';
 
 export { type ForecastLoad, forecastLoads, type QueuedLoad } from './load-forecast.js';
@@ -54,6 +55,11 @@
  * one version can't go on at the other.
  */
 const OTHER_VERSION_COST_MS = 1_500;
+/**
+ * Servers of a version that have a crowded model below which another place may exceed the usual
+ * number of loads from the weight store.
+ */
+const URGENT_PLACES = 2;
 /** Slot utilisation, over all engines with a model, above which the model gets another replica. */
 const MAX_UTILISATION = 0.6;
 /** Queued requests without an adapter at which a loaded model gets another replica. */
@@ -92,6 +98,15 @@
   return engine.replicas.find((replica) => replica.model === model);
 }
 
+function loadSteps(evict: readonly Replica[], model: string): readonly OrderStep[] {
+  const unloads = evict.map((replica) => ({
+    type: OrderStepType.unload,
+    model: replica.model,
+    adapter: null,
+  }));
+  return [...unloads, { type: OrderStepType.load, model, adapter: null }];
+}
+
 /** Whether a load of the model is expected to end: an engine that does not respond may never do it. */
 function isLoading({ healthy, loading }: EngineState, model: string): boolean {
   return healthy && loading.includes(model);
@@ -137,7 +152,11 @@
     const view = indexView(input);
     const assignedEngines = new Set<string>();
     const placedModels = new Set<string>();
-    let { storeLoadsLeft } = view;
+    const placeActions = this.loadPlaces(view, assignedEngines);
+    placeActions
+      .flatMap((action) => servedBy(view, action))
+      .forEach((served) => placedModels.add(modelKey(served)));
+    let storeLoadsLeft = Math.max(0, view.storeLoadsLeft - placeActions.length);
     const byUrgency = [...view.pendingDemand].sort(
       (a, b) => urgencyOf(view.nowMs, b) - urgencyOf(view.nowMs, a),
     );
@@ -161,8 +180,9 @@
         return [action];
       }),
     );
+    const actions = [...placeActions, ...demandActions];
     const loadingModels = new Set(
-      demandActions.flatMap(({ steps: all }) => all.map(({ model }) => model)),
+      actions.flatMap(({ steps: all }) => all.map(({ model }) => model)),
     );
     const preloadActions = view.engines.flatMap((engine) => {
       if (!engine.open || assignedEngines.has(engine.id)) return [];
@@ -177,7 +197,45 @@
       if (action.fromStore) storeLoadsLeft -= 1;
       return [action];
     });
-    return [...demandActions, ...preloadActions];
+    return [...actions, ...preloadActions];
+  }
+
+  /**
+   * Loads crowded models from the weight store at versions at which few servers have them. The
+   * engines are added to `assignedEngines`.
+   */
+  private loadPlaces(view: IndexedView, assignedEngines: Set<string>): readonly SwapAction[] {
+    const actions: SwapAction[] = [];
+    findPlaceNeeds(view).forEach((need) => {
+      const isUrgent = need.places < URGENT_PLACES;
+      if (actions.length >= (isUrgent ? view.placeLoadsLeft : view.storeLoadsLeft)) return;
+      const action = this.loadPlace(view, need, assignedEngines);
+      if (action === null) return;
+      assignedEngines.add(action.engineId);
+      actions.push(action);
+    });
+    return actions;
+  }
+
+  private loadPlace(
+    view: IndexedView,
+    need: PlaceNeed,
+    assignedEngines: ReadonlySet<string>,
+  ): SwapAction | null {
+    const { model } = need;
+    const best = (view.enginesByTarget.get(targetKey(need)) ?? [])
+      .filter((engine) => engine.open && !assignedEngines.has(engine.id))
+      .filter((engine) => replicaOf(engine, model) === undefined && !hasCopy(engine, model))
+      .flatMap((engine) => this.cheapestOption(view, engine, model, false))
+      .filter(({ delayToOthersMs }) => delayToOthersMs <= MAX_COST_MS)
+      .sort((a, b) => a.costMs - b.costMs)[0];
+    if (best === undefined) return null;
+    return {
+      engineId: best.engine.id,
+      steps: loadSteps(best.evict, model),
+      fromStore: true,
+      reason: `servers of the version that have the model: ${need.places}`,
+    };
   }
 
   /**
@@ -356,14 +414,9 @@
     };
     const best = options.find(isUsable);
     if (best === undefined || (!best.fromStore && best.costMs > maxCostMs)) return null;
-    const unloads = best.evict.map((replica) => ({
-      type: OrderStepType.unload,
-      model: replica.model,
-      adapter: null,
-    }));
     return {
       engineId: best.engine.id,
-      steps: [...unloads, { type: OrderStepType.load, model, adapter: null }],
+      steps: loadSteps(best.evict, model),
       fromStore: best.fromStore,
       reason: `queued requests for the model: ${demand.waiting}`,
     };
--- a/src/decisions/swaps/types.ts
+++ b/src/decisions/swaps/types.ts
@@ -78,6 +78,8 @@
   readonly rates: ModelRates;
   /** Number of loads from the weight store that may start now. */
   readonly storeLoadsLeft: number;
+  /** The same for crowded models that few servers of a version have: one more may run. */
+  readonly placeLoadsLeft: number;
 }
 
 /** Steps for one engine, in order. */
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -58,6 +58,8 @@
  * load may start later than its order.
  */
 const STORE_RATE_FRACTION = 0.8;
+/** Loads beyond the store's limit for crowded models that few servers of a version have. */
+const EXTRA_PLACE_LOADS = 1;
 /** Capacity of the token bucket for loads from the weight store; each load takes one token. */
 const STORE_BURST = 2;
 /** Expected duration of an adapter load, ms. */
@@ -369,8 +371,8 @@
     this.plannedDemand = key;
     const rates = this.usageTracker.rates(nowMs);
     const engines = this.engineStates(nowMs, rates);
-    const storeLoadsLeft = this.storeLoadsLeft(nowMs);
-    const view = { nowMs, engines, pendingDemand: demand, rates, storeLoadsLeft };
+    const loadsLeft = this.loadsLeft(nowMs);
+    const view = { nowMs, engines, pendingDemand: demand, rates, ...loadsLeft };
     const actions = this.planner.plan(view);
     this.forecastQueue(view, actions);
     actions.forEach((action) => {
@@ -506,7 +508,7 @@
   }
 
   /** Number of loads that the weight store's load rate and concurrency limit allow to start now. */
-  private storeLoadsLeft(nowMs: number): number {
+  private loadsLeft(nowMs: number): Pick<SwapView, 'storeLoadsLeft' | 'placeLoadsLeft'> {
     const rates = [...this.engines.values()].map(({ spec }) => spec.loadsPerS);
     const perS = rates.length === 0 ? 0 : Math.min(...rates) * STORE_RATE_FRACTION;
     const gained = ((nowMs - this.storeTokensAtMs) / MS_PER_S) * perS;
@@ -517,7 +519,11 @@
       Object.assign(load, { maxConcurrent: Math.max(load.maxConcurrent, running.length) }),
     );
     const freeLoads = this.storeConcurrency.atOnce - running.length;
-    return Math.max(0, Math.min(Math.floor(this.storeTokens), freeLoads));
+    const bounded = (loads: number) => Math.max(0, Math.min(Math.floor(this.storeTokens), loads));
+    return {
+      storeLoadsLeft: bounded(freeLoads),
+      placeLoadsLeft: bounded(freeLoads + EXTRA_PLACE_LOADS),
+    };
   }
 
   /** Sends the due engine order, in the same synchronous step as the check of the lease. */
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -88,6 +88,7 @@
     nowMs: NOW_MS,
     rates: new Map(),
     storeLoadsLeft: 4,
+    placeLoadsLeft: 4,
     ...view,
   });
 }
@@ -366,6 +367,7 @@
       pendingDemand: [demandFor('m5'), demandFor('m5', { version: 'v1' })],
       rates: new Map(),
       storeLoadsLeft: 0,
+      placeLoadsLeft: 0,
     });
     expect(queued.map(({ model, version }) => [model, version])).toEqual([['m5', 'v1']]);
   });
@@ -401,6 +403,73 @@
   });
 });
 
+describe('crowded streams that only a few servers of one version can continue', () => {
+  // After a release, all servers of a version that had a crowded model crashed together.
+  const crowded = replica('hot', { running: 20 });
+  const at = (id: string, version: string, replicas: readonly Replica[], onDisk: string[] = []) =>
+    engine(id, replicas, onDisk, { version });
+  const full = [replica('m1'), replica('m2'), replica('m3')];
+  const rates = new Map([['hot', 15]]);
+  const old = [at('e2', 'v1', full), at('e3', 'v1', full), at('e4', 'v1', full)];
+  const others = [at('e5', 'v2', [replica('hot')], ['hot']), at('e6', 'v2', full, ['hot'])];
+  const engines = [at('e1', 'v1', [crowded], ['hot']), ...old, ...others];
+  const planLoads = (view: Partial<SwapView>) =>
+    loadsOf(plan({ engines, pendingDemand: [], rates, ...view }));
+
+  test('get another server of their version before it crashes', () => {
+    expect(planLoads({})).toEqual(['e2 hot']);
+  });
+
+  test('need none if enough servers of their version have a copy', () => {
+    const copies = ['e2', 'e3'].map((id) => at(id, 'v1', full, ['hot']));
+    expect(planLoads({ engines: [engines[0]!, ...copies, old[2]!, ...others] })).toEqual([]);
+  });
+
+  test('get one although rarely used models take up the weight store', () => {
+    const pendingDemand = [demandFor('m5', { waiting: 3, dueAtMs: NOW_MS - 5_000 })];
+    expect(planLoads({ pendingDemand, storeLoadsLeft: 0, placeLoadsLeft: 1 })).toEqual(['e2 hot']);
+  });
+
+  test('get a third one within the usual number of loads only', () => {
+    const two = [engines[0]!, at('e2', 'v1', full, ['hot']), ...old.slice(1), ...others];
+    const view = { engines: two, pendingDemand: [demandFor('m5')], placeLoadsLeft: 2 };
+    expect(planLoads({ ...view, storeLoadsLeft: 0 })).toEqual([]);
+    expect(planLoads({ ...view, storeLoadsLeft: 1 })).toEqual(['e3 hot']);
+    expect(planLoads({ ...view, storeLoadsLeft: 2 })).toEqual(['e3 hot', 'e1 m5']);
+  });
+
+  test('count neither servers that leave nor those that do not respond', () => {
+    const gone = ['e7', 'e8'].map((id) =>
+      engine(id, [crowded], ['hot'], { healthy: false, open: false }),
+    );
+    expect(planLoads({ engines: [...gone, ...engines] })).toEqual(['e2 hot']);
+  });
+
+  test('wait while the servers of their version have replicas in use', () => {
+    const inUse = ['e2', 'e3'].map((id) =>
+      at(
+        id,
+        'v1',
+        ['m1', 'm2', 'm3'].map((name) => replica(name, { running: 3 })),
+      ),
+    );
+    expect(planLoads({ engines: [engines[0]!, ...inUse, ...others] })).toEqual([]);
+  });
+
+  test('get one once they wait for a load after a crash', () => {
+    const loading = at('e1', 'v1', full);
+    const view = {
+      engines: [{ ...loading, loading: ['hot'], open: false }, ...old, ...others],
+      pendingDemand: [demandFor('hot', { version: 'v1', waiting: 9 })],
+    };
+    expect(planLoads(view)).toEqual(['e2 hot']);
+  });
+
+  test('need no such place while one version serves', () => {
+    expect(planLoads({ engines: [engines[0]!, ...old] })).toEqual([]);
+  });
+});
+
 describe('an engine that stops responding before its load ends', () => {
   // Such a load must not count as progress until the engine is gone from the list of servers.
   const crashed = (fields: Partial<EngineState>) =>
