Refuse requests in time although they wait to begin

A request that waits for its turn to begin has no timer yet: its deadline was seen when it began. Beside orders that go on arriving, requests with longer limits could be left for seconds after their time was over, neither answered nor refused; and at the exit of the process, requests that still waited were reset.

Up to 16 requests whose time is over begin in each turn beside the others: they are refused, which is short. At the exit all that wait begin, and are refused as the process is leaving. The time since which work waits for new callers is set anew after a pause without any.

--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -136,9 +136,11 @@
     onWait: () => this.opts.ctx.turns.shorten(),
   });
 
-  /** Since when work waits for new callers; null if it has run since the last one. */
+  /** Since when work waits for new callers; null if it does not. */
   private heldSinceMs: number | null = null;
 
+  private connectedAtMs = -Infinity;
+
   /** Requests that are being served. */
   private readonly exchanges = new Set<Exchange>();
 
@@ -209,6 +211,7 @@
 
   /** Answers the requests that are still open when the process is about to exit. */
   endOpenRequests(): void {
+    this.requestTurns.beginAll();
     this.exchanges.forEach((exchange) => exchange.endForShutdown());
   }
 
@@ -238,6 +241,8 @@
   private holdTurn(): void {
     const { clock, turns } = this.opts.ctx;
     const nowMs = clock.steadyMs();
+    if (nowMs - this.connectedAtMs > MAX_HOLD_MS) this.heldSinceMs = null;
+    this.connectedAtMs = nowMs;
     this.heldSinceMs ??= nowMs;
     if (nowMs - this.heldSinceMs < MAX_HOLD_MS) {
       turns.hold();
--- a/src/entry/relay/request-turns.ts
+++ b/src/entry/relay/request-turns.ts
@@ -9,6 +9,8 @@
 const MAX_REQUESTS = 32;
 /** One of so many requests is the oldest one, so that those with short limits starve no others. */
 const OLDEST_EACH = 4;
+/** Requests whose time is over that are also begun in a turn at most: they are refused, which is short. */
+const MAX_OVERDUE = 16;
 
 export interface RequestTurnsOptions {
   /** Current time, ms. */
@@ -28,6 +30,8 @@
 
 interface Waiting {
   readonly limitMs: number;
+  /** When its time is over, ms. */
+  readonly dueAtMs: number;
   begin(): void;
 }
 
@@ -54,11 +58,16 @@
    */
   whenNext(limitMs: number): Promise<void> {
     return new Promise((begin) => {
-      this.waiting.add({ limitMs, begin });
+      this.waiting.add({ limitMs, dueAtMs: this.opts.nowMs() + limitMs, begin });
       this.scheduleTurn();
     });
   }
 
+  /** Begins all requests at once, as the process is about to exit. */
+  beginAll(): void {
+    this.waiting.forEach((entry) => this.begin(entry));
+  }
+
   /** Begins no request in the current turn. */
   hold(): void {
     this.isHeld = true;
@@ -79,24 +88,38 @@
         if (opts.nowMs() < untilMs) this.beginNext();
       }),
     );
-    opts.schedule(() => this.endTurn());
+    opts.schedule(() => {
+      if (untilMs > -Infinity) this.beginOverdue();
+      this.endTurn();
+    });
   }
 
   private beginNext(): void {
     const isOldestNext = (this.begun + 1) % OLDEST_EACH === 0;
     const [oldest] = this.waiting;
-    const next = isOldestNext ? oldest : this.mostUrgent();
+    const next = isOldestNext ? oldest : this.shortestLimit();
     if (next === undefined) return;
     this.begun += 1;
-    this.waiting.delete(next);
-    next.begin();
+    this.begin(next);
   }
 
-  private mostUrgent(): Waiting | undefined {
-    return [...this.waiting].reduce<Waiting | undefined>(
-      (best, entry) => (best === undefined || entry.limitMs < best.limitMs ? entry : best),
-      undefined,
-    );
+  private beginOverdue(): void {
+    const nowMs = this.opts.nowMs();
+    const overdue = [...this.waiting].filter(({ dueAtMs }) => dueAtMs <= nowMs);
+    overdue.slice(0, MAX_OVERDUE).forEach((entry) => this.begin(entry));
+  }
+
+  private begin(entry: Waiting): void {
+    this.waiting.delete(entry);
+    entry.begin();
+  }
+
+  private shortestLimit(): Waiting | undefined {
+    let shortest: Waiting | undefined;
+    this.waiting.forEach((entry) => {
+      if (shortest === undefined || entry.limitMs < shortest.limitMs) shortest = entry;
+    });
+    return shortest;
   }
 
   private endTurn(): void {
