Let sound streams go on while the attempts of late requests are aborted

They have a queue of their own, from which up to 16 run in each turn; it closes no turn for streams. The test of WorkTurns uses the new method, so it can't run on the old sources; there a stream stood behind all aborts.

--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -31,7 +31,10 @@
   /** Counts the bytes of the responses of all requests. */
   readonly memory: Pick<ResponseMemory, 'open'>;
   /** Bounds the time for which one turn of the event loop reads and relays responses. */
-  readonly turns: Pick<WorkTurns, 'isOpen' | 'run' | 'noteRead' | 'whenNext' | 'shorten' | 'hold'>;
+  readonly turns: Pick<
+    WorkTurns,
+    'isOpen' | 'run' | 'noteRead' | 'whenNext' | 'cleanUpLater' | 'shorten' | 'hold'
+  >;
   readonly clock: Clock;
   readonly metrics: Metrics;
   /** Retry-After when the time until capacity is available is unknown, ms. */
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -712,13 +712,13 @@
     if (this.request.route.retrySafety !== RetrySafety.once) this.aborter.abort();
   }
 
-  /** Aborts the attempt in this or a later turn: the deadlines of many requests may pass at once. */
-  private abortInTurn(): void {
+  /** Aborts the attempt in a later turn: the deadlines of many requests may pass at once. */
+  private abortLater(): void {
     const abort = contain(
       () => this.aborter.abort(),
       (err) => this.abort(err),
     );
-    this.ctx.turns.whenNext(abort);
+    this.ctx.turns.cleanUpLater(abort);
   }
 
   private handleTimeout(): void {
@@ -728,6 +728,6 @@
     if (this.ended) return;
     this.ctx.dispatcher.cancel(this.queuedRequest.id);
     this.endUnserved('deadline exceeded', errors.data.NoCapacity, errors.data.TimedOut);
-    if (this.request.route.retrySafety !== RetrySafety.once) this.abortInTurn();
+    if (this.request.route.retrySafety !== RetrySafety.once) this.abortLater();
   }
 }
--- a/src/entry/relay/work-turns.ts
+++ b/src/entry/relay/work-turns.ts
@@ -7,6 +7,8 @@
 const MAX_TURN_MS = 5;
 /** The same in a turn in which requests wait to begin, ms. */
 const MAX_CROWDED_TURN_MS = 1;
+/** Pieces of work without a waiting caller that run in a turn at most. */
+const MAX_CLEANUPS = 16;
 
 export interface WorkTurnsOptions {
   /** Current time, ms. */
@@ -31,6 +33,9 @@
   /** Work that waits for a later turn, first come first served. */
   private readonly waiting = new Set<() => void>();
 
+  /** Work that no caller waits for, first come first served. */
+  private readonly cleanups: (() => void)[] = [];
+
   private spentMs = 0;
 
   /** When the current turn began to read responses, ms; null if it has read none. */
@@ -74,6 +79,12 @@
     return () => this.waiting.delete(work);
   }
 
+  /** Runs work that no caller waits for in a later turn; streams don't wait for it. It must not throw. */
+  cleanUpLater(work: () => void): void {
+    this.scheduleNext();
+    this.cleanups.push(work);
+  }
+
   /** Shortens the current turn, as requests wait to begin. */
   shorten(): void {
     this.limit(MAX_CROWDED_TURN_MS);
@@ -102,6 +113,8 @@
     const { maxTurnMs } = this;
     this.maxTurnMs = MAX_TURN_MS;
     this.runWaiting(maxTurnMs);
+    if (maxTurnMs > 0) this.cleanups.splice(0, MAX_CLEANUPS).forEach((work) => work());
+    if (this.cleanups.length > 0) this.scheduleNext();
   }
 
   private runWaiting(maxTurnMs: number): void {
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -179,7 +179,7 @@
     const answered = once(answer, 'sent');
     const relay = {
       ...relayTo(address, cutOffServers),
-      turns: { whenNext: (work: () => void) => works.push(work) },
+      turns: { cleanUpLater: (work: () => void) => works.push(work) },
       sendLocalResponse: () => answer.emit('sent'),
     } as unknown as RelayContext;
     const route = { ...ROUTE, timeoutMs: 100 };
--- a/test/units/relay/work-turns.test.ts
+++ b/test/units/relay/work-turns.test.ts
@@ -60,6 +60,23 @@
     expect(turns.isOpen).toBe(true);
   });
 
+  // After the deadlines of hundreds of requests, sound streams waited until all were aborted.
+  test('does not wait for work without a caller, of which some runs in each turn', () => {
+    const { turns, runNow, work, done, nextTurn, scheduled } = setUp();
+    Array.from({ length: 40 }, (_, at) => turns.cleanUpLater(work(`abort ${at}`, 1)));
+    expect(turns.isOpen).toBe(true);
+    runNow(work('a', 1));
+    turns.whenNext(work('b', 1));
+    nextTurn();
+    expect(done.slice(0, 3)).toEqual(['a', 'b', 'abort 0']);
+    expect(done).toHaveLength(2 + 16);
+    nextTurn();
+    nextTurn();
+    expect(done).toHaveLength(2 + 40);
+    nextTurn();
+    expect(scheduled).toEqual([]);
+  });
+
   test('that is withdrawn does not run', () => {
     const { turns, work, done, nextTurn } = setUp();
     const withdraw = turns.whenNext(work('a', 1));
