Read the body of a request before it waits for its turn

Cause: since requests begin in several turns, a request waited before its body was read. Node.js keeps what has arrived meanwhile, each chunk as a piece of its own, and neither the memory for bodies nor the count of pieces knows of it.

The wait comes between the body and the placing of the request now. Heads are checked, and refused, at once again, as before the turns.

--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -78,6 +78,11 @@
   readonly retryAfterMs: number | null;
 }
 
+/** Time from its arrival in which the response to a request is due, ms. */
+function limitOf({ timeoutMs }: Route, { deadlineMs }: RequestMetadata): number {
+  return Math.min(timeoutMs, deadlineMs ?? Infinity);
+}
+
 function refusal(def: errors.ErrorDefinition, retryAfterMs: number | null = null): Refusal {
   return { def, retryAfterMs };
 }
@@ -252,14 +257,6 @@
     }
   }
 
-  /** Time from its arrival in which the response to a request is due, ms; 0 if it will be refused. */
-  private limitMs(req: http.IncomingMessage): number {
-    const { plan } = this.opts.storeWatcher;
-    const metadata = this.opts.ctx.wire.decodeRequest(req.rawHeaders);
-    const route = plan === null ? null : findRoute(plan, req.headers.host ?? '', req.url ?? '/');
-    return Math.min(route?.timeoutMs ?? 0, metadata?.deadlineMs ?? Infinity);
-  }
-
   private async handle(
     req: http.IncomingMessage,
     res: http.ServerResponse,
@@ -268,8 +265,7 @@
     this.active += 1;
     res.on('error', (err) => this.opts.logger.debug('caller-lost', { reason: err.message }));
     try {
-      await this.requestTurns.whenNext(this.limitMs(req));
-      if (req.socket.writable) await this.serve(req, res, arrivedAtMs);
+      await this.serve(req, res, arrivedAtMs);
     } catch (err) {
       this.opts.logger.error('request-failed', { reason: errors.describe(err) });
       this.sendRefusal(res, null, refusal(errors.data.BackendFailed));
@@ -296,9 +292,14 @@
     const claim = this.opts.bodies.open();
     try {
       const body = await this.readBody(req, claim);
-      const received = { req, res, metadata, arrivedAtMs };
-      if (body.isOk) await this.serveWithBody({ ...received, body: body.value });
-      else if (!req.destroyed || req.complete) this.sendRefusal(res, metadata.id, body.error);
+      if (body.isErr) {
+        if (!req.destroyed || req.complete) this.sendRefusal(res, metadata.id, body.error);
+        return;
+      }
+      // Only now: a body that nobody reads takes memory that is not counted.
+      await this.requestTurns.whenNext(limitOf(preliminary.route, metadata));
+      if (!req.socket.writable) return;
+      await this.serveWithBody({ req, res, metadata, arrivedAtMs, body: body.value });
     } finally {
       claim.release();
     }
@@ -378,8 +379,7 @@
     const route = findRoute(plan, req.headers.host ?? '', req.url ?? '/');
     if (route === undefined) return unknownOrStale(errors.data.UnknownRoute);
     const isStream = route.retrySafety === RetrySafety.stream;
-    const timeLimitMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? Infinity);
-    if (!ctx.acceptsRequest({ isStream, timeLimitMs })) {
+    if (!ctx.acceptsRequest({ isStream, timeLimitMs: limitOf(route, metadata) })) {
       return refusal(errors.data.Leaving, STOPPING_RETRY_MS);
     }
     if (route.isPublic || !plan.needsKeys) return { plan, route, customer: null };
