Name what the planner and the turns do, and keep one copy of hasCopy

No change of what the software does, but for the socket of a response that is paused twice, which is kept (found in the review; no caller can do so now).

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -15,7 +15,14 @@
 import type { QueuedLoad } from './load-forecast.js';
 import type { EngineState, Replica, SwapAction, SwapView, PendingDemand } from './types.js';
 import { findPlaceNeeds, type PlaceNeed } from './version-places.js';
-import { type IndexedView, indexView, modelKey, type ModelNeed, targetKey } from './view-index.js';
+import {
+  hasCopy,
+  type IndexedView,
+  indexView,
+  modelKey,
+  type ModelNeed,
+  targetKey,
+} from './view-index.js';
 
 export { type ForecastLoad, forecastLoads, type QueuedLoad } from './load-forecast.js';
 export { StoreConcurrencyLimiter } from './store-concurrency.js';
@@ -90,10 +97,6 @@
   return { ms: spec.remoteLoadMs, fromStore: true };
 }
 
-function hasCopy({ copies }: EngineState, model: string): boolean {
-  return copies.inMemory.includes(model) || copies.onDisk.includes(model);
-}
-
 function replicaOf(engine: EngineState, model: string): Replica | undefined {
   return engine.replicas.find((replica) => replica.model === model);
 }
--- a/src/decisions/swaps/version-places.ts
+++ b/src/decisions/swaps/version-places.ts
@@ -7,7 +7,7 @@
  * shorter time than a load from the weight store lasts, so the load must begin before the crash.
  */
 import type { EngineState } from './types.js';
-import { type IndexedView, modelKey, type ModelNeed, targetKey } from './view-index.js';
+import { hasCopy, type IndexedView, modelKey, type ModelNeed, targetKey } from './view-index.js';
 
 /** Requests per second above which a model counts as crowded. */
 const CROWDED_RATE_PER_S = 3;
@@ -24,14 +24,11 @@
   readonly requests: number;
 }
 
-function has({ replicas, loading }: EngineState, name: string): boolean {
+/** Whether an engine has a model loaded, or loads it. */
+function holdsOrLoads({ replicas, loading }: EngineState, name: string): boolean {
   return loading.includes(name) || replicas.some(({ model }) => model === name);
 }
 
-function hasCopy({ copies }: EngineState, name: string): boolean {
-  return copies.inMemory.includes(name) || copies.onDisk.includes(name);
-}
-
 function needOf(
   view: IndexedView,
   engines: readonly EngineState[],
@@ -45,8 +42,10 @@
   const requests = running + (view.queuedByModel.get(modelKey(need)) ?? 0);
   if (requests < MIN_REQUESTS) return [];
   const healthy = engines.filter((engine) => engine.healthy);
-  const holders = healthy.filter((engine) => has(engine, model)).length;
-  const copies = healthy.filter((engine) => !has(engine, model) && hasCopy(engine, model)).length;
+  const holders = healthy.filter((engine) => holdsOrLoads(engine, model)).length;
+  const copies = healthy.filter(
+    (engine) => !holdsOrLoads(engine, model) && hasCopy(engine, model),
+  ).length;
   // A copy that has to be loaded for the queued requests goes ahead.
   if (holders === 0 && copies > 0) return [];
   const places = holders + copies;
--- a/src/decisions/swaps/view-index.ts
+++ b/src/decisions/swaps/view-index.ts
@@ -38,6 +38,11 @@
   return `${targetKey(need)} ${need.model}`;
 }
 
+/** Whether an engine has a copy of the model's weights, from which it is loaded fast. */
+export function hasCopy({ copies }: EngineState, model: string): boolean {
+  return copies.inMemory.includes(model) || copies.onDisk.includes(model);
+}
+
 function groupBy<T>(entries: readonly (readonly [string, T])[]): ReadonlyMap<string, readonly T[]> {
   const groups = new Map<string, T[]>();
   entries.forEach(([key, value]) => {
--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -442,7 +442,7 @@
     const pausing = new ResponsePause(res, idleDetector);
     res.on('data', () => {
       idleDetector?.noteActivity();
-      pausing.readInTurns(opts.turns);
+      pausing.noteRead(opts.turns);
     });
     bufferResponse(metadata, res, head, end, this.held, this);
   }
--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -135,7 +135,7 @@
 
   private active = 0;
 
-  private readonly turns = new WeakMap<Socket, ConnectionTurns>();
+  private readonly connectionTurns = new WeakMap<Socket, ConnectionTurns>();
 
   private readonly requestTurns = new RequestTurns({
     onWait: () => this.opts.ctx.turns.shorten(),
@@ -227,8 +227,8 @@
   private async handleInTurn(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const { socket } = req;
     const arrivedAtMs = this.opts.ctx.clock.steadyMs();
-    const turns = this.turns.get(socket) ?? { end: Promise.resolve(), waiting: 0 };
-    this.turns.set(socket, turns);
+    const turns = this.connectionTurns.get(socket) ?? { end: Promise.resolve(), waiting: 0 };
+    this.connectionTurns.set(socket, turns);
     const before = turns.end;
     turns.end = new Promise((resolve) => {
       res.once('close', resolve);
--- a/src/entry/relay/response-pause.ts
+++ b/src/entry/relay/response-pause.ts
@@ -22,7 +22,7 @@
   pause(): void {
     const { res } = this;
     res.pause();
-    this.pausedSocket = res.complete ? null : res.socket;
+    this.pausedSocket ??= res.complete ? null : res.socket;
     this.pausedSocket?.pause();
     this.idleDetector?.suspend();
   }
@@ -35,7 +35,7 @@
   }
 
   /** Notes that bytes were read; reads more in a later turn if this one has spent its time. */
-  readInTurns(turns: Pick<WorkTurns, 'isOpen' | 'noteRead' | 'whenNext'>): void {
+  noteRead(turns: Pick<WorkTurns, 'isOpen' | 'noteRead' | 'whenNext'>): void {
     turns.noteRead();
     if (turns.isOpen || this.isWaiting) return;
     this.isWaiting = true;
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -170,7 +170,7 @@
 
 // The deadlines of 500 streams once passed in one turn, which lasted for 0.5 s: all were aborted in it.
 describe('a request whose deadline passes while a server runs it', () => {
-  test('is answered at once, and aborted when a turn has time for it', async () => {
+  test('is answered at once, and aborted in a later turn', async () => {
     const server = http.createServer(() => undefined);
     const address = await https.listen(server, '127.0.0.1:0');
     const cutOffServers: string[] = [];
--- a/test/units/relay/request-turns.test.ts
+++ b/test/units/relay/request-turns.test.ts
@@ -53,7 +53,7 @@
     expect(await nextTurn()).toEqual(names.slice(32));
   });
 
-  test('begin in the order of the time in which they are due, so that the short ones are not late', async () => {
+  test('begin in the order of their time limits, so that the short ones are not late', async () => {
     const { arrive, nextTurn } = setUp();
     arrive('long', 6, 3_000);
     arrive('longer', 6, 4_000);
--- a/test/units/relay/response-pause.test.ts
+++ b/test/units/relay/response-pause.test.ts
@@ -20,7 +20,7 @@
   [socket, res].forEach((stream) => stream.resume());
   const pausing = new ResponsePause(res as never, null);
   const read = (ms: number) => {
-    pausing.readInTurns(turns);
+    pausing.noteRead(turns);
     state.nowMs += ms;
   };
   const arePaused = () => [res.isPaused(), socket.isPaused()];
