Swap planner: keep one copy of what an engine has of a model

The forecast compares queued loads with started ones by the planner's modelKey instead of field by field.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -17,16 +17,20 @@
 import { findPlaceNeeds, type PlaceNeed } from './version-places.js';
 import {
   hasCopy,
+  holdsOrLoads,
   type IndexedView,
   indexView,
   modelKey,
   type ModelNeed,
+  replicaOf,
+  runningRequests,
   targetKey,
 } from './view-index.js';
 
 export { type ForecastLoad, forecastLoads, type QueuedLoad } from './load-forecast.js';
 export { StoreConcurrencyLimiter } from './store-concurrency.js';
 export * from './types.js';
+export { modelKey } from './view-index.js';
 
 /** Minimum residency of a model replica, ms, so that a loaded model is also used. */
 const MIN_RESIDENCY_MS = 1_500;
@@ -97,10 +101,6 @@
   return { ms: spec.remoteLoadMs, fromStore: true };
 }
 
-function replicaOf(engine: EngineState, model: string): Replica | undefined {
-  return engine.replicas.find((replica) => replica.model === model);
-}
-
 function loadSteps(evict: readonly Replica[], model: string): readonly OrderStep[] {
   const unloads = evict.map((replica) => ({
     type: OrderStepType.unload,
@@ -132,10 +132,6 @@
   return Math.max(0, ...counts);
 }
 
-function runningRequests(holders: readonly EngineState[], model: string): number {
-  return holders.reduce((sum, engine) => sum + (replicaOf(engine, model)?.running ?? 0), 0);
-}
-
 /** The needs that an action serves: its model at any version, and at that of its engine. */
 export function servedBy(
   { engines }: Pick<SwapView, 'engines'>,
@@ -263,9 +259,7 @@
           (version === null || engine.version === version),
       );
       const isAvailable = (engine: EngineState) =>
-        isLoading(engine, model) ||
-        hasCopy(engine, model) ||
-        replicaOf(engine, model) !== undefined;
+        holdsOrLoads(engine, model) || hasCopy(engine, model);
       const spec = engines[0]?.spec.models.get(model);
       if (spec === undefined || engines.some(isAvailable)) return [];
       return [{ service, model, version, loadMs: spec.remoteLoadMs }];
@@ -306,8 +300,7 @@
     if (rate < MIN_PRELOAD_RATE_PER_S) return 0;
     const engines = view.enginesByTarget.get(targetKey({ service, version: null })) ?? [];
     const replicaCount = engines.filter(
-      (engine) =>
-        isLoading(engine, model) || (engine.healthy && replicaOf(engine, model) !== undefined),
+      (engine) => engine.healthy && holdsOrLoads(engine, model),
     ).length;
     return rate / (1 + replicaCount * replicaCount * 4);
   }
--- a/src/decisions/swaps/version-places.ts
+++ b/src/decisions/swaps/version-places.ts
@@ -7,7 +7,15 @@
  * shorter time than a load from the weight store lasts, so the load must begin before the crash.
  */
 import type { EngineState } from './types.js';
-import { hasCopy, type IndexedView, modelKey, type ModelNeed, targetKey } from './view-index.js';
+import {
+  hasCopy,
+  holdsOrLoads,
+  type IndexedView,
+  modelKey,
+  type ModelNeed,
+  runningRequests,
+  targetKey,
+} from './view-index.js';
 
 /** Requests per second above which a model counts as crowded. */
 const CROWDED_RATE_PER_S = 3;
@@ -24,11 +32,6 @@
   readonly requests: number;
 }
 
-/** Whether an engine has a model loaded, or loads it. */
-function holdsOrLoads({ replicas, loading }: EngineState, name: string): boolean {
-  return loading.includes(name) || replicas.some(({ model }) => model === name);
-}
-
 function needOf(
   view: IndexedView,
   engines: readonly EngineState[],
@@ -36,19 +39,15 @@
 ): readonly PlaceNeed[] {
   const { model } = need;
   // Streams of servers that leave or have crashed need a place as well.
-  const running = engines
-    .flatMap(({ replicas }) => replicas.filter((replica) => replica.model === model))
-    .reduce((sum, replica) => sum + replica.running, 0);
-  const requests = running + (view.queuedByModel.get(modelKey(need)) ?? 0);
+  const requests = runningRequests(engines, model) + (view.queuedByModel.get(modelKey(need)) ?? 0);
   if (requests < MIN_REQUESTS) return [];
   const healthy = engines.filter((engine) => engine.healthy);
-  const holders = healthy.filter((engine) => holdsOrLoads(engine, model)).length;
-  const copies = healthy.filter(
-    (engine) => !holdsOrLoads(engine, model) && hasCopy(engine, model),
+  const holders = healthy.filter((engine) => holdsOrLoads(engine, model));
+  const places = healthy.filter(
+    (engine) => holders.includes(engine) || hasCopy(engine, model),
   ).length;
   // A copy that has to be loaded for the queued requests goes ahead.
-  if (holders === 0 && copies > 0) return [];
-  const places = holders + copies;
+  if (holders.length === 0 && places > 0) return [];
   return places < Math.min(MIN_PLACES, healthy.length) ? [{ ...need, places, requests }] : [];
 }
 
--- a/src/decisions/swaps/view-index.ts
+++ b/src/decisions/swaps/view-index.ts
@@ -1,5 +1,5 @@
 /** Lookup tables over the state of the fleet, which the swap planner builds once per plan. */
-import type { EngineState, PendingDemand, SwapView } from './types.js';
+import type { EngineState, PendingDemand, Replica, SwapView } from './types.js';
 
 /**
  * Cost of a model load for each request per second to those models on the engine that have adapters
@@ -38,6 +38,19 @@
   return `${targetKey(need)} ${need.model}`;
 }
 
+export function replicaOf(engine: EngineState, model: string): Replica | undefined {
+  return engine.replicas.find((replica) => replica.model === model);
+}
+
+/** Whether an engine has a model loaded, or loads it. */
+export function holdsOrLoads(engine: EngineState, model: string): boolean {
+  return engine.loading.includes(model) || replicaOf(engine, model) !== undefined;
+}
+
+export function runningRequests(engines: readonly EngineState[], model: string): number {
+  return engines.reduce((sum, engine) => sum + (replicaOf(engine, model)?.running ?? 0), 0);
+}
+
 /** Whether an engine has a copy of the model's weights, from which it is loaded fast. */
 export function hasCopy({ copies }: EngineState, model: string): boolean {
   return copies.inMemory.includes(model) || copies.onDisk.includes(model);
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -18,8 +18,8 @@
   type EngineState,
   type ForecastLoad,
   forecastLoads,
+  modelKey,
   type ModelRates,
-  type QueuedLoad,
   servedBy,
   StoreConcurrencyLimiter,
   type SwapAction,
@@ -407,13 +407,8 @@
   }
 
   private forecastQueue(view: SwapView, actions: readonly SwapAction[]): void {
-    const started = actions.flatMap((action) => servedBy(view, action));
-    const isStarted = ({ service, model, version }: QueuedLoad) =>
-      started.some(
-        (served) =>
-          served.service === service && served.model === model && served.version === version,
-      );
-    const queue = this.planner.queuedLoads(view).filter((load) => !isStarted(load));
+    const started = new Set(actions.flatMap((action) => servedBy(view, action)).map(modelKey));
+    const queue = this.planner.queuedLoads(view).filter((load) => !started.has(modelKey(load)));
     const startedFromStore = actions.filter(({ fromStore }) => fromStore).length;
     const ends = this.runningStoreLoads().map(({ loadEndsAtMs }) => loadEndsAtMs);
     const maxLoads = this.storeConcurrency.atOnce - startedFromStore;
