--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -28,7 +28,7 @@
 import type { RelayContext } from './context.js';
 import { Exchange } from './exchange.js';
 import { RequestTurns } from './request-turns.js';
-import type { RoutedRequest } from './routed-request.js';
+import { type RoutedRequest, timeLimitMs } from './routed-request.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { RequestMetadata } from './types.js';
 
@@ -78,11 +78,6 @@
   readonly retryAfterMs: number | null;
 }
 
-/** Time from its arrival in which the response to a request is due, ms. */
-function limitOf({ timeoutMs }: Route, { deadlineMs }: RequestMetadata): number {
-  return Math.min(timeoutMs, deadlineMs ?? Infinity);
-}
-
 function refusal(def: errors.ErrorDefinition, retryAfterMs: number | null = null): Refusal {
   return { def, retryAfterMs };
 }
@@ -297,7 +292,7 @@
         return;
       }
       // Only now: a body that nobody reads takes memory that is not counted.
-      await this.requestTurns.whenNext(limitOf(preliminary.route, metadata));
+      await this.requestTurns.whenNext(timeLimitMs(preliminary.route, metadata));
       if (!req.socket.writable) return;
       await this.serveWithBody({ req, res, metadata, arrivedAtMs, body: body.value });
     } finally {
@@ -379,7 +374,7 @@
     const route = findRoute(plan, req.headers.host ?? '', req.url ?? '/');
     if (route === undefined) return unknownOrStale(errors.data.UnknownRoute);
     const isStream = route.retrySafety === RetrySafety.stream;
-    if (!ctx.acceptsRequest({ isStream, timeLimitMs: limitOf(route, metadata) })) {
+    if (!ctx.acceptsRequest({ isStream, timeLimitMs: timeLimitMs(route, metadata) })) {
       return refusal(errors.data.Leaving, STOPPING_RETRY_MS);
     }
     if (route.isPublic || !plan.needsKeys) return { plan, route, customer: null };
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -18,7 +18,7 @@
 import type { RelayContext } from './context.js';
 import { EventSplitter } from './event-stream.js';
 import type { Run } from './fleet-view.js';
-import type { RoutedRequest } from './routed-request.js';
+import { type RoutedRequest, timeLimitMs } from './routed-request.js';
 import type { HeldResponse } from './response-memory.js';
 import { RetryPolicy } from './retry-policy.js';
 import { type StreamSink, WriteResult } from './stream-relay.js';
@@ -140,7 +140,7 @@
   ) {
     const { metadata, route, arrivedAtMs, req, body, customer } = request;
     this.splitter = new EventSplitter(metadata.lastEventId);
-    this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, metadata.deadlineMs ?? Infinity);
+    this.deadlineAtMs = arrivedAtMs + timeLimitMs(route, metadata);
     this.identity = new RequestIdentity(
       `${customer?.name ?? ''} ${req.url}`,
       body.toString('latin1'),
--- a/src/entry/relay/routed-request.ts
+++ b/src/entry/relay/routed-request.ts
@@ -3,6 +3,11 @@
 import type { Customer, FleetPlan, Route } from '../../decisions/fleet-plan/index.js';
 import type { RequestMetadata } from './types.js';
 
+/** Time from its arrival in which the response to a request is due, ms. */
+export function timeLimitMs({ timeoutMs }: Route, { deadlineMs }: RequestMetadata): number {
+  return Math.min(timeoutMs, deadlineMs ?? Infinity);
+}
+
 /** A checked request with its body, route, customer and target service. */
 export interface RoutedRequest {
   readonly req: http.IncomingMessage;
