Read no clock for the slots of a turn in which no request waits

Each turn has 32 slots, most of them empty; each read the clock before it looked whether a request waits. No change of behaviour; not measured.

--- a/src/entry/relay/request-turns.ts
+++ b/src/entry/relay/request-turns.ts
@@ -85,7 +85,7 @@
     });
     Array.from({ length: MAX_REQUESTS }, () =>
       opts.schedule(() => {
-        if (opts.nowMs() < untilMs) this.beginNext();
+        if (this.waiting.size > 0 && opts.nowMs() < untilMs) this.beginNext();
       }),
     );
     opts.schedule(() => {
