--- a/test/failures/endless-responses.test.ts
+++ b/test/failures/endless-responses.test.ts
@@ -165,17 +165,18 @@
 const TINY_BODIES = 200;
 const TINY_BODY_BYTES = 8_000;
 
+async function startFleet(): Promise<{ started: RelayFleet; vm: SoakVm }> {
+  const spec = { vms: 1, servers: 2, crash: {}, durationMs: FAULTY_MS };
+  const started = await RelayFleet.start(program, spec);
+  fleet = started;
+  await clocks.sleep(CONNECT_MS);
+  return { started, vm: started.vms[0] as SoakVm };
+}
+
 // Bodies that were being received once had a bound for each, and none for all.
 describe('callers that send large bodies slowly', () => {
   test('are refused beyond the memory for bodies, and small requests are still served', async () => {
-    fleet = await RelayFleet.start(program, {
-      vms: 1,
-      servers: 2,
-      crash: {},
-      durationMs: FAULTY_MS,
-    });
-    const [vm] = fleet.vms as [SoakVm];
-    await clocks.sleep(CONNECT_MS);
+    const { started, vm } = await startFleet();
     const statuses: (number | undefined)[] = [];
     for (let at = 0; at < BODIES; at += 1) {
       const req = request(vm, at);
@@ -183,7 +184,7 @@
       req.setHeader('content-length', BODY_BYTES + 1);
       req.write('x'.repeat(BODY_BYTES));
     }
-    const orders = await fleet.sendRepeatedly(ORDER_PAUSE_MS, { route: 'order' });
+    const orders = await started.sendRepeatedly(ORDER_PAUSE_MS, { route: 'order' });
     expect(statuses.length).toBeGreaterThan(0);
     expect(new Set(statuses)).toEqual(new Set([503]));
     expect(vm.residentBytes()).toBeLessThan(MAX_RESIDENT_BYTES);
@@ -192,14 +193,7 @@
   });
 
   test('end no process by bodies in chunks of a byte', async () => {
-    fleet = await RelayFleet.start(program, {
-      vms: 1,
-      servers: 2,
-      crash: {},
-      durationMs: FAULTY_MS,
-    });
-    const [vm] = fleet.vms as [SoakVm];
-    await clocks.sleep(CONNECT_MS);
+    const { started, vm } = await startFleet();
     const [host, port] = vm.callers.split(':');
     const head = [
       'POST /stream/x HTTP/1.1',
@@ -221,6 +215,6 @@
     await Promise.all(closed);
     expect(vm.residentBytes()).toBeLessThan(MAX_RESIDENT_BYTES);
     expect(vm.unexpectedExits).toBe(0);
-    expect(await fleet.send(vm, { route: 'order' })).toBe(200);
+    expect(await started.send(vm, { route: 'order' })).toBe(200);
   }, 60_000);
 });
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -495,6 +495,16 @@
     ...UNBLOCKED,
   };
 
+  /** Sends a request whose caller takes no more after the first event, and leaves later. */
+  function sendUntilCallerLeaves(server: BackendServer): Promise<AttemptResult> {
+    const left = new AbortController();
+    setTimeout(() => left.abort(), IDLE_MS);
+    return sendRequest(server, 'request-1', createPool(), {
+      sink: { ...sink, isBlocked: () => true },
+      signal: left.signal,
+    });
+  }
+
   /** Starts a server that streams `parts`, each after a pause, and then ends the stream. */
   async function startStream(parts: readonly string[], pauseMs: number): Promise<BackendServer> {
     return startServer((socket) => {
@@ -542,13 +552,7 @@
       // Not read together with the first event, after which the caller takes no more.
       setTimeout(() => socket.end(`${chunk('id: 2\ndata: x\n\n')}0\r\n\r\n`), IDLE_MS / 3);
     });
-    const blocked: StreamSink = { ...sink, isBlocked: () => true };
-    const left = new AbortController();
-    setTimeout(() => left.abort(), IDLE_MS);
-    const result = await sendRequest(server, 'request-1', createPool(), {
-      sink: blocked,
-      signal: left.signal,
-    });
+    const result = await sendUntilCallerLeaves(server);
     expect(result).toMatchObject({ type: AttemptEnd.broken, connectionLost: false });
   }, 5_000);
 
@@ -557,13 +561,7 @@
       const events = `${chunk('id: 1\ndata: x\n\n')}${chunk('id: 2\ndata: x\n\n')}`;
       socket.end(`${STREAM}${events}0\r\n\r\n`);
     });
-    const blocked: StreamSink = { ...sink, isBlocked: () => true };
-    const left = new AbortController();
-    setTimeout(() => left.abort(), IDLE_MS);
-    const result = await sendRequest(server, 'request-1', createPool(), {
-      sink: blocked,
-      signal: left.signal,
-    });
+    const result = await sendUntilCallerLeaves(server);
     expect(result).toMatchObject({ type: AttemptEnd.streamed });
   }, 5_000);
 
