Log why a model that is asked for is not being loaded

A caller who is refused for a model that no engine has could not be told apart by the logs from one that waits for its turn: the steward logged only what it orders. It now logs each model in demand that no engine has or loads, at most once a second, with the engines that have a copy and what they load, and the rates of the models of each order. No decision changes.

--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -18,6 +18,8 @@
   type EngineState,
   type ForecastLoad,
   forecastLoads,
+  hasCopy,
+  holdsOrLoads,
   modelKey,
   type ModelRates,
   servedBy,
@@ -52,6 +54,8 @@
 const MAX_CONSECUTIVE_FAILURES = 2;
 /** Time between two plans while no requests are queued, ms. */
 const REPLAN_MS = 200;
+/** Minimum time between two log lines on the same model that is not being loaded, ms. */
+const NOT_LOADED_LOG_PAUSE_MS = 1_000;
 const MS_PER_S = 1000;
 /**
  * Fraction of the weight store's load rate that the steward uses. The rest is a margin, because a
@@ -153,6 +157,9 @@
   /** Models, adapters and versions with pending demand at the last plan, joined. */
   private plannedDemand = '';
 
+  /** When each model that is not being loaded was last logged, by `modelKey`. */
+  private readonly notLoadedLoggedAtMs = new Map<string, number>();
+
   /** Tokens in the bucket for loads from the weight store. */
   private storeTokens = 0;
 
@@ -375,6 +382,7 @@
     const view = { nowMs, engines, pendingDemand: demand, rates, ...loadsLeft };
     const actions = this.planner.plan(view);
     this.forecastQueue(view, actions);
+    this.logNotLoaded(view, actions);
     actions.forEach((action) => {
       const engine = this.engines.get(action.engineId);
       if (engine === undefined) return;
@@ -401,11 +409,45 @@
         version: engine.server.version,
         steps: action.steps.map(({ type, model, adapter }) => [type, model, adapter].join(' ')),
         fromStore: action.fromStore,
+        ratesPerS: action.steps.map(({ model }) => rates.get(model) ?? 0),
         reason: action.reason,
       });
     });
   }
 
+  /** Logs the models in demand that no engine has or loads, with the state of the engines with copies. */
+  private logNotLoaded(view: SwapView, actions: readonly SwapAction[]): void {
+    const served = new Set(actions.flatMap((action) => servedBy(view, action)).map(modelKey));
+    view.pendingDemand
+      .filter((demand) => !served.has(modelKey(demand)))
+      .forEach((demand) => {
+        const key = modelKey(demand);
+        const loggedAtMs = this.notLoadedLoggedAtMs.get(key) ?? -Infinity;
+        if (view.nowMs - loggedAtMs < NOT_LOADED_LOG_PAUSE_MS) return;
+        const { service, model, version, waiting, dueAtMs } = demand;
+        const engines = view.engines.filter(
+          (engine) =>
+            engine.healthy &&
+            engine.service === service &&
+            (version === null || engine.version === version),
+        );
+        if (engines.some((engine) => holdsOrLoads(engine, model))) return;
+        this.notLoadedLoggedAtMs.set(key, view.nowMs);
+        this.opts.logger.info('model-not-loaded', {
+          model,
+          version,
+          waiting,
+          dueInMs: Math.round(dueAtMs - view.nowMs),
+          ratePerS: view.rates.get(model) ?? 0,
+          storeLoadsLeft: view.storeLoadsLeft,
+          open: engines.filter(({ open }) => open).length,
+          copies: engines
+            .filter((engine) => hasCopy(engine, model))
+            .map(({ id, open, loading }) => ({ id, open, loading })),
+        });
+      });
+  }
+
   private forecastQueue(view: SwapView, actions: readonly SwapAction[]): void {
     const started = new Set(actions.flatMap((action) => servedBy(view, action)).map(modelKey));
     const queue = this.planner.queuedLoads(view).filter((load) => !started.has(modelKey(load)));
