--- /dev/null
+++ b/test/replay/model-fleet.ts
@@ -0,0 +1,505 @@
+/**
+ * Replays requests for many models against the decisions of the steward and the entry VMs: the swap
+ * planner, the forecast of loads, the request rates and the queue. Engines and callers are simulated.
+ */
+import { createRandom, type Random } from '../../src/core/random/index.js';
+import { OrderStepType } from '../../src/decisions/engine-orders/index.js';
+import type { EngineSpec, ModelSpec } from '../../src/decisions/fleet-plan/index.js';
+import {
+  type EngineState,
+  type ForecastLoad,
+  forecastLoads,
+  modelKey,
+  type PendingDemand,
+  servedBy,
+  StoreConcurrencyLimiter,
+  type SwapAction,
+  SwapPlanner,
+  type SwapView,
+} from '../../src/decisions/swaps/index.js';
+import { rejectAtMs, retryAfterMs } from '../../src/decisions/wait-list/index.js';
+import { RelayMessageType, type RelayMessageOf } from '../../src/entry/relay/messages.js';
+import { UsageTracker } from '../../src/entry/relay/usage-tracker.js';
+
+const SERVICE = 'drafting';
+const VERSION = 'v1';
+const TICK_MS = 20;
+const MS_PER_S = 1_000;
+const MODEL_MB = 70;
+const UNLOAD_MS = 50;
+/** Models unloaded last of which an engine keeps a copy in its memory. */
+const MEMORY_COPIES = 2;
+/** Fraction of the slots that requests use at most, as for the entry VMs. */
+const MAX_UTILISATION = 0.9;
+const STORE_RATE_FRACTION = 0.8;
+const STORE_BURST = 2;
+/** Part of its time that a caller waits before it returns at most. */
+const RETURN_FRACTION = 1 / 3;
+
+/** A kind of request. */
+export interface RequestClass {
+  readonly name: string;
+  readonly perS: number;
+  /** Models that it asks for, with their shares. */
+  readonly models: readonly (readonly [model: string, share: number])[];
+  readonly objectiveMs: number;
+  readonly callerTimeoutMs: number;
+  readonly deadlineMs: number;
+  readonly runMs: number;
+  /** When its requests begin, ms; 0 by default. */
+  readonly fromMs?: number;
+}
+
+export interface ModelFleetOptions {
+  readonly seed: number;
+  readonly engines: number;
+  /** Models that an engine has room for. */
+  readonly places: number;
+  /** Models of which an engine has a copy on its disk. */
+  readonly copies: number;
+  readonly slots: number;
+  readonly loadMs: Pick<ModelSpec, 'remoteLoadMs' | 'diskLoadMs' | 'memoryLoadMs'>;
+  /** Concurrent loads that the weight store serves at full speed. */
+  readonly fullSpeedLoads: number;
+  readonly loadsPerS: number;
+  /** All models, busiest first. */
+  readonly models: readonly string[];
+  /** Engines on which each of the busiest models is loaded at the start. */
+  readonly busyPlaces: readonly number[];
+  readonly classes: readonly RequestClass[];
+  readonly durationMs: number;
+}
+
+/** Outcomes of the requests of one class. */
+export interface Outcome {
+  asked: number;
+  inTime: number;
+  late: number;
+  refused: number;
+}
+
+interface Request {
+  readonly id: string;
+  readonly of: RequestClass;
+  readonly model: string;
+  /** When the caller first asked, ms. */
+  readonly askedAtMs: number;
+  readonly arrivedAtMs: number;
+  readonly isReturn: boolean;
+}
+
+interface Engine {
+  readonly id: string;
+  models: string[];
+  disk: string[];
+  memory: string[];
+  steps: { type: string; model: string }[];
+  /** Load in progress: the work left, ms at full speed. */
+  load: { model: string; leftMs: number; fromStore: boolean; startedAtMs: number } | null;
+  unload: { model: string; untilMs: number } | null;
+  /** Ends of the running requests, by model. */
+  runs: { model: string; endsAtMs: number }[];
+  loadEndsAtMs: number;
+  maxConcurrent: number;
+}
+
+export class ModelFleet {
+  readonly outcomes = new Map<string, Outcome>();
+
+  /** Refusals by model, those of returning callers included. */
+  readonly refusals = new Map<string, number>();
+
+  private readonly random: Random;
+
+  private readonly planner = new SwapPlanner();
+
+  private readonly usage = new UsageTracker();
+
+  private readonly limiter = new StoreConcurrencyLimiter();
+
+  private readonly engines: readonly Engine[];
+
+  private readonly spec: EngineSpec;
+
+  private queue: Request[] = [];
+
+  private returning: { atMs: number; request: Request }[] = [];
+
+  private forecast: readonly ForecastLoad[] = [];
+
+  private expected: { model: string; untilMs: number; dueAtMs: number }[] = [];
+
+  private storeTokens = 0;
+
+  private used = new Map<string, number>();
+
+  private sent = 0;
+
+  constructor(private readonly opts: ModelFleetOptions) {
+    this.random = createRandom(opts.seed);
+    this.spec = {
+      slots: opts.slots,
+      kvTokens: 54_000,
+      memoryMb: opts.places * MODEL_MB,
+      adapterSlots: 0,
+      loadsPerS: opts.loadsPerS,
+      models: new Map(
+        opts.models.map((name) => [
+          name,
+          { name, sizeMb: MODEL_MB, adapterMb: 0, ...opts.loadMs } satisfies ModelSpec,
+        ]),
+      ),
+    };
+    this.engines = this.placeModels();
+    opts.classes.forEach(({ name }) =>
+      this.outcomes.set(name, { asked: 0, inTime: 0, late: 0, refused: 0 }),
+    );
+  }
+
+  play(): void {
+    const arrivals = this.opts.classes.map((of) => ({
+      of,
+      nextAtMs: (of.fromMs ?? 0) + this.pauseMs(of),
+    }));
+    for (let nowMs = 0; nowMs < this.opts.durationMs; nowMs += TICK_MS) {
+      arrivals.forEach((arrival) => {
+        while (arrival.nextAtMs <= nowMs) {
+          this.arrive(nowMs, arrival.of);
+          Object.assign(arrival, { nextAtMs: arrival.nextAtMs + this.pauseMs(arrival.of) });
+        }
+      });
+      this.returning
+        .filter(({ atMs }) => atMs <= nowMs)
+        .forEach(({ request }) => this.enqueue({ ...request, arrivedAtMs: nowMs, isReturn: true }));
+      this.returning = this.returning.filter(({ atMs }) => atMs > nowMs);
+      this.progress(nowMs);
+      this.serveQueue(nowMs);
+      this.plan(nowMs);
+    }
+  }
+
+  /** Share of the requests of a class that were served in time. */
+  inTimeShare(name: string): number {
+    const { asked, inTime } = this.outcomes.get(name) ?? { asked: 1, inTime: 0 };
+    return inTime / Math.max(1, asked);
+  }
+
+  private pauseMs({ perS }: RequestClass): number {
+    return this.random.exponential(MS_PER_S / perS);
+  }
+
+  /** Places the busiest models as told, and each of the others once while there is room. */
+  private placeModels(): readonly Engine[] {
+    const { opts, random } = this;
+    const engines = Array.from({ length: opts.engines }, (_, at) => ({
+      id: `e${at}`,
+      models: [] as string[],
+      disk: [] as string[],
+      memory: [] as string[],
+      steps: [],
+      load: null,
+      unload: null,
+      runs: [],
+      loadEndsAtMs: 0,
+      maxConcurrent: 0,
+    }));
+    opts.models.forEach((model, at) => {
+      const count = opts.busyPlaces[at] ?? 1;
+      const free = () =>
+        engines
+          .filter(({ models }) => models.length < opts.places && !models.includes(model))
+          .sort((a, b) => a.models.length - b.models.length || random.real() - 0.5);
+      Array.from({ length: count }, () => free()[0]?.models.push(model));
+    });
+    engines.forEach((engine) => {
+      engine.disk.push(...engine.models);
+      const others = opts.models
+        .filter((model) => !engine.models.includes(model))
+        .map((model) => ({ model, key: random.real() }))
+        .sort((a, b) => a.key - b.key);
+      engine.disk.push(
+        ...others.slice(0, opts.copies - engine.models.length).map(({ model }) => model),
+      );
+    });
+    return engines;
+  }
+
+  private arrive(nowMs: number, of: RequestClass): void {
+    const total = of.models.reduce((sum, [, share]) => sum + share, 0);
+    let draw = this.random.real() * total;
+    const [model] = of.models.find(([, share]) => {
+      draw -= share;
+      return draw < 0;
+    }) ?? ['', 0];
+    this.outcomeOf(of).asked += 1;
+    this.sent += 1;
+    const id = `r${this.sent}`;
+    this.enqueue({ id, of, model, askedAtMs: nowMs, arrivedAtMs: nowMs, isReturn: false });
+  }
+
+  private outcomeOf({ name }: RequestClass): Outcome {
+    const outcome = this.outcomes.get(name);
+    if (outcome === undefined) throw new Error(`unknown class ${name}`);
+    return outcome;
+  }
+
+  private enqueue(request: Request): void {
+    const { model } = request;
+    this.used.set(model, (this.used.get(model) ?? 0) + 1);
+    this.queue.push(request);
+  }
+
+  /** Advances loads, unloads and runs. */
+  private progress(nowMs: number): void {
+    const fromStore = this.engines.filter(({ load }) => load?.fromStore === true);
+    const speed = Math.min(1, this.opts.fullSpeedLoads / Math.max(1, fromStore.length));
+    this.engines.forEach((engine) => {
+      Object.assign(engine, { runs: engine.runs.filter(({ endsAtMs }) => endsAtMs > nowMs) });
+      if (engine.load !== null) this.progressLoad(nowMs, engine, speed, fromStore.length);
+      else this.nextStep(nowMs, engine);
+    });
+  }
+
+  private progressLoad(nowMs: number, engine: Engine, speed: number, concurrent: number): void {
+    const { load } = engine;
+    if (load === null) return;
+    load.leftMs -= TICK_MS * (load.fromStore ? speed : 1);
+    Object.assign(engine, { maxConcurrent: Math.max(engine.maxConcurrent, concurrent) });
+    if (load.leftMs > 0) return;
+    engine.models.push(load.model);
+    if (load.fromStore) {
+      Object.assign(engine, { disk: [load.model, ...engine.disk].slice(0, this.opts.copies) });
+      this.limiter.recordLoad(
+        nowMs - load.startedAtMs,
+        this.opts.loadMs.remoteLoadMs,
+        engine.maxConcurrent,
+      );
+    }
+    Object.assign(engine, { load: null });
+  }
+
+  private nextStep(nowMs: number, engine: Engine): void {
+    if (engine.unload !== null) {
+      const { model, untilMs } = engine.unload;
+      if (nowMs < untilMs || engine.runs.some((run) => run.model === model)) return;
+      Object.assign(engine, {
+        models: engine.models.filter((name) => name !== model),
+        memory: [model, ...engine.memory].slice(0, MEMORY_COPIES),
+        unload: null,
+      });
+    }
+    const step = engine.steps.shift();
+    if (step === undefined) return;
+    const { model } = step;
+    if (step.type === OrderStepType.unload) {
+      Object.assign(engine, { unload: { model, untilMs: nowMs + UNLOAD_MS } });
+      return;
+    }
+    const { leftMs, fromStore } = this.source(engine, model);
+    const load = { model, leftMs, fromStore, startedAtMs: nowMs };
+    Object.assign(engine, { load, maxConcurrent: 0 });
+  }
+
+  private source({ memory, disk }: Engine, model: string) {
+    const { remoteLoadMs, diskLoadMs, memoryLoadMs } = this.opts.loadMs;
+    if (memory.includes(model)) return { leftMs: memoryLoadMs, fromStore: false };
+    if (disk.includes(model)) return { leftMs: diskLoadMs, fromStore: false };
+    return { leftMs: remoteLoadMs, fromStore: true };
+  }
+
+  private isUsable(engine: Engine, model: string): boolean {
+    const isLeaving =
+      engine.unload?.model === model ||
+      engine.steps.some((step) => step.type === OrderStepType.unload && step.model === model);
+    return engine.models.includes(model) && !isLeaving;
+  }
+
+  private serveQueue(nowMs: number): void {
+    const byUrgency = [...this.queue].sort(
+      (a, b) => a.askedAtMs + a.of.objectiveMs - (b.askedAtMs + b.of.objectiveMs),
+    );
+    this.queue = byUrgency.filter((request) => !this.serveOrRefuse(nowMs, request));
+  }
+
+  /** Whether a queued request was served or refused. */
+  private serveOrRefuse(nowMs: number, request: Request): boolean {
+    const { of, model, askedAtMs, arrivedAtMs } = request;
+    const room = this.engines
+      .filter((engine) => this.isUsable(engine, model))
+      .filter(({ runs }) => runs.length < this.opts.slots * MAX_UTILISATION)
+      .sort((a, b) => a.runs.length - b.runs.length)[0];
+    const outcome = this.outcomeOf(of);
+    if (room !== undefined) {
+      room.runs.push({ model, endsAtMs: nowMs + of.runMs });
+      if (nowMs - askedAtMs <= of.objectiveMs) outcome.inTime += 1;
+      else outcome.late += 1;
+      return true;
+    }
+    const ends = this.loadEnds(model);
+    const readyAtMs = ends.length === 0 ? null : Math.min(...ends);
+    const isLoaded = this.engines.some((engine) => this.isUsable(engine, model));
+    const queued = {
+      id: request.id,
+      service: SERVICE,
+      model,
+      adapter: null,
+      version: null,
+      priority: 0,
+      arrivedAtMs,
+      objectiveAtMs: arrivedAtMs + of.objectiveMs,
+      deadlineAtMs: arrivedAtMs + Math.min(of.callerTimeoutMs, of.deadlineMs),
+    };
+    if (nowMs < rejectAtMs(queued, { readyAtMs, isLoaded, permitAtMs: null })) return false;
+    if (readyAtMs !== null && !isLoaded)
+      this.expected.push({ model, untilMs: readyAtMs + MS_PER_S, dueAtMs: readyAtMs });
+    this.refusals.set(model, (this.refusals.get(model) ?? 0) + 1);
+    const pauseMs = Math.min(
+      retryAfterMs(nowMs, readyAtMs),
+      (askedAtMs + of.deadlineMs - nowMs) * RETURN_FRACTION,
+    );
+    if (request.isReturn) outcome.refused += 1;
+    else this.returning.push({ atMs: nowMs + pauseMs, request });
+    return true;
+  }
+
+  private loadEnds(model: string): readonly number[] {
+    const inProgress = this.engines
+      .filter(
+        ({ load, steps }) =>
+          load?.model === model ||
+          steps.some((step) => step.type === OrderStepType.load && step.model === model),
+      )
+      .map(({ loadEndsAtMs }) => loadEndsAtMs);
+    const queued = this.forecast.filter((load) => load.model === model);
+    return [...inProgress, ...queued.map(({ readyAtMs }) => readyAtMs)];
+  }
+
+  private plan(nowMs: number): void {
+    this.usage.note(nowMs, this.report(nowMs));
+    this.usage.sumRunning(nowMs, [this.report(nowMs)]);
+    this.used = new Map();
+    const view = this.view(nowMs);
+    const actions = this.planner.plan(view);
+    actions.forEach((action) => this.carryOut(nowMs, action));
+    const started = new Set(actions.flatMap((action) => servedBy(view, action)).map(modelKey));
+    const queue = this.planner.queuedLoads(view).filter((load) => !started.has(modelKey(load)));
+    const ends = this.engines
+      .filter(({ load }) => load?.fromStore === true)
+      .map(({ loadEndsAtMs }) => loadEndsAtMs);
+    const startedFromStore = actions.filter(({ fromStore }) => fromStore).length;
+    this.forecast = forecastLoads(nowMs, ends, this.limiter.atOnce - startedFromStore, queue);
+  }
+
+  private carryOut(nowMs: number, { engineId, steps, fromStore }: SwapAction): void {
+    const engine = this.engines.find(({ id }) => id === engineId);
+    if (engine === undefined) return;
+    if (fromStore) this.storeTokens -= 1;
+    const loadMs = steps
+      .filter(({ type }) => type === OrderStepType.load)
+      .reduce((sum, { model }) => sum + this.source(engine, model).leftMs, 0);
+    const unloads = steps.filter(({ type }) => type === OrderStepType.unload).length;
+    Object.assign(engine, { loadEndsAtMs: nowMs + loadMs + unloads * UNLOAD_MS });
+    engine.steps.push(...steps.map(({ type, model }) => ({ type, model })));
+    steps
+      .filter(({ type }) => type === OrderStepType.unload)
+      .forEach(({ model }) => this.usage.noteUnloaded(engineId, model, null));
+  }
+
+  private report(nowMs: number): RelayMessageOf<'report'> {
+    const running = this.engines.flatMap(({ id, runs }) => {
+      const models = [...new Set(runs.map(({ model }) => model))];
+      return models.map((model) => ({
+        server: id,
+        model,
+        adapter: null,
+        running: runs.filter((run) => run.model === model).length,
+      }));
+    });
+    return {
+      type: RelayMessageType.report,
+      vm: 'vm',
+      address: '',
+      sentAtMs: nowMs,
+      clockMs: nowMs,
+      planRevision: 0,
+      appliedSeq: 0,
+      shares: [],
+      running,
+      waits: [],
+      usage: [...this.used].map(([model, requests]) => ({ model, requests })),
+      unreachable: [],
+      leaving: false,
+    };
+  }
+
+  private view(nowMs: number): SwapView {
+    const perS = this.opts.loadsPerS * STORE_RATE_FRACTION;
+    this.storeTokens = Math.min(STORE_BURST, this.storeTokens + (perS * TICK_MS) / MS_PER_S);
+    const running = this.engines.filter(({ load }) => load?.fromStore === true).length;
+    const free = this.limiter.atOnce - running;
+    const loadsLeft = Math.max(0, Math.min(Math.floor(this.storeTokens), free));
+    return {
+      nowMs,
+      engines: this.engines.map((engine) => this.stateOf(nowMs, engine)),
+      pendingDemand: this.demand(nowMs),
+      rates: this.usage.rates(nowMs),
+      storeLoadsLeft: loadsLeft,
+      placeLoadsLeft: loadsLeft,
+    };
+  }
+
+  private stateOf(nowMs: number, engine: Engine): EngineState {
+    const { id, models, load, unload, steps, disk, memory } = engine;
+    const unloading = [
+      ...(unload === null ? [] : [unload.model]),
+      ...steps.filter(({ type }) => type === OrderStepType.unload).map(({ model }) => model),
+    ];
+    const loading = [
+      ...(load === null ? [] : [load.model]),
+      ...steps.filter(({ type }) => type === OrderStepType.load).map(({ model }) => model),
+    ];
+    const isOpen = load === null && unload === null && steps.length === 0;
+    return {
+      id,
+      service: SERVICE,
+      version: VERSION,
+      spec: this.spec,
+      dataCentre: 'a',
+      open: isOpen,
+      openForAdapters: isOpen,
+      healthy: true,
+      replicas: models
+        .filter((model) => !unloading.includes(model))
+        .map((model) => this.usage.replica(nowMs, id, model, new Set())),
+      loading,
+      loadingAdapters: [],
+      reservedMb: (models.length + loading.length) * MODEL_MB,
+      reservedAdapterSlots: 0,
+      copies: { inMemory: memory, onDisk: disk },
+    };
+  }
+
+  private demand(nowMs: number): readonly PendingDemand[] {
+    this.expected = this.expected.filter(({ untilMs }) => untilMs > nowMs);
+    const all = [
+      ...this.queue.map(({ model, arrivedAtMs, of }) => ({
+        model,
+        dueAtMs: arrivedAtMs + of.objectiveMs,
+      })),
+      ...this.expected,
+    ];
+    const merged = new Map<string, PendingDemand>();
+    all.forEach(({ model, dueAtMs }) => {
+      const before = merged.get(model);
+      merged.set(model, {
+        service: SERVICE,
+        model,
+        adapter: null,
+        version: null,
+        waiting: (before?.waiting ?? 0) + 1,
+        dueAtMs: Math.min(before?.dueAtMs ?? Infinity, dueAtMs),
+      });
+    });
+    return [...merged.values()];
+  }
+}
