Do not wait for a copy on an engine that takes orders later than a load from the store ends

Cause: a copy counted as available whatever its engine was doing. Class: a resource counts without the time at which it can be used. A copy counts now if it can be used before a load from the store would end; the steward foretells the loads that wait for their engine, so that callers who can't be served in time are told when to return. Both unit tests fail before.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -12,7 +12,7 @@
  */
 import { type OrderStep, OrderStepType } from '../engine-orders/index.js';
 import type { ModelSpec } from '../fleet-plan/index.js';
-import type { QueuedLoad } from './load-forecast.js';
+import type { ForecastLoad, QueuedLoad } from './load-forecast.js';
 import type { EngineState, Replica, SwapAction, SwapView, PendingDemand } from './types.js';
 import { findPlaceNeeds, type PlaceNeed } from './version-places.js';
 import {
@@ -72,6 +72,8 @@
  * number of loads from the weight store.
  */
 const URGENT_PLACES = 2;
+/** Time until a model can be loaded from a copy from which its callers are told that time, ms. */
+const BLOCKED_MS = 2_000;
 /** Slot utilisation, over all engines with a model, above which the model gets another replica. */
 const MAX_UTILISATION = 0.6;
 /** Queued requests without an adapter at which a loaded model gets another replica. */
@@ -102,6 +104,21 @@
   return { ms: spec.remoteLoadMs, fromStore: true };
 }
 
+/** Time until a model could be loaded on an engine from its copy, ms. */
+function copyWaitMs(nowMs: number, engine: EngineState, model: string): number {
+  const loadMs = specOf(engine, model)?.diskLoadMs ?? 0;
+  return Math.max(0, engine.busyUntilMs - nowMs) + loadMs;
+}
+
+/**
+ * Whether an engine has a copy from which a model is loaded sooner than from the weight store: an
+ * engine takes no other order during a load from the store.
+ */
+function hasUsableCopy(nowMs: number, engine: EngineState, model: string): boolean {
+  const remoteLoadMs = specOf(engine, model)?.remoteLoadMs ?? 0;
+  return hasCopy(engine, model) && copyWaitMs(nowMs, engine, model) < remoteLoadMs;
+}
+
 function loadSteps(evict: readonly Replica[], model: string): readonly OrderStep[] {
   const unloads = evict.map((replica) => ({
     type: OrderStepType.unload,
@@ -260,13 +277,41 @@
           (version === null || engine.version === version),
       );
       const isAvailable = (engine: EngineState) =>
-        holdsOrLoads(engine, model) || hasCopy(engine, model);
+        holdsOrLoads(engine, model) || hasUsableCopy(input.nowMs, engine, model);
       const spec = engines[0]?.spec.models.get(model);
       if (spec === undefined || engines.some(isAvailable)) return [];
       return [{ service, model, version, loadMs: spec.remoteLoadMs }];
     });
   }
 
+  /**
+   * Models in demand that no healthy engine has loaded or loads, and of which all copies that are
+   * worth waiting for are on engines that take no order for longer.
+   */
+  blockedLoads({ nowMs, engines, pendingDemand }: SwapView): readonly ForecastLoad[] {
+    const needs = new Map(
+      pendingDemand.map(({ service, model, version }) => {
+        const need = { service, model, version };
+        return [modelKey(need), need];
+      }),
+    );
+    return [...needs.values()].flatMap((need) => {
+      const { service, model, version } = need;
+      const own = engines.filter(
+        (engine) =>
+          engine.healthy &&
+          engine.service === service &&
+          (version === null || engine.version === version),
+      );
+      if (own.some((engine) => holdsOrLoads(engine, model))) return [];
+      const waitsMs = own
+        .filter((engine) => hasUsableCopy(nowMs, engine, model))
+        .map((engine) => copyWaitMs(nowMs, engine, model));
+      if (waitsMs.length === 0 || Math.min(...waitsMs) < BLOCKED_MS) return [];
+      return [{ ...need, readyAtMs: nowMs + Math.min(...waitsMs) }];
+    });
+  }
+
   /** Loads the model with the highest benefit into the free memory of an engine. */
   private preload(
     view: IndexedView,
@@ -394,11 +439,14 @@
       .flatMap((engine) => this.cheapestOption(view, engine, model, overdue))
       .map((option) => ({ ...option, rank: option.costMs + this.splitCostMs(option, holders) }))
       .sort((a, b) => a.rank - b.rank);
-    // A load from the store evicts replicas only if no engine has a copy of the weights.
-    const copyExists = engines.some((engine) => engine.healthy && hasCopy(engine, model));
+    // A load from the store evicts replicas only if no engine has a copy that can be used sooner.
+    const copyExists = engines.some(
+      (engine) => engine.healthy && hasUsableCopy(view.nowMs, engine, model),
+    );
     const maxCostMs = MAX_COST_MS + demand.waiting * MAX_COST_PER_QUEUED_MS;
     const copyExistsElsewhere = engines.some(
-      (engine) => engine.healthy && !holders.includes(engine) && hasCopy(engine, model),
+      (engine) =>
+        engine.healthy && !holders.includes(engine) && hasUsableCopy(view.nowMs, engine, model),
     );
     const isUsable = ({ fromStore, evict, delayToOthersMs: delayMs }: LoadOption) => {
       if (!fromStore) return true;
--- a/src/decisions/swaps/types.ts
+++ b/src/decisions/swaps/types.ts
@@ -42,6 +42,8 @@
   readonly loading: readonly string[];
   /** Adapters that are being loaded or queued to be loaded, as MODEL/ADAPTER. */
   readonly loadingAdapters: readonly string[];
+  /** Expected end of the model orders in progress or queued, ms; not in the future if there are none. */
+  readonly busyUntilMs: number;
   /**
    * Memory of everything that is loaded or queued to be loaded, MB. Pending unloads still count.
    */
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -149,7 +149,7 @@
 
   private readonly storeConcurrency = new StoreConcurrencyLimiter();
 
-  /** Expected ends of the loads that are queued for the weight store. */
+  /** Expected ends of the loads that are queued for the weight store or for their engine. */
   private forecast: readonly ForecastLoad[] = [];
 
   private plannedAtMs = -Infinity;
@@ -455,7 +455,8 @@
     const startedFromStore = actions.filter(({ fromStore }) => fromStore).length;
     const ends = this.runningStoreLoads().map(({ loadEndsAtMs }) => loadEndsAtMs);
     const maxLoads = this.storeConcurrency.atOnce - startedFromStore;
-    this.forecast = forecastLoads(view.nowMs, ends, maxLoads, queue);
+    const blocked = this.planner.blockedLoads(view).filter((load) => !started.has(modelKey(load)));
+    this.forecast = [...forecastLoads(view.nowMs, ends, maxLoads, queue), ...blocked];
   }
 
   private runningStoreLoads(): readonly EngineRecord[] {
@@ -539,6 +540,7 @@
         ),
       loading: orders.loading,
       loadingAdapters: orders.loadingAdapters,
+      busyUntilMs: orders.loading.length > 0 ? engine.loadEndsAtMs : nowMs,
       reservedMb: orders.reservedMb,
       reservedAdapterSlots: orders.reservedAdapterSlots,
       copies: engine.copies,
--- a/test/replay/model-fleet.ts
+++ b/test/replay/model-fleet.ts
@@ -387,7 +387,10 @@
       .filter(({ load }) => load?.fromStore === true)
       .map(({ loadEndsAtMs }) => loadEndsAtMs);
     const startedFromStore = actions.filter(({ fromStore }) => fromStore).length;
-    this.forecast = forecastLoads(nowMs, ends, this.limiter.atOnce - startedFromStore, queue);
+    this.forecast = [
+      ...forecastLoads(nowMs, ends, this.limiter.atOnce - startedFromStore, queue),
+      ...this.planner.blockedLoads(view),
+    ];
   }
 
   private carryOut(nowMs: number, { engineId, steps, fromStore }: SwapAction): void {
@@ -475,6 +478,7 @@
         .map((model) => this.usage.replica(nowMs, id, model, new Set())),
       loading,
       loadingAdapters: [],
+      busyUntilMs: isOpen ? nowMs : engine.loadEndsAtMs,
       reservedMb: (models.length + loading.length) * MODEL_MB,
       reservedAdapterSlots: 0,
       copies: { inMemory: memory, onDisk: disk },
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -64,6 +64,7 @@
     replicas,
     loading: [],
     loadingAdapters: [],
+    busyUntilMs: NOW_MS,
     reservedMb: replicas.length * 70,
     reservedAdapterSlots: replicas.reduce((sum, { adapters }) => sum + adapters.size, 0),
     copies: { inMemory: [], onDisk },
@@ -180,6 +181,38 @@
   });
 });
 
+describe('a copy on an engine that loads another model from the weight store', () => {
+  const full = [replica('m1'), replica('m2'), replica('m3')];
+  const blockedFor = (ms: number) =>
+    engine('e1', full.slice(1), ['m5'], {
+      open: false,
+      loading: ['m6'],
+      busyUntilMs: NOW_MS + ms,
+    });
+  const view = (blockedMs: number): SwapView => ({
+    nowMs: NOW_MS,
+    engines: [blockedFor(blockedMs), engine('e2', full, [])],
+    pendingDemand: [demandFor('m5')],
+    rates: new Map(),
+    expectedRates: new Map(),
+    storeLoadsLeft: 4,
+    placeLoadsLeft: 4,
+  });
+
+  test('does not keep its model from a load that ends sooner', () => {
+    expect(loadsOf(plan(view(12_000)))).toEqual(['e2 m5']);
+    expect(new SwapPlanner().queuedLoads(view(12_000))).toHaveLength(1);
+  });
+
+  test('is waited for if it can be used sooner, and callers are told when', () => {
+    expect(loadsOf(plan(view(4_000)))).toEqual([]);
+    const told = new SwapPlanner().blockedLoads(view(4_000));
+    expect(told.map(({ model, readyAtMs }) => [model, readyAtMs])).toEqual([
+      ['m5', NOW_MS + 4_600],
+    ]);
+  });
+});
+
 describe('simultaneous demand for several models', () => {
   test('is served by one load per engine, longest queue first', () => {
     const full = [replica('m1'), replica('m2')];
