Count the adapters that an engine can't load during a load from the weight store

Cause: the cost of such a load counted the adapters that were loaded, not those that would be asked for, and a model whose engine takes no order was not loaded elsewhere, although other engines had copies. The cost counts half of the requests expected for models with adapters that no other engine has; a model whose engines all take no order for longer is loaded from a copy elsewhere. Two unit tests, which fail before.

--- a/src/decisions/fleet-plan/types.ts
+++ b/src/decisions/fleet-plan/types.ts
@@ -47,6 +47,8 @@
   readonly diskLoadMs: number;
   /** Load time from the engine's host memory, ms. */
   readonly memoryLoadMs: number;
+  /** Number of its adapters. */
+  readonly adapterCount: number;
   readonly adapterMb: number;
 }
 
--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -520,8 +520,8 @@
   }
 
   /**
-   * Whether every engine with the model accepts adapter orders, but none of them has room for the
-   * demand's adapter or can evict an idle one.
+   * Whether no engine with the model can load the demand's adapter soon: each of them has no room for
+   * it and can evict no idle one, or takes no order for longer.
    */
   private lacksAdapterSlots(
     nowMs: number,
@@ -530,12 +530,15 @@
   ): boolean {
     if (demand.adapter === null) return false;
     const name = `${demand.model}/${demand.adapter}`;
+    const hasAdapter = (engine: EngineState) =>
+      engine.loadingAdapters.includes(name) ||
+      replicaOf(engine, demand.model)?.adapters.has(demand.adapter ?? '') === true;
     return holders.every(
       (engine) =>
-        engine.openForAdapters &&
-        !engine.loadingAdapters.includes(name) &&
-        replicaOf(engine, demand.model)?.adapters.has(demand.adapter ?? '') !== true &&
-        this.adapterOptions(nowMs, engine, demand.model).length === 0,
+        !hasAdapter(engine) &&
+        (engine.busyUntilMs - nowMs > BLOCKED_MS ||
+          (engine.openForAdapters &&
+            this.adapterOptions(nowMs, engine, demand.model).length === 0)),
     );
   }
 
@@ -554,7 +557,7 @@
     const missingMb = engine.reservedMb + spec.sizeMb - engine.spec.memoryMb;
     const adapterDelayMs = view.adapterDelayMs.get(engine.id) ?? 0;
     const blockedMs = fromStore ? ms : 0;
-    const blockMs = blockedMs * (1 + (view.onlyCopyRates.get(engine.id) ?? 0));
+    const blockMs = blockedMs * (1 + (view.blockedRates.get(engine.id) ?? 0));
     if (missingMb <= 0)
       return [
         {
--- a/src/decisions/swaps/view-index.ts
+++ b/src/decisions/swaps/view-index.ts
@@ -6,6 +6,8 @@
  * loaded, ms. Adapter orders wait until the model load has ended.
  */
 const ADAPTER_DELAY_PER_RATE_MS = 300;
+/** Assumed fraction of the requests for a model with adapters that need one. */
+const ADAPTER_FRACTION = 0.5;
 /** Upper bound of the cost of delayed adapter orders, ms. */
 const MAX_ADAPTER_DELAY_MS = 2_500;
 
@@ -23,11 +25,8 @@
   readonly holdersByModel: ReadonlyMap<string, readonly EngineState[]>;
   /** Healthy engines with a copy of each model's weights, by service and model. */
   readonly copiesByModel: ReadonlyMap<string, readonly EngineState[]>;
-  /**
-   * Expected requests per second for models that could only be loaded from a copy on this engine, and
-   * are loaded nowhere, by engine.
-   */
-  readonly onlyCopyRates: ReadonlyMap<string, number>;
+  /** Expected requests per second that fail while an engine takes no order, by engine. */
+  readonly blockedRates: ReadonlyMap<string, number>;
   /** The models in demand, by `modelKey`. */
   readonly modelsInDemand: ReadonlySet<string>;
   /** Queued requests that a replica would serve, with any adapter or none, by `modelKey`. */
@@ -113,6 +112,30 @@
   return Math.min(MAX_ADAPTER_DELAY_MS, delayMs);
 }
 
+/**
+ * Expected requests per second that only an engine can serve, once it has taken an order: those for
+ * models of which it has the only copy, and for adapters of models that no other engine has loaded.
+ */
+function blockedRate(
+  index: Pick<IndexedView, 'holdersByModel' | 'copiesByModel' | 'expectedRates'>,
+  engine: EngineState,
+): number {
+  const rateOf = (model: string) => index.expectedRates.get(model) ?? 0;
+  const unloaded = copiedModels(engine).filter((model) => replicaOf(engine, model) === undefined);
+  const onlyCopies = unloaded.filter((model) => isOnlyAt(index, engine, model));
+  const adapted = engine.replicas
+    .map(({ model }) => model)
+    .filter((model) => (engine.spec.models.get(model)?.adapterCount ?? 0) > 0)
+    .filter((model) => {
+      const key = modelKey({ service: engine.service, model, version: null });
+      return (index.holdersByModel.get(key) ?? []).every(({ id }) => id === engine.id);
+    });
+  return (
+    onlyCopies.reduce((sum, model) => sum + rateOf(model), 0) +
+    adapted.reduce((sum, model) => sum + rateOf(model) * ADAPTER_FRACTION, 0)
+  );
+}
+
 export function indexView(view: SwapView): IndexedView {
   const replicas = view.engines
     .filter(({ healthy }) => healthy)
@@ -132,11 +155,7 @@
         }),
       ),
   );
-  const onlyCopyRate = (engine: EngineState) =>
-    copiedModels(engine)
-      .filter((model) => replicaOf(engine, model) === undefined)
-      .filter((model) => isOnlyAt({ holdersByModel, copiesByModel }, engine, model))
-      .reduce((sum, model) => sum + (view.expectedRates.get(model) ?? 0), 0);
+  const index = { ...view, holdersByModel, copiesByModel };
   return {
     ...view,
     queuedByModel: countQueued(view.pendingDemand),
@@ -147,7 +166,7 @@
     ),
     holdersByModel,
     copiesByModel,
-    onlyCopyRates: new Map(view.engines.map((engine) => [engine.id, onlyCopyRate(engine)])),
+    blockedRates: new Map(view.engines.map((engine) => [engine.id, blockedRate(index, engine)])),
     modelsInDemand: new Set(view.pendingDemand.map(modelKey)),
     adapterDelayMs: new Map(
       view.engines.map((engine) => [engine.id, adapterDelayPenaltyMs(view, engine)]),
--- a/test/replay/model-fleet.ts
+++ b/test/replay/model-fleet.ts
@@ -146,7 +146,13 @@
       models: new Map(
         opts.models.map((name) => [
           name,
-          { name, sizeMb: MODEL_MB, adapterMb: 0, ...opts.loadMs } satisfies ModelSpec,
+          {
+            name,
+            sizeMb: MODEL_MB,
+            adapterCount: 0,
+            adapterMb: 0,
+            ...opts.loadMs,
+          } satisfies ModelSpec,
         ]),
       ),
     };
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -27,6 +27,7 @@
         remoteLoadMs: 6_000,
         diskLoadMs: 600,
         memoryLoadMs: 450,
+        adapterCount: name === 'hot' || name === 'warm' ? 8 : 0,
         adapterMb: 1,
       },
     ]),
@@ -317,6 +318,35 @@
   });
 });
 
+describe('an adapter of a model whose engine loads another model from the weight store', () => {
+  const expectedRates = new Map([['hot', 1]]);
+  const full = [replica('m1'), replica('m2'), replica('m3')];
+
+  test('makes the model load on an engine with a copy', () => {
+    const blocked = engine('e1', [replica('hot'), replica('m4')], ['hot'], {
+      open: false,
+      openForAdapters: false,
+      loading: ['m6'],
+      busyUntilMs: NOW_MS + 7_000,
+    });
+    const engines = [blocked, ...['e2', 'e3', 'e4'].map((id) => engine(id, full, ['hot']))];
+    const actions = plan({ engines, pendingDemand: [demandFor('hot', { adapter: 'a1' })] });
+    expect(loadsOf(actions)).toEqual(['e2 hot']);
+  });
+
+  test('is considered before that load begins', () => {
+    const engines = [engine('e1', [replica('hot'), ...full.slice(1)], ['hot'])].concat(
+      engine(
+        'e2',
+        full,
+        full.map(({ model }) => model),
+      ),
+    );
+    const actions = plan({ engines, pendingDemand: [demandFor('m6')], expectedRates });
+    expect(loadsOf(actions)).toEqual(['e2 m6']);
+  });
+});
+
 describe('empty engines', () => {
   test('preload the model in highest demand but leave one store load', () => {
     const engines = ['e1', 'e2', 'e3'].map((id) => engine(id, [], []));
