Return the lent units of requests that were refused without being executed

Cause (by reading, shown with the lender): where a customer's shares are too small for its requests, as with many VMs, each request is admitted with a loan of the steward. If it is then refused for another reason, its units were credited to the VM's own share, which holds none, and so were lost. Class: what was taken from one party is given back to another. A VM now reports what its share can't hold, and the lender credits it, up to the burst that it keeps. The new test fails before (second loan refused); the conservation property has requests that are admitted and not executed.

--- a/src/decisions/rate-shares/bucket.ts
+++ b/src/decisions/rate-shares/bucket.ts
@@ -37,10 +37,12 @@
     return true;
   }
 
-  /** Credits units that were taken and not used. */
-  refund(nowMs: number, units: number): void {
+  /** Credits units that were taken and not used. Returns the units beyond the burst, which are not. */
+  refund(nowMs: number, units: number): number {
     this.refill(nowMs);
-    this.level = Math.min(this.cap(), this.level + units);
+    const credited = Math.min(units, Math.max(0, this.cap() - this.level));
+    this.level += credited;
+    return units - credited;
   }
 
   /** Milliseconds until `units` are available; Infinity if the bucket can never cover them. */
--- a/src/decisions/rate-shares/holder.ts
+++ b/src/decisions/rate-shares/holder.ts
@@ -29,6 +29,8 @@
   demandAtMs: number;
   usualUnits: number;
   largestUnits: number;
+  /** Units that are to be returned to the lender. */
+  unreturned: number;
 }
 
 export class ShareHolder {
@@ -105,9 +107,28 @@
     return lent + share.bucket.available(nowMs);
   }
 
-  /** Credits the units of a request that was not executed. */
+  /**
+   * Credits the units of a request that was not executed. What this VM's share can't hold was lent,
+   * and is to be returned.
+   */
   refund(nowMs: number, customer: string, units: number): void {
-    this.customerShares.get(customer)?.bucket.refund(nowMs, units);
+    const share = this.customerShares.get(customer);
+    if (share === undefined) return;
+    this.expire(nowMs);
+    share.unreturned += share.bucket.refund(nowMs, units);
+  }
+
+  /** Units to return to the lender, by customer. */
+  unreturned(): ReadonlyMap<string, number> {
+    const all = [...this.customerShares].map(
+      ([customer, { unreturned }]) => [customer, unreturned] as const,
+    );
+    return new Map(all.filter(([, units]) => units > 0));
+  }
+
+  /** Records that all units of `unreturned` were sent to the lender. */
+  noteReturned(): void {
+    this.customerShares.forEach((share) => Object.assign(share, { unreturned: 0 }));
   }
 
   /** Milliseconds until this VM's share covers `units`; Infinity if it can never cover them. */
@@ -138,6 +159,7 @@
       demandAtMs: nowMs,
       usualUnits: 0,
       largestUnits: 0,
+      unreturned: 0,
     };
     this.customerShares.set(customer, share);
     return share;
--- a/src/decisions/rate-shares/lender.ts
+++ b/src/decisions/rate-shares/lender.ts
@@ -241,6 +241,12 @@
     return this.buckets.get(customer)?.take(nowMs, units) ?? false;
   }
 
+  /** Credits lent units that were not used. */
+  refund(nowMs: number, customer: string, units: number): void {
+    this.refreshBuckets(nowMs);
+    this.buckets.get(customer)?.refund(nowMs, units);
+  }
+
   /** Milliseconds until the reserve covers `units`; Infinity if it can never cover them. */
   waitMs(nowMs: number, customer: string, units: number): number {
     return this.buckets.get(customer)?.waitMs(nowMs, units) ?? Infinity;
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -154,6 +154,8 @@
     running: z.array(runningRequestsSchema),
     waits: z.array(queuedRequestsSchema),
     usage: z.array(usageSchema),
+    /** Lent units of customers' rates that were not used. */
+    returned: z.record(z.string(), z.number().nonnegative()).default({}),
     /** Servers that the sender can't connect to. */
     unreachable: z.array(connectFailureSchema).default([]),
     /** Whether the sender is stopping. */
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -109,11 +109,13 @@
       running,
       waits: queued,
       usage: [...this.usage].map(([model, requests]) => ({ model, requests })),
+      returned: Object.fromEntries(this.opts.admission.holder.unreturned()),
       unreachable: this.opts.view.unreachable(),
       leaving: this.opts.isStopping(),
     };
     if (!this.opts.link.send(message)) return;
     this.usage.clear();
+    this.opts.admission.holder.noteReturned();
     this.reportedKey = key;
     this.sentAtMs = nowMs;
     this.opts.view.noteReported();
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -351,6 +351,9 @@
       return;
     }
     lender.noteReport(nowMs, report.vm, report.appliedSeq, report.shares);
+    Object.entries(report.returned).forEach(([customer, units]) =>
+      lender.refund(nowMs, customer, units),
+    );
     const grant = lender.grant(nowMs, report.vm);
     const { storeWatcher } = this.opts;
     // Sent before the grant, which confirms that the member's server list is current.
--- a/test/properties/rate-shares/conservation.test.ts
+++ b/test/properties/rate-shares/conservation.test.ts
@@ -70,6 +70,8 @@
     const { lender } = this;
     const sentAtMs = this.nowMs;
     lender.noteReport(this.nowMs, vm.name, vm.appliedSeq, vm.holder.report(this.nowMs));
+    vm.holder.unreturned().forEach((units, customer) => lender.refund(this.nowMs, customer, units));
+    vm.holder.noteReturned();
     const { seq, fractions } = lender.grant(this.nowMs, vm.name);
     vm.inbox.push(() => {
       if (lender !== this.lender) return;
@@ -118,6 +120,12 @@
     if (holder.take(this.nowMs, CUSTOMER, units)) this.spent.push({ atMs: this.nowMs, units });
   }
 
+  /** Admits a request that is then not executed. */
+  refuse(at: number, units: number): void {
+    const { holder } = this.vmAt(at);
+    if (holder.take(this.nowMs, CUSTOMER, units)) holder.refund(this.nowMs, CUSTOMER, units);
+  }
+
   /** Makes every VM borrow once and spend everything it has. */
   drain(): void {
     this.vms.forEach((vm, at) => {
@@ -174,6 +182,7 @@
       'spend',
       'spend',
       'ask',
+      'refuse',
       'write',
       'drain',
       'drain',
@@ -200,6 +209,7 @@
     else if (move === 'deliver') fleet.deliver(vm);
     else if (move === 'spend') fleet.spend(vm, units);
     else if (move === 'ask') fleet.ask(vm, units);
+    else if (move === 'refuse') fleet.refuse(vm, units);
     else if (move === 'write') fleet.write();
     else if (move === 'lose') fleet.lose(vm);
     else if (move === 'restart') fleet.restart(vm);
--- a/test/replay/model-fleet.ts
+++ b/test/replay/model-fleet.ts
@@ -436,6 +436,7 @@
       running,
       waits: [],
       usage: [...this.used].map(([model, requests]) => ({ model, requests })),
+      returned: {},
       unreachable: [],
       leaving: false,
     };
--- a/test/replay/small-customers.test.ts
+++ b/test/replay/small-customers.test.ts
@@ -96,3 +96,27 @@
     expect(replay.counts.served).toBeGreaterThan(300);
   });
 });
+
+describe('a customer whose requests are admitted with lent units', () => {
+  test('loses no units for requests that are then refused without being executed', () => {
+    const lender = new RateLender(0, new Map());
+    const vms = Array.from({ length: 20 }, () => new ShareHolder());
+    lender.setLimits(0, LIMITS);
+    vms.forEach((vm, at) => {
+      vm.setLimits(0, LIMITS);
+      lender.noteReport(0, `vm-${at}`, 0, vm.report(0));
+    });
+    const [first] = vms;
+    if (first === undefined) throw new Error('no VMs');
+    const nowMs = 10_000;
+    const units = LIMIT.burst * 0.9;
+    expect(lender.lend(nowMs, CUSTOMER, units)).toBe(true);
+    first.addLoan(nowMs, CUSTOMER, units);
+    expect(first.take(nowMs, CUSTOMER, units)).toBe(true);
+    first.refund(nowMs, CUSTOMER, units);
+    first.unreturned().forEach((returned, customer) => lender.refund(nowMs, customer, returned));
+    first.noteReturned();
+    expect(lender.lend(nowMs, CUSTOMER, units)).toBe(true);
+    expect(first.unreturned().size).toBe(0);
+  });
+});
