--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -49,6 +49,7 @@
     running: [],
     waits,
     usage: [],
+    returned: {},
     unreachable,
     leaving: false,
   };
