A new steward knows what an engine has while that engine carries out an order

Cause: a report of a busy engine was not applied at all, as the state after the order is unknown, but the state before it was then nothing. The first report after a takeover or a restart tells what is loaded, busy or not; no order is sent until the engine is no longer busy, as before. The first test fails without it.

--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -113,6 +113,9 @@
 
   private reportNeeded = true;
 
+  /** Whether a report has shown the engine without an order in progress since its start. */
+  private isStateKnown = false;
+
   private notBeforeMs = 0;
 
   private pendingUnload: PendingUnload | null = null;
@@ -233,8 +236,10 @@
     if (this.current !== null && this.isLoadingModel(this.current)) this.handleLoadReport(report);
     // While the engine executes another steward's order, its resulting state is unknown.
     if (!this.busy) {
+      // No order is sent until its end, but requests may go to what it has loaded meanwhile.
+      if (!report.busy || !this.isStateKnown) this.replaceLoaded(report.models);
       if (report.busy) return;
-      this.replaceLoaded(report.models);
+      this.isStateKnown = true;
       this.reportNeeded = false;
     } else if (this.current === null || !this.current.unresolved) {
       this.reportNeeded = false;
@@ -449,6 +454,7 @@
     this.acceptedOrders = null;
     this.pendingUnload = null;
     this.models = new Map();
+    this.isStateKnown = false;
     this.dropSteps();
   }
 
--- a/test/units/engine-orders/engine-orders.test.ts
+++ b/test/units/engine-orders/engine-orders.test.ts
@@ -51,6 +51,26 @@
   return order;
 }
 
+describe('an engine that carries out an order of another steward', () => {
+  // After a takeover during a load, the engine was taken for empty until the end of that load.
+  test('has what it reports, and gets no order until its end', () => {
+    const orders = createOrders();
+    orders.observe(reported(4, { a: ['x'], b: [] }, true));
+    expect([...orders.loadedModels.keys()]).toEqual(['a', 'b']);
+    expect(orders.needsReport).toBe(true);
+    orders.observe(reported(4, { a: [], b: [], c: [] }));
+    expect([...orders.loadedModels.keys()]).toEqual(['a', 'b', 'c']);
+    expect(orders.needsReport).toBe(false);
+  });
+
+  test('is not taken for what it held before its restart', () => {
+    const orders = createOrders();
+    orders.observe(reported(4, { a: [] }));
+    orders.observe({ ...reported(0, {}, true), bornMs: 2 });
+    expect(orders.loadedModels.size).toBe(0);
+  });
+});
+
 describe('EngineOrders', () => {
   test('waits for a report and names the accepted order count', () => {
     const orders = createOrders();
