Bound a place for a crowded model without what its engine alone could serve

Right after a takeover every model is expected to be requested, so that such a place would have been refused more often than before, which streams of a version need when their servers crash. The cost still decides between engines; the bound is as it was.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -89,7 +89,7 @@
    * `delayToOthersMs`.
    */
   readonly costMs: number;
-  /** Delay for requests to other models, ms. */
+  /** Delay for requests to other models, ms, apart from those that no other engine could serve. */
   readonly delayToOthersMs: number;
 }
 
@@ -575,21 +575,22 @@
       .filter((replica) => replica.running === 0 || overdue)
       .map((replica) => ({
         replica,
-        costMs:
-          this.evictionCostMs(view, engine, replica, model) +
-          this.absenceCostMs(view, engine, replica, blockedMs),
+        delayMs: this.evictionCostMs(view, engine, replica, model),
+        absenceMs: this.absenceCostMs(view, engine, replica, blockedMs),
       }))
+      .map((candidate) => ({ ...candidate, costMs: candidate.delayMs + candidate.absenceMs }))
       .sort((a, b) => a.costMs - b.costMs);
     const chosen = this.chooseEvictions(engine, candidates, missingMb);
     if (chosen === null) return [];
     const evictionMs = chosen.reduce((sum, { costMs }) => sum + costMs, 0);
+    const delayMs = chosen.reduce((sum, candidate) => sum + candidate.delayMs, 0);
     return [
       {
         engine,
         evict: chosen.map(({ replica }) => replica),
         fromStore,
         costMs: ms + evictionMs + adapterDelayMs + blockMs,
-        delayToOthersMs: evictionMs + adapterDelayMs,
+        delayToOthersMs: delayMs + adapterDelayMs,
       },
     ];
   }
@@ -607,11 +608,11 @@
     return isOnlyAt(view, engine, model) ? (view.expectedRates.get(model) ?? 0) * blockedMs : 0;
   }
 
-  private chooseEvictions(
+  private chooseEvictions<T extends { readonly replica: Replica }>(
     engine: EngineState,
-    candidates: readonly { replica: Replica; costMs: number }[],
+    candidates: readonly T[],
     missingMb: number,
-  ) {
+  ): readonly T[] | null {
     const sizeOf = (replica: Replica) => {
       const spec = specOf(engine, replica.model);
       return (spec?.sizeMb ?? 0) + replica.adapters.size * (spec?.adapterMb ?? 0);
