Take a load that is overdue for one that lasts longer, not for one that has ended

Cause: the expected end stayed in the past, which counted as "about to end" for waiting requests, for copies on that engine and for the forecast. Class: an estimate that has been refuted stays in use. An overdue load is expected to last as long again as it is overdue.

--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -140,6 +140,11 @@
   return isResponsive(engine) && (consecutiveFailures > 0 || unreachableAtMs > reportedAtMs);
 }
 
+/** Expected end of the last planned action, ms: one that is overdue is expected to last as long again. */
+function expectedEndMs(nowMs: number, { loadEndsAtMs }: EngineRecord): number {
+  return Math.max(loadEndsAtMs, nowMs + (nowMs - loadEndsAtMs));
+}
+
 export class EngineController {
   private readonly engines = new Map<string, EngineRecord>();
 
@@ -218,7 +223,7 @@
         service: engine.server.service,
         model,
         version: engine.server.version,
-        readyAtMs: engine.loadEndsAtMs,
+        readyAtMs: expectedEndMs(nowMs, engine),
       })),
     );
     return [...inProgress, ...this.forecast].map(({ service, model, version, readyAtMs }) => ({
@@ -540,7 +545,7 @@
         ),
       loading: orders.loading,
       loadingAdapters: orders.loadingAdapters,
-      busyUntilMs: orders.loading.length > 0 ? engine.loadEndsAtMs : nowMs,
+      busyUntilMs: orders.loading.length > 0 ? expectedEndMs(nowMs, engine) : nowMs,
       reservedMb: orders.reservedMb,
       reservedAdapterSlots: orders.reservedAdapterSlots,
       copies: engine.copies,
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -149,3 +149,17 @@
     expect(controller.loads(times.nowMs)).toEqual([]);
   });
 });
+
+describe('a load that lasts longer than expected', () => {
+  // Callers were told again and again that it was about to end.
+  test('is announced to last as long again as it is overdue', async () => {
+    const { controller, times, runFor } = setUp();
+    const need = { service: SERVER.service, model: 'm2', adapter: null, version: null };
+    const report = memberReport([], [{ ...need, waiting: 3, dueInMs: 500 }]);
+    await runFor(2_000, [report]);
+    const expectedMs = controller.loads(times.nowMs)[0]?.readyInMs ?? 0;
+    const overdueMs = 3_000;
+    times.nowMs += expectedMs + overdueMs;
+    expect(controller.loads(times.nowMs)[0]?.readyInMs).toBe(overdueMs);
+  });
+});
