Tests: requests whose servers are silent for a second are cut or failed (known red)

The stand-in of a caller took a response that was cut off for an answered one, as undici's dump() resolves for it too: it reads the whole body now.

--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -3,6 +3,7 @@
  * model engine, or the server of a plain service if it has no models.
  */
 import * as http from 'node:http';
+import * as net from 'node:net';
 import type { Socket } from 'node:net';
 import * as clocks from '../../src/core/clock/index.js';
 import * as httpServers from '../../src/core/http/index.js';
@@ -156,6 +157,10 @@
   return crashing?.split(':', 1)[0] ?? header(req, CRASH_HEADER);
 }
 
+function isReport(req: http.IncomingMessage): boolean {
+  return req.url === '/v1/report';
+}
+
 export class SoakEngine {
   private id = '';
 
@@ -172,6 +177,9 @@
 
   private isUnresponsive = false;
 
+  /** End of the time in which the server sends nothing. */
+  private silence: Promise<void> = Promise.resolve();
+
   private isRetired = false;
 
   private slowdownFactor = 1;
@@ -283,6 +291,23 @@
     }, ms);
   }
 
+  /** Sends nothing but reports for `ms`, and then goes on with all requests. */
+  fallSilent(ms: number): void {
+    this.silence = clocks.sleep(ms);
+  }
+
+  /** Refuses new connections for `ms`; those that are open live on. */
+  refuseConnections(ms: number): void {
+    const { server, incarnation } = this;
+    if (server === null) return;
+    const [host, port] = this.address.split(':');
+    // Not that of the HTTP server, which also closes idle connections.
+    net.Server.prototype.close.call(server);
+    setTimeout(() => {
+      if (incarnation === this.incarnation) server.listen(Number(port), host);
+    }, ms);
+  }
+
   /** Executes requests but resets their connections for `ms`. */
   dropResponses(ms: number): void {
     this.dropsResponses = true;
@@ -396,8 +421,9 @@
       req.on('end', resolve);
     });
     if (this.isUnresponsive) return;
+    if (!isReport(req)) await this.silence;
     this.requestLimit.noteArrival();
-    if (req.url === '/v1/report') {
+    if (isReport(req)) {
       this.writeHead(res, 200, { 'content-type': 'application/json' }).end(
         JSON.stringify(this.state()),
       );
@@ -514,6 +540,7 @@
       this.running = Math.max(0, this.running - 1);
       return this.writeHead(res, 500, { 'Attempt-Id': id, 'Response-Seal': 'seal' }).end();
     }
+    await this.silence;
     if (model === '') this.respond(res, id);
     else await this.stream(req, res, id, incarnation);
     this.running = Math.max(0, this.running - 1);
@@ -566,6 +593,7 @@
     for (let at = first; at <= STREAM_EVENTS; at += 1) {
       await clocks.sleep(EVENT_INTERVAL_MS * this.slowdownFactor);
       while (this.isUnresponsive) await clocks.sleep(EVENT_INTERVAL_MS);
+      await this.silence;
       if (incarnation !== this.incarnation || res.destroyed) return;
       if (this.dropsResponses && at === STREAM_EVENTS / 2) res.socket?.resetAndDestroy();
       const { version } = this.spec;
--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -210,7 +210,8 @@
         body,
         signal: AbortSignal.timeout(disconnectAfterMs ?? DEADLINE_MS),
       });
-      await res.body.dump();
+      // `dump` would also resolve for a response that is cut off.
+      await res.body.arrayBuffer();
       return res.statusCode;
     } catch {
       // The caller disconnected, the VM was killed, or the response was cut off.
