Relay: give up a silent attempt only once its replacement responds

Cause: an idle attempt (700 ms, or two objectives) was aborted first, and the request placed afterwards. If then no server took it (all out of reach, full, or the retries used up), nothing was left to answer with. Class: a running answer is given up for one that is not certain.

Change: AttemptRace keeps the silent attempt while another one is sent. Whichever responds first (a stream's head or event, a whole response otherwise) goes on, the other is aborted. A replacement that is refused leaves the attempt as it was. The retry budget, the attempts of the route and the health of servers are charged as before.

--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -66,9 +66,7 @@
 
   /** Resolves with a run at a server that is not in `tried`, or with a rejection. */
   place(request: QueuedRequest, tried: ReadonlySet<string>): Promise<Placement> {
-    // A server that has just become free is for the queued requests first.
-    if (this.isScheduled) this.placeQueued();
-    const run = this.tryPlace(request, tried);
+    const run = this.placeNow(request, tried);
     if (run !== null) return Promise.resolve({ run, retryAfterMs: null });
     return new Promise((resolve) => {
       this.waiting.set(request.id, { request, tried, settle: resolve });
@@ -79,6 +77,13 @@
     });
   }
 
+  /** A run at a server that is not in `tried` and can run the request now; null if there is none. */
+  placeNow(request: QueuedRequest, tried: ReadonlySet<string>): Run | null {
+    // A server that has just become free is for the queued requests first.
+    if (this.isScheduled) this.placeQueued();
+    return this.tryPlace(request, tried);
+  }
+
   /** Removes a queued request whose caller has disconnected or whose time is up. */
   cancel(id: string): void {
     const entry = this.waiting.get(id);
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -15,6 +15,7 @@
   isSuccess,
   send,
 } from './attempt.js';
+import { AttemptRace, type FinishedAttempt, RunningAttempt, Superseded } from './attempt-race.js';
 import type { RelayContext } from './context.js';
 import { EventSplitter } from './event-stream.js';
 import type { Run } from './fleet-view.js';
@@ -80,20 +81,11 @@
 
 type Answered = Extract<AttemptResult, { type: typeof AttemptEnd.answered }>;
 
-/** When the parts of an attempt's response arrived; null for a part that did not. */
-interface AttemptProgress {
-  headAtMs: number | null;
-  firstEventAtMs: number | null;
-  /** Whether the response has shown that the prompt is sound. */
-  isSound: boolean;
-}
-
-function noProgress(): AttemptProgress {
-  return { headAtMs: null, firstEventAtMs: null, isSound: false };
-}
+type Broken = Extract<AttemptResult, { type: typeof AttemptEnd.broken }>;
+type NotRun = Extract<AttemptResult, { type: typeof AttemptEnd.notRun }>;
 
-export class Exchange implements StreamSink {
-  private readonly aborter = new AbortController();
+export class Exchange {
+  private readonly attempts: AttemptRace;
 
   private readonly splitter: EventSplitter;
 
@@ -117,15 +109,9 @@
   /** Units that are charged to the customer's rate. */
   private units = 0;
 
-  /** The attempt in progress. */
-  private current: { readonly run: Run; readonly sentAtMs: number } | null = null;
-
   /** When the last event of a stream was passed on; null before the first. */
   private lastEventAtMs: number | null = null;
 
-  /** How far the last attempt got. */
-  private progress = noProgress();
-
   /** Whether an attempt was aborted because a segment of the prompt is refused. */
   private isWithdrawn = false;
 
@@ -155,6 +141,11 @@
       this.deadlineAtMs,
       this.identity,
     );
+    this.attempts = new AttemptRace({
+      send: (attempt) => this.send(attempt),
+      isUsable: (result) => this.isUsable(result),
+      onUnused: (finished) => this.recordUnused(finished),
+    });
   }
 
   /** Processes the request. Failures of the caller or of servers do not reject the promise. */
@@ -195,63 +186,62 @@
     this.ctx.dispatcher.cancel(this.queuedRequest.id);
   }
 
-  begin(res: http.IncomingMessage): boolean {
-    this.recordFirstByte();
-    if (this.ended) return true;
+  /** Receives the event stream of an attempt. */
+  private sinkOf(attempt: RunningAttempt): StreamSink {
+    return {
+      begin: (res) => {
+        this.begin(attempt, res);
+        return true;
+      },
+      write: (bytes) => this.write(attempt, bytes),
+      isComplete: () => this.splitter.partialBytes === 0,
+      heldBytes: () => this.splitter.heldBytes + this.request.res.writableLength,
+      isBlocked: () => !this.ended && this.request.res.writableNeedDrain,
+      onWritable: (handler) => {
+        this.request.res.once(
+          'drain',
+          contain(handler, (err) => this.abort(err)),
+        );
+      },
+    };
+  }
+
+  private begin(attempt: RunningAttempt, res: http.IncomingMessage): void {
+    if (this.attempts.noteResponse(attempt)) this.logResumption(attempt.run);
+    this.recordFirstByte(attempt);
+    if (this.ended) return;
     if (this.streaming) {
       this.splitter.discardPartialEvent();
-      return true;
+      return;
     }
     this.streaming = true;
     this.writeHead({ ...headOf(res), contentLength: null });
     this.request.res.flushHeaders();
-    return true;
   }
 
-  write(bytes: Buffer): WriteResult {
+  private write(attempt: RunningAttempt, bytes: Buffer): WriteResult {
     const split = this.splitter.push(bytes);
     // The stream goes on after the last event in order, also if a wrong one came with it.
-    if (split.bytes.length > 0) this.writeEvents(split.bytes);
+    if (split.bytes.length > 0) this.writeEvents(attempt, split.bytes);
     if (!split.isInOrder) return WriteResult.refused;
     return split.bytes.length > 0 ? WriteResult.event : WriteResult.part;
   }
 
-  private writeEvents(bytes: Buffer): void {
+  private writeEvents(attempt: RunningAttempt, bytes: Buffer): void {
     const nowMs = this.ctx.clock.steadyMs();
-    this.noteEvent(nowMs);
-    if (this.current !== null) {
-      this.ctx.view.health.noteDataReceived(nowMs, this.current.run.server.id);
-    }
+    this.attempts.noteResponse(attempt);
+    this.noteEvent(nowMs, attempt);
+    this.ctx.view.health.noteDataReceived(nowMs, attempt.run.server.id);
     if (!this.ended) this.request.res.write(bytes);
   }
 
-  isComplete(): boolean {
-    return this.splitter.partialBytes === 0;
-  }
-
-  heldBytes(): number {
-    return this.splitter.heldBytes + this.request.res.writableLength;
-  }
-
-  isBlocked(): boolean {
-    return !this.ended && this.request.res.writableNeedDrain;
-  }
-
-  onWritable(handler: () => void): void {
-    this.request.res.once(
-      'drain',
-      contain(handler, (err) => this.abort(err)),
-    );
-  }
-
-  private noteEvent(nowMs: number): void {
-    const { progress, current } = this;
+  private noteEvent(nowMs: number, attempt: RunningAttempt): void {
+    const { progress } = attempt;
+    const wasSound = progress.isSound;
     this.lastEventAtMs = nowMs;
-    if (progress.firstEventAtMs === null && current !== null) this.noteBegun(current.run);
-    progress.firstEventAtMs ??= nowMs;
-    if (progress.isSound || nowMs - progress.firstEventAtMs < SOUND_STREAM_MS) return;
-    progress.isSound = true;
-    this.ctx.incidents.noteSound(this.identity);
+    if (progress.firstEventAtMs === null) this.noteBegun(attempt.run);
+    attempt.noteEvent(nowMs, SOUND_STREAM_MS);
+    if (progress.isSound && !wasSound) this.ctx.incidents.noteSound(this.identity);
   }
 
   /** Binds the stream to the version of the server that has sent an event of it. */
@@ -356,8 +346,7 @@
         return;
       }
       this.logWait(placement.run);
-      const result = await this.attempt(placement.run);
-      if (!this.handleResult(placement.run, result)) return;
+      if (!this.handleResult(await this.attempt(placement.run))) return;
     }
     if (!this.mayHaveRun) this.refund();
   }
@@ -379,25 +368,39 @@
     this.ctx.log('waited', metadata.id, { server: run.server.id, model, adapter, waitedMs });
   }
 
-  private async attempt(run: Run): Promise<AttemptResult> {
-    const nowMs = this.ctx.clock.steadyMs();
-    this.current = { run, sentAtMs: nowMs };
-    this.progress = noProgress();
+  private attempt(run: Run): Promise<FinishedAttempt> {
     this.isProbe = false;
-    const resumeAfter =
-      this.streaming && this.splitter.lastId !== null ? String(this.splitter.lastId) : null;
     this.logResumption(run);
+    return this.attempts.run(new RunningAttempt(run, this.ctx.clock.steadyMs()));
+  }
+
+  /** Sends the request of an idle attempt to another server as well, if that is worthwhile. */
+  private replaceIdle(attempt: RunningAttempt, idleMs: number): void {
+    if (this.ended || !this.attempts.mayReplace(attempt)) return;
+    if (!this.ctx.hasFreshKeys(this.request.customer)) return;
+    const run = this.retryPolicy.replaceIdle(attempt.run, idleMs);
+    if (run === null) return;
+    const { id } = this.request.metadata;
+    const idle = attempt.run.server.id;
+    this.ctx.log('sent-elsewhere', id, { server: run.server.id, idle, idleMs: Math.round(idleMs) });
+    this.attempts.replaceBy(new RunningAttempt(run, this.ctx.clock.steadyMs()));
+  }
+
+  private async send(attempt: RunningAttempt): Promise<AttemptResult> {
+    const { run } = attempt;
     this.ctx.throttling.noteSent(run.server);
     try {
-      return await this.sendTo(run, nowMs, resumeAfter);
+      return await this.sendTo(attempt);
     } finally {
-      this.current = null;
       this.ctx.view.ended(run);
       this.ctx.dispatcher.schedulePlacement();
     }
   }
 
-  private sendTo(run: Run, nowMs: number, resumeAfter: string | null): Promise<AttemptResult> {
+  private sendTo(attempt: RunningAttempt): Promise<AttemptResult> {
+    const { run, sentAtMs: nowMs } = attempt;
+    const resumeAfter =
+      this.streaming && this.splitter.lastId !== null ? String(this.splitter.lastId) : null;
     const { req, metadata, customer, route, body } = this.request;
     return send(
       this.ctx.wire,
@@ -421,14 +424,14 @@
           this.maxConnections(),
         ),
         run,
-        signal: this.aborter.signal,
-        idlePolicy: this.retryPolicy.idlePolicy(run),
+        signal: attempt.signal,
+        idlePolicy: this.retryPolicy.idlePolicy(run, (idleMs) => this.replaceIdle(attempt, idleMs)),
         wasRefused: this.retryPolicy.refusedBy.has(run.server.id),
         memory: this.ctx.memory,
         turns: this.ctx.turns,
         onException: (err) => this.ctx.reportException(metadata.id, err),
         onHead: (head, status) => {
-          this.progress.headAtMs = this.ctx.clock.steadyMs();
+          attempt.noteHead(this.ctx.clock.steadyMs());
           this.ctx.throttling.noteResponse(run.server, head, nowMs);
           if (head.leaving) this.ctx.noteLeaving(run.server);
           if (status === 503 && head.retryAfterMs !== null) {
@@ -436,7 +439,7 @@
           }
         },
       },
-      route.retrySafety === RetrySafety.stream ? this : null,
+      route.retrySafety === RetrySafety.stream ? this.sinkOf(attempt) : null,
     );
   }
 
@@ -454,8 +457,14 @@
     return plan.services.get(service)?.maxConnections ?? 0;
   }
 
+  /** Whether a result serves the caller although another attempt is in progress. */
+  private isUsable(result: AttemptResult): boolean {
+    if (result.type !== AttemptEnd.answered) return result.type === AttemptEnd.streamed;
+    return !this.streaming && result.response.status < 500;
+  }
+
   /** Handles the result of an attempt; true if the request is to be placed again. */
-  private handleResult(run: Run, result: AttemptResult): boolean {
+  private handleResult({ attempt, result }: FinishedAttempt): boolean {
     const nowMs = this.ctx.clock.steadyMs();
     switch (result.type) {
       case AttemptEnd.streamed:
@@ -464,16 +473,35 @@
         this.finishStream();
         return false;
       case AttemptEnd.answered:
-        this.mayHaveRun = true;
-        return this.handleResponse(nowMs, run, result);
+        return this.handleResponse(nowMs, attempt.run, result);
       case AttemptEnd.notRun:
-        return this.handleNotExecuted(nowMs, run, result.reached, result.status, result.reason);
+        return this.handleNotExecuted(nowMs, attempt.run, result);
       default:
-        this.mayHaveRun = true;
-        return this.handleBroken(nowMs, run, result.reason, result.connectionLost);
+        return this.handleBroken(nowMs, attempt, result);
     }
   }
 
+  /** Records the result of an attempt that does not decide on the request. */
+  private recordUnused({ attempt, result }: FinishedAttempt): void {
+    const nowMs = this.ctx.clock.steadyMs();
+    const { run } = attempt;
+    switch (result.type) {
+      case AttemptEnd.streamed:
+        break;
+      case AttemptEnd.answered:
+        this.recordResponse(nowMs, run, result.response);
+        result.held.release();
+        break;
+      case AttemptEnd.notRun:
+        this.recordNotExecuted(nowMs, run, result);
+        this.retryPolicy.noteNotExecuted(run, result.reached, this.isExcludedAfter(run, result));
+        return;
+      default:
+        this.recordBroken(nowMs, attempt, result);
+    }
+    this.retryPolicy.noteRun(run);
+  }
+
   /** Delivers a response, or retries; true if the request is to be placed again. */
   private handleResponse(nowMs: number, run: Run, { response, held }: Answered): boolean {
     const isRetried = this.retryOrCut(nowMs, run, response);
@@ -482,71 +510,93 @@
     return isRetried;
   }
 
+  private recordResponse(nowMs: number, run: Run, { status }: BackendResponse): void {
+    this.mayHaveRun = true;
+    if (isSuccess(status)) this.ctx.incidents.noteCompleted(this.identity);
+    if (status < 500) this.ctx.view.health.noteAnswer(nowMs, run.server.id, null);
+    else if (!this.ended && !this.streaming) {
+      this.ctx.view.health.noteFailure(nowMs, run.server.id, ERROR_RESPONSE_WEIGHT);
+    }
+  }
+
   /** Records what a response tells; true if the request is retried. Cuts a stream that can't go on. */
   private retryOrCut(nowMs: number, run: Run, response: BackendResponse): boolean {
-    const isError = response.status >= 500;
-    if (isSuccess(response.status)) this.ctx.incidents.noteCompleted(this.identity);
-    if (!isError) this.ctx.view.health.noteAnswer(nowMs, run.server.id, null);
+    this.recordResponse(nowMs, run, response);
     if (this.ended) return false;
-    if (isError && !this.streaming) {
-      this.ctx.view.health.noteFailure(nowMs, run.server.id, ERROR_RESPONSE_WEIGHT);
-      if (this.retryPolicy.allowRetryAfterRun(nowMs, run)) return true;
-    }
+    const isRetriable = response.status >= 500 && !this.streaming;
+    if (isRetriable && this.retryPolicy.allowRetryAfterRun(nowMs, run)) return true;
     if (this.streaming) this.cut('backend server responded to the resume request with an error');
     return false;
   }
 
-  private handleNotExecuted(
-    nowMs: number,
-    run: Run,
-    reached: boolean,
-    status: number | null,
-    reason: string,
-  ): boolean {
+  private recordNotExecuted(nowMs: number, run: Run, { reached, reason }: NotRun): void {
     this.ctx.log('not-run', this.request.metadata.id, { server: run.server.id, reason });
     if (reached) this.ctx.view.noteNotLoaded(run);
     // An attempt that ended because the caller disconnected is no evidence against the server.
+    else if (!this.ended) this.ctx.view.health.noteConnectFailure(nowMs, run.server.id);
+  }
+
+  /**
+   * A server may be tried again if it responds with 421 or its service has models, because it may load
+   * the model soon. Any other server is full or unreachable, and is not tried again.
+   */
+  private isExcludedAfter(run: Run, { status }: NotRun): boolean {
+    return status !== 421 && run.model === null;
+  }
+
+  private handleNotExecuted(nowMs: number, run: Run, result: NotRun): boolean {
+    this.recordNotExecuted(nowMs, run, result);
     if (this.ended) return false;
-    if (!reached) this.ctx.view.health.noteConnectFailure(nowMs, run.server.id);
-    // A server may be tried again if it responds with 421 or its service has models, because it may
-    // load the model soon. Any other server is full or unreachable, and is not tried again.
     const isRetried = this.retryPolicy.allowRetryAfterNotExecuted(
       nowMs,
       run,
-      reached,
-      status !== 421 && run.model === null,
+      result.reached,
+      this.isExcludedAfter(run, result),
     );
     if (!isRetried) this.reject(null);
     return isRetried;
   }
 
-  private handleBroken(nowMs: number, run: Run, reason: string, connectionLost: boolean): boolean {
-    const progress = this.runProgress(nowMs, connectionLost);
-    const { headAtMs, firstEventAtMs } = this.progress;
+  private recordBroken(nowMs: number, attempt: RunningAttempt, result: Broken): void {
+    this.mayHaveRun = true;
+    const { run, progress, superseded } = attempt;
+    const { headAtMs, firstEventAtMs } = progress;
     const ageOf = (atMs: number | null) => (atMs === null ? null : Math.round(nowMs - atMs));
     this.ctx.log('broken', this.request.metadata.id, {
       server: run.server.id,
-      reason,
+      reason: result.reason,
       fingerprint: shortFingerprint(this.identity.broad),
       callerWaits: !this.ended,
+      superseded,
       segments: this.request.metadata.promptSegments.slice(0, -1),
       headAgeMs: ageOf(headAtMs),
       firstEventAgeMs: ageOf(firstEventAtMs),
     });
+    if (superseded === Superseded.spare) return;
     // Also recorded after the caller has disconnected: the request may still crash the server that
     // began to run it.
-    this.ctx.incidents.noteCutOff(this.identity, run, progress);
+    const reached = this.runProgress(nowMs, attempt, result.connectionLost);
+    this.ctx.incidents.noteCutOff(this.identity, run, reached);
+    const isFailure = superseded === Superseded.silent || !(this.ended || this.isWithdrawn);
+    if (isFailure) this.ctx.view.health.noteFailure(nowMs, run.server.id);
+  }
+
+  private handleBroken(nowMs: number, attempt: RunningAttempt, result: Broken): boolean {
+    this.recordBroken(nowMs, attempt, result);
     if (this.ended) return false;
-    if (!this.isWithdrawn) this.ctx.view.health.noteFailure(nowMs, run.server.id);
-    if (this.retryPolicy.allowRetryAfterRun(nowMs, run)) return true;
-    if (this.streaming) this.cut(reason);
-    else this.fail(errors.data.BackendFailed, reason);
+    if (this.retryPolicy.allowRetryAfterRun(nowMs, attempt.run)) return true;
+    if (this.streaming) this.cut(result.reason);
+    else this.fail(errors.data.BackendFailed, result.reason);
     return false;
   }
 
   /** How far an interrupted run had come; null if its response shows that the prompt is sound. */
-  private runProgress(nowMs: number, connectionLost: boolean): RunProgress | null {
-    const { headAtMs, firstEventAtMs, isSound } = this.progress;
+  private runProgress(
+    nowMs: number,
+    { progress }: RunningAttempt,
+    connectionLost: boolean,
+  ): RunProgress | null {
+    const { headAtMs, firstEventAtMs, isSound } = progress;
     if (isSound || nowMs - (firstEventAtMs ?? nowMs) >= SOUND_STREAM_MS) return null;
     if (!connectionLost) return RunProgress.abandoned;
     return headAtMs !== null && firstEventAtMs === null ? RunProgress.begun : RunProgress.unclear;
@@ -641,7 +691,7 @@
     failure: errors.ErrorDefinition,
   ): void {
     if (this.streaming) this.cut(reason);
-    else if (this.mayHaveRun || this.current !== null) this.fail(failure, reason);
+    else if (this.mayHaveRun || this.attempts.current !== null) this.fail(failure, reason);
     else this.refuse(refusal, null);
   }
 
@@ -672,13 +722,12 @@
     this.request.res.writeHead(status, statusText, headers);
   }
 
-  private recordFirstByte(): void {
-    if (this.current === null) return;
+  private recordFirstByte({ run, sentAtMs }: RunningAttempt): void {
     const { metadata } = this.request;
     const nowMs = this.ctx.clock.steadyMs();
-    const tookMs = nowMs - this.current.sentAtMs;
+    const tookMs = nowMs - sentAtMs;
     const expectedMs = BASE_FIRST_BYTE_MS + (metadata.tokens?.prompt ?? 0) / PROMPT_TOKENS_PER_MS;
-    this.ctx.view.health.noteAnswer(nowMs, this.current.run.server.id, tookMs / expectedMs);
+    this.ctx.view.health.noteAnswer(nowMs, run.server.id, tookMs / expectedMs);
     this.ctx.metrics.time('relay_first_byte', nowMs - this.request.arrivedAtMs, {
       customer: this.request.customer?.name ?? '',
     });
@@ -686,12 +735,12 @@
 
   /** Called when a segment of the prompt is refused: the request is not run, or no longer. */
   private handleRefused(): void {
-    if (this.ended || this.progress.isSound) return;
+    if (this.ended || this.attempts.current?.progress.isSound === true) return;
     this.ctx.dispatcher.cancel(this.queuedRequest.id);
     // A request that may run only once is not aborted, so that its outcome is known.
     if (this.request.route.retrySafety === RetrySafety.once) return;
     this.isWithdrawn = true;
-    this.aborter.abort();
+    this.attempts.abort();
   }
 
   /** Ends the request after an exception in one of its handlers. */
@@ -700,7 +749,7 @@
     this.ended = true;
     this.request.res.destroy();
     this.ctx.dispatcher.cancel(this.queuedRequest.id);
-    this.aborter.abort();
+    this.attempts.abort();
   }
 
   /** Called when the caller has disconnected or its response has been sent. */
@@ -709,13 +758,13 @@
     this.ended = true;
     this.ctx.dispatcher.cancel(this.queuedRequest.id);
     // A request that may run only once is not aborted, so that its outcome is known.
-    if (this.request.route.retrySafety !== RetrySafety.once) this.aborter.abort();
+    if (this.request.route.retrySafety !== RetrySafety.once) this.attempts.abort();
   }
 
   /** Aborts the attempt in a later turn: the deadlines of many requests may pass at once. */
   private abortLater(): void {
     const abort = contain(
-      () => this.aborter.abort(),
+      () => this.attempts.abort(),
       (err) => this.abort(err),
     );
     this.ctx.turns.cleanUpLater(abort);
@@ -723,7 +772,7 @@
 
   private handleTimeout(): void {
     if (this.request.route.retrySafety === RetrySafety.once) {
-      this.timer = setTimeout(() => this.aborter.abort(), OUTCOME_WAIT_MS);
+      this.timer = setTimeout(() => this.attempts.abort(), OUTCOME_WAIT_MS);
     }
     if (this.ended) return;
     this.ctx.dispatcher.cancel(this.queuedRequest.id);
--- a/src/entry/relay/retry-policy.ts
+++ b/src/entry/relay/retry-policy.ts
@@ -22,7 +22,7 @@
 
   private notExecutedCount = 0;
 
-  /** Whether abandoning an idle attempt has already been charged to the retry budget. */
+  /** Whether a retry that no server has received is charged to the retry budget. */
   private isCharged = false;
 
   constructor(
@@ -44,13 +44,27 @@
     reached: boolean,
     isExcluded: boolean,
   ): boolean {
-    this.notExecutedCount += 1;
-    if (reached) this.refusedBy.add(run.server.id);
-    if (isExcluded) this.tried.add(run.server.id);
+    this.noteNotExecuted(run, reached, isExcluded);
     if (this.notExecutedCount >= MAX_UNEXECUTED_ATTEMPTS) return false;
     return !reached || this.charge(nowMs);
   }
 
+  /** Notes an attempt that was not executed; see `allowRetryAfterNotExecuted`. */
+  noteNotExecuted(run: Run, reached: boolean, isExcluded: boolean): void {
+    this.notExecutedCount += 1;
+    if (reached) {
+      this.refusedBy.add(run.server.id);
+      this.isCharged = false;
+    }
+    if (isExcluded) this.tried.add(run.server.id);
+  }
+
+  /** Notes an attempt that may have run. */
+  noteRun(run: Run): void {
+    this.tried.add(run.server.id);
+    this.isCharged = false;
+  }
+
   /** Whether a request that may have run is retried elsewhere. Charges the retry budget. */
   allowRetryAfterRun(nowMs: number, run: Run): boolean {
     const isAllowed = this.mayRetryElsewhere(run);
@@ -63,13 +77,19 @@
     );
   }
 
-  /** When to abandon an idle attempt; null if the request may not be retried elsewhere. */
-  idlePolicy(run: Run): IdlePolicy | null {
+  /**
+   * When to call `replace` for an idle attempt; null if the request may not be retried elsewhere. The
+   * attempt itself goes on, as its server may.
+   */
+  idlePolicy(run: Run, replace: (idleMs: number) => void): IdlePolicy | null {
     if (!this.mayRetryElsewhere(run)) return null;
     const { objectiveMs } = this.request.route;
     return {
       afterMs: Math.max(MIN_IDLE_MS, objectiveMs * MIN_IDLE_OBJECTIVES),
-      shouldAbandon: (idleMs) => this.tryAbandon(run, idleMs),
+      shouldAbandon: (idleMs) => {
+        replace(idleMs);
+        return false;
+      },
     };
   }
 
@@ -83,25 +103,29 @@
     return isRetrySafe && serverCount < route.attempts;
   }
 
-  /** Whether to abandon an idle attempt; charges the retry to the budget if so. */
-  private tryAbandon(run: Run, idleMs: number): boolean {
+  /**
+   * Places an idle request at another server as well, if that is worthwhile, and charges the retry
+   * budget; null if not.
+   */
+  replaceIdle(run: Run, idleMs: number): Run | null {
     const { ctx, queuedRequest } = this;
     const nowMs = ctx.clock.steadyMs();
-    const others = ctx.view
-      .candidates(queuedRequest)
-      .filter(({ id }) => id !== run.server.id && !this.tried.has(id));
+    const isOver = this.notExecutedCount >= MAX_UNEXECUTED_ATTEMPTS || nowMs >= this.deadlineAtMs;
+    if (isOver || !this.mayRetryElsewhere(run)) return null;
+    const tried = new Set([...this.tried, run.server.id]);
+    const others = ctx.view.candidates(queuedRequest).filter(({ id }) => !tried.has(id));
     const isWorthwhile = shouldAbandonAttempt({
       requestIdleMs: idleMs,
       serverIdleMs: nowMs - ctx.view.health.lastReceivedAtMs(run.server.id),
       callerTimeoutMs: queuedRequest.deadlineAtMs - queuedRequest.arrivedAtMs,
       utilisationElsewhere: Math.min(1, ...others.map(({ running, slots }) => running / slots)),
     });
-    if (!isWorthwhile || !this.charge(nowMs)) return false;
-    this.isCharged = true;
-    return true;
+    if (!isWorthwhile || ctx.incidents.isRefused(this.identity)) return null;
+    this.isCharged ||= this.charge(nowMs);
+    return this.isCharged ? ctx.dispatcher.placeNow(queuedRequest, tried) : null;
   }
 
-  /** Charges a retry, unless abandoning the idle attempt was already charged. */
+  /** Charges a retry, unless one was charged that no server has received. */
   private chargeOnce(nowMs: number): boolean {
     const { isCharged: wasCharged } = this;
     this.isCharged = false;
--- a/test/failures/silent-servers.test.ts
+++ b/test/failures/silent-servers.test.ts
@@ -5,7 +5,6 @@
 import { afterAll, afterEach, beforeAll, describe, expect, test } from 'vitest';
 import * as clocks from '../../src/core/clock/index.js';
 import { bundle } from '../../src/lab/fleet/bundle.js';
-import { isKnownRed } from '../known-red.js';
 import { RelayFleet } from '../soak/relay-fleet.js';
 
 const REQUESTS = 12;
@@ -57,8 +56,7 @@
   }
 
   // Each was once given up for another server, and cut when that one could not be reached.
-  const STREAMS = 'streams are not cut while no other server takes them';
-  test.skipIf(isKnownRed(STREAMS))(STREAMS, async () => {
+  test('streams are not cut while no other server takes them', async () => {
     fleet = await startFleet(['m0'], STREAM_SLOWDOWN);
     const statuses = sendAll('stream', 'm0');
     await waitUntilRunning(fleet);
@@ -71,8 +69,7 @@
   });
 
   // They were once answered with 502, although their servers answered them.
-  const LOOKUPS = 'requests that may be repeated get the answers of their servers';
-  test.skipIf(isKnownRed(LOOKUPS))(LOOKUPS, async () => {
+  test('requests that may be repeated get the answers of their servers', async () => {
     fleet = await startFleet([], REQUEST_SLOWDOWN);
     const statuses = sendAll('lookup', null);
     await waitUntilRunning(fleet);
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -17,6 +17,8 @@
 const DEADLINE_MS = 4_000;
 /** Window of the retry budget; an entry VM that was just started has none for this time. */
 const WINDOW_MS = 10_000;
+/** Longer than an attempt may be idle until it is replaced. */
+const SILENCE_MS = 1_200;
 const HEAD = `HTTP/1.1 200 OK\r\nAttempt-Id: ${ID}\r\nResponse-Seal: s\r\n`;
 const STREAM_HEAD = `${HEAD}Content-Type: text/event-stream\r\n`;
 const event = (id: number) => `id: ${id}\ndata: x\n\n`;
@@ -57,6 +59,20 @@
   return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
 }
 
+/** Starts a backend server that writes `before` to each request and, after a silence, `after`. */
+async function startSilent(before: string, after: string): Promise<string> {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => socket.write(before));
+    setTimeout(() => socket.end(after), SILENCE_MS);
+  });
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+}
+
 /** A relay that sends the attempts of a request to the servers at `addresses` in turn. */
 function relayTo(
   addresses: readonly string[],
@@ -64,6 +80,13 @@
 ): RelayContext {
   const left = [...addresses];
   const nothing = () => undefined;
+  const placeNow = (queued: QueuedRequest) => {
+    placed.push({ ...queued });
+    const address = left.shift();
+    if (address === undefined) return null;
+    const server = { id: address, address, version: 'v1' };
+    return { server, service: 'drafting', model: 'm', adapter: null };
+  };
   const retries = new RetryWindow({ ratio: 0.2, windowMs: WINDOW_MS, slack: 52 }, -2 * WINDOW_MS);
   retries.noteMembers(1);
   return {
@@ -80,23 +103,15 @@
     streams: { noteBegun: nothing },
     clock: { steadyMs: () => performance.now() },
     dispatcher: {
-      place: async (queued: QueuedRequest) => {
-        placed.push({ ...queued });
-        const address = left.shift();
-        if (address === undefined) return { run: null, retryAfterMs: 100 };
-        const server = { id: address, address, version: 'v1' };
-        return {
-          run: { server, service: 'drafting', model: 'm', adapter: null },
-          retryAfterMs: null,
-        };
-      },
+      place: async (queued: QueuedRequest) => ({ run: placeNow(queued), retryAfterMs: 100 }),
+      placeNow,
       cancel: nothing,
       schedulePlacement: nothing,
     },
     view: {
       ended: nothing,
       hasServers,
-      candidates: () => [],
+      candidates: () => left.map((id) => ({ id, running: 0, slots: 8 })),
       noteNotLoaded: nothing,
       health: {
         noteAnswer: nothing,
@@ -122,13 +137,11 @@
   } as unknown as RelayContext;
 }
 
-/** All bytes that a caller receives whose request goes to servers with these responses in turn. */
-async function receive(
-  responses: readonly string[],
+/** All bytes that a caller receives whose request goes to the servers at `addresses` in turn. */
+async function receiveFrom(
+  addresses: readonly string[],
   hasServers?: () => boolean,
-  delayMs = 0,
 ): Promise<string> {
-  const addresses = await Promise.all(responses.map((text) => startBackend(text, delayMs)));
   const relay = relayTo(addresses, hasServers);
   const front = http.createServer((req, res) => {
     const request = {
@@ -169,6 +182,16 @@
   });
 }
 
+/** All bytes that a caller receives whose request goes to servers with these responses in turn. */
+async function receive(
+  responses: readonly string[],
+  hasServers?: () => boolean,
+  delayMs = 0,
+): Promise<string> {
+  const addresses = await Promise.all(responses.map((text) => startBackend(text, delayMs)));
+  return receiveFrom(addresses, hasServers);
+}
+
 const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
 /** A stream that breaks off after its first event, inside the second one. */
 const BROKEN_OFF = `${STREAM_HEAD}${CHUNKED}${chunk(`${event(1)}id: 2\nda`)}`;
@@ -264,3 +287,33 @@
     expect(received.endsWith(LAST_CHUNK)).toBe(false);
   });
 });
+
+describe('a stream whose server falls silent', () => {
+  const BEFORE = `${STREAM_HEAD}${CHUNKED}${chunk(`${event(1)}id: 2\nda`)}`;
+  const idsOf = (received: string) =>
+    [...received.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+
+  // It was cut as soon as no other server could be reached.
+  test('goes on there if no other server responds before', async () => {
+    const after = `${chunk(`ta: x\n\n${event(3)}`)}${LAST_CHUNK}`;
+    const silent = await startSilent(BEFORE, after);
+    const late = await startSilent('', `${STREAM_HEAD}${CHUNKED}${chunk(event(2))}`);
+    const unreachable = await startBackend('', 0);
+    const closed = servers.pop();
+    await new Promise((resolve) => {
+      closed?.close(resolve);
+    });
+    const received = await receiveFrom([silent, unreachable, late]);
+    expect(idsOf(received)).toEqual([1, 2, 3]);
+    expect(received.endsWith(LAST_CHUNK)).toBe(true);
+  });
+
+  test('goes on at another server that responds before', async () => {
+    const silent = await startSilent(BEFORE, `${chunk(`ta: x\n\n${event(9)}`)}${LAST_CHUNK}`);
+    const rest = `${event(2)}${event(3)}`;
+    const other = await startBackend(`${STREAM_HEAD}${CHUNKED}${chunk(rest)}${LAST_CHUNK}`, 0);
+    const received = await receiveFrom([silent, other]);
+    expect(idsOf(received)).toEqual([1, 2, 3]);
+    expect(received.endsWith(LAST_CHUNK)).toBe(true);
+  });
+});
