--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -3,12 +3,15 @@
 import { EventEmitter, once } from 'node:events';
 
 import { describe, expect, test } from 'vitest';
+import * as errors from '../../../src/core/errors/index.js';
 import * as https from '../../../src/core/http/index.js';
 import { RetryWindow } from '../../../src/decisions/retries/index.js';
 import { RetrySafety, type Route } from '../../../src/decisions/fleet-plan/index.js';
 import type { RelayContext } from '../../../src/entry/relay/context.js';
+import { sendLocalResponse } from '../../../src/entry/relay/caller-server.js';
 import { Exchange } from '../../../src/entry/relay/exchange.js';
 import { WorkTurns } from '../../../src/entry/relay/work-turns.js';
+import { isKnownRed } from '../../known-red.js';
 import { createResponseMemory } from './response-memory.js';
 import type { RoutedRequest } from '../../../src/entry/relay/routed-request.js';
 
@@ -207,3 +210,79 @@
     expect(cutOffServers).toEqual(['s1']);
   });
 });
+
+/** Status that a caller gets whose request is served by `serve`; null without an answer. */
+async function statusOf(serve: (res: http.ServerResponse) => void): Promise<number | null> {
+  const front = http.createServer((_req, res) => serve(res));
+  const address = await https.listen(front, '127.0.0.1:0');
+  const status = await new Promise<number | null>((resolve) => {
+    const req = http.get(`http://${address}/`, { agent: false }, (res) => {
+      const { statusCode = null } = res;
+      res.on('data', () => undefined);
+      res.on('end', () => resolve(res.complete ? statusCode : null));
+      res.on('error', () => resolve(null));
+    });
+    req.on('error', () => resolve(null));
+  });
+  await https.close(front);
+  return status;
+}
+
+// Its connection was closed without an answer.
+describe('a request of which a handler throws an exception', () => {
+  /** A relay in which the first request to cancel a wait throws: at the end of a request's time. */
+  function faultyRelay(address: string, run: 'runs' | 'waits'): RelayContext {
+    let isThrown = false;
+    const relay = relayTo(address, []);
+    const { place } = relay.dispatcher;
+    const neverPlaced = once(new EventEmitter(), 'placed');
+    return {
+      ...relay,
+      reportException: () => undefined,
+      dispatcher: {
+        ...relay.dispatcher,
+        place: run === 'runs' ? place : () => neverPlaced,
+        cancel: () => {
+          if (isThrown) return;
+          isThrown = true;
+          throw new Error('faulty');
+        },
+      },
+      sendLocalResponse: (
+        res: http.ServerResponse,
+        _id: string,
+        failure: Parameters<typeof sendLocalResponse>[2],
+      ) => sendLocalResponse(res, [], failure, null, false),
+    } as unknown as RelayContext;
+  }
+
+  const CASES = [
+    ['runs', 502],
+    ['waits', 503],
+  ] as const;
+  CASES.forEach(([run, expected]) => {
+    const name = `gets an answer while it ${run}`;
+    test.skipIf(isKnownRed(name))(name, async () => {
+      const server = http.createServer(() => undefined);
+      const address = await https.listen(server, '127.0.0.1:0');
+      const relay = faultyRelay(address, run);
+      const route = { ...ROUTE, timeoutMs: 100 };
+      const status = await statusOf((res) => {
+        const request = { ...requestFor(null), res, route, arrivedAtMs: performance.now() };
+        void new Exchange(relay, request).serve();
+      });
+      await https.close(server);
+      expect(status).toBe(expected);
+    });
+  });
+
+  const WHOLE = 'keeps the answer that it already has';
+  test.skipIf(isKnownRed(WHOLE))(WHOLE, async () => {
+    const failure = errors.createFailure(errors.data.BackendFailed, 'relay', 'drafts');
+    const status = await statusOf((res) => {
+      res.end(Buffer.alloc(4_194_304));
+      sendLocalResponse(res, [], failure, null, false);
+    });
+    expect(status).toBe(200);
+  });
+});
