--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -187,11 +187,16 @@
     fs.rmSync(this.folder, { recursive: true, force: true });
   }
 
-  /** Changes parts of the configuration. */
+  /** The configuration that the fleet begins with. */
+  get config(): ReturnType<typeof configOf> {
+    return configOf(this.opts);
+  }
+
+  /** Sets a configuration that differs from the first one in these parts. */
   changeConfig(parts: Record<string, unknown>): void {
     this.configVersion += 1;
     this.store.put('config', 'main', {
-      ...configOf(this.opts),
+      ...this.config,
       ...parts,
       version: this.configVersion,
     });
