--- a/src/decisions/retries/idle-attempt.ts
+++ b/src/decisions/retries/idle-attempt.ts
@@ -1,9 +1,10 @@
 /**
- * Decides when to abandon an idle attempt: one whose backend server has sent no byte for some time.
+ * Decides when to send the request of an idle attempt, one whose backend server has sent no byte for
+ * some time, to another server as well.
  *
  * From a single request, a burst looks the same as a faulty server. In a burst, responses are late
- * but arrive: abandoning an attempt wastes its work, occupies another server and often fails as
- * well. In contrast, an unresponsive server responds to no request, and a slow server has idle
+ * but arrive: a second attempt wastes the work of one of them, occupies another server and often
+ * fails as well. In contrast, an unresponsive server responds to no request, and a slow server has idle
  * peers. Two signs distinguish these cases: whether the server has sent data for any request in the
  * meantime, and the utilisation of the other servers.
  */
@@ -33,7 +34,7 @@
 const IDLE_UTILISATION = 0.5;
 
 /** Whether to try another server, provided that the route and the retry budget allow it. */
-export function shouldAbandonAttempt(attempt: IdleAttempt): boolean {
+export function shouldReplaceAttempt(attempt: IdleAttempt): boolean {
   const { requestIdleMs, serverIdleMs, callerTimeoutMs, utilisationElsewhere } = attempt;
   if (utilisationElsewhere >= 1) return false;
   const isUnresponsive = serverIdleMs >= requestIdleMs;
--- a/src/entry/relay/retry-policy.ts
+++ b/src/entry/relay/retry-policy.ts
@@ -1,6 +1,6 @@
 /** Decides whether a request that failed at one backend server is retried at another. */
 import { RetrySafety } from '../../decisions/fleet-plan/index.js';
-import { shouldAbandonAttempt, MAX_UNEXECUTED_ATTEMPTS } from '../../decisions/retries/index.js';
+import { shouldReplaceAttempt, MAX_UNEXECUTED_ATTEMPTS } from '../../decisions/retries/index.js';
 import type { RequestIdentity } from '../../decisions/suspects/index.js';
 import type { QueuedRequest } from '../../decisions/wait-list/index.js';
 import type { IdlePolicy } from './idle-detector.js';
@@ -8,7 +8,7 @@
 import type { Run } from './fleet-view.js';
 import type { RoutedRequest } from './routed-request.js';
 
-/** Minimum idle time before an attempt may be abandoned, ms. */
+/** Minimum idle time before the request of an attempt is sent to another server as well, ms. */
 const MIN_IDLE_MS = 700;
 /** Minimum idle time, as a multiple of the latency objective, which is then already missed. */
 const MIN_IDLE_OBJECTIVES = 2;
@@ -114,7 +114,7 @@
     if (isOver || !this.mayRetryElsewhere(run)) return null;
     const tried = new Set([...this.tried, run.server.id]);
     const others = ctx.view.candidates(queuedRequest).filter(({ id }) => !tried.has(id));
-    const isWorthwhile = shouldAbandonAttempt({
+    const isWorthwhile = shouldReplaceAttempt({
       requestIdleMs: idleMs,
       serverIdleMs: nowMs - ctx.view.health.lastReceivedAtMs(run.server.id),
       callerTimeoutMs: queuedRequest.deadlineAtMs - queuedRequest.arrivedAtMs,
