--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -159,6 +159,8 @@
 
   private sendUntilMs = 0;
 
+  private configVersion = 1;
+
   private constructor(
     readonly folder: string,
     private readonly opts: RelayFleetOptions,
@@ -185,6 +187,21 @@
     fs.rmSync(this.folder, { recursive: true, force: true });
   }
 
+  /** The configuration that the fleet begins with. */
+  get config(): ReturnType<typeof configOf> {
+    return configOf(this.opts);
+  }
+
+  /** Sets a configuration that differs from the first one in these parts. */
+  changeConfig(parts: Record<string, unknown>): void {
+    this.configVersion += 1;
+    this.store.put('config', 'main', {
+      ...this.config,
+      ...parts,
+      version: this.configVersion,
+    });
+  }
+
   /** Sends a request to a VM; resolves with the status, or null without a response. */
   async send(vm: SoakVm, opts: Partial<FleetRequest> = {}): Promise<number | null> {
     const { route, body, crash, disconnectAfterMs, model, segments, ids } = {
@@ -210,7 +227,8 @@
         body,
         signal: AbortSignal.timeout(disconnectAfterMs ?? DEADLINE_MS),
       });
-      await res.body.dump();
+      // `dump` would also resolve for a response that is cut off.
+      await res.body.arrayBuffer();
       return res.statusCode;
     } catch {
       // The caller disconnected, the VM was killed, or the response was cut off.
