Keep no connection whose caller left behind pipelined requests

Memory grew with each such caller, in the product's own gateway as well. The tables hold their connections weakly now, so that nothing has to be removed. (No test: it would have to count what the garbage collector frees.)

--- a/src/core/http/client-errors.ts
+++ b/src/core/http/client-errors.ts
@@ -12,19 +12,16 @@
   refuse: (err: NodeJS.ErrnoException, socket: Socket) => void,
 ): void {
   /** The open responses of each connection, in the order of their requests. */
-  const open = new Map<Socket, Set<http.ServerResponse>>();
+  const open = new WeakMap<Socket, Set<http.ServerResponse>>();
   /** Connections with a refusal that waits for a response. */
-  const waiting = new Set<Socket>();
+  const waiting = new WeakSet<Socket>();
   /** The latest open response to a whole request; the error is about what came behind that request. */
   const latestOf = (socket: Socket) =>
     [...(open.get(socket) ?? [])].filter(({ req }) => req.complete).at(-1);
   server.prependListener('request', ({ socket }, res) => {
     const responses = open.get(socket) ?? new Set();
     open.set(socket, responses.add(res));
-    res.once('close', () => {
-      responses.delete(res);
-      if (responses.size === 0) open.delete(socket);
-    });
+    res.once('close', () => responses.delete(res));
   });
   server.on('clientError', (err: NodeJS.ErrnoException, stream) => {
     const socket = stream as Socket;
