--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -493,6 +493,8 @@
         result.held.release();
         break;
       case AttemptEnd.notRun:
+        // An attempt that was aborted while it connected tells nothing of its server.
+        if (attempt.superseded !== null && !result.reached) return;
         this.recordNotExecuted(nowMs, run, result);
         this.retryPolicy.noteNotExecuted(run, result.reached, this.isExcludedAfter(run, result));
         return;
