Tests: gates that partition a VM from all servers

Each VM of a relay fleet with isGated reaches the servers through TCP proxies of its own, whose addresses it finds in the store. They can hang (established connections hold their bytes, new ones are never accepted), reset and refuse, or refuse new connections only, while callers, the store and other VMs reach the VM.

--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -18,6 +18,7 @@
   type Observations,
   SoakEngine,
 } from './engine.js';
+import { type GateMode, ServerGates } from './server-gates.js';
 import { SoakStore } from './store.js';
 import { SoakVm, type VmTimes } from './vms.js';
 
@@ -52,6 +53,8 @@
   /** Time for which requests are sent repeatedly, ms. */
   readonly durationMs: number;
   readonly times?: VmTimes;
+  /** Whether each VM reaches the servers through gates, so that it can be partitioned from them. */
+  readonly isGated?: boolean;
 }
 
 /** Statuses in the order of the requests; null where there was no response. */
@@ -150,6 +153,9 @@
 
   readonly engines: SoakEngine[] = [];
 
+  /** Gates between a VM and the servers, by the VM's name, if there are any. */
+  private readonly gates = new Map<string, ServerGates>();
+
   private readonly agent = new undici.Agent({ connections: 64, pipelining: 1 });
 
   private sent = 0;
@@ -180,6 +186,7 @@
   async stop(): Promise<void> {
     await Promise.all(this.vms.map((vm) => vm.terminate('SIGKILL')));
     this.engines.forEach((engine) => engine.retire());
+    await Promise.all([...this.gates.values()].map((gates) => gates.stop()));
     await this.agent.destroy();
     this.store.stop();
     fs.rmSync(this.folder, { recursive: true, force: true });
@@ -224,6 +231,11 @@
     return this.sendRepeatedly(REPEAT_INTERVAL_MS, { ...CRASHING, ...opts });
   }
 
+  /** Partitions a VM from all servers, or ends the partition; the fleet must be gated. */
+  async setGates({ name }: SoakVm, mode: GateMode): Promise<void> {
+    await this.gates.get(name)?.setMode(mode);
+  }
+
   /** Text of a VM's log. */
   logOf({ name }: SoakVm): string {
     return fs.readFileSync(path.join(this.folder, `${name}.log`), 'utf8');
@@ -296,15 +308,22 @@
     for (let at = 0; at < opts.vms; at += 1) {
       const dataCentre = DATA_CENTRES[at % DATA_CENTRES.length] ?? 'a';
       const { times } = opts;
-      this.vms.push(
-        await SoakVm.create(`vm-${at}`, dataCentre, address, program, this.folder, times),
-      );
+      const name = `vm-${at}`;
+      const store = opts.isGated === true ? await this.addGates(name) : address;
+      this.vms.push(await SoakVm.create(name, dataCentre, store, program, this.folder, times));
     }
     this.vms.forEach((vm) => vm.start());
     await Promise.all(this.vms.map((vm) => vm.waitUntilReady()));
     this.sendUntilMs = performance.now() + opts.durationMs;
   }
 
+  /** Creates a VM's gates; returns the address at which it finds their addresses in the store. */
+  private addGates(vm: string): Promise<string> {
+    const gates = new ServerGates();
+    this.gates.set(vm, gates);
+    return this.store.start((server) => gates.addressOf(server));
+  }
+
   private addServer(
     name: string,
     at: number,
