Tests: all VMs know the servers by the same addresses behind their gates

The steward's list of servers replaces the addresses that a VM has read from the store, so that all VMs of a gated fleet used the gates of the steward (seen in a run of four VMs: connections only in the gates of the steward, vm-0, but for one), and partitioning another VM had no effect. The gates of a VM listen on a host of their own, on the ports of the servers, and its process is started with a module that connects to that host instead.

--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -301,7 +301,7 @@
 
   private async startAll(program: string): Promise<void> {
     const { opts } = this;
-    const address = await this.store.start();
+    const address = await this.store.start((server) => this.openGates(server));
     this.store.put('config', 'main', configOf(opts));
     Array.from({ length: opts.servers }, (_, at) => this.addServer(`desk-${at}`, at, opts));
     await Promise.all(this.engines.map((engine) => engine.start()));
@@ -309,19 +309,29 @@
       const dataCentre = DATA_CENTRES[at % DATA_CENTRES.length] ?? 'a';
       const { times } = opts;
       const name = `vm-${at}`;
-      const store = opts.isGated === true ? await this.addGates(name) : address;
-      this.vms.push(await SoakVm.create(name, dataCentre, store, program, this.folder, times));
+      const preload = opts.isGated === true ? this.addGates(name, address) : null;
+      this.vms.push(
+        await SoakVm.create(name, dataCentre, address, program, this.folder, times, preload),
+      );
     }
     this.vms.forEach((vm) => vm.start());
     await Promise.all(this.vms.map((vm) => vm.waitUntilReady()));
     this.sendUntilMs = performance.now() + opts.durationMs;
   }
 
-  /** Creates a VM's gates; returns the address at which it finds their addresses in the store. */
-  private addGates(vm: string): Promise<string> {
+  /** Creates a VM's gates; returns the module that its process needs to use them. */
+  private addGates(vm: string, store: string): string {
     const gates = new ServerGates();
     this.gates.set(vm, gates);
-    return this.store.start((server) => gates.addressOf(server));
+    const preload = path.join(this.folder, `${vm}-gates.cjs`);
+    gates.writePreload(preload, store);
+    return preload;
+  }
+
+  /** Has all gates to a server listen before any VM learns of it. */
+  private async openGates(server: string): Promise<string> {
+    await Promise.all([...this.gates.values()].map((gates) => gates.addressOf(server)));
+    return server;
   }
 
   private addServer(
--- a/test/soak/server-gates.ts
+++ b/test/soak/server-gates.ts
@@ -1,9 +1,11 @@
 /**
  * TCP proxies between one entry VM and the backend servers, which can partition the VM from all of
- * them while callers, the store and other VMs still reach it.
+ * them while callers, the store and other VMs still reach it. They listen on a host of their own, on
+ * the ports of the servers; the VM's process connects to that host instead of that of the servers, so
+ * that all VMs know the servers by the same addresses.
  */
+import * as fs from 'node:fs';
 import * as net from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { Worker } from 'node:worker_threads';
 
 /** What a gate does with the connections of its VM. */
@@ -20,7 +22,16 @@
 
 /** Pending connections of a listener that accepts none; one more than this fills its queue. */
 const BACKLOG = 1;
-const HOST = '127.0.0.1';
+/** The host that the servers and the store listen on. */
+const SERVER_HOST = '127.0.0.1';
+
+let hostsCreated = 0;
+
+/** A loopback address for the gates of one VM; no VM has one with this second byte. */
+function uniqueLoopbackHost(): string {
+  hostsCreated += 1;
+  return `127.251.${1 + (process.pid % 250)}.${1 + (hostsCreated % 250)}`;
+}
 
 /** Listens on the ports and blocks its thread, so that no connection is accepted. */
 const HANGING_LISTENERS = `
@@ -49,6 +60,23 @@
   });
 }
 
+/** The arguments of `connect` are an object, or the array that `net.connect` makes of it. */
+function preloadText(gateHost: string, storePort: number): string {
+  return `
+    const net = require('node:net');
+    const { connect } = net.Socket.prototype;
+    const moved = (opts) =>
+      opts.host === '${SERVER_HOST}' && Number(opts.port) !== ${storePort}
+        ? { ...opts, host: '${gateHost}' }
+        : opts;
+    net.Socket.prototype.connect = function connectToGate(...args) {
+      if (Array.isArray(args[0])) args[0][0] = moved(args[0][0]);
+      else args[0] = moved(args[0]);
+      return connect.apply(this, args);
+    };
+  `;
+}
+
 /** A connection through a gate. */
 class GateConnection {
   private readonly server: net.Socket;
@@ -59,7 +87,7 @@
     private readonly onClose: (conn: GateConnection) => void,
     onServerClosed: () => void,
   ) {
-    this.server = net.connect({ host: HOST, port, allowHalfOpen: true, noDelay: true });
+    this.server = net.connect({ host: SERVER_HOST, port, allowHalfOpen: true, noDelay: true });
     this.vm.setNoDelay(true);
     this.vm.on('error', () => this.reset());
     this.server.on('error', () => this.reset());
@@ -100,19 +128,20 @@
 
   private listener: net.Server | null = null;
 
-  private port = 0;
-
   private isServerDown = false;
 
-  constructor(private readonly serverPort: number) {}
+  constructor(
+    private readonly host: string,
+    private readonly serverPort: number,
+  ) {}
 
   get address(): string {
-    return `${HOST}:${this.port}`;
+    return `${this.host}:${this.serverPort}`;
   }
 
   /** Port on which connections are accepted again after a partition; null if the server is down. */
   get listeningPort(): number | null {
-    return this.isServerDown ? null : this.port;
+    return this.isServerDown ? null : this.serverPort;
   }
 
   async listen(): Promise<void> {
@@ -121,9 +150,8 @@
     this.listener = listener;
     await new Promise<void>((resolve, reject) => {
       listener.once('error', reject);
-      listener.listen(this.port, HOST, resolve);
+      listener.listen(this.serverPort, this.host, resolve);
     });
-    this.port = (listener.address() as AddressInfo).port;
   }
 
   /** Refuses new connections. */
@@ -151,7 +179,7 @@
   /** Closes the gate if the server no longer accepts connections. */
   private checkServer(): void {
     if (this.isServerDown) return;
-    const probe = net.connect({ host: HOST, port: this.serverPort }, () => probe.destroy());
+    const probe = net.connect({ host: SERVER_HOST, port: this.serverPort }, () => probe.destroy());
     probe.on('error', () => {
       this.isServerDown = true;
       void this.close();
@@ -163,12 +191,20 @@
 export class ServerGates {
   private readonly gates = new Map<string, Promise<Gate>>();
 
+  private readonly host = uniqueLoopbackHost();
+
   private mode: GateMode = GateMode.open;
 
   private hanging: Worker | null = null;
 
   private readonly fillers: net.Socket[] = [];
 
+  /** Writes a module that lets the process of the VM connect to the gates instead of the servers. */
+  writePreload(file: string, store: string): void {
+    const storePort = Number(store.split(':')[1]);
+    fs.writeFileSync(file, preloadText(this.host, storePort));
+  }
+
   /** Address at which the VM reaches the server that listens on `server`. */
   async addressOf(server: string): Promise<string> {
     const gate = this.gates.get(server) ?? this.create(server);
@@ -202,7 +238,7 @@
 
   /** A server that starts during a partition gets a port that refuses connections until its end. */
   private async create(server: string): Promise<Gate> {
-    const gate = new Gate(Number(server.split(':')[1]));
+    const gate = new Gate(this.host, Number(server.split(':')[1]));
     await gate.listen();
     if (this.mode !== GateMode.open) await gate.close();
     return gate;
@@ -216,7 +252,7 @@
     const ports = gates.flatMap(({ listeningPort }) => listeningPort ?? []);
     await Promise.all(gates.map((gate) => gate.close()));
     const listening = nextMessage(worker);
-    worker.postMessage({ host: HOST, ports, backlog: BACKLOG });
+    worker.postMessage({ host: this.host, ports, backlog: BACKLOG });
     await listening;
     ports.forEach((port) => {
       for (let at = 0; at <= BACKLOG; at += 1) this.fill(port);
@@ -224,7 +260,7 @@
   }
 
   private fill(port: number): void {
-    const socket = net.connect({ host: HOST, port });
+    const socket = net.connect({ host: this.host, port });
     // Reset when the listener closes.
     socket.on('error', () => socket.destroy());
     this.fillers.push(socket);
--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -78,6 +78,8 @@
     private readonly admin: string,
     private readonly program: string,
     private readonly folder: string,
+    /** Module that the process loads first; null for none. */
+    private readonly preload: string | null,
   ) {}
 
   static async create(
@@ -87,6 +89,7 @@
     program: string,
     folder: string,
     times: VmTimes = {},
+    preload: string | null = null,
   ): Promise<SoakVm> {
     const { graceMs, leaseMs } = { ...DEFAULT_TIMES, ...times };
     const [callers = '', admin = '', peers = ''] = await freeAddresses(3);
@@ -116,7 +119,7 @@
       slack = 52
     `;
     fs.writeFileSync(path.join(folder, `${name}.toml`), settings);
-    return new SoakVm(name, callers, admin, program, folder);
+    return new SoakVm(name, callers, admin, program, folder, preload);
   }
 
   /** Whether the process was neither started nor signalled between two times. */
@@ -139,9 +142,10 @@
     this.disturbedAtMs.push(performance.now());
     const log = fs.openSync(path.join(this.folder, `${this.name}.log`), 'a');
     const settings = path.join(this.folder, `${this.name}.toml`);
+    const preloads = this.preload === null ? [] : ['--require', this.preload];
     const child = spawn(
       process.execPath,
-      [HEAP_LIMIT, this.program, 'serve', '--settings', settings],
+      [HEAP_LIMIT, ...preloads, this.program, 'serve', '--settings', settings],
       {
         stdio: ['ignore', log, log],
       },
