--- a/src/decisions/reachability/index.ts
+++ b/src/decisions/reachability/index.ts
@@ -14,8 +14,10 @@
 const MIN_FAILING = 2;
 /** Age from which on a failed attempt no longer counts while the VM is not partitioned, ms. */
 const FAILURE_TTL_MS = 2_000;
-/** Minimum time between two rounds of probes of a service that the VM reaches, ms. */
+/** Time after a connection was made until a mere suspicion causes probes, ms. */
 const MIN_ROUND_MS = 1_000;
+/** Servers that are probed first if the result is needed at once. */
+const URGENT_PROBES = 2;
 /** Interval at which servers are probed during a partition, ms, and their number. */
 const PARTITION_PROBE_MS = 250;
 const PARTITION_PROBES = 2;
@@ -46,6 +48,8 @@
   sinceMs: number | null;
   /** Whether a round of probes is to be made. */
   isSuspected: boolean;
+  /** Whether it is to be made at once, and others until the result is known. */
+  isUrgent: boolean;
   /** When servers were last probed. */
   probedAtMs: number;
   /** Number of probes during partitions, so that all servers are probed in turn. */
@@ -60,6 +64,7 @@
     probing: new Set(),
     sinceMs: null,
     isSuspected: false,
+    isUrgent: false,
     probedAtMs: -Infinity,
     probes: 0,
   };
@@ -97,7 +102,7 @@
     if (record === undefined || service === undefined) return;
     record.probing.delete(id);
     record.failed.delete(id);
-    Object.assign(record, { connectedAtMs: nowMs, isSuspected: false });
+    Object.assign(record, { connectedAtMs: nowMs, isSuspected: false, isUrgent: false });
     this.endPartition(service, record);
   }
 
@@ -113,14 +118,18 @@
     Object.assign(record, { isSuspected: true });
     if (counted.length < Reachability.failuresNeeded(record)) return;
     const sinceMs = Math.min(...counted.map(([, atMs]) => atMs));
-    Object.assign(record, { sinceMs });
+    Object.assign(record, { sinceMs, isUrgent: false });
     this.changes.push({ service, isPartitioned: true, sinceMs });
   }
 
-  /** Records a sign of a partition that is no proof, such as a connection that broke. */
-  noteSuspicion(service: string): void {
+  /**
+   * Records a sign of a partition that is no proof, such as a connection that broke.
+   * @param isUrgent Whether to probe although a connection has been made just before.
+   */
+  noteSuspicion(service: string, isUrgent = false): void {
     const record = this.services.get(service);
-    if (record !== undefined) record.isSuspected = true;
+    if (record === undefined) return;
+    Object.assign(record, { isSuspected: true, isUrgent: record.isUrgent || isUrgent });
   }
 
   /** Servers to which connections are to be made now, to learn whether they can be made. */
@@ -145,10 +154,16 @@
   }
 
   /** Whether probes are on their way, or due, that may show a partition from the service. */
-  isUndecided(service: string): boolean {
+  isUndecided(nowMs: number, service: string): boolean {
     const record = this.services.get(service);
     if (record === undefined || record.sinceMs !== null) return false;
-    return record.isSuspected || record.probing.size > 0;
+    const isDue = record.isSuspected && Reachability.unproved(nowMs, record).length > 0;
+    return isDue || record.probing.size > 0;
+  }
+
+  /** When a connection to any server of the service was last made, ms; -Infinity for never. */
+  connectedAtMs(service: string): number {
+    return this.services.get(service)?.connectedAtMs ?? -Infinity;
   }
 
   /** Services from which this VM is partitioned. */
@@ -186,14 +201,22 @@
 
   /** Servers that, if their connections fail as well, show that this VM is partitioned. */
   private static round(nowMs: number, record: ServiceRecord): readonly string[] {
-    const { servers, failed, probing } = record;
-    if (!record.isSuspected || nowMs - record.probedAtMs < MIN_ROUND_MS) return [];
+    const { failed, isUrgent } = record;
+    const isDue = isUrgent || nowMs - record.connectedAtMs >= MIN_ROUND_MS;
+    if (!record.isSuspected || !isDue) return [];
     Object.assign(record, { isSuspected: false });
-    const counted = new Map(Reachability.countedFailures(nowMs, record));
-    const others = servers.filter((id) => !counted.has(id) && !probing.has(id));
+    const unproved = Reachability.unproved(nowMs, record);
     // Servers whose last connection failed may have ended, and so tell less than the others.
-    const inOrder = others.sort((a, b) => Number(failed.has(a)) - Number(failed.has(b)));
-    return inOrder.slice(0, Math.max(1, Reachability.failuresNeeded(record) - counted.size));
+    const inOrder = [...unproved].sort((a, b) => Number(failed.has(a)) - Number(failed.has(b)));
+    const counted = Reachability.countedFailures(nowMs, record).length;
+    const missing = Math.max(1, Reachability.failuresNeeded(record) - counted);
+    return inOrder.slice(0, isUrgent && counted === 0 ? Math.min(URGENT_PROBES, missing) : missing);
+  }
+
+  /** Servers whose connections have not failed lately and that are not being probed. */
+  private static unproved(nowMs: number, record: ServiceRecord): readonly string[] {
+    const failed = new Map(Reachability.countedFailures(nowMs, record));
+    return record.servers.filter((id) => !failed.has(id) && !record.probing.has(id));
   }
 
   private static inTurn(nowMs: number, record: ServiceRecord): readonly string[] {
--- /dev/null
+++ b/src/entry/relay/reachability.ts
@@ -0,0 +1,176 @@
+/** Learns whether this entry VM is partitioned from the servers of a service, also by probes. */
+import * as net from 'node:net';
+import type { Clock } from '../../core/clock/index.js';
+import type { Logger } from '../../core/logger/index.js';
+import type { Metrics } from '../../core/metrics/index.js';
+import type { Task } from '../../core/supervisor/index.js';
+import type { BackendServer } from '../../decisions/fleet-plan/index.js';
+import { Reachability } from '../../decisions/reachability/index.js';
+
+const TICK_MS = 50;
+/** As for requests; see `attempt.ts`. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Time for which the servers of a service are silent, while requests run there, until a probe, ms. */
+const SILENCE_MS = 500;
+/** Maximum time for which `isReached` waits for probes, ms. */
+const MAX_WAIT_MS = 2 * CONNECT_TIMEOUT_MS + 2 * TICK_MS;
+
+/** What an exchange tells and asks about the servers of its service. */
+export interface ServerReachability {
+  /** Whether new connections to the service's servers can't be made. */
+  isPartitioned(service: string): boolean;
+  /** Since when they can't be made, ms on the steady clock; null if they can. */
+  sinceMs(service: string): number | null;
+  /** Records that an attempt begun at `startedAtMs` made no connection to a server. */
+  noteConnectFailure(server: BackendServer, startedAtMs: number): void;
+  /**
+   * Resolves with whether this VM reaches the service's servers, after a run was cut off at one of
+   * them. Probes them if that is not known.
+   */
+  isReached(service: string): Promise<boolean>;
+}
+
+export interface ReachabilityOptions {
+  readonly clock: Pick<Clock, 'steadyMs'>;
+  readonly logger: Logger;
+  readonly metrics: Pick<Metrics, 'gauge'>;
+  backends(): ReadonlyMap<string, BackendServer>;
+  /** Services at which requests run whose servers have all sent nothing for some time. */
+  silentServices(silenceMs: number): readonly string[];
+  /** Called when this VM reaches the servers of a service again. */
+  onReachable(service: string): void;
+  /** Called when this VM is partitioned from the servers of a service. */
+  onPartitioned(service: string): void;
+}
+
+interface Waiter {
+  readonly service: string;
+  readonly sinceMs: number;
+  settle(isReached: boolean): void;
+}
+
+export class ReachabilityTask implements Task, ServerReachability {
+  readonly name = 'reachability';
+
+  private readonly reachability = new Reachability();
+
+  private timer: NodeJS.Timeout | null = null;
+
+  private readonly sockets = new Set<net.Socket>();
+
+  private waiters: Waiter[] = [];
+
+  constructor(private readonly opts: ReachabilityOptions) {}
+
+  async start(): Promise<void> {
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+  }
+
+  async stop(): Promise<void> {
+    if (this.timer !== null) clearInterval(this.timer);
+    this.sockets.forEach((socket) => socket.destroy());
+    this.waiters.splice(0).forEach(({ settle }) => settle(true));
+  }
+
+  /** Applies a changed list of servers. */
+  noteServers(backends: ReadonlyMap<string, BackendServer>): void {
+    this.reachability.setServers(backends.values());
+    this.applyChanges();
+  }
+
+  /** Services from which this VM is partitioned. */
+  partitionedServices(): readonly string[] {
+    return this.reachability.partitionedServices();
+  }
+
+  isPartitioned(service: string): boolean {
+    return this.reachability.isPartitioned(service);
+  }
+
+  sinceMs(service: string): number | null {
+    return this.reachability.sinceMs(service);
+  }
+
+  noteConnectFailure({ id }: BackendServer, startedAtMs: number): void {
+    this.reachability.noteConnectFailure(this.opts.clock.steadyMs(), id, startedAtMs);
+    this.update();
+  }
+
+  /** Records a sign of a partition that is no proof, such as a call without an answer. */
+  noteSuspicion(service: string): void {
+    this.reachability.noteSuspicion(service);
+    this.update();
+  }
+
+  isReached(service: string): Promise<boolean> {
+    if (this.isPartitioned(service)) return Promise.resolve(false);
+    return new Promise((resolve) => {
+      this.waiters.push({ service, sinceMs: this.opts.clock.steadyMs(), settle: resolve });
+      this.reachability.noteSuspicion(service, true);
+      this.update();
+    });
+  }
+
+  private tick(): void {
+    this.opts
+      .silentServices(SILENCE_MS)
+      .forEach((service) => this.reachability.noteSuspicion(service));
+    this.update();
+  }
+
+  private update(): void {
+    this.reachability.nextProbes(this.opts.clock.steadyMs()).forEach((id) => this.probe(id));
+    this.applyChanges();
+  }
+
+  private probe(id: string): void {
+    const server = this.opts.backends().get(id);
+    const startedAtMs = this.opts.clock.steadyMs();
+    const [host = '', port = '0'] = server?.address.split(':') ?? [];
+    const socket = net.connect({ host, port: Number(port) });
+    this.sockets.add(socket);
+    let isSettled = false;
+    let timer: NodeJS.Timeout | null = null;
+    const settle = (isConnected: boolean) => {
+      if (isSettled) return;
+      isSettled = true;
+      if (timer !== null) clearTimeout(timer);
+      this.sockets.delete(socket);
+      socket.destroy();
+      const nowMs = this.opts.clock.steadyMs();
+      if (isConnected) this.reachability.noteConnected(nowMs, id);
+      else this.reachability.noteConnectFailure(nowMs, id, startedAtMs);
+      this.update();
+    };
+    // A connection may have been made while this process was busy, and its event not handled yet.
+    timer = setTimeout(() => setImmediate(() => settle(false)), CONNECT_TIMEOUT_MS);
+    socket.on('connect', () => settle(true));
+    socket.on('error', () => settle(false));
+    socket.on('close', () => settle(false));
+  }
+
+  private applyChanges(): void {
+    this.reachability.takeChanges().forEach(({ service, isPartitioned, sinceMs }) => {
+      const forMs = Math.round(this.opts.clock.steadyMs() - sinceMs);
+      this.opts.logger.info(isPartitioned ? 'partitioned' : 'partition-over', { service, forMs });
+      this.opts.metrics.gauge('relay_partitioned', Number(isPartitioned), { service });
+      if (isPartitioned) this.opts.onPartitioned(service);
+      else this.opts.onReachable(service);
+    });
+    this.settleWaiters();
+  }
+
+  private settleWaiters(): void {
+    const nowMs = this.opts.clock.steadyMs();
+    const { waiters } = this;
+    this.waiters = [];
+    waiters.forEach((waiter) => {
+      const { service, sinceMs, settle } = waiter;
+      const isUndecided =
+        this.reachability.isUndecided(nowMs, service) &&
+        this.reachability.connectedAtMs(service) < sinceMs;
+      if (isUndecided && nowMs < sinceMs + MAX_WAIT_MS) this.waiters.push(waiter);
+      else settle(!this.isPartitioned(service));
+    });
+  }
+}
--- a/test/units/reachability/reachability.test.ts
+++ b/test/units/reachability/reachability.test.ts
@@ -29,7 +29,7 @@
     const { reachability, probe } = setUp(count);
     reachability.noteConnectFailure(1_000, 'desk-0', 600);
     expect(reachability.isPartitioned('desk')).toBe(false);
-    expect(reachability.isUndecided('desk')).toBe(true);
+    expect(reachability.isUndecided(1_000, 'desk')).toBe(true);
     probe(1_000, () => false);
     expect(reachability.sinceMs('desk')).toBe(600);
     expect(reachability.isPartitioned('other')).toBe(false);
@@ -56,6 +56,16 @@
     expect(reachability.takeChanges().at(-1)?.isPartitioned).toBe(false);
   });
 
+  test('knows it soon after a connection broke, also if one was made just before', () => {
+    const { reachability, probe } = setUp(8);
+    reachability.noteConnected(990, 'desk-0');
+    reachability.noteSuspicion('desk', true);
+    expect(probe(1_000, () => false)).toBe(2);
+    expect(reachability.isUndecided(1_000, 'desk')).toBe(true);
+    expect(probe(1_000, () => false)).toBe(3);
+    expect(reachability.isPartitioned('desk')).toBe(true);
+  });
+
   test('is no longer so once the service has no servers that stay', () => {
     const { reachability, probe } = setUp(3);
     reachability.noteSuspicion('desk');
