Relay: say when a VM is partitioned from all servers, and on whose word one is down

A VM logs "partitioned" and "partition-over" for each service and exports relay_partitioned; engine-unresponsive says whether the steward itself is partitioned then. No decision uses it yet.

--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -12,6 +12,7 @@
 import type { Dispatcher } from './dispatch.js';
 import type { FleetView } from './fleet-view.js';
 import type { Incidents } from './incidents.js';
+import type { ServerReachability } from './reachability.js';
 import type { ResponseMemory } from './response-memory.js';
 import type { StreamVersionsTask } from './stream-versions.js';
 import type { ThrottlingTask } from './throttling.js';
@@ -23,6 +24,7 @@
   readonly admission: Admission;
   readonly dispatcher: Dispatcher;
   readonly view: FleetView;
+  readonly reachability: ServerReachability;
   readonly connections: ConnectionPool;
   readonly retries: RetryWindow;
   readonly incidents: Incidents;
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -36,6 +36,7 @@
 import type { LeaseTask } from './lease-task.js';
 import type { LoadView, RelayMessageOf } from './messages.js';
 import { UsageTracker } from './usage-tracker.js';
+import type { ReachabilityTask } from './reachability.js';
 import type { EngineReport, PlatformWire } from './types.js';
 
 /** Timeout of a call that sends an engine order, ms. */
@@ -103,6 +104,7 @@
   readonly wire: PlatformWire;
   readonly storeWatcher: StoreWatcherTask;
   readonly lease: LeaseTask;
+  readonly reachability: Pick<ReachabilityTask, 'isPartitioned' | 'isUndecided' | 'noteSuspicion'>;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Limits the requests to engines that have named a limit. */
@@ -342,9 +344,12 @@
   private noteFailure(engine: EngineRecord): void {
     const consecutiveFailures = engine.consecutiveFailures + 1;
     Object.assign(engine, { consecutiveFailures });
+    const { id, service } = engine.server;
+    this.opts.reachability.noteSuspicion(service, consecutiveFailures === 1);
     if (consecutiveFailures !== MAX_CONSECUTIVE_FAILURES) return;
     const { loading } = engine.orders;
-    this.opts.logger.info('engine-unresponsive', { engine: engine.server.id, loading });
+    const isPartitioned = this.opts.reachability.isPartitioned(service);
+    this.opts.logger.info('engine-unresponsive', { engine: id, loading, isPartitioned });
   }
 
   private noteStoreLoad(nowMs: number, { storeLoad }: EngineRecord): void {
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -389,7 +389,11 @@
     this.logResumption(run);
     this.ctx.throttling.noteSent(run.server);
     try {
-      return await this.sendTo(run, nowMs, resumeAfter);
+      const result = await this.sendTo(run, nowMs, resumeAfter);
+      const isUnreached = result.type === AttemptEnd.notRun && !result.reached;
+      // An attempt that ended because the caller disconnected is no evidence against the server.
+      if (isUnreached && !this.ended) this.ctx.reachability.noteConnectFailure(run.server, nowMs);
+      return result;
     } finally {
       this.current = null;
       this.ctx.view.ended(run);
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -65,6 +65,9 @@
   /** Number of running requests of this entry VM, by server. */
   private readonly runningLocally = new Map<string, number>();
 
+  /** Since when a server has had running requests of this entry VM without a pause, by server. */
+  private readonly busySinceMs = new Map<string, number>();
+
   /** Number of running requests, by server, in the last report to the steward. */
   private runningReported: ReadonlyMap<string, number> = new Map();
 
@@ -177,7 +180,9 @@
     entry.count += 1;
     this.runs.set(key, entry);
     const { id } = run.server;
-    this.runningLocally.set(id, (this.runningLocally.get(id) ?? 0) + 1);
+    const running = this.runningLocally.get(id) ?? 0;
+    if (running === 0) this.busySinceMs.set(id, this.clock.steadyMs());
+    this.runningLocally.set(id, running + 1);
   }
 
   ended(run: Run): void {
@@ -187,7 +192,9 @@
     entry.count -= 1;
     if (entry.count === 0) this.runs.delete(key);
     const { id } = run.server;
-    this.runningLocally.set(id, Math.max(0, (this.runningLocally.get(id) ?? 0) - 1));
+    const running = Math.max(0, (this.runningLocally.get(id) ?? 0) - 1);
+    if (running === 0) this.busySinceMs.delete(id);
+    this.runningLocally.set(id, running);
   }
 
   /** Running requests of this entry VM, for the report to the steward. */
@@ -200,6 +207,20 @@
     }));
   }
 
+  /** Services with running requests of this entry VM whose servers all have sent nothing for a time. */
+  silentServices(silenceMs: number): readonly string[] {
+    const sinceMs = this.clock.steadyMs() - silenceMs;
+    const silent = new Set<string>();
+    const answering = new Set<string>();
+    this.busySinceMs.forEach((busySinceMs, id) => {
+      const service = this.storeWatcher.backends.get(id)?.service;
+      if (service === undefined) return;
+      const isSilent = Math.max(busySinceMs, this.health.lastReceivedAtMs(id)) < sinceMs;
+      (isSilent ? silent : answering).add(service);
+    });
+    return [...silent].filter((service) => !answering.has(service));
+  }
+
   /** Servers that this entry VM can't connect to, for the report to the steward. */
   unreachable(): RelayMessageOf<'report'>['unreachable'] {
     const nowMs = this.clock.steadyMs();
--- a/src/entry/relay/reachability.ts
+++ b/src/entry/relay/reachability.ts
@@ -37,10 +37,8 @@
   backends(): ReadonlyMap<string, BackendServer>;
   /** Services at which requests run whose servers have all sent nothing for some time. */
   silentServices(silenceMs: number): readonly string[];
-  /** Called when this VM reaches the servers of a service again. */
-  onReachable(service: string): void;
-  /** Called when this VM is partitioned from the servers of a service. */
-  onPartitioned(service: string): void;
+  /** Called when this VM becomes partitioned from the servers of a service, or no longer is. */
+  onChange(service: string, isPartitioned: boolean): void;
 }
 
 interface Waiter {
@@ -96,12 +94,20 @@
     this.update();
   }
 
-  /** Records a sign of a partition that is no proof, such as a call without an answer. */
-  noteSuspicion(service: string): void {
-    this.reachability.noteSuspicion(service);
+  /**
+   * Records a sign of a partition that is no proof, such as a call without an answer.
+   * @param isUrgent Whether to probe although a connection has been made just before.
+   */
+  noteSuspicion(service: string, isUrgent = false): void {
+    this.reachability.noteSuspicion(service, isUrgent);
     this.update();
   }
 
+  /** Whether probes are on their way, or due, that may show a partition from the service. */
+  isUndecided(service: string): boolean {
+    return this.reachability.isUndecided(this.opts.clock.steadyMs(), service);
+  }
+
   isReached(service: string): Promise<boolean> {
     if (this.isPartitioned(service)) return Promise.resolve(false);
     return new Promise((resolve) => {
@@ -154,8 +160,7 @@
       const forMs = Math.round(this.opts.clock.steadyMs() - sinceMs);
       this.opts.logger.info(isPartitioned ? 'partitioned' : 'partition-over', { service, forMs });
       this.opts.metrics.gauge('relay_partitioned', Number(isPartitioned), { service });
-      if (isPartitioned) this.opts.onPartitioned(service);
-      else this.opts.onReachable(service);
+      this.opts.onChange(service, isPartitioned);
     });
     this.settleWaiters();
   }
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -31,6 +31,7 @@
   type RelayMessageOf,
   RelayMessageType,
 } from './messages.js';
+import type { ReachabilityTask } from './reachability.js';
 import { ServerListPublisher, ServerListCache } from './server-list-publisher.js';
 import { EngineController } from './engine-controller.js';
 import { planningIntervalMs, messageIntervalMs } from './intervals.js';
@@ -93,6 +94,7 @@
   readonly throttling: ThrottlingTask;
   readonly streams: StreamVersionsTask;
   readonly lease: LeaseTask;
+  readonly reachability: ReachabilityTask;
   /** Duration of a lease from its renewal, ms. */
   readonly leaseMs: number;
   readonly clock: Clock;
@@ -483,7 +485,7 @@
       stored === undefined ? null : new Map(Object.entries(stored)),
     );
     this.lender.notePersisted(new Map(Object.entries(this.writtenAllowances)));
-    const { vm, wire, storeWatcher, lease, clock, logger, throttling } = this.opts;
+    const { vm, wire, storeWatcher, lease, reachability, clock, logger, throttling } = this.opts;
     this.permitService = new PermitService({
       storeWatcher,
       throttling,
@@ -495,6 +497,7 @@
       wire,
       storeWatcher,
       lease,
+      reachability,
       clock,
       logger,
       issuer,
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -22,6 +22,7 @@
 import { LeaseTask } from './lease-task.js';
 import { LoopDelayTask } from './loop-delay.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
+import { ReachabilityTask } from './reachability.js';
 import { ReadinessTask } from './readiness.js';
 import { ReporterTask } from './reporter.js';
 import { ResponseMemory } from './response-memory.js';
@@ -171,6 +172,14 @@
   lateBound.lease = lease;
   const view = new FleetView(storeWatcher, clock, isStewardConnected, throttling);
   lateBound.view = view;
+  const reachability = new ReachabilityTask({
+    clock,
+    logger: logger.child('reachability'),
+    metrics,
+    backends: () => storeWatcher.backends,
+    silentServices: (silenceMs) => view.silentServices(silenceMs),
+    onChange: () => lateBound.reporter?.reportNow(),
+  });
   const dispatcher = new Dispatcher({
     dataCentre: vm.dataCentre,
     storeWatcher,
@@ -274,6 +283,7 @@
     throttling,
     streams,
     lease,
+    reachability,
     leaseMs: settings.lease.durationMs,
     clock,
     logger: logger.child('steward'),
@@ -286,6 +296,7 @@
     admission,
     dispatcher,
     view,
+    reachability,
     connections,
     retries,
     incidents,
@@ -335,6 +346,7 @@
     if (backends) {
       connections.retain(storeWatcher.backends);
       throttling.retain(storeWatcher.backends);
+      reachability.noteServers(storeWatcher.backends);
       streams.noteServers(storeWatcher.backends);
       incidents.resolveIncidents();
     }
@@ -352,6 +364,7 @@
   const tasks = [
     loopDelay,
     storeWatcher,
+    reachability,
     steward,
     lease,
     reporter,
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -57,6 +57,11 @@
 function setUp() {
   const engine = { isUp: true, calls: 0, delay: () => undefined as void };
   const times = { nowMs: 1_000 };
+  const reachability = {
+    isPartitioned: () => false,
+    isUndecided: () => false,
+    noteSuspicion: () => undefined,
+  };
   const cold = { name: 'm2', sizeMb: 10, adapterMb: 1, remoteLoadMs: 6_000, localLoadMs: 600 };
   const models = new Map([[cold.name, cold]]);
   const spec = { models, memoryMb: 100, adapterSlots: 1, loadsPerS: 1, slots: 8 };
@@ -73,6 +78,7 @@
     },
     storeWatcher: { plan, backends },
     lease: { fence: () => 0 },
+    reachability,
     clock: { nowMs: () => times.nowMs, steadyMs: () => times.nowMs, onJump: () => undefined },
     logger: createLogger('test', 'silent'),
     issuer: new PermitIssuer(),
