Tests: relay bytes once after a gate that refused new connections

Established connections, which had lived on, were piped a second time when the gate opened; servers' answers came twice. The unit test failed before.

--- a/test/soak/server-gates.ts
+++ b/test/soak/server-gates.ts
@@ -53,6 +53,8 @@
 class GateConnection {
   private readonly server: net.Socket;
 
+  private isHeld = true;
+
   constructor(
     private readonly vm: net.Socket,
     port: number,
@@ -72,12 +74,15 @@
   }
 
   relay(): void {
+    if (!this.isHeld) return;
+    this.isHeld = false;
     this.vm.pipe(this.server);
     this.server.pipe(this.vm);
   }
 
   /** Stops reading on both sides: neither bytes nor the end of a connection get through. */
   hold(): void {
+    this.isHeld = true;
     this.vm.unpipe().pause();
     this.server.unpipe().pause();
   }
--- a/test/units/soak/server-gates.test.ts
+++ b/test/units/soak/server-gates.test.ts
@@ -22,9 +22,13 @@
   let server: http.Server;
   let agent: http.Agent;
   let address: string;
+  let served = 0;
 
   beforeEach(async () => {
-    server = http.createServer((_req, res) => res.end('ok'));
+    server = http.createServer((_req, res) => {
+      served += 1;
+      res.end('ok');
+    });
     agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
     gates.current = new ServerGates();
     address = await gates.current.addressOf(await httpServers.listen(server, '127.0.0.1:0'));
@@ -57,5 +61,13 @@
     await gates.current.setMode(GateMode.refuseNew);
     expect(await request(address, false)).toBe('ECONNREFUSED');
     expect(await request(address, agent)).toBe(200);
+    // Bytes were once relayed twice on connections that had lived on.
+    await gates.current.setMode(GateMode.open);
+    const before = served;
+    expect(await request(address, agent)).toBe(200);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    expect(served - before).toBe(1);
   });
 });
