--- a/test/soak/server-gates.ts
+++ b/test/soak/server-gates.ts
@@ -81,6 +81,8 @@
 class GateConnection {
   private readonly server: net.Socket;
 
+  private isHeld = true;
+
   constructor(
     private readonly vm: net.Socket,
     port: number,
@@ -100,12 +102,15 @@
   }
 
   relay(): void {
+    if (!this.isHeld) return;
+    this.isHeld = false;
     this.vm.pipe(this.server);
     this.server.pipe(this.vm);
   }
 
   /** Stops reading on both sides: neither bytes nor the end of a connection get through. */
   hold(): void {
+    this.isHeld = true;
     this.vm.unpipe().pause();
     this.server.unpipe().pause();
   }
