Tests: gates at the servers' own ports, on the host of each VM

VMs tell each other the addresses of servers, so that VMs connected to the steward's gates when these were other addresses for each VM. A gate now listens on its VM's host, on its server's port, and a preloaded script makes the VM connect there.

--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -140,7 +140,9 @@
 }
 
 export class RelayFleet {
-  readonly store = new SoakStore();
+  readonly store = new SoakStore(async (server) => {
+    await Promise.all([...this.gates.values()].map((gates) => gates.add(server)));
+  });
 
   readonly observations: Observations = {
     runs: new Map(),
@@ -309,21 +311,15 @@
       const dataCentre = DATA_CENTRES[at % DATA_CENTRES.length] ?? 'a';
       const { times } = opts;
       const name = `vm-${at}`;
-      const store = opts.isGated === true ? await this.addGates(name) : address;
-      this.vms.push(await SoakVm.create(name, dataCentre, store, program, this.folder, times));
+      const vm = await SoakVm.create(name, dataCentre, address, program, this.folder, times);
+      this.vms.push(vm);
+      if (opts.isGated === true) this.gates.set(name, new ServerGates(vm.useGates(address)));
     }
     this.vms.forEach((vm) => vm.start());
     await Promise.all(this.vms.map((vm) => vm.waitUntilReady()));
     this.sendUntilMs = performance.now() + opts.durationMs;
   }
 
-  /** Creates a VM's gates; returns the address at which it finds their addresses in the store. */
-  private addGates(vm: string): Promise<string> {
-    const gates = new ServerGates();
-    this.gates.set(vm, gates);
-    return this.store.start((server) => gates.addressOf(server));
-  }
-
   private addServer(
     name: string,
     at: number,
--- a/test/soak/server-gates.ts
+++ b/test/soak/server-gates.ts
@@ -1,9 +1,11 @@
 /**
  * TCP proxies between one entry VM and the backend servers, which can partition the VM from all of
  * them while callers, the store and other VMs still reach it.
+ *
+ * VMs tell each other the addresses of servers, so that these are the same for all VMs. A gate listens
+ * on its VM's own host, on the port of its server; a preloaded script makes the VM connect there.
  */
 import * as net from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { Worker } from 'node:worker_threads';
 
 /** What a gate does with the connections of its VM. */
@@ -20,7 +22,25 @@
 
 /** Pending connections of a listener that accepts none; one more than this fills its queue. */
 const BACKLOG = 1;
-const HOST = '127.0.0.1';
+/** Host of the servers and of the store. */
+const SERVER_HOST = '127.0.0.1';
+
+/**
+ * Script that the process of a VM preloads. It replaces the host of each server by that of the gates;
+ * net.connect passes a list whose first element has the options.
+ */
+export const GATE_SCRIPT = `
+  const net = require('node:net');
+  const { connect } = net.Socket.prototype;
+  const { GATE_HOST, GATE_STORE } = process.env;
+  const isServer = ({ host, port }) =>
+    host === '${SERVER_HOST}' && host + ':' + port !== GATE_STORE;
+  net.Socket.prototype.connect = function gated(...args) {
+    const [list] = args;
+    if (Array.isArray(list) && isServer(list[0])) list[0] = { ...list[0], host: GATE_HOST };
+    return connect.apply(this, args);
+  };
+`;
 
 /** Listens on the ports and blocks its thread, so that no connection is accepted. */
 const HANGING_LISTENERS = `
@@ -61,7 +81,12 @@
     private readonly onClose: (conn: GateConnection) => void,
     onServerClosed: () => void,
   ) {
-    this.server = net.connect({ host: HOST, port, allowHalfOpen: true, noDelay: true });
+    this.server = net.connect({
+      host: SERVER_HOST,
+      port,
+      allowHalfOpen: true,
+      noDelay: true,
+    });
     this.vm.setNoDelay(true);
     this.vm.on('error', () => this.reset());
     this.server.on('error', () => this.reset());
@@ -105,15 +130,12 @@
 
   private listener: net.Server | null = null;
 
-  private port = 0;
-
   private isServerDown = false;
 
-  constructor(private readonly serverPort: number) {}
-
-  get address(): string {
-    return `${HOST}:${this.port}`;
-  }
+  constructor(
+    private readonly host: string,
+    private readonly port: number,
+  ) {}
 
   /** Port on which connections are accepted again after a partition; null if the server is down. */
   get listeningPort(): number | null {
@@ -126,9 +148,8 @@
     this.listener = listener;
     await new Promise<void>((resolve, reject) => {
       listener.once('error', reject);
-      listener.listen(this.port, HOST, resolve);
+      listener.listen(this.port, this.host, resolve);
     });
-    this.port = (listener.address() as AddressInfo).port;
   }
 
   /** Refuses new connections. */
@@ -146,7 +167,7 @@
   private accept(socket: net.Socket): void {
     const conn = new GateConnection(
       socket,
-      this.serverPort,
+      this.port,
       (closed) => this.connections.delete(closed),
       () => this.checkServer(),
     );
@@ -156,7 +177,7 @@
   /** Closes the gate if the server no longer accepts connections. */
   private checkServer(): void {
     if (this.isServerDown) return;
-    const probe = net.connect({ host: HOST, port: this.serverPort }, () => probe.destroy());
+    const probe = net.connect({ host: SERVER_HOST, port: this.port }, () => probe.destroy());
     probe.on('error', () => {
       this.isServerDown = true;
       void this.close();
@@ -164,7 +185,7 @@
   }
 }
 
-/** The gates of one entry VM, by server address; created when the VM learns of the server. */
+/** The gates of one entry VM, by server address. */
 export class ServerGates {
   private readonly gates = new Map<string, Promise<Gate>>();
 
@@ -174,11 +195,13 @@
 
   private readonly fillers: net.Socket[] = [];
 
-  /** Address at which the VM reaches the server that listens on `server`. */
-  async addressOf(server: string): Promise<string> {
+  constructor(private readonly host: string) {}
+
+  /** Creates the gate of a server if there is none; resolves once it listens. */
+  async add(server: string): Promise<void> {
     const gate = this.gates.get(server) ?? this.create(server);
     this.gates.set(server, gate);
-    return (await gate).address;
+    await gate;
   }
 
   /** Changes the mode for all servers, also for those that start later. */
@@ -207,7 +230,7 @@
 
   /** A server that starts during a partition gets a port that refuses connections until its end. */
   private async create(server: string): Promise<Gate> {
-    const gate = new Gate(Number(server.split(':')[1]));
+    const gate = new Gate(this.host, Number(server.split(':')[1]));
     await gate.listen();
     if (this.mode !== GateMode.open) await gate.close();
     return gate;
@@ -221,7 +244,7 @@
     const ports = gates.flatMap(({ listeningPort }) => listeningPort ?? []);
     await Promise.all(gates.map((gate) => gate.close()));
     const listening = nextMessage(worker);
-    worker.postMessage({ host: HOST, ports, backlog: BACKLOG });
+    worker.postMessage({ host: this.host, ports, backlog: BACKLOG });
     await listening;
     ports.forEach((port) => {
       for (let at = 0; at <= BACKLOG; at += 1) this.fill(port);
@@ -229,7 +252,7 @@
   }
 
   private fill(port: number): void {
-    const socket = net.connect({ host: HOST, port });
+    const socket = net.connect({ host: this.host, port });
     // Reset when the listener closes.
     socket.on('error', () => socket.destroy());
     this.fillers.push(socket);
--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -42,9 +42,6 @@
   readonly body: unknown;
 }
 
-/** Maps the address of a backend server. */
-export type AddressMapping = (address: string) => string | Promise<string>;
-
 const SLOW_RESPONSE_MS = 300;
 /** A page of a list holds about this much at most. */
 const MAX_PAGE_OBJECTS = 500;
@@ -53,18 +50,9 @@
 const STEWARD_LEASE = 'bilberrystand/steward';
 const OBJECT_PATH = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?$/;
 
-/** Address of a server of the test in its entry; the VMs listen on other hosts. */
+/** Address of a server in its entry. */
 const SERVER_ADDRESS = /(?<="address":")127\.0\.0\.1:\d+/g;
 
-async function replaceAddresses(text: string, addressOf: AddressMapping): Promise<string> {
-  const found = [...new Set(text.match(SERVER_ADDRESS) ?? [])];
-  const mapped = await Promise.all(
-    found.map(async (address) => [address, await addressOf(address)] as const),
-  );
-  const addresses = new Map(mapped);
-  return text.replace(SERVER_ADDRESS, (address) => addresses.get(address) ?? address);
-}
-
 export class SoakStore {
   mode: StoreMode = StoreMode.normal;
 
@@ -91,7 +79,9 @@
 
   private readonly sockets = new Set<Socket>();
 
-  private readonly servers: http.Server[] = [];
+  private readonly server = http.createServer((req, res) => {
+    void this.handleRequest(req, res);
+  });
 
   /** Switches to `mode` for `ms`; resolves once the store is in its normal mode again. */
   async runInMode(mode: StoreMode, ms: number): Promise<void> {
@@ -107,25 +97,21 @@
     return !this.disturbances.some((span) => span.fromMs <= toMs && span.toMs >= fromMs);
   }
 
-  /**
-   * Listens on another address; returns it.
-   * @param addressOf Address under which callers at this one see the backend server at an address;
-   * by default its own.
-   */
-  async start(addressOf: AddressMapping = (address) => address): Promise<string> {
-    const server = http.createServer((req, res) => {
-      void this.handleRequest(req, res, addressOf);
-    });
-    this.servers.push(server);
-    server.on('connection', (socket) => {
+  /** @param beforeServers Called before a server's entry with this address can be read. */
+  constructor(
+    private readonly beforeServers: (address: string) => Promise<void> = async () => {},
+  ) {}
+
+  async start(): Promise<string> {
+    this.server.on('connection', (socket) => {
       this.sockets.add(socket);
       socket.on('close', () => this.sockets.delete(socket));
     });
-    return httpServers.listen(server, '127.0.0.1:0');
+    return httpServers.listen(this.server, '127.0.0.1:0');
   }
 
   stop(): void {
-    this.servers.forEach((server) => server.close());
+    this.server.close();
     this.sockets.forEach((socket) => socket.destroy());
   }
 
@@ -202,11 +188,7 @@
     [...this.watchers].forEach((watcher) => watcher());
   }
 
-  private async handleRequest(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-    addressOf: AddressMapping,
-  ): Promise<void> {
+  private async handleRequest(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const { mode } = this;
     if (mode === StoreMode.silent) return;
     if (mode === StoreMode.busy) {
@@ -226,7 +208,9 @@
       req.socket.destroy();
       return;
     }
-    const text = await replaceAddresses(JSON.stringify(body), addressOf);
+    const text = JSON.stringify(body);
+    const servers = new Set(text.match(SERVER_ADDRESS) ?? []);
+    await Promise.all([...servers].map((address) => this.beforeServers(address)));
     res
       .writeHead(status, { 'content-type': 'application/json', ...this.eraHeader() })
       .end(text.replace(this.replaced.text, this.replaced.by));
--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -6,6 +6,7 @@
 import * as path from 'node:path';
 import * as undici from 'undici';
 import * as clocks from '../../src/core/clock/index.js';
+import { GATE_SCRIPT } from './server-gates.js';
 
 const READY_POLL_MS = 50;
 const READY_TIMEOUT_MS = 20_000;
@@ -68,6 +69,10 @@
 
   private isTerminated = false;
 
+  private preload: readonly string[] = [];
+
+  private env: Readonly<Record<string, string>> = {};
+
   /** Times at which the process was started or received a signal, from `performance.now()`. */
   private readonly disturbedAtMs: number[] = [];
 
@@ -119,6 +124,16 @@
     return new SoakVm(name, callers, admin, program, folder);
   }
 
+  /** Makes the process connect to gates on its own host in place of the servers; returns the host. */
+  useGates(store: string): string {
+    const [host = ''] = this.callers.split(':');
+    const script = path.join(this.folder, `${this.name}-gates.cjs`);
+    fs.writeFileSync(script, GATE_SCRIPT);
+    this.preload = ['--require', script];
+    this.env = { GATE_HOST: host, GATE_STORE: store };
+    return host;
+  }
+
   /** Whether the process was neither started nor signalled between two times. */
   wasUndisturbed(fromMs: number, toMs: number): boolean {
     return !this.disturbedAtMs.some((atMs) => atMs >= fromMs && atMs <= toMs);
@@ -141,9 +156,10 @@
     const settings = path.join(this.folder, `${this.name}.toml`);
     const child = spawn(
       process.execPath,
-      [HEAP_LIMIT, this.program, 'serve', '--settings', settings],
+      [HEAP_LIMIT, ...this.preload, this.program, 'serve', '--settings', settings],
       {
         stdio: ['ignore', log, log],
+        env: { ...process.env, ...this.env },
       },
     );
     fs.closeSync(log);
--- a/test/units/soak/server-gates.test.ts
+++ b/test/units/soak/server-gates.test.ts
@@ -18,7 +18,9 @@
 }
 
 describe('gates between a VM and the servers', () => {
-  const gates = { current: new ServerGates() };
+  /** Another one than that of the server. */
+  const HOST = '127.0.0.2';
+  const gates = { current: new ServerGates(HOST) };
   let server: http.Server;
   let agent: http.Agent;
   let address: string;
@@ -30,8 +32,10 @@
       res.end('ok');
     });
     agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
-    gates.current = new ServerGates();
-    address = await gates.current.addressOf(await httpServers.listen(server, '127.0.0.1:0'));
+    gates.current = new ServerGates(HOST);
+    const direct = await httpServers.listen(server, '127.0.0.1:0');
+    await gates.current.add(direct);
+    address = direct.replace('127.0.0.1', HOST);
     expect(await request(address, agent)).toBe(200);
   });
 
