--- a/test/soak/server-gates.ts
+++ b/test/soak/server-gates.ts
@@ -1,10 +1,10 @@
 /**
  * TCP proxies between one entry VM and the backend servers, which can partition the VM from all of
- * them while callers, the store and other VMs still reach it. They listen on a host of their own, on
- * the ports of the servers; the VM's process connects to that host instead of that of the servers, so
- * that all VMs know the servers by the same addresses.
+ * them while callers, the store and other VMs still reach it.
+ *
+ * VMs tell each other the addresses of servers, so that these are the same for all VMs. A gate listens
+ * on its VM's own host, on the port of its server; a preloaded script makes the VM connect there.
  */
-import * as fs from 'node:fs';
 import * as net from 'node:net';
 import { Worker } from 'node:worker_threads';
 
@@ -22,16 +22,25 @@
 
 /** Pending connections of a listener that accepts none; one more than this fills its queue. */
 const BACKLOG = 1;
-/** The host that the servers and the store listen on. */
+/** Host of the servers and of the store. */
 const SERVER_HOST = '127.0.0.1';
 
-let hostsCreated = 0;
-
-/** A loopback address for the gates of one VM; no VM has one with this second byte. */
-function uniqueLoopbackHost(): string {
-  hostsCreated += 1;
-  return `127.251.${1 + (process.pid % 250)}.${1 + (hostsCreated % 250)}`;
-}
+/**
+ * Script that the process of a VM preloads. It replaces the host of each server by that of the gates;
+ * net.connect passes a list whose first element has the options.
+ */
+export const GATE_SCRIPT = `
+  const net = require('node:net');
+  const { connect } = net.Socket.prototype;
+  const { GATE_HOST, GATE_STORE } = process.env;
+  const isServer = ({ host, port }) =>
+    host === '${SERVER_HOST}' && host + ':' + port !== GATE_STORE;
+  net.Socket.prototype.connect = function gated(...args) {
+    const [list] = args;
+    if (Array.isArray(list) && isServer(list[0])) list[0] = { ...list[0], host: GATE_HOST };
+    return connect.apply(this, args);
+  };
+`;
 
 /** Listens on the ports and blocks its thread, so that no connection is accepted. */
 const HANGING_LISTENERS = `
@@ -60,23 +69,6 @@
   });
 }
 
-/** The arguments of `connect` are an object, or the array that `net.connect` makes of it. */
-function preloadText(gateHost: string, storePort: number): string {
-  return `
-    const net = require('node:net');
-    const { connect } = net.Socket.prototype;
-    const moved = (opts) =>
-      opts.host === '${SERVER_HOST}' && Number(opts.port) !== ${storePort}
-        ? { ...opts, host: '${gateHost}' }
-        : opts;
-    net.Socket.prototype.connect = function connectToGate(...args) {
-      if (Array.isArray(args[0])) args[0][0] = moved(args[0][0]);
-      else args[0] = moved(args[0]);
-      return connect.apply(this, args);
-    };
-  `;
-}
-
 /** A connection through a gate. */
 class GateConnection {
   private readonly server: net.Socket;
@@ -89,7 +81,12 @@
     private readonly onClose: (conn: GateConnection) => void,
     onServerClosed: () => void,
   ) {
-    this.server = net.connect({ host: SERVER_HOST, port, allowHalfOpen: true, noDelay: true });
+    this.server = net.connect({
+      host: SERVER_HOST,
+      port,
+      allowHalfOpen: true,
+      noDelay: true,
+    });
     this.vm.setNoDelay(true);
     this.vm.on('error', () => this.reset());
     this.server.on('error', () => this.reset());
@@ -137,16 +134,12 @@
 
   constructor(
     private readonly host: string,
-    private readonly serverPort: number,
+    private readonly port: number,
   ) {}
 
-  get address(): string {
-    return `${this.host}:${this.serverPort}`;
-  }
-
   /** Port on which connections are accepted again after a partition; null if the server is down. */
   get listeningPort(): number | null {
-    return this.isServerDown ? null : this.serverPort;
+    return this.isServerDown ? null : this.port;
   }
 
   async listen(): Promise<void> {
@@ -155,7 +148,7 @@
     this.listener = listener;
     await new Promise<void>((resolve, reject) => {
       listener.once('error', reject);
-      listener.listen(this.serverPort, this.host, resolve);
+      listener.listen(this.port, this.host, resolve);
     });
   }
 
@@ -174,7 +167,7 @@
   private accept(socket: net.Socket): void {
     const conn = new GateConnection(
       socket,
-      this.serverPort,
+      this.port,
       (closed) => this.connections.delete(closed),
       () => this.checkServer(),
     );
@@ -184,7 +177,7 @@
   /** Closes the gate if the server no longer accepts connections. */
   private checkServer(): void {
     if (this.isServerDown) return;
-    const probe = net.connect({ host: SERVER_HOST, port: this.serverPort }, () => probe.destroy());
+    const probe = net.connect({ host: SERVER_HOST, port: this.port }, () => probe.destroy());
     probe.on('error', () => {
       this.isServerDown = true;
       void this.close();
@@ -192,29 +185,23 @@
   }
 }
 
-/** The gates of one entry VM, by server address; created when the VM learns of the server. */
+/** The gates of one entry VM, by server address. */
 export class ServerGates {
   private readonly gates = new Map<string, Promise<Gate>>();
 
-  private readonly host = uniqueLoopbackHost();
-
   private mode: GateMode = GateMode.open;
 
   private hanging: Worker | null = null;
 
   private readonly fillers: net.Socket[] = [];
 
-  /** Writes a module that lets the process of the VM connect to the gates instead of the servers. */
-  writePreload(file: string, store: string): void {
-    const storePort = Number(store.split(':')[1]);
-    fs.writeFileSync(file, preloadText(this.host, storePort));
-  }
+  constructor(private readonly host: string) {}
 
-  /** Address at which the VM reaches the server that listens on `server`. */
-  async addressOf(server: string): Promise<string> {
+  /** Creates the gate of a server if there is none; resolves once it listens. */
+  async add(server: string): Promise<void> {
     const gate = this.gates.get(server) ?? this.create(server);
     this.gates.set(server, gate);
-    return (await gate).address;
+    await gate;
   }
 
   /** Changes the mode for all servers, also for those that start later. */
--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -6,6 +6,7 @@
 import * as path from 'node:path';
 import * as undici from 'undici';
 import * as clocks from '../../src/core/clock/index.js';
+import { GATE_SCRIPT } from './server-gates.js';
 
 const READY_POLL_MS = 50;
 const READY_TIMEOUT_MS = 20_000;
@@ -68,6 +69,10 @@
 
   private isTerminated = false;
 
+  private preload: readonly string[] = [];
+
+  private env: Readonly<Record<string, string>> = {};
+
   /** Times at which the process was started or received a signal, from `performance.now()`. */
   private readonly disturbedAtMs: number[] = [];
 
@@ -78,8 +83,6 @@
     private readonly admin: string,
     private readonly program: string,
     private readonly folder: string,
-    /** Module that the process loads first; null for none. */
-    private readonly preload: string | null,
   ) {}
 
   static async create(
@@ -89,7 +92,6 @@
     program: string,
     folder: string,
     times: VmTimes = {},
-    preload: string | null = null,
   ): Promise<SoakVm> {
     const { graceMs, leaseMs } = { ...DEFAULT_TIMES, ...times };
     const [callers = '', admin = '', peers = ''] = await freeAddresses(3);
@@ -119,7 +121,17 @@
       slack = 52
     `;
     fs.writeFileSync(path.join(folder, `${name}.toml`), settings);
-    return new SoakVm(name, callers, admin, program, folder, preload);
+    return new SoakVm(name, callers, admin, program, folder);
+  }
+
+  /** Makes the process connect to gates on its own host in place of the servers; returns the host. */
+  useGates(store: string): string {
+    const [host = ''] = this.callers.split(':');
+    const script = path.join(this.folder, `${this.name}-gates.cjs`);
+    fs.writeFileSync(script, GATE_SCRIPT);
+    this.preload = ['--require', script];
+    this.env = { GATE_HOST: host, GATE_STORE: store };
+    return host;
   }
 
   /** Whether the process was neither started nor signalled between two times. */
@@ -142,12 +154,12 @@
     this.disturbedAtMs.push(performance.now());
     const log = fs.openSync(path.join(this.folder, `${this.name}.log`), 'a');
     const settings = path.join(this.folder, `${this.name}.toml`);
-    const preloads = this.preload === null ? [] : ['--require', this.preload];
     const child = spawn(
       process.execPath,
-      [HEAP_LIMIT, ...preloads, this.program, 'serve', '--settings', settings],
+      [HEAP_LIMIT, ...this.preload, this.program, 'serve', '--settings', settings],
       {
         stdio: ['ignore', log, log],
+        env: { ...process.env, ...this.env },
       },
     );
     fs.closeSync(log);
