Steward: believe VMs that reach an engine which does not answer the steward

Callers of all VMs were refused requests for models (NoCapacity) while the steward was partitioned from the engines: two of its calls without an answer took an engine's models out of every VM's view.

Reports now name the engines that have sent the VM data lately (every 0.4 s) and the services from which it is partitioned. An engine that does not answer the steward stays in the view if a VM has received data from it since, or if the steward is partitioned from the service and no VM without a partition has failed to connect since. A partitioned steward sends no orders. Connect failures of a partitioned VM count for nothing. Older VMs name neither; nothing changes with them.

--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -45,6 +45,11 @@
 const REPORT_TIMEOUT_MS = 300;
 /** Delay of a timeout beyond which the call says nothing about the engine, ms. */
 const MAX_TIMEOUT_DELAY_MS = 100;
+/**
+ * Time by which data from an engine must be newer than a call without an answer, ms: the time of its
+ * receipt at an entry VM is known only approximately.
+ */
+const RECEIPT_MARGIN_MS = 100;
 /** Pause between report calls while no order needs a report, ms: each is billed as a probe. */
 const REPORT_PAUSE_MS = 700;
 /** Pause between report calls while an order needs a report, ms: reports lag by about 100 ms. */
@@ -83,8 +88,12 @@
   reporting: boolean;
   /** Consecutive calls without an answer. */
   consecutiveFailures: number;
-  /** When an entry VM last failed to connect to the engine. */
-  unreachableAtMs: number;
+  /** When the first of these calls ended; Infinity if there are none. */
+  failingSinceMs: number;
+  /** When entry VMs that are not partitioned from the service last failed to connect to the engine. */
+  readonly connectFailures: Map<string, number>;
+  /** When an entry VM last received data from the engine. */
+  reachedAtMs: number;
   /** Expected end of the last planned action, ms. */
   loadEndsAtMs: number;
   /** Load of the last planned action; null if that action loads nothing from the weight store. */
@@ -124,6 +133,11 @@
   });
 }
 
+/** When an entry VM last failed to connect to the engine; -Infinity if none did. */
+function unreachableAtMs({ connectFailures }: EngineRecord): number {
+  return Math.max(-Infinity, ...connectFailures.values());
+}
+
 /** Whether the engine has answered one of the last calls of the steward. */
 function isResponsive({ consecutiveFailures }: EngineRecord): boolean {
   return consecutiveFailures < MAX_CONSECUTIVE_FAILURES;
@@ -134,8 +148,9 @@
  * entry VM could not connect to it. Until that is known, its models and loads count.
  */
 function isDoubtful(engine: EngineRecord): boolean {
-  const { consecutiveFailures, unreachableAtMs, reportedAtMs } = engine;
-  return isResponsive(engine) && (consecutiveFailures > 0 || unreachableAtMs > reportedAtMs);
+  const { consecutiveFailures, reportedAtMs } = engine;
+  const isUnreachable = unreachableAtMs(engine) > reportedAtMs;
+  return isResponsive(engine) && (consecutiveFailures > 0 || isUnreachable);
 }
 
 export class EngineController {
@@ -166,10 +181,18 @@
 
   addReport(nowMs: number, report: RelayMessageOf<'report'>): void {
     this.usageTracker.note(nowMs, report);
-    report.unreachable.forEach(({ server, ageMs }) => {
+    report.reached.forEach(({ server, ageMs }) => {
       const engine = this.engines.get(server);
       if (engine === undefined) return;
-      engine.unreachableAtMs = Math.max(engine.unreachableAtMs, nowMs - ageMs);
+      engine.reachedAtMs = Math.max(engine.reachedAtMs, nowMs - ageMs);
+    });
+    report.unreachable.forEach(({ server, ageMs }) =>
+      this.engines.get(server)?.connectFailures.set(report.vm, nowMs - ageMs),
+    );
+    if (report.partitioned.length === 0) return;
+    // Failures of a partitioned VM say nothing about the engines, nor do those just before it knew.
+    this.engines.forEach(({ server, connectFailures }) => {
+      if (report.partitioned.includes(server.service)) connectFailures.delete(report.vm);
     });
   }
 
@@ -186,7 +209,7 @@
   availableModels(server: BackendServer): readonly LoadedModel[] {
     const engine = this.engines.get(server.id);
     if (engine === undefined || !this.hasReported(engine)) return server.models;
-    if (!isResponsive(engine)) return [];
+    if (!this.isUp(engine)) return [];
     const unloading = [...engine.orders.unloading, ...engine.orders.unloadingAdapters];
     const nowMs = this.opts.clock.steadyMs();
     const loaded = [...engine.orders.loadedModels.keys()].filter(
@@ -225,9 +248,25 @@
     }));
   }
 
-  /** Whether the engine's replicas and loads count: it responds and is not draining. */
+  /** Whether the engine's replicas and loads count: it is up and not draining. */
   private isHealthy(engine: EngineRecord): boolean {
-    return !engine.server.leaving && isResponsive(engine) && this.hasReported(engine);
+    return !engine.server.leaving && this.isUp(engine) && this.hasReported(engine);
+  }
+
+  /**
+   * Whether requests may be sent to the engine. If it does not answer the steward, others can know
+   * better: an entry VM that has received data from it since, or all of them if this VM is
+   * partitioned from the service.
+   */
+  private isUp(engine: EngineRecord): boolean {
+    if (isResponsive(engine)) return true;
+    const { failingSinceMs, reachedAtMs, server } = engine;
+    const failedAtMs = Math.max(failingSinceMs, unreachableAtMs(engine));
+    if (reachedAtMs > failedAtMs + RECEIPT_MARGIN_MS) return true;
+    const { reachability } = this.opts;
+    const isOwnFault =
+      reachability.isPartitioned(server.service) || reachability.isUndecided(server.service);
+    return isOwnFault && unreachableAtMs(engine) < failingSinceMs;
   }
 
   private hasReported(engine: EngineRecord): boolean {
@@ -265,7 +304,9 @@
       reportedAtMs: -Infinity,
       reporting: false,
       consecutiveFailures: 0,
-      unreachableAtMs: -Infinity,
+      failingSinceMs: Infinity,
+      connectFailures: new Map(),
+      reachedAtMs: -Infinity,
       loadEndsAtMs: 0,
       storeLoad: null,
     };
@@ -274,7 +315,12 @@
   private updateRecord(engine: EngineRecord, server: BackendServer): void {
     const restarted = server.bornMs > engine.server.bornMs;
     Object.assign(engine, { server, copies: server.copies });
-    if (restarted) Object.assign(engine, { consecutiveFailures: 0, reportedAtMs: -Infinity });
+    if (!restarted) return;
+    Object.assign(engine, {
+      consecutiveFailures: 0,
+      failingSinceMs: Infinity,
+      reportedAtMs: -Infinity,
+    });
   }
 
   private expectedMs(engineId: string, step: OrderStep): number {
@@ -322,7 +368,11 @@
     }
     if (!isResponsive(engine))
       this.opts.logger.info('engine-responds', { engine: engine.server.id });
-    Object.assign(engine, { consecutiveFailures: 0, reportedAtMs: nowMs });
+    Object.assign(engine, {
+      consecutiveFailures: 0,
+      failingSinceMs: Infinity,
+      reportedAtMs: nowMs,
+    });
     const loading = engine.orders.loading.length > 0;
     if (report.copies !== null) Object.assign(engine, { copies: report.copies });
     engine.orders.observe({
@@ -343,13 +393,15 @@
   /** Counts a call without an answer. */
   private noteFailure(engine: EngineRecord): void {
     const consecutiveFailures = engine.consecutiveFailures + 1;
-    Object.assign(engine, { consecutiveFailures });
+    const failingSinceMs = Math.min(engine.failingSinceMs, this.opts.clock.steadyMs());
+    Object.assign(engine, { consecutiveFailures, failingSinceMs });
     const { id, service } = engine.server;
     this.opts.reachability.noteSuspicion(service, consecutiveFailures === 1);
     if (consecutiveFailures !== MAX_CONSECUTIVE_FAILURES) return;
     const { loading } = engine.orders;
     const isPartitioned = this.opts.reachability.isPartitioned(service);
-    this.opts.logger.info('engine-unresponsive', { engine: id, loading, isPartitioned });
+    const isUp = this.isUp(engine);
+    this.opts.logger.info('engine-unresponsive', { engine: id, loading, isPartitioned, isUp });
   }
 
   private noteStoreLoad(nowMs: number, { storeLoad }: EngineRecord): void {
@@ -481,6 +533,8 @@
   private engineState(nowMs: number, engine: EngineRecord): EngineState {
     const { server, spec, orders } = engine;
     const isHealthy = this.isHealthy(engine);
+    // Orders would not reach an engine that does not answer the steward.
+    const isOpen = isHealthy && isResponsive(engine);
     const unloadingModels = orders.unloading;
     const unloadingAdapters = new Set(orders.unloadingAdapters);
     const remainingAdapters = (model: string, adapters: ReadonlySet<string>) =>
@@ -491,8 +545,8 @@
       version: server.version,
       spec,
       dataCentre: server.dataCentre,
-      open: isHealthy && !orders.busy && !orders.needsReport,
-      openForAdapters: isHealthy && orders.acceptsAdapterSteps && !orders.needsReport,
+      open: isOpen && !orders.busy && !orders.needsReport,
+      openForAdapters: isOpen && orders.acceptsAdapterSteps && !orders.needsReport,
       healthy: isHealthy,
       replicas: [...orders.loadedModels]
         .filter(([model]) => !unloadingModels.includes(model))
@@ -528,7 +582,8 @@
 
   /** Sends the due engine order, in the same synchronous step as the check of the lease. */
   private sendDueOrder(nowMs: number, engine: EngineRecord): void {
-    if (engine.server.leaving) return;
+    const { leaving, service } = engine.server;
+    if (leaving || this.opts.reachability.isPartitioned(service)) return;
     const fence = this.opts.lease.fence();
     if (fence === 0) return;
     if (!this.opts.issuer.allowsOrder(nowMs, engine.server.id)) return;
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -229,6 +229,15 @@
       .map(({ id, atMs }) => ({ server: id, ageMs: nowMs - atMs }));
   }
 
+  /** Engines that have sent this entry VM data in the last `maxAgeMs`, for the report to the steward. */
+  reached(maxAgeMs: number): RelayMessageOf<'report'>['reached'] {
+    const nowMs = this.clock.steadyMs();
+    return [...this.storeWatcher.backends.values()]
+      .filter(({ models }) => models.length > 0)
+      .map(({ id }) => ({ server: id, ageMs: nowMs - this.health.lastReceivedAtMs(id) }))
+      .filter(({ ageMs }) => ageMs <= maxAgeMs);
+  }
+
   /** Records that the numbers of running requests were reported to the steward. */
   noteReported(): void {
     this.runningReported = new Map(this.runningLocally);
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -65,6 +65,9 @@
 /** A server, and the age of the last failed attempt of an entry VM to connect to it. */
 const connectFailureSchema = z.object({ server: z.string(), ageMs: z.number().nonnegative() });
 
+/** A server, and the age of the last data that an entry VM received from it. */
+const receiptSchema = z.object({ server: z.string(), ageMs: z.number().nonnegative() });
+
 /** Models and adapters of an engine to which requests may be sent. */
 const engineViewSchema = z.object({
   id: z.string(),
@@ -156,6 +159,10 @@
     usage: z.array(usageSchema),
     /** Servers that the sender can't connect to. */
     unreachable: z.array(connectFailureSchema).default([]),
+    /** Engines that have sent the sender data lately; not in every report. */
+    reached: z.array(receiptSchema).default([]),
+    /** Services from whose servers the sender is partitioned. */
+    partitioned: z.array(z.string()).default([]),
     /** Whether the sender is stopping. */
     leaving: z.boolean(),
   }),
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -7,11 +7,14 @@
 import { messageIntervalMs } from './intervals.js';
 import type { LeaseTask } from './lease-task.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
+import type { ReachabilityTask } from './reachability.js';
 import type { StewardLink } from './steward-link.js';
 
 const TICK_MS = 20;
 /** Maximum time between two reports, ms. */
 const MAX_REPORT_PAUSE_MS = 400;
+/** Minimum time between two reports that name the engines which have sent data, ms. */
+const REACHED_INTERVAL_MS = 400;
 
 export interface ReporterOptions {
   readonly vm: string;
@@ -22,6 +25,7 @@
   readonly admission: Admission;
   readonly dispatcher: Dispatcher;
   readonly view: FleetView;
+  readonly reachability: Pick<ReachabilityTask, 'partitionedServices'>;
   readonly clock: Clock;
   /** Version of this entry VM's plan. */
   planVersion(): number;
@@ -37,6 +41,9 @@
 
   private sentAtMs = -Infinity;
 
+  /** When a report last named the engines that have sent data. */
+  private reachedSentAtMs = -Infinity;
+
   /** Running and queued requests of the last report, as JSON. */
   private reportedKey = '';
 
@@ -97,6 +104,8 @@
     // Usage is not part of the key: it triggers no report, and is sent with the next one.
     const key = JSON.stringify([running, queued.map(({ dueInMs, ...group }) => group)]);
     if (!isImmediate && key === this.reportedKey && sinceMs < MAX_REPORT_PAUSE_MS) return;
+    const reachedForMs = nowMs - this.reachedSentAtMs;
+    const isReachedDue = reachedForMs >= REACHED_INTERVAL_MS;
     const message: RelayMessage = {
       type: RelayMessageType.report,
       vm: this.opts.vm,
@@ -110,12 +119,15 @@
       waits: queued,
       usage: [...this.usage].map(([model, requests]) => ({ model, requests })),
       unreachable: this.opts.view.unreachable(),
+      reached: isReachedDue ? this.opts.view.reached(reachedForMs) : [],
+      partitioned: [...this.opts.reachability.partitionedServices()],
       leaving: this.opts.isStopping(),
     };
     if (!this.opts.link.send(message)) return;
     this.usage.clear();
     this.reportedKey = key;
     this.sentAtMs = nowMs;
+    if (isReachedDue) this.reachedSentAtMs = nowMs;
     this.opts.view.noteReported();
   }
 }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -268,6 +268,7 @@
     admission,
     dispatcher,
     view,
+    reachability,
     clock,
     planVersion: () => storeWatcher.planVersion,
     members: () => view.members,
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -36,6 +36,7 @@
 function memberReport(
   unreachable: RelayMessageOf<'report'>['unreachable'],
   waits: RelayMessageOf<'report'>['waits'] = [],
+  { reached = [], partitioned = [] }: Partial<RelayMessageOf<'report'>> = {},
 ): RelayMessageOf<'report'> {
   return {
     type: RelayMessageType.report,
@@ -50,6 +51,8 @@
     waits,
     usage: [],
     unreachable,
+    reached,
+    partitioned,
     leaving: false,
   };
 }
@@ -57,8 +60,9 @@
 function setUp() {
   const engine = { isUp: true, calls: 0, delay: () => undefined as void };
   const times = { nowMs: 1_000 };
+  const partition = { isCut: false };
   const reachability = {
-    isPartitioned: () => false,
+    isPartitioned: () => partition.isCut,
     isUndecided: () => false,
     noteSuspicion: () => undefined,
   };
@@ -92,7 +96,7 @@
       await new Promise(setImmediate);
     }
   };
-  return { controller, engine, times, backends, runFor };
+  return { controller, engine, times, backends, partition, runFor };
 }
 
 describe('an engine that has ended', () => {
@@ -139,6 +143,55 @@
   });
 });
 
+describe('an engine that does not answer the steward', () => {
+  const DETECTION_MS = 1_000;
+  const UNREACHED = [{ server: SERVER.id, ageMs: 0 }];
+
+  test('stays in use if the steward is partitioned from its service', async () => {
+    const { controller, engine, times, partition, runFor } = setUp();
+    await runFor(100);
+    engine.isUp = false;
+    partition.isCut = true;
+    await runFor(DETECTION_MS);
+    const cutToo = memberReport(UNREACHED, [], { partitioned: [SERVER.service] });
+    controller.addReport(times.nowMs, cutToo);
+    await runFor(DETECTION_MS);
+    expect(controller.availableModels(SERVER)).toHaveLength(1);
+  });
+
+  test('is not used if an entry VM without a partition can not connect to it either', async () => {
+    const { controller, engine, times, partition, runFor } = setUp();
+    await runFor(100);
+    engine.isUp = false;
+    partition.isCut = true;
+    await runFor(DETECTION_MS);
+    controller.addReport(times.nowMs, memberReport(UNREACHED));
+    await runFor(DETECTION_MS);
+    expect(controller.availableModels(SERVER)).toEqual([]);
+  });
+
+  test('stays in use if it alone can not be reached, and sends an entry VM data', async () => {
+    const { controller, engine, times, runFor } = setUp();
+    await runFor(100);
+    engine.isUp = false;
+    await runFor(DETECTION_MS);
+    expect(controller.availableModels(SERVER)).toEqual([]);
+    const reached = [{ server: SERVER.id, ageMs: 0 }];
+    controller.addReport(times.nowMs, memberReport([], [], { reached }));
+    expect(controller.availableModels(SERVER)).toHaveLength(1);
+  });
+
+  test('is not used if the last data that an entry VM received from it is older', async () => {
+    const { controller, engine, times, runFor } = setUp();
+    await runFor(100);
+    engine.isUp = false;
+    await runFor(DETECTION_MS);
+    const reached = [{ server: SERVER.id, ageMs: DETECTION_MS }];
+    controller.addReport(times.nowMs, memberReport([], [], { reached }));
+    expect(controller.availableModels(SERVER)).toEqual([]);
+  });
+});
+
 describe('a load of an engine that then leaves', () => {
   // Requests would wait for it and then find no server.
   test('is no longer announced to the entry VMs', async () => {
