--- a/src/decisions/peer-choice/index.ts
+++ b/src/decisions/peer-choice/index.ts
@@ -15,8 +15,8 @@
   readonly dataCentre: string;
   /** Ids of the servers that it can't connect to. */
   readonly unreachable: readonly string[];
-  /** Whether it can't reach any server. */
-  readonly isPartitioned: boolean;
+  /** Services from whose servers it is partitioned. */
+  readonly partitioned: readonly string[];
   /** Whether it is stopping. */
   readonly leaving: boolean;
 }
@@ -59,8 +59,14 @@
   readonly refusals: Map<string, { readonly untilMs: number; readonly isUnreachable: boolean }>;
 }
 
+/** A server to which a connection is wanted. */
+export interface ServerKey {
+  readonly id: string;
+  readonly service: string;
+}
+
 export interface PeerQuery {
-  readonly serverId: string;
+  readonly server: ServerKey;
   /** Ids of the peers that have been asked already. */
   readonly tried: ReadonlySet<string>;
   readonly random: Random;
@@ -83,16 +89,16 @@
   }
 
   /** Whether a peer may be able to connect to the server. */
-  canReach(nowMs: number, serverId: string): boolean {
-    if (this.isDown(nowMs, serverId)) return false;
-    return this.peers.some((peer) => this.mayReach(nowMs, peer, serverId));
+  canReach(nowMs: number, server: ServerKey): boolean {
+    if (this.isDown(nowMs, server.id)) return false;
+    return this.peers.some((peer) => this.mayReach(nowMs, peer, server));
   }
 
   /** The peer to ask next for a connection to the server; null if there is none left. */
-  choose(nowMs: number, { serverId, tried, random }: PeerQuery): Peer | null {
-    if (this.isDown(nowMs, serverId)) return null;
+  choose(nowMs: number, { server, tried, random }: PeerQuery): Peer | null {
+    if (this.isDown(nowMs, server.id)) return null;
     const candidates = this.peers.filter(
-      (peer) => !tried.has(peer.vm) && this.mayReach(nowMs, peer, serverId),
+      (peer) => !tried.has(peer.vm) && this.mayReach(nowMs, peer, server),
     );
     const scores = candidates.map((peer) => this.scoreOf(peer));
     const lowest = Math.min(...scores);
@@ -143,8 +149,9 @@
     );
   }
 
-  private mayReach(nowMs: number, peer: Peer, serverId: string): boolean {
-    if (peer.leaving || peer.isPartitioned || peer.unreachable.includes(serverId)) return false;
+  private mayReach(nowMs: number, peer: Peer, { id: serverId, service }: ServerKey): boolean {
+    if (peer.leaving || peer.partitioned.includes(service) || peer.unreachable.includes(serverId))
+      return false;
     const record = this.records.get(peer.vm);
     if (record === undefined) return true;
     if (nowMs < record.pausedUntilMs) return false;
--- a/src/decisions/server-health/index.ts
+++ b/src/decisions/server-health/index.ts
@@ -142,10 +142,11 @@
   eligible<T extends Identified>(
     nowMs: number,
     all: readonly T[],
-    canReachOverPeer: (id: string) => boolean = () => false,
+    canReachOverPeer: (server: T) => boolean = () => false,
   ): readonly T[] {
     const reachable = all.filter(
-      ({ id }) => (this.records.get(id)?.unreachableUntilMs ?? 0) <= nowMs || canReachOverPeer(id),
+      (server) =>
+        (this.records.get(server.id)?.unreachableUntilMs ?? 0) <= nowMs || canReachOverPeer(server),
     );
     const healthy = reachable.filter(
       ({ id }) => (this.records.get(id)?.ejectedUntilMs ?? 0) <= nowMs,
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -239,6 +239,15 @@
     return [...failedAtMs].map(([server, atMs]) => ({ server, ageMs: nowMs - atMs }));
   }
 
+  /** Engines that have sent this entry VM data in the last `maxAgeMs`, for the report to the steward. */
+  reached(maxAgeMs: number): RelayMessageOf<'report'>['reached'] {
+    const nowMs = this.clock.steadyMs();
+    return [...this.storeWatcher.backends.values()]
+      .filter(({ models }) => models.length > 0)
+      .map(({ id }) => ({ server: id, ageMs: nowMs - this.health.lastReceivedAtMs(id) }))
+      .filter(({ ageMs }) => ageMs <= maxAgeMs);
+  }
+
   /** Records that the numbers of running requests were reported to the steward. */
   noteReported(): void {
     this.runningReported = new Map(this.runningLocally);
@@ -270,9 +279,9 @@
   /** The servers that can be reached directly or over a peer, as far as is known. */
   private reachable(nowMs: number, eligible: readonly BackendServer[]): readonly BackendServer[] {
     const { peers } = this;
-    const servers = this.health.eligible(nowMs, eligible, (id) => peers.canReach(id));
+    const servers = this.health.eligible(nowMs, eligible, (server) => peers.canReach(server));
     const reachable = servers.filter(
-      (server) => !peers.isUnreachable(server) || peers.canReach(server.id),
+      (server) => !peers.isUnreachable(server) || peers.canReach(server),
     );
     return reachable.length > 0 ? reachable : servers;
   }
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -67,6 +67,9 @@
 /** A server, and the age of the last failed attempt of an entry VM to connect to it. */
 const connectFailureSchema = z.object({ server: z.string(), ageMs: z.number().nonnegative() });
 
+/** A server, and the age of the last data that an entry VM received from it. */
+const receiptSchema = z.object({ server: z.string(), ageMs: z.number().nonnegative() });
+
 /** Models and adapters of an engine to which requests may be sent. */
 const engineViewSchema = z.object({
   id: z.string(),
@@ -119,7 +122,7 @@
   /** Empty if the VM's software is too old to tell it. */
   dataCentre: z.string().default(''),
   unreachable: z.array(z.string()).default([]),
-  isPartitioned: z.boolean().default(false),
+  partitioned: z.array(z.string()).default([]),
   leaving: z.boolean().default(false),
 });
 
@@ -171,8 +174,10 @@
     usage: z.array(usageSchema),
     /** Servers that the sender can't connect to. */
     unreachable: z.array(connectFailureSchema).default([]),
-    /** Whether the sender can't reach any server. */
-    isPartitioned: z.boolean().default(false),
+    /** Engines that have sent the sender data lately; not in every report. */
+    reached: z.array(receiptSchema).default([]),
+    /** Services from whose servers the sender is partitioned. */
+    partitioned: z.array(z.string()).default([]),
     /** Whether the sender is stopping. */
     leaving: z.boolean(),
   }),
--- a/src/entry/relay/peer-connector.ts
+++ b/src/entry/relay/peer-connector.ts
@@ -11,7 +11,12 @@
 import type { Task } from '../../core/supervisor/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import type { ConnectFailure } from '../../decisions/server-health/index.js';
-import { type Peer, PeerChoice, PeerFailure } from '../../decisions/peer-choice/index.js';
+import {
+  type Peer,
+  PeerChoice,
+  PeerFailure,
+  type ServerKey,
+} from '../../decisions/peer-choice/index.js';
 import type { RelayMessage } from './messages.js';
 import { RelayedMessageType } from './relayed-messages.js';
 import { RelayedStream } from './relayed-stream.js';
@@ -86,8 +91,8 @@
   }
 
   /** Whether a peer may be able to connect to a server that is not reachable directly. */
-  canReach(serverId: string): boolean {
-    return this.choice.canReach(this.opts.clock.steadyMs(), serverId);
+  canReach(server: ServerKey): boolean {
+    return this.choice.canReach(this.opts.clock.steadyMs(), server);
   }
 
   /** Whether this VM can't connect to the server itself. */
@@ -104,7 +109,7 @@
   waysTo(server: BackendServer): ServerWays {
     const startedAtMs = this.opts.clock.steadyMs();
     return {
-      isRelayed: () => this.isUnreachable(server) && this.canReach(server.id),
+      isRelayed: () => this.isUnreachable(server) && this.canReach(server),
       open: (signal) => this.open(server, signal),
       noteUnreachable: () => this.noteUnreachable(server, startedAtMs),
       noteAnswer: () => this.noteReachable(server),
@@ -172,7 +177,7 @@
   private async open(server: BackendServer, signal: AbortSignal): Promise<RelayedStream | null> {
     const tried = new Set<string>();
     while (tried.size < MAX_PEERS && !signal.aborted) {
-      const query = { serverId: server.id, tried, random: this.opts.random };
+      const query = { server, tried, random: this.opts.random };
       const peer = this.choice.choose(this.opts.clock.steadyMs(), query);
       if (peer === null) return null;
       tried.add(peer.vm);
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -557,9 +557,9 @@
   private peers(): RelayMessageOf<'view'>['peers'] & object {
     return [...this.members].flatMap(({ report }) => {
       if (report === null) return [];
-      const { vm, address, dataCentre, isPartitioned, leaving } = report;
+      const { vm, address, dataCentre, partitioned, leaving } = report;
       const unreachable = report.unreachable.map(({ server }) => server).sort();
-      return [{ vm, address, dataCentre, unreachable, isPartitioned, leaving }];
+      return [{ vm, address, dataCentre, unreachable, partitioned, leaving }];
     });
   }
 
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -315,10 +315,10 @@
     admission,
     dispatcher,
     view,
+    reachability,
     clock,
     planVersion: () => storeWatcher.planVersion,
     members: () => view.members,
-    isPartitioned: () => reachability.partitionedServices().length > 0,
     isStopping,
   });
   lateBound.reporter = reporter;
--- a/test/properties/peer-choice/peer-choice.test.ts
+++ b/test/properties/peer-choice/peer-choice.test.ts
@@ -3,6 +3,7 @@
 import { createRandom } from '../../../src/core/random/index.js';
 import { type Peer, PeerChoice } from '../../../src/decisions/peer-choice/index.js';
 
+const SERVER = { id: 's1', service: 'desk' };
 const OWN = { vm: 'vm-0', dataCentre: 'a' };
 const SEED = 41;
 
@@ -12,7 +13,7 @@
     address: fc.constant('10.0.0.1:7000'),
     dataCentre: fc.constantFrom('a', 'b'),
     unreachable: fc.subarray(['s1', 's2']),
-    isPartitioned: fc.boolean(),
+    partitioned: fc.subarray(['desk', 'drafts']),
     leaving: fc.boolean(),
   }),
   { selector: ({ vm }) => vm },
@@ -25,19 +26,21 @@
       choice.setPeers(listed);
       const random = createRandom(seed);
       const tried = new Set<string>();
-      const canReach = choice.canReach(0, 's1');
-      let peer = choice.choose(0, { serverId: 's1', tried, random });
+      const canReach = choice.canReach(0, SERVER);
+      let peer = choice.choose(0, { server: SERVER, tried, random });
       expect(peer !== null).toBe(canReach);
       while (peer !== null) {
         expect(tried.has(peer.vm)).toBe(false);
         expect(peer.vm).not.toBe(OWN.vm);
-        expect(peer.leaving || peer.isPartitioned || peer.unreachable.includes('s1')).toBe(false);
+        expect(
+          peer.leaving || peer.partitioned.includes('desk') || peer.unreachable.includes('s1'),
+        ).toBe(false);
         tried.add(peer.vm);
-        peer = choice.choose(0, { serverId: 's1', tried, random });
+        peer = choice.choose(0, { server: SERVER, tried, random });
       }
       const usable = listed.filter(
-        ({ vm, leaving, isPartitioned, unreachable }) =>
-          vm !== OWN.vm && !leaving && !isPartitioned && !unreachable.includes('s1'),
+        ({ vm, leaving, partitioned, unreachable }) =>
+          vm !== OWN.vm && !leaving && !partitioned.includes('desk') && !unreachable.includes('s1'),
       );
       expect(tried.size).toBe(usable.length);
     }),
@@ -59,7 +62,7 @@
             address: '10.0.0.1:7000',
             dataCentre: 'a',
             unreachable: [],
-            isPartitioned: false,
+            partitioned: [],
             leaving: false,
           })),
         );
@@ -67,7 +70,7 @@
         const open = new Map(vms.map((vm) => [vm, 0]));
         const tried = new Set<string>();
         opens.forEach(() => {
-          const vm = choice.choose(0, { serverId: 's1', tried, random })?.vm ?? '';
+          const vm = choice.choose(0, { server: SERVER, tried, random })?.vm ?? '';
           choice.noteOpened(vm);
           open.set(vm, (open.get(vm) ?? 0) + 1);
           const counts = [...open.values()];
--- a/test/units/peer-choice/peer-choice.test.ts
+++ b/test/units/peer-choice/peer-choice.test.ts
@@ -2,6 +2,7 @@
 import { createRandom } from '../../../src/core/random/index.js';
 import { type Peer, PeerChoice, PeerFailure } from '../../../src/decisions/peer-choice/index.js';
 
+const SERVER = { id: 's1', service: 'desk' };
 const OWN = { vm: 'vm-0', dataCentre: 'a' };
 
 function createPeer(vm: string, fields: Partial<Peer> = {}): Peer {
@@ -10,7 +11,7 @@
     address: '10.0.0.1:7000',
     dataCentre: 'a',
     unreachable: [],
-    isPartitioned: false,
+    partitioned: [],
     leaving: false,
     ...fields,
   };
@@ -21,7 +22,7 @@
   let choice: PeerChoice;
 
   const choose = (nowMs = 0, tried: readonly string[] = []) =>
-    choice.choose(nowMs, { serverId: 's1', tried: new Set(tried), random })?.vm ?? null;
+    choice.choose(nowMs, { server: SERVER, tried: new Set(tried), random })?.vm ?? null;
 
   beforeEach(() => {
     choice = new PeerChoice(OWN);
@@ -31,7 +32,7 @@
     expect(choose()).toBeNull();
     choice.setPeers([createPeer('vm-0')]);
     expect(choose()).toBeNull();
-    expect(choice.canReach(0, 's1')).toBe(false);
+    expect(choice.canReach(0, SERVER)).toBe(false);
   });
 
   test('is one in the same data centre first', () => {
@@ -52,16 +53,16 @@
 
   test.each([
     ['leaves', { leaving: true }],
-    ['is partitioned itself', { isPartitioned: true }],
+    ['is partitioned from the service itself', { partitioned: ['desk'] }],
     ["can't reach the server", { unreachable: ['s1'] }],
   ])('is none that %s', (_, fields) => {
     choice.setPeers([createPeer('vm-1', fields)]);
     expect(choose()).toBeNull();
-    expect(choice.canReach(0, 's1')).toBe(false);
+    expect(choice.canReach(0, SERVER)).toBe(false);
   });
 
-  test('may be one that reaches this server but not another one', () => {
-    choice.setPeers([createPeer('vm-1', { unreachable: ['s2'] })]);
+  test('may be one that reaches this server but not others', () => {
+    choice.setPeers([createPeer('vm-1', { unreachable: ['s2'], partitioned: ['drafts'] })]);
     expect(choose()).toBe('vm-1');
   });
 
@@ -85,6 +86,22 @@
     expect(choose()).toBe('vm-1');
   });
 
+  test('is none once two peers that reach others could not reach the server', () => {
+    choice.setPeers(['vm-1', 'vm-2', 'vm-3'].map((vm) => createPeer(vm)));
+    ['vm-1', 'vm-2'].forEach((vm) => choice.noteFailure(0, vm, 's1', PeerFailure.unreachable));
+    expect(choose()).toBeNull();
+    expect(choice.canReach(0, SERVER)).toBe(false);
+    expect(choose(1_000)).not.toBeNull();
+  });
+
+  test('may be one though two peers that reach nothing could not reach the server', () => {
+    choice.setPeers(['vm-1', 'vm-2', 'vm-3'].map((vm) => createPeer(vm)));
+    ['vm-1', 'vm-2'].forEach((vm) =>
+      ['s1', 's2'].forEach((id) => choice.noteFailure(0, vm, id, PeerFailure.unreachable)),
+    );
+    expect(choose()).toBe('vm-3');
+  });
+
   test('is none that has reached neither of two servers', () => {
     choice.setPeers([createPeer('vm-1')]);
     choice.noteFailure(0, 'vm-1', 's2', PeerFailure.unreachable);
--- a/test/units/relay/relayed-connection.test.ts
+++ b/test/units/relay/relayed-connection.test.ts
@@ -131,7 +131,7 @@
       // The first address is asked first.
       dataCentre: at === 0 ? 'a' : 'b',
       unreachable: [],
-      isPartitioned: false,
+      partitioned: [],
       leaving: false,
     })),
   );
@@ -293,9 +293,7 @@
       noteConnectFailure: () => undefined,
     });
     const peers = [{ vm: 'vm-1', address: peer.address, dataCentre: 'a', leaving: false }];
-    connector.setPeers(
-      peers.map((fields) => ({ ...fields, unreachable: [], isPartitioned: false })),
-    );
+    connector.setPeers(peers.map((fields) => ({ ...fields, unreachable: [], partitioned: [] })));
     const seenHere = { ...server, address: await closedAddress() };
     expect((await sendOver(connector, seenHere)).type).toBe(AttemptEnd.answered);
     expect(connector.isUnreachable(seenHere)).toBe(true);
