Relay: take no partition for requests that crash servers

Attempts that broke as a VM lost its links to all servers were recorded as incidents, shared with all VMs, and counted against the servers. In a partition the run is recorded only if its server no longer accepts connections once the VM reaches the service again, so that a crash of all servers still counts.

--- a/src/decisions/reachability/index.ts
+++ b/src/decisions/reachability/index.ts
@@ -17,7 +17,7 @@
 /** Time after a connection was made until a mere suspicion causes probes, ms. */
 const MIN_ROUND_MS = 1_000;
 /** Servers that are probed first if the result is needed at once. */
-const URGENT_PROBES = 2;
+const URGENT_PROBES = 1;
 /** Interval at which servers are probed during a partition, ms, and their number. */
 const PARTITION_PROBE_MS = 250;
 const PARTITION_PROBES = 2;
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -126,6 +126,9 @@
   /** How far the last attempt got. */
   private progress = noProgress();
 
+  /** Whether this VM reached the servers when the last attempt ended. */
+  private isReached = true;
+
   /** Whether an attempt was aborted because a segment of the prompt is refused. */
   private isWithdrawn = false;
 
@@ -357,6 +360,7 @@
       }
       this.logWait(placement.run);
       const result = await this.attempt(placement.run);
+      await this.learnCause(result);
       if (!this.handleResult(placement.run, result)) return;
     }
     if (!this.mayHaveRun) this.refund();
@@ -401,6 +405,15 @@
     }
   }
 
+  /** Learns whether an attempt broke because this VM is partitioned from all servers. */
+  private async learnCause({ type }: AttemptResult): Promise<void> {
+    this.isReached = true;
+    if (type !== AttemptEnd.broken) return;
+    // The request may end meanwhile, by its deadline for example.
+    this.mayHaveRun = true;
+    this.isReached = await this.ctx.reachability.isReached(this.request.service);
+  }
+
   private sendTo(run: Run, nowMs: number, resumeAfter: string | null): Promise<AttemptResult> {
     const { req, metadata, customer, route, body } = this.request;
     return send(
@@ -536,18 +549,26 @@
       segments: this.request.metadata.promptSegments.slice(0, -1),
       headAgeMs: ageOf(headAtMs),
       firstEventAgeMs: ageOf(firstEventAtMs),
+      isReached: this.isReached,
     });
     // Also recorded after the caller has disconnected: the request may still crash the server that
     // began to run it.
-    this.ctx.incidents.noteCutOff(this.identity, run, progress);
+    if (this.isReached) this.ctx.incidents.noteCutOff(this.identity, run, progress);
+    else void this.noteCutOffLater(run, progress);
     if (this.ended) return false;
-    if (!this.isWithdrawn) this.ctx.view.health.noteFailure(nowMs, run.server.id);
+    if (this.isReached && !this.isWithdrawn) this.ctx.view.health.noteFailure(nowMs, run.server.id);
     if (this.retryPolicy.allowRetryAfterRun(nowMs, run)) return true;
     if (this.streaming) this.cut(reason);
     else this.fail(errors.data.BackendFailed, reason);
     return false;
   }
 
+  /** Records a run that was cut off during a partition if its server has ended meanwhile. */
+  private async noteCutOffLater(run: Run, progress: RunProgress | null): Promise<void> {
+    const isAlive = await this.ctx.reachability.outlives(run.server);
+    if (!isAlive) this.ctx.incidents.noteCutOff(this.identity, run, progress);
+  }
+
   /** How far an interrupted run had come; null if its response shows that the prompt is sound. */
   private runProgress(nowMs: number, connectionLost: boolean): RunProgress | null {
     const { headAtMs, firstEventAtMs, isSound } = this.progress;
--- a/src/entry/relay/reachability.ts
+++ b/src/entry/relay/reachability.ts
@@ -28,6 +28,11 @@
    * them. Probes them if that is not known.
    */
   isReached(service: string): Promise<boolean>;
+  /**
+   * Resolves, once this VM reaches the server's service, with whether the server still accepts
+   * connections.
+   */
+  outlives(server: BackendServer): Promise<boolean>;
 }
 
 export interface ReachabilityOptions {
@@ -47,6 +52,11 @@
   settle(isReached: boolean): void;
 }
 
+interface DoubtfulServer {
+  readonly server: BackendServer;
+  readonly settles: ((isAlive: boolean) => void)[];
+}
+
 export class ReachabilityTask implements Task, ServerReachability {
   readonly name = 'reachability';
 
@@ -58,6 +68,9 @@
 
   private waiters: Waiter[] = [];
 
+  /** Servers at which runs were cut off during a partition, by id. */
+  private readonly doubtful = new Map<string, DoubtfulServer>();
+
   constructor(private readonly opts: ReachabilityOptions) {}
 
   async start(): Promise<void> {
@@ -68,6 +81,7 @@
     if (this.timer !== null) clearInterval(this.timer);
     this.sockets.forEach((socket) => socket.destroy());
     this.waiters.splice(0).forEach(({ settle }) => settle(true));
+    this.doubtful.forEach(({ settles }) => settles.forEach((settle) => settle(true)));
   }
 
   /** Applies a changed list of servers. */
@@ -117,6 +131,15 @@
     });
   }
 
+  outlives(server: BackendServer): Promise<boolean> {
+    return new Promise((resolve) => {
+      const entry = this.doubtful.get(server.id) ?? { server, settles: [] };
+      entry.settles.push(resolve);
+      this.doubtful.set(server.id, entry);
+      if (!this.isPartitioned(server.service)) this.checkDoubtful(server.service);
+    });
+  }
+
   private tick(): void {
     this.opts
       .silentServices(SILENCE_MS)
@@ -130,29 +153,35 @@
   }
 
   private probe(id: string): void {
-    const server = this.opts.backends().get(id);
     const startedAtMs = this.opts.clock.steadyMs();
-    const [host = '', port = '0'] = server?.address.split(':') ?? [];
-    const socket = net.connect({ host, port: Number(port) });
-    this.sockets.add(socket);
-    let isSettled = false;
-    let timer: NodeJS.Timeout | null = null;
-    const settle = (isConnected: boolean) => {
-      if (isSettled) return;
-      isSettled = true;
-      if (timer !== null) clearTimeout(timer);
-      this.sockets.delete(socket);
-      socket.destroy();
+    void this.connect(this.opts.backends().get(id)?.address ?? '').then((isConnected) => {
       const nowMs = this.opts.clock.steadyMs();
       if (isConnected) this.reachability.noteConnected(nowMs, id);
       else this.reachability.noteConnectFailure(nowMs, id, startedAtMs);
       this.update();
-    };
-    // A connection may have been made while this process was busy, and its event not handled yet.
-    timer = setTimeout(() => setImmediate(() => settle(false)), CONNECT_TIMEOUT_MS);
-    socket.on('connect', () => settle(true));
-    socket.on('error', () => settle(false));
-    socket.on('close', () => settle(false));
+    });
+  }
+
+  /** Resolves with whether a connection can be made, which is then closed. */
+  private connect(address: string): Promise<boolean> {
+    const [host = '', port = '0'] = address.split(':');
+    const socket = net.connect({ host, port: Number(port) });
+    this.sockets.add(socket);
+    return new Promise((resolve) => {
+      const settle = (isConnected: boolean) => {
+        this.sockets.delete(socket);
+        socket.destroy();
+        resolve(isConnected);
+      };
+      // A connection may have been made while this process was busy, and its event not handled yet.
+      const timer = setTimeout(() => setImmediate(() => settle(false)), CONNECT_TIMEOUT_MS);
+      socket.on('connect', () => settle(true));
+      socket.on('error', () => settle(false));
+      socket.on('close', () => {
+        clearTimeout(timer);
+        settle(false);
+      });
+    });
   }
 
   private applyChanges(): void {
@@ -161,10 +190,23 @@
       this.opts.logger.info(isPartitioned ? 'partitioned' : 'partition-over', { service, forMs });
       this.opts.metrics.gauge('relay_partitioned', Number(isPartitioned), { service });
       this.opts.onChange(service, isPartitioned);
+      if (!isPartitioned) this.checkDoubtful(service);
     });
     this.settleWaiters();
   }
 
+  /** Connects to the servers of a service at which runs were cut off during a partition. */
+  private checkDoubtful(service: string): void {
+    [...this.doubtful.values()]
+      .filter(({ server }) => server.service === service)
+      .forEach(({ server, settles }) => {
+        this.doubtful.delete(server.id);
+        void this.connect(server.address).then((isConnected) =>
+          settles.forEach((settle) => settle(isConnected)),
+        );
+      });
+  }
+
   private settleWaiters(): void {
     const nowMs = this.opts.clock.steadyMs();
     const { waiters } = this;
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -93,6 +93,7 @@
       cancel: nothing,
       schedulePlacement: nothing,
     },
+    reachability: { isReached: async () => true },
     view: {
       ended: nothing,
       hasServers,
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -53,6 +53,7 @@
   const partial = {
     retries,
     incidents: { isRefused: () => false, watch: () => () => undefined },
+    reachability: { isReached: async () => true },
     throttling: { noteSent: () => undefined, noteResponse: () => undefined },
     clock: { steadyMs: () => NOW_MS },
     dispatcher: { place: async () => ({ run: null, retryAfterMs: 100 }), cancel: () => undefined },
