Relay: tell a lost peer from a lost server when a relayed attempt breaks

A VM that is partitioned looks up whether it reaches the servers before it takes a broken attempt for a crash.

The result of a relayed attempt now says whether the server or the peer was lost. The loss of a peer counts neither against the server nor as a crash, unless the server proves to have ended; anything else counts as on a direct connection.

--- a/src/entry/relay/attempt.ts
+++ b/src/entry/relay/attempt.ts
@@ -48,6 +48,15 @@
   broken: 'broken',
 } as const;
 
+/** How an attempt over a peer broke. */
+export const RelayedEnd = {
+  /** At the server, or by this side. */
+  server: 'server',
+  /** The connection to the peer was lost, which says nothing about the server. */
+  peerLost: 'peer-lost',
+} as const;
+export type RelayedEnd = (typeof RelayedEnd)[keyof typeof RelayedEnd];
+
 export interface BackendResponse {
   readonly status: number;
   readonly statusText: string;
@@ -77,8 +86,12 @@
       readonly reason: string;
       /** Whether the server closed the connection before its response was complete. */
       readonly connectionLost: boolean;
+      /** Only for an attempt over a peer. */
+      readonly relayedEnd?: RelayedEnd;
     };
 
+type Broken = Extract<AttemptResult, { type: typeof AttemptEnd.broken }>;
+
 export interface AttemptRequest {
   readonly id: string;
   readonly method: string;
@@ -386,9 +399,16 @@
     this.relayedAgent?.cancel();
     this.opts.signal.removeEventListener('abort', this.abort);
     if (result.type !== AttemptEnd.answered) this.held.release();
-    const isBroken = result.type === AttemptEnd.broken;
-    const isOwnEnd = this.abandoned || this.relayed?.isPeerLost === true;
-    this.resolve(isBroken && isOwnEnd ? { ...result, connectionLost: false } : result);
+    this.resolve(result.type === AttemptEnd.broken ? this.withCause(result) : result);
+  }
+
+  private withCause(result: Broken): Broken {
+    const { relayed, abandoned } = this;
+    const isPeerLost = relayed?.isPeerLost === true;
+    const connectionLost = result.connectionLost && !abandoned && !isPeerLost;
+    if (relayed === null) return { ...result, connectionLost };
+    const relayedEnd = isPeerLost ? RelayedEnd.peerLost : RelayedEnd.server;
+    return { ...result, connectionLost, relayedEnd };
   }
 
   fail(reason: string): void {
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -11,6 +11,7 @@
   AttemptEnd,
   type AttemptResult,
   type BackendResponse,
+  RelayedEnd,
   headOf,
   isSuccess,
   send,
@@ -126,7 +127,7 @@
   /** How far the last attempt got. */
   private progress = noProgress();
 
-  /** Whether this VM reached the servers when the last attempt ended. */
+  /** Whether this VM or its peer reached the servers when the last attempt ended. */
   private isReached = true;
 
   /** Whether an attempt was aborted because a segment of the prompt is refused. */
@@ -406,12 +407,16 @@
   }
 
   /** Learns whether an attempt broke because this VM is partitioned from all servers. */
-  private async learnCause({ type }: AttemptResult): Promise<void> {
+  private async learnCause(result: AttemptResult): Promise<void> {
     this.isReached = true;
-    if (type !== AttemptEnd.broken) return;
+    if (result.type !== AttemptEnd.broken) return;
     // The request may end meanwhile, by its deadline for example.
     this.mayHaveRun = true;
-    this.isReached = await this.ctx.reachability.isReached(this.request.service);
+    const { relayedEnd } = result;
+    this.isReached =
+      relayedEnd === undefined
+        ? await this.ctx.reachability.isReached(this.request.service)
+        : relayedEnd === RelayedEnd.server;
   }
 
   private sendTo(run: Run, nowMs: number, resumeAfter: string | null): Promise<AttemptResult> {
--- a/test/failures/relayed-requests.test.ts
+++ b/test/failures/relayed-requests.test.ts
@@ -6,7 +6,7 @@
 import * as clocks from '../../src/core/clock/index.js';
 import { bundle } from '../../src/lab/fleet/bundle.js';
 import { Callers, type Outcome, RequestKind } from '../soak/callers.js';
-import { STABLE_WINDOW_MS } from '../soak/engine.js';
+import { MAX_LATE_ARRIVALS, STABLE_WINDOW_MS } from '../soak/engine.js';
 import { RelayFleet } from '../soak/relay-fleet.js';
 import { GateMode } from '../soak/server-gates.js';
 import type { SoakVm } from '../soak/vms.js';
@@ -21,6 +21,9 @@
 /** Time for which requests are sent before and after a peer ends, ms. */
 const BEFORE_MS = 500;
 const AFTER_MS = 2_000;
+/** Time for which a crashing request is repeated, ms, and the pause between two tries. */
+const CRASHES_MS = 8_000;
+const CRASH_PAUSE_MS = 250;
 
 describe('the requests of a partitioned VM', () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bilberrystand-relayed-'));
@@ -79,6 +82,7 @@
     await Promise.all(peers.map((vm) => vm.terminate('SIGKILL')));
     await outcomes;
     expect(callers.violations()).toEqual([]);
+    expect(fleet.logOf(partitioned)).not.toContain('"event":"incident"');
     const later = statusesOf(await sendFor(BEFORE_MS));
     expect(later).toEqual(later.map(() => 200));
   });
@@ -92,6 +96,18 @@
     expect(callers.violations()).toEqual([]);
   });
 
+  test('are found to crash servers as those of other VMs are', async () => {
+    const untilMs = performance.now() + CRASHES_MS;
+    const crashing: Promise<unknown>[] = [];
+    while (performance.now() < untilMs) {
+      crashing.push(fleet.send(partitioned, { body: 'crashing', crash: 'it' }));
+      await clocks.sleep(CRASH_PAUSE_MS);
+    }
+    await Promise.all(crashing);
+    expect(fleet.observations.crashes.length).toBeGreaterThan(0);
+    expect(fleet.lateArrivals()).toBeLessThanOrEqual(MAX_LATE_ARRIVALS);
+  });
+
   test('reach the servers directly again after the partition', async () => {
     await fleet.setGates(partitioned, GateMode.open);
     await sendFor(STABLE_WINDOW_MS);
--- a/test/units/relay/relayed-connection.test.ts
+++ b/test/units/relay/relayed-connection.test.ts
@@ -9,7 +9,12 @@
 import { createMetrics } from '../../../src/core/metrics/index.js';
 import { createRandom } from '../../../src/core/random/index.js';
 import type { BackendServer } from '../../../src/decisions/fleet-plan/index.js';
-import { AttemptEnd, type AttemptResult, send } from '../../../src/entry/relay/attempt.js';
+import {
+  AttemptEnd,
+  type AttemptResult,
+  RelayedEnd,
+  send,
+} from '../../../src/entry/relay/attempt.js';
 import { ConnectionPool } from '../../../src/entry/relay/connections.js';
 import { RelayMessageType } from '../../../src/entry/relay/messages.js';
 import { OPEN_TIMEOUT_MS, PeerConnector } from '../../../src/entry/relay/peer-connector.js';
@@ -417,14 +422,22 @@
     const result = sendOver(createConnector([peer.address]), server);
     await until(() => backend !== null);
     peer.links.forEach((link) => link.destroy());
-    expect(await result).toMatchObject({ type: AttemptEnd.broken, connectionLost: false });
+    expect(await result).toMatchObject({
+      type: AttemptEnd.broken,
+      connectionLost: false,
+      relayedEnd: RelayedEnd.peerLost,
+    });
   });
 
   test('may have run if its server closes the connection', async () => {
     const result = sendOver(createConnector([peer.address]), server);
     await until(() => backend !== null);
     backend?.destroy();
-    expect(await result).toMatchObject({ type: AttemptEnd.broken, connectionLost: true });
+    expect(await result).toMatchObject({
+      type: AttemptEnd.broken,
+      connectionLost: true,
+      relayedEnd: RelayedEnd.server,
+    });
   });
 
   test('is ended at the server when its caller leaves', async () => {
