--- a/src/entry/relay/attempt-race.ts
+++ b/src/entry/relay/attempt-race.ts
@@ -31,6 +31,8 @@
 
   private supersededAs: Superseded | null = null;
 
+  private reached = true;
+
   private readonly aborter = new AbortController();
 
   constructor(
@@ -47,6 +49,15 @@
     return this.supersededAs;
   }
 
+  /** Whether this VM, or the peer over which it sent the request, reached the servers at its end. */
+  get isReached(): boolean {
+    return this.reached;
+  }
+
+  noteReached(isReached: boolean): void {
+    this.reached = isReached;
+  }
+
   noteHead(nowMs: number): void {
     this.progress.headAtMs = nowMs;
   }
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -11,6 +11,7 @@
   AttemptEnd,
   type AttemptResult,
   type BackendResponse,
+  RelayedEnd,
   headOf,
   isSuccess,
   send,
@@ -388,13 +389,35 @@
 
   private async send(attempt: RunningAttempt): Promise<AttemptResult> {
     const { run } = attempt;
+    let result: AttemptResult;
     this.ctx.throttling.noteSent(run.server);
     try {
-      return await this.sendTo(attempt);
+      result = await this.sendTo(attempt);
     } finally {
       this.ctx.view.ended(run);
       this.ctx.dispatcher.schedulePlacement();
     }
+    await this.learnCause(attempt, result);
+    return result;
+  }
+
+  /** Learns from the end of an attempt whether this VM, or its peer, reaches the servers. */
+  private async learnCause(attempt: RunningAttempt, result: AttemptResult): Promise<void> {
+    const { run, sentAtMs, superseded } = attempt;
+    const isUnreached = result.type === AttemptEnd.notRun && !result.reached;
+    // An attempt that was ended by this side or by its caller is no evidence against the server.
+    if (isUnreached && superseded === null && !this.ended) {
+      this.ctx.reachability.noteConnectFailure(run.server, sentAtMs);
+    }
+    if (result.type !== AttemptEnd.broken || superseded === Superseded.spare) return;
+    // The request may end meanwhile, by its deadline for example.
+    this.mayHaveRun = true;
+    const { relayedEnd } = result;
+    const isReached =
+      relayedEnd === undefined
+        ? await this.ctx.reachability.isReached(this.request.service)
+        : relayedEnd === RelayedEnd.server;
+    attempt.noteReached(isReached);
   }
 
   private sendTo(attempt: RunningAttempt): Promise<AttemptResult> {
@@ -423,6 +446,7 @@
           route.retrySafety !== RetrySafety.once,
           this.maxConnections(),
         ),
+        ways: this.ctx.peers.waysTo(run.server),
         run,
         signal: attempt.signal,
         idlePolicy: this.retryPolicy.idlePolicy(run, (idleMs) => this.replaceIdle(attempt, idleMs)),
@@ -573,14 +597,16 @@
       segments: this.request.metadata.promptSegments.slice(0, -1),
       headAgeMs: ageOf(headAtMs),
       firstEventAgeMs: ageOf(firstEventAtMs),
+      isReached: attempt.isReached,
     });
     if (superseded === Superseded.spare) return;
     // Also recorded after the caller has disconnected: the request may still crash the server that
     // began to run it.
     const reached = this.runProgress(nowMs, attempt, result.connectionLost);
-    this.ctx.incidents.noteCutOff(this.identity, run, reached);
+    if (attempt.isReached) this.ctx.incidents.noteCutOff(this.identity, run, reached);
+    else void this.noteCutOffLater(run, reached);
     const isFailure = superseded === Superseded.silent || !(this.ended || this.isWithdrawn);
-    if (isFailure) this.ctx.view.health.noteFailure(nowMs, run.server.id);
+    if (isFailure && attempt.isReached) this.ctx.view.health.noteFailure(nowMs, run.server.id);
   }
 
   private handleBroken(nowMs: number, attempt: RunningAttempt, result: Broken): boolean {
@@ -592,6 +618,12 @@
     return false;
   }
 
+  /** Records a run that was cut off during a partition if its server has ended meanwhile. */
+  private async noteCutOffLater(run: Run, progress: RunProgress | null): Promise<void> {
+    const isAlive = await this.ctx.reachability.outlives(run.server);
+    if (!isAlive) this.ctx.incidents.noteCutOff(this.identity, run, progress);
+  }
+
   /** How far an interrupted run had come; null if its response shows that the prompt is sound. */
   private runProgress(
     nowMs: number,
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -5,6 +5,7 @@
 import { ServerHealth } from '../../decisions/server-health/index.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
+import type { PeerConnector } from './peer-connector.js';
 import type { RequestLimits } from './throttling.js';
 
 /**
@@ -65,6 +66,9 @@
   /** Number of running requests of this entry VM, by server. */
   private readonly runningLocally = new Map<string, number>();
 
+  /** Since when a server has had running requests of this entry VM without a pause, by server. */
+  private readonly busySinceMs = new Map<string, number>();
+
   /** Number of running requests, by server, in the last report to the steward. */
   private runningReported: ReadonlyMap<string, number> = new Map();
 
@@ -79,6 +83,10 @@
     private readonly clock: Clock,
     private readonly isStewardConnected: () => boolean,
     private readonly limits: Pick<RequestLimits, 'allows' | 'isAnyKnown' | 'isThrottled'>,
+    private readonly peers: Pick<
+      PeerConnector,
+      'canReach' | 'isUnreachable' | 'unreachableServers'
+    >,
   ) {}
 
   get members(): number {
@@ -171,13 +179,20 @@
     this.pausedUntilMs.set(id, Math.max(untilMs, this.pausedUntilMs.get(id) ?? 0));
   }
 
+  /** Whether a server wants no request from this entry VM at the moment. */
+  isPaused({ id }: BackendServer): boolean {
+    return this.clock.steadyMs() < (this.pausedUntilMs.get(id) ?? 0);
+  }
+
   started(run: Run): void {
     const key = runKey(run);
     const entry = this.runs.get(key) ?? { run, count: 0 };
     entry.count += 1;
     this.runs.set(key, entry);
     const { id } = run.server;
-    this.runningLocally.set(id, (this.runningLocally.get(id) ?? 0) + 1);
+    const running = this.runningLocally.get(id) ?? 0;
+    if (running === 0) this.busySinceMs.set(id, this.clock.steadyMs());
+    this.runningLocally.set(id, running + 1);
   }
 
   ended(run: Run): void {
@@ -187,7 +202,9 @@
     entry.count -= 1;
     if (entry.count === 0) this.runs.delete(key);
     const { id } = run.server;
-    this.runningLocally.set(id, Math.max(0, (this.runningLocally.get(id) ?? 0) - 1));
+    const running = Math.max(0, (this.runningLocally.get(id) ?? 0) - 1);
+    if (running === 0) this.busySinceMs.delete(id);
+    this.runningLocally.set(id, running);
   }
 
   /** Running requests of this entry VM, for the report to the steward. */
@@ -200,12 +217,35 @@
     }));
   }
 
+  /** Services with running requests of this entry VM whose servers all have sent nothing for a time. */
+  silentServices(silenceMs: number): readonly string[] {
+    const sinceMs = this.clock.steadyMs() - silenceMs;
+    const silent = new Set<string>();
+    const answering = new Set<string>();
+    this.busySinceMs.forEach((busySinceMs, id) => {
+      const service = this.storeWatcher.backends.get(id)?.service;
+      if (service === undefined) return;
+      const isSilent = Math.max(busySinceMs, this.health.lastReceivedAtMs(id)) < sinceMs;
+      (isSilent ? silent : answering).add(service);
+    });
+    return [...silent].filter((service) => !answering.has(service));
+  }
+
   /** Servers that this entry VM can't connect to, for the report to the steward. */
   unreachable(): RelayMessageOf<'report'>['unreachable'] {
     const nowMs = this.clock.steadyMs();
-    return this.health
-      .unreachable(nowMs)
-      .map(({ id, atMs }) => ({ server: id, ageMs: nowMs - atMs }));
+    const failures = [...this.peers.unreachableServers(), ...this.health.unreachable(nowMs)];
+    const failedAtMs = new Map(failures.map(({ id, atMs }) => [id, atMs]));
+    return [...failedAtMs].map(([server, atMs]) => ({ server, ageMs: nowMs - atMs }));
+  }
+
+  /** Engines that have sent this entry VM data in the last `maxAgeMs`, for the report to the steward. */
+  reached(maxAgeMs: number): RelayMessageOf<'report'>['reached'] {
+    const nowMs = this.clock.steadyMs();
+    return [...this.storeWatcher.backends.values()]
+      .filter(({ models }) => models.length > 0)
+      .map(({ id }) => ({ server: id, ageMs: nowMs - this.health.lastReceivedAtMs(id) }))
+      .filter(({ ageMs }) => ageMs <= maxAgeMs);
   }
 
   /** Records that the numbers of running requests were reported to the steward. */
@@ -226,7 +266,7 @@
         this.hasLoaded(nowMs, server, need, isConnected),
     );
     const peers = eligible.map(({ id }) => id);
-    return this.health.eligible(nowMs, eligible).map((server) => ({
+    return this.reachable(nowMs, eligible).map((server) => ({
       id: server.id,
       dataCentre: server.dataCentre,
       slots: server.slots,
@@ -236,6 +276,16 @@
     }));
   }
 
+  /** The servers that can be reached directly or over a peer, as far as is known. */
+  private reachable(nowMs: number, eligible: readonly BackendServer[]): readonly BackendServer[] {
+    const { peers } = this;
+    const servers = this.health.eligible(nowMs, eligible, (server) => peers.canReach(server));
+    const reachable = servers.filter(
+      (server) => !peers.isUnreachable(server) || peers.canReach(server),
+    );
+    return reachable.length > 0 ? reachable : servers;
+  }
+
   private hasLoaded(
     nowMs: number,
     server: BackendServer,
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -7,6 +7,7 @@
 import { z } from 'zod';
 import { successorTermSchema, leaseSchema } from '../../decisions/leases/index.js';
 import { segmentRunSchema } from '../../decisions/suspects/index.js';
+import { RelayedMessageType, relayedMessageSchemas } from './relayed-messages.js';
 
 export const RelayMessageType = {
   report: 'report',
@@ -26,6 +27,7 @@
   permits: 'permits',
   permitReturn: 'permit-return',
   streams: 'streams',
+  ...RelayedMessageType,
 } as const;
 
 /** An entry VM's share of a customer's rate limit, and the customer's demand at this VM. */
@@ -65,6 +67,9 @@
 /** A server, and the age of the last failed attempt of an entry VM to connect to it. */
 const connectFailureSchema = z.object({ server: z.string(), ageMs: z.number().nonnegative() });
 
+/** A server, and the age of the last data that an entry VM received from it. */
+const receiptSchema = z.object({ server: z.string(), ageMs: z.number().nonnegative() });
+
 /** Models and adapters of an engine to which requests may be sent. */
 const engineViewSchema = z.object({
   id: z.string(),
@@ -110,6 +115,17 @@
 });
 export type LoadView = z.infer<typeof loadViewSchema>;
 
+/** An entry VM over which others may connect to backend servers; see `Peer`. */
+const peerSchema = z.object({
+  vm: z.string(),
+  address: z.string(),
+  /** Empty if the VM's software is too old to tell it. */
+  dataCentre: z.string().default(''),
+  unreachable: z.array(z.string()).default([]),
+  partitioned: z.array(z.string()).default([]),
+  leaving: z.boolean().default(false),
+});
+
 /** A request run that was cut off at a server; `bornMs` is the server's process start time. */
 const incidentSchema = z.object({
   fingerprint: z.string(),
@@ -142,6 +158,8 @@
     vm: z.string(),
     /** Address at which peers reach the sender. */
     address: z.string(),
+    /** Data centre of the sender; empty if its software is too old to tell it. */
+    dataCentre: z.string().default(''),
     /** Send time on the sender's monotonic clock; the grant returns it. */
     sentAtMs: z.number(),
     /** Send time on the sender's clock that also runs during suspension; the grant returns it. */
@@ -158,6 +176,10 @@
     returned: z.record(z.string(), z.number().nonnegative()).default({}),
     /** Servers that the sender can't connect to. */
     unreachable: z.array(connectFailureSchema).default([]),
+    /** Engines that have sent the sender data lately; not in every report. */
+    reached: z.array(receiptSchema).default([]),
+    /** Services from whose servers the sender is partitioned. */
+    partitioned: z.array(z.string()).default([]),
     /** Whether the sender is stopping. */
     leaving: z.boolean(),
   }),
@@ -190,6 +212,8 @@
     members: z.int(),
     /** Whether the receiver may send requests to throttled servers without a steward. */
     mayUseReserve: z.boolean().default(false),
+    /** All entry VMs if that list has changed; null if it has not, or from an older steward. */
+    peers: z.array(peerSchema).nullable().default(null),
   }),
   /** Server list update: the servers that changed since the last one; the full list if `whole`. */
   z.object({
@@ -267,6 +291,7 @@
   }),
   /** Newly begun streams; sent both ways, and only while servers of several versions serve. */
   z.object({ type: z.literal(RelayMessageType.streams), streams: z.array(begunStreamSchema) }),
+  ...relayedMessageSchemas,
 ] as const;
 
 export const relayMessageSchema = z.discriminatedUnion('type', schemas);
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -7,6 +7,7 @@
 import { createRandom } from '../../core/random/index.js';
 import type { RelaySettings } from '../../core/settings/index.js';
 import { createSupervisor } from '../../core/supervisor/index.js';
+import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import { RetryWindow } from '../../decisions/retries/index.js';
 import * as stopRules from '../../decisions/stopping/index.js';
 import { Admission } from './admission.js';
@@ -22,6 +23,9 @@
 import { LeaseTask } from './lease-task.js';
 import { LoopDelayTask } from './loop-delay.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
+import { PeerConnector } from './peer-connector.js';
+import { PeerRelay } from './peer-relay.js';
+import { ReachabilityTask } from './reachability.js';
 import { ReadinessTask } from './readiness.js';
 import { ReporterTask } from './reporter.js';
 import { ResponseMemory } from './response-memory.js';
@@ -87,6 +91,7 @@
     view?: FleetView;
     link?: StewardLink;
     steward?: StewardTask;
+    reachability?: ReachabilityTask;
     streamRecord?: StreamRecordTask;
   } = {};
   const isSteward = () => lateBound.lease !== undefined && lateBound.lease.fence() > 0;
@@ -169,8 +174,57 @@
     sendLateRenewal: (renewal) => lateBound.steward?.sendLateRenewal(renewal),
   });
   lateBound.lease = lease;
-  const view = new FleetView(storeWatcher, clock, isStewardConnected, throttling);
+  const noteConnectFailure = (server: BackendServer, startedAtMs: number) => {
+    lateBound.view?.health.noteConnectFailure(clock.steadyMs(), server.id);
+    lateBound.reachability?.noteConnectFailure(server, startedAtMs);
+  };
+  const peers = new PeerConnector({
+    vm: vm.id,
+    dataCentre: vm.dataCentre,
+    clock,
+    random,
+    logger: logger.child('peers'),
+    metrics,
+    servers: () => storeWatcher.backends,
+    isPartitioned: (service) => lateBound.reachability?.isPartitioned(service) === true,
+    noteConnectFailure,
+  });
+  const view = new FleetView(storeWatcher, clock, isStewardConnected, throttling, peers);
   lateBound.view = view;
+  // Idle connections may have broken in the partition, which would be seen by requests only.
+  const noteReachable = (service: string) => {
+    peers.noteServiceReachable(service);
+    storeWatcher.backends.forEach((server) => {
+      if (server.service === service) connections.closeIdleTo(server);
+    });
+  };
+  const reachability = new ReachabilityTask({
+    clock,
+    logger: logger.child('reachability'),
+    metrics,
+    backends: () => storeWatcher.backends,
+    silentServices: (silenceMs) => view.silentServices(silenceMs),
+    onChange: (service, isPartitioned) => {
+      lateBound.reporter?.reportNow();
+      if (!isPartitioned) noteReachable(service);
+    },
+  });
+  lateBound.reachability = reachability;
+  const peerRelay = new PeerRelay({
+    clock,
+    logger: logger.child('peer-relay'),
+    metrics,
+    serverOf: (id) => storeWatcher.backends.get(id),
+    isPaused: (server) => view.isPaused(server),
+    isUnreachable: (server) => peers.isUnreachable(server),
+    isStopping: () => stopping,
+    noteConnectFailure,
+    noteStatement: (server, statement, sentAtMs) => {
+      throttling.noteResponse(server, statement, sentAtMs);
+      if (statement.leaving) storeWatcher.noteLeaving(server);
+      if (statement.pauseMs !== null) view.notePause(server, statement.pauseMs);
+    },
+  });
   const dispatcher = new Dispatcher({
     dataCentre: vm.dataCentre,
     storeWatcher,
@@ -199,6 +253,7 @@
         view.applyView(message);
         retries.noteMembers(message.members);
         connections.noteMembers(message.members);
+        if (message.peers !== null) peers.setPeers(message.peers);
         throttling.setReserve(message.mayUseReserve);
         metrics.gauge('relay_members', message.members);
         dispatcher.schedulePlacement();
@@ -254,11 +309,13 @@
   const reporter = new ReporterTask({
     vm: vm.id,
     address: listen.peers,
+    dataCentre: vm.dataCentre,
     link,
     lease,
     admission,
     dispatcher,
     view,
+    reachability,
     clock,
     planVersion: () => storeWatcher.planVersion,
     members: () => view.members,
@@ -274,9 +331,11 @@
     throttling,
     streams,
     lease,
+    reachability,
     leaseMs: settings.lease.durationMs,
     clock,
     logger: logger.child('steward'),
+    peerRelay,
     send: (message) => link.send(message),
   });
   lateBound.steward = steward;
@@ -286,7 +345,9 @@
     admission,
     dispatcher,
     view,
+    reachability,
     connections,
+    peers,
     retries,
     incidents,
     streams,
@@ -334,7 +395,9 @@
     }
     if (backends) {
       connections.retain(storeWatcher.backends);
+      peers.retain(storeWatcher.backends);
       throttling.retain(storeWatcher.backends);
+      reachability.noteServers(storeWatcher.backends);
       streams.noteServers(storeWatcher.backends);
       incidents.resolveIncidents();
     }
@@ -352,7 +415,9 @@
   const tasks = [
     loopDelay,
     storeWatcher,
+    reachability,
     steward,
+    peers,
     lease,
     reporter,
     incidents,
@@ -372,7 +437,7 @@
     while (clock.steadyMs() < untilMs) {
       if (clock.steadyMs() >= detectedAtMs) {
         callerServer.closeIdle();
-        if (callerServer.activeCount === 0) return;
+        if (callerServer.activeCount === 0 && peerRelay.activeCount === 0) return;
       }
       await clocks.sleep(STOP_POLL_MS);
     }
@@ -386,6 +451,7 @@
     await drain(untilMs);
     await callerServer.drain(untilMs);
     callerServer.endOpenRequests();
+    peerRelay.close();
     reporter.sendFinalReport();
     await clocks.sleep(FLUSH_MS);
     dispatcher.stop();
--- a/test/replay/model-fleet.ts
+++ b/test/replay/model-fleet.ts
@@ -428,6 +428,7 @@
       type: RelayMessageType.report,
       vm: 'vm',
       address: '',
+      dataCentre: 'a',
       sentAtMs: nowMs,
       clockMs: nowMs,
       planRevision: 0,
@@ -438,6 +439,8 @@
       usage: [...this.used].map(([model, requests]) => ({ model, requests })),
       returned: {},
       unreachable: [],
+      reached: [],
+      partitioned: [],
       leaving: false,
     };
   }
--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -50,6 +50,9 @@
 const STEWARD_LEASE = 'bilberrystand/steward';
 const OBJECT_PATH = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?$/;
 
+/** Address of a server in its entry. */
+const SERVER_ADDRESS = /(?<="address":")127\.0\.0\.1:\d+/g;
+
 export class SoakStore {
   mode: StoreMode = StoreMode.normal;
 
@@ -94,6 +97,11 @@
     return !this.disturbances.some((span) => span.fromMs <= toMs && span.toMs >= fromMs);
   }
 
+  /** @param beforeServers Called before a server's entry with this address can be read. */
+  constructor(
+    private readonly beforeServers: (address: string) => Promise<void> = async () => {},
+  ) {}
+
   async start(): Promise<string> {
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
@@ -200,9 +208,12 @@
       req.socket.destroy();
       return;
     }
+    const text = JSON.stringify(body);
+    const servers = new Set(text.match(SERVER_ADDRESS) ?? []);
+    await Promise.all([...servers].map((address) => this.beforeServers(address)));
     res
       .writeHead(status, { 'content-type': 'application/json', ...this.eraHeader() })
-      .end(JSON.stringify(body).replace(this.replaced.text, this.replaced.by));
+      .end(text.replace(this.replaced.text, this.replaced.by));
   }
 
   private eraHeader(): Readonly<Record<string, string>> {
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -108,6 +108,7 @@
       cancel: nothing,
       schedulePlacement: nothing,
     },
+    reachability: { isReached: async () => true, noteConnectFailure: nothing },
     view: {
       ended: nothing,
       hasServers,
@@ -122,6 +123,7 @@
       },
     },
     connections: { agentFor: () => new http.Agent() },
+    peers: { waysTo: () => null },
     memory: createResponseMemory(1_048_576),
     turns: new WorkTurns(),
     metrics: { count: nothing, time: nothing },
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -36,11 +36,13 @@
 function memberReport(
   unreachable: RelayMessageOf<'report'>['unreachable'],
   waits: RelayMessageOf<'report'>['waits'] = [],
+  { reached = [], partitioned = [] }: Partial<RelayMessageOf<'report'>> = {},
 ): RelayMessageOf<'report'> {
   return {
     type: RelayMessageType.report,
     vm: 'vm-1',
     address: '127.0.0.1:1',
+    dataCentre: 'a',
     sentAtMs: 0,
     clockMs: 0,
     planRevision: 1,
@@ -51,6 +53,8 @@
     usage: [],
     returned: {},
     unreachable,
+    reached,
+    partitioned,
     leaving: false,
   };
 }
@@ -58,6 +62,12 @@
 function setUp() {
   const engine = { isUp: true, calls: 0, delay: () => undefined as void };
   const times = { nowMs: 1_000 };
+  const partition = { isCut: false };
+  const reachability = {
+    isPartitioned: () => partition.isCut,
+    isUndecided: () => false,
+    noteSuspicion: () => undefined,
+  };
   const cold = { name: 'm2', sizeMb: 10, adapterMb: 1, remoteLoadMs: 6_000, localLoadMs: 600 };
   const models = new Map([[cold.name, cold]]);
   const spec = { models, memoryMb: 100, adapterSlots: 1, loadsPerS: 1, slots: 8 };
@@ -74,6 +84,7 @@
     },
     storeWatcher: { plan, backends },
     lease: { fence: () => 0 },
+    reachability,
     clock: { nowMs: () => times.nowMs, steadyMs: () => times.nowMs, onJump: () => undefined },
     logger: createLogger('test', 'silent'),
     issuer: new PermitIssuer(),
@@ -87,7 +98,7 @@
       await new Promise(setImmediate);
     }
   };
-  return { controller, engine, times, backends, runFor };
+  return { controller, engine, times, backends, partition, runFor };
 }
 
 describe('an engine that has ended', () => {
@@ -134,6 +145,55 @@
   });
 });
 
+describe('an engine that does not answer the steward', () => {
+  const DETECTION_MS = 1_000;
+  const UNREACHED = [{ server: SERVER.id, ageMs: 0 }];
+
+  test('stays in use if the steward is partitioned from its service', async () => {
+    const { controller, engine, times, partition, runFor } = setUp();
+    await runFor(100);
+    engine.isUp = false;
+    partition.isCut = true;
+    await runFor(DETECTION_MS);
+    const cutToo = memberReport(UNREACHED, [], { partitioned: [SERVER.service] });
+    controller.addReport(times.nowMs, cutToo);
+    await runFor(DETECTION_MS);
+    expect(controller.availableModels(SERVER)).toHaveLength(1);
+  });
+
+  test('is not used if an entry VM without a partition can not connect to it either', async () => {
+    const { controller, engine, times, partition, runFor } = setUp();
+    await runFor(100);
+    engine.isUp = false;
+    partition.isCut = true;
+    await runFor(DETECTION_MS);
+    controller.addReport(times.nowMs, memberReport(UNREACHED));
+    await runFor(DETECTION_MS);
+    expect(controller.availableModels(SERVER)).toEqual([]);
+  });
+
+  test('stays in use if it alone can not be reached, and sends an entry VM data', async () => {
+    const { controller, engine, times, runFor } = setUp();
+    await runFor(100);
+    engine.isUp = false;
+    await runFor(DETECTION_MS);
+    expect(controller.availableModels(SERVER)).toEqual([]);
+    const reached = [{ server: SERVER.id, ageMs: 0 }];
+    controller.addReport(times.nowMs, memberReport([], [], { reached }));
+    expect(controller.availableModels(SERVER)).toHaveLength(1);
+  });
+
+  test('is not used if the last data that an entry VM received from it is older', async () => {
+    const { controller, engine, times, runFor } = setUp();
+    await runFor(100);
+    engine.isUp = false;
+    await runFor(DETECTION_MS);
+    const reached = [{ server: SERVER.id, ageMs: DETECTION_MS }];
+    controller.addReport(times.nowMs, memberReport([], [], { reached }));
+    expect(controller.availableModels(SERVER)).toEqual([]);
+  });
+});
+
 describe('a load of an engine that then leaves', () => {
   // Requests would wait for it and then find no server.
   test('is no longer announced to the entry VMs', async () => {
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -55,6 +55,7 @@
   const partial = {
     retries,
     incidents: { isRefused: () => false, watch: () => () => undefined },
+    reachability: { isReached: async () => true },
     throttling: { noteSent: () => undefined, noteResponse: () => undefined },
     clock: { steadyMs: () => NOW_MS },
     dispatcher: { place: async () => ({ run: null, retryAfterMs: 100 }), cancel: () => undefined },
@@ -122,6 +123,7 @@
     },
     view: { ended: () => undefined, candidates: () => [] },
     connections: { agentFor: () => new http.Agent() },
+    peers: { waysTo: () => null },
     memory: createResponseMemory(1_048_576),
     turns: new WorkTurns(),
     wire: { encodeRequest: () => ['Host', 'x', 'Content-Length', '0'] },
