Health: forget failures once a VM reaches a service's servers again

After a partition from all servers a VM refused requests for up to 2 s, the backoff of its connection attempts, and for up to 8 s of ejections. Both are dropped at the first connection made; an attempt begun before that and failing later counts for nothing. Queued requests are placed at once. The unit test can't pass on the code before, which can't forget.

--- a/src/decisions/server-health/index.ts
+++ b/src/decisions/server-health/index.ts
@@ -40,6 +40,8 @@
   /** When the last of these attempts failed. */
   connectFailedAtMs: number;
   unreachableUntilMs: number;
+  /** When a partition from the server ended; connection attempts begun before say nothing. */
+  forgottenAtMs: number;
   /** Moving average of the time to the first byte, relative to the expected time. */
   averageRatio: number;
   measuredAtMs: number;
@@ -65,6 +67,7 @@
     failedConnects: 0,
     connectFailedAtMs: -Infinity,
     unreachableUntilMs: -Infinity,
+    forgottenAtMs: -Infinity,
     averageRatio: 0,
     measuredAtMs: -Infinity,
     lastReceivedAtMs: -Infinity,
@@ -117,16 +120,35 @@
     return true;
   }
 
-  /** Records a failed connection attempt. Failures before the next retry is due are ignored. */
-  noteConnectFailure(nowMs: number, id: string): void {
+  /**
+   * Records a failed connection attempt, begun at `startedAtMs`. Failures before the next retry is
+   * due are ignored.
+   */
+  noteConnectFailure(nowMs: number, id: string, startedAtMs = nowMs): void {
     const record = this.recordOf(id);
-    if (nowMs < record.unreachableUntilMs) return;
+    if (nowMs < record.unreachableUntilMs || startedAtMs < record.forgottenAtMs) return;
     const retryMs = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** record.failedConnects);
     record.failedConnects += 1;
     record.connectFailedAtMs = nowMs;
     record.unreachableUntilMs = nowMs + retryMs;
   }
 
+  /** Forgets failures of servers that this VM reaches again after a partition from all of them. */
+  forgetFailures(nowMs: number, ids: Iterable<string>): void {
+    [...ids].forEach((id) => {
+      const record = this.records.get(id);
+      if (record === undefined) return;
+      Object.assign(record, {
+        failures: 0,
+        ejections: 0,
+        ejectedUntilMs: -Infinity,
+        failedConnects: 0,
+        unreachableUntilMs: -Infinity,
+        forgottenAtMs: nowMs,
+      });
+    });
+  }
+
   /** Servers that can't be reached now, each with the time of its last failed connection attempt. */
   unreachable(nowMs: number): readonly ConnectFailure[] {
     return [...this.records]
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -394,9 +394,7 @@
     this.ctx.throttling.noteSent(run.server);
     try {
       const result = await this.sendTo(run, nowMs, resumeAfter);
-      const isUnreached = result.type === AttemptEnd.notRun && !result.reached;
-      // An attempt that ended because the caller disconnected is no evidence against the server.
-      if (isUnreached && !this.ended) this.ctx.reachability.noteConnectFailure(run.server, nowMs);
+      if (result.type === AttemptEnd.notRun && !result.reached) this.noteNotReached(run, nowMs);
       return result;
     } finally {
       this.current = null;
@@ -405,6 +403,14 @@
     }
   }
 
+  private noteNotReached({ server }: Run, startedAtMs: number): void {
+    // An attempt that ended because the caller disconnected is no evidence against the server.
+    if (this.ended) return;
+    const { view, reachability, clock } = this.ctx;
+    view.health.noteConnectFailure(clock.steadyMs(), server.id, startedAtMs);
+    reachability.noteConnectFailure(server, startedAtMs);
+  }
+
   /** Learns whether an attempt broke because this VM is partitioned from all servers. */
   private async learnCause({ type }: AttemptResult): Promise<void> {
     this.isReached = true;
@@ -522,9 +528,7 @@
   ): boolean {
     this.ctx.log('not-run', this.request.metadata.id, { server: run.server.id, reason });
     if (reached) this.ctx.view.noteNotLoaded(run);
-    // An attempt that ended because the caller disconnected is no evidence against the server.
     if (this.ended) return false;
-    if (!reached) this.ctx.view.health.noteConnectFailure(nowMs, run.server.id);
     // A server may be tried again if it responds with 421 or its service has models, because it may
     // load the model soon. Any other server is full or unreachable, and is not tried again.
     const isRetried = this.retryPolicy.allowRetryAfterNotExecuted(
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -238,6 +238,15 @@
       .filter(({ ageMs }) => ageMs <= maxAgeMs);
   }
 
+  /** Records that this entry VM is no longer partitioned from the servers of a service. */
+  noteReachable(service: string): void {
+    const servers = [...this.storeWatcher.backends.values()].filter(
+      (server) => server.service === service,
+    );
+    const ids = servers.map(({ id }) => id);
+    this.health.forgetFailures(this.clock.steadyMs(), ids);
+  }
+
   /** Records that the numbers of running requests were reported to the steward. */
   noteReported(): void {
     this.runningReported = new Map(this.runningLocally);
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -84,6 +84,7 @@
   // Components that are created later but used in callbacks of earlier ones.
   const lateBound: {
     lease?: LeaseTask;
+    dispatcher?: Dispatcher;
     reporter?: ReporterTask;
     view?: FleetView;
     link?: StewardLink;
@@ -178,7 +179,11 @@
     metrics,
     backends: () => storeWatcher.backends,
     silentServices: (silenceMs) => view.silentServices(silenceMs),
-    onChange: () => lateBound.reporter?.reportNow(),
+    onChange: (service, isPartitioned) => {
+      if (!isPartitioned) view.noteReachable(service);
+      lateBound.dispatcher?.schedulePlacement();
+      lateBound.reporter?.reportNow();
+    },
   });
   const dispatcher = new Dispatcher({
     dataCentre: vm.dataCentre,
@@ -189,6 +194,7 @@
     random,
     onEnqueue: () => lateBound.reporter?.reportNow(),
   });
+  lateBound.dispatcher = dispatcher;
   const admission = new Admission({
     clock,
     ask: (ask) => lateBound.link?.send({ type: RelayMessageType.ask, ...ask }) === true,
--- a/test/units/server-health/server-health.test.ts
+++ b/test/units/server-health/server-health.test.ts
@@ -109,4 +109,23 @@
     health.noteDataReceived(250, 'a');
     expect(health.lastReceivedAtMs('a')).toBe(250);
   });
+
+  // Requests were refused for up to two more seconds after a partition from all servers.
+  test('uses servers at once after a partition, also if an attempt from before fails late', () => {
+    const health = new ServerHealth();
+    SERVERS.forEach(({ id }) => {
+      [0, 600, 1_700].forEach((atMs) => health.noteConnectFailure(atMs, id));
+      health.noteFailure(1_700, id, 2);
+    });
+    expect(health.eligible(2_000, SERVERS)).toEqual([]);
+    health.forgetFailures(
+      2_000,
+      SERVERS.map(({ id }) => id),
+    );
+    health.noteConnectFailure(2_100, 'a', 1_900);
+    expect(ids(health.eligible(2_100, SERVERS))).toEqual(['a', 'b', 'c', 'd']);
+    expect(health.unreachable(2_100)).toEqual([]);
+    health.noteConnectFailure(2_200, 'a', 2_100);
+    expect(ids(health.eligible(2_300, SERVERS))).toEqual(['b', 'c', 'd']);
+  });
 });
