--- a/src/entry/relay/peer-connector.ts
+++ b/src/entry/relay/peer-connector.ts
@@ -70,6 +70,9 @@
   /** Processes of servers that this VM can't reach directly, by id, with the last failure. */
   private readonly unreachable = new Map<string, { bornMs: number; failedAtMs: number }>();
 
+  /** When a partition from a service ended; attempts begun before say nothing. */
+  private readonly reachableAtMs = new Map<string, number>();
+
   private probes = 0;
 
   private timer: NodeJS.Timeout | null = null;
@@ -118,6 +121,7 @@
 
   /** Records that the servers of a service can be connected to again. */
   noteServiceReachable(service: string): void {
+    this.reachableAtMs.set(service, this.opts.clock.steadyMs());
     this.opts.servers().forEach((server) => {
       if (server.service === service) this.noteReachable(server);
     });
@@ -131,7 +135,8 @@
   }
 
   private noteUnreachable(server: BackendServer, startedAtMs: number): void {
-    const { id, bornMs } = server;
+    const { id, bornMs, service } = server;
+    if (startedAtMs < (this.reachableAtMs.get(service) ?? -Infinity)) return;
     if (this.unreachable.get(id)?.bornMs !== bornMs) {
       this.opts.logger.info('server-unreachable', { server: id });
     }
