--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -401,14 +401,18 @@
     return result;
   }
 
+  private noteNotReached({ server }: Run, startedAtMs: number): void {
+    const { view, reachability, clock } = this.ctx;
+    view.health.noteConnectFailure(clock.steadyMs(), server.id, startedAtMs);
+    reachability.noteConnectFailure(server, startedAtMs);
+  }
+
   /** Learns from the end of an attempt whether this VM, or its peer, reaches the servers. */
   private async learnCause(attempt: RunningAttempt, result: AttemptResult): Promise<void> {
     const { run, sentAtMs, superseded } = attempt;
     const isUnreached = result.type === AttemptEnd.notRun && !result.reached;
     // An attempt that was ended by this side or by its caller is no evidence against the server.
-    if (isUnreached && superseded === null && !this.ended) {
-      this.ctx.reachability.noteConnectFailure(run.server, sentAtMs);
-    }
+    if (isUnreached && superseded === null && !this.ended) this.noteNotReached(run, sentAtMs);
     if (result.type !== AttemptEnd.broken || superseded === Superseded.spare) return;
     // The request may end meanwhile, by its deadline for example.
     this.mayHaveRun = true;
@@ -519,7 +523,7 @@
       case AttemptEnd.notRun:
         // An attempt that was aborted while it connected tells nothing of its server.
         if (attempt.superseded !== null && !result.reached) return;
-        this.recordNotExecuted(nowMs, run, result);
+        this.recordNotExecuted(run, result);
         this.retryPolicy.noteNotExecuted(run, result.reached, this.isExcludedAfter(run, result));
         return;
       default:
@@ -555,11 +559,9 @@
     return false;
   }
 
-  private recordNotExecuted(nowMs: number, run: Run, { reached, reason }: NotRun): void {
+  private recordNotExecuted(run: Run, { reached, reason }: NotRun): void {
     this.ctx.log('not-run', this.request.metadata.id, { server: run.server.id, reason });
     if (reached) this.ctx.view.noteNotLoaded(run);
-    // An attempt that ended because the caller disconnected is no evidence against the server.
-    else if (!this.ended) this.ctx.view.health.noteConnectFailure(nowMs, run.server.id);
   }
 
   /**
@@ -571,7 +573,7 @@
   }
 
   private handleNotExecuted(nowMs: number, run: Run, result: NotRun): boolean {
-    this.recordNotExecuted(nowMs, run, result);
+    this.recordNotExecuted(run, result);
     if (this.ended) return false;
     const isRetried = this.retryPolicy.allowRetryAfterNotExecuted(
       nowMs,
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -87,6 +87,7 @@
   // Components that are created later but used in callbacks of earlier ones.
   const lateBound: {
     lease?: LeaseTask;
+    dispatcher?: Dispatcher;
     reporter?: ReporterTask;
     view?: FleetView;
     link?: StewardLink;
@@ -175,7 +176,7 @@
   });
   lateBound.lease = lease;
   const noteConnectFailure = (server: BackendServer, startedAtMs: number) => {
-    lateBound.view?.health.noteConnectFailure(clock.steadyMs(), server.id);
+    lateBound.view?.health.noteConnectFailure(clock.steadyMs(), server.id, startedAtMs);
     lateBound.reachability?.noteConnectFailure(server, startedAtMs);
   };
   const peers = new PeerConnector({
@@ -194,6 +195,7 @@
   // Idle connections may have broken in the partition, which would be seen by requests only.
   const noteReachable = (service: string) => {
     peers.noteServiceReachable(service);
+    view.noteReachable(service);
     storeWatcher.backends.forEach((server) => {
       if (server.service === service) connections.closeIdleTo(server);
     });
@@ -205,8 +207,9 @@
     backends: () => storeWatcher.backends,
     silentServices: (silenceMs) => view.silentServices(silenceMs),
     onChange: (service, isPartitioned) => {
-      lateBound.reporter?.reportNow();
       if (!isPartitioned) noteReachable(service);
+      lateBound.dispatcher?.schedulePlacement();
+      lateBound.reporter?.reportNow();
     },
   });
   lateBound.reachability = reachability;
@@ -234,6 +237,7 @@
     random,
     onEnqueue: () => lateBound.reporter?.reportNow(),
   });
+  lateBound.dispatcher = dispatcher;
   const admission = new Admission({
     clock,
     ask: (ask) => lateBound.link?.send({ type: RelayMessageType.ask, ...ask }) === true,
