Steward: hand the office to a VM that reaches the servers

It now hands the lease over to its successor and goes on running, if that VM is partitioned from fewer services. A VM without traffic does not notice a partition: the view names the services that the steward can't reach, members connect to one of their servers, and only a connection since the partition began counts. The successor is renamed in a renewal if it is partitioned and another member is not. No store call may be in flight. The VM acquires the lease again only after the successor's term plus the margin; a successor named before drops out when it learns of the newer one, and a VM without office tells the newer one's token.

--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -47,6 +47,7 @@
 const EVENTS_WITHOUT_CALL: ReadonlySet<string> = new Set([
   LeaseEventType.tick,
   LeaseEventType.release,
+  LeaseEventType.handOver,
   LeaseEventType.epochRetired,
   LeaseEventType.renewImmediately,
   LeaseEventType.sent,
@@ -134,6 +135,9 @@
 
   private succession: Succession | null = null;
 
+  /** Time until which a lease that was handed over may be held by its successor. */
+  private handedOverUntilMs = 0;
+
   /** Time at which this entry VM last confirmed that it is inactive. */
   private inactiveSinceMs = -Infinity;
 
@@ -157,9 +161,13 @@
     return this.lastSeen?.holder ?? null;
   }
 
-  /** Highest epoch known to this entry VM. */
+  /**
+   * Highest epoch known to this entry VM, also that of a successor: another VM that was named before
+   * may no longer take over.
+   */
   get newestEpoch(): number {
-    return Math.max(this.newestReportedEpoch, this.lastSeen?.epoch ?? 0);
+    const { epoch = 0, heir } = this.lastSeen ?? {};
+    return Math.max(this.newestReportedEpoch, epoch, heir?.epoch ?? 0);
   }
 
   /** The active steward: the last known lease's holder, or the successor of a retired holder. */
@@ -216,6 +224,8 @@
         return this.read(nowMs);
       case LeaseEventType.release:
         return this.release(nowMs);
+      case LeaseEventType.handOver:
+        return this.handOverInOffice(nowMs);
       case LeaseEventType.epochRetired:
         this.retiredEpoch = Math.max(this.retiredEpoch, event.epoch);
         this.newestReportedEpoch = Math.max(this.newestReportedEpoch, event.newestEpoch);
@@ -371,6 +381,10 @@
 
   private updateSuccession(lease: Lease, term: SuccessorTerm | undefined): void {
     const { heir } = lease;
+    const { succession } = this;
+    // The holder has named another successor since.
+    const isReplaced = heir !== undefined && heir.epoch > (succession?.heir.epoch ?? Infinity);
+    if (isReplaced && heir.vm !== this.cfg.self) this.succession = null;
     if (heir?.vm !== this.cfg.self || term === undefined) return;
     if (term.fromMs <= this.inactiveSinceMs) return;
     const known = this.succession;
@@ -428,6 +442,10 @@
     // If a lease of this process has expired here, it has expired for its successor too. The
     // successor may hold it no longer than this process could have.
     const hasExpiredHere = lease.holder === this.cfg.self && !isPreviousProcess;
+    if (hasExpiredHere && nowMs < this.handedOverUntilMs) {
+      this.nextCallAtMs = Math.min(this.nextCallAtMs, this.handedOverUntilMs);
+      return [];
+    }
     const otherSuccessor = lease.heir?.vm === this.cfg.self ? undefined : lease.heir;
     const isRetired = hasExpiredHere || (otherSuccessor?.epoch ?? lease.epoch) <= this.retiredEpoch;
     const freeAtMs = this.versionChangedAtMs + lease.durationMs + this.cfg.marginMs;
@@ -493,6 +511,19 @@
     return [...lost, ...this.handOver(held, nowMs)];
   }
 
+  /**
+   * Releases the lease to its successor while this entry VM goes on running. It does so only if no
+   * store call is in flight, so that the lease that others are told is the one that is stored.
+   */
+  private handOverInOffice(nowMs: number): readonly LeaseEffect[] {
+    const { lastSeen } = this;
+    const isBusy = this.pending !== null || this.callInFlight || this.takeoverUnconfirmed;
+    if (!this.holds(nowMs) || isBusy || lastSeen?.heir === undefined) return [];
+    this.retiredEpoch = Math.max(this.retiredEpoch, this.heldEpoch);
+    this.handedOverUntilMs = this.heldUntilMs + this.cfg.marginMs;
+    return this.clearHeld();
+  }
+
   /** Hands the lease over to its successor; without one, marks it as free for any entry VM. */
   private handOver(lease: Lease, untilMs: number): readonly LeaseEffect[] {
     const { version } = this;
--- a/src/decisions/leases/successor.ts
+++ b/src/decisions/leases/successor.ts
@@ -19,6 +19,8 @@
   readonly sinceMs: number;
   /** Whether the VM is shutting down and therefore never takes over a lease. */
   readonly leaving: boolean;
+  /** Number of services from whose servers the VM is partitioned. */
+  readonly partitions: number;
 }
 
 export class SuccessorSelector {
@@ -39,17 +41,23 @@
   ): Omit<LeaseSuccessor, 'epoch'> | null {
     const known = candidates.find(({ vm }) => vm === this.current?.vm);
     if (known === undefined && nowMs - this.lastNamedAtMs < this.leaseDurationMs) return null;
-    if (known === undefined || known.leaving) this.current = this.selectBest(nowMs, candidates);
+    const isReplaced =
+      known === undefined ||
+      known.leaving ||
+      candidates.some(({ leaving, partitions }) => !leaving && partitions < known.partitions);
+    if (isReplaced) this.current = this.selectBest(nowMs, candidates);
     if (this.current !== null) this.lastNamedAtMs = nowMs;
     return this.current;
   }
 
   /**
-   * Selects the stable member that connected last: a rolling restart does not stop this member
-   * soon.
+   * Selects the stable member that connected last, of those with the fewest partitions: a rolling
+   * restart does not stop this member soon.
    */
   private selectBest(nowMs: number, candidates: readonly SuccessorCandidate[]) {
-    const notLeaving = candidates.filter(({ leaving }) => !leaving);
+    const staying = candidates.filter(({ leaving }) => !leaving);
+    const fewest = Math.min(...staying.map(({ partitions }) => partitions));
+    const notLeaving = staying.filter(({ partitions }) => partitions === fewest);
     const stable = notLeaving.filter(({ sinceMs }) => nowMs - sinceMs > STABLE_AFTER_MS);
     const [best] = [...(stable.length > 0 ? stable : notLeaving)].sort(
       (a, b) => b.sinceMs - a.sinceMs,
--- a/src/decisions/leases/types.ts
+++ b/src/decisions/leases/types.ts
@@ -61,6 +61,7 @@
   conflict: 'conflict',
   writeUnknown: 'write-unknown',
   release: 'release',
+  handOver: 'hand-over',
   epochRetired: 'holder-gone',
   renewImmediately: 'renew-soon',
   sent: 'told',
@@ -79,6 +80,8 @@
   | { readonly type: typeof LeaseEventType.writeUnknown }
   /** Releases the lease for a planned stop, to its successor or to any entry VM. */
   | { readonly type: typeof LeaseEventType.release }
+  /** Releases the lease to its successor; this entry VM may acquire it again later. */
+  | { readonly type: typeof LeaseEventType.handOver }
   /**
    * No process acts under this epoch any more: its holder released the lease, or the holder's VM
    * runs a new process. `newestEpoch` is the highest epoch known to the entry VM that reported
--- a/src/entry/relay/lease-task.ts
+++ b/src/entry/relay/lease-task.ts
@@ -161,6 +161,19 @@
     this.handle({ type: LeaseEventType.release });
   }
 
+  /**
+   * Hands the lease over to its successor while this VM goes on running; it may acquire the lease
+   * again later.
+   * @returns False if it is not handed over, as a store call is in flight for example.
+   */
+  handOver(): boolean {
+    if (!this.manager.holds(this.opts.clock.nowMs())) return false;
+    this.handle({ type: LeaseEventType.handOver });
+    if (this.manager.holds(this.opts.clock.nowMs())) return false;
+    this.actingFence = 0;
+    return true;
+  }
+
   private tick(): void {
     if (this.fence() === 0 && this.opts.isStewardConnected()) return;
     this.handle({ type: LeaseEventType.tick });
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -68,6 +68,9 @@
 /** A server, and the age of the last data that an entry VM received from it. */
 const receiptSchema = z.object({ server: z.string(), ageMs: z.number().nonnegative() });
 
+/** A service, and the age of the last connection that an entry VM has made to one of its servers. */
+const connectionSchema = z.object({ service: z.string(), ageMs: z.number().nonnegative() });
+
 /** Models and adapters of an engine to which requests may be sent. */
 const engineViewSchema = z.object({
   id: z.string(),
@@ -163,6 +166,8 @@
     reached: z.array(receiptSchema).default([]),
     /** Services from whose servers the sender is partitioned. */
     partitioned: z.array(z.string()).default([]),
+    /** Services to whose servers the sender has made a connection lately, and its age. */
+    connected: z.array(connectionSchema).default([]),
     /** Whether the sender is stopping. */
     leaving: z.boolean(),
   }),
@@ -195,6 +200,8 @@
     members: z.int(),
     /** Whether the receiver may send requests to throttled servers without a steward. */
     mayUseReserve: z.boolean().default(false),
+    /** Services from which the steward is partitioned; the receiver finds out whether it is too. */
+    unreached: z.array(z.string()).default([]),
   }),
   /** Server list update: the servers that changed since the last one; the full list if `whole`. */
   z.object({
--- a/src/entry/relay/reachability.ts
+++ b/src/entry/relay/reachability.ts
@@ -95,6 +95,15 @@
     return this.reachability.partitionedServices();
   }
 
+  /** Services to whose servers a connection was made in the last `maxAgeMs`, and its age. */
+  connectedServices(maxAgeMs: number): readonly { service: string; ageMs: number }[] {
+    const nowMs = this.opts.clock.steadyMs();
+    const services = new Set([...this.opts.backends().values()].map(({ service }) => service));
+    return [...services]
+      .map((service) => ({ service, ageMs: nowMs - this.reachability.connectedAtMs(service) }))
+      .filter(({ ageMs }) => ageMs <= maxAgeMs);
+  }
+
   isPartitioned(service: string): boolean {
     return this.reachability.isPartitioned(service);
   }
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -16,6 +16,9 @@
 /** Minimum time between two reports that name the engines which have sent data, ms. */
 const REACHED_INTERVAL_MS = 400;
 
+/** Maximum age of a connection that is reported, ms. */
+const MAX_CONNECTED_AGE_MS = 3_000;
+
 export interface ReporterOptions {
   readonly vm: string;
   /** Address at which peers reach this entry VM. */
@@ -25,7 +28,7 @@
   readonly admission: Admission;
   readonly dispatcher: Dispatcher;
   readonly view: FleetView;
-  readonly reachability: Pick<ReachabilityTask, 'partitionedServices'>;
+  readonly reachability: Pick<ReachabilityTask, 'partitionedServices' | 'connectedServices'>;
   readonly clock: Clock;
   /** Version of this entry VM's plan. */
   planVersion(): number;
@@ -120,6 +123,7 @@
       usage: [...this.usage].map(([model, requests]) => ({ model, requests })),
       unreachable: this.opts.view.unreachable(),
       reached: isReachedDue ? this.opts.view.reached(reachedForMs) : [],
+      connected: [...this.opts.reachability.connectedServices(MAX_CONNECTED_AGE_MS)],
       partitioned: [...this.opts.reachability.partitionedServices()],
       leaving: this.opts.isStopping(),
     };
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -177,20 +177,25 @@
     const held = this.opts.lease.heldLease();
     this.opts.lease.release();
     if (held !== null) {
-      // The successor is notified last, because the other members connect to it as soon as they
-      // receive the release.
-      const isSuccessor = ({ vm }: Member) => vm !== null && vm === held.lease.heir?.vm;
-      const inOrder = [...this.members].sort(
-        (a, b) => Number(isSuccessor(a)) - Number(isSuccessor(b)),
-      );
-      inOrder.forEach((member) => this.sendLease(member, held, true));
-      this.successorReport = this.successorReportOf(inOrder.find(isSuccessor));
+      this.successorReport = this.successorReportOf(this.sendRelease(held));
       await clocks.sleep(FLUSH_MS);
     }
     this.handingOver = false;
     this.endTerm();
   }
 
+  /** Tells all members that the lease was released; returns the successor. */
+  private sendRelease(held: SentLease): Member | undefined {
+    const isSuccessor = ({ vm }: Member) => vm !== null && vm === held.lease.heir?.vm;
+    // The successor is notified last, because the other members connect to it as soon as they
+    // receive the release.
+    const inOrder = [...this.members].sort(
+      (a, b) => Number(isSuccessor(a)) - Number(isSuccessor(b)),
+    );
+    inOrder.forEach((member) => this.sendLease(member, held, true));
+    return inOrder.find(isSuccessor);
+  }
+
   /** The designated successor for the lease that is written now; null for none. */
   heir(): Omit<LeaseSuccessor, 'epoch'> | null {
     return this.successorSelector.choose(this.opts.clock.steadyMs(), this.successorCandidates());
@@ -217,13 +222,65 @@
   }
 
   private successorCandidates(): readonly SuccessorCandidate[] {
-    return [...this.members].flatMap(({ vm, report, connectedAtMs }) =>
+    return [...this.members].flatMap(({ vm, report, reportedAtMs, connectedAtMs }) =>
       vm === null || vm === this.opts.vm || report === null
         ? []
-        : [{ vm, address: report.address, sinceMs: connectedAtMs, leaving: report.leaving }],
+        : [
+            {
+              vm,
+              address: report.address,
+              sinceMs: connectedAtMs,
+              leaving: report.leaving,
+              partitions: this.partitionsOf(report, reportedAtMs),
+            },
+          ],
     );
   }
 
+  /**
+   * Number of services that a member can't reach. Services from which this VM is partitioned count as
+   * well unless the member has connected to one of their servers since.
+   */
+  private partitionsOf(report: RelayMessageOf<'report'>, reportedAtMs: number): number {
+    const { reachability, clock } = this.opts;
+    const reportAgeMs = clock.nowMs() - reportedAtMs;
+    const isReached = (service: string) => {
+      const forMs = clock.steadyMs() - (reachability.sinceMs(service) ?? -Infinity);
+      const connection = report.connected.find((connected) => connected.service === service);
+      return connection !== undefined && connection.ageMs + reportAgeMs < forMs;
+    };
+    const unreached = reachability.partitionedServices().filter((service) => !isReached(service));
+    return new Set([...report.partitioned, ...unreached]).size;
+  }
+
+  /** Passes the office to the successor if that VM is partitioned from fewer services than this one. */
+  private handOverIfPartitioned(nowMs: number): void {
+    const { lease, reachability, logger } = this.opts;
+    const partitions = reachability.partitionedServices().length;
+    if (partitions === 0 || this.handingOver) return;
+    const better = this.successorCandidates().filter(
+      (candidate) => !candidate.leaving && candidate.partitions < partitions,
+    );
+    if (better.length === 0) return;
+    const held = lease.heldLease();
+    const heir = held?.lease.heir;
+    if (held === null || !better.some(({ vm }) => vm === heir?.vm)) {
+      this.renewEarly(nowMs);
+      return;
+    }
+    if (!lease.handOver()) return;
+    logger.info('office-handed-over', { peer: heir?.vm, fence: this.fence, partitions });
+    void this.endHandedOverTerm(held);
+  }
+
+  private async endHandedOverTerm(held: SentLease): Promise<void> {
+    this.handingOver = true;
+    this.sendRelease(held);
+    await clocks.sleep(FLUSH_MS);
+    this.handingOver = false;
+    this.endTerm();
+  }
+
   private successorReportOf(member: Member | undefined): SuccessorReport | null {
     if (member === undefined || member.report === null) return null;
     return { clockMs: member.report.clockMs, reportedAtMs: member.reportedAtMs };
@@ -445,6 +502,7 @@
     const reports = [...this.members].flatMap(({ report }) => (report === null ? [] : [report]));
     this.engineController?.tick(nowMs, reports);
     this.sendUpdates(nowMs);
+    this.handOverIfPartitioned(nowMs);
   }
 
   /** The handover note for the next steward; `previous` is the note in the lease. */
@@ -469,10 +527,13 @@
     const isAnyLarger = [...allowances].some(
       ([vm, allowance]) => allowance > (this.writtenAllowances[vm] ?? 0),
     );
-    if (isAnyLarger && nowMs - this.earlyRenewalAtMs > MIN_RENEWAL_PAUSE_MS) {
-      this.earlyRenewalAtMs = nowMs;
-      this.opts.lease.renewNow();
-    }
+    if (isAnyLarger) this.renewEarly(nowMs);
+  }
+
+  private renewEarly(nowMs: number): void {
+    if (nowMs - this.earlyRenewalAtMs <= MIN_RENEWAL_PAUSE_MS) return;
+    this.earlyRenewalAtMs = nowMs;
+    this.opts.lease.renewNow();
   }
 
   private beginTerm(nowMs: number): void {
@@ -562,6 +623,7 @@
       loads,
       members: this.members.size,
       mayUseReserve: member.mayUseReserve,
+      unreached: [...this.opts.reachability.partitionedServices()],
     });
     if (!sent) return;
     changed.forEach(({ id }) => member.sentEngines.set(id, engineTexts.get(id) ?? ''));
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -215,6 +215,7 @@
         retries.noteMembers(message.members);
         connections.noteMembers(message.members);
         throttling.setReserve(message.mayUseReserve);
+        message.unreached.forEach((service) => reachability.noteSuspicion(service));
         metrics.gauge('relay_members', message.members);
         dispatcher.schedulePlacement();
         break;
--- a/test/properties/leases/one-holder.test.ts
+++ b/test/properties/leases/one-holder.test.ts
@@ -69,6 +69,9 @@
   /** VMs in a partition that resets connections to other VMs, but not to the store. */
   private readonly cut = new Set<string>();
 
+  /** VMs that can't reach the servers and are therefore replaced as successors. */
+  private readonly partitioned = new Set<string>();
+
   /** VMs that are not connected to the holder and therefore can't be named as successors. */
   private readonly disconnected = new Set<string>();
 
@@ -123,6 +126,11 @@
     if (!this.disconnected.delete(name)) this.disconnected.add(name);
   }
 
+  /** Partitions a VM from the servers or ends the partition. */
+  toggleReached({ name }: Vm): void {
+    if (!this.partitioned.delete(name)) this.partitioned.add(name);
+  }
+
   /** Separates a VM from the others or ends the partition. */
   togglePartitioned({ name }: Vm): void {
     if (!this.cut.delete(name)) this.cut.add(name);
@@ -159,7 +167,13 @@
     const vm = this.vms.find(({ name }) => name === self);
     const candidates = this.vms
       .filter(({ name }) => name !== self && !this.disconnected.has(name))
-      .map(({ name }) => ({ vm: name, address: name, sinceMs: 0, leaving: false }));
+      .map(({ name }) => ({
+        vm: name,
+        address: name,
+        sinceMs: 0,
+        leaving: false,
+        partitions: this.partitioned.has(name) ? 1 : 0,
+      }));
     return vm?.selector.choose(this.clockOf(vm), candidates) ?? null;
   }
 
@@ -280,6 +294,8 @@
   'restart',
   'toggleHeard',
   'toggleCut',
+  'handOver',
+  'toggleReached',
 ];
 const RESTORES = ['copy', 'restore'];
 
@@ -320,7 +336,10 @@
           else if (what === 'copy') world.copyStore();
           else if (what === 'restore') world.restoreStore();
           else if (what === 'toggleCut') world.togglePartitioned(vm);
-          else if (what === 'release' && a > 2) {
+          else if (what === 'toggleReached') world.toggleReached(vm);
+          else if (what === 'handOver') {
+            world.feed(vm, { type: leases.LeaseEventType.handOver });
+          } else if (what === 'release' && a > 2) {
             world.feed(vm, { type: leases.LeaseEventType.release });
           }
           maxHolders = Math.max(maxHolders, world.holders().length);
--- a/test/units/leases/handover.test.ts
+++ b/test/units/leases/handover.test.ts
@@ -183,14 +183,48 @@
   });
 });
 
-describe('the selection of a successor', () => {
-  const candidate = (vm: string, sinceMs: number, leaving = false): SuccessorCandidate => ({
-    vm,
-    address: `${vm}:1`,
-    sinceMs,
-    leaving,
+describe('a lease holder that hands over its office and goes on running', () => {
+  test('does not acquire the lease again while its successor may hold it', () => {
+    const { holder, heir } = createPair();
+    const published = publishedLeaseAt(200, holder);
+    holder.handle(200, { type: LeaseEventType.handOver });
+    expect(holder.holds(200)).toBe(false);
+    expect(holder.activeSteward).toMatchObject({ vm: 'vm-1', fence: 2 });
+    heir.handle(210, published);
+    expect(typesOf(heir.handle(210, EPOCH_1_RETIRED))).toContain(LeaseEffectType.acquired);
+    const stored = { ...published.lease };
+    const read = { type: LeaseEventType.read, lease: stored, version: 1 } as const;
+    expect(typesOf(holder.handle(250, read))).not.toContain(LeaseEffectType.write);
+    holder.handle(2_400, { type: LeaseEventType.tick });
+    expect(writeOf(holder.handle(2_400, read)).lease).toMatchObject({ holder: 'vm-0', epoch: 3 });
+  });
+
+  test('is not succeeded by the VM that it had named before', () => {
+    const { holder, heir } = createPair();
+    const published = publishedLeaseAt(200, holder);
+    const renamed = { vm: 'vm-2', address: 'vm-2:1', epoch: 3 };
+    const lease = { ...published.lease, heir: renamed, renewal: 2 };
+    const renewed = { type: LeaseEventType.sent, lease, version: 2, leftMs: published.leftMs };
+    heir.handle(300, renewed);
+    expect(typesOf(heir.handle(310, EPOCH_1_RETIRED))).not.toContain(LeaseEffectType.acquired);
   });
 
+  test('does not do so while a renewal is in flight', () => {
+    const { holder } = createPair();
+    holder.handle(700, { type: LeaseEventType.tick });
+    holder.handle(710, { type: LeaseEventType.handOver });
+    expect(holder.holds(710)).toBe(true);
+  });
+});
+
+describe('the selection of a successor', () => {
+  const candidate = (
+    vm: string,
+    sinceMs: number,
+    leaving = false,
+    partitions = 0,
+  ): SuccessorCandidate => ({ vm, address: `${vm}:1`, sinceMs, leaving, partitions });
+
   test('prefers the most recently connected stable member and keeps it', () => {
     const choice = new SuccessorSelector(DURATION_MS);
     const candidates = [candidate('a', 0), candidate('b', 1_000), candidate('c', 9_000)];
@@ -198,6 +232,16 @@
     expect(choice.choose(20_000, candidates)?.vm).toBe('b');
   });
 
+  test('replaces a member that is partitioned from the servers by one that is not', () => {
+    const choice = new SuccessorSelector(DURATION_MS);
+    choice.choose(10_000, [candidate('a', 0), candidate('b', 0)]);
+    const withPartition = [candidate('a', 0, false, 1), candidate('b', 0)];
+    expect(choice.choose(10_100, withPartition)?.vm).toBe('b');
+    expect(choice.choose(10_200, [candidate('a', 0), candidate('b', 0)])?.vm).toBe('b');
+    const bothPartitioned = [candidate('a', 0, false, 1), candidate('b', 0, false, 1)];
+    expect(choice.choose(10_300, bothPartitioned)?.vm).toBe('b');
+  });
+
   test('replaces a draining member at once, a disconnected one only after its term', () => {
     const choice = new SuccessorSelector(DURATION_MS);
     choice.choose(10_000, [candidate('a', 0)]);
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -53,6 +53,7 @@
     unreachable,
     reached,
     partitioned,
+    connected: [],
     leaving: false,
   };
 }
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -17,6 +17,7 @@
     loads: [],
     members: 1,
     mayUseReserve: false,
+    unreached: [],
     ...fields,
   };
 }
