Steward: only partitions from engines count for its office

A steward that was partitioned from the engines kept its office where every other member was partitioned from a service without models, which gets no orders: no handover in the trial below.

Callers of partitioned VMs are still refused: nothing relays their requests yet.

--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -238,25 +238,36 @@
   }
 
   /**
-   * Number of services that a member can't reach. Services from which this VM is partitioned count as
-   * well unless the member has connected to one of their servers since.
+   * Number of services with engines that a member can't reach. Those from which this VM is partitioned
+   * count as well unless the member has connected to one of their servers since.
    */
   private partitionsOf(report: RelayMessageOf<'report'>, reportedAtMs: number): number {
     const { reachability, clock } = this.opts;
+    const partitioned = report.partitioned.filter((service) => this.hasEngines(service));
     const reportAgeMs = clock.nowMs() - reportedAtMs;
     const isReached = (service: string) => {
       const forMs = clock.steadyMs() - (reachability.sinceMs(service) ?? -Infinity);
       const connection = report.connected.find((connected) => connected.service === service);
       return connection !== undefined && connection.ageMs + reportAgeMs < forMs;
     };
-    const unreached = reachability.partitionedServices().filter((service) => !isReached(service));
-    return new Set([...report.partitioned, ...unreached]).size;
+    const unreached = this.ownPartitions().filter((service) => !isReached(service));
+    return new Set([...partitioned, ...unreached]).size;
+  }
+
+  /** Services with engines from which this VM is partitioned. */
+  private ownPartitions(): readonly string[] {
+    return this.opts.reachability.partitionedServices().filter((name) => this.hasEngines(name));
+  }
+
+  /** Whether the steward orders the servers of a service; those without models need none. */
+  private hasEngines(service: string): boolean {
+    return (this.opts.storeWatcher.plan?.services.get(service)?.engine ?? null) !== null;
   }
 
   /** Passes the office to the successor if that VM is partitioned from fewer services than this one. */
   private handOverIfPartitioned(nowMs: number): void {
-    const { lease, reachability, logger } = this.opts;
-    const partitions = reachability.partitionedServices().length;
+    const { lease, logger } = this.opts;
+    const partitions = this.ownPartitions().length;
     if (partitions === 0 || this.handingOver) return;
     const better = this.successorCandidates().filter(
       (candidate) => !candidate.leaving && candidate.partitions < partitions,
