--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -259,6 +259,7 @@
         connections.noteMembers(message.members);
         if (message.peers !== null) peers.setPeers(message.peers);
         throttling.setReserve(message.mayUseReserve);
+        message.unreached.forEach((service) => reachability.noteSuspicion(service));
         metrics.gauge('relay_members', message.members);
         dispatcher.schedulePlacement();
         break;
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -55,6 +55,7 @@
     unreachable,
     reached,
     partitioned,
+    connected: [],
     leaving: false,
   };
 }
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -18,6 +18,7 @@
     members: 1,
     mayUseReserve: false,
     peers: null,
+    unreached: [],
     ...fields,
   };
 }
