Reproduce brittle servers that fall over (known red)

Six VMs and eight servers over real processes: a server that has said Server-Brittle = N falls over when it turns more than N requests away in a second. Nobody reads the header, and each VM fills the same free slots by its own view.

The stand-in server queues requests beyond its slots only while it is brittle and its room has not shrunk yet; all other tests see no change of it.

--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net';
 import * as clocks from '../../src/core/clock/index.js';
 import * as httpServers from '../../src/core/http/index.js';
+import { BrittleRoom } from './brittle-room.js';
 import { RequestLimitRecord } from './request-limit.js';
 import { StatementRecord } from './statement-record.js';
 
@@ -70,6 +71,14 @@
   remove(kind: string, name: string): void;
 }
 
+/** Brittleness that a server names in its answers. */
+export interface Brittleness {
+  /** Requests that it may turn away in a second without a crash. */
+  readonly perS: number;
+  /** Time until it is started again after a crash, ms. */
+  readonly downMs: number;
+}
+
 /** Writes raw bytes in place of the response to the request `id`. */
 export type ResponseFault = (socket: Socket, id: string) => void;
 
@@ -190,6 +199,15 @@
 
   private fault: ResponseFault | null = null;
 
+  /** Null unless the server is brittle. */
+  private brittleness: Brittleness | null = null;
+
+  /** Slots that run no requests. */
+  private blockedSlots = 0;
+
+  /** The requests that wait for a slot, and those that were turned away. */
+  readonly room = new BrittleRoom(STABLE_WINDOW_MS);
+
   /** The limit that the server names in its responses, and its requests. */
   readonly requestLimit = new RequestLimitRecord(STABLE_WINDOW_MS);
 
@@ -223,6 +241,7 @@
     this.busy = false;
     this.loadedModels = new Map(this.spec.models.map((name) => [name, new Set<string>()]));
     this.running = 0;
+    this.room.clear();
     const server = http.createServer((req, res) => {
       void this.handleRequest(req, res, this.incarnation);
     });
@@ -343,6 +362,41 @@
     this.requestLimit.change(perS);
   }
 
+  /** Names brittleness in all responses from now on, also after a restart; null to name none. */
+  nameBrittle(brittleness: Brittleness | null): void {
+    this.brittleness = brittleness;
+    this.room.setBrittle(brittleness?.perS ?? null);
+  }
+
+  /** Runs so many requests fewer at once than its entry tells. */
+  blockSlots(count: number): void {
+    this.blockedSlots = count;
+  }
+
+  /** Takes a slot, at once or after a wait; false if the request is turned away. */
+  private async takeSlot(): Promise<boolean> {
+    if (this.running < this.spec.slots - this.blockedSlots) {
+      this.running += 1;
+      return true;
+    }
+    return this.room.wait();
+  }
+
+  /** Gives the slot to the first request that waits, or frees it. */
+  private freeSlot(incarnation: number): void {
+    if (incarnation !== this.incarnation) return;
+    if (!this.room.admitNext()) this.running -= 1;
+  }
+
+  /** Crashes the server if it has turned too many requests away, and restarts it. */
+  private async fallOver(): Promise<void> {
+    const { downMs } = this.brittleness ?? {};
+    if (downMs === undefined || !this.room.noteTurnedAway()) return;
+    this.crash();
+    await clocks.sleep(downMs);
+    if (!this.isRetired) await this.start();
+  }
+
   private writeHead(
     res: http.ServerResponse,
     status: number,
@@ -353,6 +407,7 @@
     if (this.statesLeaving && typeof id === 'string') this.statements?.noteStatement(id, Infinity);
     return res.writeHead(status, {
       ...(perS === null ? {} : { 'Server-Limit': String(perS) }),
+      ...(this.brittleness === null ? {} : { 'Server-Brittle': String(this.brittleness.perS) }),
       ...(this.statesLeaving ? { 'Server-Leaving': '1' } : {}),
       ...headers,
     });
@@ -482,16 +537,19 @@
     if (retryAfter !== null) return reject(503, { 'Retry-After': retryAfter });
     if (header(req, 'target-instance') !== this.id) return reject(421);
     if (model !== '' && !this.hasLoaded(model)) return reject(421);
-    if (this.running >= this.spec.slots) return reject(503);
+    if (!(await this.takeSlot())) {
+      reject(503);
+      return this.fallOver();
+    }
+    if (incarnation !== this.incarnation) return res;
     if (header(req, 'tenant') === '' || req.headers.authorization !== undefined) {
       this.observations.violations.push(
         `UNASKED: ${id} arrived without its customer or with its key`,
       );
     }
-    this.running += 1;
     this.observations.runs.set(id, (this.observations.runs.get(id) ?? 0) + 1);
     if (this.fault !== null && res.socket !== null) {
-      this.running -= 1;
+      this.freeSlot(incarnation);
       return this.fault(res.socket, id);
     }
     const { crash } = this.spec;
@@ -511,12 +569,12 @@
     }
     await clocks.sleep(WORK_MS * this.slowdownFactor);
     if (this.failsHalf && this.observations.runs.size % 2 === 0) {
-      this.running = Math.max(0, this.running - 1);
+      this.freeSlot(incarnation);
       return this.writeHead(res, 500, { 'Attempt-Id': id, 'Response-Seal': 'seal' }).end();
     }
     if (model === '') this.respond(res, id);
     else await this.stream(req, res, id, incarnation);
-    this.running = Math.max(0, this.running - 1);
+    this.freeSlot(incarnation);
     return res;
   }
 
