Relay: lease the slots of brittle servers from the steward

Callers saw 502 and refusals, as servers that say Server-Brittle = N fell over: one that turns more than N requests away in a second for want of room does. Cause: nobody read the header, and the room of a server had no owner; each VM filled the same free slots by its own view of 60 to 120 ms ago. Class: a bound over the fleet that nobody owns.

While a server is brittle, each request in flight to it needs a slot that the steward has issued. The steward counts the slots, so that the sum over all VMs keeps to 0.9 of the server's slots whatever the VMs know. A VM uses a slot again for 0.5 s, then returns it, so that VMs get them in turn. A request that is turned away takes its slot with it, lowers the bound by a tenth and one, and pauses the server at all VMs for 1.2 / N s. Slots whose requests' outcome isn't known yet and requests turned away in the last second are at most N together. VMs tell the steward the slots in use when a server becomes brittle and when a steward is new; it issues none until then. Without a steward, VMs use what they have, and N / 2 a second over all VMs beside. The servers of a service become brittle together, so one that has not answered yet counts as the others: the first answer protects all.

The new messages are sent only to peers that say they know them; daemons of older versions stay connected.

--- /dev/null
+++ b/src/decisions/brittle-servers/slot-holder.ts
@@ -0,0 +1,225 @@
+/**
+ * Holds this entry VM's slots of brittle servers. Each request in flight to such a server uses one,
+ * and the next request may use it again. Slots that stay unused are returned to the steward.
+ *
+ * Without a steward, the VM uses the slots that it has, and few requests beside them.
+ */
+import { ShareBucket } from '../rate-shares/index.js';
+import { pauseAfterRejectionMs } from './pause.js';
+
+/** Time for which an unused slot is kept, ms. */
+const IDLE_MS = 100;
+/** The same without a steward, ms: nobody could issue it again. */
+const IDLE_ALONE_MS = 5_000;
+/**
+ * Time for which a slot is used for further requests, ms. It is then returned, so that the entry VMs
+ * that wait get slots in turn.
+ */
+const REUSE_MS = 500;
+/**
+ * Requests without a slot that all entry VMs together may send a server in a second without a
+ * steward, as a fraction of those that it may turn away.
+ */
+const ALONE_FRACTION = 0.5;
+
+interface FreeSlot {
+  readonly issuedAtMs: number;
+  readonly untilMs: number;
+}
+
+interface ServerSlots {
+  rejectionsPerS: number;
+  /** When the slots in use were issued, in the order in which they were taken. */
+  used: readonly number[];
+  free: readonly FreeSlot[];
+  /** Requests in flight that the server has turned away. */
+  turnedAway: number;
+  pausedUntilMs: number;
+  /** Requests without a slot that may be sent without a steward. */
+  readonly alone: ShareBucket;
+}
+
+export class SlotHolder {
+  private readonly servers = new Map<string, ServerSlots>();
+
+  /** Requests in flight by server, brittle or not. */
+  private readonly inFlight = new Map<string, number>();
+
+  /** Slots to return to the steward, by server. */
+  private readonly returned = new Map<string, number>();
+
+  private hasSteward = false;
+
+  private members = 1;
+
+  /** Sets whether a steward is connected, and the last known number of entry VMs. */
+  setSteward(nowMs: number, isConnected: boolean, members: number): void {
+    this.members = Math.max(1, members);
+    if (isConnected === this.hasSteward) return;
+    this.hasSteward = isConnected;
+    if (!isConnected) this.returned.clear();
+    this.servers.forEach((record) => {
+      this.configureAlone(nowMs, record);
+      if (isConnected) Object.assign(record, { free: SlotHolder.shortened(nowMs, record) });
+    });
+  }
+
+  /**
+   * Replaces the brittle servers, each with the requests that it may turn away in a second. Requests
+   * in flight to a server that has become brittle hold slots of it.
+   * @returns Whether a server was added.
+   */
+  setBrittle(nowMs: number, brittle: ReadonlyMap<string, number>): boolean {
+    [...this.servers.keys()]
+      .filter((id) => !brittle.has(id))
+      .forEach((id) => {
+        this.servers.delete(id);
+        this.returned.delete(id);
+      });
+    const added = [...brittle.keys()].filter((id) => !this.servers.has(id));
+    brittle.forEach((rejectionsPerS, id) => {
+      const record = this.servers.get(id) ?? this.createRecord(nowMs, id);
+      if (record.rejectionsPerS === rejectionsPerS) return;
+      record.rejectionsPerS = rejectionsPerS;
+      this.configureAlone(nowMs, record);
+    });
+    return added.length > 0;
+  }
+
+  isBrittle(serverId: string): boolean {
+    return this.servers.has(serverId);
+  }
+
+  /** Whether a request may be sent to the server now. */
+  allows(nowMs: number, serverId: string): boolean {
+    const record = this.servers.get(serverId);
+    if (record === undefined) return true;
+    if (nowMs < record.pausedUntilMs) return false;
+    if (record.free.some(({ untilMs }) => untilMs > nowMs)) return true;
+    return !this.hasSteward && record.alone.available(nowMs) >= 1;
+  }
+
+  /** Counts a request that is sent now, and uses a slot for it. */
+  start(nowMs: number, serverId: string): void {
+    this.inFlight.set(serverId, (this.inFlight.get(serverId) ?? 0) + 1);
+    const record = this.servers.get(serverId);
+    if (record === undefined) return;
+    const at = record.free.findIndex(({ untilMs }) => untilMs > nowMs);
+    if (at < 0) record.alone.take(nowMs, 1);
+    const issuedAtMs = record.free[at]?.issuedAtMs ?? nowMs;
+    record.free = record.free.filter((_, index) => index !== at);
+    record.used = [...record.used, issuedAtMs];
+  }
+
+  /** Records that a server has turned a request away for want of room; its slot is gone. */
+  noteTurnedAway(nowMs: number, serverId: string): void {
+    const record = this.servers.get(serverId);
+    if (record === undefined) return;
+    record.turnedAway += 1;
+    this.pause(nowMs, serverId, pauseAfterRejectionMs(record.rejectionsPerS));
+  }
+
+  /** Sends the server nothing for a time, and returns its slots as they become free. */
+  pause(nowMs: number, serverId: string, pauseMs: number): void {
+    const record = this.servers.get(serverId);
+    if (record === undefined) return;
+    record.pausedUntilMs = Math.max(record.pausedUntilMs, nowMs + pauseMs);
+    record.used = record.used.map(() => -Infinity);
+    this.addReturned(serverId, record.free.length);
+    record.free = [];
+  }
+
+  /** Ends a request; its slot is free for another one, or is returned. */
+  end(nowMs: number, serverId: string): void {
+    const left = (this.inFlight.get(serverId) ?? 0) - 1;
+    if (left > 0) this.inFlight.set(serverId, left);
+    else this.inFlight.delete(serverId);
+    const record = this.servers.get(serverId);
+    const issuedAtMs = record?.used[0];
+    if (record === undefined || issuedAtMs === undefined) return;
+    record.used = record.used.slice(1);
+    if (record.turnedAway > 0) {
+      record.turnedAway -= 1;
+      return;
+    }
+    const mayReuse = issuedAtMs > -Infinity && nowMs - issuedAtMs < REUSE_MS;
+    if (mayReuse || !this.hasSteward) {
+      const untilMs = nowMs + (this.hasSteward ? IDLE_MS : IDLE_ALONE_MS);
+      record.free = [...record.free, { issuedAtMs, untilMs }];
+    } else this.addReturned(serverId, 1);
+  }
+
+  /** Adds slots from the steward. */
+  receive(nowMs: number, serverId: string, slots: number): void {
+    const record = this.servers.get(serverId);
+    if (record === undefined || nowMs < record.pausedUntilMs) {
+      this.addReturned(serverId, slots);
+      return;
+    }
+    const added = Array.from({ length: slots }, () => ({
+      issuedAtMs: nowMs,
+      untilMs: nowMs + IDLE_MS,
+    }));
+    record.free = [...record.free, ...added];
+  }
+
+  /** Takes the slots to return to the steward, by server. */
+  takeReturned(nowMs: number): ReadonlyMap<string, number> {
+    this.servers.forEach((record, id) => {
+      const valid = record.free.filter(({ untilMs }) => untilMs > nowMs);
+      this.addReturned(id, record.free.length - valid.length);
+      Object.assign(record, { free: valid });
+    });
+    const taken = new Map(this.returned);
+    this.returned.clear();
+    return taken;
+  }
+
+  /** Puts back slots that could not be returned. */
+  restoreReturned(slots: ReadonlyMap<string, number>): void {
+    slots.forEach((count, id) => this.addReturned(id, count));
+  }
+
+  /** The slots that this entry VM holds, by server, for a steward that does not know them. */
+  held(): ReadonlyMap<string, number> {
+    this.returned.clear();
+    return new Map(
+      [...this.servers].map(([id, { used, free, turnedAway }]) => [
+        id,
+        used.length - turnedAway + free.length,
+      ]),
+    );
+  }
+
+  /** Free slots that were kept without a steward, and that another VM may need now. */
+  private static shortened(nowMs: number, { free }: ServerSlots): readonly FreeSlot[] {
+    return free.map(({ issuedAtMs, untilMs }) => ({
+      issuedAtMs,
+      untilMs: Math.min(untilMs, nowMs + IDLE_MS),
+    }));
+  }
+
+  private addReturned(serverId: string, count: number): void {
+    if (count > 0) this.returned.set(serverId, (this.returned.get(serverId) ?? 0) + count);
+  }
+
+  /** Sets the rate without a steward, from an empty bucket. */
+  private configureAlone(nowMs: number, { rejectionsPerS, alone }: ServerSlots): void {
+    const ratePerS = (rejectionsPerS * ALONE_FRACTION) / this.members;
+    alone.configure(nowMs, { ratePerS, burst: 1 }, 0);
+    if (!this.hasSteward) alone.configure(nowMs, { ratePerS, burst: 1 }, 1);
+  }
+
+  private createRecord(nowMs: number, serverId: string): ServerSlots {
+    const record = {
+      rejectionsPerS: NaN,
+      used: Array.from({ length: this.inFlight.get(serverId) ?? 0 }, () => nowMs),
+      free: [],
+      turnedAway: 0,
+      pausedUntilMs: -Infinity,
+      alone: new ShareBucket({ ratePerS: 0, burst: 1 }, nowMs),
+    };
+    this.servers.set(serverId, record);
+    return record;
+  }
+}
--- a/src/decisions/engine-choice/index.ts
+++ b/src/decisions/engine-choice/index.ts
@@ -29,6 +29,12 @@
 /** Largest random addition to a score, in units of utilisation; spreads load over equal servers. */
 const MAX_TIE_BREAK = 0.02;
 
+/** The part of a server's score that does not depend on its running requests. */
+export function penaltyOf(candidate: Candidate, dataCentre: string): number {
+  const remote = candidate.dataCentre === dataCentre ? 0 : REMOTE_PENALTY;
+  return remote + candidate.slowness - 1;
+}
+
 /**
  * Returns the server with the lowest score. Null if no server has room; the request is then queued.
  */
@@ -44,8 +50,7 @@
       candidate,
       score:
         ((candidate.running + 1) / candidate.slots) * candidate.slowness +
-        (candidate.dataCentre === dataCentre ? 0 : REMOTE_PENALTY) +
-        (candidate.slowness - 1) +
+        penaltyOf(candidate, dataCentre) +
         random.real() * MAX_TIE_BREAK,
     }));
   return (
--- a/src/decisions/throttling/throttle-table.ts
+++ b/src/decisions/throttling/throttle-table.ts
@@ -80,6 +80,16 @@
     return nowMs < record.heldUntilMs ? record.heldPerS : null;
   }
 
+  /** Whether this process of a server, or a later one, is known to have named or withdrawn a limit. */
+  isKnown({ id, bornMs }: ServerProcess): boolean {
+    return (this.records.get(id)?.bornMs ?? -Infinity) >= bornMs;
+  }
+
+  /** Whether a limit of the server is in force, in whichever process. */
+  namesLimit(nowMs: number, id: string): boolean {
+    return this.requestsPerS(nowMs, { id, bornMs: -Infinity }) !== null;
+  }
+
   /** Since when a server has named a limit, on this entry VM's clock; -Infinity for none. */
   namedSinceMs(serverId: string): number {
     return this.records.get(serverId)?.namedSinceMs ?? -Infinity;
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -14,7 +14,7 @@
 import type { Incidents } from './incidents.js';
 import type { ResponseMemory } from './response-memory.js';
 import type { StreamVersionsTask } from './stream-versions.js';
-import type { ThrottlingTask } from './throttling.js';
+import type { FleetLimits } from './request-limits.js';
 import type { PlatformWire } from './types.js';
 import type { WorkTurns } from './work-turns.js';
 
@@ -27,7 +27,7 @@
   readonly retries: RetryWindow;
   readonly incidents: Incidents;
   readonly streams: Pick<StreamVersionsTask, 'noteBegun' | 'serviceOf' | 'versionFor'>;
-  readonly throttling: Pick<ThrottlingTask, 'noteResponse' | 'noteSent'>;
+  readonly throttling: Pick<FleetLimits, 'noteResponse' | 'noteSent'>;
   /** Counts the bytes of the responses of all requests. */
   readonly memory: Pick<ResponseMemory, 'open'>;
   /** Bounds the time for which one turn of the event loop reads and relays responses. */
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -13,7 +13,7 @@
 import type { FleetView, Run } from './fleet-view.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { RelayMessageOf } from './messages.js';
-import type { RequestLimits } from './throttling.js';
+import { CapacityNeeds, type RequestLimits } from './request-limits.js';
 
 /** A run at a backend server, or a rejection with the time after which the caller should retry. */
 export type Placement =
@@ -72,9 +72,9 @@
     if (run !== null) return Promise.resolve({ run, retryAfterMs: null });
     return new Promise((resolve) => {
       this.waiting.set(request.id, { request, tried, settle: resolve });
-      const needed = new Map<string, number>();
-      this.addNeeded(needed, request, tried);
-      this.opts.limits.requestPermits(needed);
+      const needs = new CapacityNeeds(this.opts.dataCentre);
+      this.addNeeds(needs, request, tried);
+      this.opts.limits.requestPermits(needs, false);
       this.opts.onEnqueue();
     });
   }
@@ -99,9 +99,9 @@
     if (this.waiting.size === 0) return;
     const nowMs = this.opts.clock.steadyMs();
     const byPriority = [...this.waiting.values()].sort((a, b) => byUrgency(a.request, b.request));
-    const needed = new Map<string, number>();
-    byPriority.forEach((entry) => this.placeOrReject(nowMs, entry, needed));
-    this.opts.limits.requestPermits(needed);
+    const needs = new CapacityNeeds(this.opts.dataCentre);
+    byPriority.forEach((entry) => this.placeOrReject(nowMs, entry, needs));
+    this.opts.limits.requestPermits(needs, true);
   }
 
   /** Counts queued requests and expected retries by what they need, for the report. */
@@ -133,12 +133,12 @@
 
   /**
    * Places a queued request, or rejects it once it can no longer be served in time.
-   * @param needed Permits that the queued requests need, by server; updated.
+   * @param needs What the queued requests need; updated.
    */
   private placeOrReject(
     nowMs: number,
     { request, tried, settle }: QueueEntry,
-    needed: Map<string, number>,
+    needs: CapacityNeeds,
   ): void {
     const run = this.tryPlace(request, tried);
     if (run !== null) {
@@ -148,7 +148,7 @@
     }
     const readyAtMs = this.opts.view.readyAtMs(request);
     const isLoaded = this.opts.view.isLoaded(request);
-    const permitAtMs = this.permitAtMs(nowMs, request, this.addNeeded(needed, request, tried));
+    const permitAtMs = this.permitAtMs(nowMs, request, this.addNeeds(needs, request, tried));
     if (nowMs < rejectAtMs(request, { readyAtMs, isLoaded, permitAtMs })) return;
     this.waiting.delete(request.id);
     const { service, model, adapter, version } = request;
@@ -159,17 +159,15 @@
   }
 
   /**
-   * Adds the permits that a queued request needs, one of each throttled server that could run it.
-   * @returns For each of these servers, the number of permits needed so far.
+   * Adds a queued request to the needs of the throttled servers that could run it.
+   * @returns For each of these servers, the number of requests so far.
    */
-  private addNeeded(
-    needed: Map<string, number>,
+  private addNeeds(
+    needs: CapacityNeeds,
     request: QueuedRequest,
     tried: ReadonlySet<string>,
   ): ReadonlyMap<string, number> {
-    const servers = this.opts.view.throttled(request).filter(({ id }) => !tried.has(id));
-    servers.forEach(({ id }) => needed.set(id, (needed.get(id) ?? 0) + 1));
-    return new Map(servers.map(({ id }) => [id, needed.get(id) ?? 1]));
+    return needs.add(this.opts.view.throttled(request).filter(({ id }) => !tried.has(id)));
   }
 
   /**
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -429,7 +429,7 @@
         onException: (err) => this.ctx.reportException(metadata.id, err),
         onHead: (head, status) => {
           this.progress.headAtMs = this.ctx.clock.steadyMs();
-          this.ctx.throttling.noteResponse(run.server, head, nowMs);
+          this.ctx.throttling.noteResponse(run.server, head, status, nowMs);
           if (head.leaving) this.ctx.noteLeaving(run.server);
           if (status === 503 && head.retryAfterMs !== null) {
             this.ctx.view.notePause(run.server, head.retryAfterMs);
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -5,7 +5,7 @@
 import { ServerHealth } from '../../decisions/server-health/index.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
-import type { RequestLimits } from './throttling.js';
+import type { RequestLimits } from './request-limits.js';
 
 /**
  * Bounds of a not-loaded pause, ms. The pause starts when a server replies that a model or adapter
@@ -78,7 +78,10 @@
     private readonly storeWatcher: StoreWatcherTask,
     private readonly clock: Clock,
     private readonly isStewardConnected: () => boolean,
-    private readonly limits: Pick<RequestLimits, 'allows' | 'isAnyKnown' | 'isThrottled'>,
+    private readonly limits: Pick<
+      RequestLimits,
+      'allows' | 'isAnyKnown' | 'isThrottled' | 'noteEnded'
+    >,
   ) {}
 
   get members(): number {
@@ -186,6 +189,7 @@
     if (entry === undefined) return;
     entry.count -= 1;
     if (entry.count === 0) this.runs.delete(key);
+    this.limits.noteEnded(run.server);
     const { id } = run.server;
     this.runningLocally.set(id, Math.max(0, (this.runningLocally.get(id) ?? 0) - 1));
   }
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -26,6 +26,8 @@
   permits: 'permits',
   permitReturn: 'permit-return',
   streams: 'streams',
+  slotNeeds: 'slot-needs',
+  slots: 'slots',
 } as const;
 
 /** An entry VM's share of a customer's rate limit, and the customer's demand at this VM. */
@@ -127,6 +129,16 @@
   ageMs: z.number().nonnegative(),
 });
 
+/** Counts by server. */
+const countsSchema = z.record(z.string(), z.int().nonnegative());
+
+/** Waiting requests that any of some brittle servers could run. */
+const slotNeedSchema = z.object({
+  /** By server, the penalty of its choice in units of utilisation. */
+  servers: z.record(z.string(), z.number()),
+  needed: z.int().positive(),
+});
+
 /** A stream that a server has begun; see `BegunStream`. */
 const begunStreamSchema = z.object({
   id: z.string(),
@@ -158,6 +170,8 @@
     unreachable: z.array(connectFailureSchema).default([]),
     /** Whether the sender is stopping. */
     leaving: z.boolean(),
+    /** Whether the sender uses slots of brittle servers. */
+    usesSlots: z.boolean().default(false),
   }),
   /** Requests a loan of units of a customer's rate limit, for a single request. */
   z.object({
@@ -167,7 +181,13 @@
     units: z.number(),
   }),
   /** First message from the steward on a new connection. */
-  z.object({ type: z.literal(RelayMessageType.welcome), vm: z.string(), fence: z.int() }),
+  z.object({
+    type: z.literal(RelayMessageType.welcome),
+    vm: z.string(),
+    fence: z.int(),
+    /** Whether the steward issues slots of brittle servers. */
+    issuesSlots: z.boolean().default(false),
+  }),
   /** The "not the steward" reply; the sender closes the connection afterwards. */
   z.object({
     type: z.literal(RelayMessageType.noOffice),
@@ -265,6 +285,31 @@
   }),
   /** Newly begun streams; sent both ways, and only while servers of several versions serve. */
   z.object({ type: z.literal(RelayMessageType.streams), streams: z.array(begunStreamSchema) }),
+  /** An entry VM's use of the slots of brittle servers; sent to stewards that issue slots. */
+  z.object({
+    type: z.literal(RelayMessageType.slotNeeds),
+    /** Changes that the sender observed; as for limits, `requestsPerS` being those turned away. */
+    brittle: z.array(throttleSchema).default([]),
+    /** Slots that the sender holds of servers for which the steward may not know it. */
+    held: countsSchema.default({}),
+    returned: countsSchema.default({}),
+    /** Number of requests that a server turned away for want of room; their slots are gone. */
+    turnedAway: countsSchema.default({}),
+    /** Servers for which a slot shows whether they are still brittle. */
+    probes: z.array(z.string()).default([]),
+    /** Replaces the earlier needs; null if they are unchanged. */
+    needs: z.array(slotNeedSchema).nullable().default(null),
+    /** Number of slots received on this connection. */
+    received: z.int().nonnegative().default(0),
+  }),
+  /** Slots of brittle servers for an entry VM; sent to entry VMs that use slots. */
+  z.object({
+    type: z.literal(RelayMessageType.slots),
+    brittle: z.array(throttleSchema).default([]),
+    issued: countsSchema.default({}),
+    /** By server, the time for which it gets no request, ms. */
+    pauses: z.record(z.string(), z.number()).default({}),
+  }),
 ] as const;
 
 export const relayMessageSchema = z.discriminatedUnion('type', schemas);
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -111,6 +111,7 @@
       usage: [...this.usage].map(([model, requests]) => ({ model, requests })),
       unreachable: this.opts.view.unreachable(),
       leaving: this.opts.isStopping(),
+      usesSlots: true,
     };
     if (!this.opts.link.send(message)) return;
     this.usage.clear();
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -21,6 +21,8 @@
 import { IncidentPublisher } from './incident-publisher.js';
 import type { IncidentTask } from './incidents.js';
 import { PermitService } from './permit-service.js';
+import type { ServerSlotsTask } from './server-slots.js';
+import { SlotService } from './slot-service.js';
 import type { StreamVersionsTask } from './stream-versions.js';
 import type { ThrottlingTask } from './throttling.js';
 import type { LateRenewal, LeaseTask } from './lease-task.js';
@@ -80,6 +82,8 @@
   readonly incidents: IncidentPublisher;
   /** The request limits last sent, by server. */
   readonly sentThrottles: Map<string, string>;
+  /** The statements of brittle servers last sent, by server. */
+  readonly sentBrittle: Map<string, string>;
   /** Whether it may send requests to throttled servers without a steward. */
   mayUseReserve: boolean;
 }
@@ -91,6 +95,7 @@
   readonly storeWatcher: StoreWatcherTask;
   readonly incidents: IncidentTask;
   readonly throttling: ThrottlingTask;
+  readonly slots: ServerSlotsTask;
   readonly streams: StreamVersionsTask;
   readonly lease: LeaseTask;
   /** Duration of a lease from its renewal, ms. */
@@ -122,6 +127,8 @@
 
   private permitService: PermitService | null = null;
 
+  private slotService: SlotService | null = null;
+
   private readonly serverListCache = new ServerListCache();
 
   /** Fencing token under which this VM acts as steward; 0 while it does not. */
@@ -269,6 +276,7 @@
       beliefs: new ServerListPublisher(),
       incidents: new IncidentPublisher(),
       sentThrottles: new Map(),
+      sentBrittle: new Map(),
       mayUseReserve: false,
     };
     socket.on('error', (err) => {
@@ -293,6 +301,7 @@
       type: RelayMessageType.welcome,
       vm: this.opts.vm,
       fence: this.fence,
+      issuesSlots: true,
     });
   }
 
@@ -322,6 +331,9 @@
       case RelayMessageType.throttles:
         this.permitService?.handleThrottles(nowMs, member, message);
         break;
+      case RelayMessageType.slotNeeds:
+        this.slotService?.handleNeeds(nowMs, member, message);
+        break;
       case RelayMessageType.permitRequest:
         this.permitService?.handleRequest(nowMs, member, message);
         break;
@@ -430,6 +442,7 @@
     if (!this.isActing) this.beginTerm(nowMs);
     this.fence = fence;
     this.permitService?.tick(nowMs);
+    this.slotService?.tick(nowMs);
     // The timer is inexact: a planning pass may run half a tick early.
     const dueMs =
       this.plannedAtMs + planningIntervalMs(this.opts.storeWatcher.backends.size) - TICK_MS / 2;
@@ -489,6 +502,7 @@
       throttling,
       members: this.members,
     });
+    this.slotService = new SlotService(nowMs, { slots: this.opts.slots, members: this.members });
     const { issuer } = this.permitService;
     this.engineController = new EngineController({
       vm,
@@ -506,6 +520,7 @@
     this.lender = null;
     this.engineController = null;
     this.permitService = null;
+    this.slotService = null;
     this.members.forEach(({ socket }) => socket.destroy());
     this.members.clear();
   }
--- a/src/entry/relay/throttling.ts
+++ b/src/entry/relay/throttling.ts
@@ -21,24 +21,6 @@
 
 const TICK_MS = 25;
 
-/** The operations that choosing a server needs. */
-export interface RequestLimits {
-  /** Whether any server is known to have named a limit. */
-  readonly isAnyKnown: boolean;
-  /** Whether a limit of the server is in force. */
-  isThrottled(server: BackendServer): boolean;
-  /** Whether a request may be sent to the server now. */
-  allows(server: BackendServer): boolean;
-  /** Uses a permit if the server is throttled. */
-  take(server: BackendServer): void;
-  /** Asks the steward for permits; `needed` is the number of waiting requests by server. */
-  requestPermits(needed: ReadonlyMap<string, number>): void;
-  /** Asks the steward for a permit for a later request, to see whether the limit still holds. */
-  requestProbe(serverId: string): void;
-  /** Expected time until `needed` permits of any of the servers, ms; null if unknown. */
-  expectedWaitMs(serverIds: readonly string[], needed: number): number | null;
-}
-
 export interface ThrottlingOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -50,7 +32,7 @@
   send(message: RelayMessage): boolean;
 }
 
-export class ThrottlingTask implements Task, RequestLimits {
+export class ThrottlingTask implements Task {
   readonly name = 'throttling';
 
   private readonly table = new ThrottleTable();
@@ -70,26 +52,36 @@
     if (this.timer !== null) clearInterval(this.timer);
   }
 
+  /** Whether any server is known to have named a limit. */
   get isAnyKnown(): boolean {
     return this.table.size > 0;
   }
 
+  /** Whether a limit of the server is in force. */
   isThrottled(server: BackendServer): boolean {
     return this.requestsPerS(server) !== null;
   }
 
+  /** Whether a limit of the server is in force, in whichever process. */
+  namesLimit(serverId: string): boolean {
+    return this.table.namesLimit(this.opts.clock.steadyMs(), serverId);
+  }
+
+  /** Whether a request may be sent to the server now. */
   allows(server: BackendServer): boolean {
     const requestsPerS = this.requestsPerS(server);
     if (requestsPerS === null) return true;
     return this.permits.allows(this.opts.clock.nowMs(), server.id, requestsPerS);
   }
 
+  /** Uses a permit if the server is throttled. */
   take(server: BackendServer): void {
     const requestsPerS = this.requestsPerS(server);
     if (requestsPerS === null) return;
     this.permits.take(this.opts.clock.nowMs(), server.id, requestsPerS);
   }
 
+  /** Asks the steward for permits; `needed` is the number of waiting requests by server. */
   requestPermits(needed: ReadonlyMap<string, number>): void {
     const nowMs = this.opts.clock.nowMs();
     const repeatMs = permitRepeatMs(this.opts.members(), needed.size);
@@ -99,11 +91,13 @@
     });
   }
 
+  /** Asks the steward for a permit for a later request, to see whether the limit still holds. */
   requestProbe(serverId: string): void {
     if (!this.permits.shouldProbe(this.opts.clock.nowMs(), serverId)) return;
     this.sendRequest(serverId, 1, true);
   }
 
+  /** Expected time until `needed` permits of any of the servers, ms; null if unknown. */
   expectedWaitMs(serverIds: readonly string[], needed: number): number | null {
     return this.permits.expectedWaitMs(this.opts.clock.nowMs(), serverIds, needed);
   }
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -57,6 +57,11 @@
    * names no limit.
    */
   readonly requestsPerS: number | null;
+  /**
+   * Requests that the server may turn away in a second without a crash; null if it does not state
+   * that it is brittle.
+   */
+  readonly rejectionsPerS: number | null;
   /** Time for which the server wants no further request from this entry VM, ms; null for none. */
   readonly retryAfterMs: number | null;
 }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -24,11 +24,13 @@
 import { type RelayMessage, RelayMessageType } from './messages.js';
 import { ReadinessTask } from './readiness.js';
 import { ReporterTask } from './reporter.js';
+import { FleetLimits } from './request-limits.js';
 import { ResponseMemory } from './response-memory.js';
 import { StewardTask } from './steward.js';
 import { StewardLink } from './steward-link.js';
 import { StreamRecordTask } from './stream-record.js';
 import { StreamVersionsTask } from './stream-versions.js';
+import { ServerSlotsTask } from './server-slots.js';
 import { ThrottlingTask } from './throttling.js';
 import type { PlatformWire } from './types.js';
 import { WorkTurns } from './work-turns.js';
@@ -123,6 +125,16 @@
     isStewardConnected,
     send: (message) => lateBound.link?.send(message) === true,
   });
+  const slots = new ServerSlotsTask({
+    clock,
+    logger: logger.child('slots'),
+    metrics,
+    servers: () => storeWatcher.backends,
+    members: () => lateBound.view?.members ?? 1,
+    isStewardConnected,
+    send: (message) => lateBound.link?.send(message) === true,
+  });
+  const limits = new FleetLimits(throttling, slots);
   const streams = new StreamVersionsTask({
     clock,
     logger: logger.child('streams'),
@@ -169,13 +181,13 @@
     sendLateRenewal: (renewal) => lateBound.steward?.sendLateRenewal(renewal),
   });
   lateBound.lease = lease;
-  const view = new FleetView(storeWatcher, clock, isStewardConnected, throttling);
+  const view = new FleetView(storeWatcher, clock, isStewardConnected, limits);
   lateBound.view = view;
   const dispatcher = new Dispatcher({
     dataCentre: vm.dataCentre,
     storeWatcher,
     view,
-    limits: throttling,
+    limits,
     clock,
     random,
     onEnqueue: () => lateBound.reporter?.reportNow(),
@@ -190,6 +202,7 @@
     switch (message.type) {
       case RelayMessageType.welcome:
         lease.noteFence(message.fence);
+        slots.handleWelcome(message);
         break;
       case RelayMessageType.lease:
         lease.handleLeaseMessage(message, message.heirTerm);
@@ -229,6 +242,10 @@
       case RelayMessageType.streams:
         streams.addReceived(message);
         break;
+      case RelayMessageType.slots:
+        slots.handleSlots(message);
+        dispatcher.schedulePlacement();
+        break;
       case RelayMessageType.permits:
         throttling.handlePermits(message);
         dispatcher.schedulePlacement();
@@ -244,6 +261,7 @@
       lateBound.reporter?.sendFullReport();
       incidents.sendAll();
       throttling.sendAll();
+      slots.handleConnected();
       streams.sendAll();
       lateBound.steward?.sendPendingRenewal();
     },
@@ -272,6 +290,7 @@
     storeWatcher,
     incidents,
     throttling,
+    slots,
     streams,
     lease,
     leaseMs: settings.lease.durationMs,
@@ -290,7 +309,7 @@
     retries,
     incidents,
     streams,
-    throttling,
+    throttling: limits,
     memory,
     turns: new WorkTurns(),
     clock,
@@ -335,6 +354,7 @@
     if (backends) {
       connections.retain(storeWatcher.backends);
       throttling.retain(storeWatcher.backends);
+      slots.retain(storeWatcher.backends);
       streams.noteServers(storeWatcher.backends);
       incidents.resolveIncidents();
     }
@@ -357,6 +377,7 @@
     reporter,
     incidents,
     throttling,
+    slots,
     streams,
     streamRecord,
     record,
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -51,6 +51,7 @@
     usage: [],
     unreachable,
     leaving: false,
+    usesSlots: true,
   };
 }
 
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -40,7 +40,12 @@
     storeWatcher as unknown as StoreWatcherTask,
     clock,
     () => steward.connected,
-    { allows: () => true, isAnyKnown: false, isThrottled: () => false },
+    {
+      allows: () => true,
+      isAnyKnown: false,
+      isThrottled: () => false,
+      noteEnded: () => undefined,
+    },
   );
   return { view, steward, times };
 }
