Brittle servers: few requests without a slot, not all VMs at once

Two causes: a request that was sent without a slot left one behind, so that each VM's part grew; and all VMs sent their first one at the same moment. Such requests leave no slot now, are half as many (N / 4 a second over all VMs), and each VM has a phase of its own. A VM that no steward has told the number of VMs sends none.

--- a/src/decisions/brittle-servers/slot-holder.ts
+++ b/src/decisions/brittle-servers/slot-holder.ts
@@ -4,7 +4,6 @@
  *
  * Without a steward, the VM uses the slots that it has, and few requests beside them.
  */
-import { ShareBucket } from '../rate-shares/index.js';
 import { pauseAfterRejectionMs } from './pause.js';
 
 /** Time for which an unused slot is kept, ms. */
@@ -20,23 +19,31 @@
  * Requests without a slot that all entry VMs together may send a server in a second without a
  * steward, as a fraction of those that it may turn away.
  */
-const ALONE_FRACTION = 0.5;
+const ALONE_FRACTION = 0.25;
+const MS_PER_S = 1000;
 
 interface FreeSlot {
   readonly issuedAtMs: number;
   readonly untilMs: number;
 }
 
+/** The slot of a request in flight. */
+interface UsedSlot {
+  readonly issuedAtMs: number;
+  /** Whether the request was sent without a slot; the steward does not know of it. */
+  readonly isAlone: boolean;
+}
+
 interface ServerSlots {
   rejectionsPerS: number;
-  /** When the slots in use were issued, in the order in which they were taken. */
-  used: readonly number[];
+  /** In the order in which they were taken. */
+  used: readonly UsedSlot[];
   free: readonly FreeSlot[];
   /** Requests in flight that the server has turned away. */
   turnedAway: number;
   pausedUntilMs: number;
-  /** Requests without a slot that may be sent without a steward. */
-  readonly alone: ShareBucket;
+  /** When the next request without a slot may be sent if there is no steward. */
+  aloneAtMs: number;
 }
 
 export class SlotHolder {
@@ -50,16 +57,23 @@
 
   private hasSteward = false;
 
-  private members = 1;
+  /** Number of entry VMs that the last steward named; null before the first. */
+  private members: number | null = null;
+
+  /**
+   * @param phase Differs between entry VMs, 0 to 1: they lose a steward at the same time, and may not
+   * all send their first request without a slot together.
+   */
+  constructor(private readonly phase: number) {}
 
-  /** Sets whether a steward is connected, and the last known number of entry VMs. */
+  /** Sets whether a steward is connected, and the number of entry VMs that it names. */
   setSteward(nowMs: number, isConnected: boolean, members: number): void {
-    this.members = Math.max(1, members);
+    if (isConnected) this.members = Math.max(1, members);
     if (isConnected === this.hasSteward) return;
     this.hasSteward = isConnected;
     if (!isConnected) this.returned.clear();
     this.servers.forEach((record) => {
-      this.configureAlone(nowMs, record);
+      Object.assign(record, { aloneAtMs: nowMs + this.phase * this.aloneIntervalMs(record) });
       if (isConnected) Object.assign(record, { free: SlotHolder.shortened(nowMs, record) });
     });
   }
@@ -81,7 +95,7 @@
       const record = this.servers.get(id) ?? this.createRecord(nowMs, id);
       if (record.rejectionsPerS === rejectionsPerS) return;
       record.rejectionsPerS = rejectionsPerS;
-      this.configureAlone(nowMs, record);
+      record.aloneAtMs = nowMs + this.phase * this.aloneIntervalMs(record);
     });
     return added.length > 0;
   }
@@ -96,7 +110,7 @@
     if (record === undefined) return true;
     if (nowMs < record.pausedUntilMs) return false;
     if (record.free.some(({ untilMs }) => untilMs > nowMs)) return true;
-    return !this.hasSteward && record.alone.available(nowMs) >= 1;
+    return !this.hasSteward && nowMs >= record.aloneAtMs;
   }
 
   /** Counts a request that is sent now, and uses a slot for it. */
@@ -105,10 +119,11 @@
     const record = this.servers.get(serverId);
     if (record === undefined) return;
     const at = record.free.findIndex(({ untilMs }) => untilMs > nowMs);
-    if (at < 0) record.alone.take(nowMs, 1);
+    const isAlone = at < 0;
+    if (isAlone) record.aloneAtMs = nowMs + this.aloneIntervalMs(record);
     const issuedAtMs = record.free[at]?.issuedAtMs ?? nowMs;
     record.free = record.free.filter((_, index) => index !== at);
-    record.used = [...record.used, issuedAtMs];
+    record.used = [...record.used, { issuedAtMs, isAlone }];
   }
 
   /** Records that a server has turned a request away for want of room; its slot is gone. */
@@ -124,7 +139,7 @@
     const record = this.servers.get(serverId);
     if (record === undefined) return;
     record.pausedUntilMs = Math.max(record.pausedUntilMs, nowMs + pauseMs);
-    record.used = record.used.map(() => -Infinity);
+    record.used = record.used.map(({ isAlone }) => ({ issuedAtMs: -Infinity, isAlone }));
     this.addReturned(serverId, record.free.length);
     record.free = [];
   }
@@ -135,14 +150,16 @@
     if (left > 0) this.inFlight.set(serverId, left);
     else this.inFlight.delete(serverId);
     const record = this.servers.get(serverId);
-    const issuedAtMs = record?.used[0];
-    if (record === undefined || issuedAtMs === undefined) return;
+    const ended = record?.used[0];
+    if (record === undefined || ended === undefined) return;
+    const { issuedAtMs } = ended;
     record.used = record.used.slice(1);
     if (record.turnedAway > 0) {
       record.turnedAway -= 1;
       return;
     }
-    const mayReuse = issuedAtMs > -Infinity && nowMs - issuedAtMs < REUSE_MS;
+    if (ended.isAlone) return;
+    const mayReuse = nowMs - issuedAtMs < REUSE_MS;
     if (mayReuse || !this.hasSteward) {
       const untilMs = nowMs + (this.hasSteward ? IDLE_MS : IDLE_ALONE_MS);
       record.free = [...record.free, { issuedAtMs, untilMs }];
@@ -183,6 +200,10 @@
   /** The slots that this entry VM holds, by server, for a steward that does not know them. */
   held(): ReadonlyMap<string, number> {
     this.returned.clear();
+    this.servers.forEach((record) => {
+      const used = record.used.map(({ issuedAtMs }) => ({ issuedAtMs, isAlone: false }));
+      Object.assign(record, { used });
+    });
     return new Map(
       [...this.servers].map(([id, { used, free, turnedAway }]) => [
         id,
@@ -203,21 +224,23 @@
     if (count > 0) this.returned.set(serverId, (this.returned.get(serverId) ?? 0) + count);
   }
 
-  /** Sets the rate without a steward, from an empty bucket. */
-  private configureAlone(nowMs: number, { rejectionsPerS, alone }: ServerSlots): void {
-    const ratePerS = (rejectionsPerS * ALONE_FRACTION) / this.members;
-    alone.configure(nowMs, { ratePerS, burst: 1 }, 0);
-    if (!this.hasSteward) alone.configure(nowMs, { ratePerS, burst: 1 }, 1);
+  /** Interval at which this VM sends a server requests without a slot, ms. */
+  private aloneIntervalMs({ rejectionsPerS }: ServerSlots): number {
+    const perS = (rejectionsPerS * ALONE_FRACTION) / (this.members ?? Infinity);
+    return MS_PER_S / perS;
   }
 
   private createRecord(nowMs: number, serverId: string): ServerSlots {
     const record = {
       rejectionsPerS: NaN,
-      used: Array.from({ length: this.inFlight.get(serverId) ?? 0 }, () => nowMs),
+      used: Array.from({ length: this.inFlight.get(serverId) ?? 0 }, () => ({
+        issuedAtMs: nowMs,
+        isAlone: false,
+      })),
       free: [],
       turnedAway: 0,
       pausedUntilMs: -Infinity,
-      alone: new ShareBucket({ ratePerS: 0, burst: 1 }, nowMs),
+      aloneAtMs: Infinity,
     };
     this.servers.set(serverId, record);
     return record;
--- a/src/entry/relay/server-slots.ts
+++ b/src/entry/relay/server-slots.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../../core/clock/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
+import type { Random } from '../../core/random/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import {
   type BrittleServer,
@@ -31,6 +32,7 @@
 
 export interface ServerSlotsOptions {
   readonly clock: Clock;
+  readonly random: Random;
   readonly logger: Logger;
   readonly metrics: Metrics;
   servers(): ReadonlyMap<string, BackendServer>;
@@ -51,7 +53,7 @@
   /** The requests that servers may turn away, in place of limits. */
   private readonly table = new ThrottleTable();
 
-  private readonly holder = new SlotHolder();
+  private readonly holder: SlotHolder;
 
   /** Waiting requests by the ids of the servers that could run them. */
   private readonly needs = new Map<string, { servers: ServerPenalties; needed: number }>();
@@ -79,7 +81,9 @@
 
   private timer: NodeJS.Timeout | null = null;
 
-  constructor(private readonly opts: ServerSlotsOptions) {}
+  constructor(private readonly opts: ServerSlotsOptions) {
+    this.holder = new SlotHolder(opts.random.real());
+  }
 
   async start(): Promise<void> {
     this.timer = setInterval(() => this.tick(), TICK_MS);
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -127,6 +127,7 @@
   });
   const slots = new ServerSlotsTask({
     clock,
+    random,
     logger: logger.child('slots'),
     metrics,
     servers: () => storeWatcher.backends,
