Relay: few requests to a service until its first answer, for servers that may be brittle

After all VMs were killed, none knew that servers were brittle, and the callers came back together.

The steward passes on which services have answered, so that a VM that restarts alone is not bound.

--- a/src/decisions/brittle-servers/slot-holder.ts
+++ b/src/decisions/brittle-servers/slot-holder.ts
@@ -14,7 +14,7 @@
  * Time for which a slot is used for further requests, ms. It is then returned, so that the entry VMs
  * that wait get slots in turn.
  */
-const REUSE_MS = 500;
+const REUSE_MS = 1_000;
 /**
  * Requests without a slot that all entry VMs together may send a server in a second without a
  * steward, as a fraction of those that it may turn away.
@@ -100,6 +100,11 @@
     return added.length > 0;
   }
 
+  /** Number of this entry VM's requests in flight to a server, brittle or not. */
+  inFlightAt(serverId: string): number {
+    return this.inFlight.get(serverId) ?? 0;
+  }
+
   isBrittle(serverId: string): boolean {
     return this.servers.has(serverId);
   }
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -288,6 +288,8 @@
   /** An entry VM's use of the slots of brittle servers; sent to stewards that issue slots. */
   z.object({
     type: z.literal(RelayMessageType.slotNeeds),
+    /** Services of which the sender has an answer, if it has one of a further service. */
+    answered: z.array(z.string()).default([]),
     /** Changes that the sender observed; as for limits, `requestsPerS` being those turned away. */
     brittle: z.array(throttleSchema).default([]),
     /** Slots that the sender holds of servers for which the steward may not know it. */
@@ -305,6 +307,8 @@
   /** Slots of brittle servers for an entry VM; sent to entry VMs that use slots. */
   z.object({
     type: z.literal(RelayMessageType.slots),
+    /** Services of which any entry VM has an answer, if they have changed. */
+    answered: z.array(z.string()).default([]),
     brittle: z.array(throttleSchema).default([]),
     issued: countsSchema.default({}),
     /** By server, the time for which it gets no request, ms. */
--- a/src/entry/relay/server-slots.ts
+++ b/src/entry/relay/server-slots.ts
@@ -11,6 +11,7 @@
 import {
   type BrittleServer,
   brittleServers,
+  FirstAnswers,
   SlotHolder,
 } from '../../decisions/brittle-servers/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
@@ -55,6 +56,11 @@
 
   private readonly holder: SlotHolder;
 
+  private readonly answers = new FirstAnswers();
+
+  /** Whether the steward is to be told of the answers. */
+  private hasNewAnswer = false;
+
   /** Waiting requests by the ids of the servers that could run them. */
   private readonly needs = new Map<string, { servers: ServerPenalties; needed: number }>();
 
@@ -98,12 +104,15 @@
   }
 
   /** Whether a request may be sent to the server now. */
-  allows({ id }: BackendServer): boolean {
-    return this.holder.allows(this.nowMs, id);
+  allows({ id, service, slots }: BackendServer): boolean {
+    const { nowMs } = this;
+    if (!this.answers.allows(nowMs, service, slots, this.holder.inFlightAt(id))) return false;
+    return this.holder.allows(nowMs, id);
   }
 
   /** Counts a request that is sent now. */
-  noteStarted({ id }: BackendServer): void {
+  noteStarted({ id, service }: BackendServer): void {
+    this.answers.noteSent(this.nowMs, service);
     this.holder.start(this.nowMs, id);
   }
 
@@ -148,7 +157,10 @@
     status: number,
     sentAtMs: number,
   ): void {
-    if (!notRun || rejectionsPerS !== null) this.observe(server, rejectionsPerS, sentAtMs);
+    if (!notRun || rejectionsPerS !== null) {
+      if (this.answers.noteAnswer(server.service)) this.hasNewAnswer = true;
+      this.observe(server, rejectionsPerS, sentAtMs);
+    }
     if (status !== 503 || !notRun || retryAfterMs !== null) return;
     if (!this.holder.isBrittle(server.id)) return;
     this.holder.noteTurnedAway(this.nowMs, server.id);
@@ -169,12 +181,14 @@
     this.hasIssuer = true;
     this.received = 0;
     this.sentNeedsKey = '';
+    this.hasNewAnswer = true;
     this.updateSteward();
     this.flush(this.all(), this.holder.held());
   }
 
   /** Adds what the steward tells of brittle servers, and the slots that it issues. */
-  handleSlots({ brittle, issued, pauses }: RelayMessageOf<'slots'>): void {
+  handleSlots({ answered, brittle, issued, pauses }: RelayMessageOf<'slots'>): void {
+    this.addAnswered(answered);
     const newer = this.addReceived(brittle, 'steward');
     if (newer.length > 0) this.flush(newer);
     Object.entries(pauses).forEach(([id, ms]) => this.holder.pause(this.nowMs, id, ms));
@@ -184,6 +198,16 @@
     });
   }
 
+  /** Adds services of which another entry VM has an answer. */
+  addAnswered(services: readonly string[]): void {
+    services.forEach((service) => this.answers.noteAnswer(service));
+  }
+
+  /** Services of which any entry VM is known to have an answer. */
+  answered(): string[] {
+    return this.answers.services();
+  }
+
   /** All statements of brittle servers, including withdrawn ones. */
   all(): Throttle[] {
     return [...this.table.all(this.opts.clock.steadyMs())];
@@ -253,7 +277,7 @@
 
   private tick(): void {
     this.updateSteward();
-    if (!this.isAnyKnown) return;
+    if (!this.isAnyKnown && !this.hasNewAnswer) return;
     this.updateBrittle();
     if (this.nowMs - this.needsAtMs > NEEDS_TTL_MS) this.needs.clear();
     this.flush([]);
@@ -290,12 +314,19 @@
     const returned = this.holder.takeReturned(this.nowMs);
     const needs = this.dueNeeds();
     const { turnedAway, probes } = this;
-    const isEmpty = [brittle.length, held.size, returned.size, turnedAway.size, probes.size].every(
-      (size) => size === 0,
-    );
+    const answered = this.hasNewAnswer ? this.answered() : [];
+    const isEmpty = [
+      answered.length,
+      brittle.length,
+      held.size,
+      returned.size,
+      turnedAway.size,
+      probes.size,
+    ].every((size) => size === 0);
     if (isEmpty && needs === null) return;
     const isSent = this.opts.send({
       type: RelayMessageType.slotNeeds,
+      answered,
       brittle,
       held: toObject(held),
       returned: toObject(returned),
@@ -308,6 +339,7 @@
       this.holder.restoreReturned(returned);
       return;
     }
+    this.hasNewAnswer = false;
     turnedAway.clear();
     probes.clear();
     if (needs === null) return;
--- a/src/entry/relay/slot-service.ts
+++ b/src/entry/relay/slot-service.ts
@@ -18,18 +18,29 @@
   readonly report: { readonly usesSlots: boolean } | null;
   /** The statements of brittle servers last sent to the member, by server. */
   readonly sentBrittle: Map<string, string>;
+  /** Number of services with a known answer last sent to the member. */
+  sentAnswered: number;
 }
 
 export interface SlotServiceOptions {
-  readonly slots: Pick<ServerSlotsTask, 'isAnyKnown' | 'all' | 'brittle' | 'addReceived'>;
+  readonly slots: Pick<
+    ServerSlotsTask,
+    'isAnyKnown' | 'all' | 'brittle' | 'addReceived' | 'answered' | 'addAnswered'
+  >;
   readonly members: ReadonlySet<SlotMember>;
 }
 
 type SlotsMessage = Partial<Omit<RelayMessageOf<'slots'>, 'type'>>;
 
 function send(member: SlotMember, message: SlotsMessage): boolean {
-  const { brittle = [], issued = {}, pauses = {} } = message;
-  return writeMessage(member.socket, { type: RelayMessageType.slots, brittle, issued, pauses });
+  const { answered = [], brittle = [], issued = {}, pauses = {} } = message;
+  return writeMessage(member.socket, {
+    type: RelayMessageType.slots,
+    answered,
+    brittle,
+    issued,
+    pauses,
+  });
 }
 
 function keyOf({ bornMs, requestsPerS }: Throttle): string {
@@ -60,6 +71,8 @@
         this.issuer.removeVm(nowMs, key);
         this.keys.delete(member);
       });
+    const answered = slots.answered();
+    members.forEach((member) => SlotService.sendAnswered(member, answered));
     if (!slots.isAnyKnown) return;
     this.issuer.setServers(nowMs, slots.brittle());
     const all = slots.all();
@@ -68,7 +81,8 @@
   }
 
   handleNeeds(nowMs: number, member: SlotMember, message: RelayMessageOf<'slot-needs'>): void {
-    const { brittle, held, returned, turnedAway, probes, needs, received } = message;
+    const { answered, brittle, held, returned, turnedAway, probes, needs, received } = message;
+    this.opts.slots.addAnswered(answered);
     const newer = this.opts.slots.addReceived(brittle, member.vm ?? 'member');
     if (newer.length > 0) send(member, { brittle: newer });
     this.issuer.setServers(nowMs, this.opts.slots.brittle());
@@ -131,6 +145,11 @@
     });
   }
 
+  private static sendAnswered(member: SlotMember, answered: string[]): void {
+    if (member.report?.usesSlots !== true || member.sentAnswered === answered.length) return;
+    if (send(member, { answered })) Object.assign(member, { sentAnswered: answered.length });
+  }
+
   private static sendBrittle(member: SlotMember, all: readonly Throttle[]): void {
     if (member.report?.usesSlots !== true) return;
     const brittle = all.filter(
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -84,6 +84,8 @@
   readonly sentThrottles: Map<string, string>;
   /** The statements of brittle servers last sent, by server. */
   readonly sentBrittle: Map<string, string>;
+  /** Number of services with a known answer last sent. */
+  sentAnswered: number;
   /** Whether it may send requests to throttled servers without a steward. */
   mayUseReserve: boolean;
 }
@@ -277,6 +279,7 @@
       incidents: new IncidentPublisher(),
       sentThrottles: new Map(),
       sentBrittle: new Map(),
+      sentAnswered: 0,
       mayUseReserve: false,
     };
     socket.on('error', (err) => {
--- a/test/units/platform/headers.test.ts
+++ b/test/units/platform/headers.test.ts
@@ -106,6 +106,17 @@
     expect(wire.decodeResponse(other)).toMatchObject({ leaving: false, retryAfterMs: null });
   });
 
+  test('tells how many requests a brittle server may turn away in a second', () => {
+    const statedIn = (...raw: readonly string[]) => wire.decodeResponse(raw).rejectionsPerS;
+    expect(statedIn('Server-Brittle', '3')).toBe(3);
+    expect(statedIn('server-brittle', ' 0.5 ')).toBe(0.5);
+    expect(statedIn('Server-Brittle', '999999999')).toBe(999_999_999);
+    expect(statedIn('Attempt-Id', 'r1')).toBeNull();
+    ['', 'yes', '-1', 'NaN', 'Infinity', '1, 2', '9'.repeat(400)].forEach((value) =>
+      expect(statedIn('Server-Brittle', value)).toBeNull(),
+    );
+  });
+
   const limitIn = (...raw: readonly string[]) => wire.decodeResponse(raw).requestsPerS;
 
   test('is a decimal number of requests per second', () => {
