--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -460,7 +460,7 @@
         onException: (err) => this.ctx.reportException(metadata.id, err),
         onHead: (head, status) => {
           attempt.noteHead(this.ctx.clock.steadyMs());
-          this.ctx.throttling.noteResponse(run.server, head, nowMs);
+          this.ctx.throttling.noteResponse(run.server, head, status, nowMs);
           if (head.leaving) this.ctx.noteLeaving(run.server);
           if (status === 503 && head.retryAfterMs !== null) {
             this.ctx.view.notePause(run.server, head.retryAfterMs);
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -6,7 +6,7 @@
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
 import type { PeerConnector } from './peer-connector.js';
-import type { RequestLimits } from './throttling.js';
+import type { RequestLimits } from './request-limits.js';
 
 /**
  * Bounds of a not-loaded pause, ms. The pause starts when a server replies that a model or adapter
@@ -82,7 +82,10 @@
     private readonly storeWatcher: StoreWatcherTask,
     private readonly clock: Clock,
     private readonly isStewardConnected: () => boolean,
-    private readonly limits: Pick<RequestLimits, 'allows' | 'isAnyKnown' | 'isThrottled'>,
+    private readonly limits: Pick<
+      RequestLimits,
+      'allows' | 'isAnyKnown' | 'isThrottled' | 'noteEnded'
+    >,
     private readonly peers: Pick<
       PeerConnector,
       'canReach' | 'isUnreachable' | 'unreachableServers'
@@ -201,6 +204,7 @@
     if (entry === undefined) return;
     entry.count -= 1;
     if (entry.count === 0) this.runs.delete(key);
+    this.limits.noteEnded(run.server);
     const { id } = run.server;
     const running = Math.max(0, (this.runningLocally.get(id) ?? 0) - 1);
     if (running === 0) this.busySinceMs.delete(id);
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -129,6 +129,7 @@
       connected: [...this.opts.reachability.connectedServices(MAX_CONNECTED_AGE_MS)],
       partitioned: [...this.opts.reachability.partitionedServices()],
       leaving: this.opts.isStopping(),
+      usesSlots: true,
     };
     if (!this.opts.link.send(message)) return;
     this.usage.clear();
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -28,11 +28,13 @@
 import { ReachabilityTask } from './reachability.js';
 import { ReadinessTask } from './readiness.js';
 import { ReporterTask } from './reporter.js';
+import { FleetLimits } from './request-limits.js';
 import { ResponseMemory } from './response-memory.js';
 import { StewardTask } from './steward.js';
 import { StewardLink } from './steward-link.js';
 import { StreamRecordTask } from './stream-record.js';
 import { StreamVersionsTask } from './stream-versions.js';
+import { ServerSlotsTask } from './server-slots.js';
 import { ThrottlingTask } from './throttling.js';
 import type { PlatformWire } from './types.js';
 import { WorkTurns } from './work-turns.js';
@@ -129,6 +131,17 @@
     isStewardConnected,
     send: (message) => lateBound.link?.send(message) === true,
   });
+  const slots = new ServerSlotsTask({
+    clock,
+    random,
+    logger: logger.child('slots'),
+    metrics,
+    servers: () => storeWatcher.backends,
+    members: () => lateBound.view?.members ?? 1,
+    isStewardConnected,
+    send: (message) => lateBound.link?.send(message) === true,
+  });
+  const limits = new FleetLimits(throttling, slots);
   const streams = new StreamVersionsTask({
     clock,
     logger: logger.child('streams'),
@@ -190,7 +203,7 @@
     isPartitioned: (service) => lateBound.reachability?.isPartitioned(service) === true,
     noteConnectFailure,
   });
-  const view = new FleetView(storeWatcher, clock, isStewardConnected, throttling, peers);
+  const view = new FleetView(storeWatcher, clock, isStewardConnected, limits, peers);
   lateBound.view = view;
   // Idle connections may have broken in the partition, which would be seen by requests only.
   const noteReachable = (service: string) => {
@@ -232,7 +245,7 @@
     dataCentre: vm.dataCentre,
     storeWatcher,
     view,
-    limits: throttling,
+    limits,
     clock,
     random,
     onEnqueue: () => lateBound.reporter?.reportNow(),
@@ -248,6 +261,7 @@
     switch (message.type) {
       case RelayMessageType.welcome:
         lease.noteFence(message.fence);
+        slots.handleWelcome(message);
         break;
       case RelayMessageType.lease:
         lease.handleLeaseMessage(message, message.heirTerm);
@@ -289,6 +303,10 @@
       case RelayMessageType.streams:
         streams.addReceived(message);
         break;
+      case RelayMessageType.slots:
+        slots.handleSlots(message);
+        dispatcher.schedulePlacement();
+        break;
       case RelayMessageType.permits:
         throttling.handlePermits(message);
         dispatcher.schedulePlacement();
@@ -304,6 +322,7 @@
       lateBound.reporter?.sendFullReport();
       incidents.sendAll();
       throttling.sendAll();
+      slots.handleConnected();
       streams.sendAll();
       lateBound.steward?.sendPendingRenewal();
     },
@@ -334,6 +353,7 @@
     storeWatcher,
     incidents,
     throttling,
+    slots,
     streams,
     lease,
     reachability,
@@ -356,7 +376,7 @@
     retries,
     incidents,
     streams,
-    throttling,
+    throttling: limits,
     memory,
     turns: new WorkTurns(),
     clock,
@@ -403,6 +423,7 @@
       peers.retain(storeWatcher.backends);
       throttling.retain(storeWatcher.backends);
       reachability.noteServers(storeWatcher.backends);
+      slots.retain(storeWatcher.backends);
       streams.noteServers(storeWatcher.backends);
       incidents.resolveIncidents();
     }
@@ -427,6 +448,7 @@
     reporter,
     incidents,
     throttling,
+    slots,
     streams,
     streamRecord,
     record,
--- a/test/replay/model-fleet.ts
+++ b/test/replay/model-fleet.ts
@@ -441,6 +441,8 @@
       unreachable: [],
       reached: [],
       partitioned: [],
+      connected: [],
+      usesSlots: false,
       leaving: false,
     };
   }
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -57,6 +57,7 @@
     partitioned,
     connected: [],
     leaving: false,
+    usesSlots: true,
   };
 }
 
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -42,7 +42,12 @@
     storeWatcher as unknown as StoreWatcherTask,
     clock,
     () => steward.connected,
-    { allows: () => true, isAnyKnown: false, isThrottled: () => false },
+    {
+      allows: () => true,
+      isAnyKnown: false,
+      isThrottled: () => false,
+      noteEnded: () => undefined,
+    },
     { canReach: () => false, isUnreachable: () => false, unreachableServers: () => [] },
   );
   return { view, steward, times };
