--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -54,6 +54,7 @@
     unreachable,
     reached,
     partitioned,
+    connected: [],
     leaving: false,
   };
 }
