Wait half a second for a service's first answer, not three

Cause: until the first answer of a service is known, a VM sends few requests to each of its servers, as they may be brittle, for 3 s at most; servers that need two seconds give no answer before. Class: a bound against a rare trouble is paid by all. Half a second covers first answers at their usual times; later, the first request that is turned away tells as well.

--- a/src/decisions/brittle-servers/first-answers.ts
+++ b/src/decisions/brittle-servers/first-answers.ts
@@ -9,8 +9,8 @@
 const USABLE_FRACTION = 0.9;
 /** Number of entry VMs that is assumed, as it isn't known either. */
 const ASSUMED_VMS = 8;
-/** Time after the first request for which an answer is awaited, ms: some requests take long. */
-const MAX_WAIT_MS = 3_000;
+/** Time after the first request for which an answer is awaited, ms: slow servers answer later. */
+const MAX_WAIT_MS = 500;
 
 export class FirstAnswers {
   /** Services of which an answer is known. */
