A partition that lasts for a moment explains no broken run

Servers that crash one after the other under a crashing prompt segment looked to a VM like a partition until a probe connected (8 ms in a traced run of crashing-segment.test.ts beside other files). Runs that were cut off meanwhile were then judged by whether their server accepts connections, which one that has started again does, so that their incidents were dropped. Class: one observer's lack of contact taken for the state of the other side, here for too short a time.

Such runs count as cut off by their servers if the partition lasted less than 1.5 s.

--- a/src/entry/relay/reachability.ts
+++ b/src/entry/relay/reachability.ts
@@ -12,6 +12,11 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Time for which the servers of a service are silent, while requests run there, until a probe, ms. */
 const SILENCE_MS = 500;
+/**
+ * Duration of a partition below which it explains no broken run, ms: servers that crash one after the
+ * other look like it until a probe connects.
+ */
+const MIN_PARTITION_MS = 1_500;
 /** Maximum time for which `isReached` waits for probes, ms. */
 const MAX_WAIT_MS = 2 * CONNECT_TIMEOUT_MS + 2 * TICK_MS;
 
@@ -30,7 +35,7 @@
   isReached(service: string): Promise<boolean>;
   /**
    * Resolves, once this VM reaches the server's service, with whether the server still accepts
-   * connections.
+   * connections; with false if the partition was too short to explain anything.
    */
   outlives(server: BackendServer): Promise<boolean>;
 }
@@ -199,7 +204,8 @@
       this.opts.logger.info(isPartitioned ? 'partitioned' : 'partition-over', { service, forMs });
       this.opts.metrics.gauge('relay_partitioned', Number(isPartitioned), { service });
       this.opts.onChange(service, isPartitioned);
-      if (!isPartitioned) this.checkDoubtful(service);
+      if (!isPartitioned && forMs >= MIN_PARTITION_MS) this.checkDoubtful(service);
+      else if (!isPartitioned) this.dismissDoubtful(service);
     });
     this.settleWaiters();
   }
@@ -216,6 +222,16 @@
       });
   }
 
+  /** Takes servers of a service for ended at which runs were cut off: there was no partition. */
+  private dismissDoubtful(service: string): void {
+    [...this.doubtful.values()]
+      .filter(({ server }) => server.service === service)
+      .forEach(({ server, settles }) => {
+        this.doubtful.delete(server.id);
+        settles.forEach((settle) => settle(false));
+      });
+  }
+
   private settleWaiters(): void {
     const nowMs = this.opts.clock.steadyMs();
     const { waiters } = this;
