--- a/test/units/relay/reachability.test.ts
+++ b/test/units/relay/reachability.test.ts
@@ -2,12 +2,15 @@
 import * as net from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { afterEach, beforeEach, describe, expect, test } from 'vitest';
+import * as clocks from '../../../src/core/clock/index.js';
 import { createLogger } from '../../../src/core/logger/index.js';
 import type { BackendServer } from '../../../src/decisions/fleet-plan/index.js';
 import { ReachabilityTask } from '../../../src/entry/relay/reachability.js';
 import { createBackendServer } from './backend-server.js';
 
 const SERVERS = 3;
+/** Longer than a partition must last to explain a run that was cut off. */
+const PARTITION_MS = 2_000;
 
 function listen(port = 0): Promise<net.Server> {
   const server = net.createServer((socket) => socket.destroy());
@@ -59,8 +62,19 @@
     listeners.forEach((listener) => listener.close());
     expect(await task.isReached(service)).toBe(false);
     const outlives = [0, 1].map((at) => task.outlives(serverAt(at)));
+    await clocks.sleep(PARTITION_MS);
     listeners = [await listen(portOf(1)), await listen(portOf(2))];
     expect(await Promise.all(outlives)).toEqual([false, true]);
     expect(task.isPartitioned(service)).toBe(false);
   });
+
+  // Servers that crash one after the other look like a partition until a probe connects.
+  test('counts after what looked like a partition for a moment', async () => {
+    const { service } = serverAt(0);
+    listeners.forEach((listener) => listener.close());
+    expect(await task.isReached(service)).toBe(false);
+    const outlives = [0, 1].map((at) => task.outlives(serverAt(at)));
+    listeners = [await listen(portOf(1)), await listen(portOf(2))];
+    expect(await Promise.all(outlives)).toEqual([false, false]);
+  });
 });
