Reachability: take the doubtful servers of a service in one place

The two ways in which runs of a partition are judged at its end each filtered and removed the servers of the service. No behaviour changes; the unit tests of reachability and its task pass.

--- a/src/entry/relay/reachability.ts
+++ b/src/entry/relay/reachability.ts
@@ -212,24 +212,22 @@
 
   /** Connects to the servers of a service at which runs were cut off during a partition. */
   private checkDoubtful(service: string): void {
-    [...this.doubtful.values()]
-      .filter(({ server }) => server.service === service)
-      .forEach(({ server, settles }) => {
-        this.doubtful.delete(server.id);
-        void this.connect(server.address).then((isConnected) =>
-          settles.forEach((settle) => settle(isConnected)),
-        );
-      });
+    this.takeDoubtful(service).forEach(({ server, settles }) => {
+      void this.connect(server.address).then((isConnected) =>
+        settles.forEach((settle) => settle(isConnected)),
+      );
+    });
   }
 
   /** Takes servers of a service for ended at which runs were cut off: there was no partition. */
   private dismissDoubtful(service: string): void {
-    [...this.doubtful.values()]
-      .filter(({ server }) => server.service === service)
-      .forEach(({ server, settles }) => {
-        this.doubtful.delete(server.id);
-        settles.forEach((settle) => settle(false));
-      });
+    this.takeDoubtful(service).forEach(({ settles }) => settles.forEach((settle) => settle(false)));
+  }
+
+  private takeDoubtful(service: string): readonly DoubtfulServer[] {
+    const taken = [...this.doubtful.values()].filter(({ server }) => server.service === service);
+    taken.forEach(({ server }) => this.doubtful.delete(server.id));
+    return taken;
   }
 
   private settleWaiters(): void {
