Swap planner: find the distinct needs and the engines of a need in one place

The loads that wait for an engine and the log of models that are not loaded wrote again what the loads queued for the weight store already had: each needed model once, and the healthy engines of its service and version.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -16,7 +16,9 @@
 import type { EngineState, Replica, SwapAction, SwapView, PendingDemand } from './types.js';
 import { findPlaceNeeds, type PlaceNeed } from './version-places.js';
 import {
+  distinctNeeds,
   hasCopy,
+  healthyEnginesFor,
   holdsOrLoads,
   type IndexedView,
   indexView,
@@ -31,7 +33,7 @@
 export { type ForecastLoad, forecastLoads, type QueuedLoad } from './load-forecast.js';
 export { StoreConcurrencyLimiter } from './store-concurrency.js';
 export * from './types.js';
-export { hasCopy, holdsOrLoads, modelKey } from './view-index.js';
+export { hasCopy, healthyEnginesFor, holdsOrLoads, modelKey } from './view-index.js';
 
 /** Minimum residency of a model replica, ms, so that a loaded model is also used. */
 const MIN_RESIDENCY_MS = 1_500;
@@ -263,19 +265,9 @@
     const byUrgency = [...input.pendingDemand].sort(
       (a, b) => urgencyOf(input.nowMs, b) - urgencyOf(input.nowMs, a),
     );
-    const needs = new Map(
-      byUrgency.map(({ service, model, version }) => {
-        const need = { service, model, version };
-        return [modelKey(need), need];
-      }),
-    );
-    return [...needs.values()].flatMap(({ service, model, version }) => {
-      const engines = input.engines.filter(
-        (engine) =>
-          engine.healthy &&
-          engine.service === service &&
-          (version === null || engine.version === version),
-      );
+    return distinctNeeds(byUrgency).flatMap((need) => {
+      const { service, model, version } = need;
+      const engines = healthyEnginesFor(input.engines, need);
       const isAvailable = (engine: EngineState) =>
         holdsOrLoads(engine, model) || hasUsableCopy(input.nowMs, engine, model);
       const spec = engines[0]?.spec.models.get(model);
@@ -289,20 +281,9 @@
    * worth waiting for are on engines that take no order for longer.
    */
   blockedLoads({ nowMs, engines, pendingDemand }: SwapView): readonly ForecastLoad[] {
-    const needs = new Map(
-      pendingDemand.map(({ service, model, version }) => {
-        const need = { service, model, version };
-        return [modelKey(need), need];
-      }),
-    );
-    return [...needs.values()].flatMap((need) => {
-      const { service, model, version } = need;
-      const own = engines.filter(
-        (engine) =>
-          engine.healthy &&
-          engine.service === service &&
-          (version === null || engine.version === version),
-      );
+    return distinctNeeds(pendingDemand).flatMap((need) => {
+      const { model } = need;
+      const own = healthyEnginesFor(engines, need);
       if (own.some((engine) => holdsOrLoads(engine, model))) return [];
       const waitsMs = own
         .filter((engine) => hasUsableCopy(nowMs, engine, model))
--- a/src/decisions/swaps/view-index.ts
+++ b/src/decisions/swaps/view-index.ts
@@ -44,6 +44,30 @@
   return `${targetKey(need)} ${need.model}`;
 }
 
+/** The healthy engines that can serve a need. */
+export function healthyEnginesFor(
+  engines: readonly EngineState[],
+  { service, version }: Pick<ModelNeed, 'service' | 'version'>,
+): readonly EngineState[] {
+  return engines.filter(
+    (engine) =>
+      engine.healthy &&
+      engine.service === service &&
+      (version === null || engine.version === version),
+  );
+}
+
+/** The models in demand, each once for all of its adapters, in the order of the demand. */
+export function distinctNeeds(demand: readonly PendingDemand[]): readonly ModelNeed[] {
+  const needs = new Map(
+    demand.map(({ service, model, version }) => {
+      const need = { service, model, version };
+      return [modelKey(need), need];
+    }),
+  );
+  return [...needs.values()];
+}
+
 export function replicaOf(engine: EngineState, model: string): Replica | undefined {
   return engine.replicas.find((replica) => replica.model === model);
 }
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -19,6 +19,7 @@
   type ForecastLoad,
   forecastLoads,
   hasCopy,
+  healthyEnginesFor,
   holdsOrLoads,
   modelKey,
   type ModelRates,
@@ -487,13 +488,8 @@
         const key = modelKey(demand);
         const loggedAtMs = this.notLoadedLoggedAtMs.get(key) ?? -Infinity;
         if (view.nowMs - loggedAtMs < NOT_LOADED_LOG_PAUSE_MS) return;
-        const { service, model, version, waiting, dueAtMs } = demand;
-        const engines = view.engines.filter(
-          (engine) =>
-            engine.healthy &&
-            engine.service === service &&
-            (version === null || engine.version === version),
-        );
+        const { model, version, waiting, dueAtMs } = demand;
+        const engines = healthyEnginesFor(view.engines, demand);
         if (engines.some((engine) => holdsOrLoads(engine, model))) return;
         this.notLoadedLoggedAtMs.set(key, view.nowMs);
         this.opts.logger.info('model-not-loaded', {
