--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -33,7 +33,7 @@
 export { type ForecastLoad, forecastLoads, type QueuedLoad } from './load-forecast.js';
 export { StoreConcurrencyLimiter } from './store-concurrency.js';
 export * from './types.js';
-export { hasCopy, healthyEnginesFor, holdsOrLoads, modelKey } from './view-index.js';
+export { hasCopy, hasLoaded, healthyEnginesFor, modelKey } from './view-index.js';
 
 /** Minimum residency of a model replica, ms, so that a loaded model is also used. */
 const MIN_RESIDENCY_MS = 1_500;
--- a/src/decisions/swaps/view-index.ts
+++ b/src/decisions/swaps/view-index.ts
@@ -72,9 +72,13 @@
   return engine.replicas.find((replica) => replica.model === model);
 }
 
+export function hasLoaded(engine: EngineState, model: string): boolean {
+  return replicaOf(engine, model) !== undefined;
+}
+
 /** Whether an engine has a model loaded, or loads it. */
 export function holdsOrLoads(engine: EngineState, model: string): boolean {
-  return engine.loading.includes(model) || replicaOf(engine, model) !== undefined;
+  return engine.loading.includes(model) || hasLoaded(engine, model);
 }
 
 export function runningRequests(engines: readonly EngineState[], model: string): number {
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -19,8 +19,8 @@
   type ForecastLoad,
   forecastLoads,
   hasCopy,
+  hasLoaded,
   healthyEnginesFor,
-  holdsOrLoads,
   modelKey,
   type ModelRates,
   servedBy,
@@ -479,7 +479,10 @@
     });
   }
 
-  /** Logs the models in demand that no engine has or loads, with the state of the engines with copies. */
+  /**
+   * Logs the models in demand that no engine has loaded or loads from a copy, with what keeps the
+   * engines with copies from it.
+   */
   private logNotLoaded(view: SwapView, actions: readonly SwapAction[]): void {
     const served = new Set(actions.flatMap((action) => servedBy(view, action)).map(modelKey));
     view.pendingDemand
@@ -490,7 +493,9 @@
         if (view.nowMs - loggedAtMs < NOT_LOADED_LOG_PAUSE_MS) return;
         const { model, version, waiting, dueAtMs } = demand;
         const engines = healthyEnginesFor(view.engines, demand);
-        if (engines.some((engine) => holdsOrLoads(engine, model))) return;
+        const loading = engines.filter((engine) => engine.loading.includes(model));
+        if (engines.some((engine) => hasLoaded(engine, model))) return;
+        if (loading.some((engine) => hasCopy(engine, model))) return;
         this.notLoadedLoggedAtMs.set(key, view.nowMs);
         this.opts.logger.info('model-not-loaded', {
           model,
@@ -500,13 +505,24 @@
           ratePerS: view.rates.get(model) ?? 0,
           storeLoadsLeft: view.storeLoadsLeft,
           open: engines.filter(({ open }) => open).length,
+          loadingFromStore: loading.map(({ id }) => id),
           copies: engines
             .filter((engine) => hasCopy(engine, model))
-            .map(({ id, open, loading }) => ({ id, open, loading })),
+            .map((engine) => EngineController.describeCopy(view.nowMs, engine)),
         });
       });
   }
 
+  /** What an engine with a copy does instead of loading it. */
+  private static describeCopy(nowMs: number, { id, open, loading, replicas }: EngineState) {
+    const loaded = replicas.map(({ model, running, loadedAtMs }) => ({
+      model,
+      running,
+      loadedForMs: Math.round(nowMs - loadedAtMs),
+    }));
+    return { id, open, loading, loaded };
+  }
+
   private forecastQueue(view: SwapView, actions: readonly SwapAction[]): void {
     const started = new Set(actions.flatMap((action) => servedBy(view, action)).map(modelKey));
     const queue = this.planner.queuedLoads(view).filter((load) => !started.has(modelKey(load)));
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -695,6 +695,7 @@
       retryAfterMs,
       customer: this.request.customer?.name,
       isTakeUp: this.isTakeUp,
+      begunBy: this.request.metadata.begunBy ?? undefined,
       version: this.queuedRequest.version,
       ...fields,
       model: this.request.metadata.model,
