A further failed call does not make the steward doubt its links once it has connected

Cause: an engine without answers counts as up while the steward may be partitioned. Each call without an answer raises that suspicion anew, but probes wait for a second after the last connection: meanwhile 'undecided' was true with nothing under way that could decide it, and crashed engines held their models.

Change: undecided means that probes are on their way or due now.

Tests failed before: reachability (undecided 60 ms after a connection), and engine-controller, whose stub always said 'decided' and now is the real decision (an engine that has ended was in use 300 ms later; two more of that file).

--- a/src/decisions/reachability/index.ts
+++ b/src/decisions/reachability/index.ts
@@ -157,7 +157,8 @@
   isUndecided(nowMs: number, service: string): boolean {
     const record = this.services.get(service);
     if (record === undefined || record.sinceMs !== null) return false;
-    const isDue = record.isSuspected && Reachability.unproved(nowMs, record).length > 0;
+    const isDue =
+      Reachability.isRoundDue(nowMs, record) && Reachability.unproved(nowMs, record).length > 0;
     return isDue || record.probing.size > 0;
   }
 
@@ -199,11 +200,16 @@
     this.changes.push({ service, isPartitioned: false, sinceMs });
   }
 
+  /** Whether to probe: a mere suspicion counts for nothing soon after a connection was made. */
+  private static isRoundDue(nowMs: number, record: ServiceRecord): boolean {
+    const { isSuspected, isUrgent, connectedAtMs } = record;
+    return isSuspected && (isUrgent || nowMs - connectedAtMs >= MIN_ROUND_MS);
+  }
+
   /** Servers that, if their connections fail as well, show that this VM is partitioned. */
   private static round(nowMs: number, record: ServiceRecord): readonly string[] {
     const { failed, isUrgent } = record;
-    const isDue = isUrgent || nowMs - record.connectedAtMs >= MIN_ROUND_MS;
-    if (!record.isSuspected || !isDue) return [];
+    if (!Reachability.isRoundDue(nowMs, record)) return [];
     Object.assign(record, { isSuspected: false });
     const unproved = Reachability.unproved(nowMs, record);
     // Servers whose last connection failed may have ended, and so tell less than the others.
--- a/test/units/reachability/reachability.test.ts
+++ b/test/units/reachability/reachability.test.ts
@@ -86,6 +86,16 @@
     });
   });
 
+  // A crashed engine counted as up for as long as the steward was undecided.
+  test('is not undecided again by further failures of a server that has crashed', () => {
+    const { reachability, probe } = setUp(8);
+    reachability.noteSuspicion('desk', true);
+    expect(reachability.isUndecided(1_000, 'desk')).toBe(true);
+    probe(1_000, (id) => id !== 'desk-7');
+    reachability.noteSuspicion('desk');
+    expect(reachability.isUndecided(1_060, 'desk')).toBe(false);
+  });
+
   test('is not taken for partitioned if servers leave or the only server is down', () => {
     const { reachability, probe } = setUp(1);
     reachability.noteConnectFailure(0, 'desk-0', 0);
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, test } from 'vitest';
 import { createLogger } from '../../../src/core/logger/index.js';
 import type { FleetPlan } from '../../../src/decisions/fleet-plan/index.js';
+import { Reachability } from '../../../src/decisions/reachability/index.js';
 import { PermitIssuer } from '../../../src/decisions/throttling/index.js';
 import {
   EngineController,
@@ -65,10 +66,23 @@
   const engine = { isUp: true, calls: 0, delay: () => undefined as void };
   const times = { nowMs: 1_000 };
   const partition = { isCut: false };
+  const links = new Reachability();
+  links.setServers([SERVER, createBackendServer('e2', {})]);
   const reachability = {
     isPartitioned: () => partition.isCut,
-    isUndecided: () => false,
-    noteSuspicion: () => undefined,
+    isUndecided: (service: string) => links.isUndecided(times.nowMs, service),
+    noteSuspicion: (service: string, isUrgent?: boolean) => {
+      links.noteSuspicion(service, isUrgent);
+      // The other engine accepts connections at once.
+      let probed = links.nextProbes(times.nowMs);
+      while (probed.length > 0) {
+        probed.forEach((id) => {
+          if (id !== SERVER.id || engine.isUp) links.noteConnected(times.nowMs, id);
+          else links.noteConnectFailure(times.nowMs, id, times.nowMs);
+        });
+        probed = links.nextProbes(times.nowMs);
+      }
+    },
   };
   const cold = { name: 'm2', sizeMb: 10, adapterMb: 1, remoteLoadMs: 6_000, localLoadMs: 600 };
   const models = new Map([[cold.name, cold]]);
