Foretell the end of a load from when its engine accepts it, and from the loads beside it

Cause: the end of a load was counted from its plan. An engine first ends the runs of the model that it unloads, seconds later at times.

Change: LoadProgress counts from the acceptance of the order, at the speed that the loads beside it leave; engines that carry out another steward's order count.

The test of overdue loads now has an engine that accepts the order: only such a load can be overdue; its bound is the same.

--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -83,6 +83,8 @@
   /** Number of rejections because another order was in progress or the order count differed. */
   conflicts: number;
   readonly startedAtMs: number;
+  /** When the engine accepted the order of a model load; null before. */
+  acceptedAtMs: number | null;
   /** Earliest time to send the order; for an accepted model load, its expected end. */
   nextAtMs: number;
 }
@@ -120,6 +122,9 @@
 
   private pendingUnload: PendingUnload | null = null;
 
+  /** Whether the engine carries out a model order of another steward, such as the last one. */
+  hasForeignOrder = false;
+
   /** Expected end of each accepted adapter load, by MODEL/ADAPTER. */
   private readonly adapterReadyAtMs = new Map<string, number>();
 
@@ -163,6 +168,14 @@
       .map(({ model }) => model);
   }
 
+  /**
+   * When the engine accepted the model load in progress, ms; null if it has accepted none: a load waits
+   * for the runs of the model that is unloaded for it.
+   */
+  get loadAcceptedAtMs(): number | null {
+    return this.current?.acceptedAtMs ?? null;
+  }
+
   /** Adapters that are being loaded or queued to be loaded, as MODEL/ADAPTER. */
   get loadingAdapters(): readonly string[] {
     return this.pendingSteps()
@@ -235,6 +248,7 @@
       this.handleUnexpectedCount(report);
     if (this.current !== null && this.isLoadingModel(this.current)) this.handleLoadReport(report);
     // While the engine executes another steward's order, its resulting state is unknown.
+    this.hasForeignOrder = report.busy && !this.busy;
     if (!this.busy) {
       // No order is sent until its end, but requests may go to what it has loaded meanwhile.
       if (!report.busy || !this.isStateKnown) this.replaceLoaded(report.models);
@@ -345,6 +359,7 @@
       accepted: true,
       phase: Phase.underWay,
       unresolved: false,
+      acceptedAtMs: nowMs,
       nextAtMs: nowMs + this.profile.expectedMs(current.step),
     });
   }
@@ -367,6 +382,8 @@
       return;
     }
     current.accepted = report.busy;
+    // It was accepted at some time since it was first sent.
+    if (report.busy) current.acceptedAtMs = current.startedAtMs;
     current.phase = report.busy ? Phase.underWay : Phase.due;
   }
 
@@ -422,6 +439,7 @@
       accepted: false,
       conflicts: 0,
       startedAtMs: nowMs,
+      acceptedAtMs: null,
       nextAtMs: nowMs,
     };
   }
@@ -453,6 +471,7 @@
     this.bornMs = bornMs;
     this.acceptedOrders = null;
     this.pendingUnload = null;
+    this.hasForeignOrder = false;
     this.models = new Map();
     this.isStateKnown = false;
     this.dropSteps();
--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -31,6 +31,7 @@
 } from './view-index.js';
 
 export { type ForecastLoad, forecastLoads, type QueuedLoad } from './load-forecast.js';
+export { LoadProgress } from './load-progress.js';
 export { StoreConcurrencyLimiter } from './store-concurrency.js';
 export * from './types.js';
 export { hasCopy, hasLoaded, healthyEnginesFor, modelKey } from './view-index.js';
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -21,6 +21,7 @@
   hasCopy,
   hasLoaded,
   healthyEnginesFor,
+  LoadProgress,
   modelKey,
   type ModelRates,
   servedBy,
@@ -99,18 +100,8 @@
   readonly connectFailures: Map<string, number>;
   /** When an entry VM last received data from the engine. */
   reachedAtMs: number;
-  /** Expected end of the last planned action, ms. */
-  loadEndsAtMs: number;
-  /** Load of the last planned action; null if that action loads nothing from the weight store. */
-  storeLoad: StoreLoad | null;
-}
-
-interface StoreLoad {
-  readonly startedAtMs: number;
-  /** Expected duration, ms. */
-  readonly usualMs: number;
-  /** Maximum number of concurrent loads from the weight store during this one, itself included. */
-  maxConcurrent: number;
+  /** The model load that was planned last; null before the first. */
+  load: LoadProgress | null;
 }
 
 export interface EngineControllerOptions {
@@ -158,9 +149,9 @@
   return isResponsive(engine) && (consecutiveFailures > 0 || isUnreachable);
 }
 
-/** Expected end of the last planned action, ms: one that is overdue is expected to last as long again. */
-function expectedEndMs(nowMs: number, { loadEndsAtMs }: EngineRecord): number {
-  return Math.max(loadEndsAtMs, nowMs + (nowMs - loadEndsAtMs));
+/** Expected end of the model loads in progress or queued, ms. */
+function expectedEndMs(nowMs: number, { load }: EngineRecord): number {
+  return load?.endsAtMs(nowMs) ?? nowMs;
 }
 
 export class EngineController {
@@ -320,8 +311,7 @@
       failingSinceMs: Infinity,
       connectFailures: new Map(),
       reachedAtMs: -Infinity,
-      loadEndsAtMs: 0,
-      storeLoad: null,
+      load: null,
     };
   }
 
@@ -394,13 +384,7 @@
       busy: report.busy,
       models: withPendingAdapters(report),
     });
-    if (loading && engine.orders.loading.length === 0) {
-      this.noteStoreLoad(nowMs, engine);
-      this.opts.logger.debug('load-ended', {
-        engine: engine.server.id,
-        overMs: nowMs - engine.loadEndsAtMs,
-      });
-    }
+    if (loading && engine.orders.loading.length === 0) this.noteLoadEnd(nowMs, engine);
   }
 
   /** Counts a call without an answer. */
@@ -417,11 +401,15 @@
     this.opts.logger.info('engine-unresponsive', { engine: id, loading, isPartitioned, isUp });
   }
 
-  private noteStoreLoad(nowMs: number, { storeLoad }: EngineRecord): void {
-    if (storeLoad === null) return;
-    const { startedAtMs, usualMs, maxConcurrent } = storeLoad;
+  private noteLoadEnd(nowMs: number, { load, server }: EngineRecord): void {
+    if (load === null) return;
+    const tookMs = Math.round(load.durationMs(nowMs));
+    const { usualMs, fromStore, maxConcurrent } = load;
+    const fields = { engine: server.id, tookMs, usualMs, fromStore, maxConcurrent };
+    this.opts.logger.debug('load-ended', fields);
+    if (!fromStore) return;
     const before = this.storeConcurrency.atOnce;
-    this.storeConcurrency.recordLoad(nowMs - startedAtMs, usualMs, maxConcurrent);
+    this.storeConcurrency.recordLoad(tookMs, usualMs, maxConcurrent);
     const { atOnce } = this.storeConcurrency;
     if (atOnce !== before) this.opts.logger.info('store-loads-limited', { atOnce, usualMs });
   }
@@ -439,6 +427,7 @@
     }
     this.plannedAtMs = nowMs;
     this.plannedDemand = key;
+    this.advanceLoads(nowMs);
     const rates = this.usageTracker.rates(nowMs);
     const engines = this.engineStates(nowMs, rates);
     const loadsLeft = this.loadsLeft(nowMs);
@@ -451,14 +440,13 @@
       const engine = this.engines.get(action.engineId);
       if (engine === undefined) return;
       if (action.fromStore) this.storeTokens -= 1;
-      const durationMs = action.steps.reduce(
-        (sum, step) => sum + this.expectedMs(engine.server.id, step),
-        0,
+      const modelLoad = action.steps.find(
+        ({ type, adapter }) => type === OrderStepType.load && adapter === null,
       );
-      const storeLoad = action.fromStore
-        ? { startedAtMs: nowMs, usualMs: durationMs, maxConcurrent: 1 }
-        : null;
-      Object.assign(engine, { loadEndsAtMs: nowMs + durationMs, storeLoad });
+      if (modelLoad !== undefined) {
+        const usualMs = this.expectedMs(engine.server.id, modelLoad);
+        Object.assign(engine, { load: new LoadProgress(usualMs, action.fromStore) });
+      }
       const hasUnload = action.steps.some(
         ({ type, adapter }) => type === OrderStepType.unload && adapter === null,
       );
@@ -527,19 +515,38 @@
     const started = new Set(actions.flatMap((action) => servedBy(view, action)).map(modelKey));
     const queue = this.planner.queuedLoads(view).filter((load) => !started.has(modelKey(load)));
     const startedFromStore = actions.filter(({ fromStore }) => fromStore).length;
-    const ends = this.runningStoreLoads().map(({ loadEndsAtMs }) => loadEndsAtMs);
+    const ends = this.runningStoreLoads().map((engine) => expectedEndMs(view.nowMs, engine));
     const maxLoads = this.storeConcurrency.atOnce - startedFromStore;
     const blocked = this.planner.blockedLoads(view).filter((load) => !started.has(modelKey(load)));
     this.forecast = [...forecastLoads(view.nowMs, ends, maxLoads, queue), ...blocked];
   }
 
+  /** Counts the work that the loads in progress have done. */
+  private advanceLoads(nowMs: number): void {
+    const { atOnce } = this.storeConcurrency;
+    const running = this.runningStoreLoads();
+    const begun = running.filter(({ orders }) => orders.loadAcceptedAtMs !== null);
+    const concurrent = begun.length + this.foreignLoads();
+    this.engines.forEach(({ load, orders }) =>
+      load?.advance(nowMs, orders.loadAcceptedAtMs, concurrent, atOnce),
+    );
+  }
+
+  /** Engines with a load from the weight store, planned or in progress. */
   private runningStoreLoads(): readonly EngineRecord[] {
     return [...this.engines.values()].filter(
       (engine) =>
-        isResponsive(engine) && engine.storeLoad !== null && engine.orders.loading.length > 0,
+        isResponsive(engine) && engine.load?.fromStore === true && engine.orders.loading.length > 0,
     );
   }
 
+  /** Number of engines that carry out orders of the last steward, which may be loads from the store. */
+  private foreignLoads(): number {
+    return [...this.engines.values()].filter(
+      (engine) => isResponsive(engine) && engine.orders.hasForeignOrder,
+    ).length;
+  }
+
   /** Sums the queued requests of all entry VMs by what they need. */
   private pendingDemand(
     nowMs: number,
@@ -630,11 +637,8 @@
     const gained = ((nowMs - this.storeTokensAtMs) / MS_PER_S) * perS;
     this.storeTokens = Math.min(STORE_BURST, this.storeTokens + gained);
     this.storeTokensAtMs = nowMs;
-    const running = this.runningStoreLoads().flatMap(({ storeLoad }) => storeLoad ?? []);
-    running.forEach((load) =>
-      Object.assign(load, { maxConcurrent: Math.max(load.maxConcurrent, running.length) }),
-    );
-    const freeLoads = this.storeConcurrency.atOnce - running.length;
+    const running = this.runningStoreLoads().length + this.foreignLoads();
+    const freeLoads = this.storeConcurrency.atOnce - running;
     const bounded = (loads: number) => Math.max(0, Math.min(Math.floor(this.storeTokens), loads));
     return {
       storeLoadsLeft: bounded(freeLoads),
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -1,6 +1,7 @@
 /** How soon the steward knows that an engine has ended. */
 import { describe, expect, test } from 'vitest';
 import { createLogger } from '../../../src/core/logger/index.js';
+import { OrderOutcome } from '../../../src/decisions/engine-orders/index.js';
 import type { FleetPlan } from '../../../src/decisions/fleet-plan/index.js';
 import { Reachability } from '../../../src/decisions/reachability/index.js';
 import { PermitIssuer } from '../../../src/decisions/throttling/index.js';
@@ -62,8 +63,28 @@
   };
 }
 
-function setUp() {
-  const engine = { isUp: true, calls: 0, delay: () => undefined as void };
+/** Requests for a model that only the weight store has. */
+const COLD_DEMAND = memberReport(
+  [],
+  [
+    {
+      service: SERVER.service,
+      model: 'm2',
+      adapter: null,
+      version: null,
+      waiting: 3,
+      dueInMs: 500,
+    },
+  ],
+);
+
+function setUp({ fence = 0 } = {}) {
+  const engine = {
+    isUp: true,
+    calls: 0,
+    delay: () => undefined as void,
+    report: {} as Partial<EngineReport>,
+  };
   const times = { nowMs: 1_000 };
   const partition = { isCut: false };
   const links = new Reachability();
@@ -95,11 +116,15 @@
       report: async () => {
         engine.calls += 1;
         engine.delay();
-        return engine.isUp ? REPORT : null;
+        return engine.isUp ? { ...REPORT, ...engine.report } : null;
+      },
+      order: async () => {
+        engine.report = { busy: true, orderCount: 1 };
+        return OrderOutcome.accepted;
       },
     },
     storeWatcher: { plan, backends },
-    lease: { fence: () => 0 },
+    lease: { fence: () => fence },
     reachability,
     clock: { nowMs: () => times.nowMs, steadyMs: () => times.nowMs, onJump: () => undefined },
     logger: createLogger('test', 'silent'),
@@ -226,13 +251,21 @@
   });
 });
 
+describe('a load that its engine has not accepted yet', () => {
+  // Callers were told a time that had passed before the load began: it waited for the runs of the
+  // model that was unloaded for it.
+  test('is announced to take its whole time from now on', async () => {
+    const { controller, times, runFor } = setUp();
+    await runFor(3_000, [COLD_DEMAND]);
+    expect(controller.loads(times.nowMs)[0]?.readyInMs).toBe(6_000);
+  });
+});
+
 describe('a load that lasts longer than expected', () => {
   // Callers were told again and again that it was about to end.
   test('is announced to last as long again as it is overdue', async () => {
-    const { controller, times, runFor } = setUp();
-    const need = { service: SERVER.service, model: 'm2', adapter: null, version: null };
-    const report = memberReport([], [{ ...need, waiting: 3, dueInMs: 500 }]);
-    await runFor(2_000, [report]);
+    const { controller, times, runFor } = setUp({ fence: 1 });
+    await runFor(2_000, [COLD_DEMAND]);
     const expectedMs = controller.loads(times.nowMs)[0]?.readyInMs ?? 0;
     const overdueMs = 3_000;
     times.nowMs += expectedMs + overdueMs;
