--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -6,7 +6,8 @@
  * load that ends in time. If no load is in progress or queued, the request is rejected after a
  * fraction of its time budget. If the load will end too late, the request is rejected at once,
  * unless a server already has the model or adapter loaded. The rejection gives the end of the load
- * as the time to retry. The same holds for a request whose permit for a throttled server comes after
+ * as the time to retry. A stream that broke off waits as long as for a load that ends in time: a cut
+ * tells its caller no time to retry. The same as for a late load holds for a request whose permit for a throttled server comes after
  * its latency objective: permits that go to late requests make later ones late as well.
  */
 
@@ -18,6 +19,8 @@
   readonly adapter: string | null;
   /** Software version of the servers that may run it; null for any. Set when a stream begins. */
   version: string | null;
+  /** Whether it is a stream that broke off: its caller has a part of it, and can't be told when to retry. */
+  isInterrupted: boolean;
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly arrivedAtMs: number;
@@ -60,9 +63,10 @@
 ): number {
   const budgetMs = req.deadlineAtMs - req.arrivedAtMs;
   const waitUntilMs = req.arrivedAtMs + budgetMs * MAX_WAIT_FRACTION;
+  const waitForLoadUntilMs = req.arrivedAtMs + budgetMs * MAX_LOAD_FRACTION;
+  if (req.isInterrupted) return waitForLoadUntilMs;
   if (permitAtMs !== null && permitAtMs > req.objectiveAtMs) return req.arrivedAtMs;
   if (readyAtMs === null) return waitUntilMs;
-  const waitForLoadUntilMs = req.arrivedAtMs + budgetMs * MAX_LOAD_FRACTION;
   if (readyAtMs <= waitForLoadUntilMs) return waitForLoadUntilMs;
   return isLoaded ? waitUntilMs : req.arrivedAtMs;
 }
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -61,6 +61,7 @@
     model: metadata.model,
     adapter: metadata.adapter,
     version: null,
+    isInterrupted: false,
     priority: customer?.priority ?? route.priority,
     arrivedAtMs,
     objectiveAtMs: arrivedAtMs + route.objectiveMs,
@@ -357,7 +358,7 @@
     const { lastEventAtMs, deadlineAtMs } = this;
     if (lastEventAtMs === null) return;
     const times = timesAfterEvent(lastEventAtMs, this.request.route, deadlineAtMs);
-    Object.assign(this.queuedRequest, times);
+    Object.assign(this.queuedRequest, { ...times, isInterrupted: true });
   }
 
   /** Logs a wait that may have caused the request to miss its latency objective. */
--- a/test/replay/model-fleet.ts
+++ b/test/replay/model-fleet.ts
@@ -350,6 +350,7 @@
       model,
       adapter: null,
       version: null,
+      isInterrupted: false,
       priority: 0,
       arrivedAtMs,
       objectiveAtMs: arrivedAtMs + of.objectiveMs,
--- a/test/units/relay/dispatch.test.ts
+++ b/test/units/relay/dispatch.test.ts
@@ -40,6 +40,7 @@
       model: null,
       adapter: null,
       version: null,
+      isInterrupted: false,
       priority,
       arrivedAtMs: 0,
       objectiveAtMs: 400,
--- a/test/units/wait-list/wait-list.test.ts
+++ b/test/units/wait-list/wait-list.test.ts
@@ -9,6 +9,7 @@
     model: 'm',
     adapter: null,
     version: null,
+    isInterrupted: false,
     priority: 1,
     arrivedAtMs: 0,
     objectiveAtMs: 400,
@@ -48,6 +49,14 @@
     expect(waitList.rejectAtMs(request({}), availability(6_000, true))).toBe(withoutLoad);
   });
 
+  // Such streams were cut in the same millisecond, and taken up in vain.
+  test('are not given up at once if they are streams that broke off', () => {
+    const stream = request({ arrivedAtMs: 100, isInterrupted: true });
+    const withLoad = waitList.rejectAtMs(request({ arrivedAtMs: 100 }), availability(1_000));
+    expect(waitList.rejectAtMs(stream, availability(6_000))).toBe(withLoad);
+    expect(waitList.rejectAtMs(stream, availability(null))).toBe(withLoad);
+  });
+
   test('are rejected at once if their permit comes after their latency objective', () => {
     const throttled = { readyAtMs: null, isLoaded: true, permitAtMs: 390 };
     const waitUntilMs = waitList.rejectAtMs(request({}), availability(null));
