Tell callers of a copy that can be loaded before a load from the weight store ends

Cause: requests were told the end of the load in progress, 3 to 4 s away, and were refused at once; the copy, on a server that was busy for 0.3 s more, was not forecast, as a load in progress counted as the only way to the model.

Test failed before: 'wait for a copy that can be loaded before a load from the weight store ends' (no forecast).

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -18,6 +18,7 @@
 import {
   distinctNeeds,
   hasCopy,
+  hasLoaded,
   healthyEnginesFor,
   holdsOrLoads,
   type IndexedView,
@@ -278,18 +279,22 @@
   }
 
   /**
-   * Models in demand that no healthy engine has loaded or loads, and of which all copies that are
-   * worth waiting for are on engines that take no order for longer.
+   * Models in demand that no healthy engine has loaded or loads from a copy, although there are copies
+   * that are worth waiting for: their engines take no order for longer, or the model is being loaded
+   * from the weight store, which takes longer.
    */
   blockedLoads({ nowMs, engines, pendingDemand }: SwapView): readonly ForecastLoad[] {
     return distinctNeeds(pendingDemand).flatMap((need) => {
       const { model } = need;
       const own = healthyEnginesFor(engines, need);
-      if (own.some((engine) => holdsOrLoads(engine, model))) return [];
+      const loading = own.filter((engine) => isLoading(engine, model));
+      if (own.some((engine) => hasLoaded(engine, model))) return [];
+      if (loading.some((engine) => hasCopy(engine, model))) return [];
       const waitsMs = own
         .filter((engine) => hasUsableCopy(nowMs, engine, model))
         .map((engine) => copyWaitMs(nowMs, engine, model));
-      if (waitsMs.length === 0 || Math.min(...waitsMs) < BLOCKED_MS) return [];
+      const isExpectedLater = loading.length > 0 || Math.min(...waitsMs) >= BLOCKED_MS;
+      if (waitsMs.length === 0 || !isExpectedLater) return [];
       return [{ ...need, readyAtMs: nowMs + Math.min(...waitsMs) }];
     });
   }
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -565,6 +565,29 @@
   });
 });
 
+describe('streams that have begun at a software version', () => {
+  // They were refused at once, as the load from the weight store ends too late.
+  test('wait for a copy that can be loaded before a load from the weight store ends', () => {
+    const engines = [
+      engine('e1', [], [], { loading: ['m5'], open: false, busyUntilMs: NOW_MS + 4_000 }),
+      engine('e2', [], ['m5'], { loading: ['m6'], open: false, busyUntilMs: NOW_MS + 300 }),
+    ];
+    const view = {
+      nowMs: NOW_MS,
+      engines,
+      pendingDemand: [demandFor('m5', { version: 'v1', waiting: 9 })],
+      rates: new Map(),
+      expectedRates: new Map(),
+      storeLoadsLeft: 0,
+      placeLoadsLeft: 0,
+    };
+    const forecast = new SwapPlanner().blockedLoads(view);
+    expect(forecast.map(({ readyAtMs }) => readyAtMs)).toEqual([NOW_MS + 900]);
+    const idle = { ...view, engines: engines.slice(1) };
+    expect(new SwapPlanner().blockedLoads(idle)).toEqual([]);
+  });
+});
+
 describe('an engine that stops responding before its load ends', () => {
   // Such a load must not count as progress until the engine is gone from the list of servers.
   const crashed = (fields: Partial<EngineState>) =>
