Let a long queue evict models that fewer requests use

Cause: a model in use, or loaded less than 1.5 s before, was evicted for overdue demand only, 0.5 s after its latency objective. Requests that give up 0.9 s after their arrival, with an objective of 0.4 s, are refused before they are overdue, so that only patient requests could ever evict.

Change: such a model may go if six requests or more, and more than use it, are queued for a model that no engine has loaded. The costs and their bound are as before.

Tests failed before: 'evicts a model that is in use', '... loaded just before'.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -247,7 +247,7 @@
     const best = (view.enginesByTarget.get(targetKey(need)) ?? [])
       .filter((engine) => engine.open && !assignedEngines.has(engine.id))
       .filter((engine) => replicaOf(engine, model) === undefined && !hasCopy(engine, model))
-      .flatMap((engine) => this.cheapestOption(view, engine, model, false))
+      .flatMap((engine) => this.cheapestOption(view, engine, model, null))
       .filter(({ delayToOthersMs }) => delayToOthersMs <= MAX_COST_MS)
       .sort((a, b) => a.costMs - b.costMs)[0];
     if (best === undefined) return null;
@@ -419,11 +419,10 @@
     const holders = view.holdersByModel.get(modelKey(demand)) ?? [];
     const isNeeded = this.needsReplica(view, engines, demand);
     if (!isNeeded && (holders.length > 0 || !this.isOnlyLoadedSlowly(engines, model))) return null;
-    const overdue = view.nowMs > demand.dueAtMs + OVERDUE_MS;
     const options = engines
       .filter((engine) => engine.open && !assignedEngines.has(engine.id))
       .filter((engine) => replicaOf(engine, model) === undefined)
-      .flatMap((engine) => this.cheapestOption(view, engine, model, overdue))
+      .flatMap((engine) => this.cheapestOption(view, engine, model, demand))
       .map((option) => ({ ...option, rank: option.costMs + this.splitCostMs(option, holders) }))
       .sort((a, b) => a.rank - b.rank);
     // A load from the store evicts replicas only if no engine has a copy that can be used sooner.
@@ -531,12 +530,13 @@
 
   /**
    * Returns the cheapest way to load a model on an engine; empty if the model can't be made to fit.
+   * @param demand What the load is for; null for a load ahead of any demand.
    */
   private cheapestOption(
     view: IndexedView,
     engine: EngineState,
     model: string,
-    overdue: boolean,
+    demand: PendingDemand | null,
   ): readonly LoadOption[] {
     const spec = specOf(engine, model);
     if (spec === undefined) return [];
@@ -556,10 +556,7 @@
         },
       ];
     const candidates = engine.replicas
-      .filter((replica) => view.nowMs - replica.loadedAtMs >= MIN_RESIDENCY_MS)
-      // A replica with running requests is evicted only for an overdue demand. Until then, a
-      // replica on another engine is likely to become idle sooner.
-      .filter((replica) => replica.running === 0 || overdue)
+      .filter((replica) => this.isEvictable(view, replica, demand))
       .map((replica) => ({
         replica,
         delayMs: this.evictionCostMs(view, engine, replica, model),
@@ -582,6 +579,31 @@
     ];
   }
 
+  /**
+   * Whether a replica may be evicted for a demand. One that has just been loaded or is in use stays: a
+   * replica on another engine is likely to become idle sooner. It may go for an overdue demand, or if
+   * the queued requests that no engine can serve outnumber its own.
+   */
+  private isEvictable(
+    view: IndexedView,
+    { running, loadedAtMs }: Replica,
+    demand: PendingDemand | null,
+  ): boolean {
+    const isSettled = view.nowMs - loadedAtMs >= MIN_RESIDENCY_MS;
+    if (isSettled && running === 0) return true;
+    if (demand === null) return false;
+    if (this.isOutnumbered(view, running, demand)) return true;
+    return isSettled && view.nowMs > demand.dueAtMs + OVERDUE_MS;
+  }
+
+  /** Whether more requests than run on a replica are queued for a model that no engine has loaded. */
+  private isOutnumbered(view: IndexedView, running: number, demand: PendingDemand): boolean {
+    const key = modelKey(demand);
+    const waiting = view.queuedByModel.get(key) ?? 0;
+    const isServed = (view.holdersByModel.get(key) ?? []).length > 0;
+    return !isServed && waiting >= QUEUED_FOR_ANOTHER_REPLICA && waiting > running;
+  }
+
   /**
    * Cost of requests for an evicted model that no other engine could serve while the load blocks this
    * engine, ms.
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -565,6 +565,40 @@
   });
 });
 
+describe('a long queue for a model that no engine has loaded', () => {
+  // Callers that give up before their demand is overdue never got such a load.
+  const inUse = ['m1', 'm2', 'm3'].map((name) => replica(name, { running: 3 }));
+  const fresh = ['m1', 'm2', 'm3'].map((name) => replica(name, { loadedAtMs: NOW_MS - 500 }));
+
+  test.each([
+    ['in use', inUse],
+    ['loaded just before', fresh],
+  ])('evicts a model that is %s', (_, replicas) => {
+    const engines = [engine('e1', replicas, ['m5'])];
+    const queue = (waiting: number) => [demandFor('m5', { waiting })];
+    expect(loadsOf(plan({ engines, pendingDemand: queue(8) }))).toEqual(['e1 m5']);
+    expect(loadsOf(plan({ engines, pendingDemand: queue(2) }))).toEqual([]);
+  });
+
+  test('evicts no model that more requests use', () => {
+    const crowded = inUse.map((used) => ({ ...used, running: 9 }));
+    const engines = [engine('e1', crowded, ['m5'])];
+    expect(loadsOf(plan({ engines, pendingDemand: [demandFor('m5', { waiting: 8 })] }))).toEqual(
+      [],
+    );
+  });
+
+  test('evicts no model in use if another engine has the model', () => {
+    const engines = [
+      engine('e1', inUse, ['m5']),
+      engine('e2', [replica('m5')], ['m5'], { open: false }),
+    ];
+    expect(loadsOf(plan({ engines, pendingDemand: [demandFor('m5', { waiting: 8 })] }))).toEqual(
+      [],
+    );
+  });
+});
+
 describe('streams that have begun at a software version', () => {
   // They were refused at once, as the load from the weight store ends too late.
   test('wait for a copy that can be loaded before a load from the weight store ends', () => {
