Load models for streams in progress before those for new requests; replay of crashes beside two versions

Cause: loads were ordered by the number of queued requests. A stream in progress can only go on at its version, and its caller gives up sooner than one that has not begun.

Change: demand of one version goes first in the planner.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -146,6 +146,15 @@
   return waiting + Math.max(0, nowMs - dueAtMs + URGENCY_LEAD_MS) / URGENCY_STEP_MS;
 }
 
+/** Streams in progress go ahead of requests that any version can serve. */
+function inOrderOfUrgency({ nowMs, pendingDemand }: SwapView): readonly PendingDemand[] {
+  return [...pendingDemand].sort(
+    (a, b) =>
+      Number(a.version === null) - Number(b.version === null) ||
+      urgencyOf(nowMs, b) - urgencyOf(nowMs, a),
+  );
+}
+
 /** The largest number of engines that have the same software version. */
 function mostAtOneVersion(engines: readonly EngineState[]): number {
   const counts = engines.map(
@@ -178,9 +187,7 @@
       .flatMap((action) => servedBy(view, action))
       .forEach((served) => placedModels.add(modelKey(served)));
     let storeLoadsLeft = Math.max(0, view.storeLoadsLeft - placeActions.length);
-    const byUrgency = [...view.pendingDemand].sort(
-      (a, b) => urgencyOf(view.nowMs, b) - urgencyOf(view.nowMs, a),
-    );
+    const byUrgency = inOrderOfUrgency(view);
     const passes: readonly ((demand: PendingDemand) => SwapAction | null)[] = [
       (demand) => this.loadAdapter(view, demand, assignedEngines),
       // One plan loads a model on one engine only, however many of its adapters are in demand.
@@ -264,10 +271,7 @@
    * engine has the model loaded, is loading it, or has a copy of its weights.
    */
   queuedLoads(input: SwapView): readonly QueuedLoad[] {
-    const byUrgency = [...input.pendingDemand].sort(
-      (a, b) => urgencyOf(input.nowMs, b) - urgencyOf(input.nowMs, a),
-    );
-    return distinctNeeds(byUrgency).flatMap((need) => {
+    return distinctNeeds(inOrderOfUrgency(input)).flatMap((need) => {
       const { service, model, version } = need;
       const engines = healthyEnginesFor(input.engines, need);
       const isAvailable = (engine: EngineState) =>
--- a/test/replay/model-fleet.ts
+++ b/test/replay/model-fleet.ts
@@ -22,7 +22,9 @@
 import { UsageTracker } from '../../src/entry/relay/usage-tracker.js';
 
 const SERVICE = 'drafting';
-const VERSION = 'v1';
+const DEFAULT_VERSION = 'v1';
+/** Time after which a caller whose stream was cut takes it up, ms. */
+const TAKE_UP_MS = 60;
 const TICK_MS = 20;
 const MS_PER_S = 1_000;
 const MODEL_MB = 70;
@@ -48,6 +50,17 @@
   readonly runMs: number;
   /** When its requests begin, ms; 0 by default. */
   readonly fromMs?: number;
+  /** How often a caller returns; once by default. */
+  readonly retries?: number;
+}
+
+/** Engines of a version that crash together: those with the most running requests. */
+export interface Crash {
+  readonly atMs: number;
+  readonly version: string;
+  readonly count: number;
+  /** Time until they are back, with nothing but their disk, ms. */
+  readonly forMs: number;
 }
 
 export interface ModelFleetOptions {
@@ -68,6 +81,11 @@
   readonly busyPlaces: readonly number[];
   readonly classes: readonly RequestClass[];
   readonly durationMs: number;
+  /** Software versions of the engines; one for all by default. */
+  readonly versions?: readonly string[];
+  /** Versions whose engines have nothing at the start, not even copies. */
+  readonly emptyVersions?: readonly string[];
+  readonly crashes?: readonly Crash[];
 }
 
 /** Outcomes of the requests of one class. */
@@ -78,6 +96,12 @@
   refused: number;
 }
 
+/** Attempts of callers. */
+export interface Attempts {
+  asked: number;
+  served: number;
+}
+
 interface Request {
   readonly id: string;
   readonly of: RequestClass;
@@ -85,11 +109,19 @@
   /** When the caller first asked, ms. */
   readonly askedAtMs: number;
   readonly arrivedAtMs: number;
-  readonly isReturn: boolean;
+  /** How often the caller has returned. */
+  readonly returns: number;
+  /** Version that began the stream; null for a new request. */
+  readonly version: string | null;
+  /** Whether the entry VM itself seeks another engine, as the stream has just broken off. */
+  readonly isFailover: boolean;
 }
 
 interface Engine {
   readonly id: string;
+  readonly version: string;
+  /** When the engine is back after a crash, ms; null while it is up. */
+  downUntilMs: number | null;
   models: string[];
   disk: string[];
   memory: string[];
@@ -98,7 +130,7 @@
   load: { model: string; leftMs: number; fromStore: boolean; startedAtMs: number } | null;
   unload: { model: string; untilMs: number } | null;
   /** Ends of the running requests, by model. */
-  runs: { model: string; endsAtMs: number }[];
+  runs: { model: string; endsAtMs: number; request: Request }[];
   loadEndsAtMs: number;
   maxConcurrent: number;
 }
@@ -109,6 +141,11 @@
   /** Refusals by model, those of returning callers included. */
   readonly refusals = new Map<string, number>();
 
+  /** Attempts of callers to begin streams, and to take up those that were cut. */
+  readonly begun: Attempts = { asked: 0, served: 0 };
+
+  readonly takenUp: Attempts = { asked: 0, served: 0 };
+
   private readonly random: Random;
 
   private readonly planner = new SwapPlanner();
@@ -127,7 +164,12 @@
 
   private forecast: readonly ForecastLoad[] = [];
 
-  private expected: { model: string; untilMs: number; dueAtMs: number }[] = [];
+  private expected: {
+    model: string;
+    version: string | null;
+    untilMs: number;
+    dueAtMs: number;
+  }[] = [];
 
   private storeTokens = 0;
 
@@ -176,8 +218,9 @@
       });
       this.returning
         .filter(({ atMs }) => atMs <= nowMs)
-        .forEach(({ request }) => this.enqueue({ ...request, arrivedAtMs: nowMs, isReturn: true }));
+        .forEach(({ request }) => this.enqueue({ ...request, arrivedAtMs: nowMs }));
       this.returning = this.returning.filter(({ atMs }) => atMs > nowMs);
+      this.crashAndRestart(nowMs);
       this.progress(nowMs);
       this.serveQueue(nowMs);
       this.plan(nowMs);
@@ -199,6 +242,8 @@
     const { opts, random } = this;
     const engines = Array.from({ length: opts.engines }, (_, at) => ({
       id: `e${at}`,
+      version: opts.versions?.[at] ?? DEFAULT_VERSION,
+      downUntilMs: null,
       models: [] as string[],
       disk: [] as string[],
       memory: [] as string[],
@@ -213,11 +258,13 @@
       const count = opts.busyPlaces[at] ?? 1;
       const free = () =>
         engines
+          .filter(({ version }) => opts.emptyVersions?.includes(version) !== true)
           .filter(({ models }) => models.length < opts.places && !models.includes(model))
           .sort((a, b) => a.models.length - b.models.length || random.real() - 0.5);
       Array.from({ length: count }, () => free()[0]?.models.push(model));
     });
     engines.forEach((engine) => {
+      if (opts.emptyVersions?.includes(engine.version) === true) return;
       engine.disk.push(...engine.models);
       const others = opts.models
         .filter((model) => !engine.models.includes(model))
@@ -240,7 +287,8 @@
     this.outcomeOf(of).asked += 1;
     this.sent += 1;
     const id = `r${this.sent}`;
-    this.enqueue({ id, of, model, askedAtMs: nowMs, arrivedAtMs: nowMs, isReturn: false });
+    const times = { askedAtMs: nowMs, arrivedAtMs: nowMs };
+    this.enqueue({ id, of, model, ...times, returns: 0, version: null, isFailover: false });
   }
 
   private outcomeOf({ name }: RequestClass): Outcome {
@@ -250,17 +298,55 @@
   }
 
   private enqueue(request: Request): void {
-    const { model } = request;
-    this.used.set(model, (this.used.get(model) ?? 0) + 1);
+    const { model, version } = request;
+    if (!request.isFailover) this.used.set(model, (this.used.get(model) ?? 0) + 1);
+    if (!request.isFailover) this.attemptsOf(version).asked += 1;
     this.queue.push(request);
   }
 
+  private attemptsOf(version: string | null): Attempts {
+    return version === null ? this.begun : this.takenUp;
+  }
+
+  private crashAndRestart(nowMs: number): void {
+    this.engines
+      .filter(({ downUntilMs }) => downUntilMs !== null && downUntilMs <= nowMs)
+      .forEach((engine) => Object.assign(engine, { downUntilMs: null }));
+    (this.opts.crashes ?? [])
+      .filter(({ atMs }) => atMs <= nowMs && nowMs < atMs + TICK_MS)
+      .forEach((crash) => {
+        [...this.engines]
+          .filter(({ version, downUntilMs }) => version === crash.version && downUntilMs === null)
+          .sort((a, b) => b.runs.length - a.runs.length)
+          .slice(0, crash.count)
+          .forEach((engine) => this.crash(nowMs, engine, crash.forMs));
+      });
+  }
+
+  private crash(nowMs: number, engine: Engine, forMs: number): void {
+    const { id, version, runs, models } = engine;
+    models.forEach((model) => this.usage.noteUnloaded(id, model, null));
+    Object.assign(engine, {
+      models: [],
+      memory: [],
+      steps: [],
+      load: null,
+      unload: null,
+      runs: [],
+      downUntilMs: nowMs + forMs,
+    });
+    runs.forEach(({ request }) =>
+      this.enqueue({ ...request, version, arrivedAtMs: nowMs, returns: 0, isFailover: true }),
+    );
+  }
+
   /** Advances loads, unloads and runs. */
   private progress(nowMs: number): void {
     const fromStore = this.engines.filter(({ load }) => load?.fromStore === true);
     const speed = Math.min(1, this.opts.fullSpeedLoads / Math.max(1, fromStore.length));
     this.engines.forEach((engine) => {
       Object.assign(engine, { runs: engine.runs.filter(({ endsAtMs }) => endsAtMs > nowMs) });
+      if (engine.downUntilMs !== null) return;
       if (engine.load !== null) this.progressLoad(nowMs, engine, speed, fromStore.length);
       else this.nextStep(nowMs, engine);
     });
@@ -313,7 +399,8 @@
     return { leftMs: remoteLoadMs, fromStore: true };
   }
 
-  private isUsable(engine: Engine, model: string): boolean {
+  private isUsable(engine: Engine, { model, version }: Request): boolean {
+    if (version !== null && engine.version !== version) return false;
     const isLeaving =
       engine.unload?.model === model ||
       engine.steps.some((step) => step.type === OrderStepType.unload && step.model === model);
@@ -329,28 +416,29 @@
 
   /** Whether a queued request was served or refused. */
   private serveOrRefuse(nowMs: number, request: Request): boolean {
-    const { of, model, askedAtMs, arrivedAtMs } = request;
+    const { of, model, version, askedAtMs, arrivedAtMs, isFailover } = request;
     const room = this.engines
-      .filter((engine) => this.isUsable(engine, model))
+      .filter((engine) => this.isUsable(engine, request))
       .filter(({ runs }) => runs.length < this.opts.slots * MAX_UTILISATION)
       .sort((a, b) => a.runs.length - b.runs.length)[0];
     const outcome = this.outcomeOf(of);
     if (room !== undefined) {
-      room.runs.push({ model, endsAtMs: nowMs + of.runMs });
-      if (nowMs - askedAtMs <= of.objectiveMs) outcome.inTime += 1;
-      else outcome.late += 1;
+      room.runs.push({ model, endsAtMs: nowMs + of.runMs, request });
+      if (!request.isFailover) this.attemptsOf(version).served += 1;
+      if (version === null && nowMs - askedAtMs <= of.objectiveMs) outcome.inTime += 1;
+      else if (version === null) outcome.late += 1;
       return true;
     }
-    const ends = this.loadEnds(model);
+    const ends = this.loadEnds(request);
     const readyAtMs = ends.length === 0 ? null : Math.min(...ends);
-    const isLoaded = this.engines.some((engine) => this.isUsable(engine, model));
+    const isLoaded = this.engines.some((engine) => this.isUsable(engine, request));
     const queued = {
       id: request.id,
       service: SERVICE,
       model,
       adapter: null,
-      version: null,
-      isInterrupted: false,
+      version,
+      isInterrupted: isFailover,
       priority: 0,
       arrivedAtMs,
       objectiveAtMs: arrivedAtMs + of.objectiveMs,
@@ -358,26 +446,39 @@
     };
     if (nowMs < rejectAtMs(queued, { readyAtMs, isLoaded, permitAtMs: null })) return false;
     if (readyAtMs !== null && !isLoaded)
-      this.expected.push({ model, untilMs: readyAtMs + MS_PER_S, dueAtMs: readyAtMs });
+      this.expected.push({ model, version, untilMs: readyAtMs + MS_PER_S, dueAtMs: readyAtMs });
     this.refusals.set(model, (this.refusals.get(model) ?? 0) + 1);
+    this.returnLater(nowMs, request, readyAtMs);
+    return true;
+  }
+
+  /** Lets the caller of a refused request return, or that of a stream that was cut take it up. */
+  private returnLater(nowMs: number, request: Request, readyAtMs: number | null): void {
+    const { of, returns, isFailover, askedAtMs } = request;
     const pauseMs = Math.min(
       retryAfterMs(nowMs, readyAtMs),
       (askedAtMs + of.deadlineMs - nowMs) * RETURN_FRACTION,
     );
-    if (request.isReturn) outcome.refused += 1;
-    else this.returning.push({ atMs: nowMs + pauseMs, request });
-    return true;
+    if (isFailover) {
+      const takeUp = { ...request, isFailover: false };
+      this.returning.push({ atMs: nowMs + TAKE_UP_MS, request: takeUp });
+    } else if (returns < (of.retries ?? 1)) {
+      this.returning.push({ atMs: nowMs + pauseMs, request: { ...request, returns: returns + 1 } });
+    } else if (request.version === null) this.outcomeOf(of).refused += 1;
   }
 
-  private loadEnds(model: string): readonly number[] {
+  private loadEnds({ model, version }: Request): readonly number[] {
     const inProgress = this.engines
+      .filter((engine) => version === null || engine.version === version)
       .filter(
         ({ load, steps }) =>
           load?.model === model ||
           steps.some((step) => step.type === OrderStepType.load && step.model === model),
       )
       .map(({ loadEndsAtMs }) => loadEndsAtMs);
-    const queued = this.forecast.filter((load) => load.model === model);
+    const queued = this.forecast
+      .filter((load) => load.model === model)
+      .filter((load) => version === null || load.version === version);
     return [...inProgress, ...queued.map(({ readyAtMs }) => readyAtMs)];
   }
 
@@ -467,7 +568,8 @@
   }
 
   private stateOf(nowMs: number, engine: Engine): EngineState {
-    const { id, models, load, unload, steps, disk, memory } = engine;
+    const { id, version, models, load, unload, steps, disk, memory } = engine;
+    const isUp = engine.downUntilMs === null;
     const unloading = [
       ...(unload === null ? [] : [unload.model]),
       ...steps.filter(({ type }) => type === OrderStepType.unload).map(({ model }) => model),
@@ -476,22 +578,22 @@
       ...(load === null ? [] : [load.model]),
       ...steps.filter(({ type }) => type === OrderStepType.load).map(({ model }) => model),
     ];
-    const isOpen = load === null && unload === null && steps.length === 0;
+    const isOpen = isUp && load === null && unload === null && steps.length === 0;
     return {
       id,
       service: SERVICE,
-      version: VERSION,
+      version,
       spec: this.spec,
       dataCentre: 'a',
       open: isOpen,
       openForAdapters: isOpen,
-      healthy: true,
+      healthy: isUp,
       replicas: models
         .filter((model) => !unloading.includes(model))
         .map((model) => this.usage.replica(nowMs, id, model, new Set())),
       loading,
       loadingAdapters: [],
-      busyUntilMs: isOpen ? nowMs : engine.loadEndsAtMs,
+      busyUntilMs: isOpen || !isUp ? nowMs : engine.loadEndsAtMs,
       reservedMb: (models.length + loading.length) * MODEL_MB,
       reservedAdapterSlots: 0,
       copies: { inMemory: memory, onDisk: disk },
@@ -501,20 +603,22 @@
   private demand(nowMs: number): readonly PendingDemand[] {
     this.expected = this.expected.filter(({ untilMs }) => untilMs > nowMs);
     const all = [
-      ...this.queue.map(({ model, arrivedAtMs, of }) => ({
+      ...this.queue.map(({ model, version, arrivedAtMs, of }) => ({
         model,
+        version,
         dueAtMs: arrivedAtMs + of.objectiveMs,
       })),
       ...this.expected,
     ];
     const merged = new Map<string, PendingDemand>();
-    all.forEach(({ model, dueAtMs }) => {
-      const before = merged.get(model);
-      merged.set(model, {
+    all.forEach(({ model, version, dueAtMs }) => {
+      const key = modelKey({ service: SERVICE, model, version });
+      const before = merged.get(key);
+      merged.set(key, {
         service: SERVICE,
         model,
         adapter: null,
-        version: null,
+        version,
         waiting: (before?.waiting ?? 0) + 1,
         dueAtMs: Math.min(before?.dueAtMs ?? Infinity, dueAtMs),
       });
