--- a/src/core/messages/index.ts
+++ b/src/core/messages/index.ts
@@ -8,6 +8,8 @@
 export * from './types.js';
 
 export const LENGTH_BYTES = 4;
+/** Maximum length of a message type in logs. */
+const MAX_TYPE_LENGTH = 40;
 
 const options = { useRecords: false, mapsAsObjects: true, tagUint8Array: false };
 const encoder = new Encoder(options);
@@ -27,6 +29,19 @@
   return encodeBody(frame);
 }
 
+/** The type of a decoded message, shortened for logs; undefined if it names none. */
+export function typeOf(raw: unknown): string | undefined {
+  if (typeof raw !== 'object' || raw === null || !('type' in raw)) return undefined;
+  return typeof raw.type === 'string' ? raw.type.slice(0, MAX_TYPE_LENGTH) : undefined;
+}
+
+/** Names the message and the first field that does not match; field values are not logged. */
+function describeMismatch(raw: unknown, error: z.ZodError): string {
+  const [issue] = error.issues;
+  const field = issue === undefined ? '' : `: ${issue.path.join('.')}: ${issue.message}`;
+  return `the frame of type ${typeOf(raw) ?? 'unknown'} does not match the schema${field}`;
+}
+
 /** Decodes the body of a frame and validates it against `schema`. */
 export function decodeBody<T>(
   schema: z.ZodType<T>,
@@ -44,7 +59,7 @@
     return fail(errors.describe(err));
   }
   const parsed = schema.safeParse(raw);
-  return parsed.success ? Result.ok(parsed.data) : fail('the frame does not match the schema');
+  return parsed.success ? Result.ok(parsed.data) : fail(describeMismatch(raw, parsed.error));
 }
 
 /** Decodes and validates the body of a frame between entry VMs. */
--- a/src/entry/relay/peer-connector.ts
+++ b/src/entry/relay/peer-connector.ts
@@ -245,7 +245,8 @@
         };
         link.write(frames.encodeBody(open));
       });
-      readMessages(link, peer.vm, this.opts.logger, (message) => {
+      const peerName = () => peer.vm;
+      readMessages(link, peerName, this.opts.logger, (message) => {
         if (stream !== null) {
           stream.handleMessage(message);
         } else if (message.type === RelayedMessageType.relayOpened) {
--- a/src/entry/relay/peer-relay.ts
+++ b/src/entry/relay/peer-relay.ts
@@ -181,7 +181,9 @@
    */
   read(link: net.Socket, handle: (message: RelayMessage) => void, onRelayed: () => void): void {
     let connection: RelayedConnection | null = null;
-    readMessages(link, 'member', this.opts.logger, (message) => {
+    let peer = 'member';
+    const handleMessage = (message: RelayMessage) => {
+      if ('vm' in message) peer = message.vm;
       if (connection !== null) {
         connection.handleMessage(message);
       } else if (message.type === RelayedMessageType.relayOpen) {
@@ -190,7 +192,8 @@
       } else {
         handle(message);
       }
-    });
+    };
+    readMessages(link, () => peer, this.opts.logger, handleMessage);
   }
 
   /** Handles the first message on a peer's connection; null if the connection is refused. */
--- a/src/entry/relay/steward-link.ts
+++ b/src/entry/relay/steward-link.ts
@@ -30,19 +30,27 @@
   gone(steward: ActiveSteward, newest: number): void;
 }
 
-/** Decodes the messages on a socket; a frame that can't be decoded closes the connection. */
+/**
+ * Decodes the messages on a socket; a frame that can't be decoded closes the connection.
+ * @param peerName The other end as far as it is known, for the log.
+ */
 export function readMessages(
   socket: net.Socket,
-  peer: string,
+  peerName: () => string,
   logger: Logger,
   onMessage: (message: RelayMessage) => void,
 ): void {
   const splitter = new frames.FrameSplitter(MAX_FRAME_BYTES);
   const drop = (failure: errors.Failure) => {
-    logger.warn('bad-frame', { peer, reason: errors.formatFailure(failure) });
+    logger.warn('bad-frame', {
+      peer: peerName(),
+      from: socket.remoteAddress,
+      reason: errors.formatFailure(failure),
+    });
     socket.destroy();
   };
   socket.on('data', (bytes: Buffer) => {
+    const peer = peerName();
     const bodies = splitter.push(bytes, peer);
     if (bodies.isErr) {
       drop(bodies.error);
@@ -153,7 +161,8 @@
       this.socket = null;
       this.receivedAtMs = -Infinity;
     });
-    readMessages(socket, steward.vm, this.logger, (message) => {
+    const peerName = () => steward.vm;
+    readMessages(socket, peerName, this.logger, (message) => {
       if (this.socket !== socket) return;
       if (message.type === RelayMessageType.noOffice) {
         if (message.isIdle) this.events.gone(steward, message.newestFence);
--- a/test/units/relay/relayed-messages.test.ts
+++ b/test/units/relay/relayed-messages.test.ts
@@ -22,6 +22,15 @@
   });
 });
 
+test('the log of a frame that does not match names its type and the first wrong field, not its value', () => {
+  const ask = { type: RelayMessageType.ask, askId: 1, customer: 'c1', units: Infinity };
+  const failure = decode(ask).match({ Ok: () => '', Err: ({ message }) => message });
+  expect(failure).toContain(`of type ${RelayMessageType.ask}`);
+  expect(failure).toContain('units');
+  const secret = decode({ ...ask, units: 'secret-value' });
+  expect(secret.match({ Ok: () => '', Err: ({ message }) => message })).not.toContain('secret');
+});
+
 test('bytes that are relayed are the same on the other side', () => {
   const bytes = Buffer.from(Array.from({ length: 256 }, (_, at) => at));
   const message = decode({ type: RelayMessageType.relayData, bytes }).unwrapOr(null);
