Name no engines in a report that have sent nothing

What callers saw: nothing that is shown. Cause: the first report of a process names the engines that sent it data since ever (reachedForMs is Infinity), so also those that never did, at an age of Infinity; the other end can't decode that and closes the connection. The test failed before ([{ server: s1, ageMs: Infinity }] for []).

--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -243,13 +243,19 @@
     return [...failedAtMs].map(([server, atMs]) => ({ server, ageMs: nowMs - atMs }));
   }
 
-  /** Engines that have sent this entry VM data in the last `maxAgeMs`, for the report to the steward. */
+  /**
+   * Engines that have sent this entry VM data in the last `maxAgeMs`, which may be Infinity, for the
+   * report to the steward.
+   */
   reached(maxAgeMs: number): RelayMessageOf<'report'>['reached'] {
     const nowMs = this.clock.steadyMs();
-    return [...this.storeWatcher.backends.values()]
-      .filter(({ models }) => models.length > 0)
-      .map(({ id }) => ({ server: id, ageMs: nowMs - this.health.lastReceivedAtMs(id) }))
-      .filter(({ ageMs }) => ageMs <= maxAgeMs);
+    return (
+      [...this.storeWatcher.backends.values()]
+        .filter(({ models }) => models.length > 0)
+        .map(({ id }) => ({ server: id, ageMs: nowMs - this.health.lastReceivedAtMs(id) }))
+        // The age of an engine that has sent nothing is Infinity, which a report can't hold.
+        .filter(({ ageMs }) => ageMs <= maxAgeMs && ageMs < Infinity)
+    );
   }
 
   /** Records that this entry VM is no longer partitioned from the servers of a service. */
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -29,9 +29,9 @@
   running: { s1: 5 },
 });
 
-function setUp(fromSteward: boolean) {
+function setUp(fromSteward: boolean, server = SERVER) {
   const steward = { connected: true };
-  const storeWatcher = { backends: new Map([['s1', SERVER]]), isFromSteward: () => fromSteward };
+  const storeWatcher = { backends: new Map([['s1', server]]), isFromSteward: () => fromSteward };
   const times = { nowMs: 0 };
   const clock = {
     nowMs: () => times.nowMs,
@@ -118,6 +118,17 @@
   });
 });
 
+describe('the first report of a process', () => {
+  test('does not name engines that have sent nothing, which the steward could not decode', () => {
+    const models = [{ name: 'm1', version: 1, adapters: [] }];
+    const { view, times } = setUp(true, createBackendServer(SERVER.id, { models }));
+    expect(view.reached(Infinity)).toEqual([]);
+    view.health.noteDataReceived(times.nowMs, SERVER.id);
+    times.nowMs += 5;
+    expect(view.reached(Infinity)).toEqual([{ server: SERVER.id, ageMs: 5 }]);
+  });
+});
+
 describe('a server that reports a model as not loaded although the steward lists it', () => {
   test('gets requests for it again after pauses that double', () => {
     const { view, times } = setUp(true);
