Rates: a customer without a limit leaves the allowances of the others as they are

What callers saw: not shown with callers. Where one customer has no limit (or no burst), no VM is granted a share of any customer's rate: each request asks the steward for a loan, and the next steward counts all rates as granted for 6 s. Cause: the target share of a burst of 0 is NaN (0 times minus infinity); JSON writes it as null into the lease, where neither this steward nor the next one can read it. Evidence: the leases that processes of store before a customer without a limit hold {vm-1: null}; all four cases of the test failed before (null, NaN). Result: the test and the property test of rate shares pass. The customers of both sites all have limits.

--- a/src/decisions/rate-shares/lender.ts
+++ b/src/decisions/rate-shares/lender.ts
@@ -292,6 +292,7 @@
   }
 
   private targetShare(vm: string, customer: string, limit: RateLimit): number {
+    if (limit.ratePerS === 0 || limit.burst === 0) return 0;
     const vmCount = this.vms.size;
     const { average, largest } = this.sizes.get(customer) ?? DEFAULT_SIZES;
     const grantedFraction = Math.min(GRANTED_FRACTION, 1 - largest / limit.burst);
