Keep a connection between builds of several versions, and send each only what it understands

Builds up to close a connection on a message of a type that they don't know, or that doesn't match: the first would happen at each new type of message in an upgrade. Cause: readMessages treats every frame that it can't decode alike. Change: a VM names the message types that it understands in its first report on a connection, the steward in its welcome (optional fields, which older builds drop); a type is sent only to an end that has named it. An unknown type is ignored and logged once a connection; one that doesn't match is ignored if the protocol tolerates its loss, and closes a relayed connection, where it would leave a gap; nothing is read behind a frame that closes one. VMs of builds that don't relay are no longer listed as peers.

--- a/src/core/messages/index.ts
+++ b/src/core/messages/index.ts
@@ -42,24 +42,37 @@
   return `the frame of type ${typeOf(raw) ?? 'unknown'} does not match the schema${field}`;
 }
 
+function badFrame(peer: string, detail: string): errors.Failure {
+  return errors.createFailure(errors.data.BadFrame, 'decode frame', peer, detail);
+}
+
+/** Decodes the body of a frame. */
+export function decodeValue(body: Uint8Array, peer: string): Result<unknown, errors.Failure> {
+  try {
+    return Result.ok(decoder.decode(body) as unknown);
+  } catch (err) {
+    return Result.err(badFrame(peer, errors.describe(err)));
+  }
+}
+
+/** Validates the decoded body of a frame against `schema`. */
+export function validate<T>(
+  schema: z.ZodType<T>,
+  value: unknown,
+  peer: string,
+): Result<T, errors.Failure> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return Result.ok(parsed.data);
+  return Result.err(badFrame(peer, describeMismatch(value, parsed.error)));
+}
+
 /** Decodes the body of a frame and validates it against `schema`. */
 export function decodeBody<T>(
   schema: z.ZodType<T>,
   body: Uint8Array,
   peer: string,
 ): Result<T, errors.Failure> {
-  const fail = (detail: string) =>
-    Result.err<T, errors.Failure>(
-      errors.createFailure(errors.data.BadFrame, 'decode frame', peer, detail),
-    );
-  let raw: unknown;
-  try {
-    raw = decoder.decode(body);
-  } catch (err) {
-    return fail(errors.describe(err));
-  }
-  const parsed = schema.safeParse(raw);
-  return parsed.success ? Result.ok(parsed.data) : fail(describeMismatch(raw, parsed.error));
+  return decodeValue(body, peer).andThen((value) => validate(schema, value, peer));
 }
 
 /** Decodes and validates the body of a frame between entry VMs. */
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -2,7 +2,9 @@
  * Messages between entry VMs and the steward.
  *
  * Property names and values are the wire format: messages are encoded without further mapping.
- * Unknown fields are dropped on decoding.
+ * Builds of several versions exchange them during an upgrade: unknown fields are dropped on decoding,
+ * a field that a build adds is optional, and messages of an unknown type are ignored. A type is sent
+ * only to a VM that understands it; see `known-types`.
  */
 import { z } from 'zod';
 import { successorTermSchema, leaseSchema } from '../../decisions/leases/index.js';
@@ -199,8 +201,10 @@
     connected: z.array(connectionSchema).default([]),
     /** Whether the sender is stopping. */
     leaving: z.boolean(),
-    /** Whether the sender uses slots of brittle servers. */
+    /** Whether the sender uses slots of brittle servers; older stewards don't read `knownTypes`. */
     usesSlots: z.boolean().default(false),
+    /** Message types that the sender understands, in the first report on a connection. */
+    knownTypes: z.array(z.string()).nullable().default(null),
   }),
   /** Requests a loan of units of a customer's rate limit, for a single request. */
   z.object({
@@ -216,6 +220,8 @@
     fence: z.int(),
     /** Whether the steward issues slots of brittle servers. */
     issuesSlots: z.boolean().default(false),
+    /** Message types that the steward understands; null if it names none. */
+    knownTypes: z.array(z.string()).nullable().default(null),
   }),
   /** The "not the steward" reply; the sender closes the connection afterwards. */
   z.object({
@@ -237,7 +243,7 @@
     members: z.int(),
     /** Whether the receiver may send requests to throttled servers without a steward. */
     mayUseReserve: z.boolean().default(false),
-    /** All entry VMs if that list has changed; null if it has not, or from an older steward. */
+    /** Entry VMs that relay, if that list has changed; null if not, or from an older steward. */
     peers: z.array(peerSchema).nullable().default(null),
     /** Services from which the steward is partitioned; the receiver finds out whether it is too. */
     unreached: z.array(z.string()).default([]),
--- a/src/entry/relay/peer-connector.ts
+++ b/src/entry/relay/peer-connector.ts
@@ -20,7 +20,7 @@
 import type { RelayMessage } from './messages.js';
 import { RelayedMessageType } from './relayed-messages.js';
 import { RelayedStream } from './relayed-stream.js';
-import { readMessages } from './steward-link.js';
+import { readMessages } from './message-link.js';
 
 /** Time in which a peer connects to a server, ms. */
 const PEER_CONNECT_TIMEOUT_MS = 400;
@@ -245,8 +245,7 @@
         };
         link.write(frames.encodeBody(open));
       });
-      const peerName = () => peer.vm;
-      readMessages(link, peerName, this.opts.logger, (message) => {
+      const handle = (message: RelayMessage) => {
         if (stream !== null) {
           stream.handleMessage(message);
         } else if (message.type === RelayedMessageType.relayOpened) {
@@ -258,6 +257,12 @@
           settle({ stream: null, failure: message.failure, reason: message.reason });
           link.destroy();
         }
+      };
+      const { logger } = this.opts;
+      readMessages(link, {
+        logger,
+        peerName: () => peer.vm,
+        handle,
       });
     });
   }
--- a/src/entry/relay/peer-relay.ts
+++ b/src/entry/relay/peer-relay.ts
@@ -9,8 +9,8 @@
 import type { Metrics } from '../../core/metrics/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import { PeerFailure } from '../../decisions/peer-choice/index.js';
+import { readMessages } from './message-link.js';
 import type { RelayMessage, RelayMessageOf } from './messages.js';
-import { readMessages } from './steward-link.js';
 import { MAX_PIECE_BYTES, RelayedMessageType, SEND_WINDOW_BYTES } from './relayed-messages.js';
 
 /** Maximum number of connections that an entry VM relays at once, for all peers together. */
@@ -193,7 +193,11 @@
         handle(message);
       }
     };
-    readMessages(link, () => peer, this.opts.logger, handleMessage);
+    readMessages(link, {
+      logger: this.opts.logger,
+      peerName: () => peer,
+      handle: handleMessage,
+    });
   }
 
   /** Handles the first message on a peer's connection; null if the connection is refused. */
--- a/src/entry/relay/permit-service.ts
+++ b/src/entry/relay/permit-service.ts
@@ -1,10 +1,9 @@
 /** The steward's side of throttling: issues permits and publishes the limits to the members. */
-import type * as net from 'node:net';
 import { type PermitGrant, PermitIssuer, type Throttle } from '../../decisions/throttling/index.js';
 import { permitRepeatMs } from './intervals.js';
 import type { StoreWatcherTask } from './store-watcher.js';
+import type { MessageLink } from './message-link.js';
 import { type RelayMessageOf, RelayMessageType } from './messages.js';
-import { writeMessage } from './steward-link.js';
 import type { ThrottlingTask } from './throttling.js';
 
 /** Number of repeat intervals for which a request for permits is valid. */
@@ -12,7 +11,7 @@
 
 /** An entry VM that is connected to the steward. */
 export interface PermitMember {
-  readonly socket: net.Socket;
+  readonly link: Pick<MessageLink, 'send'>;
   /** Null until its first report. */
   readonly vm: string | null;
   /** The limits last sent to the member, by server. */
@@ -53,7 +52,7 @@
   handleThrottles(nowMs: number, member: PermitMember, message: RelayMessageOf<'throttles'>): void {
     const newer = this.opts.throttling.addReceived(message, member.vm ?? 'member');
     if (newer.length > 0) {
-      writeMessage(member.socket, { type: RelayMessageType.throttles, throttles: newer });
+      member.link.send({ type: RelayMessageType.throttles, throttles: newer });
     }
     this.tick(nowMs);
   }
@@ -73,7 +72,7 @@
     const servedVms = this.issuePermits(nowMs);
     const intervalMs = this.issuer.intervalMs(serverId);
     if (servedVms.has(member.vm) || intervalMs === null) return;
-    writeMessage(member.socket, {
+    member.link.send({
       type: RelayMessageType.permits,
       serverId,
       permits: 0,
@@ -98,7 +97,7 @@
     const { vm, serverId, permits, intervalMs } = grant;
     const member = [...this.opts.members].find((other) => other.vm === vm);
     if (member === undefined) return;
-    writeMessage(member.socket, { type: RelayMessageType.permits, serverId, permits, intervalMs });
+    member.link.send({ type: RelayMessageType.permits, serverId, permits, intervalMs });
   }
 
   private static sendThrottles(member: PermitMember, throttles: readonly Throttle[]): void {
@@ -107,7 +106,7 @@
     );
     if (changed.length === 0) return;
     const message = { type: RelayMessageType.throttles, throttles: [...changed] };
-    if (!writeMessage(member.socket, message)) return;
+    if (!member.link.send(message)) return;
     changed.forEach((throttle) => member.sentThrottles.set(throttle.serverId, keyOf(throttle)));
   }
 }
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from './dispatch.js';
 import type { FleetView } from './fleet-view.js';
 import { messageIntervalMs } from './intervals.js';
+import { OWN_TYPES } from './known-types.js';
 import type { LeaseTask } from './lease-task.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
 import type { ReachabilityTask } from './reachability.js';
@@ -48,6 +49,9 @@
   /** When a report last named the engines that have sent data. */
   private reachedSentAtMs = -Infinity;
 
+  /** Whether a report on this connection has named the message types that this VM understands. */
+  private hasNamedTypes = false;
+
   /** Running and queued requests of the last report, as JSON. */
   private reportedKey = '';
 
@@ -82,6 +86,7 @@
   /** Sends a full report to a new steward. */
   sendFullReport(): void {
     this.reportedKey = '';
+    this.hasNamedTypes = false;
     this.report(true);
   }
 
@@ -130,8 +135,10 @@
       partitioned: [...this.opts.reachability.partitionedServices()],
       leaving: this.opts.isStopping(),
       usesSlots: true,
+      knownTypes: this.hasNamedTypes ? null : [...OWN_TYPES],
     };
     if (!this.opts.link.send(message)) return;
+    this.hasNamedTypes = true;
     this.usage.clear();
     this.opts.admission.holder.noteReturned();
     this.reportedKey = key;
--- a/src/entry/relay/slot-service.ts
+++ b/src/entry/relay/slot-service.ts
@@ -1,21 +1,19 @@
 /** The steward's side of brittle servers: issues their slots and tells the members which they are. */
-import type * as net from 'node:net';
 import { type SlotGrant, SlotIssuer } from '../../decisions/brittle-servers/index.js';
 import type { Throttle } from '../../decisions/throttling/index.js';
 import { permitRepeatMs } from './intervals.js';
+import type { MessageLink } from './message-link.js';
 import { type RelayMessageOf, RelayMessageType } from './messages.js';
 import type { ServerSlotsTask } from './server-slots.js';
-import { writeMessage } from './steward-link.js';
 
 /** Number of repeat intervals for which a request for slots is valid. */
 const VALID_REPEATS = 1.4;
 
 /** An entry VM that is connected to the steward. */
 export interface SlotMember {
-  readonly socket: net.Socket;
+  readonly link: Pick<MessageLink, 'send' | 'understands'>;
   /** Null until its first report. */
   readonly vm: string | null;
-  readonly report: { readonly usesSlots: boolean } | null;
   /** The statements of brittle servers last sent to the member, by server. */
   readonly sentBrittle: Map<string, string>;
   /** Number of services with a known answer last sent to the member. */
@@ -34,7 +32,7 @@
 
 function send(member: SlotMember, message: SlotsMessage): boolean {
   const { answered = [], brittle = [], issued = {}, pauses = {} } = message;
-  return writeMessage(member.socket, {
+  return member.link.send({
     type: RelayMessageType.slots,
     answered,
     brittle,
@@ -43,6 +41,11 @@
   });
 }
 
+/** Whether the member's build uses slots; it has stated so in its first report. */
+function usesSlots({ link }: SlotMember): boolean {
+  return link.understands(RelayMessageType.slots);
+}
+
 function keyOf({ bornMs, requestsPerS }: Throttle): string {
   return `${bornMs} ${requestsPerS}`;
 }
@@ -114,7 +117,7 @@
     });
     if (pauses.length === 0) return;
     this.opts.members.forEach((member) => {
-      if (member.report?.usesSlots === true) send(member, { pauses: Object.fromEntries(pauses) });
+      if (usesSlots(member)) send(member, { pauses: Object.fromEntries(pauses) });
     });
   }
 
@@ -146,12 +149,12 @@
   }
 
   private static sendAnswered(member: SlotMember, answered: string[]): void {
-    if (member.report?.usesSlots !== true || member.sentAnswered === answered.length) return;
+    if (!usesSlots(member) || member.sentAnswered === answered.length) return;
     if (send(member, { answered })) Object.assign(member, { sentAnswered: answered.length });
   }
 
   private static sendBrittle(member: SlotMember, all: readonly Throttle[]): void {
-    if (member.report?.usesSlots !== true) return;
+    if (!usesSlots(member)) return;
     const brittle = all.filter(
       (statement) => member.sentBrittle.get(statement.serverId) !== keyOf(statement),
     );
--- a/src/entry/relay/steward-link.ts
+++ b/src/entry/relay/steward-link.ts
@@ -1,10 +1,9 @@
 /** The connection from an entry VM to the steward. The steward also connects to itself. */
 import * as net from 'node:net';
-import * as errors from '../../core/errors/index.js';
 import type { Clock } from '../../core/clock/index.js';
 import type { Logger } from '../../core/logger/index.js';
-import * as frames from '../../core/messages/index.js';
-import { type RelayMessage, RelayMessageType, relayMessageSchema } from './messages.js';
+import { MessageLink, readMessages } from './message-link.js';
+import { type RelayMessage, RelayMessageType } from './messages.js';
 import type { ActiveSteward } from '../../decisions/leases/index.js';
 
 const CONNECT_TIMEOUT_MS = 500;
@@ -15,9 +14,6 @@
 export const STEWARD_TIMEOUT_MS = 800;
 /** Pause between two connection attempts to the same steward, ms. */
 const RECONNECT_MS = 100;
-/** Unsent bytes above which further messages are dropped. */
-const MAX_BUFFERED_BYTES = 1_048_576;
-export const MAX_FRAME_BYTES = 4_194_304;
 
 export interface LinkEvents {
   message(message: RelayMessage): void;
@@ -30,54 +26,11 @@
   gone(steward: ActiveSteward, newest: number): void;
 }
 
-/**
- * Decodes the messages on a socket; a frame that can't be decoded closes the connection.
- * @param peerName The other end as far as it is known, for the log.
- */
-export function readMessages(
-  socket: net.Socket,
-  peerName: () => string,
-  logger: Logger,
-  onMessage: (message: RelayMessage) => void,
-): void {
-  const splitter = new frames.FrameSplitter(MAX_FRAME_BYTES);
-  const drop = (failure: errors.Failure) => {
-    logger.warn('bad-frame', {
-      peer: peerName(),
-      from: socket.remoteAddress,
-      reason: errors.formatFailure(failure),
-    });
-    socket.destroy();
-  };
-  socket.on('data', (bytes: Buffer) => {
-    const peer = peerName();
-    const bodies = splitter.push(bytes, peer);
-    if (bodies.isErr) {
-      drop(bodies.error);
-      return;
-    }
-    bodies.value.forEach((body) => {
-      const message = frames.decodeBody(relayMessageSchema, body, peer);
-      if (message.isErr) drop(message.error);
-      else onMessage(message.value);
-    });
-  });
-}
-
-/**
- * Sends a message unless the socket is closed or its send buffer is full. The protocol must
- * tolerate the loss of any message.
- * @returns Whether the message was written to the socket.
- */
-export function writeMessage(socket: net.Socket, message: RelayMessage): boolean {
-  if (socket.destroyed || socket.writableLength > MAX_BUFFERED_BYTES) return false;
-  socket.write(frames.encodeBody(message));
-  return true;
-}
-
 export class StewardLink {
   private socket: net.Socket | null = null;
 
+  private link: MessageLink | null = null;
+
   private steward: ActiveSteward | null = null;
 
   private receivedAtMs = -Infinity;
@@ -129,12 +82,17 @@
   }
 
   send(message: RelayMessage): boolean {
-    return this.socket !== null && writeMessage(this.socket, message);
+    return this.link?.send(message) === true;
   }
 
   close(): void {
     this.socket?.destroy();
+    this.forgetSocket();
+  }
+
+  private forgetSocket(): void {
     this.socket = null;
+    this.link = null;
     this.receivedAtMs = -Infinity;
   }
 
@@ -142,6 +100,7 @@
     const [host = '', port = '0'] = steward.address.split(':');
     const socket = net.connect({ host, port: Number(port), noDelay: true });
     this.socket = socket;
+    this.link = new MessageLink(socket);
     this.steward = steward;
     this.connectedAtMs = nowMs;
     this.nextConnectAtMs = nowMs + RECONNECT_MS;
@@ -158,22 +117,32 @@
       clearTimeout(timer);
       if (isFound) this.logger.info('steward-lost', { peer: steward.vm, fence: steward.fence });
       if (this.socket !== socket) return;
-      this.socket = null;
-      this.receivedAtMs = -Infinity;
+      this.forgetSocket();
     });
-    const peerName = () => steward.vm;
-    readMessages(socket, peerName, this.logger, (message) => {
-      if (this.socket !== socket) return;
-      if (message.type === RelayMessageType.noOffice) {
-        if (message.isIdle) this.events.gone(steward, message.newestFence);
-        return;
-      }
-      this.receivedAtMs = this.clock.steadyMs();
+    const noteFound = () => {
       if (!isFound) this.logger.info('steward-found', { peer: steward.vm, fence: steward.fence });
       isFound = true;
-      if (message.type !== RelayMessageType.welcome || message.fence >= steward.fence) {
-        this.events.message(message);
-      }
+    };
+    readMessages(socket, {
+      logger: this.logger,
+      peerName: () => steward.vm,
+      handle: (message) => {
+        if (this.socket === socket) this.handle(steward, message, noteFound);
+      },
     });
   }
+
+  private handle(steward: ActiveSteward, message: RelayMessage, noteFound: () => void): void {
+    if (message.type === RelayMessageType.noOffice) {
+      if (message.isIdle) this.events.gone(steward, message.newestFence);
+      return;
+    }
+    this.receivedAtMs = this.clock.steadyMs();
+    noteFound();
+    if (message.type === RelayMessageType.welcome) {
+      this.link?.noteTypes(message.knownTypes, message.issuesSlots);
+      if (message.fence < steward.fence) return;
+    }
+    this.events.message(message);
+  }
 }
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -27,6 +27,8 @@
 import type { StreamVersionsTask } from './stream-versions.js';
 import type { ThrottlingTask } from './throttling.js';
 import type { LateRenewal, LeaseTask } from './lease-task.js';
+import { OWN_TYPES } from './known-types.js';
+import { MessageLink } from './message-link.js';
 import {
   type EngineView,
   type LoadView,
@@ -38,7 +40,6 @@
 import { ServerListPublisher, ServerListCache } from './server-list-publisher.js';
 import { EngineController } from './engine-controller.js';
 import { planningIntervalMs, messageIntervalMs } from './intervals.js';
-import { writeMessage } from './steward-link.js';
 import type { PlatformWire } from './types.js';
 
 const TICK_MS = 20;
@@ -60,7 +61,7 @@
 
 /** An entry VM that is connected to this steward. The steward's own VM is also a member. */
 interface Member {
-  readonly socket: net.Socket;
+  readonly link: MessageLink;
   readonly connectedAtMs: number;
   /** Null until the member's first report. */
   vm: string | null;
@@ -325,7 +326,7 @@
             fromMs: report.clockMs,
             untilMs: report.clockMs + leftMs + (this.opts.clock.nowMs() - report.reportedAtMs),
           };
-    return writeMessage(member.socket, {
+    return member.link.send({
       type: RelayMessageType.lease,
       ...held,
       heirTerm: successorTerm,
@@ -339,8 +340,9 @@
 
   private accept(socket: net.Socket): void {
     const nowMs = this.opts.clock.steadyMs();
+    const link = new MessageLink(socket);
     const member: Member = {
-      socket,
+      link,
       connectedAtMs: nowMs,
       vm: null,
       report: null,
@@ -370,7 +372,7 @@
       const { lease } = this.opts;
       const isIdle = lease.confirmInactive();
       const { newestFence } = lease;
-      writeMessage(socket, { type: RelayMessageType.noOffice, isIdle, newestFence });
+      link.send({ type: RelayMessageType.noOffice, isIdle, newestFence });
       const timer = setTimeout(() => socket.end(), FIRST_MESSAGE_MS);
       this.opts.peerRelay.read(
         socket,
@@ -386,11 +388,12 @@
       (message) => this.handleMessage(member, message),
       () => this.members.delete(member),
     );
-    writeMessage(socket, {
+    link.send({
       type: RelayMessageType.welcome,
       vm: this.opts.vm,
       fence: this.fence,
       issuesSlots: true,
+      knownTypes: [...OWN_TYPES],
     });
   }
 
@@ -437,11 +440,12 @@
   private handleStreams(member: Member, message: RelayMessageOf<'streams'>): void {
     this.opts.streams.addReceived(message);
     this.members.forEach((other) => {
-      if (other !== member) writeMessage(other.socket, message);
+      if (other !== member) other.link.send(message);
     });
   }
 
   private handleReport(nowMs: number, member: Member, report: RelayMessageOf<'report'>): void {
+    member.link.noteTypes(report.knownTypes, report.usesSlots);
     if (member.vm === null) this.sendAllStreams(member);
     Object.assign(member, { vm: report.vm, report, reportedAtMs: this.opts.clock.nowMs() });
     this.engineController?.addReport(nowMs, report);
@@ -459,7 +463,7 @@
     const { storeWatcher } = this.opts;
     // Sent before the grant, which confirms that the member's server list is current.
     this.sendServerList(member);
-    writeMessage(member.socket, {
+    member.link.send({
       type: RelayMessageType.grant,
       seq: grant.seq,
       reportSentAtMs: report.sentAtMs,
@@ -469,7 +473,7 @@
       planRevision: storeWatcher.planVersion,
     });
     if (member.beliefs.needsPlan(report, storeWatcher.planVersion)) {
-      writeMessage(member.socket, { type: RelayMessageType.plan, value: storeWatcher.rawPlan });
+      member.link.send({ type: RelayMessageType.plan, value: storeWatcher.rawPlan });
     }
   }
 
@@ -479,13 +483,13 @@
     const freshness = storeWatcher.freshness().backends;
     if (freshness === null || member.vm === this.opts.vm) return;
     const update = member.beliefs.nextUpdate(this.serverListCache.listFor(storeWatcher), freshness);
-    if (update !== null && !writeMessage(member.socket, update)) member.beliefs.resendAll();
+    if (update !== null && !member.link.send(update)) member.beliefs.resendAll();
   }
 
   private handleIncidents(member: Member, message: RelayMessageOf<'incidents'>): void {
     const fingerprints = this.opts.incidents.addReceived(message, member.vm ?? 'member');
     if (fingerprints.length > 0) {
-      writeMessage(member.socket, { type: RelayMessageType.ranWhole, fingerprints });
+      member.link.send({ type: RelayMessageType.ranWhole, fingerprints });
     }
     this.members.forEach((other) => this.sendIncidents(other));
   }
@@ -495,27 +499,25 @@
     const isOwn = member.vm === this.opts.vm;
     const fingerprints = isOwn ? message.fingerprints : this.opts.incidents.clearCompleted(message);
     if (fingerprints.length === 0) return;
-    this.members.forEach(({ socket }) => {
-      if (socket !== member.socket) {
-        writeMessage(socket, { type: RelayMessageType.ranWhole, fingerprints });
-      }
+    this.members.forEach(({ link }) => {
+      if (link !== member.link) link.send({ type: RelayMessageType.ranWhole, fingerprints });
     });
   }
 
-  private sendAllStreams({ socket }: Member): void {
+  private sendAllStreams({ link }: Member): void {
     const message = this.opts.streams.fullMessage();
-    if (message !== null) writeMessage(socket, message);
+    if (message !== null) link.send(message);
   }
 
   private sendIncidents(member: Member): void {
     const message = member.incidents.nextMessage(this.opts.incidents);
-    if (message !== null && !writeMessage(member.socket, message)) member.incidents.resendAll();
+    if (message !== null && !member.link.send(message)) member.incidents.resendAll();
   }
 
   private handleAsk(nowMs: number, member: Member, ask: RelayMessageOf<'ask'>): void {
     const isGranted = this.lender?.lend(nowMs, ask.customer, ask.units) === true;
     const waitMs = this.lender?.waitMs(nowMs, ask.customer, ask.units) ?? Infinity;
-    writeMessage(member.socket, {
+    member.link.send({
       type: RelayMessageType.lent,
       askId: ask.askId,
       customer: ask.customer,
@@ -618,13 +620,13 @@
     this.engineController = null;
     this.permitService = null;
     this.slotService = null;
-    this.members.forEach(({ socket }) => socket.destroy());
+    this.members.forEach(({ link }) => link.close());
     this.members.clear();
   }
 
   private dropUnresponsive(nowMs: number): void {
     this.members.forEach((member) => {
-      if (nowMs - member.receivedAtMs > MEMBER_TIMEOUT_MS) member.socket.destroy();
+      if (nowMs - member.receivedAtMs > MEMBER_TIMEOUT_MS) member.link.close();
     });
   }
 
@@ -646,10 +648,10 @@
     );
   }
 
-  /** All entry VMs, as their last reports describe them. */
+  /** All entry VMs that relay connections, as their last reports describe them. */
   private peers(): RelayMessageOf<'view'>['peers'] & object {
-    return [...this.members].flatMap(({ report }) => {
-      if (report === null) return [];
+    return [...this.members].flatMap(({ report, link }) => {
+      if (report === null || !link.understands(RelayMessageType.relayOpen)) return [];
       const { vm, address, dataCentre, partitioned, leaving } = report;
       const unreachable = report.unreachable.map(({ server }) => server).sort();
       return [{ vm, address, dataCentre, unreachable, partitioned, leaving }];
@@ -678,7 +680,7 @@
       !arePeersNew && changed.length === 0 && running.length === 0 && member.sentLoads === loadsKey;
     if (isUnchanged && !isDue) return;
     const whole = member.sentEngines.size === 0;
-    const sent = writeMessage(member.socket, {
+    const sent = member.link.send({
       type: RelayMessageType.view,
       whole,
       engines: whole ? [...engines] : changed,
--- a/test/replay/model-fleet.ts
+++ b/test/replay/model-fleet.ts
@@ -443,6 +443,7 @@
       partitioned: [],
       connected: [],
       usesSlots: false,
+      knownTypes: null,
       leaving: false,
     };
   }
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -58,6 +58,7 @@
     connected: [],
     leaving: false,
     usesSlots: true,
+    knownTypes: null,
   };
 }
 
--- a/test/units/relay/server-slots.test.ts
+++ b/test/units/relay/server-slots.test.ts
@@ -45,7 +45,7 @@
     send: (message) => sent.push(message) > 0,
   });
   slots.handleConnected();
-  slots.handleWelcome({ ...WELCOME, issuesSlots });
+  slots.handleWelcome({ ...WELCOME, issuesSlots, knownTypes: null });
   const answer = (head: Partial<ResponseMetadata> = {}, status = 200) =>
     slots.noteResponse(SERVER, { ...HEAD, ...head }, status, times.nowMs);
   const receive = (fields: Partial<RelayMessageOf<'slots'>>) =>
