Brittle servers: an equal part of the slots while the steward is of a build that issues none

Cause: without issued slots a VM takes itself to be without a steward; the number of VMs was taken only from a steward that issues slots, and is infinite until then. Change: the number that any connected steward names is used; from 2 s after (requests of others may be in flight until then) each VM uses an equal part of 0.9 of each server's slots. VMs of the older builds hold back nothing, as before.

--- a/src/decisions/brittle-servers/slot-holder.ts
+++ b/src/decisions/brittle-servers/slot-holder.ts
@@ -2,10 +2,18 @@
  * Holds this entry VM's slots of brittle servers. Each request in flight to such a server uses one,
  * and the next request may use it again. Slots that stay unused are returned to the steward.
  *
- * Without a steward, the VM uses the slots that it has, and few requests beside them.
+ * Without a steward, the VM uses the slots that it has, and few requests beside them. While the steward is
+ * of an older build that issues none, the VM uses an equal part of each server's slots.
  */
 import { pauseAfterRejectionMs } from './pause.js';
 
+/** Fraction of a server's slots that all entry VMs together use while a steward issues none. */
+const UNISSUED_FRACTION = 0.9;
+/**
+ * Time from when no slots are issued until the VM uses its part, ms: requests with slots of other VMs,
+ * and of an earlier process of this one, may be in flight until then.
+ */
+const UNISSUED_WAIT_MS = 2_000;
 /** Time for which an unused slot is kept, ms. */
 const IDLE_MS = 100;
 /** The same without a steward, ms: nobody could issue it again. */
@@ -60,6 +68,9 @@
   /** Number of entry VMs that the last steward named; null before the first. */
   private members: number | null = null;
 
+  /** From when this VM uses an equal part of each server's slots; Infinity while slots are issued. */
+  private partFromMs = Infinity;
+
   /**
    * @param phase Differs between entry VMs, 0 to 1: they lose a steward at the same time, and may not
    * all send their first request without a slot together.
@@ -78,6 +89,24 @@
     });
   }
 
+  /**
+   * Sets the number of entry VMs that a connected steward names which issues no slots; null if no such
+   * steward is connected.
+   */
+  setUnissued(nowMs: number, members: number | null): void {
+    if (members === null) {
+      this.partFromMs = Infinity;
+      return;
+    }
+    this.partFromMs = Math.min(this.partFromMs, nowMs + UNISSUED_WAIT_MS);
+    const isFirst = this.members === null;
+    this.members = Math.max(1, members);
+    if (!isFirst) return;
+    this.servers.forEach((record) => {
+      Object.assign(record, { aloneAtMs: nowMs + this.phase * this.aloneIntervalMs(record) });
+    });
+  }
+
   /**
    * Replaces the brittle servers, each with the requests that it may turn away in a second. Requests
    * in flight to a server that has become brittle hold slots of it.
@@ -109,12 +138,17 @@
     return this.servers.has(serverId);
   }
 
-  /** Whether a request may be sent to the server now. */
-  allows(nowMs: number, serverId: string): boolean {
+  /**
+   * Whether a request may be sent to the server now.
+   * @param slots Requests that the server runs at once; 0 if unknown.
+   */
+  allows(nowMs: number, serverId: string, slots = 0): boolean {
     const record = this.servers.get(serverId);
     if (record === undefined) return true;
     if (nowMs < record.pausedUntilMs) return false;
-    if (record.free.some(({ untilMs }) => untilMs > nowMs)) return true;
+    const hasPart = nowMs >= this.partFromMs;
+    if (hasPart && this.inFlightAt(serverId) < this.ownPart(slots)) return true;
+    if (!hasPart && record.free.some(({ untilMs }) => untilMs > nowMs)) return true;
     return !this.hasSteward && nowMs >= record.aloneAtMs;
   }
 
@@ -230,6 +264,11 @@
   }
 
   /** Interval at which this VM sends a server requests without a slot, ms. */
+  /** The equal part of a server's slots that each entry VM uses while none are issued. */
+  private ownPart(slots: number): number {
+    return Math.floor((slots * UNISSUED_FRACTION) / (this.members ?? Infinity));
+  }
+
   private aloneIntervalMs({ rejectionsPerS }: ServerSlots): number {
     const perS = (rejectionsPerS * ALONE_FRACTION) / (this.members ?? Infinity);
     return MS_PER_S / perS;
--- a/src/entry/relay/server-slots.ts
+++ b/src/entry/relay/server-slots.ts
@@ -80,6 +80,9 @@
   /** Whether the connected steward issues slots. */
   private hasIssuer = false;
 
+  /** Number of entry VMs that the steward has named on this connection; null if it has named none. */
+  private stewardMembers: number | null = null;
+
   /** Slots received on this connection to the steward. */
   private received = 0;
 
@@ -109,7 +112,7 @@
   allows({ id, service, slots }: BackendServer): boolean {
     const { nowMs } = this;
     if (!this.answers.allows(nowMs, service, slots, this.holder.inFlightAt(id))) return false;
-    return this.holder.allows(nowMs, id);
+    return this.holder.allows(nowMs, id, slots);
   }
 
   /** Counts a request that is sent now. */
@@ -174,6 +177,13 @@
   /** A new connection to a steward; it is not known yet whether this steward issues slots. */
   handleConnected(): void {
     this.hasIssuer = false;
+    this.stewardMembers = null;
+    this.updateSteward();
+  }
+
+  /** Records the number of entry VMs that the connected steward names. */
+  noteMembers(members: number): void {
+    this.stewardMembers = members;
     this.updateSteward();
   }
 
@@ -273,8 +283,10 @@
   }
 
   private updateSteward(): void {
-    const isConnected = this.hasIssuer && this.opts.isStewardConnected();
-    this.holder.setSteward(this.nowMs, isConnected, this.opts.members());
+    const isConnected = this.opts.isStewardConnected();
+    this.holder.setSteward(this.nowMs, isConnected && this.hasIssuer, this.opts.members());
+    const isUnissued = isConnected && !this.hasIssuer;
+    this.holder.setUnissued(this.nowMs, isUnissued ? this.stewardMembers : null);
   }
 
   private tick(): void {
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -273,6 +273,7 @@
         connections.noteMembers(message.members);
         if (message.peers !== null) peers.setPeers(message.peers);
         throttling.setReserve(message.mayUseReserve);
+        slots.noteMembers(message.members);
         message.unreached.forEach((service) => reachability.noteSuspicion(service));
         metrics.gauge('relay_members', message.members);
         dispatcher.schedulePlacement();
