--- a/src/entry/relay/peer-relay.ts
+++ b/src/entry/relay/peer-relay.ts
@@ -9,8 +9,8 @@
 import type { Metrics } from '../../core/metrics/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import { PeerFailure } from '../../decisions/peer-choice/index.js';
+import { readMessages } from './message-link.js';
 import type { RelayMessage, RelayMessageOf } from './messages.js';
-import { readMessages } from './steward-link.js';
 import { MAX_PIECE_BYTES, RelayedMessageType, SEND_WINDOW_BYTES } from './relayed-messages.js';
 
 /** Maximum number of connections that an entry VM relays at once, for all peers together. */
@@ -181,7 +181,9 @@
    */
   read(link: net.Socket, handle: (message: RelayMessage) => void, onRelayed: () => void): void {
     let connection: RelayedConnection | null = null;
-    readMessages(link, 'member', this.opts.logger, (message) => {
+    let peer = 'member';
+    const handleMessage = (message: RelayMessage) => {
+      if ('vm' in message) peer = message.vm;
       if (connection !== null) {
         connection.handleMessage(message);
       } else if (message.type === RelayedMessageType.relayOpen) {
@@ -190,6 +192,11 @@
       } else {
         handle(message);
       }
+    };
+    readMessages(link, {
+      logger: this.opts.logger,
+      peerName: () => peer,
+      handle: handleMessage,
     });
   }
 
--- a/test/replay/model-fleet.ts
+++ b/test/replay/model-fleet.ts
@@ -545,6 +545,7 @@
       partitioned: [],
       connected: [],
       usesSlots: false,
+      knownTypes: null,
       leaving: false,
     };
   }
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -60,6 +60,7 @@
     connected: [],
     leaving: false,
     usesSlots: true,
+    knownTypes: null,
   };
 }
 
