Test: a raw answer of the stand-in leaves its connection usable, and slow callers tell status and reason

Cause: in the stand-in. It writes the large answer to the socket itself, so that Node.js keeps the response of that request open. A later request on the same connection has no socket of its own until then, and was never answered: the VM gave it up at the deadline, rightly, and its log names both attempts. A busy machine spreads the six requests, so that one finds a kept connection. Change: the stand-in writes such an answer to the connection of the request.

--- a/test/failures/planned-stop.test.ts
+++ b/test/failures/planned-stop.test.ts
@@ -63,8 +63,18 @@
   return socket;
 }
 
-/** Sends a lookup and takes its answer after a pause; resolves with the bytes of the body. */
-function receiveSlowly(vm: SoakVm, id: string, pauseMs: number): Promise<number> {
+/** What a caller has received of an answer. */
+interface Received {
+  /** Null if no head has come. */
+  readonly status: number | null;
+  /** Length of the body, bytes. */
+  readonly bytes: number;
+  /** The body of an answer that is not a success; empty for others. */
+  readonly error: string;
+}
+
+/** Sends a lookup and takes its answer after a pause. */
+function receiveSlowly(vm: SoakVm, id: string, pauseMs: number): Promise<Received> {
   const [host, port] = vm.callers.split(':');
   const headers = {
     host: 'soak.example',
@@ -73,17 +83,21 @@
     'deadline-ms': '3000',
   };
   return new Promise((resolve) => {
-    let bytes = 0;
+    let received: Received = { status: null, bytes: 0, error: '' };
     const agent = new http.Agent({ keepAlive: true });
     const req = http.request({ host, port: Number(port), path: '/lookup/x', headers, agent });
-    req.on('error', () => resolve(bytes));
+    req.on('error', () => resolve(received));
     req.on('response', (res) => {
+      const { statusCode: status = 0 } = res;
+      received = { ...received, status };
       res.on('data', (part: Buffer) => {
-        bytes += part.length;
+        const { bytes, error } = received;
+        const text = status === 200 ? '' : part.toString();
+        received = { status, bytes: bytes + part.length, error: error + text };
       });
       res.on('close', () => {
         agent.destroy();
-        resolve(bytes);
+        resolve(received);
       });
       res.pause();
       setTimeout(() => res.resume(), pauseMs);
@@ -155,12 +169,16 @@
         }),
       );
       await clocks.sleep(1_000);
-      const received = Array.from({ length: SLOW_CALLERS }, (_, at) =>
-        receiveSlowly(vm, `slow-${at}`, READ_PAUSE_MS),
-      );
+      const received = Array.from({ length: SLOW_CALLERS }, async (_, at) => {
+        // The last one is sent on over a connection that has served another one.
+        if (at === SLOW_CALLERS - 1) await clocks.sleep(CALLER_OFFSET_MS / 2);
+        return receiveSlowly(vm, `slow-${at}`, READ_PAUSE_MS);
+      });
       await clocks.sleep(CALLER_OFFSET_MS);
       await Promise.all([vm.terminate('SIGTERM'), ...received]);
-      expect(await Promise.all(received)).toEqual(received.map(() => LARGE_BYTES));
+      expect(await Promise.all(received)).toEqual(
+        received.map(() => ({ status: 200, bytes: LARGE_BYTES, error: '' })),
+      );
     } finally {
       await fleet.stop();
     }
--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -574,9 +574,10 @@
       );
     }
     this.observations.runs.set(id, (this.observations.runs.get(id) ?? 0) + 1);
-    if (this.fault !== null && res.socket !== null) {
+    if (this.fault !== null && !req.socket.destroyed) {
       this.freeSlot(incarnation);
-      return this.fault(res.socket, id);
+      // Not the socket of the response: it has none behind a request that was answered so before.
+      return this.fault(req.socket, id);
     }
     const { crash } = this.spec;
     const crashName = crashNameOf(req);
