Report: leave out engines that have sent no data, whose age no message can carry

Cause: the first report names the engines that have sent data at any time, with their ages; an engine that has sent none has the age Infinity, which the schema refuses, and the steward closes a connection on which it can't decode a message. Change: such engines are left out. Test: fleet-view.test.ts, "can be decoded although engines have sent no data yet" (failed before).

--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -246,10 +246,12 @@
   /** Engines that have sent this entry VM data in the last `maxAgeMs`, for the report to the steward. */
   reached(maxAgeMs: number): RelayMessageOf<'report'>['reached'] {
     const nowMs = this.clock.steadyMs();
-    return [...this.storeWatcher.backends.values()]
-      .filter(({ models }) => models.length > 0)
-      .map(({ id }) => ({ server: id, ageMs: nowMs - this.health.lastReceivedAtMs(id) }))
-      .filter(({ ageMs }) => ageMs <= maxAgeMs);
+    const engines = [...this.storeWatcher.backends.values()].filter(({ models }) => models.length);
+    return engines.flatMap(({ id }) => {
+      const ageMs = nowMs - this.health.lastReceivedAtMs(id);
+      // Infinite for an engine without data, which no message can carry.
+      return Number.isFinite(ageMs) && ageMs <= maxAgeMs ? [{ server: id, ageMs }] : [];
+    });
   }
 
   /** Records that this entry VM is no longer partitioned from the servers of a service. */
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -2,10 +2,17 @@
 import { describe, expect, test } from 'vitest';
 import { FleetView } from '../../../src/entry/relay/fleet-view.js';
 import type { StoreWatcherTask } from '../../../src/entry/relay/store-watcher.js';
-import { type RelayMessageOf, RelayMessageType } from '../../../src/entry/relay/messages.js';
+import {
+  type RelayMessageOf,
+  relayMessageSchema,
+  RelayMessageType,
+} from '../../../src/entry/relay/messages.js';
 import { createBackendServer } from './backend-server.js';
 
 const SERVER = createBackendServer('s1');
+const ENGINE = createBackendServer('s1', {
+  models: [{ name: 'm1', version: 1, adapters: [] }],
+});
 const NEED = { service: 'drafting', model: 'm1', adapter: null };
 
 function viewOf(fields: Partial<RelayMessageOf<'view'>> = {}): RelayMessageOf<'view'> {
@@ -29,9 +36,9 @@
   running: { s1: 5 },
 });
 
-function setUp(fromSteward: boolean) {
+function setUp(fromSteward: boolean, server = SERVER) {
   const steward = { connected: true };
-  const storeWatcher = { backends: new Map([['s1', SERVER]]), isFromSteward: () => fromSteward };
+  const storeWatcher = { backends: new Map([['s1', server]]), isFromSteward: () => fromSteward };
   const times = { nowMs: 0 };
   const clock = {
     nowMs: () => times.nowMs,
@@ -141,6 +148,41 @@
   });
 });
 
+// The steward closed the connection of each VM that had just started, as it could not decode its report.
+describe('the first report of an entry VM to the steward', () => {
+  const report = (reached: RelayMessageOf<'report'>['reached']) => ({
+    type: RelayMessageType.report,
+    vm: 'vm-1',
+    address: '127.0.0.1:1',
+    sentAtMs: 0,
+    clockMs: 0,
+    planRevision: 0,
+    appliedSeq: 0,
+    shares: [],
+    running: [],
+    waits: [],
+    usage: [],
+    reached,
+    leaving: false,
+  });
+
+  test('can be decoded although engines have sent no data yet', () => {
+    const { view } = setUp(true, ENGINE);
+    const reached = view.reached(Infinity);
+    expect(relayMessageSchema.safeParse(report(reached)).success).toBe(true);
+    expect(reached).toEqual([]);
+  });
+
+  test('names the engines that have sent data', () => {
+    const { view, times } = setUp(true, ENGINE);
+    view.health.noteDataReceived(times.nowMs, ENGINE.id);
+    times.nowMs = 30;
+    const reached = view.reached(Infinity);
+    expect(relayMessageSchema.safeParse(report(reached)).success).toBe(true);
+    expect(reached).toEqual([{ server: ENGINE.id, ageMs: 30 }]);
+  });
+});
+
 describe('a stream of a software version', () => {
   test('has only servers of that version as candidates', () => {
     const { view } = setUp(true);
