Read the rest of a body before refusing it as too large, or for want of memory

Seen: refusals with 413 and 503 (MemoryFull) closed the connection while the body was still to come, 40 of 40 callers of bodies of 320 KB beside a configuration that had lowered max_body_bytes, and 32 of 40 beside 12 to 13 held bodies of 4 MB. Only refusals that are due by the head awaited the body. Change: the rest is discarded, for 1 s and 16 MB at most, then the refusal is sent and the connection kept. What was kept of the body is released at once. A malformed body (400) is still refused at once: reading it on costs too much time.

--- a/src/entry/gateway/read-body.ts
+++ b/src/entry/gateway/read-body.ts
@@ -33,12 +33,13 @@
     const pieces = new PieceCount();
     let isRefused = false;
     req.on('data', (chunk: Buffer) => {
-      // The rest of a refused body is discarded until the response closes the connection. A request
-      // that is paused would keep the pieces of what its connection has read.
+      // The rest of a refused body is discarded. A request that is paused would keep the pieces of what
+      // its connection has read.
       if (isRefused) return;
       const bytes = body.length + chunk.length;
       const refuse = (refusal: Result<Buffer, Refusal>) => {
         isRefused = true;
+        body.clear();
         resolve(refusal);
       };
       if (!pieces.add(performance.now(), chunk.length))
@@ -56,14 +57,16 @@
 
 /** Maximum time for which the body of a refused request is awaited, ms. */
 const MAX_DISCARD_MS = 1_000;
+/** Most bytes that are awaited of it; they take no memory. */
+const MAX_DISCARD_BYTES = 16_777_216;
 
 /**
  * Reads the rest of a refused request and discards it, so that its caller gets the response: a
- * connection that is closed with unread bytes is reset. Gives up at a body larger than `maxBytes`, or
- * one that takes too long.
+ * connection that is closed with unread bytes is reset. Gives up at a body that is too large, or one
+ * that takes too long.
  */
-export function discardBody(req: http.IncomingMessage, maxBytes: number): Promise<void> {
-  if (req.complete || Number(req.headers['content-length'] ?? 0) > maxBytes) {
+export function discardBody(req: http.IncomingMessage): Promise<void> {
+  if (req.complete || Number(req.headers['content-length'] ?? 0) > MAX_DISCARD_BYTES) {
     return Promise.resolve();
   }
   return new Promise((resolve) => {
@@ -75,7 +78,7 @@
     let bytes = 0;
     req.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes > maxBytes) settle();
+      if (bytes > MAX_DISCARD_BYTES) settle();
     });
     req.once('end', settle);
     req.once('close', settle);
--- a/src/entry/relay/body-memory.ts
+++ b/src/entry/relay/body-memory.ts
@@ -7,7 +7,7 @@
 export interface BodyClaim {
   /** Claims memory for more bytes; false if there is none left. */
   take(bytes: number): boolean;
-  /** Called once the request has ended. */
+  /** Called once the body is no longer kept, or its request has ended. */
   release(): void;
 }
 
@@ -31,6 +31,7 @@
       },
       release: () => {
         this.claimedBytes -= claimedBytes;
+        claimedBytes = 0;
       },
     };
   }
--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -289,7 +289,9 @@
     try {
       const body = await this.readBody(req, claim);
       if (body.isErr) {
-        if (!req.destroyed || req.complete) this.sendRefusal(res, metadata.id, body.error);
+        // Its memory is for others while the rest is read.
+        claim.release();
+        await this.refuseBody(res, metadata.id, body.error);
         return;
       }
       // Only now: a body that nobody reads takes memory that is not counted.
@@ -324,9 +326,18 @@
     id: string | null,
     reason: Refusal,
   ): Promise<void> {
-    const { req } = res;
-    await discardBody(req, this.maxBodyBytes);
-    if (!req.destroyed || req.complete) this.sendRefusal(res, id, reason);
+    await discardBody(res.req);
+    this.refuseIfConnected(res, id, reason);
+  }
+
+  /** Refuses a request for its body. One that is malformed costs too much time to read on. */
+  private async refuseBody(res: http.ServerResponse, id: string, reason: Refusal): Promise<void> {
+    if (reason.def !== errors.data.BadRequest) await discardBody(res.req);
+    this.refuseIfConnected(res, id, reason);
+  }
+
+  private refuseIfConnected(res: http.ServerResponse, id: string | null, reason: Refusal): void {
+    if (!res.req.destroyed || res.req.complete) this.sendRefusal(res, id, reason);
   }
 
   private async serveWithBody(received: ReceivedRequest): Promise<void> {
--- a/test/failures/unread-requests.test.ts
+++ b/test/failures/unread-requests.test.ts
@@ -20,6 +20,14 @@
 const PART = 'x'.repeat(100);
 /** Longest pause of a caller between two parts of a request, ms. */
 const PART_PAUSE_MS = 10;
+/** Parts of a body that takes several reads of a connection. */
+const LARGE_PART = 'x'.repeat(40_000);
+/** Less than a body of large parts; in force after `APPLIED_MS`. */
+const LOW_BODY_BYTES = 100_000;
+const APPLIED_MS = 600;
+/** Bodies that fill the memory for bodies while they are incomplete, and the bytes of each. */
+const HELD_BODIES = 12;
+const HELD_BYTES = 4_000_000;
 const PIPELINED = 10;
 /** Requests of some 12 MB together, more than the kernel's buffers hold. */
 const MANY_PIPELINED = 90_000;
@@ -84,24 +92,62 @@
     fs.rmSync(folder, { recursive: true, force: true });
   });
 
+  /** Sends a request whose body comes in `BODY_PARTS`, and another one behind its answer. */
+  async function sendInParts(route: string, name: string, part: string, at: number) {
+    const [vm] = fleet.vms as [SoakVm];
+    const { socket, answers } = connect(vm);
+    socket.write(requestText(route, `${name}-${at}`, BODY_PARTS * part.length));
+    await Array.from({ length: BODY_PARTS }).reduce<Promise<void>>(async (before) => {
+      await before;
+      await clocks.sleep((at * PART_PAUSE_MS) / CALLERS);
+      if (!socket.destroyed) socket.write(part);
+    }, Promise.resolve());
+    await answers(1);
+    if (!socket.destroyed) socket.write(`${requestText('unknown', `next-${name}-${at}`, 1)}x`);
+    const statuses = await answers(2);
+    socket.destroy();
+    return statuses;
+  }
+
   // The connection was once closed while the rest of the request was still to come.
   test('get the refusal and keep the connection, though it is due before the body has come', async () => {
+    const results = Array.from({ length: CALLERS }, (_, at) =>
+      sendInParts('unknown', 'refused', PART, at),
+    );
+    expect(await Promise.all(results)).toEqual(results.map(() => [404, 404]));
+  });
+
+  // The connection was closed at the bound, and the caller got a reset in place of the refusal.
+  test('get the refusal of a body that is larger than a changed configuration allows', async () => {
+    fleet.changeConfig({ limits: { max_body_bytes: LOW_BODY_BYTES } });
+    await clocks.sleep(APPLIED_MS);
+    const results = Array.from({ length: CALLERS }, (_, at) =>
+      sendInParts('order', 'large', LARGE_PART, at),
+    );
+    const statuses = await Promise.all(results);
+    fleet.changeConfig({});
+    await clocks.sleep(APPLIED_MS);
+    expect(statuses).toEqual(results.map(() => [413, 404]));
+  });
+
+  // The same.
+  test('get the refusal of a body for which there is no memory', async () => {
     const [vm] = fleet.vms as [SoakVm];
-    const results = Array.from({ length: CALLERS }, async (_, at) => {
-      const { socket, answers } = connect(vm);
-      socket.write(requestText('unknown', `refused-${at}`, BODY_PARTS * PART.length));
-      await Array.from({ length: BODY_PARTS }).reduce<Promise<void>>(async (before) => {
-        await before;
-        await clocks.sleep((at * PART_PAUSE_MS) / CALLERS);
-        if (!socket.destroyed) socket.write(PART);
-      }, Promise.resolve());
-      await answers(1);
-      if (!socket.destroyed) socket.write(`${requestText('unknown', `next-${at}`, 1)}x`);
-      const statuses = await answers(2);
-      socket.destroy();
-      return statuses;
+    const held = Array.from({ length: HELD_BODIES }, (_, at) => {
+      const { socket } = connect(vm);
+      socket.write(requestText('lookup', `held-${at}`, HELD_BYTES + 1));
+      socket.write('x'.repeat(HELD_BYTES));
+      return socket;
     });
-    expect(await Promise.all(results)).toEqual(results.map(() => [404, 404]));
+    await clocks.sleep(APPLIED_MS);
+    const results = Array.from({ length: CALLERS }, (_, at) =>
+      sendInParts('order', 'unkept', LARGE_PART, at),
+    );
+    const statuses = await Promise.all(results);
+    held.forEach((socket) => socket.destroy());
+    // Bodies for which there is memory are served.
+    expect(statuses.map(([, second]) => second)).toEqual(results.map(() => 404));
+    expect(new Set(statuses.map(([first]) => first))).toEqual(new Set([200, 503]));
   });
 
   // Each was once passed on at once, and lost when the answer before it closed the connection.
