Retries: an attempt that a partition of its VM cut off neither uses up the route's attempts nor excludes its server

Cause: the server of each attempt that broke was excluded and counted as an attempt, although the VM itself had found that it was partitioned. Change: such attempts, two of a request at most, are left out; the request may go on at the same server, over a peer.

--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -529,7 +529,7 @@
       default:
         this.recordBroken(nowMs, attempt, result);
     }
-    this.retryPolicy.noteRun(run);
+    this.retryPolicy.noteRun(run, attempt.isReached);
   }
 
   /** Delivers a response, or retries; true if the request is to be placed again. */
@@ -614,7 +614,7 @@
   private handleBroken(nowMs: number, attempt: RunningAttempt, result: Broken): boolean {
     this.recordBroken(nowMs, attempt, result);
     if (this.ended) return false;
-    if (this.retryPolicy.allowRetryAfterRun(nowMs, attempt.run)) return true;
+    if (this.retryPolicy.allowRetryAfterRun(nowMs, attempt.run, attempt.isReached)) return true;
     if (this.streaming) this.cut(result.reason);
     else this.fail(errors.data.BackendFailed, result.reason);
     return false;
--- a/src/entry/relay/retry-policy.ts
+++ b/src/entry/relay/retry-policy.ts
@@ -13,6 +13,9 @@
 /** Minimum idle time, as a multiple of the latency objective, which is then already missed. */
 const MIN_IDLE_OBJECTIVES = 2;
 
+/** Attempts that a partition may cut off without counting as attempts of the route. */
+const MAX_CUT_OFF_ATTEMPTS = 2;
+
 export class RetryPolicy {
   /** Ids of servers to which the request is not sent again. */
   readonly tried = new Set<string>();
@@ -22,6 +25,8 @@
 
   private notExecutedCount = 0;
 
+  private cutOffCount = 0;
+
   /** Whether a retry that no server has received is charged to the retry budget. */
   private isCharged = false;
 
@@ -59,16 +64,22 @@
     if (isExcluded) this.tried.add(run.server.id);
   }
 
-  /** Notes an attempt that may have run. */
-  noteRun(run: Run): void {
-    this.tried.add(run.server.id);
+  /**
+   * Notes an attempt that may have run.
+   * @param isReached Whether this VM reached the servers at its end; see `noteEnd`.
+   */
+  noteRun(run: Run, isReached = true): void {
+    this.noteEnd(run, isReached);
     this.isCharged = false;
   }
 
-  /** Whether a request that may have run is retried elsewhere. Charges the retry budget. */
-  allowRetryAfterRun(nowMs: number, run: Run): boolean {
-    const isAllowed = this.mayRetryElsewhere(run);
-    this.tried.add(run.server.id);
+  /**
+   * Whether a request that may have run is retried. Charges the retry budget.
+   * @param isReached Whether this VM reached the servers at the end of the attempt; see `noteEnd`.
+   */
+  allowRetryAfterRun(nowMs: number, run: Run, isReached = true): boolean {
+    this.noteEnd(run, isReached);
+    const isAllowed = this.mayRetry(Math.max(1, this.tried.size));
     return (
       isAllowed &&
       nowMs < this.deadlineAtMs &&
@@ -93,13 +104,26 @@
     };
   }
 
+  /**
+   * Notes the server of an attempt that has ended. One that a partition of this VM has cut off says
+   * nothing about its server, which may go on with the request over a peer.
+   */
+  private noteEnd(run: Run, isReached: boolean): void {
+    if (!isReached) this.cutOffCount += 1;
+    if (isReached || this.cutOffCount > MAX_CUT_OFF_ATTEMPTS) this.tried.add(run.server.id);
+  }
+
   /** Whether the route allows the request to run at one more server after this one. */
   private mayRetryElsewhere(run: Run): boolean {
+    return this.mayRetry(new Set([...this.tried, run.server.id]).size);
+  }
+
+  /** Whether the route allows the request to run at one more server after so many. */
+  private mayRetry(serverCount: number): boolean {
     const { route } = this.request;
     const isRetrySafe =
       route.retrySafety === RetrySafety.idempotent ||
       (route.retrySafety === RetrySafety.stream && route.resumable);
-    const serverCount = new Set([...this.tried, run.server.id]).size;
     return isRetrySafe && serverCount < route.attempts;
   }
 
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -40,10 +40,21 @@
 const servers: (net.Server | http.Server)[] = [];
 /** The requests as they were queued. */
 const placed: QueuedRequest[] = [];
+/** For each of them, the servers that were not to get it. */
+const excluded: (readonly string[])[] = [];
+
+interface RelayState {
+  /** Whether servers have the version of the stream. */
+  hasServers(): boolean;
+  /** Whether the VM reaches the servers. */
+  isReached(): boolean;
+}
+const REACHED: RelayState = { hasServers: () => true, isReached: () => true };
 
 afterEach(() => {
   servers.splice(0).forEach((server) => server.close());
   placed.length = 0;
+  excluded.length = 0;
 });
 
 /** Starts a backend server that writes `response` to each request after `delayMs`, and closes. */
@@ -76,12 +87,13 @@
 /** A relay that sends the attempts of a request to the servers at `addresses` in turn. */
 function relayTo(
   addresses: readonly string[],
-  hasServers: () => boolean = () => true,
+  { hasServers, isReached }: RelayState,
 ): RelayContext {
   const left = [...addresses];
   const nothing = () => undefined;
-  const placeNow = (queued: QueuedRequest) => {
+  const placeNow = (queued: QueuedRequest, tried: ReadonlySet<string>) => {
     placed.push({ ...queued });
+    excluded.push([...tried]);
     const address = left.shift();
     if (address === undefined) return null;
     const server = { id: address, address, version: 'v1' };
@@ -103,12 +115,19 @@
     streams: { noteBegun: nothing },
     clock: { steadyMs: () => performance.now() },
     dispatcher: {
-      place: async (queued: QueuedRequest) => ({ run: placeNow(queued), retryAfterMs: 100 }),
+      place: async (queued: QueuedRequest, tried: ReadonlySet<string>) => ({
+        run: placeNow(queued, tried),
+        retryAfterMs: 100,
+      }),
       placeNow,
       cancel: nothing,
       schedulePlacement: nothing,
     },
-    reachability: { isReached: async () => true, noteConnectFailure: nothing },
+    reachability: {
+      isReached: async () => isReached(),
+      outlives: async () => true,
+      noteConnectFailure: nothing,
+    },
     view: {
       ended: nothing,
       hasServers,
@@ -142,9 +161,9 @@
 /** All bytes that a caller receives whose request goes to the servers at `addresses` in turn. */
 async function receiveFrom(
   addresses: readonly string[],
-  hasServers?: () => boolean,
+  state: Partial<RelayState> = {},
 ): Promise<string> {
-  const relay = relayTo(addresses, hasServers);
+  const relay = relayTo(addresses, { ...REACHED, ...state });
   const front = http.createServer((req, res) => {
     const request = {
       req,
@@ -187,11 +206,11 @@
 /** All bytes that a caller receives whose request goes to servers with these responses in turn. */
 async function receive(
   responses: readonly string[],
-  hasServers?: () => boolean,
+  state: Partial<RelayState> = {},
   delayMs = 0,
 ): Promise<string> {
   const addresses = await Promise.all(responses.map((text) => startBackend(text, delayMs)));
-  return receiveFrom(addresses, hasServers);
+  return receiveFrom(addresses, state);
 }
 
 const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
@@ -267,13 +286,52 @@
 describe('a stream that broke off while no other server has its software version', () => {
   test('ends and does not look complete', async () => {
     const rest = `${event(2)}${event(3)}`;
-    const received = await receive([BROKEN_OFF, `${STREAM_HEAD}\r\n${rest}`], () => false);
+    const received = await receive([BROKEN_OFF, `${STREAM_HEAD}\r\n${rest}`], {
+      hasServers: () => false,
+    });
     expect(received).toContain(event(1));
     expect(received).not.toContain('id: 2');
     expect(received.endsWith(LAST_CHUNK)).toBe(false);
   });
 });
 
+// A server counted as one that had failed although only this VM could not reach it.
+describe('a stream that a partition of its VM has cut off', () => {
+  const idsOf = (received: string) =>
+    [...received.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+  const brokenAfter = (id: number) =>
+    `${STREAM_HEAD}${CHUNKED}${chunk(`${event(id)}id: ${id + 1}\nda`)}`;
+  const endingWith = (id: number) => `${STREAM_HEAD}${CHUNKED}${chunk(event(id))}${LAST_CHUNK}`;
+
+  test('may go on at the same server', async () => {
+    const received = await receive([brokenAfter(1), endingWith(2)], { isReached: () => false });
+    expect(idsOf(received)).toEqual([1, 2]);
+    expect(excluded).toEqual([[], []]);
+  });
+
+  test('goes on although the next connection is cut off as well', async () => {
+    const responses = [brokenAfter(1), brokenAfter(2), endingWith(3)];
+    const received = await receive(responses, { isReached: () => false });
+    expect(idsOf(received)).toEqual([1, 2, 3]);
+    expect(received.endsWith(LAST_CHUNK)).toBe(true);
+  });
+
+  test('goes on at another server when its server breaks off afterwards', async () => {
+    const isReached = () => placed.length > 1;
+    const responses = [brokenAfter(1), brokenAfter(2), endingWith(3)];
+    const received = await receive(responses, { isReached });
+    expect(idsOf(received)).toEqual([1, 2, 3]);
+    expect(excluded.map(({ length }) => length)).toEqual([0, 0, 1]);
+  });
+
+  test('is not sent again without end', async () => {
+    const responses = Array.from({ length: 9 }, (_, at) => brokenAfter(at + 1));
+    const received = await receive(responses, { isReached: () => false });
+    expect(idsOf(received)).toEqual([1, 2, 3, 4]);
+    expect(received.endsWith(LAST_CHUNK)).toBe(false);
+  });
+});
+
 describe('a stream without length', () => {
   test('is complete at the end of its connection', async () => {
     const received = await receive([`${STREAM_HEAD}\r\n${event(1)}${event(2)}`]);
