Relayed connections: one that ends as soon as it is made ends its attempt, not the process

Cause: a server that accepts a peer's connection and resets it at once. Both messages reach the VM together, so that the stream is destroyed with an error before the request that will use it has a listener for errors. With a listener, the request was given a stream that had ended, of which it heard nothing until its deadline. Change: the stream has a listener of its own, and a request is not given a stream that has ended: it has not run. Tests: relayed-connection.test.ts, "the connection is reset by the server as soon as it is made" (before: the exception, and no end of the attempt in 2 s).

--- a/src/entry/relay/connections.ts
+++ b/src/entry/relay/connections.ts
@@ -91,7 +91,9 @@
     const stream = await this.open(signal);
     this.opened = stream;
     if (signal.aborted) stream?.destroy();
-    if (stream === null) callback(new Error('no peer reaches the backend server'), null as never);
+    // A connection that has ended already gives the request no event any more.
+    if (stream === null || stream.destroyed)
+      callback(new Error('no peer reaches the backend server'), null as never);
     else callback(null, stream);
   }
 }
--- a/src/entry/relay/relayed-stream.ts
+++ b/src/entry/relay/relayed-stream.ts
@@ -29,6 +29,8 @@
     readonly peer: string,
   ) {
     super({ allowHalfOpen: false });
+    // The connection may end before the request has added its own listeners.
+    this.on('error', () => undefined);
     link.on('close', () => this.handleLinkClosed());
   }
 
--- a/test/units/relay/relayed-connection.test.ts
+++ b/test/units/relay/relayed-connection.test.ts
@@ -29,6 +29,8 @@
 import { createResponseMemory } from './response-memory.js';
 
 const LARGE_BYTES = 3_000_000;
+/** Time in which an attempt ends whose connection has ended, ms. */
+const MAX_END_MS = 2_000;
 const HEAD = 'HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nResponse-Seal: s\r\n';
 const SOUND = `${HEAD}Content-Length: 2\r\n\r\nok`;
 
@@ -326,6 +328,34 @@
     expect(await sendOver(createConnector([peer.address]), server)).toMatchObject(notRun);
   });
 
+  // The exception that this raised was caught nowhere, and ended the process.
+  test.each([
+    ['is reset by the server', true],
+    ['is lost with the peer', false],
+  ])('has not run: the connection %s as soon as it is made', async (_how, isReset) => {
+    const exceptions: unknown[] = [];
+    const collect = (err: unknown) => exceptions.push(err);
+    process.on('uncaughtException', collect);
+    const opened = frames.encodeBody({ type: RelayMessageType.relayOpened });
+    const reset = frames.encodeBody({ type: RelayMessageType.relayEnd, isReset: true });
+    const peer = await listen((socket) => {
+      socket.on('data', () => {
+        if (isReset) socket.write(Buffer.concat([opened, reset]));
+        else socket.end(opened);
+      });
+    });
+    let result: AttemptResult | null = null;
+    void sendOver(createConnector([peer]), server).then((end) => {
+      result = end;
+    });
+    const untilMs = performance.now() + MAX_END_MS;
+    await until(() => result !== null || performance.now() > untilMs);
+    process.off('uncaughtException', collect);
+    expect(exceptions).toEqual([]);
+    expect(result).toMatchObject(isReset ? notRun : { relayedEnd: RelayedEnd.peerLost });
+    expect(requests).toBe(0);
+  });
+
   test.each<[string, Partial<PeerRelayOptions>]>([
     ['is stopping', { isStopping: () => true }],
     ['does not list the server', { serverOf: () => undefined }],
