--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -249,13 +249,12 @@
    */
   reached(maxAgeMs: number): RelayMessageOf<'report'>['reached'] {
     const nowMs = this.clock.steadyMs();
-    return (
-      [...this.storeWatcher.backends.values()]
-        .filter(({ models }) => models.length > 0)
-        .map(({ id }) => ({ server: id, ageMs: nowMs - this.health.lastReceivedAtMs(id) }))
-        // The age of an engine that has sent nothing is Infinity, which a report can't hold.
-        .filter(({ ageMs }) => ageMs <= maxAgeMs && ageMs < Infinity)
-    );
+    const engines = [...this.storeWatcher.backends.values()].filter(({ models }) => models.length);
+    return engines.flatMap(({ id }) => {
+      const ageMs = nowMs - this.health.lastReceivedAtMs(id);
+      // Infinite for an engine without data, which no message can carry.
+      return Number.isFinite(ageMs) && ageMs <= maxAgeMs ? [{ server: id, ageMs }] : [];
+    });
   }
 
   /** Records that this entry VM is no longer partitioned from the servers of a service. */
