--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -661,7 +661,8 @@
     this.ended = true;
     const { model, adapter } = this.request.metadata;
     const { version } = this.queuedRequest;
-    this.ctx.log('cut', this.request.metadata.id, { reason, model, adapter, version });
+    const { name: route } = this.request.route;
+    this.ctx.log('cut', this.request.metadata.id, { reason, route, model, adapter, version });
     this.request.res.destroy();
   }
 
