--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -653,9 +653,7 @@
   ): number {
     const rate = view.expectedRates.get(replica.model) ?? 0;
     const anyVersion = { service: engine.service, model: replica.model, version: null };
-    const sameVersion = { ...anyVersion, version: engine.version };
-    // Streams in progress can't go on at replicas of other versions.
-    const holders = view.holdersByModel.get(modelKey(sameVersion)) ?? [];
+    const holders = view.holdersByModel.get(modelKey(anyVersion)) ?? [];
     const otherReplicas = holders.filter(({ id }) => id !== engine.id).length;
     const incomingRate = view.rates.get(incomingModel) ?? 0;
     const coldStartMs =
@@ -664,7 +662,7 @@
     const runEndMs = replica.running > 0 ? RUN_END_MS + replica.running * 50 : 0;
     const recentUseMs = view.nowMs - replica.usedAtMs < RECENT_USE_MS ? RECENT_USE_MS : 0;
     // High enough that a model with pending demand is rarely evicted.
-    const isInDemand = [anyVersion, sameVersion].some((need) =>
+    const isInDemand = [anyVersion, { ...anyVersion, version: engine.version }].some((need) =>
       view.modelsInDemand.has(modelKey(need)),
     );
     const demandMs = isInDemand ? 10_000 : 0;
