--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -296,6 +296,8 @@
       if (loading.some((engine) => hasCopy(engine, model))) return [];
       const waitsMs = own
         .filter((engine) => hasUsableCopy(nowMs, engine, model))
+        // An engine that takes orders and has none for the model is not about to load it.
+        .filter((engine) => loading.length === 0 || engine.loading.length > 0)
         .map((engine) => copyWaitMs(nowMs, engine, model));
       const isExpectedLater = loading.length > 0 || Math.min(...waitsMs) >= BLOCKED_MS;
       if (waitsMs.length === 0 || !isExpectedLater) return [];
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -620,6 +620,25 @@
     const idle = { ...view, engines: engines.slice(1) };
     expect(new SwapPlanner().blockedLoads(idle)).toEqual([]);
   });
+
+  // They were told a time of 0.6 s again and again.
+  test('do not wait for a copy that is not about to be loaded', () => {
+    const inUse = ['m1', 'm2', 'm3'].map((name) => replica(name, { running: 9 }));
+    const view = {
+      nowMs: NOW_MS,
+      engines: [
+        engine('e1', [], [], { loading: ['m5'], open: false, busyUntilMs: NOW_MS + 4_000 }),
+        engine('e2', inUse, ['m5']),
+      ],
+      pendingDemand: [demandFor('m5', { version: 'v1', waiting: 3 })],
+      rates: new Map(),
+      expectedRates: new Map(),
+      storeLoadsLeft: 4,
+      placeLoadsLeft: 4,
+    };
+    expect(new SwapPlanner().plan(view)).toEqual([]);
+    expect(new SwapPlanner().blockedLoads(view)).toEqual([]);
+  });
 });
 
 describe('an engine that stops responding before its load ends', () => {
