Bound what a long queue may evict: from a copy only, settled models, its own requests

Found by the review of: six queued requests could evict any model in use for a load of 6 s from the weight store, with no bound of its cost; requests that only another version can serve were counted; and a model could go before the first requests that it was loaded for were reported.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -58,7 +58,7 @@
 const MIN_PRELOAD_RATE_PER_S = 0.02;
 /** Loads from the weight store that are reserved for requested models that no engine has loaded. */
 const RESERVED_STORE_LOADS = 1;
-/** Time after the latency objective of a demand at which its load may evict replicas in use, ms. */
+/** Time after the latency objective of a demand at which any of its loads may evict replicas in use, ms. */
 const OVERDUE_MS = 500;
 /** Maximum cost of a load, ms. `MAX_COST_PER_QUEUED_MS` is added for each queued request. */
 const MAX_COST_MS = 4_000;
@@ -80,6 +80,8 @@
 const BLOCKED_MS = 2_000;
 /** Slot utilisation, over all engines with a model, above which the model gets another replica. */
 const MAX_UTILISATION = 0.6;
+/** Queued requests from which on models that fewer requests use may be evicted. */
+const MIN_OUTNUMBERING = 6;
 /** Queued requests without an adapter at which a loaded model gets another replica. */
 const QUEUED_FOR_ANOTHER_REPLICA = 6;
 
@@ -562,7 +564,7 @@
         },
       ];
     const candidates = engine.replicas
-      .filter((replica) => this.isEvictable(view, replica, demand))
+      .filter((replica) => this.isEvictable(view, replica, demand, fromStore))
       .map((replica) => ({
         replica,
         delayMs: this.evictionCostMs(view, engine, replica, model),
@@ -586,28 +588,31 @@
   }
 
   /**
-   * Whether a replica may be evicted for a demand. One that has just been loaded or is in use stays: a
-   * replica on another engine is likely to become idle sooner. It may go for an overdue demand, or if
-   * the queued requests that no engine can serve outnumber its own.
+   * Whether a replica may be evicted for a demand. One that has just been loaded stays, and one in use as
+   * well: a replica on another engine is likely to become idle sooner. It may go for an overdue demand,
+   * or for a load from a copy if the queued requests that no engine can serve outnumber its own.
    */
   private isEvictable(
     view: IndexedView,
     { running, loadedAtMs }: Replica,
     demand: PendingDemand | null,
+    fromStore: boolean,
   ): boolean {
-    const isSettled = view.nowMs - loadedAtMs >= MIN_RESIDENCY_MS;
-    if (isSettled && running === 0) return true;
+    if (view.nowMs - loadedAtMs < MIN_RESIDENCY_MS) return false;
+    if (running === 0) return true;
     if (demand === null) return false;
-    if (this.isOutnumbered(view, running, demand)) return true;
-    return isSettled && view.nowMs > demand.dueAtMs + OVERDUE_MS;
+    if (view.nowMs > demand.dueAtMs + OVERDUE_MS) return true;
+    return !fromStore && this.isOutnumbered(view, running, demand);
   }
 
   /** Whether more requests than run on a replica are queued for a model that no engine has loaded. */
   private isOutnumbered(view: IndexedView, running: number, demand: PendingDemand): boolean {
     const key = modelKey(demand);
-    const waiting = view.queuedByModel.get(key) ?? 0;
+    const waiting = view.pendingDemand
+      .filter((pending) => modelKey(pending) === key)
+      .reduce((sum, pending) => sum + pending.waiting, 0);
     const isServed = (view.holdersByModel.get(key) ?? []).length > 0;
-    return !isServed && waiting >= QUEUED_FOR_ANOTHER_REPLICA && waiting > running;
+    return !isServed && waiting >= MIN_OUTNUMBERING && waiting > running;
   }
 
   /**
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -568,18 +568,32 @@
 describe('a long queue for a model that no engine has loaded', () => {
   // Callers that give up before their demand is overdue never got such a load.
   const inUse = ['m1', 'm2', 'm3'].map((name) => replica(name, { running: 3 }));
-  const fresh = ['m1', 'm2', 'm3'].map((name) => replica(name, { loadedAtMs: NOW_MS - 500 }));
 
-  test.each([
-    ['in use', inUse],
-    ['loaded just before', fresh],
-  ])('evicts a model that is %s', (_, replicas) => {
-    const engines = [engine('e1', replicas, ['m5'])];
+  test('evicts a model that is in use', () => {
+    const engines = [engine('e1', inUse, ['m5'])];
     const queue = (waiting: number) => [demandFor('m5', { waiting })];
     expect(loadsOf(plan({ engines, pendingDemand: queue(8) }))).toEqual(['e1 m5']);
     expect(loadsOf(plan({ engines, pendingDemand: queue(2) }))).toEqual([]);
   });
 
+  test.each([
+    ['that was loaded just before', { loadedAtMs: NOW_MS - 500 }, ['m5']],
+    ['in use for a load from the weight store', { running: 5 }, []],
+  ])('evicts no model %s', (_, fields, copies) => {
+    const replicas = ['m1', 'm2', 'm3'].map((name) => replica(name, fields));
+    const engines = [engine('e1', replicas, copies)];
+    expect(plan({ engines, pendingDemand: [demandFor('m5', { waiting: 8 })] })).toEqual([]);
+  });
+
+  test('evicts no model in use for queued requests that only another version can serve', () => {
+    const engines = [
+      engine('e1', inUse, ['m5'], { version: 'v2' }),
+      engine('e2', [], [], { version: 'v1', healthy: false, open: false }),
+    ];
+    const pendingDemand = [demandFor('m5'), demandFor('m5', { version: 'v1', waiting: 9 })];
+    expect(plan({ engines, pendingDemand })).toEqual([]);
+  });
+
   test('evicts no model that more requests use', () => {
     const crowded = inUse.map((used) => ({ ...used, running: 9 }));
     const engines = [engine('e1', crowded, ['m5'])];
