--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -148,13 +148,8 @@
   return waiting + Math.max(0, nowMs - dueAtMs + URGENCY_LEAD_MS) / URGENCY_STEP_MS;
 }
 
-/** Streams in progress go ahead of requests that any version can serve. */
 function inOrderOfUrgency({ nowMs, pendingDemand }: SwapView): readonly PendingDemand[] {
-  return [...pendingDemand].sort(
-    (a, b) =>
-      Number(a.version === null) - Number(b.version === null) ||
-      urgencyOf(nowMs, b) - urgencyOf(nowMs, a),
-  );
+  return [...pendingDemand].sort((a, b) => urgencyOf(nowMs, b) - urgencyOf(nowMs, a));
 }
 
 /** The largest number of engines that have the same software version. */
@@ -190,22 +185,23 @@
       .forEach((served) => placedModels.add(modelKey(served)));
     let storeLoadsLeft = Math.max(0, view.storeLoadsLeft - placeActions.length);
     const byUrgency = inOrderOfUrgency(view);
+    // One plan loads a model on one engine only, however many of its adapters are in demand.
+    const loadModel = (demand: PendingDemand, storeLoads: number) =>
+      placedModels.has(modelKey(demand))
+        ? null
+        : this.loadModel(view, demand, assignedEngines, storeLoads);
     const passes: readonly ((demand: PendingDemand) => SwapAction | null)[] = [
       (demand) => this.loadAdapter(view, demand, assignedEngines),
-      // One plan loads a model on one engine only, however many of its adapters are in demand.
-      (demand) =>
-        placedModels.has(modelKey(demand))
-          ? null
-          : this.loadModel(view, demand, assignedEngines, storeLoadsLeft),
+      // Streams in progress come first, as long as a copy can serve them soon.
+      (demand) => (demand.version === null ? null : loadModel(demand, 0)),
+      (demand) => loadModel(demand, storeLoadsLeft),
     ];
     const demandActions = passes.flatMap((pass) =>
       byUrgency.flatMap((demand) => {
         const action = pass(demand);
         if (action === null) return [];
         assignedEngines.add(action.engineId);
-        if (pass === passes[1]) {
-          servedBy(view, action).forEach((served) => placedModels.add(modelKey(served)));
-        }
+        servedBy(view, action).forEach((served) => placedModels.add(modelKey(served)));
         if (action.fromStore) storeLoadsLeft -= 1;
         return [action];
       }),
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -614,6 +614,16 @@
 });
 
 describe('streams that have begun at a software version', () => {
+  test('get no load from the weight store before a longer queue', () => {
+    const engines = [
+      engine('e1', [], [], { version: 'v1' }),
+      engine('e2', [], [], { version: 'v2' }),
+    ];
+    const pendingDemand = [demandFor('m5', { version: 'v1' }), demandFor('m6', { waiting: 50 })];
+    const actions = plan({ engines, pendingDemand, storeLoadsLeft: 1 });
+    expect(loadsOf(actions).map((load) => load.split(' ')[1])).toEqual(['m6']);
+  });
+
   // They were refused at once, as the load from the weight store ends too late.
   test('wait for a copy that can be loaded before a load from the weight store ends', () => {
     const engines = [
