--- a/src/decisions/engine-orders/index.ts
+++ b/src/decisions/engine-orders/index.ts
@@ -83,7 +83,9 @@
   /** Number of rejections because another order was in progress or the order count differed. */
   conflicts: number;
   readonly startedAtMs: number;
-  /** When the engine accepted the order of a model load; null before. */
+  /** When the order was first sent; null before. */
+  sentAtMs: number | null;
+  /** When the engine accepted the order of a model load; null before, and for other orders. */
   acceptedAtMs: number | null;
   /** Earliest time to send the order; for an accepted model load, its expected end. */
   nextAtMs: number;
@@ -287,6 +289,7 @@
       return null;
     }
     current.phase = Phase.sent;
+    current.sentAtMs ??= nowMs;
     if (!current.unresolved) current.expected = this.acceptedOrders;
     const { type, model, adapter } = current.step;
     return { type, model, adapter, expected: current.expected };
@@ -382,9 +385,11 @@
       return;
     }
     current.accepted = report.busy;
-    // It was accepted at some time since it was first sent.
-    if (report.busy) current.acceptedAtMs = current.startedAtMs;
     current.phase = report.busy ? Phase.underWay : Phase.due;
+    if (!report.busy || !isLoad || adapter !== null) return;
+    // It was accepted at some time since it was first sent.
+    current.acceptedAtMs = current.sentAtMs ?? current.startedAtMs;
+    current.nextAtMs = current.acceptedAtMs + this.profile.expectedMs(current.step);
   }
 
   /** Whether a model order was accepted and no report has shown its end. */
@@ -439,6 +444,7 @@
       accepted: false,
       conflicts: 0,
       startedAtMs: nowMs,
+      sentAtMs: null,
       acceptedAtMs: null,
       nextAtMs: nowMs,
     };
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -102,6 +102,8 @@
   reachedAtMs: number;
   /** The model load that was planned last; null before the first. */
   load: LoadProgress | null;
+  /** Since when the engine carries out an order of the last steward, ms; null if it does not. */
+  foreignSinceMs: number | null;
 }
 
 export interface EngineControllerOptions {
@@ -312,6 +314,7 @@
       connectFailures: new Map(),
       reachedAtMs: -Infinity,
       load: null,
+      foreignSinceMs: null,
     };
   }
 
@@ -376,7 +379,7 @@
       failingSinceMs: Infinity,
       reportedAtMs: nowMs,
     });
-    const loading = engine.orders.loading.length > 0;
+    const [loading] = engine.orders.loading;
     if (report.copies !== null) Object.assign(engine, { copies: report.copies });
     engine.orders.observe({
       bornMs: report.bornMs ?? engine.server.bornMs,
@@ -384,7 +387,13 @@
       busy: report.busy,
       models: withPendingAdapters(report),
     });
-    if (loading && engine.orders.loading.length === 0) this.noteLoadEnd(nowMs, engine);
+    const { hasForeignOrder, loadedModels } = engine.orders;
+    Object.assign(engine, {
+      foreignSinceMs: hasForeignOrder ? (engine.foreignSinceMs ?? nowMs) : null,
+    });
+    const hasEnded = loading !== undefined && engine.orders.loading.length === 0;
+    // A load that ended with its engine says nothing about the weight store.
+    if (hasEnded && loadedModels.has(loading)) this.noteLoadEnd(nowMs, engine);
   }
 
   /** Counts a call without an answer. */
@@ -515,7 +524,10 @@
     const started = new Set(actions.flatMap((action) => servedBy(view, action)).map(modelKey));
     const queue = this.planner.queuedLoads(view).filter((load) => !started.has(modelKey(load)));
     const startedFromStore = actions.filter(({ fromStore }) => fromStore).length;
-    const ends = this.runningStoreLoads().map((engine) => expectedEndMs(view.nowMs, engine));
+    const ends = [
+      ...this.runningStoreLoads().map((engine) => expectedEndMs(view.nowMs, engine)),
+      ...this.foreignEnds(view.nowMs),
+    ];
     const maxLoads = this.storeConcurrency.atOnce - startedFromStore;
     const blocked = this.planner.blockedLoads(view).filter((load) => !started.has(modelKey(load)));
     this.forecast = [...forecastLoads(view.nowMs, ends, maxLoads, queue), ...blocked];
@@ -526,7 +538,7 @@
     const { atOnce } = this.storeConcurrency;
     const running = this.runningStoreLoads();
     const begun = running.filter(({ orders }) => orders.loadAcceptedAtMs !== null);
-    const concurrent = begun.length + this.foreignLoads();
+    const concurrent = begun.length + this.foreignEnds(nowMs).length;
     this.engines.forEach(({ load, orders }) =>
       load?.advance(nowMs, orders.loadAcceptedAtMs, concurrent, atOnce),
     );
@@ -540,11 +552,19 @@
     );
   }
 
-  /** Number of engines that carry out orders of the last steward, which may be loads from the store. */
-  private foreignLoads(): number {
-    return [...this.engines.values()].filter(
-      (engine) => isResponsive(engine) && engine.orders.hasForeignOrder,
-    ).length;
+  /**
+   * Latest ends of the orders of the last steward that engines carry out, ms: each may be a load from
+   * the weight store.
+   */
+  private foreignEnds(nowMs: number): readonly number[] {
+    return [...this.engines.values()]
+      .filter(isResponsive)
+      .flatMap(({ foreignSinceMs, spec }) => {
+        if (foreignSinceMs === null) return [];
+        const loadsMs = [...spec.models.values()].map(({ remoteLoadMs }) => remoteLoadMs);
+        return [foreignSinceMs + Math.max(0, ...loadsMs)];
+      })
+      .filter((endsAtMs) => endsAtMs > nowMs);
   }
 
   /** Sums the queued requests of all entry VMs by what they need. */
@@ -637,7 +657,7 @@
     const gained = ((nowMs - this.storeTokensAtMs) / MS_PER_S) * perS;
     this.storeTokens = Math.min(STORE_BURST, this.storeTokens + gained);
     this.storeTokensAtMs = nowMs;
-    const running = this.runningStoreLoads().length + this.foreignLoads();
+    const running = this.runningStoreLoads().length + this.foreignEnds(nowMs).length;
     const freeLoads = this.storeConcurrency.atOnce - running;
     const bounded = (loads: number) => Math.max(0, Math.min(Math.floor(this.storeTokens), loads));
     return {
--- a/test/units/engine-orders/engine-orders.test.ts
+++ b/test/units/engine-orders/engine-orders.test.ts
@@ -322,3 +322,36 @@
     expect((engine.loadedAtMs ?? Infinity) - 500).toBeLessThan(300);
   });
 });
+
+describe('a load whose response is lost', () => {
+  // Its end was foretold seconds too early, and it was taken for loaded 0.1 s after it had begun.
+  test('counts from when it was sent, not from the unload before it', () => {
+    let running = 3;
+    const orders = createOrders(() => running);
+    orders.observe(reported(0, { a: [] }));
+    orders.add([unload('a'), load('b')]);
+    nextOrder(orders, 0);
+    orders.answered(0, OrderOutcome.accepted);
+    expect(orders.next(20)).toBe(null);
+    orders.observe(reported(1, { a: [] }, true));
+    running = 0;
+    orders.observe(reported(1, {}));
+    nextOrder(orders, 5_000);
+    orders.answered(5_250, OrderOutcome.unknown);
+    orders.observe(reported(2, {}, true));
+    expect(orders.loading).toEqual(['b']);
+    expect(orders.loadAcceptedAtMs).toBe(5_000);
+    expect(orders.presumedLoaded(5_390)).toEqual([]);
+  });
+
+  test('is not taken for begun while the unload before it waits for runs', () => {
+    const orders = createOrders(() => 3);
+    orders.observe(reported(0, { a: [] }));
+    orders.add([unload('a'), load('b')]);
+    nextOrder(orders, 0);
+    orders.answered(250, OrderOutcome.unknown);
+    orders.observe(reported(1, { a: [] }, true));
+    expect(orders.loading).toEqual(['b']);
+    expect(orders.loadAcceptedAtMs).toBe(null);
+  });
+});
--- a/test/units/relay/engine-controller.test.ts
+++ b/test/units/relay/engine-controller.test.ts
@@ -1,9 +1,10 @@
 /** How soon the steward knows that an engine has ended. */
-import { describe, expect, test } from 'vitest';
+import { describe, expect, test, vi } from 'vitest';
 import { createLogger } from '../../../src/core/logger/index.js';
 import { OrderOutcome } from '../../../src/decisions/engine-orders/index.js';
-import type { FleetPlan } from '../../../src/decisions/fleet-plan/index.js';
+import type { BackendServer, FleetPlan } from '../../../src/decisions/fleet-plan/index.js';
 import { Reachability } from '../../../src/decisions/reachability/index.js';
+import { StoreConcurrencyLimiter } from '../../../src/decisions/swaps/index.js';
 import { PermitIssuer } from '../../../src/decisions/throttling/index.js';
 import {
   EngineController,
@@ -79,7 +80,7 @@
   ],
 );
 
-function setUp({ fence = 0 } = {}) {
+function setUp({ fence = 0, busyEngines = [] as readonly string[] } = {}) {
   const engine = {
     isUp: true,
     calls: 0,
@@ -109,12 +110,14 @@
   const cold = { name: 'm2', sizeMb: 10, adapterMb: 1, remoteLoadMs: 6_000, localLoadMs: 600 };
   const models = new Map([[cold.name, cold]]);
   const spec = { models, memoryMb: 100, adapterSlots: 1, loadsPerS: 1, slots: 8 };
-  const backends = new Map([[SERVER.id, SERVER]]);
+  const others = busyEngines.map((id) => createBackendServer(id, { models: MODELS }));
+  const backends = new Map([SERVER, ...others].map((server) => [server.id, server]));
   const plan = { services: new Map([[SERVER.service, { engine: spec }]]) } as unknown as FleetPlan;
   const controller = new EngineController({
     vm: 'vm-0',
     wire: {
-      report: async () => {
+      report: async ({ id }: BackendServer) => {
+        if (id !== SERVER.id) return { ...REPORT, busy: true, orderCount: 3 };
         engine.calls += 1;
         engine.delay();
         return engine.isUp ? { ...REPORT, ...engine.report } : null;
@@ -262,6 +265,33 @@
   });
 });
 
+describe('orders of the last steward', () => {
+  test('count as loads from the weight store until such a load has ended, not for ever', async () => {
+    const busyEngines = ['f1', 'f2', 'f3', 'f4'];
+    const { controller, times, runFor } = setUp({ fence: 1, busyEngines });
+    await runFor(5_000, [COLD_DEMAND]);
+    expect(controller.loads(times.nowMs)[0]?.readyInMs).toBeGreaterThan(6_000);
+    await runFor(3_000, [COLD_DEMAND]);
+    expect(controller.loads(times.nowMs)[0]?.readyInMs).toBeLessThan(6_000);
+  });
+});
+
+describe('a load that ends with its engine', () => {
+  test('does not count as slowness of the weight store', async () => {
+    const recorded = vi.spyOn(StoreConcurrencyLimiter.prototype, 'recordLoad');
+    const { engine, backends, runFor } = setUp({ fence: 1 });
+    await runFor(2_000, [COLD_DEMAND]);
+    engine.isUp = false;
+    await runFor(8_000);
+    const bornMs = SERVER.bornMs + 10_000;
+    backends.set(SERVER.id, { ...SERVER, bornMs });
+    Object.assign(engine, { isUp: true, report: { bornMs } });
+    await runFor(1_000);
+    expect(recorded).not.toHaveBeenCalled();
+    recorded.mockRestore();
+  });
+});
+
 describe('a load that lasts longer than expected', () => {
   // Callers were told again and again that it was about to end.
   test('is announced to last as long again as it is overdue', async () => {
