--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -193,8 +193,11 @@
     returned: z.record(z.string(), z.number().nonnegative()).default({}),
     /** Servers that the sender can't connect to. */
     unreachable: z.array(connectFailureSchema).default([]),
-    /** Engines that have sent the sender data lately; not in every report. */
-    reached: z.array(receiptSchema).default([]),
+    /**
+     * Engines that have sent the sender data lately; not in every report. Earlier builds name some with an
+     * age of Infinity in the first report of a process.
+     */
+    reached: z.array(receiptSchema).default([]).catch([]),
     /** Services from whose servers the sender is partitioned. */
     partitioned: z.array(z.string()).default([]),
     /** Services to whose servers the sender has made a connection lately, and its age. */
