--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -6,9 +6,9 @@
  * load that ends in time. If no load is in progress or queued, the request is rejected after a
  * fraction of its time budget. If the load will end too late, the request is rejected at once,
  * unless a server already has the model or adapter loaded. The rejection gives the end of the load
- * as the time to retry. A stream that broke off waits as long as for a load that ends in time: a cut
- * tells its caller no time to retry. The same as for a late load holds for a request whose permit for a throttled server comes after
- * its latency objective: permits that go to late requests make later ones late as well.
+ * as the time to retry. The same holds for a request whose permit for a throttled server comes after
+ * its latency objective: permits that go to late requests make later ones late as well. A stream that
+ * broke off is never rejected at once, since a cut does not tell its caller when to retry.
  */
 
 /** A request that is queued on an entry VM. */
@@ -19,7 +19,7 @@
   readonly adapter: string | null;
   /** Software version of the servers that may run it; null for any. Set when a stream begins. */
   version: string | null;
-  /** Whether it is a stream that broke off: its caller has a part of it, and can't be told when to retry. */
+  /** Whether it is a stream that broke off, of which its caller has a part. */
   isInterrupted: boolean;
   /** 0 is the most urgent. */
   readonly priority: number;
