--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -18,11 +18,11 @@
 import {
   distinctNeeds,
   hasCopy,
-  hasLoaded,
   healthyEnginesFor,
   holdsOrLoads,
   type IndexedView,
   indexView,
+  isLoadedSoon,
   isOnlyAt,
   modelKey,
   type ModelNeed,
@@ -35,7 +35,7 @@
 export { LoadProgress } from './load-progress.js';
 export { StoreConcurrencyLimiter } from './store-concurrency.js';
 export * from './types.js';
-export { hasCopy, hasLoaded, healthyEnginesFor, modelKey } from './view-index.js';
+export { hasCopy, healthyEnginesFor, isLoadedSoon, modelKey } from './view-index.js';
 
 /** Minimum residency of a model replica, ms, so that a loaded model is also used. */
 const MIN_RESIDENCY_MS = 1_500;
@@ -76,11 +76,11 @@
  * number of loads from the weight store.
  */
 const URGENT_PLACES = 2;
-/** Time until a model can be loaded from a copy from which its callers are told that time, ms. */
+/** Time until a copy can be loaded from which on callers are told that time, ms. */
 const BLOCKED_MS = 2_000;
 /** Slot utilisation, over all engines with a model, above which the model gets another replica. */
 const MAX_UTILISATION = 0.6;
-/** Queued requests from which on models that fewer requests use may be evicted. */
+/** Queued requests for a model below which no model in use is evicted for it before it is overdue. */
 const MIN_OUTNUMBERING = 6;
 /** Queued requests without an adapter at which a loaded model gets another replica. */
 const QUEUED_FOR_ANOTHER_REPLICA = 6;
@@ -289,16 +289,15 @@
     return distinctNeeds(pendingDemand).flatMap((need) => {
       const { model } = need;
       const own = healthyEnginesFor(engines, need);
-      const loading = own.filter((engine) => isLoading(engine, model));
-      if (own.some((engine) => hasLoaded(engine, model))) return [];
-      if (loading.some((engine) => hasCopy(engine, model))) return [];
+      if (isLoadedSoon(own, model)) return [];
+      const isLoadedLater = own.some((engine) => isLoading(engine, model));
       const waitsMs = own
         .filter((engine) => hasUsableCopy(nowMs, engine, model))
         // An engine that takes orders and has none for the model is not about to load it.
-        .filter((engine) => loading.length === 0 || engine.loading.length > 0)
+        .filter((engine) => !isLoadedLater || engine.loading.length > 0)
         .map((engine) => copyWaitMs(nowMs, engine, model));
-      const isExpectedLater = loading.length > 0 || Math.min(...waitsMs) >= BLOCKED_MS;
-      if (waitsMs.length === 0 || !isExpectedLater) return [];
+      if (waitsMs.length === 0) return [];
+      if (!isLoadedLater && Math.min(...waitsMs) < BLOCKED_MS) return [];
       return [{ ...need, readyAtMs: nowMs + Math.min(...waitsMs) }];
     });
   }
--- a/src/decisions/swaps/view-index.ts
+++ b/src/decisions/swaps/view-index.ts
@@ -90,6 +90,14 @@
   return copies.inMemory.includes(model) || copies.onDisk.includes(model);
 }
 
+/** Whether one of the engines has a model loaded, or will have soon: it loads the model from a copy. */
+export function isLoadedSoon(engines: readonly EngineState[], model: string): boolean {
+  return engines.some(
+    (engine) =>
+      hasLoaded(engine, model) || (engine.loading.includes(model) && hasCopy(engine, model)),
+  );
+}
+
 /** The models of whose weights an engine has a copy. */
 export function copiedModels({ copies }: EngineState): readonly string[] {
   return [...new Set([...copies.inMemory, ...copies.onDisk])];
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -19,8 +19,8 @@
   type ForecastLoad,
   forecastLoads,
   hasCopy,
-  hasLoaded,
   healthyEnginesFor,
+  isLoadedSoon,
   LoadProgress,
   modelKey,
   type ModelRates,
@@ -490,9 +490,7 @@
         if (view.nowMs - loggedAtMs < NOT_LOADED_LOG_PAUSE_MS) return;
         const { model, version, waiting, dueAtMs } = demand;
         const engines = healthyEnginesFor(view.engines, demand);
-        const loading = engines.filter((engine) => engine.loading.includes(model));
-        if (engines.some((engine) => hasLoaded(engine, model))) return;
-        if (loading.some((engine) => hasCopy(engine, model))) return;
+        if (isLoadedSoon(engines, model)) return;
         this.notLoadedLoggedAtMs.set(key, view.nowMs);
         this.opts.logger.info('model-not-loaded', {
           model,
@@ -502,7 +500,9 @@
           ratePerS: view.rates.get(model) ?? 0,
           storeLoadsLeft: view.storeLoadsLeft,
           open: engines.filter(({ open }) => open).length,
-          loadingFromStore: loading.map(({ id }) => id),
+          loadingFromStore: engines
+            .filter((engine) => engine.loading.includes(model))
+            .map(({ id }) => id),
           copies: engines
             .filter((engine) => hasCopy(engine, model))
             .map((engine) => EngineController.describeCopy(view.nowMs, engine)),
