Swap planner: count the queue of a need once a plan; one list of the ends of store loads

isOutnumbered summed the whole demand for each replica of each option, with a key made anew for each entry: with hundreds of models in demand that is work in every plan of 20 ms. The sums are made once, with the other tables. The ends of loads from the weight store, foreign ones included, were put together in two places. Behaviour is the same.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -603,9 +603,7 @@
   /** Whether more requests than run on a replica are queued for a model that no engine has loaded. */
   private isOutnumbered(view: IndexedView, running: number, demand: PendingDemand): boolean {
     const key = modelKey(demand);
-    const waiting = view.pendingDemand
-      .filter((pending) => modelKey(pending) === key)
-      .reduce((sum, pending) => sum + pending.waiting, 0);
+    const waiting = view.queuedByNeed.get(key) ?? 0;
     const isServed = (view.holdersByModel.get(key) ?? []).length > 0;
     return !isServed && waiting >= MIN_OUTNUMBERING && waiting > running;
   }
--- a/src/decisions/swaps/view-index.ts
+++ b/src/decisions/swaps/view-index.ts
@@ -31,6 +31,8 @@
   readonly modelsInDemand: ReadonlySet<string>;
   /** Queued requests that a replica would serve, with any adapter or none, by `modelKey`. */
   readonly queuedByModel: ReadonlyMap<string, number>;
+  /** Queued requests for a model at exactly one version, or at any, by `modelKey`. */
+  readonly queuedByNeed: ReadonlyMap<string, number>;
   /** Cost of the adapter orders that a load on the engine delays, ms, by engine. */
   readonly adapterDelayMs: ReadonlyMap<string, number>;
 }
@@ -140,6 +142,15 @@
   return counts;
 }
 
+function countQueuedByNeed(demand: readonly PendingDemand[]): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  demand.forEach((pending) => {
+    const key = modelKey(pending);
+    counts.set(key, (counts.get(key) ?? 0) + pending.waiting);
+  });
+  return counts;
+}
+
 function adapterDelayPenaltyMs(view: SwapView, engine: EngineState): number {
   const rates = engine.replicas
     .filter(({ adapters }) => adapters.size > 0)
@@ -195,6 +206,7 @@
   return {
     ...view,
     queuedByModel: countQueued(view.pendingDemand),
+    queuedByNeed: countQueuedByNeed(view.pendingDemand),
     enginesByTarget: groupBy(
       view.engines.flatMap((engine) =>
         targetsOf(engine).map((target) => [targetKey(target), engine] as const),
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -524,10 +524,7 @@
     const started = new Set(actions.flatMap((action) => servedBy(view, action)).map(modelKey));
     const queue = this.planner.queuedLoads(view).filter((load) => !started.has(modelKey(load)));
     const startedFromStore = actions.filter(({ fromStore }) => fromStore).length;
-    const ends = [
-      ...this.runningStoreLoads().map((engine) => expectedEndMs(view.nowMs, engine)),
-      ...this.foreignEnds(view.nowMs),
-    ];
+    const ends = this.storeLoadEnds(view.nowMs);
     const maxLoads = this.storeConcurrency.atOnce - startedFromStore;
     const blocked = this.planner.blockedLoads(view).filter((load) => !started.has(modelKey(load)));
     this.forecast = [...forecastLoads(view.nowMs, ends, maxLoads, queue), ...blocked];
@@ -544,6 +541,12 @@
     );
   }
 
+  /** Expected ends of all loads from the weight store, ms. */
+  private storeLoadEnds(nowMs: number): readonly number[] {
+    const own = this.runningStoreLoads().map((engine) => expectedEndMs(nowMs, engine));
+    return [...own, ...this.foreignEnds(nowMs)];
+  }
+
   /** Engines with a load from the weight store, planned or in progress. */
   private runningStoreLoads(): readonly EngineRecord[] {
     return [...this.engines.values()].filter(
@@ -657,8 +660,7 @@
     const gained = ((nowMs - this.storeTokensAtMs) / MS_PER_S) * perS;
     this.storeTokens = Math.min(STORE_BURST, this.storeTokens + gained);
     this.storeTokensAtMs = nowMs;
-    const running = this.runningStoreLoads().length + this.foreignEnds(nowMs).length;
-    const freeLoads = this.storeConcurrency.atOnce - running;
+    const freeLoads = this.storeConcurrency.atOnce - this.storeLoadEnds(nowMs).length;
     const bounded = (loads: number) => Math.max(0, Math.min(Math.floor(this.storeTokens), loads));
     return {
       storeLoadsLeft: bounded(freeLoads),
