Plain services: responses with an invalid status are failures

A plain service in trouble may answer with a status that is no final status. Statuses below 100 already failed in the client; 600 and above reached the caller as the answer of the server. The check of the relay (200 to 599) now holds for both, in core/http/status.

--- a/src/entry/backends/index.ts
+++ b/src/entry/backends/index.ts
@@ -4,6 +4,7 @@
 import * as undici from 'undici';
 import { z } from 'zod';
 import * as errors from '../../core/errors/index.js';
+import { isFinalStatus } from '../../core/http/status.js';
 import { type EngineOrder, OrderOutcome } from '../../decisions/ledger/index.js';
 import { readEvents } from './sse.js';
 import {
@@ -177,7 +178,10 @@
           signal: call.signal,
         },
       );
-      return Result.ok({ status: statusCode, headers, body });
+      if (isFinalStatus(statusCode)) return Result.ok({ status: statusCode, headers, body });
+      discard(body);
+      const err = new Error(`response has the invalid status ${statusCode}`);
+      return Result.err(callFailure(err, 'forward request', call.address));
     } catch (err) {
       return Result.err(callFailure(err, 'forward request', call.address));
     }
--- a/src/entry/relay/response-head.ts
+++ b/src/entry/relay/response-head.ts
@@ -5,6 +5,7 @@
  * heads that announce a body which their status does not allow.
  */
 import { headerValues } from '../../core/http/headers.js';
+import { isFinalStatus } from '../../core/http/status.js';
 
 /** How the body of a response ends. */
 export const BodyEnd = {
@@ -26,8 +27,6 @@
   readonly rawHeaders: readonly string[];
 }
 
-const MIN_FINAL_STATUS = 200;
-const MAX_STATUS = 599;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 
@@ -52,8 +51,7 @@
   if (!TEXT.test(statusText)) return 'response has an invalid reason phrase';
   const areHeadersValid = rawHeaders.every((part, at) => (at % 2 === 0 ? TOKEN : TEXT).test(part));
   if (!areHeadersValid) return 'response has an invalid header';
-  const isFinal = status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
-  return isFinal ? bodyFault(head) : `response has the invalid status ${status}`;
+  return isFinalStatus(status) ? bodyFault(head) : `response has the invalid status ${status}`;
 }
 
 /** How the body of a valid response to a request with this method ends. */
--- a/test/units/relay/attempt.test.ts
+++ b/test/units/relay/attempt.test.ts
@@ -285,6 +285,35 @@
     expect((await sendRequest({ ...server, address: '127.0.0.1:1' })).type).toBe(AttemptEnd.notRun);
   });
 
+  // A caller got such a response as its answer, or was told that its request had not run.
+  test.each(['000', '000 OK', '00 OK', '099 Unknown', '600 Unknown'])(
+    'with the invalid status %s is not accepted, whatever follows it',
+    async (line) => {
+      const head = `HTTP/1.1 ${line}\r\nAttempt-Id: request-1\r\nResponse-Seal: s\r\n`;
+      const responses = [
+        `${head}Content-Length: 2\r\n\r\nok`,
+        `${head}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`,
+        `${head}\r\n${HEAD}Content-Length: 5\r\n\r\nwhole`,
+      ];
+      const endings: readonly ((socket: net.Socket) => unknown)[] = [
+        () => undefined,
+        (socket) => socket.end(),
+        (socket) => socket.resetAndDestroy(),
+      ];
+      const results = await Promise.all(
+        responses.flatMap((response) =>
+          endings.map(async (finish) => {
+            const server = await startServer((socket) =>
+              socket.write(response, () => finish(socket)),
+            );
+            return (await sendRequest(server)).type;
+          }),
+        ),
+      );
+      expect(new Set(results)).toEqual(new Set([AttemptEnd.broken]));
+    },
+  );
+
   test('that does not arrive is abandoned when the idle policy says so', async () => {
     const server = await startServer(() => undefined);
     const result = await sendRequest(server, 'request-1', createPool(), {
--- a/test/units/relay/relayed-connection.test.ts
+++ b/test/units/relay/relayed-connection.test.ts
@@ -207,6 +207,20 @@
 });
 
 describe('a request over a peer', () => {
+  // The relayed bytes are parsed at this end, so that a peer can't turn them into an answer.
+  test.each(['000', '000 OK', '00 OK', '099 Unknown'])(
+    'does not accept a response with the invalid status %s',
+    async (line) => {
+      const head = `HTTP/1.1 ${line}\r\nAttempt-Id: request-1\r\nResponse-Seal: s\r\n`;
+      const server = await startBackend((socket) =>
+        socket.write(`${head}Content-Length: 2\r\n\r\nok`),
+      );
+      const peer = await startPeer(server);
+      const result = await sendOver(createConnector([peer.address]), server);
+      expect(result.type).toBe(AttemptEnd.broken);
+    },
+  );
+
   test('gets the whole response, and its whole body reaches the server', async () => {
     let received = 0;
     const address = await listen((socket) => {
