--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -10,6 +10,8 @@
 
 const READY_POLL_MS = 50;
 const READY_TIMEOUT_MS = 20_000;
+/** Lines of the log that are shown when a VM does not get ready. */
+const LOGGED_LINES = 12;
 /** As in deploy/system.toml: beyond this heap, Node.js ends the process. */
 const HEAP_LIMIT = '--max-old-space-size=200';
 
@@ -188,11 +190,21 @@
   async waitUntilReady(): Promise<void> {
     const untilMs = performance.now() + READY_TIMEOUT_MS;
     while (!(await this.isReady())) {
-      if (performance.now() > untilMs) throw new Error(`${this.name} was not ready in time`);
+      if (performance.now() > untilMs) {
+        throw new Error(`${this.name} was not ready in time: ${this.describeState()}`);
+      }
       await clocks.sleep(READY_POLL_MS);
     }
   }
 
+  /** Whether the process runs, and the end of its log. */
+  private describeState(): string {
+    const { exitCode = null, signalCode = null } = this.child ?? {};
+    const log = fs.readFileSync(path.join(this.folder, `${this.name}.log`), 'utf8');
+    const lines = log.trimEnd().split('\n').slice(-LOGGED_LINES).join('\n');
+    return `exit code ${exitCode}, signal ${signalCode}, log:\n${lines}`;
+  }
+
   /** Whether the process answers the balancer's question for readiness with yes. */
   async isReady(): Promise<boolean> {
     try {
