Replay the control path of a fleet with slow links

Cause: a steward with a link of 7 Mbit/s loses its lease with 84 VMs; no test shows it. Change: a replay on virtual time with the lease's state machine, the successor's choice, encoded message sizes and links as byte queues.

--- /dev/null
+++ b/test/replay/control-fleet.ts
@@ -0,0 +1,329 @@
+/** Replays the control path of a fleet on virtual time: leases, reports, grants, views over slow links. */
+import {
+  type LeaseEffect,
+  LeaseEffectType,
+  type LeaseEvent,
+  LeaseEventType,
+  LeaseManager,
+  type Lease,
+  SuccessorSelector,
+} from '../../src/decisions/leases/index.js';
+import * as messages from './control-messages.js';
+import { Kind, UnpacedRules } from './control-rules.js';
+import { ByteQueue, type FleetOptions, type ReplayMember, type Vm } from './control-vm.js';
+
+const LEASE_MS = 2_000;
+const MARGIN_MS = 300;
+const STEP_MS = 5;
+const STORE_MS = 20;
+const STORE_TIMEOUT_MS = 700;
+const STORE_CALL_BYTES = 700;
+const STEWARD_TIMEOUT_MS = 800;
+const VIEW_KEEPALIVE_MS = 250;
+/** Mean time between two newly queued requests of a member, ms. */
+const QUEUED_EVERY_MS = 150;
+
+export class ControlFleet {
+  nowMs = 0;
+
+  /** Number of times at which the fleet lost its steward. */
+  lostStewards = 0;
+
+  /** Longest time without a steward after the first one, ms. */
+  longestGapMs = 0;
+
+  /** Largest traffic of a steward within a second of its term, as a fraction of its link rate. */
+  largestUse = 0;
+
+  readonly stewards: string[] = [];
+
+  private readonly vms: readonly Vm[];
+
+  private stored: Lease | null = null;
+
+  private version = 0;
+
+  private stewardSeenAtMs = -Infinity;
+
+  private readonly due = new Map<number, (() => void)[]>();
+
+  constructor(private readonly opts: FleetOptions) {
+    this.vms = opts.links.map((mbps, at) => this.createVm(mbps, at));
+  }
+
+  run(untilMs: number): void {
+    while (this.nowMs < untilMs) {
+      (this.due.get(this.nowMs) ?? []).forEach((call) => call());
+      this.due.delete(this.nowMs);
+      if (this.nowMs === this.opts.killed?.atMs) this.kill(this.opts.killed.vms);
+      this.vms.filter(({ isKilled }) => !isKilled).forEach((vm) => this.step(vm));
+      this.noteSteward();
+      this.nowMs += STEP_MS;
+    }
+  }
+
+  get steward(): Vm | null {
+    return this.vms.find((vm) => this.isSteward(vm)) ?? null;
+  }
+
+  private createVm(mbps: number, at: number): Vm {
+    const name = `vm-${at}`;
+    const rules = (this.opts.rules ?? (() => new UnpacedRules()))(mbps);
+    const bytesPerMs = mbps * 125;
+    const vm: Vm = {
+      name,
+      at,
+      mbps,
+      up: new ByteQueue(bytesPerMs),
+      down: new ByteQueue(bytesPerMs),
+      manager: new LeaseManager({
+        self: name,
+        address: name,
+        durationMs: LEASE_MS,
+        marginMs: MARGIN_MS,
+        heir: () => this.heirOf(vm),
+      }),
+      selector: new SuccessorSelector(LEASE_MS),
+      members: new Map(),
+      rules,
+      steward: null,
+      heardAtMs: -Infinity,
+      dialAtMs: 0,
+      reportedAtMs: -Infinity,
+      sharesAtMs: -Infinity,
+      isQueued: false,
+      isKilled: false,
+    };
+    return vm;
+  }
+
+  private isSteward(vm: Vm): boolean {
+    return !vm.isKilled && vm.manager.holds(this.nowMs);
+  }
+
+  private heirOf(vm: Vm) {
+    const candidates = [...vm.members.values()]
+      .filter((member) => member.vm !== vm && member.reportedAtMs > -Infinity)
+      .map((member) => ({
+        vm: member.vm.name,
+        address: member.vm.name,
+        sinceMs: member.sinceMs,
+        leaving: false,
+        partitions: 0,
+        ...member.vm.rules.candidate(this.nowMs),
+      }));
+    return vm.selector.choose(this.nowMs, candidates);
+  }
+
+  private kill(isKilled: (mbps: number) => boolean): void {
+    this.vms
+      .filter(({ mbps }) => isKilled(mbps))
+      .forEach((vm) => Object.assign(vm, { isKilled: true }));
+  }
+
+  private noteSteward(): void {
+    const { steward } = this;
+    if (steward === null) {
+      if (this.stewardSeenAtMs === this.nowMs - STEP_MS) this.lostStewards += 1;
+      if (this.stewards.length > 0)
+        this.longestGapMs = Math.max(this.longestGapMs, this.nowMs - this.stewardSeenAtMs);
+      return;
+    }
+    this.stewardSeenAtMs = this.nowMs;
+    if (this.stewards.at(-1) !== steward.name) this.stewards.push(steward.name);
+    const second = Math.floor(this.nowMs / 1_000);
+    const rate = steward.mbps * 125_000;
+    const bytes = Math.max(steward.up.perS[second] ?? 0, steward.down.perS[second] ?? 0);
+    this.largestUse = Math.max(this.largestUse, bytes / rate);
+  }
+
+  private after(ms: number, call: () => void): void {
+    const atMs = Math.ceil((this.nowMs + ms) / STEP_MS) * STEP_MS;
+    const dueMs = Math.max(atMs, this.nowMs + STEP_MS);
+    this.due.set(dueMs, [...(this.due.get(dueMs) ?? []), call]);
+  }
+
+  private step(vm: Vm): void {
+    if (this.nowMs % 50 === (vm.at % 10) * STEP_MS) this.tickLease(vm);
+    if (this.nowMs % 20 === (vm.at % 4) * STEP_MS) this.tickMember(vm);
+    if ((this.nowMs + vm.at * 35) % QUEUED_EVERY_MS === 0) Object.assign(vm, { isQueued: true });
+    if (this.nowMs % 40 === 0 && this.isSteward(vm)) this.sendUpdates(vm);
+  }
+
+  private isConnected(vm: Vm): boolean {
+    return vm.steward !== null && this.nowMs - vm.heardAtMs < STEWARD_TIMEOUT_MS;
+  }
+
+  private tickLease(vm: Vm): void {
+    if (!this.isSteward(vm) && this.isConnected(vm)) return;
+    this.feed(vm, { type: LeaseEventType.tick });
+  }
+
+  private feed(vm: Vm, event: LeaseEvent): void {
+    if (vm.isKilled) return;
+    vm.manager.handle(this.nowMs, event).forEach((effect) => this.perform(vm, effect));
+    if (!this.isSteward(vm)) vm.members.clear();
+  }
+
+  private perform(vm: Vm, effect: LeaseEffect): void {
+    if (effect.type !== LeaseEffectType.read && effect.type !== LeaseEffectType.write) return;
+    const sentAtMs = this.nowMs;
+    const reachedAtMs = vm.up.push(sentAtMs, STORE_CALL_BYTES) + STORE_MS;
+    const { rejected } = this.opts;
+    const isRejected =
+      rejected?.vms(vm.at) === true && sentAtMs >= rejected.fromMs && sentAtMs < rejected.untilMs;
+    vm.rules.noteStoreCall(sentAtMs, !isRejected);
+    this.after(reachedAtMs - sentAtMs, () => {
+      const answer = isRejected ? this.failure(effect) : this.callStore(effect);
+      const answeredAtMs = vm.down.push(this.nowMs, STORE_CALL_BYTES);
+      const isLate = answeredAtMs - sentAtMs > STORE_TIMEOUT_MS;
+      const delayMs = isLate ? 0 : answeredAtMs - this.nowMs;
+      this.after(delayMs, () => this.feed(vm, isLate ? this.failure(effect) : answer));
+    });
+  }
+
+  private failure(effect: LeaseEffect): LeaseEvent {
+    return effect.type === LeaseEffectType.read
+      ? { type: LeaseEventType.readFailed }
+      : { type: LeaseEventType.writeUnknown };
+  }
+
+  private callStore(effect: LeaseEffect): LeaseEvent {
+    const { stored: lease, version } = this;
+    if (effect.type !== LeaseEffectType.write) return { type: LeaseEventType.read, lease, version };
+    if (effect.version !== version) return { type: LeaseEventType.conflict };
+    this.stored = effect.lease;
+    this.version += 1;
+    return { type: LeaseEventType.written, version: this.version };
+  }
+
+  /** Sends bytes over the links of two VMs; a steward is connected to itself without them. */
+  private send(from: Vm, to: Vm, bytes: number, deliver: () => void): void {
+    if (from === to) {
+      this.after(0, deliver);
+      return;
+    }
+    const leftAtMs = from.up.push(this.nowMs, bytes);
+    this.after(leftAtMs - this.nowMs + 1, () => {
+      if (to.isKilled) return;
+      const arrivedAtMs = to.down.push(this.nowMs, bytes);
+      this.after(arrivedAtMs - this.nowMs, deliver);
+    });
+  }
+
+  private tickMember(vm: Vm): void {
+    const active = vm.manager.activeSteward;
+    const steward = this.vms.find(({ name }) => name === active?.vm) ?? null;
+    const isOther = steward !== vm.steward;
+    if (steward !== null && (isOther || !this.isConnected(vm)) && this.nowMs >= vm.dialAtMs) {
+      Object.assign(vm, { dialAtMs: this.nowMs + STEWARD_TIMEOUT_MS, steward: null });
+      this.send(vm, steward, 100, () => this.accept(steward, vm));
+    }
+    const { rules } = vm;
+    const sinceMs = this.nowMs - vm.reportedAtMs;
+    const gapMs = vm.isQueued ? rules.immediateGapMs() : rules.reportIntervalMs();
+    if (vm.steward === null || sinceMs < gapMs) return;
+    this.report(vm, vm.steward);
+  }
+
+  private accept(steward: Vm, vm: Vm): void {
+    if (!this.isSteward(steward)) {
+      const { newestEpoch } = steward.manager;
+      if (!steward.isKilled && steward.manager.confirmInactive(this.nowMs)) {
+        this.send(steward, vm, 60, () =>
+          this.feed(vm, {
+            type: LeaseEventType.epochRetired,
+            epoch: vm.manager.newestEpoch,
+            newestEpoch,
+          }),
+        );
+      }
+      return;
+    }
+    const sinceMs = this.nowMs;
+    steward.members.set(vm, {
+      vm,
+      sinceMs,
+      reportedAtMs: -Infinity,
+      viewedAtMs: -Infinity,
+      leaseVersion: 0,
+      peers: 0,
+      hasLists: false,
+    });
+    this.sendTo(steward, vm, Kind.first, messages.WELCOME_BYTES, () => {
+      Object.assign(vm, { steward, reportedAtMs: -Infinity, sharesAtMs: -Infinity });
+      this.report(vm, steward);
+    });
+  }
+
+  private report(vm: Vm, steward: Vm): void {
+    const hasShares = vm.rules.hasShares(this.nowMs - vm.sharesAtMs);
+    Object.assign(vm, { reportedAtMs: this.nowMs, isQueued: false });
+    if (hasShares) Object.assign(vm, { sharesAtMs: this.nowMs });
+    const bytes = vm.rules.reportBytes(hasShares);
+    this.send(vm, steward, bytes, () => this.handleReport(steward, vm, hasShares));
+  }
+
+  private handleReport(steward: Vm, vm: Vm, hasShares: boolean): void {
+    const member = steward.members.get(vm);
+    if (!this.isSteward(steward) || member === undefined) return;
+    Object.assign(member, { reportedAtMs: this.nowMs });
+    if (!member.hasLists) this.sendLists(steward, member);
+    this.sendTo(steward, vm, Kind.first, steward.rules.grantBytes(hasShares));
+  }
+
+  private sendLists(steward: Vm, member: ReplayMember): void {
+    if (!steward.rules.allows(this.nowMs, Kind.lists)) return;
+    Object.assign(member, { hasLists: true });
+    this.sendTo(steward, member.vm, Kind.lists, steward.rules.listBytes);
+  }
+
+  /** Sends renewed leases and views. */
+  private sendUpdates(steward: Vm): void {
+    const { rules } = steward;
+    rules.setMembers(steward.members.size);
+    steward.members.forEach((member) => {
+      if (member.reportedAtMs === -Infinity) return;
+      const { vm } = member;
+      const held = steward.manager.heldLease(this.nowMs);
+      if (held !== null && held.version !== member.leaseVersion) {
+        Object.assign(member, { leaseVersion: held.version });
+        const untilMs = this.nowMs + held.leftMs;
+        this.sendTo(steward, vm, Kind.first, rules.leaseBytes(this.vms.length), () =>
+          this.feed(vm, {
+            type: LeaseEventType.sent,
+            ...held,
+            heirTerm: held.lease.heir?.vm === vm.name ? { fromMs: this.nowMs, untilMs } : undefined,
+          }),
+        );
+      }
+      if (!member.hasLists) this.sendLists(steward, member);
+      this.sendView(steward, member);
+    });
+  }
+
+  private sendView(steward: Vm, member: ReplayMember): void {
+    const { rules } = steward;
+    const sinceMs = this.nowMs - member.viewedAtMs;
+    const arePeersNew =
+      member.peers !== steward.members.size && rules.allows(this.nowMs, Kind.lists);
+    const isDue = sinceMs >= rules.viewIntervalMs() && rules.allows(this.nowMs, Kind.changes);
+    if (!isDue && !arePeersNew && sinceMs < VIEW_KEEPALIVE_MS) return;
+    const { members } = steward;
+    Object.assign(member, { viewedAtMs: this.nowMs });
+    if (arePeersNew) Object.assign(member, { peers: members.size });
+    const bytes = rules.viewBytes(isDue, arePeersNew ? members.size : 0);
+    this.sendTo(steward, member.vm, arePeersNew ? Kind.lists : Kind.changes, bytes, () => {
+      member.vm.rules.noteSteward(members.size, steward.mbps, Math.max(...this.opts.links));
+    });
+  }
+
+  private sendTo(steward: Vm, vm: Vm, kind: Kind, bytes: number, handle?: () => void): void {
+    if (steward !== vm) steward.rules.noteSent(this.nowMs, kind, bytes);
+    this.send(steward, vm, bytes, () => {
+      if (vm.steward === steward || vm.steward === null)
+        Object.assign(vm, { heardAtMs: this.nowMs });
+      handle?.();
+    });
+  }
+}
