--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -28,6 +28,20 @@
   )
   .pipe(z.number().min(0));
 
+/** A link rate that may be unknown: a template renders a missing value as nothing, or leaves its name. */
+const linkRate = z
+  .union(
+    [
+      z
+        .string()
+        .regex(/^(?:\{\{.*\}\})?$/)
+        .transform(() => undefined),
+      numeric,
+    ],
+    { error: 'must be a number' },
+  )
+  .transform((mbps) => (mbps === 0 ? undefined : mbps));
+
 /** A duration in ms, or a string with a number and its unit: "8 s", "250 ms". */
 const duration = z
   .union(
@@ -93,6 +107,9 @@
         )
         .describe('Name of this entry VM, unique in the deployment.'),
       dataCentre: z.string().min(1).describe('Data centre that this entry VM is in.'),
+      linkMbps: linkRate
+        .optional()
+        .describe('Rate of its network link, Mbit/s; unknown if it is not set.'),
     })
     .describe('Identity of the entry VM.'),
   listen: z
--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -32,6 +32,7 @@
   type SentLease,
 } from './types.js';
 
+export * from './handover.js';
 export { type SuccessorCandidate, SuccessorSelector } from './successor.js';
 export * from './types.js';
 
@@ -135,6 +136,9 @@
 
   private succession: Succession | null = null;
 
+  /** Version of the lease that was last found free, and since when it was free; null before that. */
+  private freeSince: { readonly version: number; readonly atMs: number } | null = null;
+
   /** Time until which a lease that was handed over may be held by its successor. */
   private handedOverUntilMs = 0;
 
@@ -161,6 +165,11 @@
     return this.lastSeen?.holder ?? null;
   }
 
+  /** Whether the last known lease names this entry VM as its successor. */
+  get isNamedSuccessor(): boolean {
+    return this.lastSeen?.heir?.vm === this.cfg.self;
+  }
+
   /**
    * Highest epoch known to this entry VM, also that of a successor: another VM that was named before
    * may no longer take over.
@@ -225,7 +234,7 @@
       case LeaseEventType.release:
         return this.release(nowMs);
       case LeaseEventType.handOver:
-        return this.handOverInOffice(nowMs);
+        return this.handOverInOffice(nowMs, event.isStoreLost === true);
       case LeaseEventType.epochRetired:
         this.retiredEpoch = Math.max(this.retiredEpoch, event.epoch);
         this.newestReportedEpoch = Math.max(this.newestReportedEpoch, event.newestEpoch);
@@ -313,7 +322,8 @@
     }
     // A received lease may be newer than the stored lease of the same version, because a successor
     // takes over before it writes to the store.
-    if (!isSame || (lease?.epoch ?? 0) > (this.lastSeen?.epoch ?? 0)) this.lastSeen = lease;
+    // A received lease of the same epoch may lack the handover note.
+    if (!isSame || (lease?.epoch ?? 0) >= (this.lastSeen?.epoch ?? 0)) this.lastSeen = lease;
     if (lease !== null && lease.holder === this.cfg.self && lease.epoch === this.heldEpoch)
       return [];
     return [...this.clearHeld(), ...this.acquireIfFree(nowMs, lease)];
@@ -345,7 +355,8 @@
     if (nowMs < heldUntilMs) return this.write(nowMs, epochAfter(lease, this.version));
     const lost = this.clearHeld();
     const durationMs = Math.max(this.cfg.durationMs, lease?.durationMs ?? 0);
-    const freeAtMs = this.versionChangedAtMs + durationMs + this.cfg.marginMs;
+    const waitMs = this.cfg.acquireWaitMs?.() ?? 0;
+    const freeAtMs = this.versionChangedAtMs + durationMs + this.cfg.marginMs + waitMs;
     if (nowMs >= freeAtMs) {
       this.succession = null;
       return [...lost, ...this.write(nowMs, epochAfter(lease, this.version))];
@@ -419,7 +430,7 @@
     this.lastSeen = { ...lease, holder, address, epoch: heir.epoch, heir: undefined };
     this.nextCallAtMs = nowMs;
     return [
-      { type: LeaseEffectType.acquired, epoch: heir.epoch, note: lease.note },
+      { type: LeaseEffectType.acquired, epoch: heir.epoch, note: lease.note, isTakeover: true },
       { type: LeaseEffectType.notePersisted, note: lease.note },
     ];
   }
@@ -434,8 +445,7 @@
 
   private acquireIfFree(nowMs: number, lease: Lease | null): readonly LeaseEffect[] {
     if (this.stopping) return [];
-    if (lease === null || lease.holder === null)
-      return this.write(nowMs, epochAfter(lease, this.version));
+    if (lease === null || lease.holder === null) return this.acquire(nowMs, nowMs, lease);
     // The lease belongs to a previous process of this VM, so no process acts under it any more.
     const isPreviousProcess = lease.holder === this.cfg.self && lease.epoch > this.lastHeldEpoch;
     if (isPreviousProcess) this.retiredEpoch = Math.max(this.retiredEpoch, lease.epoch);
@@ -450,7 +460,20 @@
     const isRetired = hasExpiredHere || (otherSuccessor?.epoch ?? lease.epoch) <= this.retiredEpoch;
     const freeAtMs = this.versionChangedAtMs + lease.durationMs + this.cfg.marginMs;
     if (nowMs < freeAtMs && !isRetired) {
-      this.nextCallAtMs = Math.min(this.nextCallAtMs, freeAtMs);
+      this.nextCallAtMs = Math.min(this.nextCallAtMs, freeAtMs + (this.cfg.acquireWaitMs?.() ?? 0));
+      return [];
+    }
+    return this.acquire(nowMs, Math.min(nowMs, freeAtMs), lease);
+  }
+
+  /** Acquires a lease that has been free since `freeAtMs`, or waits for VMs with better links. */
+  private acquire(nowMs: number, freeAtMs: number, lease: Lease | null): readonly LeaseEffect[] {
+    if (this.freeSince?.version !== this.version) {
+      this.freeSince = { version: this.version, atMs: freeAtMs };
+    }
+    const dueMs = this.freeSince.atMs + (this.cfg.acquireWaitMs?.() ?? 0);
+    if (nowMs < dueMs) {
+      this.nextCallAtMs = Math.min(this.nextCallAtMs, dueMs);
       return [];
     }
     this.succession = null;
@@ -513,12 +536,18 @@
 
   /**
    * Releases the lease to its successor while this entry VM goes on running. It does so only if no
-   * store call is in flight, so that the lease that others are told is the one that is stored.
+   * store call is in flight, so that the lease that others are told is the one that is stored. If the
+   * store is lost, a renewal may still take effect that names the same successor: the successor then
+   * replaces it, as after a planned stop.
    */
-  private handOverInOffice(nowMs: number): readonly LeaseEffect[] {
-    const { lastSeen } = this;
-    const isBusy = this.pending !== null || this.callInFlight || this.takeoverUnconfirmed;
+  private handOverInOffice(nowMs: number, isStoreLost: boolean): readonly LeaseEffect[] {
+    const { lastSeen, pending } = this;
+    const isCalling = this.pending !== null || this.callInFlight;
+    const named = pending === null ? lastSeen?.heir : pending.lease.heir;
+    const isSameSuccessor = named !== undefined && named.epoch === lastSeen?.heir?.epoch;
+    const isBusy = this.takeoverUnconfirmed || (isCalling && !(isStoreLost && isSameSuccessor));
     if (!this.holds(nowMs) || isBusy || lastSeen?.heir === undefined) return [];
+    this.pending = null;
     this.retiredEpoch = Math.max(this.retiredEpoch, this.heldEpoch);
     this.handedOverUntilMs = this.heldUntilMs + this.cfg.marginMs;
     return this.clearHeld();
--- a/src/decisions/leases/successor.ts
+++ b/src/decisions/leases/successor.ts
@@ -9,7 +9,7 @@
 import type { LeaseSuccessor } from './types.js';
 
 /** Members that have been connected for longer than this are preferred. */
-const STABLE_AFTER_MS = 2_000;
+export const STABLE_AFTER_MS = 2_000;
 
 /** An entry VM that can be named as successor. */
 export interface SuccessorCandidate {
@@ -21,6 +21,10 @@
   readonly leaving: boolean;
   /** Number of services from whose servers the VM is partitioned. */
   readonly partitions: number;
+  /** Whether the VM's link is too slow for the control traffic of a large fleet. */
+  readonly hasSlowLink?: boolean;
+  /** Whether a store call of the VM was answered lately; VMs with a steward make none. */
+  readonly reachesStore?: boolean;
 }
 
 export class SuccessorSelector {
@@ -44,22 +48,35 @@
     const isReplaced =
       known === undefined ||
       known.leaving ||
-      candidates.some(({ leaving, partitions }) => !leaving && partitions < known.partitions);
+      candidates.some(({ leaving, partitions }) => !leaving && partitions < known.partitions) ||
+      candidates.some((candidate) => SuccessorSelector.hasBetterLink(nowMs, candidate, known));
     if (isReplaced) this.current = this.selectBest(nowMs, candidates);
     if (this.current !== null) this.lastNamedAtMs = nowMs;
     return this.current;
   }
 
+  private static hasBetterLink(
+    nowMs: number,
+    { leaving, sinceMs, partitions, hasSlowLink }: SuccessorCandidate,
+    known: SuccessorCandidate,
+  ): boolean {
+    const isStable = !leaving && nowMs - sinceMs > STABLE_AFTER_MS;
+    const isBetter = known.hasSlowLink === true && hasSlowLink !== true;
+    return isStable && isBetter && partitions <= known.partitions;
+  }
+
   /**
-   * Selects the stable member that connected last, of those with the fewest partitions: a rolling
-   * restart does not stop this member soon.
+   * Selects the stable member that connected last, of those with the fewest partitions and a link that
+   * is not slow, if any: a rolling restart does not stop this member soon.
    */
   private selectBest(nowMs: number, candidates: readonly SuccessorCandidate[]) {
     const staying = candidates.filter(({ leaving }) => !leaving);
     const fewest = Math.min(...staying.map(({ partitions }) => partitions));
-    const notLeaving = staying.filter(({ partitions }) => partitions === fewest);
-    const stable = notLeaving.filter(({ sinceMs }) => nowMs - sinceMs > STABLE_AFTER_MS);
-    const [best] = [...(stable.length > 0 ? stable : notLeaving)].sort(
+    const reaching = staying.filter(({ partitions }) => partitions === fewest);
+    const fast = reaching.filter(({ hasSlowLink }) => hasSlowLink !== true);
+    const preferred = fast.length > 0 ? fast : reaching;
+    const stable = preferred.filter(({ sinceMs }) => nowMs - sinceMs > STABLE_AFTER_MS);
+    const [best] = [...(stable.length > 0 ? stable : preferred)].sort(
       (a, b) => b.sinceMs - a.sinceMs,
     );
     return best === undefined ? null : { vm: best.vm, address: best.address };
--- a/src/decisions/leases/types.ts
+++ b/src/decisions/leases/types.ts
@@ -81,7 +81,11 @@
   /** Releases the lease for a planned stop, to its successor or to any entry VM. */
   | { readonly type: typeof LeaseEventType.release }
   /** Releases the lease to its successor; this entry VM may acquire it again later. */
-  | { readonly type: typeof LeaseEventType.handOver }
+  | {
+      readonly type: typeof LeaseEventType.handOver;
+      /** Whether this entry VM can't reach the store, so that a call may be in flight. */
+      readonly isStoreLost?: boolean;
+    }
   /**
    * No process acts under this epoch any more: its holder released the lease, or the holder's VM
    * runs a new process. `newestEpoch` is the highest epoch known to the entry VM that reported
@@ -117,6 +121,8 @@
       readonly type: typeof LeaseEffectType.acquired;
       readonly epoch: number;
       readonly note: unknown;
+      /** Whether the lease was taken over as designated successor. */
+      readonly isTakeover?: boolean;
     }
   /** The handover note is stored, because the write that contains the note took effect. */
   | { readonly type: typeof LeaseEffectType.notePersisted; readonly note: unknown }
@@ -136,6 +142,8 @@
   readonly durationMs: number;
   /** Time added to the duration before another entry VM acquires the lease. */
   readonly marginMs: number;
+  /** Time for which this entry VM leaves a free lease to others, ms; 0 without it. */
+  acquireWaitMs?(): number;
   /** Successor to name in the next write; null to name none. */
   heir?(): Omit<LeaseSuccessor, 'epoch'> | null;
   /** Returns the handover note for the next write. `before` is the note of the replaced lease. */
--- a/src/entry/relay/lease-task.ts
+++ b/src/entry/relay/lease-task.ts
@@ -24,6 +24,8 @@
  * less than this long ago, ms.
  */
 const MAX_HOLDER_AGE_MS = 1_500;
+/** Pause between two calls by which a successor shows that it reaches the store, ms. */
+const PROBE_PAUSE_MS = 250;
 
 /** A renewal that took effect after the lease was released. */
 export type LateRenewal = Extract<LeaseEffect, { type: typeof LeaseEffectType.lateRenewal }>;
@@ -47,6 +49,12 @@
   heir(): Omit<LeaseSuccessor, 'epoch'> | null;
   /** Sends the successor a renewal that took effect after the lease was released. */
   sendLateRenewal(renewal: LateRenewal): void;
+  /** Link rate of this VM for the log, Mbit/s; null if it is unknown. */
+  readonly linkMbps: number | null;
+  /** Time for which this VM leaves a free lease to VMs with better links, ms. */
+  acquireWaitMs(): number;
+  /** Called when a call by which this VM shows that it reaches the store was answered. */
+  onProbeAnswered(): void;
   /** Whether engines reject old fencing tokens. Only then may an expired lease stay in use. */
   enginesCheckFences(): boolean;
 }
@@ -64,6 +72,11 @@
   /** Whether the last call to the store was answered. */
   private storeAvailable = true;
 
+  /** When a call was last answered, and when this VM last probed the store. */
+  private answeredAtMs = -Infinity;
+
+  private probedAtMs = -Infinity;
+
   /** Whether a lease that expired while the store was unreachable or slow stays in use. */
   private goesOn = false;
 
@@ -80,7 +93,9 @@
     const { vm, address, durationMs, marginMs } = opts;
     const note = (previous: unknown) => opts.note(previous);
     const heir = () => opts.heir();
-    this.manager = new LeaseManager({ self: vm, address, durationMs, marginMs, note, heir });
+    const acquireWaitMs = () => opts.acquireWaitMs();
+    const timing = { durationMs, marginMs, acquireWaitMs };
+    this.manager = new LeaseManager({ self: vm, address, ...timing, note, heir });
   }
 
   /**
@@ -168,12 +183,35 @@
    */
   handOver(): boolean {
     if (!this.manager.holds(this.opts.clock.nowMs())) return false;
-    this.handle({ type: LeaseEventType.handOver });
+    this.handle({ type: LeaseEventType.handOver, isStoreLost: this.isStoreLost });
     if (this.manager.holds(this.opts.clock.nowMs())) return false;
     this.actingFence = 0;
     return true;
   }
 
+  /** Whether the last store call for the lease was not answered. */
+  get isStoreLost(): boolean {
+    return !this.storeAvailable;
+  }
+
+  /** Age of the last store call for the lease that was answered, ms; null if there was none. */
+  storeAgeMs(): number | null {
+    const ageMs = this.opts.clock.nowMs() - this.answeredAtMs;
+    return Number.isFinite(ageMs) ? ageMs : null;
+  }
+
+  /** Calls the store if this VM is the designated successor, to show whether it reaches the store. */
+  probeStore(): void {
+    const nowMs = this.opts.clock.nowMs();
+    if (!this.manager.isNamedSuccessor || nowMs - this.probedAtMs < PROBE_PAUSE_MS) return;
+    this.probedAtMs = nowMs;
+    void this.opts.store.read(LEASE_KEY).then(({ type }) => {
+      const isAnswered = type === PlatformOutcome.ok;
+      this.noteStoreCall(isAnswered, nowMs);
+      if (isAnswered) this.opts.onProbeAnswered();
+    });
+  }
+
   private tick(): void {
     if (this.fence() === 0 && this.opts.isStewardConnected()) return;
     this.handle({ type: LeaseEventType.tick });
@@ -217,7 +255,11 @@
       case LeaseEffectType.acquired:
         this.actingFence = effect.epoch;
         this.previousNote = effect.note;
-        this.opts.logger.info('lease-acquired', { fence: effect.epoch });
+        this.opts.logger.info('lease-acquired', {
+          fence: effect.epoch,
+          by: effect.isTakeover === true ? 'handover' : 'expiry',
+          linkMbps: this.opts.linkMbps,
+        });
         break;
       case LeaseEffectType.lateRenewal:
         this.opts.sendLateRenewal(effect);
@@ -233,7 +275,7 @@
   private async read(): Promise<void> {
     const sentAtMs = this.opts.clock.nowMs();
     const answer = await this.opts.store.read(LEASE_KEY);
-    this.noteStoreCall(answer.type === PlatformOutcome.ok);
+    this.noteStoreCall(answer.type === PlatformOutcome.ok, sentAtMs);
     if (answer.type !== PlatformOutcome.ok) {
       this.handle({ type: LeaseEventType.readFailed });
       return;
@@ -251,7 +293,7 @@
     const sentAtMs = this.opts.clock.nowMs();
     const answer = await this.opts.store.write(LEASE_KEY, effect.lease, effect.version);
     if (answer.type === PlatformOutcome.ok) this.holderSeenAtMs = sentAtMs;
-    this.noteStoreCall(answer.type !== PlatformOutcome.unknown);
+    this.noteStoreCall(answer.type !== PlatformOutcome.unknown, sentAtMs);
     switch (answer.type) {
       case PlatformOutcome.ok:
         this.handle({ type: LeaseEventType.written, version: answer.version });
@@ -264,7 +306,8 @@
     }
   }
 
-  private noteStoreCall(answered: boolean): void {
+  private noteStoreCall(answered: boolean, sentAtMs: number): void {
+    if (answered) this.answeredAtMs = Math.max(this.answeredAtMs, sentAtMs);
     if (answered !== this.storeAvailable) {
       this.opts.logger.info(answered ? 'store-back' : 'store-lost');
     }
--- a/src/entry/relay/message-link.ts
+++ b/src/entry/relay/message-link.ts
@@ -4,12 +4,16 @@
 import type { Logger } from '../../core/logger/index.js';
 import * as frames from '../../core/messages/index.js';
 import { EARLIEST_TYPES, isOwnType, mayBeLost, understoodTypes } from './known-types.js';
-import { type RelayMessage, relayMessageSchema } from './messages.js';
+import { type RelayMessage, RelayMessageType, relayMessageSchema } from './messages.js';
+import { SharedMessage, unpack } from './packed-messages.js';
 
 /** Unsent bytes above which further messages are dropped. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 export const MAX_FRAME_BYTES = 4_194_304;
 
+/** Unsent bytes above which messages are held back that are sent again later. */
+const MAX_WAITING_BYTES = 65_536;
+
 export interface MessageReader {
   readonly logger: Logger;
   /** The other end as far as it is known, for the log. */
@@ -35,7 +39,8 @@
     else bodies.value.forEach((body) => this.decode(body));
   }
 
-  private decode(body: Buffer): void {
+  /** @param isPacked Whether the body was packed; it then contains no other packed message. */
+  private decode(body: Buffer, isPacked = false): void {
     const { reader, socket } = this;
     if (socket.destroyed) return;
     const peer = reader.peerName();
@@ -50,11 +55,25 @@
       return;
     }
     const message = frames.validate(relayMessageSchema, value.value, peer);
-    if (message.isOk) reader.handle(message.value);
+    if (message.isOk) this.handle(message.value, isPacked);
     else if (type === undefined || !mayBeLost(type)) this.close(message.error);
     else this.noteDropped('bad-frame', type, message.error);
   }
 
+  private handle(message: RelayMessage, isPacked: boolean): void {
+    if (message.type !== RelayMessageType.packed) {
+      this.reader.handle(message);
+      return;
+    }
+    if (isPacked) {
+      this.noteDropped('bad-frame', message.type);
+      return;
+    }
+    const body = unpack(message.bytes, MAX_FRAME_BYTES, this.reader.peerName());
+    if (body.isErr) this.close(body.error);
+    else this.decode(body.value, true);
+  }
+
   private close(failure: errors.Failure): void {
     this.log('bad-frame', { reason: errors.formatFailure(failure), closed: true });
     this.socket.destroy();
@@ -89,7 +108,28 @@
 
   private hasNamedTypes = false;
 
-  constructor(private readonly socket: net.Socket) {}
+  private packs = false;
+
+  /** @param onSent Called with the length of each message that is written, bytes. */
+  constructor(
+    private readonly socket: net.Socket,
+    private readonly onSent: (bytes: number) => void = () => undefined,
+  ) {}
+
+  /** Deflates all longer messages, if the other end understands that. */
+  packAll(): void {
+    this.packs = true;
+  }
+
+  /** Whether earlier messages wait to be taken by the network. */
+  get isBusy(): boolean {
+    return this.socket.writableLength > MAX_WAITING_BYTES;
+  }
+
+  /** Bytes received and written on this connection, including those of other messages. */
+  get bytes(): { readonly received: number; readonly sent: number } {
+    return { received: this.socket.bytesRead, sent: this.socket.bytesWritten };
+  }
 
   /**
    * Notes what the other end states of the message types that it understands.
@@ -113,10 +153,21 @@
    * @returns Whether the message was written to the socket.
    */
   send(message: RelayMessage): boolean {
+    return this.write(new SharedMessage(message), this.packs);
+  }
+
+  /** Sends a message that others get as well, as `send` does; deflated if that is understood. */
+  sendShared(message: SharedMessage): boolean {
+    return this.write(message, true);
+  }
+
+  private write(shared: SharedMessage, packs: boolean): boolean {
     const { socket } = this;
-    if (!this.understands(message.type) || socket.destroyed) return false;
+    if (!this.understands(shared.message.type) || socket.destroyed) return false;
     if (socket.writableLength > MAX_BUFFERED_BYTES) return false;
-    socket.write(frames.encodeBody(message));
+    const frame = packs && this.understands(RelayMessageType.packed) ? shared.packed : shared.plain;
+    socket.write(frame);
+    this.onSent(frame.length);
     return true;
   }
 
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -32,6 +32,8 @@
   ...RelayedMessageType,
   slotNeeds: 'slot-needs',
   slots: 'slots',
+  confirm: 'confirm',
+  packed: 'packed',
 } as const;
 
 /** An entry VM's share of a customer's rate limit, and the customer's demand at this VM. */
@@ -185,7 +187,8 @@
     planRevision: z.number(),
     /** `seq` of the last grant from this steward that the sender applied. */
     appliedSeq: z.int(),
-    shares: z.array(rateShareSchema),
+    /** Null if they are the same as before; only sent to a steward that understands `confirm`. */
+    shares: z.array(rateShareSchema).nullable(),
     running: z.array(runningRequestsSchema),
     waits: z.array(queuedRequestsSchema),
     usage: z.array(usageSchema),
@@ -208,6 +211,10 @@
     usesSlots: z.boolean().default(false),
     /** Message types that the sender understands, in the first report on a connection. */
     knownTypes: z.array(z.string()).nullable().default(null),
+    /** Link rate of the sender, Mbit/s; null if it is unknown. */
+    linkMbps: z.number().positive().nullable().optional(),
+    /** Age of the last call for the lease that the store has answered, ms; null if there was none. */
+    storeAgeMs: z.number().nonnegative().nullable().optional(),
   }),
   /** Requests a loan of units of a customer's rate limit, for a single request. */
   z.object({
@@ -225,6 +232,8 @@
     issuesSlots: z.boolean().default(false),
     /** Message types that the steward understands; null if it names none. */
     knownTypes: z.array(z.string()).nullable().default(null),
+    /** Bytes per second that the steward's link can carry; null if unknown. See `message-pacing`. */
+    bytesPerS: z.number().positive().nullable().optional(),
   }),
   /** The "not the steward" reply; the sender closes the connection afterwards. */
   z.object({
@@ -250,6 +259,12 @@
     peers: z.array(peerSchema).nullable().default(null),
     /** Services from which the steward is partitioned; the receiver finds out whether it is too. */
     unreached: z.array(z.string()).default([]),
+    /** As in `welcome`; undefined if the steward is too old to tell it. */
+    bytesPerS: z.number().positive().nullable().optional(),
+    /** Best link rate of the fleet, Mbit/s; null if a VM does not know its own. */
+    bestMbps: z.number().positive().nullable().optional(),
+    /** Whether a handover may be due, as the steward's store calls fail: the successor calls the store. */
+    seeksSuccessor: z.boolean().optional(),
   }),
   /** Server list update: the servers that changed since the last one; the full list if `whole`. */
   z.object({
@@ -277,6 +292,19 @@
     /** Version that the operator gave the steward's plan; 0 if it has none. */
     planRevision: z.number(),
   }),
+  /** Reply to a report without shares: how current the steward's cached state is, as in `grant`. */
+  z.object({
+    type: z.literal(RelayMessageType.confirm),
+    reportClockMs: z.number(),
+    plan: freshnessSchema.nullable(),
+    backends: freshnessSchema.nullable(),
+    planRevision: z.number(),
+  }),
+  /** Another message, deflated; see `packed-messages`. */
+  z.object({
+    type: z.literal(RelayMessageType.packed),
+    bytes: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
+  }),
   /** Reply to `ask`: lends all of the units or none. */
   z.object({
     type: z.literal(RelayMessageType.lent),
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -1,14 +1,17 @@
 /** Reports this entry VM's rate shares, running requests and queued requests to the steward. */
 import type { Clock } from '../../core/clock/index.js';
 import type { Task } from '../../core/supervisor/index.js';
+import { type ReportLoad, ReportPacer, SharesPacer } from '../../decisions/message-pacing/index.js';
 import type { Admission } from './admission.js';
 import type { Dispatcher } from './dispatch.js';
 import type { FleetView } from './fleet-view.js';
 import { messageIntervalMs } from './intervals.js';
 import { OWN_TYPES } from './known-types.js';
 import type { LeaseTask } from './lease-task.js';
-import { type RelayMessage, RelayMessageType } from './messages.js';
+import { type RelayMessageOf, RelayMessageType } from './messages.js';
+import { SharedMessage } from './packed-messages.js';
 import type { ReachabilityTask } from './reachability.js';
+import type { StewardAnnouncements } from './steward-announcements.js';
 import type { StewardLink } from './steward-link.js';
 
 const TICK_MS = 20;
@@ -32,6 +35,9 @@
   readonly view: FleetView;
   readonly reachability: Pick<ReachabilityTask, 'partitionedServices' | 'connectedServices'>;
   readonly clock: Clock;
+  readonly announcements: StewardAnnouncements;
+  /** Link rate of this VM, Mbit/s; null if it is unknown. */
+  readonly linkMbps: number | null;
   /** Version of this entry VM's plan. */
   planVersion(): number;
   /** Number of entry VMs connected to the steward. */
@@ -57,6 +63,13 @@
 
   private isReportScheduled = false;
 
+  /** Whether a report is to be sent at once, as soon as the minimum time since the last one is over. */
+  private isReportDue = false;
+
+  private readonly pacer = new ReportPacer();
+
+  private readonly sharesPacer = new SharesPacer();
+
   /** Requests admitted since the last report, by model. */
   private readonly usage = new Map<string, number>();
 
@@ -76,46 +89,78 @@
     this.usage.set(model, (this.usage.get(model) ?? 0) + 1);
   }
 
-  /** Reports a newly queued request without waiting for the interval. */
+  /**
+   * Reports a newly queued request without waiting for the interval, unless the members' reports would
+   * then be too many for the steward.
+   */
   reportNow(): void {
     if (this.isReportScheduled) return;
     this.isReportScheduled = true;
-    setImmediate(() => this.report(true));
+    setImmediate(() => {
+      this.isReportScheduled = false;
+      this.isReportDue = true;
+      this.reportIfDue();
+    });
   }
 
-  /** Sends a full report to a new steward. */
+  /** Sends a full report to a new steward, which has named the message types that it understands. */
   sendFullReport(): void {
     this.reportedKey = '';
     this.hasNamedTypes = false;
-    this.report(true);
+    this.sharesPacer.reset();
+    this.report();
   }
 
   /** Returns all rate shares to the steward; this entry VM ignores later grants. */
   sendFinalReport(): void {
     this.opts.admission.releaseShares();
-    this.report(true);
+    this.sharesPacer.reset();
+    this.report();
   }
 
   private tick(): void {
     const steward = this.opts.lease.activeSteward();
     if (steward !== null && steward.fence >= this.opts.link.fence)
       this.opts.link.connectTo(steward);
-    this.report(false);
+    this.reportIfDue();
   }
 
-  private report(isImmediate: boolean): void {
+  private get load(): ReportLoad {
+    const members = this.opts.members();
+    const { bytesPerS, areMembersKnown } = this.opts.announcements;
+    const baseIntervalMs = messageIntervalMs(members);
+    return { members: areMembersKnown ? members : null, baseIntervalMs, bytesPerS };
+  }
+
+  /** Reports if the time since the last report allows it, and if there is anything new. */
+  private reportIfDue(): void {
+    if (!this.opts.link.isWelcomed) return;
+    const sinceMs = this.opts.clock.steadyMs() - this.sentAtMs;
+    if (this.isReportDue && sinceMs >= this.pacer.immediateGapMs(this.load)) {
+      this.report();
+      return;
+    }
+    if (sinceMs < this.pacer.intervalMs(this.load)) return;
+    if (sinceMs >= MAX_REPORT_PAUSE_MS || this.stateKey() !== this.reportedKey) this.report();
+  }
+
+  /** Running and queued requests, as JSON. Usage triggers no report, and is sent with the next one. */
+  private stateKey(): string {
+    const queued = this.opts.dispatcher.waits().map(({ dueInMs, ...group }) => group);
+    return JSON.stringify([this.opts.view.running(), queued]);
+  }
+
+  private report(): void {
     const nowMs = this.opts.clock.steadyMs();
-    this.isReportScheduled = false;
-    const sinceMs = nowMs - this.sentAtMs;
-    if (!isImmediate && sinceMs < messageIntervalMs(this.opts.members())) return;
-    const running = this.opts.view.running();
-    const queued = this.opts.dispatcher.waits();
-    // Usage is not part of the key: it triggers no report, and is sent with the next one.
-    const key = JSON.stringify([running, queued.map(({ dueInMs, ...group }) => group)]);
-    if (!isImmediate && key === this.reportedKey && sinceMs < MAX_REPORT_PAUSE_MS) return;
+    this.isReportDue = false;
+    const key = this.stateKey();
+    const shares = [...this.opts.admission.holder.report(nowMs)];
+    const mayOmitShares = this.opts.link.understands(RelayMessageType.confirm);
+    const hasShares =
+      !mayOmitShares || this.sharesPacer.isDue(nowMs, this.pacer.intervalMs(this.load), shares);
     const reachedForMs = nowMs - this.reachedSentAtMs;
     const isReachedDue = reachedForMs >= REACHED_INTERVAL_MS;
-    const message: RelayMessage = {
+    const message: RelayMessageOf<'report'> = {
       type: RelayMessageType.report,
       vm: this.opts.vm,
       address: this.opts.address,
@@ -124,9 +169,9 @@
       clockMs: this.opts.clock.nowMs(),
       planRevision: this.opts.planVersion(),
       appliedSeq: this.opts.admission.lastSeq,
-      shares: [...this.opts.admission.holder.report(nowMs)],
-      running,
-      waits: queued,
+      shares: hasShares ? shares : null,
+      running: this.opts.view.running(),
+      waits: this.opts.dispatcher.waits(),
       usage: [...this.usage].map(([model, requests]) => ({ model, requests })),
       returned: Object.fromEntries(this.opts.admission.holder.unreturned()),
       unreachable: this.opts.view.unreachable(),
@@ -136,8 +181,11 @@
       leaving: this.opts.isStopping(),
       usesSlots: true,
       knownTypes: this.hasNamedTypes ? null : [...OWN_TYPES],
+      linkMbps: this.opts.linkMbps,
+      storeAgeMs: this.opts.lease.storeAgeMs(),
     };
-    if (!this.opts.link.send(message)) return;
+    if (!this.send(message)) return;
+    if (hasShares) this.sharesPacer.noteSent(nowMs, shares);
     this.hasNamedTypes = true;
     this.usage.clear();
     this.opts.admission.holder.noteReturned();
@@ -146,4 +194,12 @@
     if (isReachedDue) this.reachedSentAtMs = nowMs;
     this.opts.view.noteReported();
   }
+
+  private send(message: RelayMessageOf<'report'>): boolean {
+    const { link, announcements } = this.opts;
+    if (!announcements.isStewardSlow) return link.send(message);
+    const bytes = link.sendPacked(new SharedMessage(message));
+    if (bytes > 0) this.pacer.noteSent(bytes);
+    return bytes > 0;
+  }
 }
--- a/src/entry/relay/steward-link.ts
+++ b/src/entry/relay/steward-link.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../../core/logger/index.js';
 import { MessageLink, readMessages } from './message-link.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
+import type { SharedMessage } from './packed-messages.js';
 import type { ActiveSteward } from '../../decisions/leases/index.js';
 
 const CONNECT_TIMEOUT_MS = 500;
@@ -19,6 +20,8 @@
   message(message: RelayMessage): void;
   /** A new connection is established. Messages from earlier connections no longer apply. */
   connected(steward: ActiveSteward): void;
+  /** The steward has named the message types that it understands. */
+  welcomed(): void;
   /**
    * The VM of `steward` replied that it is certainly not the active steward.
    * @param newest Highest fencing token that the VM has seen.
@@ -35,6 +38,8 @@
 
   private receivedAtMs = -Infinity;
 
+  private hasWelcome = false;
+
   private connectedAtMs = -Infinity;
 
   private nextConnectAtMs = 0;
@@ -50,6 +55,11 @@
     return this.clock.steadyMs() - this.receivedAtMs < STEWARD_TIMEOUT_MS;
   }
 
+  /** Whether the steward has welcomed this VM on the current connection. */
+  get isWelcomed(): boolean {
+    return this.hasWelcome;
+  }
+
   /** Fencing token of the steward that this link is for; 0 before the first connection. */
   get fence(): number {
     return this.steward?.fence ?? 0;
@@ -85,6 +95,16 @@
     return this.link?.send(message) === true;
   }
 
+  /** Sends a message deflated, if the steward understands that; returns its bytes, 0 if not sent. */
+  sendPacked(message: SharedMessage): number {
+    return this.link?.sendShared(message) === true ? message.packed.length : 0;
+  }
+
+  /** Whether the steward understands a type of message, as far as is known. */
+  understands(type: RelayMessage['type']): boolean {
+    return this.link?.understands(type) === true;
+  }
+
   close(): void {
     this.socket?.destroy();
     this.forgetSocket();
@@ -93,6 +113,7 @@
   private forgetSocket(): void {
     this.socket = null;
     this.link = null;
+    this.hasWelcome = false;
     this.receivedAtMs = -Infinity;
   }
 
@@ -141,7 +162,10 @@
     noteFound();
     if (message.type === RelayMessageType.welcome) {
       this.link?.noteTypes(message.knownTypes, message.issuesSlots);
-      if (message.fence < steward.fence) return;
+      this.hasWelcome = true;
+      if (message.fence >= steward.fence) this.events.message(message);
+      this.events.welcomed();
+      return;
     }
     this.events.message(message);
   }
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -7,18 +7,18 @@
 import * as clocks from '../../core/clock/index.js';
 import type { Clock } from '../../core/clock/index.js';
 import type { Logger } from '../../core/logger/index.js';
+import type { Metrics } from '../../core/metrics/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import {
-  type SuccessorCandidate,
-  SuccessorSelector,
+  type Handover,
+  HandoverReason,
   type LeaseSuccessor,
   type SentLease,
 } from '../../decisions/leases/index.js';
-import type { BackendServer } from '../../decisions/fleet-plan/index.js';
+import { SendPriority } from '../../decisions/message-pacing/index.js';
 import { RateLender } from '../../decisions/rate-shares/index.js';
-import { RESERVE_HOLDERS } from '../../decisions/throttling/index.js';
+import { ControlTraffic } from './control-traffic.js';
 import type { StoreWatcherTask } from './store-watcher.js';
-import { IncidentPublisher } from './incident-publisher.js';
 import type { IncidentTask } from './incidents.js';
 import type { PeerRelay } from './peer-relay.js';
 import { PermitService } from './permit-service.js';
@@ -28,18 +28,16 @@
 import type { ThrottlingTask } from './throttling.js';
 import type { LateRenewal, LeaseTask } from './lease-task.js';
 import { OWN_TYPES } from './known-types.js';
+import { leaseMessageFor } from './lease-messages.js';
+import { MemberUpdates } from './member-updates.js';
 import { MessageLink } from './message-link.js';
-import {
-  type EngineView,
-  type LoadView,
-  type RelayMessage,
-  type RelayMessageOf,
-  RelayMessageType,
-} from './messages.js';
+import { type RelayMessage, type RelayMessageOf, RelayMessageType } from './messages.js';
 import type { ReachabilityTask } from './reachability.js';
-import { ServerListPublisher, ServerListCache } from './server-list-publisher.js';
+import { createMember, FullList, type Member } from './steward-member.js';
+import { StewardSuccession } from './steward-succession.js';
 import { EngineController } from './engine-controller.js';
-import { planningIntervalMs, messageIntervalMs } from './intervals.js';
+import { planningIntervalMs } from './intervals.js';
+import { SharedMessage } from './packed-messages.js';
 import type { PlatformWire } from './types.js';
 
 const TICK_MS = 20;
@@ -47,8 +45,6 @@
 const ALLOWANCE_CHECK_MS = 100;
 /** Minimum time between two early renewals for new allowances, ms: each store call is billed. */
 const MIN_RENEWAL_PAUSE_MS = 150;
-/** Maximum time between two `view` messages to a member, ms. */
-const MAX_UPDATE_PAUSE_MS = 250;
 /** Time for sending the last messages before the connections are closed, ms. */
 const FLUSH_MS = 20;
 /** Time for the first message on a connection while this VM is not the steward, ms. */
@@ -59,44 +55,6 @@
 /** Maximum share of any customer's rate limit that an entry VM may hold, 0 to 1, by VM id. */
 const allowancesSchema = z.record(z.string(), z.number());
 
-/** An entry VM that is connected to this steward. The steward's own VM is also a member. */
-interface Member {
-  readonly link: MessageLink;
-  readonly connectedAtMs: number;
-  /** Null until the member's first report. */
-  vm: string | null;
-  report: RelayMessageOf<'report'> | null;
-  /** When the last report arrived, on the clock that also runs during suspension. */
-  reportedAtMs: number;
-  /** When the last message of any type arrived from the member. */
-  receivedAtMs: number;
-  /** When the last `view` message was sent to the member. */
-  sentAtMs: number;
-  /** State last sent for each engine, as JSON, by engine id. */
-  readonly sentEngines: Map<string, string>;
-  /** Number of running requests last sent for each engine. */
-  readonly sentRunning: Map<string, number>;
-  sentRunningAtMs: number;
-  /** Models and adapters of the loads last sent, joined. */
-  sentLoads: string;
-  /** Version of the lease last sent. */
-  sentLeaseVersion: number;
-  /** Builds the server list updates for the member. */
-  readonly beliefs: ServerListPublisher;
-  /** Builds the messages with shared incidents for the member. */
-  readonly incidents: IncidentPublisher;
-  /** The request limits last sent, by server. */
-  readonly sentThrottles: Map<string, string>;
-  /** The statements of brittle servers last sent, by server. */
-  readonly sentBrittle: Map<string, string>;
-  /** Number of services with a known answer last sent. */
-  sentAnswered: number;
-  /** Whether it may send requests to throttled servers without a steward. */
-  mayUseReserve: boolean;
-  /** The list of peers last sent, as JSON. */
-  sentPeers: string;
-}
-
 export interface StewardOptions {
   readonly vm: string;
   readonly listen: string;
@@ -110,8 +68,11 @@
   readonly reachability: ReachabilityTask;
   /** Duration of a lease from its renewal, ms. */
   readonly leaseMs: number;
+  /** Link rate of this VM, Mbit/s; null if it is unknown. */
+  readonly linkMbps: number | null;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   /** Takes the connections whose first message asks for a connection to a server. */
   readonly peerRelay: PeerRelay;
   /** Sends a message to the steward that this VM is connected to; false if it could not be sent. */
@@ -141,8 +102,6 @@
 
   private slotService: SlotService | null = null;
 
-  private readonly serverListCache = new ServerListCache();
-
   /** Fencing token under which this VM acts as steward; 0 while it does not. */
   private fence = 0;
 
@@ -158,7 +117,11 @@
 
   private handingOver = false;
 
-  private readonly successorSelector: SuccessorSelector;
+  private readonly traffic: ControlTraffic;
+
+  private readonly succession: StewardSuccession;
+
+  private readonly updates: MemberUpdates;
 
   /** The successor's last report before the handover. */
   private successorReport: SuccessorReport | null = null;
@@ -167,7 +130,10 @@
   private lateRenewal: RelayMessage | null = null;
 
   constructor(private readonly opts: StewardOptions) {
-    this.successorSelector = new SuccessorSelector(opts.leaseMs);
+    const { members } = this;
+    this.traffic = new ControlTraffic(opts);
+    this.succession = new StewardSuccession({ ...opts, members });
+    this.updates = new MemberUpdates({ ...opts, members, traffic: this.traffic });
   }
 
   async start(fail: (err: unknown) => void): Promise<void> {
@@ -215,7 +181,7 @@
 
   /** The designated successor for the lease that is written now; null for none. */
   heir(): Omit<LeaseSuccessor, 'epoch'> | null {
-    return this.successorSelector.choose(this.opts.clock.steadyMs(), this.successorCandidates());
+    return this.succession.choose(this.opts.clock.steadyMs());
   }
 
   /** Sends the successor a late renewal, so that the successor may hold the lease for longer. */
@@ -238,69 +204,30 @@
     if (this.lateRenewal !== null && this.opts.send(this.lateRenewal)) this.lateRenewal = null;
   }
 
-  private successorCandidates(): readonly SuccessorCandidate[] {
-    return [...this.members].flatMap(({ vm, report, reportedAtMs, connectedAtMs }) =>
-      vm === null || vm === this.opts.vm || report === null
-        ? []
-        : [
-            {
-              vm,
-              address: report.address,
-              sinceMs: connectedAtMs,
-              leaving: report.leaving,
-              partitions: this.partitionsOf(report, reportedAtMs),
-            },
-          ],
-    );
-  }
-
-  /**
-   * Number of services with engines that a member can't reach. Those from which this VM is partitioned
-   * count as well unless the member has connected to one of their servers since.
-   */
-  private partitionsOf(report: RelayMessageOf<'report'>, reportedAtMs: number): number {
-    const { reachability, clock } = this.opts;
-    const partitioned = report.partitioned.filter((service) => this.hasEngines(service));
-    const reportAgeMs = clock.nowMs() - reportedAtMs;
-    const isReached = (service: string) => {
-      const forMs = clock.steadyMs() - (reachability.sinceMs(service) ?? -Infinity);
-      const connection = report.connected.find((connected) => connected.service === service);
-      return connection !== undefined && connection.ageMs + reportAgeMs < forMs;
-    };
-    const unreached = this.ownPartitions().filter((service) => !isReached(service));
-    return new Set([...partitioned, ...unreached]).size;
-  }
-
-  /** Services with engines from which this VM is partitioned. */
-  private ownPartitions(): readonly string[] {
-    return this.opts.reachability.partitionedServices().filter((name) => this.hasEngines(name));
-  }
-
-  /** Whether the steward orders the servers of a service; those without models need none. */
-  private hasEngines(service: string): boolean {
-    return (this.opts.storeWatcher.plan?.services.get(service)?.engine ?? null) !== null;
-  }
-
-  /** Passes the office to the successor if that VM is partitioned from fewer services than this one. */
-  private handOverIfPartitioned(nowMs: number): void {
-    const { lease, logger } = this.opts;
-    const partitions = this.ownPartitions().length;
-    if (partitions === 0 || this.handingOver) return;
-    const better = this.successorCandidates().filter(
-      (candidate) => !candidate.leaving && candidate.partitions < partitions,
-    );
-    if (better.length === 0) return;
+  /** Passes the office to the successor if that VM serves the fleet better than this one. */
+  private handOverIfBetter(nowMs: number): void {
+    const { lease } = this.opts;
+    if (this.handingOver) return;
+    const handover = this.succession.findHandover(nowMs);
+    if (handover === null) return;
     const held = lease.heldLease();
     const heir = held?.lease.heir;
-    if (held === null || !better.some(({ vm }) => vm === heir?.vm)) {
-      this.renewEarly(nowMs);
+    if (held === null || !handover.better.some(({ vm }) => vm === heir?.vm)) {
+      // Another successor can't be named while the store is lost.
+      if (handover.reason !== HandoverReason.store) this.renewEarly(nowMs);
       return;
     }
     if (!lease.handOver()) return;
-    logger.info('office-handed-over', { peer: heir?.vm, fence: this.fence, partitions });
+    this.noteHandover(handover, heir?.vm);
     void this.endHandedOverTerm(held);
   }
 
+  private noteHandover({ reason }: Handover, peer: string | undefined): void {
+    const { logger, metrics, linkMbps } = this.opts;
+    logger.info('office-handed-over', { peer, fence: this.fence, reason, linkMbps });
+    metrics.count('relay_handovers_total', { reason });
+  }
+
   private async endHandedOverTerm(held: SentLease): Promise<void> {
     this.handingOver = true;
     this.sendRelease(held);
@@ -315,23 +242,7 @@
   }
 
   private sendLease(member: Member, held: SentLease, isGivenUp: boolean): boolean {
-    const { lease, leftMs } = held;
-    const isSuccessor = member.vm !== null && lease.heir?.vm === member.vm;
-    const report = isSuccessor ? this.successorReportOf(member) : null;
-    // The term counts from the send time of the successor's report: network delay only shortens it.
-    const successorTerm =
-      report === null
-        ? undefined
-        : {
-            fromMs: report.clockMs,
-            untilMs: report.clockMs + leftMs + (this.opts.clock.nowMs() - report.reportedAtMs),
-          };
-    return member.link.send({
-      type: RelayMessageType.lease,
-      ...held,
-      heirTerm: successorTerm,
-      isGivenUp,
-    });
+    return member.link.send(leaseMessageFor(member, held, isGivenUp, this.opts.clock.nowMs()));
   }
 
   private get isActing(): boolean {
@@ -340,34 +251,14 @@
 
   private accept(socket: net.Socket): void {
     const nowMs = this.opts.clock.steadyMs();
-    const link = new MessageLink(socket);
-    const member: Member = {
-      link,
-      connectedAtMs: nowMs,
-      vm: null,
-      report: null,
-      reportedAtMs: -Infinity,
-      receivedAtMs: nowMs,
-      sentAtMs: -Infinity,
-      sentEngines: new Map(),
-      sentRunning: new Map(),
-      sentRunningAtMs: -Infinity,
-      sentLoads: '',
-      sentLeaseVersion: 0,
-      beliefs: new ServerListPublisher(),
-      incidents: new IncidentPublisher(),
-      sentThrottles: new Map(),
-      sentBrittle: new Map(),
-      sentAnswered: 0,
-      mayUseReserve: false,
-      sentPeers: '',
-    };
+    // A successor takes over in `tick`. Members may connect before its next scheduled run.
+    if (!this.isActing) this.tick();
+    const link = this.isActing ? this.traffic.createLink(socket) : new MessageLink(socket);
+    const member = createMember(nowMs, link);
     socket.on('error', (err) => {
       this.opts.logger.debug('member-link-failed', { peer: member.vm, reason: err.message });
     });
     socket.on('close', () => this.members.delete(member));
-    // A successor takes over in `tick`. Members may connect before its next scheduled run.
-    if (!this.isActing) this.tick();
     if (!this.isActing) {
       const { lease } = this.opts;
       const isIdle = lease.confirmInactive();
@@ -394,6 +285,7 @@
       fence: this.fence,
       issuesSlots: true,
       knownTypes: [...OWN_TYPES],
+      bytesPerS: this.traffic.bytesPerS,
     });
   }
 
@@ -446,44 +338,60 @@
 
   private handleReport(nowMs: number, member: Member, report: RelayMessageOf<'report'>): void {
     member.link.noteTypes(report.knownTypes, report.usesSlots);
-    if (member.vm === null) this.sendAllStreams(member);
+    const isFirst = member.vm === null;
     Object.assign(member, { vm: report.vm, report, reportedAtMs: this.opts.clock.nowMs() });
+    // Sent before the reply, which confirms that the member's server list is current.
+    if (isFirst) this.updates.sendFirstLists(member);
     this.engineController?.addReport(nowMs, report);
     const { lender } = this;
     if (lender === null) return;
-    if (report.leaving && report.shares.length === 0) {
+    if (report.leaving && report.shares?.length === 0) {
       lender.removeVm(nowMs, report.vm);
       return;
     }
-    lender.noteReport(nowMs, report.vm, report.appliedSeq, report.shares);
+    if (report.shares !== null)
+      lender.noteReport(nowMs, report.vm, report.appliedSeq, report.shares);
     Object.entries(report.returned).forEach(([customer, units]) =>
       lender.refund(nowMs, customer, units),
     );
-    const grant = lender.grant(nowMs, report.vm);
+    this.updates.sendServerListChanges(member);
+    this.replyTo(nowMs, member, report, lender);
     const { storeWatcher } = this.opts;
-    // Sent before the grant, which confirms that the member's server list is current.
-    this.sendServerList(member);
-    member.link.send({
-      type: RelayMessageType.grant,
-      seq: grant.seq,
-      reportSentAtMs: report.sentAtMs,
-      reportClockMs: report.clockMs,
-      fractions: Object.fromEntries(grant.fractions),
-      ...storeWatcher.freshness(),
-      planRevision: storeWatcher.planVersion,
-    });
-    if (member.beliefs.needsPlan(report, storeWatcher.planVersion)) {
-      member.link.send({ type: RelayMessageType.plan, value: storeWatcher.rawPlan });
+    const isBehind = member.beliefs.needsPlan(report, storeWatcher.planVersion);
+    if (isBehind && this.traffic.allows(nowMs, member, SendPriority.lists)) {
+      const message = { type: RelayMessageType.plan, value: storeWatcher.rawPlan };
+      member.link.sendShared(new SharedMessage(message));
     }
   }
 
-  /** Sends a member the changes of the server list. */
-  private sendServerList(member: Member): void {
+  /** Confirms the member's copies; renews its rate shares if the report has carried them. */
+  private replyTo(
+    nowMs: number,
+    member: Member,
+    report: RelayMessageOf<'report'>,
+    lender: RateLender,
+  ): void {
     const { storeWatcher } = this.opts;
-    const freshness = storeWatcher.freshness().backends;
-    if (freshness === null || member.vm === this.opts.vm) return;
-    const update = member.beliefs.nextUpdate(this.serverListCache.listFor(storeWatcher), freshness);
-    if (update !== null && !member.link.send(update)) member.beliefs.resendAll();
+    const { plan, backends } = storeWatcher.freshness();
+    const isListPending = member.pendingLists.has(FullList.servers);
+    const confirmed = {
+      reportClockMs: report.clockMs,
+      plan,
+      backends: isListPending ? null : backends,
+      planRevision: storeWatcher.planVersion,
+    };
+    if (report.shares === null) {
+      member.link.send({ type: RelayMessageType.confirm, ...confirmed });
+      return;
+    }
+    const { seq, fractions } = lender.grant(nowMs, report.vm);
+    member.link.send({
+      type: RelayMessageType.grant,
+      seq,
+      reportSentAtMs: report.sentAtMs,
+      fractions: Object.fromEntries(fractions),
+      ...confirmed,
+    });
   }
 
   private handleIncidents(member: Member, message: RelayMessageOf<'incidents'>): void {
@@ -491,7 +399,7 @@
     if (fingerprints.length > 0) {
       member.link.send({ type: RelayMessageType.ranWhole, fingerprints });
     }
-    this.members.forEach((other) => this.sendIncidents(other));
+    this.members.forEach((other) => this.updates.sendIncidentChanges(other));
   }
 
   private handleCompleted(member: Member, message: RelayMessageOf<'ran-whole'>): void {
@@ -504,16 +412,6 @@
     });
   }
 
-  private sendAllStreams({ link }: Member): void {
-    const message = this.opts.streams.fullMessage();
-    if (message !== null) link.send(message);
-  }
-
-  private sendIncidents(member: Member): void {
-    const message = member.incidents.nextMessage(this.opts.incidents);
-    if (message !== null && !member.link.send(message)) member.incidents.resendAll();
-  }
-
   private handleAsk(nowMs: number, member: Member, ask: RelayMessageOf<'ask'>): void {
     const isGranted = this.lender?.lend(nowMs, ask.customer, ask.units) === true;
     const waitMs = this.lender?.waitMs(nowMs, ask.customer, ask.units) ?? Infinity;
@@ -549,8 +447,9 @@
     this.dropUnresponsive(nowMs);
     const reports = [...this.members].flatMap(({ report }) => (report === null ? [] : [report]));
     this.engineController?.tick(nowMs, reports);
-    this.sendUpdates(nowMs);
-    this.handOverIfPartitioned(nowMs);
+    const seeksSuccessor = this.succession.seeksSuccessor(nowMs);
+    this.updates.sendUpdates(nowMs, this.engineController, seeksSuccessor);
+    this.handOverIfBetter(nowMs);
   }
 
   /** The handover note for the next steward; `previous` is the note in the lease. */
@@ -622,6 +521,7 @@
     this.slotService = null;
     this.members.forEach(({ link }) => link.close());
     this.members.clear();
+    this.traffic.end();
   }
 
   private dropUnresponsive(nowMs: number): void {
@@ -629,106 +529,4 @@
       if (nowMs - member.receivedAtMs > MEMBER_TIMEOUT_MS) member.link.close();
     });
   }
-
-  /** Sends each member the state that changed since the last message to it. */
-  private sendUpdates(nowMs: number): void {
-    const engines = this.engineViews();
-    const engineTexts = new Map(engines.map((engine) => [engine.id, JSON.stringify(engine)]));
-    const loads = this.engineController?.loads(nowMs) ?? [];
-    const loadsKey = loads
-      .map(({ service, model, adapter }) => `${service}/${model}/${adapter}`)
-      .join();
-    const peers = this.peers();
-    const peersText = JSON.stringify(peers);
-    [...this.members].forEach((member, at) =>
-      Object.assign(member, { mayUseReserve: at < RESERVE_HOLDERS }),
-    );
-    this.members.forEach((member) =>
-      this.sendUpdate(nowMs, member, engines, engineTexts, loads, loadsKey, peers, peersText),
-    );
-  }
-
-  /** All entry VMs that relay connections, as their last reports describe them. */
-  private peers(): RelayMessageOf<'view'>['peers'] & object {
-    return [...this.members].flatMap(({ report, link }) => {
-      if (report === null || !link.understands(RelayMessageType.relayOpen)) return [];
-      const { vm, address, dataCentre, partitioned, leaving } = report;
-      const unreachable = report.unreachable.map(({ server }) => server).sort();
-      return [{ vm, address, dataCentre, unreachable, partitioned, leaving }];
-    });
-  }
-
-  private sendUpdate(
-    nowMs: number,
-    member: Member,
-    engines: readonly EngineView[],
-    engineTexts: ReadonlyMap<string, string>,
-    loads: LoadView[],
-    loadsKey: string,
-    peers: RelayMessageOf<'view'>['peers'],
-    peersText: string,
-  ): void {
-    if (member.vm === null) return;
-    this.sendRenewedLease(member);
-    this.sendServerList(member);
-    this.sendIncidents(member);
-    const changed = engines.filter(({ id }) => member.sentEngines.get(id) !== engineTexts.get(id));
-    const isDue = nowMs - member.sentAtMs >= MAX_UPDATE_PAUSE_MS;
-    const running = this.changedRunning(nowMs, member, engines);
-    const arePeersNew = member.sentPeers !== peersText;
-    const isUnchanged =
-      !arePeersNew && changed.length === 0 && running.length === 0 && member.sentLoads === loadsKey;
-    if (isUnchanged && !isDue) return;
-    const whole = member.sentEngines.size === 0;
-    const sent = member.link.send({
-      type: RelayMessageType.view,
-      whole,
-      engines: whole ? [...engines] : changed,
-      running: Object.fromEntries(running),
-      loads,
-      members: [...this.members].filter(({ vm }) => vm !== null).length,
-      mayUseReserve: member.mayUseReserve,
-      peers: arePeersNew ? peers : null,
-      unreached: [...this.opts.reachability.partitionedServices()],
-    });
-    if (!sent) return;
-    changed.forEach(({ id }) => member.sentEngines.set(id, engineTexts.get(id) ?? ''));
-    running.forEach(([id, count]) => member.sentRunning.set(id, count));
-    Object.assign(member, { sentLoads: loadsKey, sentPeers: peersText, sentAtMs: nowMs });
-  }
-
-  /** Changed numbers of running requests by engine, at an interval that grows with the fleet. */
-  private changedRunning(
-    nowMs: number,
-    member: Member,
-    engines: readonly EngineView[],
-  ): readonly (readonly [string, number])[] {
-    if (nowMs - member.sentRunningAtMs < messageIntervalMs(this.members.size)) return [];
-    const counts = engines
-      .map(({ id }) => [id, this.engineController?.runningAt(id) ?? 0] as const)
-      .filter(([id, count]) => count !== (member.sentRunning.get(id) ?? 0));
-    if (counts.length > 0) Object.assign(member, { sentRunningAtMs: nowMs });
-    return counts;
-  }
-
-  private sendRenewedLease(member: Member): void {
-    const held = this.opts.lease.heldLease();
-    if (held === null || held.version === member.sentLeaseVersion) return;
-    if (this.sendLease(member, held, false)) {
-      Object.assign(member, { sentLeaseVersion: held.version });
-    }
-  }
-
-  private engineViews(): readonly EngineView[] {
-    return [...this.opts.storeWatcher.backends.values()].map((server) => this.engineView(server));
-  }
-
-  private engineView(server: BackendServer): EngineView {
-    const models = this.engineController?.availableModels(server) ?? [];
-    return {
-      id: server.id,
-      bornMs: server.bornMs,
-      models: models.map(({ name, adapters }) => ({ name, adapters: [...adapters] })),
-    };
-  }
 }
--- a/src/entry/relay/store-watcher.ts
+++ b/src/entry/relay/store-watcher.ts
@@ -389,7 +389,7 @@
    * Handles a grant, which confirms the cached copies that equal the steward's. The age of the
    * steward's copies is counted back from the time at which this VM sent its report.
    */
-  applyConfirmation(grant: RelayMessageOf<'grant'>): void {
+  applyConfirmation(grant: Omit<RelayMessageOf<'confirm'>, 'type'>): void {
     const { plan, planRevision: planVersion, backends, reportClockMs } = grant;
     if (plan !== null && planVersion > this.planVersion) this.planWatcher.markStale();
     if (plan !== null && planVersion === this.planVersion && planVersion > 0) {
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -31,6 +31,7 @@
 import { FleetLimits } from './request-limits.js';
 import { ResponseMemory } from './response-memory.js';
 import { StewardTask } from './steward.js';
+import { StewardAnnouncements } from './steward-announcements.js';
 import { StewardLink } from './steward-link.js';
 import { StreamRecordTask } from './stream-record.js';
 import { StreamVersionsTask } from './stream-versions.js';
@@ -172,6 +173,8 @@
     isStewardConnected,
     unixMs: () => Date.now(),
   });
+  const linkMbps = vm.linkMbps ?? null;
+  const announcements = new StewardAnnouncements(linkMbps);
   const lease = new LeaseTask({
     vm: vm.id,
     address: listen.peers,
@@ -181,6 +184,9 @@
     clock,
     logger: logger.child('lease'),
     isStewardConnected,
+    linkMbps,
+    acquireWaitMs: () => announcements.acquireWaitMs(settings.lease.durationMs),
+    onProbeAnswered: () => lateBound.reporter?.reportNow(),
     enginesCheckFences: () => relay.enginesCheckFences,
     note: (before) => lateBound.steward?.note(before),
     onNoteWritten: (note) => lateBound.steward?.onNoteWritten(note),
@@ -262,6 +268,7 @@
       case RelayMessageType.welcome:
         lease.noteFence(message.fence);
         slots.handleWelcome(message);
+        announcements.handleWelcome(message);
         break;
       case RelayMessageType.lease:
         lease.handleLeaseMessage(message, message.heirTerm);
@@ -269,6 +276,8 @@
         break;
       case RelayMessageType.view:
         view.applyView(message);
+        announcements.handleView(message);
+        if (message.seeksSuccessor === true) lease.probeStore();
         retries.noteMembers(message.members);
         connections.noteMembers(message.members);
         if (message.peers !== null) peers.setPeers(message.peers);
@@ -282,6 +291,9 @@
         admission.applyGrant(message);
         storeWatcher.applyConfirmation(message);
         break;
+      case RelayMessageType.confirm:
+        storeWatcher.applyConfirmation(message);
+        break;
       case RelayMessageType.beliefs:
         storeWatcher.applyServerListUpdate(message);
         break;
@@ -320,13 +332,13 @@
     connected: () => {
       admission.resetSeq();
       storeWatcher.discardStewardList();
-      lateBound.reporter?.sendFullReport();
       incidents.sendAll();
       throttling.sendAll();
       slots.handleConnected();
       streams.sendAll();
       lateBound.steward?.sendPendingRenewal();
     },
+    welcomed: () => lateBound.reporter?.sendFullReport(),
     gone: (lost, newestFence) => lease.noteInactive(lost.fence, newestFence),
   });
   lateBound.link = link;
@@ -342,6 +354,8 @@
     view,
     reachability,
     clock,
+    announcements,
+    linkMbps,
     planVersion: () => storeWatcher.planVersion,
     members: () => view.members,
     isStopping,
@@ -359,8 +373,10 @@
     lease,
     reachability,
     leaseMs: settings.lease.durationMs,
+    linkMbps,
     clock,
     logger: logger.child('steward'),
+    metrics,
     peerRelay,
     send: (message) => link.send(message),
   });
--- a/test/replay/control-fleet.ts
+++ b/test/replay/control-fleet.ts
@@ -9,7 +9,7 @@
   SuccessorSelector,
 } from '../../src/decisions/leases/index.js';
 import * as messages from './control-messages.js';
-import { Kind, UnpacedRules } from './control-rules.js';
+import { Kind, PacedRules } from './control-rules.js';
 import { ByteQueue, type FleetOptions, type ReplayMember, type Vm } from './control-vm.js';
 
 const LEASE_MS = 2_000;
@@ -68,7 +68,7 @@
 
   private createVm(mbps: number, at: number): Vm {
     const name = `vm-${at}`;
-    const rules = (this.opts.rules ?? (() => new UnpacedRules()))(mbps);
+    const rules = this.opts.rules?.(mbps) ?? new PacedRules(mbps);
     const bytesPerMs = mbps * 125;
     const vm: Vm = {
       name,
@@ -82,6 +82,7 @@
         durationMs: LEASE_MS,
         marginMs: MARGIN_MS,
         heir: () => this.heirOf(vm),
+        acquireWaitMs: () => rules.acquireWaitMs(LEASE_MS),
       }),
       selector: new SuccessorSelector(LEASE_MS),
       members: new Map(),
@@ -246,12 +247,14 @@
       sinceMs,
       reportedAtMs: -Infinity,
       viewedAtMs: -Infinity,
+      shownAtMs: -Infinity,
       leaseVersion: 0,
       peers: 0,
       hasLists: false,
     });
     this.sendTo(steward, vm, Kind.first, messages.WELCOME_BYTES, () => {
       Object.assign(vm, { steward, reportedAtMs: -Infinity, sharesAtMs: -Infinity });
+      vm.rules.noteWelcome(steward.mbps);
       this.report(vm, steward);
     });
   }
@@ -308,7 +311,8 @@
     const arePeersNew =
       member.peers !== steward.members.size && rules.allows(this.nowMs, Kind.lists);
     const isDue = sinceMs >= rules.viewIntervalMs() && rules.allows(this.nowMs, Kind.changes);
-    if (!isDue && !arePeersNew && sinceMs < VIEW_KEEPALIVE_MS) return;
+    const silentMs = this.nowMs - (rules.isPaced ? member.shownAtMs : member.viewedAtMs);
+    if (!isDue && !arePeersNew && silentMs < VIEW_KEEPALIVE_MS) return;
     const { members } = steward;
     Object.assign(member, { viewedAtMs: this.nowMs });
     if (arePeersNew) Object.assign(member, { peers: members.size });
@@ -320,6 +324,8 @@
 
   private sendTo(steward: Vm, vm: Vm, kind: Kind, bytes: number, handle?: () => void): void {
     if (steward !== vm) steward.rules.noteSent(this.nowMs, kind, bytes);
+    const member = steward.members.get(vm);
+    if (member !== undefined) member.shownAtMs = this.nowMs;
     this.send(steward, vm, bytes, () => {
       if (vm.steward === steward || vm.steward === null)
         Object.assign(vm, { heardAtMs: this.nowMs });
--- a/test/replay/control-messages.ts
+++ b/test/replay/control-messages.ts
@@ -1,10 +1,16 @@
 /** Encoded sizes of the messages between members and a steward, in a fleet of 63 engines. */
 import * as frames from '../../src/core/messages/index.js';
 import { type RelayMessage, RelayMessageType } from '../../src/entry/relay/messages.js';
+import { SharedMessage } from '../../src/entry/relay/packed-messages.js';
 
 const ENGINES = Array.from({ length: 63 }, (_, at) => `engine-${at}.dc-1`);
 const CUSTOMERS = Array.from({ length: 16 }, (_, at) => `customer-${at}`);
 
+/** Bytes of a message on the wire if it is deflated. */
+export function packedSizeOf(message: RelayMessage): number {
+  return new SharedMessage(message).packed.length;
+}
+
 /** Bytes of a message on the wire. */
 export function sizeOf(message: RelayMessage): number {
   return frames.encodeBody(message).length;
@@ -23,6 +29,7 @@
   return Array.from({ length: count }, (_, at) => all[(from + at * 7) % all.length] as T);
 }
 
+/** A report with its rate shares, or without them. */
 export function report(vm: number, hasShares = true): RelayMessage {
   return {
     type: RelayMessageType.report,
@@ -41,7 +48,7 @@
           usualUnits: 731.25 + at,
           largestUnits: 1500.5 + at,
         }))
-      : [],
+      : null,
     running: sample(ENGINES, 6, vm).map((server, at) => ({
       server,
       model: `model-${at}`,
@@ -79,6 +86,14 @@
   planRevision: 1,
 };
 
+export const CONFIRMATION: RelayMessage = {
+  type: RelayMessageType.confirm,
+  reportClockMs: 2345.6789,
+  plan: { revision: 12, ageMs: 123.456 },
+  backends: { revision: 345, ageMs: 123.456 },
+  planRevision: 1,
+};
+
 /** A view with the engines of 4 models each: all of them, or changed ones. */
 export function view(changed: number, peers: number, runningAt = 0): RelayMessage {
   return {
@@ -133,7 +148,7 @@
   ageMs: 12.3456,
 };
 
-/** A renewed lease, whose note has an allowance for each member. */
+/** A renewed lease, whose note has an allowance for each member; 0 members for none. */
 export function lease(members: number): RelayMessage {
   return {
     type: RelayMessageType.lease,
@@ -142,7 +157,10 @@
       address: '10.0.0.1:7000',
       epoch: 3,
       durationMs: 2_000,
-      note: Object.fromEntries(Array.from({ length: members }, (_, at) => [`vm-${at}`, 0.2])),
+      note:
+        members === 0
+          ? null
+          : Object.fromEntries(Array.from({ length: members }, (_, at) => [`vm-${at}`, 0.2])),
       heir: { vm: 'vm-2', address: '10.0.0.2:7000', epoch: 4 },
       era: 0,
       renewal: 7,
--- a/test/replay/control-rules.ts
+++ b/test/replay/control-rules.ts
@@ -1,18 +1,22 @@
 /** How the VMs of the replay pace and encode their messages. */
+import * as pacing from '../../src/decisions/message-pacing/index.js';
 import { messageIntervalMs } from '../../src/entry/relay/intervals.js';
 import * as messages from './control-messages.js';
 
-/** Kinds of the messages of a steward, the most important first. */
-export const Kind = { first: 'first', changes: 'changes', lists: 'lists' } as const;
-export type Kind = (typeof Kind)[keyof typeof Kind];
+/** Kinds of the messages of a steward. */
+export const Kind = pacing.SendPriority;
+export type Kind = pacing.SendPriority;
 
 export interface ControlRules {
+  /** Whether any message shows a member that its steward is there, not only views. */
+  readonly isPaced: boolean;
   readonly listBytes: number;
   acquireWaitMs(leaseMs: number): number;
   /** What a steward knows of this VM when it chooses its successor. */
   candidate(nowMs: number): object;
   noteStoreCall(nowMs: number, isAnswered: boolean): void;
   /** As a member: what the steward announces. */
+  noteWelcome(stewardMbps: number): void;
   noteSteward(members: number, stewardMbps: number, bestMbps: number): void;
   immediateGapMs(): number;
   reportIntervalMs(): number;
@@ -36,6 +40,8 @@
 
 /** The rules without any knowledge of link rates. */
 export class UnpacedRules implements ControlRules {
+  readonly isPaced: boolean = false;
+
   readonly listBytes: number = LIST_BYTES;
 
   protected members = 1;
@@ -50,6 +56,8 @@
 
   noteStoreCall(_nowMs: number, _isAnswered: boolean): void {}
 
+  noteWelcome(_stewardMbps: number): void {}
+
   noteSteward(members: number, _stewardMbps: number, _bestMbps: number): void {
     this.members = members;
   }
@@ -96,3 +104,115 @@
 
   noteSent(_nowMs: number, _kind: Kind, _bytes: number): void {}
 }
+
+const PACKED_REPORT_BYTES = messages.packedSizeOf(messages.report(1));
+const PACKED_LEAN_REPORT_BYTES = messages.packedSizeOf(messages.report(1, false));
+const LEAN_REPORT_BYTES = messages.sizeOf(messages.report(1, false));
+const CONFIRMATION_BYTES = messages.sizeOf(messages.CONFIRMATION);
+const SHORT_LEASE_BYTES = messages.sizeOf(messages.lease(0));
+const PACKED_LIST_BYTES =
+  messages.packedSizeOf(messages.SERVER_LIST) + messages.packedSizeOf(messages.view(63, 0, 63));
+const CHANGED_VIEW = messages.view(3, 0, 20);
+const STORE_AGE_LIMIT_MS = 1_000;
+
+/** The rules of VMs that know their link rates. */
+export class PacedRules extends UnpacedRules {
+  override readonly isPaced = true;
+
+  override readonly listBytes = PACKED_LIST_BYTES;
+
+  private readonly reports = new pacing.ReportPacer();
+
+  private readonly budget: pacing.SendBudget;
+
+  private bytesPerS: number | null = null;
+
+  private bestMbps: number | undefined;
+
+  private hasView = false;
+
+  private storeAnsweredAtMs = -Infinity;
+
+  constructor(private readonly mbps: number) {
+    super();
+    this.budget = new pacing.SendBudget(pacing.controlBytesPerS(mbps));
+  }
+
+  override acquireWaitMs(leaseMs: number): number {
+    return pacing.acquireWaitMs(this.mbps, this.bestMbps, leaseMs);
+  }
+
+  override candidate(nowMs: number): object {
+    return {
+      hasSlowLink: pacing.isSlowLink(this.mbps),
+      reachesStore: nowMs - this.storeAnsweredAtMs < STORE_AGE_LIMIT_MS,
+    };
+  }
+
+  override noteStoreCall(nowMs: number, isAnswered: boolean): void {
+    if (isAnswered) this.storeAnsweredAtMs = nowMs;
+  }
+
+  override noteWelcome(stewardMbps: number): void {
+    this.bytesPerS = pacing.controlBytesPerS(stewardMbps);
+    this.hasView = false;
+  }
+
+  override noteSteward(members: number, stewardMbps: number, bestMbps: number): void {
+    super.noteSteward(members, stewardMbps, bestMbps);
+    this.bytesPerS = pacing.controlBytesPerS(stewardMbps);
+    this.bestMbps = bestMbps;
+    this.hasView = true;
+  }
+
+  private get load(): pacing.ReportLoad {
+    const { bytesPerS } = this;
+    const members = this.hasView ? this.members : null;
+    return { members, baseIntervalMs: messageIntervalMs(this.members), bytesPerS };
+  }
+
+  override immediateGapMs(): number {
+    return this.reports.immediateGapMs(this.load);
+  }
+
+  override reportIntervalMs(): number {
+    return this.reports.intervalMs(this.load);
+  }
+
+  override hasShares(sinceMs: number): boolean {
+    const shares = new pacing.SharesPacer();
+    shares.noteSent(0, []);
+    return shares.isDue(sinceMs, this.reportIntervalMs(), []);
+  }
+
+  override reportBytes(hasShares: boolean): number {
+    if (!pacing.isSlowBudget(this.bytesPerS))
+      return hasShares ? super.reportBytes(true) : LEAN_REPORT_BYTES;
+    const bytes = hasShares ? PACKED_REPORT_BYTES : PACKED_LEAN_REPORT_BYTES;
+    this.reports.noteSent(bytes);
+    return bytes;
+  }
+
+  override grantBytes(hasShares: boolean): number {
+    return hasShares ? super.grantBytes(true) : CONFIRMATION_BYTES;
+  }
+
+  override leaseBytes(_members: number): number {
+    return SHORT_LEASE_BYTES;
+  }
+
+  override viewBytes(hasChanges: boolean, peers: number): number {
+    const view = peers > 0 ? messages.view(0, peers) : CHANGED_VIEW;
+    if (peers === 0 && !hasChanges) return super.viewBytes(false, 0);
+    const isPacked = peers > 0 || pacing.isSlowLink(this.mbps);
+    return isPacked ? messages.packedSizeOf(view) : messages.sizeOf(view);
+  }
+
+  override allows(nowMs: number, kind: Kind): boolean {
+    return this.budget.allows(nowMs, kind);
+  }
+
+  override noteSent(nowMs: number, _kind: Kind, bytes: number): void {
+    this.budget.noteSent(nowMs, bytes);
+  }
+}
--- a/test/replay/control-vm.ts
+++ b/test/replay/control-vm.ts
@@ -26,6 +26,8 @@
   readonly sinceMs: number;
   reportedAtMs: number;
   viewedAtMs: number;
+  /** When anything was last sent to it. */
+  shownAtMs: number;
   leaseVersion: number;
   peers: number;
   hasLists: boolean;
