Replay of loans by a steward whose replies are delayed

Cause: a loan reply that arrives after 60 ms is dropped. Its units stay charged to the lender, and the request asks for another loan. Change: a replay on virtual time with 31 entry VMs and four customers at 0.6 of their rates, whose bursts hold four requests. The code is unchanged.

--- /dev/null
+++ b/test/replay/delayed-loans.test.ts
@@ -0,0 +1,158 @@
+/** Loans of customers' rates on virtual time, by a steward whose replies are delayed. */
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest';
+import { createClock } from '../../src/core/clock/index.js';
+import { createRandom } from '../../src/core/random/index.js';
+import { RateLender } from '../../src/decisions/rate-shares/index.js';
+import { Admission, AdmissionType } from '../../src/entry/relay/admission.js';
+
+const VM_COUNT = 31;
+const REPORT_MS = 200;
+const DURATION_MS = 12_000;
+/** Time before which requests do not count: the lender's buckets start empty. */
+const WARM_UP_MS = 2_000;
+/** A burst holds four average requests: a share of it covers none. */
+const CUSTOMERS = ['a', 'b', 'c', 'd'].map((name) => ({
+  name,
+  ratePerS: 20_000,
+  burst: 4_000,
+  countsTokens: true,
+  defaultUnits: 1,
+  priority: null,
+}));
+const UNITS = 900;
+/** Fraction of its rate that a customer uses. */
+const USED_FRACTION = 0.6;
+/** An objective of 301 ms and a deadline of 10 s. */
+const LIMITS = { maxRateWaitMs: 120, timeBudgetMs: 10_000 };
+
+type Customer = (typeof CUSTOMERS)[number];
+
+/** The time that the steward takes for a reply, ms, by the time of the request for a loan. */
+type Delay = (nowMs: number) => number;
+
+class Replay {
+  readonly counts = { admitted: 0, 'over-rate': 0, 'rate-unknown': 0 };
+
+  asks = 0;
+
+  /** Longest wait of an admitted request, ms. */
+  longestMs = 0;
+
+  private readonly clock = createClock();
+
+  private readonly startMs = this.clock.steadyMs();
+
+  private readonly random = createRandom(7);
+
+  private readonly limits = new Map(CUSTOMERS.map((customer) => [customer.name, customer]));
+
+  private readonly lender = new RateLender(this.startMs, new Map());
+
+  private readonly vms = Array.from({ length: VM_COUNT }, (_, at) => this.createVm(at));
+
+  constructor(private readonly delayMs: Delay) {
+    this.lender.setLimits(this.startMs, this.limits);
+  }
+
+  async play(loads: readonly number[] = [1, 1, 1, 1]): Promise<void> {
+    CUSTOMERS.forEach((customer, at) => this.generate(customer, loads[at] ?? 1));
+    await vi.advanceTimersByTimeAsync(DURATION_MS);
+  }
+
+  private get nowMs(): number {
+    return this.clock.steadyMs() - this.startMs;
+  }
+
+  private createVm(at: number): Admission {
+    const admission: Admission = new Admission({
+      clock: this.clock,
+      ask: (ask) => {
+        this.asks += 1;
+        const delayMs = this.delayMs(this.nowMs);
+        setTimeout(() => {
+          const nowMs = this.clock.steadyMs();
+          const isLent = this.lender.lend(nowMs, ask.customer, ask.units);
+          const waitMs = this.lender.waitMs(nowMs, ask.customer, ask.units);
+          const { askId, customer } = ask;
+          const units = isLent ? ask.units : 0;
+          admission.handleLoanReply({ type: 'lent', askId, customer, units, waitMs });
+        }, delayMs);
+        return true;
+      },
+    });
+    admission.setCustomers(this.limits);
+    setInterval(() => this.report(`vm-${at}`, admission), REPORT_MS);
+    return admission;
+  }
+
+  private report(vm: string, admission: Admission): void {
+    const nowMs = this.clock.steadyMs();
+    const { holder } = admission;
+    this.lender.notePersisted(this.lender.allowances(nowMs));
+    this.lender.noteReport(nowMs, vm, admission.lastSeq, holder.report(nowMs));
+    holder.unreturned().forEach((units, name) => this.lender.refund(nowMs, name, units));
+    holder.noteReturned();
+    const { seq, fractions } = this.lender.grant(nowMs, vm);
+    admission.applyGrant({
+      type: 'grant',
+      seq,
+      reportSentAtMs: nowMs,
+      reportClockMs: nowMs,
+      fractions: Object.fromEntries(fractions),
+      plan: null,
+      backends: null,
+      planRevision: 0,
+    });
+  }
+
+  private generate(customer: Customer, load: number): void {
+    const meanMs = (UNITS * 1_000) / (customer.ratePerS * USED_FRACTION * load);
+    const next = () => {
+      void this.request(customer);
+      setTimeout(next, meanMs * (0.5 + this.random.real()));
+    };
+    setTimeout(next, meanMs * this.random.real());
+  }
+
+  private async request(customer: Customer): Promise<void> {
+    const sentAtMs = this.nowMs;
+    const units = UNITS * (0.7 + 0.6 * this.random.real());
+    const vm = this.vms[Math.floor(this.random.real() * VM_COUNT)];
+    if (vm === undefined) throw new Error('no VMs');
+    const { type } = await vm.admit(customer, units, LIMITS);
+    if (sentAtMs < WARM_UP_MS) return;
+    this.counts[type] += 1;
+    if (type === AdmissionType.admitted) {
+      this.longestMs = Math.max(this.longestMs, this.nowMs - sentAtMs);
+    }
+  }
+}
+
+/** 100 ms for two seconds, 2 ms before and afterwards. */
+function delayedForTwoSeconds(nowMs: number): number {
+  return nowMs > 4_000 && nowMs < 6_000 ? 100 : 2;
+}
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+describe('customers within their rates whose requests are admitted by loans', () => {
+  test.each<[string, Delay]>([
+    ['in 2 ms', () => 2],
+    ['in 100 ms', () => 100],
+    ['in 300 ms', () => 300],
+    ['in 100 ms for two seconds', delayedForTwoSeconds],
+  ])('are served when the steward replies %s', async (_, delayMs) => {
+    const replay = new Replay(delayMs);
+    await replay.play();
+    const { admitted, ...refused } = replay.counts;
+    expect(admitted).toBeGreaterThan(400);
+    expect(refused).toEqual({ 'over-rate': 0, 'rate-unknown': 0 });
+    expect(replay.longestMs).toBeLessThan(Math.max(delayMs(5_000) * 2, 50));
+  });
+});
