The lender queues loans that it can grant within the time of the entry VM

Cause: the lender replied at once. A request whose units were due a few ms later was refused, or its VM asked again. Change: decisions/rate-shares/loan-queue.ts orders the loans of a customer by priority, then by arrival over all VMs, one for each VM. A loan is granted once its minimum is available, and refused at once, with the time behind the others, if that is not within its maxWaitMs. While others wait behind it, a VM gets its minimum only. entry/relay/loan-service.ts replies; an older VM, which states no time, is answered as before. A reply that cannot be sent leaves its units with the lender.

--- a/src/decisions/rate-shares/bucket.ts
+++ b/src/decisions/rate-shares/bucket.ts
@@ -45,9 +45,12 @@
     return units - credited;
   }
 
-  /** Milliseconds until `units` are available; Infinity if the bucket can never cover them. */
-  waitMs(nowMs: number, units: number): number {
-    const missing = units - this.available(nowMs);
+  /**
+   * Milliseconds until `units` are available; Infinity if the bucket can never cover them.
+   * @param ahead Units that others take before.
+   */
+  waitMs(nowMs: number, units: number, ahead = 0): number {
+    const missing = ahead + units - this.available(nowMs);
     if (missing <= 0) return 0;
     const perMs = (this.limit.ratePerS * this.currentFraction) / MS_PER_S;
     return units > this.cap() || perMs === 0 ? Infinity : missing / perMs;
--- a/src/decisions/rate-shares/index.ts
+++ b/src/decisions/rate-shares/index.ts
@@ -2,6 +2,7 @@
 export { ShareBucket } from './bucket.js';
 export { ShareHolder } from './holder.js';
 export { type GrantMessage, RateLender } from './lender.js';
+export { type LoanAnswer, LoanQueue, type LoanSource, type QueuedLoan } from './loan-queue.js';
 export { type HeldUnits, type LoanAsk, LoanRequests, type UnitsRequest } from './loan-requests.js';
 export { ReplyTimes } from './reply-times.js';
 export * from './types.js';
--- a/src/decisions/rate-shares/lender.ts
+++ b/src/decisions/rate-shares/lender.ts
@@ -247,9 +247,17 @@
     this.buckets.get(customer)?.refund(nowMs, units);
   }
 
-  /** Milliseconds until the reserve covers `units`; Infinity if it can never cover them. */
-  waitMs(nowMs: number, customer: string, units: number): number {
-    return this.buckets.get(customer)?.waitMs(nowMs, units) ?? Infinity;
+  /** Units that the reserve can lend now. */
+  available(nowMs: number, customer: string): number {
+    return this.buckets.get(customer)?.available(nowMs) ?? 0;
+  }
+
+  /**
+   * Milliseconds until the reserve covers `units`; Infinity if it can never cover them.
+   * @param ahead Units that are lent before.
+   */
+  waitMs(nowMs: number, customer: string, units: number, ahead = 0): number {
+    return this.buckets.get(customer)?.waitMs(nowMs, units, ahead) ?? Infinity;
   }
 
   /** Upper bound of the outstanding shares of a customer's limit, 0 to 1. */
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -28,6 +28,7 @@
 import type { ThrottlingTask } from './throttling.js';
 import type { LateRenewal, LeaseTask } from './lease-task.js';
 import { OWN_TYPES } from './known-types.js';
+import { LoanService } from './loan-service.js';
 import { MessageLink } from './message-link.js';
 import {
   type EngineView,
@@ -135,6 +136,8 @@
 
   private lender: RateLender | null = null;
 
+  private loanService: LoanService | null = null;
+
   private engineController: EngineController | null = null;
 
   private permitService: PermitService | null = null;
@@ -406,7 +409,7 @@
         this.handleReport(nowMs, member, message);
         break;
       case RelayMessageType.ask:
-        this.handleAsk(nowMs, member, message);
+        this.loanService?.handleAsk(nowMs, member.link, message);
         break;
       case RelayMessageType.incidents:
         this.handleIncidents(member, message);
@@ -514,18 +517,6 @@
     if (message !== null && !member.link.send(message)) member.incidents.resendAll();
   }
 
-  private handleAsk(nowMs: number, member: Member, ask: RelayMessageOf<'ask'>): void {
-    const isGranted = this.lender?.lend(nowMs, ask.customer, ask.units) === true;
-    const waitMs = this.lender?.waitMs(nowMs, ask.customer, ask.units) ?? Infinity;
-    member.link.send({
-      type: RelayMessageType.lent,
-      askId: ask.askId,
-      customer: ask.customer,
-      units: isGranted ? ask.units : 0,
-      waitMs: Number.isFinite(waitMs) ? waitMs : null,
-    });
-  }
-
   private tick(): void {
     const nowMs = this.opts.clock.steadyMs();
     const fence = this.opts.lease.fence();
@@ -595,6 +586,7 @@
     );
     this.lender.notePersisted(new Map(Object.entries(this.writtenAllowances)));
     const { vm, wire, storeWatcher, lease, reachability, clock, logger, throttling } = this.opts;
+    this.loanService = new LoanService({ lender: this.lender, clock, logger });
     this.permitService = new PermitService({
       storeWatcher,
       throttling,
@@ -617,6 +609,8 @@
   private endTerm(): void {
     this.fence = 0;
     this.lender = null;
+    this.loanService?.stop();
+    this.loanService = null;
     this.engineController = null;
     this.permitService = null;
     this.slotService = null;
