Unused units of loans go back to the lender; a refusal tells the time behind others

Cause: units of a loan that expired unspent were lost to the customer. Requests refused at the same time were told the same time, at which the units suffice for one of them. Change: the units of an expired loan are reported as returned. A loan expires 1 s after its request was sent (without the time in the lender's queue), not after the reply arrived: the lender counts it as spent when it lends, and may have refilled since. addLoan requires the time of expiry. Refused requests are told times one behind the other.

--- a/src/decisions/rate-shares/holder.ts
+++ b/src/decisions/rate-shares/holder.ts
@@ -10,8 +10,8 @@
 /** Time constant of the exponential moving average of demand, ms. */
 const DEMAND_WINDOW_MS = 2_000;
 /**
- * Time after which the unspent units of a loan are returned to the lender, ms. The lender counts a loan
- * as spent at once, so this bounds by how much later the units are spent.
+ * Time after the request for a loan after which its unspent units are returned to the lender, ms. The
+ * lender counts a loan as spent at once, so this bounds by how much later the units are spent.
  */
 export const LOAN_TTL_MS = 1_000;
 /** Time constant with which the recorded largest request size decays, ms. */
@@ -69,12 +69,7 @@
   }
 
   /** Adds units that the lender lent from its reserve. */
-  addLoan(
-    nowMs: number,
-    customer: string,
-    units: number,
-    expiresAtMs: number = nowMs + LOAN_TTL_MS,
-  ): void {
+  addLoan(nowMs: number, customer: string, units: number, expiresAtMs: number): void {
     const limit = this.limits.get(customer);
     if (limit === undefined) return;
     this.customerShare(nowMs, customer, limit).loans.push({ units, expiresAtMs });
--- a/src/decisions/rate-shares/loan-requests.ts
+++ b/src/decisions/rate-shares/loan-requests.ts
@@ -216,6 +216,8 @@
    */
   expire(nowMs: number, units: HeldUnits, rateKnownAtMs: number): readonly RefusedUnits<R>[] {
     let ahead = 0;
+    // Refused callers return at the time that they are told, also one behind the other.
+    let returning = 0;
     const refused = this.waiting.flatMap((request): RefusedUnits<R>[] => {
       const shareWaitMs = units.shareWaitMs(request.units);
       const lenderWaitMs = this.lenderWaitMs(nowMs, ahead, request.units);
@@ -227,8 +229,14 @@
       const isKept = isKnown
         ? nowMs < request.rateUntilMs && nowMs + waitMs <= request.rateUntilMs
         : shouldWaitForRate(nowMs, { arrivedAtMs, budgetMs, unknownSinceMs });
-      if (isKept) ahead += request.units;
-      return isKept ? [] : [{ request, waitMs: isKnown || waitMs < Infinity ? waitMs : null }];
+      if (isKept) {
+        ahead += request.units;
+        return [];
+      }
+      const behindMs = this.lenderWaitMs(nowMs, ahead + returning, request.units);
+      returning += request.units;
+      const toldMs = Math.min(shareWaitMs, behindMs ?? Infinity);
+      return [{ request, waitMs: isKnown || toldMs < Infinity ? toldMs : null }];
     });
     if (refused.length > 0) this.remove(refused.map(({ request }) => request));
     return refused;
--- a/test/replay/small-customers.test.ts
+++ b/test/replay/small-customers.test.ts
@@ -1,7 +1,12 @@
 /** A small customer within its rate whose large requests are spread over all entry VMs. */
 import { describe, expect, test } from 'vitest';
 import { createRandom } from '../../src/core/random/index.js';
-import { RateLender, SHARE_TTL_MS, ShareHolder } from '../../src/decisions/rate-shares/index.js';
+import {
+  LOAN_TTL_MS,
+  RateLender,
+  SHARE_TTL_MS,
+  ShareHolder,
+} from '../../src/decisions/rate-shares/index.js';
 
 const CUSTOMER = 'acme';
 const LIMIT = { ratePerS: 10_700, burst: 10_700 };
@@ -65,7 +70,7 @@
     vm.holder.noteDemand(nowMs, CUSTOMER, units);
     const missing = units - vm.holder.available(nowMs, CUSTOMER);
     if (missing > 0 && this.lender.lend(nowMs, CUSTOMER, missing)) {
-      vm.holder.addLoan(nowMs, CUSTOMER, missing);
+      vm.holder.addLoan(nowMs, CUSTOMER, missing, nowMs + LOAN_TTL_MS);
     }
     if (nowMs < WARM_UP_MS) vm.holder.take(nowMs, CUSTOMER, units);
     else if (vm.holder.take(nowMs, CUSTOMER, units)) this.counts.served += 1;
@@ -111,7 +116,7 @@
     const nowMs = 10_000;
     const units = LIMIT.burst * 0.9;
     expect(lender.lend(nowMs, CUSTOMER, units)).toBe(true);
-    first.addLoan(nowMs, CUSTOMER, units);
+    first.addLoan(nowMs, CUSTOMER, units, nowMs + LOAN_TTL_MS);
     expect(first.take(nowMs, CUSTOMER, units)).toBe(true);
     first.refund(nowMs, CUSTOMER, units);
     first.unreturned().forEach((returned, customer) => lender.refund(nowMs, customer, returned));
--- a/test/units/rate-shares/loan-requests.test.ts
+++ b/test/units/rate-shares/loan-requests.test.ts
@@ -83,10 +83,23 @@
     nowMs = 10;
     reply(1, 900, 100, 0);
     loans.serve(units);
-    // 1,800 further units in 100 ms: the second request can be served, a fourth one can't.
+    // 1,800 further units in 100 ms: two requests can be served, and the others return one by one.
     loans.add(REQUEST);
+    loans.add({ ...REQUEST, priority: 3 });
     const refused = loans.expire(nowMs, units, 0);
-    expect(refused).toEqual([{ request: { ...REQUEST, priority: 2 }, waitMs: 190 }]);
+    expect(refused).toEqual([
+      { request: { ...REQUEST, priority: 2 }, waitMs: 190 },
+      { request: { ...REQUEST, priority: 3 }, waitMs: 280 },
+    ]);
+  });
+
+  test('leave the units that they do not use in time to the lender', () => {
+    ask(1);
+    nowMs = 300;
+    reply(1, 2_700);
+    nowMs = 1_000;
+    expect([loans.serve(units), holder.available(nowMs, NAME)]).toEqual([[], 0]);
+    expect(holder.unreturned()).toEqual(new Map([[NAME, 2_700]]));
   });
 
   test('ask a lender without a queue for the most urgent one after the sum was refused', () => {
