Property test: loans with delayed, lost and repeated replies and queued loans

Cause: the property test had no waiting requests, no queue and no customer without shares. Change: moves that add waiting requests, answer queued loans and deliver a reply twice. A second property has a burst that the largest request needs, so that there are no shares: no unit is spent that was not lent; units lent, less those returned, never exceed rate and burst; units spent exceed them by at most the refill of a loan's lifetime (1 s), as a loan counts as spent when it is lent. The direct loan of the test expires as in the product, 1 s after its request.

--- a/test/properties/rate-shares/conservation.test.ts
+++ b/test/properties/rate-shares/conservation.test.ts
@@ -1,12 +1,24 @@
 /** No customer exceeds its limit when messages are lost or late, VMs crash or lenders change. */
 import * as fc from 'fast-check';
 import { describe, expect, test } from 'vitest';
-import { RateLender, SHARE_TTL_MS, ShareHolder } from '../../../src/decisions/rate-shares/index.js';
+import {
+  LOAN_TTL_MS,
+  type LoanAnswer,
+  LoanQueue,
+  LoanRequests,
+  RateLender,
+  type RateLimits,
+  ReplyTimes,
+  SHARE_TTL_MS,
+  ShareHolder,
+  type UnitsRequest,
+} from '../../../src/decisions/rate-shares/index.js';
 
 const CUSTOMER = 'acme';
 const RATE_PER_S = 1_000;
 const BURST = 20_000;
-const LIMITS = new Map([[CUSTOMER, { ratePerS: RATE_PER_S, burst: BURST }]]);
+/** A burst that the largest request needs: there are no shares, and every request needs a loan. */
+const SMALL_BURST = 4_000;
 const VM_COUNT = 4;
 /** Length of the windows in which the spent units are summed. */
 const WINDOW_MS = 8_000;
@@ -18,26 +30,52 @@
 interface Vm {
   readonly name: string;
   holder: ShareHolder;
+  loans: LoanRequests<UnitsRequest>;
   appliedSeq: number;
   /** Messages from the lender that are in transit. */
   inbox: (() => void)[];
 }
 
+interface Units {
+  readonly atMs: number;
+  readonly units: number;
+}
+
+function sumOf(all: readonly Units[]): number {
+  return all.reduce((sum, { units }) => sum + units, 0);
+}
+
 class Fleet {
   nowMs = 0;
 
   private lender = new RateLender(0, new Map());
 
+  private queue = this.createQueue();
+
+  private lastAskId = 0;
+
+  private readonly limits: RateLimits;
+
   /** Allowances stored in the lease; a lender writes them before it grants shares. */
   private written: ReadonlyMap<string, number> = new Map();
 
   private readonly vms: Vm[];
 
-  readonly spent: { atMs: number; units: number }[] = [];
+  /** Number of waiting requests that were served. */
+  servedByLoans = 0;
+
+  /** Units that the lender lent, and those returned to it, below 0. */
+  readonly lent: Units[] = [];
+
+  readonly spent: Units[] = [];
 
   /** @param persistsAllowances Whether a lender persists its allowances for the next lender. */
-  constructor(private readonly persistsAllowances = true) {
-    this.lender.setLimits(0, LIMITS);
+  constructor(
+    private readonly persistsAllowances = true,
+    private readonly burst = BURST,
+  ) {
+    this.limits = new Map([[CUSTOMER, { ratePerS: RATE_PER_S, burst }]]);
+    this.lender.setLimits(0, this.limits);
     this.vms = Array.from({ length: VM_COUNT }, (_, at) => this.createVm(`vm-${at}`));
     this.warmUp();
   }
@@ -69,8 +107,13 @@
     const vm = this.vmAt(at);
     const { lender } = this;
     const sentAtMs = this.nowMs;
+    // The reserve covers the largest request: if that needs the whole burst, there are no shares.
+    if (this.burst === SMALL_BURST) vm.holder.noteDemand(this.nowMs, CUSTOMER, SMALL_BURST);
     lender.noteReport(this.nowMs, vm.name, vm.appliedSeq, vm.holder.report(this.nowMs));
-    vm.holder.unreturned().forEach((units, customer) => lender.refund(this.nowMs, customer, units));
+    vm.holder.unreturned().forEach((units, customer) => {
+      lender.refund(this.nowMs, customer, units);
+      this.lent.push({ atMs: this.nowMs, units: -units });
+    });
     vm.holder.noteReturned();
     const { seq, fractions } = lender.grant(this.nowMs, vm.name);
     vm.inbox.push(() => {
@@ -81,11 +124,93 @@
     });
   }
 
+  private createQueue(): LoanQueue<number> {
+    return new LoanQueue<number>({
+      lend: (_, __, units) => this.lend(units),
+      available: (...args) => this.lender.available(...args),
+      waitMs: (...args) => this.lender.waitMs(...args),
+    });
+  }
+
+  private lend(units: number): boolean {
+    const isLent = this.lender.lend(this.nowMs, CUSTOMER, units);
+    if (isLent) this.lent.push({ atMs: this.nowMs, units });
+    return isLent;
+  }
+
   ask(at: number, units: number): void {
     const vm = this.vmAt(at);
-    if (this.lender.lend(this.nowMs, CUSTOMER, units)) {
-      vm.inbox.push(() => this.vmAt(at).holder.addLoan(this.nowMs, CUSTOMER, units));
+    const expiresAtMs = this.nowMs + LOAN_TTL_MS;
+    if (this.lend(units)) {
+      vm.inbox.push(() => this.vmAt(at).holder.addLoan(this.nowMs, CUSTOMER, units, expiresAtMs));
+    }
+  }
+
+  /** Adds a request that waits for units, and asks for a loan if none is in flight. */
+  request(at: number, units: number): void {
+    const { holder, loans } = this.vmAt(at);
+    holder.noteDemand(this.nowMs, CUSTOMER, units);
+    loans.add({
+      units,
+      priority: units % 3,
+      isResumed: false,
+      arrivedAtMs: this.nowMs,
+      rateUntilMs: this.nowMs + 400,
+      budgetMs: 4_000,
+    });
+    this.step(at);
+  }
+
+  /** Makes the lender answer the queued loans that are due. */
+  answer(): void {
+    this.queue.serve(this.nowMs).forEach((answer) => this.sendAnswer(answer));
+  }
+
+  /** Puts a second copy of the oldest reply to a loan request behind all messages to a VM. */
+  repeat(at: number): void {
+    const { inbox } = this.vmAt(at);
+    const reply = inbox.find((message) => this.replies.has(message));
+    if (reply !== undefined) inbox.push(reply);
+  }
+
+  private readonly replies = new Set<() => void>();
+
+  private sendAnswer({ loan: { vm: at, askId }, units, waitMs, queuedMs }: LoanAnswer<number>) {
+    const deliver = () => {
+      const { loans, holder } = this.vmAt(at);
+      const reply = { askId, units, waitMs: Number.isFinite(waitMs) ? waitMs : null, queuedMs };
+      const applied = loans.applyReply(this.nowMs, reply);
+      if (applied !== null) holder.addLoan(this.nowMs, CUSTOMER, units, applied.expiresAtMs);
+      this.step(at);
+    };
+    this.replies.add(deliver);
+    this.vmAt(at).inbox.push(deliver);
+  }
+
+  private step(at: number): void {
+    const { loans, holder } = this.vmAt(at);
+    const { nowMs } = this;
+    const held = {
+      take: (units: number) => holder.take(nowMs, CUSTOMER, units),
+      takeFromShare: (units: number) => holder.takeFromShare(nowMs, CUSTOMER, units),
+      available: () => holder.available(nowMs, CUSTOMER),
+      shareWaitMs: (units: number) => holder.waitMs(nowMs, CUSTOMER, units),
+      maxLoan: () => holder.maxLoan(CUSTOMER),
+    };
+    loans.serve(held).forEach(({ units }) => {
+      this.spent.push({ atMs: nowMs, units });
+      this.servedByLoans += 1;
+    });
+    const ask = loans.nextAsk(nowMs, held);
+    if (ask !== null) {
+      this.lastAskId += 1;
+      const askId = this.lastAskId;
+      loans.noteAsked(nowMs, askId, ask);
+      this.queue
+        .add(nowMs, { ...ask, askId, customer: CUSTOMER, vm: at })
+        .forEach((answer) => this.sendAnswer(answer));
     }
+    loans.expire(nowMs, held, nowMs);
   }
 
   deliver(at: number): void {
@@ -110,8 +235,12 @@
       this.persistsAllowances ? new Map(this.written) : new Map(),
     );
     this.lender.notePersisted(this.written);
-    this.lender.setLimits(this.nowMs, LIMITS);
-    this.vms.forEach((vm) => Object.assign(vm, { appliedSeq: 0, inbox: [] }));
+    this.lender.setLimits(this.nowMs, this.limits);
+    this.queue = this.createQueue();
+    this.vms.forEach((vm) => {
+      Object.assign(vm, { appliedSeq: 0, inbox: [] });
+      vm.loans.resetLender();
+    });
   }
 
   spend(at: number, units: number): void {
@@ -144,16 +273,11 @@
       .reduce((sum, { fraction }) => sum + fraction, 0);
   }
 
-  /** Largest number of units that was spent within any window of `WINDOW_MS`. */
-  maxInWindow(): number {
-    return this.spent.reduce((max, { atMs }) => {
-      const inside = this.spent.filter(
-        (other) => other.atMs >= atMs && other.atMs <= atMs + WINDOW_MS,
-      );
-      return Math.max(
-        max,
-        inside.reduce((sum, { units }) => sum + units, 0),
-      );
+  /** Largest number of units that was spent, or lent, within any window of `WINDOW_MS`. */
+  static maxInWindow(spent: readonly Units[]): number {
+    return spent.reduce((max, { atMs }) => {
+      const inside = spent.filter((other) => other.atMs >= atMs && other.atMs <= atMs + WINDOW_MS);
+      return Math.max(max, sumOf(inside));
     }, 0);
   }
 
@@ -165,8 +289,9 @@
 
   private createVm(name: string): Vm {
     const holder = new ShareHolder();
-    holder.setLimits(this.nowMs, LIMITS);
-    return { name, holder, appliedSeq: 0, inbox: [] };
+    holder.setLimits(this.nowMs, this.limits);
+    const loans = new LoanRequests<UnitsRequest>(new ReplyTimes(), () => RATE_PER_S);
+    return { name, holder, loans, appliedSeq: 0, inbox: [] };
   }
 }
 
@@ -182,6 +307,10 @@
       'spend',
       'spend',
       'ask',
+      'request',
+      'request',
+      'answer',
+      'repeat',
       'refuse',
       'write',
       'drain',
@@ -201,7 +330,7 @@
 type Move = typeof moves extends fc.Arbitrary<infer T> ? T : never;
 
 /** Plays the moves; returns the maximum spent in a window and the number of spends. */
-function play(fleet: Fleet, steps: Move): { maxSpent: number; spends: number } {
+function play(fleet: Fleet, steps: Move) {
   steps.forEach(({ do: move, vm, ms, units, change }) => {
     fleet.advance(ms);
     if (change === 0) fleet.changeLender();
@@ -209,31 +338,62 @@
     else if (move === 'deliver') fleet.deliver(vm);
     else if (move === 'spend') fleet.spend(vm, units);
     else if (move === 'ask') fleet.ask(vm, units);
+    else if (move === 'request') fleet.request(vm, units);
+    else if (move === 'answer') fleet.answer();
+    else if (move === 'repeat') fleet.repeat(vm);
     else if (move === 'refuse') fleet.refuse(vm, units);
     else if (move === 'write') fleet.write();
     else if (move === 'lose') fleet.lose(vm);
     else if (move === 'restart') fleet.restart(vm);
     else fleet.drain();
   });
-  return { maxSpent: fleet.maxInWindow(), spends: fleet.spent.length };
+  return {
+    maxSpent: Fleet.maxInWindow(fleet.spent),
+    maxLent: Fleet.maxInWindow(fleet.lent),
+    spends: fleet.spent.length,
+    surplus: sumOf(fleet.spent) - sumOf(fleet.lent),
+    servedByLoans: fleet.servedByLoans,
+  };
 }
 
-const MAX_SPENT = BURST + (RATE_PER_S * WINDOW_MS) / 1_000;
+const MAX_REFILL = (RATE_PER_S * WINDOW_MS) / 1_000;
 const RUNS = { seed: 20261204, numRuns: 500 };
 
 describe('rate shares', () => {
-  test('never admit more than the rate and burst of a customer', () => {
-    let spends = 0;
+  const playAll = (burst: number, check: (played: ReturnType<typeof play>) => void) => {
+    const sums = { spends: 0, servedByLoans: 0 };
     fc.assert(
       fc.property(moves, (steps) => {
-        const played = play(new Fleet(), steps);
-        spends += played.spends;
-        expect(played.maxSpent).toBeLessThanOrEqual(MAX_SPENT + TOLERANCE);
+        const played = play(new Fleet(true, burst), steps);
+        sums.spends += played.spends;
+        sums.servedByLoans += played.servedByLoans;
+        check(played);
       }),
       RUNS,
     );
+    return sums;
+  };
+
+  test('never admit more than the rate and burst of a customer', () => {
+    const sums = playAll(BURST, ({ maxSpent }) => {
+      expect(maxSpent).toBeLessThanOrEqual(BURST + MAX_REFILL + TOLERANCE);
+    });
     // A lender that grants nothing would also pass the check above.
-    expect(spends).toBeGreaterThan(10_000);
+    expect(sums.spends).toBeGreaterThan(10_000);
+    expect(sums.servedByLoans).toBeGreaterThan(500);
+  });
+
+  test('never lend more than the rate and burst; loans are spent within their lifetime', () => {
+    const sums = playAll(SMALL_BURST, ({ maxLent, maxSpent, surplus }) => {
+      const bound = SMALL_BURST + MAX_REFILL + TOLERANCE;
+      expect(maxLent).toBeLessThanOrEqual(bound);
+      // There are no shares, so that each unit that is spent was lent.
+      expect(surplus).toBeLessThanOrEqual(TOLERANCE);
+      // The lender's bucket may refill between the lending of units and their use.
+      expect(maxSpent).toBeLessThanOrEqual(bound + (RATE_PER_S * LOAN_TTL_MS) / 1_000);
+    });
+    expect(sums.spends).toBeGreaterThan(5_000);
+    expect(sums.servedByLoans).toBeGreaterThan(500);
   });
 
   test('do not exceed the full limit when only one VM has reported to a new lender', () => {
