A new lender tells when it may know the shares in use

Cause: until the entry VMs have reported to a new lender, it counted their shares as granted and stated that a loan is never possible; requests were refused with the maximum of 5 s. Change: it states an expected time (100 ms, then as long again as it has taken so far, until the shares expire). The replay covers lost replies and a change of the steward.

--- a/src/decisions/rate-shares/lender.ts
+++ b/src/decisions/rate-shares/lender.ts
@@ -38,6 +38,11 @@
 const ALLOWANCE_HEADROOM = 1.3;
 /** Total demand up to this value counts as zero, units/s; the running sum has rounding errors. */
 const MIN_DEMAND_PER_S = 1e-6;
+/**
+ * Time in which entry VMs are expected to report to a new lender, ms; after that, as long again as it has
+ * taken so far.
+ */
+const REPORTS_WAIT_MS = 100;
 /** Smallest change of a share that is granted. */
 const MIN_SHARE_CHANGE = 0.01;
 
@@ -257,7 +262,21 @@
    * @param ahead Units that are lent before.
    */
   waitMs(nowMs: number, customer: string, units: number, ahead = 0): number {
-    return this.buckets.get(customer)?.waitMs(nowMs, units, ahead) ?? Infinity;
+    const waitMs = this.buckets.get(customer)?.waitMs(nowMs, units, ahead) ?? Infinity;
+    return waitMs < Infinity ? waitMs : this.waitForReportsMs(nowMs, customer, units);
+  }
+
+  /**
+   * Expected time until a new lender knows the limit and the shares that its predecessor granted; Infinity
+   * if the limit does not cover `units`.
+   */
+  private waitForReportsMs(nowMs: number, customer: string, units: number): number {
+    const limit = this.limits.get(customer);
+    if (limit === undefined) return REPORTS_WAIT_MS;
+    if (this.unreported.size === 0 || units > limit.burst) return Infinity;
+    const elapsedMs = nowMs - (this.unreportedUntilMs - SHARE_TTL_MS);
+    const leftMs = Math.max(0, this.unreportedUntilMs - nowMs);
+    return Math.min(leftMs, Math.max(REPORTS_WAIT_MS, elapsedMs));
   }
 
   /** Upper bound of the outstanding shares of a customer's limit, 0 to 1. */
--- a/test/replay/delayed-loans.test.ts
+++ b/test/replay/delayed-loans.test.ts
@@ -12,6 +12,8 @@
 const REPORT_MS = 200;
 /** End of a delay of two seconds, ms. */
 const DELAY_END_MS = 6_000;
+/** Time in which the entry VMs connect to a new steward, ms. */
+const RECONNECT_MS = 100;
 const DURATION_MS = 12_000;
 /** Time before which requests do not count: the lender's buckets start empty. */
 const WARM_UP_MS = 2_000;
@@ -41,6 +43,8 @@
 
   asks = 0;
 
+  lastRefusedAtMs = -Infinity;
+
   /** Longest wait of a request, ms, by the result. */
   readonly longestMs = { ...NO_COUNTS };
 
@@ -58,17 +62,17 @@
 
   private readonly limits = new Map(CUSTOMERS.map((customer) => [customer.name, customer]));
 
-  private readonly lender = new RateLender(this.startMs, new Map());
+  private lender = new RateLender(this.startMs, new Map());
 
-  private readonly service = new LoanService({
-    lender: this.lender,
-    clock: this.clock,
-    logger: createLogger('replay', 'silent'),
-  });
+  private service = this.createService();
 
   private readonly vms = Array.from({ length: VM_COUNT }, (_, at) => this.createVm(at));
 
-  constructor(private readonly delayMs: Delay) {
+  /** @param lostFraction Fraction of the replies to loan requests that are lost. */
+  constructor(
+    private readonly delayMs: Delay,
+    private readonly lostFraction = 0,
+  ) {
     this.lender.setLimits(this.startMs, this.limits);
   }
 
@@ -77,15 +81,42 @@
     await vi.advanceTimersByTimeAsync(DURATION_MS);
   }
 
+  /** Replaces the steward; its queue and the messages in transit are lost. */
+  changeSteward(): void {
+    const nowMs = this.clock.steadyMs();
+    const allowances = this.lender.allowances(nowMs);
+    this.service.stop();
+    this.lender = new RateLender(nowMs, allowances);
+    this.lender.setLimits(nowMs, this.limits);
+    this.service = this.createService();
+    this.vms.forEach((admission, at) => {
+      setTimeout(() => {
+        admission.resetSeq();
+        this.report(`vm-${at}`, admission);
+      }, RECONNECT_MS * this.random.real());
+    });
+  }
+
+  private createService(): LoanService {
+    const logger = createLogger('replay', 'silent');
+    return new LoanService({ lender: this.lender, clock: this.clock, logger });
+  }
+
   private get nowMs(): number {
     return this.clock.steadyMs() - this.startMs;
   }
 
   private createVm(at: number): Admission {
+    const later = (handle: () => void) => {
+      const { service } = this;
+      const handleIfConnected = () => service === this.service && handle();
+      setTimeout(handleIfConnected, this.delayMs(this.nowMs) / 2);
+    };
     const link: Pick<MessageLink, 'send'> = {
       send: (message) => {
         if (message.type !== 'lent') throw new Error('not a loan');
-        setTimeout(() => this.vms[at]?.handleLoanReply(message), this.delayMs(this.nowMs) / 2);
+        if (this.lostFraction > 0 && this.random.real() < this.lostFraction) return true;
+        later(() => this.vms[at]?.handleLoanReply(message));
         return true;
       },
     };
@@ -93,9 +124,8 @@
       clock: this.clock,
       ask: (ask) => {
         this.asks += 1;
-        const delayMs = this.delayMs(this.nowMs);
         const message = { type: 'ask' as const, ...ask };
-        setTimeout(() => this.service.handleAsk(this.clock.steadyMs(), link, message), delayMs / 2);
+        later(() => this.service.handleAsk(this.clock.steadyMs(), link, message));
         return true;
       },
     });
@@ -145,7 +175,10 @@
     const tookMs = this.nowMs - sentAtMs;
     counts[type] += 1;
     this.longestMs[type] = Math.max(this.longestMs[type], tookMs);
-    if (type !== AdmissionType.admitted) return;
+    if (type !== AdmissionType.admitted) {
+      this.lastRefusedAtMs = this.nowMs;
+      return;
+    }
     this.admittedUnits[at] = (this.admittedUnits[at] ?? 0) + units;
     if (sentAtMs > DELAY_END_MS + 500) this.longestAfterMs = Math.max(this.longestAfterMs, tookMs);
   }
@@ -185,6 +218,30 @@
   });
 });
 
+describe('customers within their rates', () => {
+  test('are served when replies are lost: their entry VMs ask again', async () => {
+    const replay = new Replay(() => 2, 0.05);
+    await replay.play();
+    replay.counts.forEach((counts) => {
+      expect(counts).toMatchObject({ 'over-rate': 0, 'rate-unknown': 0 });
+    });
+    expect(replay.longestMs.admitted).toBeGreaterThan(400);
+    expect(replay.longestMs.admitted).toBeLessThan(1_500);
+  });
+
+  test('are served by the next steward half a second after a change', async () => {
+    const replay = new Replay(() => 40);
+    setTimeout(() => replay.changeSteward(), 5_000);
+    await replay.play();
+    // The next lender's buckets start empty, and it waits for the reports of the entry VMs.
+    expect(replay.lastRefusedAtMs).toBeLessThan(5_500);
+    replay.counts.forEach((counts) => {
+      expect(counts['rate-unknown']).toBe(0);
+      expect(counts['over-rate']).toBeLessThan(3);
+    });
+  });
+});
+
 describe('a customer at ten times its rate beside others', () => {
   test.each([2, 100])('does not delay them, replies in %i ms', async (delayMs) => {
     const replay = new Replay(() => delayMs);
--- a/test/units/rate-shares/loan-queue.test.ts
+++ b/test/units/rate-shares/loan-queue.test.ts
@@ -70,6 +70,20 @@
   });
 });
 
+describe('a new lender', () => {
+  const limits = new Map([['acme', { ratePerS: RATE_PER_S, burst: BURST }]]);
+
+  test('states when it may know the shares in use, not that a loan is never possible', () => {
+    const lender = new RateLender(0, new Map([['vm-1', 1]]));
+    expect(lender.waitMs(0, 'acme', 100)).toBe(100);
+    lender.setLimits(0, limits);
+    expect([20, 1_500, 5_000].map((nowMs) => lender.waitMs(nowMs, 'acme', 100))).toEqual([
+      100, 1_500, 1_000,
+    ]);
+    expect(lender.waitMs(20, 'acme', BURST + 1)).toBe(Infinity);
+  });
+});
+
 describe('the replies to loan requests', () => {
   const clock = createClock();
   const { maxWaitMs, priority, minUnits, ...oldAsk } = { type: 'ask' as const, ...LOAN };
