--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -216,12 +216,16 @@
     /** Age of the last call for the lease that the store has answered, ms; null if there was none. */
     storeAgeMs: z.number().nonnegative().nullable().optional(),
   }),
-  /** Requests a loan of units of a customer's rate limit, for a single request. */
+  /** Requests a loan of units of a customer's rate limit; see `LoanAsk` for the optional fields. */
   z.object({
     type: z.literal(RelayMessageType.ask),
     askId: z.int(),
     customer: z.string(),
     units: z.number(),
+    minUnits: z.number().optional(),
+    priority: z.number().optional(),
+    /** Without it, the steward replies at once. */
+    maxWaitMs: z.number().nonnegative().optional(),
   }),
   /** First message from the steward on a new connection. */
   z.object({
@@ -305,7 +309,7 @@
     type: z.literal(RelayMessageType.packed),
     bytes: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
   }),
-  /** Reply to `ask`: lends all of the units or none. */
+  /** Reply to `ask`: lends all of the units or none, or some if the request states a minimum. */
   z.object({
     type: z.literal(RelayMessageType.lent),
     askId: z.int(),
@@ -313,6 +317,8 @@
     units: z.number(),
     /** After a refusal: time until the same loan may be granted, ms; null if it never will be. */
     waitMs: z.number().nullable(),
+    /** Time for which the steward queued the loan, ms; an older steward has no queue. */
+    queuedMs: z.number().nonnegative().optional(),
   }),
   /** The steward's lease; sent after each renewal and when the steward releases it. */
   z.object({
