--- a/src/decisions/rate-shares/holder.ts
+++ b/src/decisions/rate-shares/holder.ts
@@ -107,6 +107,7 @@
     this.expire(nowMs);
     const share = this.customerShares.get(customer);
     if (share === undefined) return 0;
+    ShareHolder.expireLoans(nowMs, share);
     const lent = share.loans.reduce((sum, loan) => sum + loan.units, 0);
     return lent + share.bucket.available(nowMs);
   }
@@ -147,8 +148,10 @@
     return this.customerShares.get(customer)?.bucket.waitMs(nowMs, units) ?? Infinity;
   }
 
+  /** State of all shares; units of loans that have expired are then among those to return. */
   report(nowMs: number): readonly ShareReport[] {
     this.expire(nowMs);
+    this.customerShares.forEach((share) => ShareHolder.expireLoans(nowMs, share));
     return [...this.customerShares].map(([customer, share]) => ({
       customer,
       fraction: share.bucket.fraction,
@@ -176,6 +179,7 @@
   }
 
   private takeWithLoans(nowMs: number, share: CustomerShare, units: number): boolean {
+    ShareHolder.expireLoans(nowMs, share);
     const lent = share.loans.reduce((sum, loan) => sum + loan.units, 0);
     const fromBucket = Math.min(units, share.bucket.available(nowMs));
     if (lent + fromBucket < units) return false;
@@ -209,7 +213,6 @@
   }
 
   private expire(nowMs: number): void {
-    this.customerShares.forEach((share) => ShareHolder.expireLoans(nowMs, share));
     if (nowMs < this.expiresAtMs) return;
     this.customerShares.forEach((share, customer) => {
       const limit = this.limits.get(customer);
--- a/src/decisions/rate-shares/loan-queue.ts
+++ b/src/decisions/rate-shares/loan-queue.ts
@@ -5,7 +5,7 @@
  * entry VM has one loan in it. A loan is refused at once if the lender can't grant it within the time
  * that the VM states, also if it becomes so by a more urgent loan.
  */
-import type { LoanAsk } from './loan-requests.js';
+import type { LoanAsk } from './loan-types.js';
 
 /** The units that can be lent; see `RateLender`. */
 export interface LoanSource {
--- a/src/decisions/rate-shares/loan-requests.ts
+++ b/src/decisions/rate-shares/loan-requests.ts
@@ -5,77 +5,35 @@
  * of the VM also serves requests behind one that it does not cover; loans are kept for the first.
  */
 import { LOAN_TTL_MS } from './holder.js';
+import type {
+  AppliedReply,
+  HeldUnits,
+  LoanAsk,
+  LoanReply,
+  RefusedUnits,
+  UnitsRequest,
+} from './loan-types.js';
 import type { ReplyTimes } from './reply-times.js';
 import { UNKNOWN_RATE_WAIT_FRACTION, shouldWaitForRate } from './unknown-rate.js';
 
-/** Maximum pause between a refused loan and the customer's next loan request, ms. */
-const LOAN_PAUSE_MS = 50;
+/**
+ * Pause between a refused loan and the customer's next loan request, ms: a fraction of the time that the
+ * lender states, since units may be returned earlier.
+ */
+const MIN_LOAN_PAUSE_MS = 50;
+const MAX_LOAN_PAUSE_MS = 500;
+const LOAN_PAUSE_FRACTION = 0.25;
+/**
+ * Maximum time for which the lender may queue a loan, ms. A resumed stream waits for many seconds, and a
+ * lost reply is noticed only after this time.
+ */
+const MAX_QUEUE_MS = 1_000;
 /** Pause between two attempts to send a loan request while no steward is connected, ms. */
 const UNSENT_PAUSE_MS = 25;
 /** Time for which an unanswered request is kept, so that its reply is used, ms. */
 const LATE_REPLY_MS = 10_000;
 const MS_PER_S = 1_000;
 
-/** A request that needs units of its customer's rate. */
-export interface UnitsRequest {
-  readonly units: number;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  /** Whether it resumes a stream; it is served before all others, and no other before it. */
-  readonly isResumed: boolean;
-  readonly arrivedAtMs: number;
-  /** Time until which it waits for units that are known to come. */
-  readonly rateUntilMs: number;
-  /** Time from arrival until the caller or the route times out, ms. */
-  readonly budgetMs: number;
-}
-
-/** The units of the customer that this VM holds. */
-export interface HeldUnits {
-  /** Takes units from share and loans, or from the share alone; false if it has fewer. */
-  take(units: number): boolean;
-  takeFromShare(units: number): boolean;
-  available(): number;
-  /** Time until the share covers `units`, ms; Infinity if it never does. */
-  shareWaitMs(units: number): number;
-  /** Units that the lender can lend at most. */
-  maxLoan(): number;
-}
-
-/** A request to the lender. */
-export interface LoanAsk {
-  readonly units: number;
-  /** Units that serve the most urgent request; a loan of fewer is of no use. */
-  readonly minUnits: number;
-  /** Priority of the most urgent request. */
-  readonly priority: number;
-  /** Time for which the lender may queue the loan, ms. */
-  readonly maxWaitMs: number;
-}
-
-export interface LoanReply {
-  readonly askId: number;
-  readonly units: number;
-  readonly waitMs: number | null;
-  /** Time for which the lender queued the loan, ms; undefined if it has no queue. */
-  readonly queuedMs?: number | undefined;
-}
-
-/** What a reply to a loan request has brought. */
-export interface AppliedReply {
-  /** When the lent units expire. */
-  readonly expiresAtMs: number;
-  readonly tookMs: number;
-  /** Whether the request was repeated before, or no request waits for the units any more. */
-  readonly isLate: boolean;
-}
-
-/** A request that waits no longer, and the time until units are available, ms; null if unknown. */
-export interface RefusedUnits<R> {
-  readonly request: R;
-  readonly waitMs: number | null;
-}
-
 interface SentAsk extends LoanAsk {
   readonly sentAtMs: number;
 }
@@ -86,6 +44,13 @@
   readonly atMs: number;
 }
 
+/** Time until the next loan request after a refusal, ms; `waitMs` is Infinity if the loan was too large. */
+function pauseMs(waitMs: number): number {
+  if (waitMs === Infinity) return MIN_LOAN_PAUSE_MS;
+  const fraction = Math.min(MAX_LOAN_PAUSE_MS, waitMs * LOAN_PAUSE_FRACTION);
+  return Math.min(waitMs, Math.max(MIN_LOAN_PAUSE_MS, fraction));
+}
+
 export class LoanRequests<R extends UnitsRequest> {
   private waiting: readonly R[] = [];
 
@@ -164,7 +129,7 @@
       units: this.isAlone ? minUnits : Math.max(minUnits, all),
       minUnits,
       priority: first.isResumed ? 0 : first.priority,
-      maxWaitMs: Math.max(0, leftMs - this.replyTimes.expectedMs),
+      maxWaitMs: Math.max(0, Math.min(MAX_QUEUE_MS, leftMs - this.replyTimes.expectedMs)),
     };
   }
 
@@ -272,7 +237,7 @@
     const rest = ask.units - reply.units;
     const isKnown = isRefused || (hasQueue && rest > 0);
     this.statement = isKnown ? { units: isRefused ? lacking : rest, atMs: nowMs + waitMs } : null;
-    this.askAtMs = isRefused && !this.isAlone ? nowMs + Math.min(waitMs, LOAN_PAUSE_MS) : nowMs;
+    this.askAtMs = isRefused && !this.isAlone ? nowMs + pauseMs(waitMs) : nowMs;
   }
 
   /** Time until the lender has units for a request behind others, ms; null if it is not known. */
--- a/test/replay/delayed-loans.test.ts
+++ b/test/replay/delayed-loans.test.ts
@@ -68,10 +68,14 @@
 
   private readonly vms = Array.from({ length: VM_COUNT }, (_, at) => this.createVm(at));
 
-  /** @param lostFraction Fraction of the replies to loan requests that are lost. */
+  /**
+   * @param lostFraction Fraction of the replies to loan requests that are lost.
+   * @param hasQueue Whether the steward reads the optional fields of loan requests.
+   */
   constructor(
     private readonly delayMs: Delay,
     private readonly lostFraction = 0,
+    private readonly hasQueue = true,
   ) {
     this.lender.setLimits(this.startMs, this.limits);
   }
@@ -124,7 +128,9 @@
       clock: this.clock,
       ask: (ask) => {
         this.asks += 1;
-        const message = { type: 'ask' as const, ...ask };
+        const { askId, customer: name, units } = ask;
+        const read = this.hasQueue ? ask : { askId, customer: name, units };
+        const message = { type: 'ask' as const, ...read };
         later(() => this.service.handleAsk(this.clock.steadyMs(), link, message));
         return true;
       },
@@ -229,6 +235,17 @@
     expect(replay.longestMs.admitted).toBeLessThan(1_500);
   });
 
+  test.each([2, 100])(
+    'are served by an older steward without a queue in %i ms',
+    async (delayMs) => {
+      const replay = new Replay(() => delayMs, 0, false);
+      await replay.play();
+        replay.counts.forEach((counts) => {
+        expect(counts).toMatchObject({ 'over-rate': 0, 'rate-unknown': 0 });
+      });
+    },
+  );
+
   test('are served by the next steward half a second after a change', async () => {
     const replay = new Replay(() => 40);
     setTimeout(() => replay.changeSteward(), 5_000);
--- a/test/units/rate-shares/loan-requests.test.ts
+++ b/test/units/rate-shares/loan-requests.test.ts
@@ -109,6 +109,18 @@
     expect(ask(2)).toMatchObject({ units: 900, minUnits: 900 });
   });
 
+  test('of a resumed stream ask a few times, not every 50 ms, while units come in seconds', () => {
+    loans = new LoanRequests(new ReplyTimes(), () => LIMIT.ratePerS);
+    loans.add({ ...REQUEST, isResumed: true, rateUntilMs: 9_000 });
+    expect(ask(1)?.maxWaitMs).toBe(1_000);
+    reply(1, 0, 4_000, 0);
+    expect(loans.expire(nowMs, units, 0)).toEqual([]);
+    nowMs = 499;
+    expect(ask(2)).toBeNull();
+    nowMs = 500;
+    expect(ask(2)).not.toBeNull();
+  });
+
   test('ask the next steward at once', () => {
     ask(1);
     loans.resetLender();
