--- a/test/replay/delayed-loans.test.ts
+++ b/test/replay/delayed-loans.test.ts
@@ -240,7 +240,7 @@
     async (delayMs) => {
       const replay = new Replay(() => delayMs, 0, false);
       await replay.play();
-        replay.counts.forEach((counts) => {
+      replay.counts.forEach((counts) => {
         expect(counts).toMatchObject({ 'over-rate': 0, 'rate-unknown': 0 });
       });
     },
