A suspended entry VM does not use loans that were asked for before

Cause: the lifetime of a loan is counted on the monotonic clock, which stops during a suspension. Now that late replies are used, a reply from before a suspension could be used long after it was lent. Change: a suspension drops the pending loan requests, as it dropped shares and loans, and asks again. Measured: test/units/relay/admission.test.ts passes; the new test shows the unused reply.

--- a/src/entry/relay/admission.ts
+++ b/src/entry/relay/admission.ts
@@ -117,10 +117,16 @@
    */
   resetSeq(): void {
     this.appliedSeq = 0;
-    this.queues.forEach((queue, customer) => {
-      queue.requests.resetLender();
-      this.step(customer, queue);
-    });
+    this.resetLoans();
+  }
+
+  /**
+   * Drops shares and loans after a suspension of this VM, in which they may have expired, and the loan
+   * requests before it: their replies are of unknown age.
+   */
+  handleSuspension(): void {
+    this.holder.clear();
+    this.resetLoans();
   }
 
   /** Replaces this entry VM's shares with those of a steward's grant. */
@@ -196,6 +202,13 @@
     if (queue !== undefined) this.step(customer, queue);
   }
 
+  private resetLoans(): void {
+    this.queues.forEach((queue, customer) => {
+      queue.requests.resetLender();
+      this.step(customer, queue);
+    });
+  }
+
   private queueOf(customer: string): CustomerQueue {
     const existing = this.queues.get(customer);
     if (existing !== undefined) return existing;
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -257,8 +257,7 @@
     observer: new LoanMetrics(metrics, logger.child('loans')),
     ask: (ask) => lateBound.link?.send({ type: RelayMessageType.ask, ...ask }) === true,
   });
-  // Rate shares may have expired while this VM was suspended.
-  clock.onJump(() => admission.holder.clear());
+  clock.onJump(() => admission.handleSuspension());
   const handleMessage = (message: RelayMessage) => {
     switch (message.type) {
       case RelayMessageType.welcome:
--- a/test/units/relay/admission.test.ts
+++ b/test/units/relay/admission.test.ts
@@ -90,6 +90,24 @@
   });
 });
 
+describe('an entry VM that was suspended', () => {
+  test('does not use the reply to a loan request from before, and asks again', async () => {
+    const asked: number[] = [];
+    const admission = new Admission({
+      clock: clocks.createClock(),
+      ask: ({ askId }) => asked.push(askId) > 0,
+    });
+    admission.setCustomers(new Map([[CUSTOMER.name, CUSTOMER]]));
+    const admitted = admission.admit(CUSTOMER, 10, WAIT_LIMITS);
+    admission.handleSuspension();
+    const lent = { type: 'lent' as const, customer: CUSTOMER.name, units: 10, waitMs: 0 };
+    admission.handleLoanReply({ ...lent, askId: 1 });
+    expect(await Promise.race([admitted, clocks.sleep(20)])).toBeUndefined();
+    admission.handleLoanReply({ ...lent, askId: 2 });
+    expect([(await admitted).type, asked]).toEqual([AdmissionType.admitted, [1, 2]]);
+  });
+});
+
 describe('a stream that its caller takes up while its customer is over its rate', () => {
   test('is admitted before a new request that needs the same units', async () => {
     const small = { ...CUSTOMER, ratePerS: 100, burst: 100 };
