Evacuations: nothing is sent to servers of an evacuated data centre

Cause: the platform may ask that nothing more be sent to a data centre (objects of kind evacuations); the system had no notion of it. The steward watches the kind and names the set in its grants (optional field); a VM without that confirmation watches itself. A VM is not ready, and sends nothing, before it knows the set. Candidate servers, relayed connections and the engine controller leave evacuated servers out. Without relay.evacuateMs there are no calls.

--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -59,6 +59,11 @@
   enginesCheckFences: z
     .boolean()
     .describe('Whether engines reject orders with an outdated fencing token.'),
+  evacuateMs: duration
+    .optional()
+    .describe(
+      'Maximum time after which an evacuated data centre gets no more requests, ms; without it, evacuations are not watched.',
+    ),
   retries: z
     .strictObject({
       ratio: numeric.describe('Retries allowed per request of the window.'),
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -109,7 +109,7 @@
 export interface EngineControllerOptions {
   readonly vm: string;
   readonly wire: PlatformWire;
-  readonly storeWatcher: StoreWatcherTask;
+  readonly storeWatcher: Pick<StoreWatcherTask, 'plan' | 'backends'>;
   readonly lease: LeaseTask;
   readonly reachability: Pick<ReachabilityTask, 'isPartitioned' | 'isUndecided' | 'noteSuspicion'>;
   readonly clock: Clock;
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -90,6 +90,8 @@
       PeerConnector,
       'canReach' | 'isUnreachable' | 'unreachableServers'
     >,
+    /** Whether requests with this need may be sent to the server, wherever it is. */
+    private readonly mayServe: (server: BackendServer, need: Need) => boolean = () => true,
   ) {}
 
   get members(): number {
@@ -137,6 +139,7 @@
         server.service === service &&
         !server.leaving &&
         hasVersion(server, need) &&
+        this.mayServe(server, need) &&
         this.hasLoaded(nowMs, server, need, isConnected),
     );
   }
@@ -280,6 +283,7 @@
         server.service === need.service &&
         !server.leaving &&
         hasVersion(server, need) &&
+        this.mayServe(server, need) &&
         (this.pausedUntilMs.get(server.id) ?? 0) <= nowMs &&
         this.hasLoaded(nowMs, server, need, isConnected),
     );
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -110,6 +110,15 @@
 /** Store revision of a cached copy, and the age of the call that confirmed the copy. */
 const freshnessSchema = z.object({ revision: z.int(), ageMs: z.number() });
 
+/** The steward's evacuated data centres; see `SharedEvacuations`. */
+const evacuationsSchema = z.object({
+  revision: z.int(),
+  /** Age of the store call that confirmed them, ms. */
+  ageMs: z.number(),
+  dataCentres: z.array(z.string()),
+  heldForMs: z.record(z.string(), z.number()),
+});
+
 /** A model load that is in progress or queued, and the expected time to its end. */
 const loadViewSchema = z.object({
   /** Service of the engine; null if an older steward does not tell it. */
@@ -276,6 +285,8 @@
     backends: freshnessSchema.nullable(),
     /** Version that the operator gave the steward's plan; 0 if it has none. */
     planRevision: z.number(),
+    /** Not sent where evacuations are not in force, nor by a steward that does not know them. */
+    evacuations: evacuationsSchema.optional(),
   }),
   /** Reply to `ask`: lends all of the units or none. */
   z.object({
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -18,6 +18,7 @@
 import { RateLender } from '../../decisions/rate-shares/index.js';
 import { RESERVE_HOLDERS } from '../../decisions/throttling/index.js';
 import type { StoreWatcherTask } from './store-watcher.js';
+import type { EvacuationTask } from './evacuations.js';
 import { IncidentPublisher } from './incident-publisher.js';
 import type { IncidentTask } from './incidents.js';
 import type { PeerRelay } from './peer-relay.js';
@@ -102,6 +103,7 @@
   readonly listen: string;
   readonly wire: PlatformWire;
   readonly storeWatcher: StoreWatcherTask;
+  readonly evacuations: EvacuationTask;
   readonly incidents: IncidentTask;
   readonly throttling: ThrottlingTask;
   readonly slots: ServerSlotsTask;
@@ -471,6 +473,7 @@
       fractions: Object.fromEntries(grant.fractions),
       ...storeWatcher.freshness(),
       planRevision: storeWatcher.planVersion,
+      evacuations: this.opts.evacuations.shared(),
     });
     if (member.beliefs.needsPlan(report, storeWatcher.planVersion)) {
       member.link.send({ type: RelayMessageType.plan, value: storeWatcher.rawPlan });
@@ -595,17 +598,13 @@
     );
     this.lender.notePersisted(new Map(Object.entries(this.writtenAllowances)));
     const { vm, wire, storeWatcher, lease, reachability, clock, logger, throttling } = this.opts;
-    this.permitService = new PermitService({
-      storeWatcher,
-      throttling,
-      members: this.members,
-    });
+    this.permitService = new PermitService({ storeWatcher, throttling, members: this.members });
     this.slotService = new SlotService(nowMs, { slots: this.opts.slots, members: this.members });
     const { issuer } = this.permitService;
     this.engineController = new EngineController({
       vm,
       wire,
-      storeWatcher,
+      storeWatcher: this.opts.evacuations.serving,
       lease,
       reachability,
       clock,
--- a/src/entry/relay/store-watcher.ts
+++ b/src/entry/relay/store-watcher.ts
@@ -75,7 +75,7 @@
 type FeedAnswer = Extract<FeedResult<FeedEvent>, { type: typeof FeedOutcome.ok }>;
 
 /** Lists the objects of one kind, then long-polls for changes since the listed revision. */
-class KindWatcher {
+export class KindWatcher {
   /** Store revision of the cached copy; null if the objects must be listed. */
   private revision: number | null = null;
 
@@ -93,6 +93,9 @@
 
   private failures = 0;
 
+  /** Whether the next call lists all objects, although there is a cached copy. */
+  private mustList = false;
+
   /** Highest era of the store that a call has shown; -1 before the first call. */
   private era = -1;
 
@@ -100,7 +103,7 @@
 
   constructor(
     private readonly kind: string,
-    private readonly opts: StoreWatcherOptions,
+    private readonly opts: Pick<StoreWatcherOptions, 'store' | 'clock' | 'logger' | 'isSteward'>,
     /** Applies an answer of this store version; true if it shows that the copy is current. */
     private readonly apply: (
       items: readonly FeedEvent[],
@@ -148,6 +151,11 @@
     this.stewardConfirmedAtMs = -Infinity;
   }
 
+  /** Makes the next call a list, because the cached copy may lack a change. */
+  listAgain(): void {
+    this.mustList = true;
+  }
+
   private isConfirmedBySteward(nowMs: number): boolean {
     return !this.opts.isSteward() && nowMs - this.stewardConfirmedAtMs < CONFIRMATION_TTL_MS;
   }
@@ -212,7 +220,7 @@
   /** Makes one call; resolves with the pause before the next one, ms. */
   private async step(sentAtMs: number): Promise<number> {
     const { store } = this.opts;
-    const since = this.revision;
+    const since = this.mustList ? null : this.revision;
     const answer: FeedResult<FeedEvent> =
       since === null
         ? await this.list()
@@ -233,6 +241,7 @@
     if (this.failures >= STORE_LOST_FAILURES)
       this.opts.logger.info('store-back', { kind: this.kind });
     this.failures = 0;
+    if (since === null) this.mustList = false;
     this.logAnswer(answer);
     // Discards the answer: the steward has confirmed a newer revision in the meantime.
     if (!this.isCurrent(answer.revision)) return MIN_RETRY_MS;
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -133,9 +133,12 @@
   readonly planKind: string;
   readonly planName: string;
   readonly backendKind: string;
+  readonly evacuationKind: string;
   readonly readinessPath: string;
   decodePlan(value: unknown): FleetPlan | null;
   decodeBackend(id: string, value: unknown): BackendServer | null;
+  /** The data centre that an object of this name evacuates; null if the name is none. */
+  decodeEvacuation(name: string): string | null;
   decodeRequest(rawHeaders: readonly string[]): RequestMetadata | null;
   /** The headers that identify a request; the result is equal for all attempts of the request. */
   canonicalHeaders(rawHeaders: readonly string[]): string;
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -16,6 +16,7 @@
 import { ConnectionPool } from './connections.js';
 import type { RelayContext } from './context.js';
 import { Dispatcher } from './dispatch.js';
+import { EvacuationTask } from './evacuations.js';
 import { FleetView } from './fleet-view.js';
 import { type FleetChange, StoreWatcherTask } from './store-watcher.js';
 import { IncidentRecordTask } from './incident-record.js';
@@ -108,6 +109,18 @@
     isSteward,
     onOutage: () => lateBound.streamRecord?.noteOutage(),
   });
+  const evacuations = new EvacuationTask({
+    isEnabled: relay.evacuateMs !== undefined,
+    wire,
+    store,
+    storeWatcher,
+    clock,
+    logger: logger.child('evacuations'),
+    metrics,
+    changed,
+    isSteward,
+    onTakenBack: () => undefined,
+  });
   const incidents = new IncidentTask({
     storeWatcher,
     clock,
@@ -203,7 +216,8 @@
     isPartitioned: (service) => lateBound.reachability?.isPartitioned(service) === true,
     noteConnectFailure,
   });
-  const view = new FleetView(storeWatcher, clock, isStewardConnected, limits, peers);
+  const mayServe = (server: BackendServer) => evacuations.allows(server);
+  const view = new FleetView(storeWatcher, clock, isStewardConnected, limits, peers, mayServe);
   lateBound.view = view;
   // Idle connections may have broken in the partition, which would be seen by requests only.
   const noteReachable = (service: string) => {
@@ -231,7 +245,7 @@
     logger: logger.child('peer-relay'),
     metrics,
     serverOf: (id) => storeWatcher.backends.get(id),
-    isPaused: (server) => view.isPaused(server),
+    isPaused: (server) => view.isPaused(server) || !evacuations.allows(server),
     isUnreachable: (server) => peers.isUnreachable(server),
     isStopping: () => stopping,
     noteConnectFailure,
@@ -281,6 +295,7 @@
       case RelayMessageType.grant:
         admission.applyGrant(message);
         storeWatcher.applyConfirmation(message);
+        evacuations.applyGrant(message);
         break;
       case RelayMessageType.beliefs:
         storeWatcher.applyServerListUpdate(message);
@@ -352,6 +367,7 @@
     listen: listen.peers,
     wire,
     storeWatcher,
+    evacuations,
     incidents,
     throttling,
     slots,
@@ -411,6 +427,7 @@
     isReady: () =>
       !stopping &&
       ((record.isLoaded && streamRecord.isLoaded) || isStewardConnected()) &&
+      evacuations.isKnown &&
       storeWatcher.plan !== null &&
       storeWatcher.planAgeMs() < keyFreshnessMs,
   });
@@ -442,6 +459,7 @@
   const tasks = [
     loopDelay,
     storeWatcher,
+    evacuations,
     reachability,
     steward,
     peers,
--- a/test/properties/settings/platform-values.test.ts
+++ b/test/properties/settings/platform-values.test.ts
@@ -27,13 +27,31 @@
   'bounds.budget_slack': '52',
 };
 
-function fill(fields: Fields): string {
-  return TEMPLATE.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_, name: string, json?: string) => {
-    const value = fields[name] ?? '';
-    return json === undefined ? value : JSON.stringify(value);
+/** A section, which is rendered once for each field below its name, or once if the field is given. */
+const SECTION = /\{\{#([\w.]+)\}\}\n?(.*?)\{\{\/\1\}\}\n?/gs;
+
+function fillSections(fields: Fields): string {
+  return TEMPLATE.replace(SECTION, (_, name: string, body: string) => {
+    if (fields[name] !== undefined) return body;
+    return Object.entries(fields)
+      .filter(([field]) => field.startsWith(`${name}.`))
+      .map(([field, value]) =>
+        body.replaceAll('{{@}}', field.slice(name.length + 1)).replaceAll('{{.}}', value),
+      )
+      .join('');
   });
 }
 
+function fill(fields: Fields): string {
+  return fillSections(fields).replace(
+    /\{\{([\w.]+)(\|json)?\}\}/g,
+    (_, name: string, json?: string) => {
+      const value = fields[name] ?? '';
+      return json === undefined ? value : JSON.stringify(value);
+    },
+  );
+}
+
 function errorOf(fields: Fields): string {
   const settings = parseSettings(fill(fields), 'node.yaml');
   return settings.isOk ? '' : `${settings.error.message} ${settings.error.hint}`;
@@ -61,6 +79,10 @@
   'bounds.budget_window_s',
   'bounds.budget_slack',
 ];
+/** Fields that only some deployments have. */
+const OPTIONAL_FIELDS: Fields = {
+  'bounds.evacuate_ms': '5000',
+};
 
 describe('settings that the platform fills in', () => {
   // A file that was cut off before its relay section once started a daemon of the other mode.
@@ -72,6 +94,17 @@
     expect(accepted).toEqual([]);
   });
 
+  test('name the terms that only some deployments have', () => {
+    const settings = (fields: Fields) =>
+      parseSettings(fill(fields), 'node.yaml').unwrapOrElse((failure) => {
+        throw new Error(failure.message);
+      });
+    expect(settings(VALID_FIELDS).relay).not.toHaveProperty('evacuateMs');
+    expect(settings({ ...VALID_FIELDS, ...OPTIONAL_FIELDS }).relay).toMatchObject({
+      evacuateMs: 5_000,
+    });
+  });
+
   test('accepts a fractional retry slack', () => {
     expect(errorOf({ ...VALID_FIELDS, 'bounds.budget_slack': '138.5' })).toBe('');
   });
