Cold servers: all VMs together keep the limit of a server that has just started

Cause: a server is cold for a time after its start, as its entry states, and after an evacuation, and crashes at a rate well above cold_per_s; no VM limited its requests. Change: a pure decision keeps which servers are cold. A cold server is treated by the permits as one that names a limit; a response without a limit does not end it. The steward tells its members (optional field of throttles), withholds 1 s from a server that was warm before, and keeps the limit for 2 s after its end. Rate: (cold_per_s x overage + slack - 5) / 2.1.

--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -71,6 +71,15 @@
       slack: numeric.describe('Additional retries allowed per window, over all entry VMs.'),
     })
     .describe('Limit on the retries of requests to a service, over all entry VMs.'),
+  cold: z
+    .strictObject({
+      overage: numeric
+        .default(1.5)
+        .describe('Requests that a cold server may get in a second, as a multiple of its rate.'),
+      slack: numeric.default(5).describe('Additional requests that it may get in a second.'),
+    })
+    .prefault({})
+    .describe('Limit on the requests to cold servers, over all entry VMs.'),
   memory: z
     .strictObject({
       responseMb: z
--- a/src/decisions/fleet-plan/types.ts
+++ b/src/decisions/fleet-plan/types.ts
@@ -65,11 +65,21 @@
   readonly models: ReadonlyMap<string, ModelSpec>;
 }
 
+/** Limits of cold servers of a service. */
+export interface ColdTerms {
+  /** Time for which a server is cold after its start, ms. */
+  readonly startMs: number;
+  /** Requests per second that a cold server accepts from all entry VMs together. */
+  readonly perS: number;
+}
+
 export interface Service {
   readonly name: string;
   readonly healthPath: string;
   /** Connections that one backend server accepts from all clients together. */
   readonly maxConnections: number;
+  /** Limits of servers that are cold, as after their start; null or undefined for none. */
+  readonly cold?: ColdTerms | null;
   /** Null for a plain service, which has no models. */
   readonly engine: EngineSpec | null;
 }
@@ -133,6 +143,8 @@
   readonly orderCount: number;
   /** Start time of its process, Unix ms; distinguishes restarts under the same id. */
   readonly bornMs: number;
+  /** Time for which its entry states that it stays cold, ms; Infinity if that is unreadable. */
+  readonly coldMs?: number;
   readonly models: readonly LoadedModel[];
   readonly copies: WeightCopies;
 }
--- a/src/decisions/throttling/permit-issuer.ts
+++ b/src/decisions/throttling/permit-issuer.ts
@@ -41,6 +41,8 @@
   readonly requestsPerS: number;
   /** Since when the server has named a limit. */
   readonly namedSinceMs: number;
+  /** Time after that for which no permit is issued at least, ms. */
+  readonly minWithheldMs?: number;
 }
 
 interface WaitingVm {
@@ -71,8 +73,12 @@
   return { ratePerS: ratePerS * fraction, burst: MIN_BURST };
 }
 
-function withheldUntilMs(ratePerS: number, namedSinceMs: number): number {
-  return namedSinceMs + Math.min(MAX_WITHHELD_MS, (WITHHELD_REQUESTS / ratePerS) * MS_PER_S);
+function withheldUntilMs(
+  ratePerS: number,
+  { namedSinceMs, minWithheldMs = 0 }: Omit<NamedLimit, 'requestsPerS'>,
+): number {
+  const usualMs = Math.min(MAX_WITHHELD_MS, (WITHHELD_REQUESTS / ratePerS) * MS_PER_S);
+  return namedSinceMs + Math.max(minWithheldMs, usualMs);
 }
 
 /** Expected time between two permits of one entry VM that waits, ms. */
@@ -88,11 +94,11 @@
     [...this.servers.keys()]
       .filter((id) => !limits.has(id))
       .forEach((id) => this.servers.delete(id));
-    limits.forEach(({ requestsPerS, namedSinceMs }, id) => {
+    limits.forEach(({ requestsPerS, ...named }, id) => {
       const ratePerS = Math.max(MIN_RATE_PER_S, requestsPerS);
       const record = this.servers.get(id) ?? this.createRecord(nowMs, ratePerS);
       record.ratePerS = ratePerS;
-      record.withheldUntilMs = withheldUntilMs(ratePerS, namedSinceMs);
+      record.withheldUntilMs = withheldUntilMs(ratePerS, named);
       record.permits.configure(nowMs, permitLimit(ratePerS), 1);
       record.reports.configure(nowMs, controlLimit(ratePerS, REPORT_FRACTION), 1);
       record.orders.configure(nowMs, controlLimit(ratePerS, ORDER_FRACTION), 1);
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -159,6 +159,13 @@
   ageMs: z.number().nonnegative(),
 });
 
+/** A server that is cold; see `SharedCold`. */
+const coldSchema = z.object({
+  serverId: z.string(),
+  bornMs: z.number(),
+  forMs: z.number().nonnegative(),
+});
+
 /** Counts by server. */
 const countsSchema = z.record(z.string(), z.int().nonnegative());
 
@@ -313,7 +320,12 @@
   /** Requests that ran to completion; the receiver clears their incidents. */
   z.object({ type: z.literal(RelayMessageType.ranWhole), fingerprints: z.array(z.string()) }),
   /** Request limits of servers; sent when they change, both ways. */
-  z.object({ type: z.literal(RelayMessageType.throttles), throttles: z.array(throttleSchema) }),
+  z.object({
+    type: z.literal(RelayMessageType.throttles),
+    throttles: z.array(throttleSchema),
+    /** Cold servers whose state changed; older builds name none. */
+    cold: z.array(coldSchema).optional(),
+  }),
   /** Requests permits for the requests of an entry VM that wait for a throttled server. */
   z.object({
     type: z.literal(RelayMessageType.permitRequest),
--- a/src/entry/relay/permit-service.ts
+++ b/src/entry/relay/permit-service.ts
@@ -1,4 +1,5 @@
 /** The steward's side of throttling: issues permits and publishes the limits to the members. */
+import type { SharedCold } from '../../decisions/cold-servers/index.js';
 import { type PermitGrant, PermitIssuer, type Throttle } from '../../decisions/throttling/index.js';
 import { permitRepeatMs } from './intervals.js';
 import type { StoreWatcherTask } from './store-watcher.js';
@@ -28,23 +29,47 @@
   return `${bornMs} ${requestsPerS}`;
 }
 
+/** Change of the time for which a server stays cold that is sent, ms: entries are seconds apart. */
+const MIN_COLD_CHANGE_MS = 300;
+
+/** When a server is no longer cold, as a member was last told. */
+interface SentCold {
+  readonly bornMs: number;
+  readonly untilMs: number;
+}
+
+/** Whether a member does not know the time for which a server stays cold. */
+function isNews(
+  nowMs: number,
+  { serverId, bornMs, forMs }: SharedCold,
+  sent: ReadonlyMap<string, SentCold>,
+): boolean {
+  const before = sent.get(serverId);
+  if (before?.bornMs !== bornMs) return true;
+  return Math.abs(nowMs + forMs - Math.max(nowMs, before.untilMs)) > MIN_COLD_CHANGE_MS;
+}
+
 export class PermitService {
   readonly issuer = new PermitIssuer();
 
+  private readonly sentCold = new WeakMap<PermitMember, Map<string, SentCold>>();
+
   constructor(private readonly opts: PermitServiceOptions) {}
 
   /** Updates the limits, sends them to the members, and issues the permits that are due. */
   tick(nowMs: number): void {
     const { storeWatcher, throttling } = this.opts;
     const throttles = throttling.all();
-    if (throttles.length === 0) return;
-    const inForce = throttles.flatMap(({ serverId }) => {
+    const cold = throttling.coldServers();
+    if (throttles.length === 0 && cold.length === 0 && this.issuer.size === 0) return;
+    const ids = new Set([...throttles, ...cold].map(({ serverId }) => serverId));
+    const inForce = [...ids].flatMap((serverId) => {
       const server = storeWatcher.backends.get(serverId);
       const limit = server === undefined ? null : throttling.limitOf(server);
       return limit === null ? [] : [[serverId, limit] as const];
     });
     this.issuer.setLimits(nowMs, new Map(inForce));
-    this.opts.members.forEach((member) => PermitService.sendThrottles(member, throttles));
+    this.opts.members.forEach((member) => this.sendLimits(nowMs, member, throttles, cold));
     this.issuePermits(nowMs);
   }
 
@@ -100,13 +125,28 @@
     member.link.send({ type: RelayMessageType.permits, serverId, permits, intervalMs });
   }
 
-  private static sendThrottles(member: PermitMember, throttles: readonly Throttle[]): void {
+  private sendLimits(
+    nowMs: number,
+    member: PermitMember,
+    throttles: readonly Throttle[],
+    cold: readonly SharedCold[],
+  ): void {
     const changed = throttles.filter(
       (throttle) => member.sentThrottles.get(throttle.serverId) !== keyOf(throttle),
     );
-    if (changed.length === 0) return;
-    const message = { type: RelayMessageType.throttles, throttles: [...changed] };
+    const sentCold = this.sentCold.get(member) ?? new Map<string, SentCold>();
+    this.sentCold.set(member, sentCold);
+    const changedCold = cold.filter((server) => isNews(nowMs, server, sentCold));
+    if (changed.length === 0 && changedCold.length === 0) return;
+    const message = {
+      type: RelayMessageType.throttles,
+      throttles: [...changed],
+      cold: changedCold.map(({ serverId, bornMs, forMs }) => ({ serverId, bornMs, forMs })),
+    };
     if (!member.link.send(message)) return;
     changed.forEach((throttle) => member.sentThrottles.set(throttle.serverId, keyOf(throttle)));
+    changedCold.forEach(({ serverId, bornMs, forMs }) =>
+      sentCold.set(serverId, { bornMs, untilMs: nowMs + forMs }),
+    );
   }
 }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -97,6 +97,7 @@
     steward?: StewardTask;
     reachability?: ReachabilityTask;
     streamRecord?: StreamRecordTask;
+    throttling?: ThrottlingTask;
   } = {};
   const isSteward = () => lateBound.lease !== undefined && lateBound.lease.fence() > 0;
   const isStewardConnected = () => lateBound.link?.isStewardConnected === true;
@@ -119,7 +120,12 @@
     metrics,
     changed,
     isSteward,
-    onTakenBack: () => undefined,
+    onTakenBack: (dataCentres) =>
+      lateBound.throttling?.presumeCold(
+        [...storeWatcher.backends.values()].filter(({ dataCentre }) =>
+          dataCentres.includes(dataCentre),
+        ),
+      ),
   });
   const incidents = new IncidentTask({
     storeWatcher,
@@ -140,10 +146,13 @@
     clock,
     logger: logger.child('throttling'),
     metrics,
+    coldBounds: relay.cold,
+    isSteward,
     members: () => lateBound.view?.members ?? 1,
     isStewardConnected,
     send: (message) => lateBound.link?.send(message) === true,
   });
+  lateBound.throttling = throttling;
   const slots = new ServerSlotsTask({
     clock,
     random,
@@ -432,6 +441,7 @@
       storeWatcher.planAgeMs() < keyFreshnessMs,
   });
   changed.subscribe(({ plan, backends }) => {
+    throttling.noteServers(storeWatcher.backends, storeWatcher.plan);
     if (plan && storeWatcher.plan !== null) {
       admission.setCustomers(storeWatcher.plan.customers);
       callerServer.applyLimits();
--- a/test/properties/settings/platform-values.test.ts
+++ b/test/properties/settings/platform-values.test.ts
@@ -82,6 +82,8 @@
 /** Fields that only some deployments have. */
 const OPTIONAL_FIELDS: Fields = {
   'bounds.evacuate_ms': '5000',
+  'bounds.cold_overage': '2',
+  'bounds.cold_slack': '3',
 };
 
 describe('settings that the platform fills in', () => {
@@ -102,6 +104,7 @@
     expect(settings(VALID_FIELDS).relay).not.toHaveProperty('evacuateMs');
     expect(settings({ ...VALID_FIELDS, ...OPTIONAL_FIELDS }).relay).toMatchObject({
       evacuateMs: 5_000,
+      cold: { overage: 2, slack: 3 },
     });
   });
 
--- a/test/units/relay/throttling.test.ts
+++ b/test/units/relay/throttling.test.ts
@@ -2,7 +2,10 @@
 import { describe, expect, test } from 'vitest';
 import { createMetrics } from '../../../src/core/metrics/index.js';
 import type { Logger } from '../../../src/core/logger/index.js';
+import type { FleetPlan } from '../../../src/decisions/fleet-plan/index.js';
 import { type RelayMessage, RelayMessageType } from '../../../src/entry/relay/messages.js';
+import { PermitService } from '../../../src/entry/relay/permit-service.js';
+import type { StoreWatcherTask } from '../../../src/entry/relay/store-watcher.js';
 import { ThrottlingTask } from '../../../src/entry/relay/throttling.js';
 import { createBackendServer } from './backend-server.js';
 
@@ -91,3 +94,46 @@
     expect(throttling.requestsPerS(SERVER)).toBe(2);
   });
 });
+
+describe('a cold server', () => {
+  const PLAN = {
+    services: new Map([[SERVER.service, { cold: { startMs: 0, perS: 4 } }]]),
+  } as unknown as FleetPlan;
+  const list = (throttling: ThrottlingTask, coldMs: number) =>
+    throttling.noteServers(new Map([['s1', { ...SERVER, coldMs }]]), PLAN);
+
+  test('gets no request without a permit, and its answers without a limit do not end that', () => {
+    const { throttling, name, permit } = setUp();
+    list(throttling, 5_000);
+    name(null);
+    expect([throttling.isAnyKnown, throttling.allows(SERVER)]).toEqual([true, false]);
+    permit();
+    expect(throttling.allows(SERVER)).toBe(true);
+    throttling.take(SERVER);
+    expect(throttling.allows(SERVER)).toBe(false);
+    list(throttling, 0);
+    expect(throttling.allows(SERVER)).toBe(true);
+  });
+
+  test('is told to the members by the steward once, and to the steward by a VM that sees it', () => {
+    const { throttling, sent, times } = setUp();
+    list(throttling, 5_000);
+    const cold = [{ serverId: 's1', bornMs: 5, forMs: 5_000 }];
+    expect(sent).toEqual([{ type: RelayMessageType.throttles, throttles: [], cold }]);
+    const toMember: RelayMessage[] = [];
+    const member = {
+      link: { send: (message: RelayMessage) => toMember.push(message) > 0 },
+      vm: 'b',
+      sentThrottles: new Map<string, string>(),
+    };
+    const service = new PermitService({
+      storeWatcher: { backends: new Map([['s1', SERVER]]) } as unknown as StoreWatcherTask,
+      throttling,
+      members: new Set([member]),
+    });
+    service.tick(times.steadyMs);
+    service.tick(times.steadyMs + 20);
+    expect(toMember).toEqual([{ type: RelayMessageType.throttles, throttles: [], cold }]);
+    expect(service.issuer.requestsPerS('s1')).toBeGreaterThan(2);
+  });
+});
