Homes: requests reach only servers in the regions of their route and customer

Cause: routes and customers may name allowed_regions; requests went to any server. Change: the entry VM resolves homes to data centres (settings vm.region, regions). Candidate servers, the VMs over which a request is relayed and the steward's demand for models keep to them (optional field of the queued requests of a report). With one region nothing changes.

--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -107,8 +107,14 @@
         )
         .describe('Name of this entry VM, unique in the deployment.'),
       dataCentre: z.string().min(1).describe('Data centre that this entry VM is in.'),
+      region: z
+        .string()
+        .min(1)
+        .optional()
+        .describe('Region that this entry VM is in; that of its data centre by default.'),
     })
     .describe('Identity of the entry VM.'),
+  regions: z.record(z.string(), z.string()).default({}).describe('Region of each data centre.'),
   listen: z
     .strictObject({
       callers: address.describe('Address for callers, which connect through the load balancer.'),
--- a/src/decisions/fleet-plan/types.ts
+++ b/src/decisions/fleet-plan/types.ts
@@ -35,6 +35,8 @@
   readonly attempts: number;
   readonly isPublic: boolean;
   readonly resumable: boolean;
+  /** Regions whose servers its requests may reach; null or undefined for all. */
+  readonly homes?: readonly string[] | null;
   readonly targets: readonly RouteTarget[];
 }
 
@@ -95,6 +97,8 @@
   readonly countsTokens: boolean;
   /** Units of a request that gives no token count. */
   readonly defaultUnits: number;
+  /** Regions whose servers its requests may reach; null or undefined for all. */
+  readonly homes?: readonly string[] | null;
 }
 
 export interface CallerLimits {
--- a/src/decisions/peer-choice/index.ts
+++ b/src/decisions/peer-choice/index.ts
@@ -70,6 +70,8 @@
   /** Ids of the peers that have been asked already. */
   readonly tried: ReadonlySet<string>;
   readonly random: Random;
+  /** Whether the request may be sent to peers in a data centre; undefined for all. */
+  readonly mayRelay?: ((dataCentre: string) => boolean) | undefined;
 }
 
 export class PeerChoice {
@@ -89,16 +91,21 @@
   }
 
   /** Whether a peer may be able to connect to the server. */
-  canReach(nowMs: number, server: ServerKey): boolean {
+  canReach(nowMs: number, server: ServerKey, mayRelay?: PeerQuery['mayRelay']): boolean {
     if (this.isDown(nowMs, server.id)) return false;
-    return this.peers.some((peer) => this.mayReach(nowMs, peer, server));
+    return this.peers.some(
+      (peer) => mayRelay?.(peer.dataCentre) !== false && this.mayReach(nowMs, peer, server),
+    );
   }
 
   /** The peer to ask next for a connection to the server; null if there is none left. */
-  choose(nowMs: number, { server, tried, random }: PeerQuery): Peer | null {
+  choose(nowMs: number, { server, tried, random, mayRelay }: PeerQuery): Peer | null {
     if (this.isDown(nowMs, server.id)) return null;
     const candidates = this.peers.filter(
-      (peer) => !tried.has(peer.vm) && this.mayReach(nowMs, peer, server),
+      (peer) =>
+        !tried.has(peer.vm) &&
+        mayRelay?.(peer.dataCentre) !== false &&
+        this.mayReach(nowMs, peer, server),
     );
     const scores = candidates.map((peer) => this.scoreOf(peer));
     const lowest = Math.min(...scores);
--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -29,6 +29,7 @@
   replicaOf,
   runningRequests,
   targetKey,
+  targetsOf,
 } from './view-index.js';
 
 export { type ForecastLoad, forecastLoads, type QueuedLoad } from './load-forecast.js';
@@ -162,15 +163,15 @@
 
 /** The needs that an action serves: its model at any version, and at that of its engine. */
 export function servedBy(
-  { engines }: Pick<SwapView, 'engines'>,
+  { engines, pendingDemand }: Pick<SwapView, 'engines' | 'pendingDemand'>,
   { engineId, steps }: SwapAction,
 ): readonly ModelNeed[] {
   const engine = engines.find(({ id }) => id === engineId);
   if (engine === undefined) return [];
-  const { service } = engine;
+  const targets = targetsOf(engine, pendingDemand);
   return steps
     .filter(({ type, adapter }) => type === OrderStepType.load && adapter === null)
-    .flatMap(({ model }) => [null, engine.version].map((version) => ({ service, model, version })));
+    .flatMap(({ model }) => targets.map((target) => ({ ...target, model })));
 }
 
 export class SwapPlanner {
--- a/src/decisions/swaps/types.ts
+++ b/src/decisions/swaps/types.ts
@@ -63,6 +63,8 @@
   readonly adapter: string | null;
   /** Software version of the engines that may serve it; null for any. */
   readonly version: string | null;
+  /** Data centres of the engines that may serve it; undefined for any. */
+  readonly dataCentres?: readonly string[] | undefined;
   /** Number of queued requests. */
   readonly waiting: number;
   /** Earliest latency objective of the queued requests. */
--- a/src/decisions/swaps/view-index.ts
+++ b/src/decisions/swaps/view-index.ts
@@ -15,7 +15,10 @@
  * A model of a service, at servers of one software version or, with null, of any. A stream can only
  * go on at the version that began it, so that replicas at other versions are of no use to it.
  */
-export type ModelNeed = Pick<PendingDemand, 'service' | 'model' | 'version'>;
+export type ModelNeed = Pick<PendingDemand, 'service' | 'model' | 'version' | 'dataCentres'>;
+
+/** The engines that a need allows. */
+type Target = Omit<ModelNeed, 'model'>;
 
 /** The view with lookup tables. */
 export interface IndexedView extends SwapView {
@@ -38,8 +41,9 @@
 }
 
 /** Key of the engines that can serve a need. */
-export function targetKey({ service, version }: Pick<ModelNeed, 'service' | 'version'>): string {
-  return version === null ? service : `${service} =${version}`;
+export function targetKey({ service, version, dataCentres }: Target): string {
+  const atVersion = version === null ? service : `${service} =${version}`;
+  return dataCentres === undefined ? atVersion : `${atVersion} @${dataCentres.join()}`;
 }
 
 export function modelKey(need: ModelNeed): string {
@@ -49,21 +53,22 @@
 /** The healthy engines that can serve a need. */
 export function healthyEnginesFor(
   engines: readonly EngineState[],
-  { service, version }: Pick<ModelNeed, 'service' | 'version'>,
+  { service, version, dataCentres }: Target,
 ): readonly EngineState[] {
   return engines.filter(
     (engine) =>
       engine.healthy &&
       engine.service === service &&
-      (version === null || engine.version === version),
+      (version === null || engine.version === version) &&
+      dataCentres?.includes(engine.dataCentre) !== false,
   );
 }
 
 /** The models in demand, each once for all of its adapters, in the order of the demand. */
 export function distinctNeeds(demand: readonly PendingDemand[]): readonly ModelNeed[] {
   const needs = new Map(
-    demand.map(({ service, model, version }) => {
-      const need = { service, model, version };
+    demand.map(({ service, model, version, dataCentres }) => {
+      const need = { service, model, version, dataCentres };
       return [modelKey(need), need];
     }),
   );
@@ -127,9 +132,25 @@
   return groups;
 }
 
+/** The lists of data centres to which demand is confined, each once. */
+function confinementsOf(
+  demand: readonly Pick<PendingDemand, 'dataCentres'>[],
+): readonly (readonly string[])[] {
+  const lists = demand.flatMap(({ dataCentres }) =>
+    dataCentres === undefined ? [] : [dataCentres],
+  );
+  return [...new Map(lists.map((list) => [list.join(), list])).values()];
+}
+
 /** The targets of demand that an engine belongs to. */
-function targetsOf({ service, version }: EngineState) {
-  return [null, version].map((target) => ({ service, version: target }));
+export function targetsOf(
+  { service, version, dataCentre }: EngineState,
+  demand: readonly Pick<PendingDemand, 'dataCentres'>[],
+): readonly Target[] {
+  const confinements = confinementsOf(demand).filter((list) => list.includes(dataCentre));
+  return [undefined, ...confinements].flatMap((dataCentres) =>
+    [null, version].map((target) => ({ service, version: target, dataCentres })),
+  );
 }
 
 function countQueued(demand: readonly PendingDemand[]): ReadonlyMap<string, number> {
@@ -184,11 +205,14 @@
 }
 
 export function indexView(view: SwapView): IndexedView {
+  const confined = confinementsOf(view.pendingDemand).map((dataCentres) => ({ dataCentres }));
   const replicas = view.engines
     .filter(({ healthy }) => healthy)
     .flatMap((engine) =>
       engine.replicas.flatMap(({ model }) =>
-        targetsOf(engine).map((target) => [modelKey({ ...target, model }), engine] as const),
+        targetsOf(engine, confined).map(
+          (target) => [modelKey({ ...target, model }), engine] as const,
+        ),
       ),
     );
   const holdersByModel = groupBy(replicas);
@@ -209,13 +233,19 @@
     queuedByNeed: countQueuedByNeed(view.pendingDemand),
     enginesByTarget: groupBy(
       view.engines.flatMap((engine) =>
-        targetsOf(engine).map((target) => [targetKey(target), engine] as const),
+        targetsOf(engine, confined).map((target) => [targetKey(target), engine] as const),
       ),
     ),
     holdersByModel,
     copiesByModel,
     blockedRates: new Map(view.engines.map((engine) => [engine.id, blockedRate(index, engine)])),
-    modelsInDemand: new Set(view.pendingDemand.map(modelKey)),
+    // Confined demand for a model also counts as demand for it anywhere.
+    modelsInDemand: new Set(
+      view.pendingDemand.flatMap((demand) => [
+        modelKey(demand),
+        modelKey({ ...demand, dataCentres: undefined }),
+      ]),
+    ),
     adapterDelayMs: new Map(
       view.engines.map((engine) => [engine.id, adapterDelayPenaltyMs(view, engine)]),
     ),
--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -19,6 +19,8 @@
   readonly adapter: string | null;
   /** Software version of the servers that may run it; null for any. Set when a stream begins. */
   version: string | null;
+  /** Data centres of the servers that may run it; null or undefined for any. */
+  readonly dataCentres?: readonly string[] | null;
   /** Whether it is a stream that broke off, of which its caller has a part. */
   isInterrupted: boolean;
   /** 0 is the most urgent. */
@@ -80,7 +82,7 @@
 /** A rejected request whose caller was given a time to retry. */
 export interface ExpectedRetry extends Pick<
   QueuedRequest,
-  'service' | 'model' | 'adapter' | 'version'
+  'service' | 'model' | 'adapter' | 'version' | 'dataCentres'
 > {
   readonly atMs: number;
 }
--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -26,6 +26,7 @@
 import { discardBody, readBody } from '../gateway/read-body.js';
 import { errorBody } from '../gateway/reply.js';
 import type { BodyClaim, BodyMemory } from './body-memory.js';
+import type { Homes } from '../../decisions/homes/index.js';
 import { ConnectHold } from './connect-hold.js';
 import type { RelayContext } from './context.js';
 import { Exchange } from './exchange.js';
@@ -53,6 +54,7 @@
   readonly ctx: RelayContext;
   readonly storeWatcher: StoreWatcherTask;
   readonly random: Random;
+  readonly homes: Homes;
   readonly logger: Logger;
   /** Bounds the bytes of the bodies that are being received or served. */
   readonly bodies: BodyMemory;
@@ -338,7 +340,8 @@
       this.sendRefusal(res, metadata.id, refusal(errors.data.NoCapacity, UNREADY_RETRY_MS));
       return;
     }
-    const exchange = new Exchange(this.opts.ctx, { ...received, ...checked, service });
+    const dataCentres = this.opts.homes.dataCentresFor(checked.route, checked.customer);
+    const exchange = new Exchange(this.opts.ctx, { ...received, ...checked, service, dataCentres });
     this.exchanges.add(exchange);
     try {
       await exchange.serve();
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -120,19 +120,22 @@
       .all(nowMs)
       .map((retry) => ({ ...retry, dueAtMs: retry.atMs }));
     const groups = new Map<string, RelayMessageOf<'report'>['waits'][number]>();
-    [...waiting, ...expected].forEach(({ service, model, adapter, version, dueAtMs }) => {
-      if (model === null) return;
-      const key = JSON.stringify([service, model, adapter, version]);
-      const before = groups.get(key);
-      groups.set(key, {
-        service,
-        model,
-        adapter,
-        version,
-        waiting: (before?.waiting ?? 0) + 1,
-        dueInMs: Math.min(before?.dueInMs ?? Infinity, dueAtMs - nowMs),
-      });
-    });
+    [...waiting, ...expected].forEach(
+      ({ service, model, adapter, version, dataCentres, dueAtMs }) => {
+        if (model === null) return;
+        const key = JSON.stringify([service, model, adapter, version, dataCentres]);
+        const before = groups.get(key);
+        groups.set(key, {
+          service,
+          model,
+          adapter,
+          version,
+          ...(dataCentres == null ? {} : { dataCentres: [...dataCentres] }),
+          waiting: (before?.waiting ?? 0) + 1,
+          dueInMs: Math.min(before?.dueInMs ?? Infinity, dueAtMs - nowMs),
+        });
+      },
+    );
     return [...groups.values()];
   }
 
@@ -156,9 +159,9 @@
     const permitAtMs = this.permitAtMs(nowMs, request, this.addNeeds(needs, request, tried));
     if (nowMs < rejectAtMs(request, { readyAtMs, isLoaded, permitAtMs })) return;
     this.waiting.delete(request.id);
-    const { service, model, adapter, version } = request;
+    const { service, model, adapter, version, dataCentres } = request;
     if (readyAtMs !== null && !isLoaded) {
-      this.expectedRetries.note({ service, model, adapter, version, atMs: readyAtMs });
+      this.expectedRetries.note({ service, model, adapter, version, dataCentres, atMs: readyAtMs });
     }
     settle({ run: null, retryAfterMs: retryAfterMs(nowMs, readyAtMs ?? permitAtMs) });
   }
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -577,14 +577,11 @@
   ): readonly PendingDemand[] {
     const merged = new Map<string, PendingDemand>();
     reports.forEach(({ waits }) =>
-      waits.forEach(({ service, model, adapter, version, waiting, dueInMs }) => {
-        const key = JSON.stringify([service, model, adapter, version]);
+      waits.forEach(({ waiting, dueInMs, ...need }) => {
+        const key = JSON.stringify(need);
         const before = merged.get(key);
         merged.set(key, {
-          service,
-          model,
-          adapter,
-          version,
+          ...need,
           waiting: (before?.waiting ?? 0) + waiting,
           dueAtMs: Math.min(before?.dueAtMs ?? Infinity, nowMs + dueInMs),
         });
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -54,13 +54,14 @@
 
 /** The queue entry of a request: what it needs, its priority and its deadlines. */
 function createQueuedRequest(request: RoutedRequest, deadlineAtMs: number): QueuedRequest {
-  const { metadata, route, service, customer, arrivedAtMs } = request;
+  const { metadata, route, service, customer, dataCentres, arrivedAtMs } = request;
   return {
     id: `${metadata.id} ${arrivedAtMs}`,
     service,
     model: metadata.model,
     adapter: metadata.adapter,
     version: null,
+    ...(dataCentres == null ? {} : { dataCentres }),
     isInterrupted: false,
     priority: customer?.priority ?? route.priority,
     arrivedAtMs,
@@ -451,7 +452,7 @@
           route.retrySafety !== RetrySafety.once,
           this.maxConnections(),
         ),
-        ways: this.ctx.peers.waysTo(run.server),
+        ways: this.ctx.peers.waysTo(run.server, this.request.dataCentres),
         run,
         signal: attempt.signal,
         idlePolicy: this.retryPolicy.idlePolicy(run, (idleMs) => this.replaceIdle(attempt, idleMs)),
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -28,6 +28,8 @@
   readonly adapter: string | null;
   /** Software version that the server must have; null or undefined for any. */
   readonly version?: string | null;
+  /** Data centres that the server must be in; null or undefined for any. */
+  readonly dataCentres?: readonly string[] | null;
 }
 
 function hasVersion(server: BackendServer, { version }: Need): boolean {
@@ -130,10 +132,10 @@
   }
 
   /** Whether any server that is not draining has loaded the model that the request needs. */
-  isLoaded({ service, model, version }: Need): boolean {
+  isLoaded({ service, model, version, dataCentres }: Need): boolean {
     const nowMs = this.clock.steadyMs();
     const isConnected = this.isStewardConnected();
-    const need = { service, model, adapter: null, version };
+    const need = { service, model, adapter: null, version, dataCentres };
     return [...this.storeWatcher.backends.values()].some(
       (server) =>
         server.service === service &&
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -52,6 +52,8 @@
   adapter: z.string().nullable(),
   /** Software version of the servers that may run them; null for any. */
   version: z.string().nullable().default(null),
+  /** Data centres of the servers that may run them; for any if there is no list. */
+  dataCentres: z.array(z.string()).optional(),
   waiting: z.int(),
   /** Time until the first request misses its objective, ms; relative, since VM clocks differ. */
   dueInMs: z.number(),
--- a/src/entry/relay/peer-connector.ts
+++ b/src/entry/relay/peer-connector.ts
@@ -10,6 +10,7 @@
 import type { Random } from '../../core/random/index.js';
 import type { Task } from '../../core/supervisor/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
+import type { Homes } from '../../decisions/homes/index.js';
 import type { ConnectFailure } from '../../decisions/server-health/index.js';
 import {
   type Peer,
@@ -31,6 +32,8 @@
 /** Interval at which one unreachable server is tried directly, ms: new connections are billed. */
 const PROBE_INTERVAL_MS = 1_000;
 
+type MayRelay = (dataCentre: string) => boolean;
+
 /** The ways to one backend server. */
 export interface ServerWays {
   /** Whether to connect over a peer: this VM can't connect to the server, and a peer may. */
@@ -54,6 +57,8 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Limits the VMs to which requests are sent. */
+  readonly homes?: Pick<Homes, 'mayRelay'>;
   /** The listed servers, by id. */
   servers(): ReadonlyMap<string, BackendServer>;
   /** Whether this VM is partitioned from the servers of a service. */
@@ -94,8 +99,8 @@
   }
 
   /** Whether a peer may be able to connect to a server that is not reachable directly. */
-  canReach(server: ServerKey): boolean {
-    return this.choice.canReach(this.opts.clock.steadyMs(), server);
+  canReach(server: ServerKey, mayRelay?: MayRelay): boolean {
+    return this.choice.canReach(this.opts.clock.steadyMs(), server, mayRelay);
   }
 
   /** Whether this VM can't connect to the server itself. */
@@ -108,12 +113,17 @@
     return [...this.unreachable].map(([id, { failedAtMs }]) => ({ id, atMs: failedAtMs }));
   }
 
-  /** The ways to a server for an attempt that begins now. */
-  waysTo(server: BackendServer): ServerWays {
+  /**
+   * The ways to a server for an attempt that begins now.
+   * @param dataCentres Data centres whose servers the request may reach; null or undefined for all.
+   */
+  waysTo(server: BackendServer, dataCentres?: readonly string[] | null): ServerWays {
+    const mayRelay = (dataCentre: string) =>
+      this.opts.homes?.mayRelay(dataCentre, dataCentres ?? null) !== false;
     const startedAtMs = this.opts.clock.steadyMs();
     return {
-      isRelayed: () => this.isUnreachable(server) && this.canReach(server),
-      open: (signal) => this.open(server, signal),
+      isRelayed: () => this.isUnreachable(server) && this.canReach(server, mayRelay),
+      open: (signal) => this.open(server, signal, mayRelay),
       noteUnreachable: () => this.noteUnreachable(server, startedAtMs),
       noteAnswer: () => this.noteReachable(server),
     };
@@ -179,10 +189,14 @@
     });
   }
 
-  private async open(server: BackendServer, signal: AbortSignal): Promise<RelayedStream | null> {
+  private async open(
+    server: BackendServer,
+    signal: AbortSignal,
+    mayRelay: MayRelay,
+  ): Promise<RelayedStream | null> {
     const tried = new Set<string>();
     while (tried.size < MAX_PEERS && !signal.aborted) {
-      const query = { server, tried, random: this.opts.random };
+      const query = { server, tried, random: this.opts.random, mayRelay };
       const peer = this.choice.choose(this.opts.clock.steadyMs(), query);
       if (peer === null) return null;
       tried.add(peer.vm);
--- a/src/entry/relay/routed-request.ts
+++ b/src/entry/relay/routed-request.ts
@@ -19,6 +19,8 @@
   readonly service: string;
   /** Null if the route is public or the plan requires no keys. */
   readonly customer: Customer | null;
+  /** Data centres whose servers it may reach; null or undefined for all. */
+  readonly dataCentres?: readonly string[] | null;
   readonly body: Buffer;
   readonly arrivedAtMs: number;
 }
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -9,6 +9,7 @@
 import { createSupervisor } from '../../core/supervisor/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import { RetryWindow } from '../../decisions/retries/index.js';
+import { allows, Homes } from '../../decisions/homes/index.js';
 import * as stopRules from '../../decisions/stopping/index.js';
 import { Admission } from './admission.js';
 import { BodyMemory } from './body-memory.js';
@@ -17,7 +18,7 @@
 import type { RelayContext } from './context.js';
 import { Dispatcher } from './dispatch.js';
 import { EvacuationTask } from './evacuations.js';
-import { FleetView } from './fleet-view.js';
+import { FleetView, type Need } from './fleet-view.js';
 import { type FleetChange, StoreWatcherTask } from './store-watcher.js';
 import { IncidentRecordTask } from './incident-record.js';
 import { IncidentTask } from './incidents.js';
@@ -214,8 +215,11 @@
     lateBound.view?.health.noteConnectFailure(clock.steadyMs(), server.id, startedAtMs);
     lateBound.reachability?.noteConnectFailure(server, startedAtMs);
   };
+  const { regions } = settings;
+  const homes = new Homes({ region: vm.region ?? regions[vm.dataCentre] ?? null, regions });
   const peers = new PeerConnector({
     vm: vm.id,
+    homes,
     dataCentre: vm.dataCentre,
     clock,
     random,
@@ -225,7 +229,8 @@
     isPartitioned: (service) => lateBound.reachability?.isPartitioned(service) === true,
     noteConnectFailure,
   });
-  const mayServe = (server: BackendServer) => evacuations.allows(server);
+  const mayServe = (server: BackendServer, { dataCentres }: Need) =>
+    evacuations.allows(server) && allows(dataCentres, server.dataCentre);
   const view = new FleetView(storeWatcher, clock, isStewardConnected, limits, peers, mayServe);
   lateBound.view = view;
   // Idle connections may have broken in the partition, which would be seen by requests only.
@@ -425,6 +430,7 @@
     ctx,
     storeWatcher,
     random,
+    homes,
     logger: logger.child('front'),
     bodies: new BodyMemory(relay.memory.requestMb * BYTES_PER_MB),
     staleAfterMs: STALE_PLAN_MS,
--- a/test/properties/settings/platform-values.test.ts
+++ b/test/properties/settings/platform-values.test.ts
@@ -84,6 +84,9 @@
   'bounds.evacuate_ms': '5000',
   'bounds.cold_overage': '2',
   'bounds.cold_slack': '3',
+  region: 'costa',
+  'zones.costa-a': 'costa',
+  'zones.vega-b': 'vega',
 };
 
 describe('settings that the platform fills in', () => {
@@ -102,9 +105,10 @@
         throw new Error(failure.message);
       });
     expect(settings(VALID_FIELDS).relay).not.toHaveProperty('evacuateMs');
-    expect(settings({ ...VALID_FIELDS, ...OPTIONAL_FIELDS }).relay).toMatchObject({
-      evacuateMs: 5_000,
-      cold: { overage: 2, slack: 3 },
+    expect(settings({ ...VALID_FIELDS, ...OPTIONAL_FIELDS })).toMatchObject({
+      vm: { region: 'costa' },
+      regions: { 'costa-a': 'costa', 'vega-b': 'vega' },
+      relay: { evacuateMs: 5_000, cold: { overage: 2, slack: 3 } },
     });
   });
 
--- a/test/units/peer-choice/peer-choice.test.ts
+++ b/test/units/peer-choice/peer-choice.test.ts
@@ -35,6 +35,14 @@
     expect(choice.canReach(0, SERVER)).toBe(false);
   });
 
+  test('is none to which the body of the request may not be sent', () => {
+    choice.setPeers([createPeer('vm-1'), createPeer('vm-2', { dataCentre: 'b' })]);
+    const mayRelay = (dataCentre: string) => dataCentre === 'b';
+    const query = { server: SERVER, tried: new Set<string>(), random, mayRelay };
+    expect(choice.choose(0, query)?.vm).toBe('vm-2');
+    expect(choice.canReach(0, SERVER, () => false)).toBe(false);
+  });
+
   test('is one in the same data centre first', () => {
     choice.setPeers([createPeer('vm-1', { dataCentre: 'b' }), createPeer('vm-2')]);
     expect(choose()).toBe('vm-2');
--- a/test/units/platform/odd-entries.test.ts
+++ b/test/units/platform/odd-entries.test.ts
@@ -50,6 +50,41 @@
   });
 });
 
+describe('what an entry states of a cold server', () => {
+  test.each([
+    [undefined, 0],
+    [2_500, 2_500],
+    [-1, Infinity],
+    ['soon', Infinity],
+  ])('%s', (stated, coldMs) => {
+    expect(wire.decodeBackend('cold', { ...ENTRY, cold_remaining_ms: stated })?.coldMs).toBe(
+      coldMs,
+    );
+  });
+});
+
+describe('a configuration', () => {
+  const config = (service: object, route: object = {}) =>
+    wire.decodePlan({
+      version: 1,
+      routes: [{ host: 'h', path_prefix: '/', route_kind: 'streaming', service: 's', ...route }],
+      services: [{ name: 's', ...service }],
+    });
+
+  test('names the limits of cold servers, and homes', () => {
+    const plan = config({ cold_start_s: 8, cold_per_s: 4 }, { allowed_regions: ['a'] });
+    expect(plan?.services.get('s')?.cold).toEqual({ startMs: 8_000, perS: 4 });
+    expect(plan?.routes[0]?.homes).toEqual(['a']);
+    expect(config({})?.services.get('s')?.cold).toBeNull();
+  });
+
+  // Without them, cold servers would get too much, and requests would leave their homes.
+  test('is not taken with unreadable ones', () => {
+    expect(config({ cold_per_s: 'some' })).toBeNull();
+    expect(config({}, { allowed_regions: 'a' })).toBeNull();
+  });
+});
+
 describe('the list of servers', () => {
   test('is followed although it holds odd entries', async () => {
     const { store, watcher, stop } = await createWatchedStore(2_000);
--- a/test/units/relay/dispatch.test.ts
+++ b/test/units/relay/dispatch.test.ts
@@ -56,6 +56,30 @@
   return { dispatcher, state, place, placed, turn };
 }
 
+test('queued requests are reported by the data centres that may serve them', () => {
+  const { dispatcher } = setUp();
+  const request: QueuedRequest = {
+    id: 'one',
+    service: 'desk',
+    model: 'm1',
+    adapter: null,
+    version: null,
+    isInterrupted: false,
+    priority: 0,
+    arrivedAtMs: 0,
+    objectiveAtMs: 400,
+    deadlineAtMs: 3_000,
+  };
+  void dispatcher.place(request, new Set());
+  void dispatcher.place({ ...request, id: 'two', dataCentres: ['a'] }, new Set());
+  void dispatcher.place({ ...request, id: 'three', dataCentres: ['a'] }, new Set());
+  const groups = dispatcher.waits().map(({ waiting, dataCentres }) => [waiting, dataCentres]);
+  expect(groups).toEqual([
+    [1, undefined],
+    [2, ['a']],
+  ]);
+});
+
 describe('the queue of requests', () => {
   test('is passed over once for all changes of a turn, most urgent first', async () => {
     const { dispatcher, state, place, placed, turn } = setUp();
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -7,6 +7,7 @@
   relayMessageSchema,
   RelayMessageType,
 } from '../../../src/entry/relay/messages.js';
+import { allows } from '../../../src/decisions/homes/index.js';
 import { createBackendServer } from './backend-server.js';
 
 const SERVER = createBackendServer('s1');
@@ -38,6 +39,7 @@
 
 function setUp(fromSteward: boolean, server = SERVER) {
   const steward = { connected: true };
+  const state = { isServing: true };
   const storeWatcher = { backends: new Map([['s1', server]]), isFromSteward: () => fromSteward };
   const times = { nowMs: 0 };
   const clock = {
@@ -56,8 +58,9 @@
       noteEnded: () => undefined,
     },
     { canReach: () => false, isUnreachable: () => false, unreachableServers: () => [] },
+    ({ dataCentre }, { dataCentres }) => state.isServing && allows(dataCentres, dataCentre),
   );
-  return { view, steward, times };
+  return { view, steward, times, state };
 }
 
 describe('loads that the steward announces', () => {
@@ -217,3 +220,15 @@
     expect(view.candidates(NEED)).toHaveLength(1);
   });
 });
+
+test('a server gets no request while its data centre is evacuated, and none outside of the homes', () => {
+  const { view, state } = setUp(true);
+  view.applyView(LOADED_VIEW);
+  const states = () => [view.candidates(NEED).length, view.isLoaded(NEED)];
+  expect(states()).toEqual([1, true]);
+  expect(view.candidates({ ...NEED, dataCentres: ['a'] })).toHaveLength(1);
+  expect(view.candidates({ ...NEED, dataCentres: ['b'] })).toHaveLength(0);
+  expect(view.isLoaded({ ...NEED, dataCentres: ['b'] })).toBe(false);
+  state.isServing = false;
+  expect(states()).toEqual([0, false]);
+});
