--- a/test/soak/engine.ts
+++ b/test/soak/engine.ts
@@ -221,6 +221,9 @@
 
   private incarnation = 0;
 
+  /** When requests arrived, with reports and orders, from `performance.now()`. */
+  readonly received: number[] = [];
+
   private fence = 0;
 
   private readonly holderByFence = new Map<number, string>();
@@ -478,6 +481,7 @@
     if (this.isUnresponsive) return;
     if (!isReport(req)) await this.silence;
     this.requestLimit.noteArrival();
+    this.received.push(performance.now());
     if (isReport(req)) {
       this.writeHead(res, 200, { 'content-type': 'application/json' }).end(
         JSON.stringify(this.state()),
--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -19,6 +19,8 @@
   readonly graceMs?: number;
   /** Duration of the steward lease, ms. */
   readonly leaseMs?: number;
+  /** Bound for evacuations, ms; without it, they are not in force. */
+  readonly evacuateMs?: number;
 }
 
 const DEFAULT_TIMES = { graceMs: 4_000, leaseMs: 2_000 };
@@ -93,7 +95,7 @@
     folder: string,
     times: VmTimes = {},
   ): Promise<SoakVm> {
-    const { graceMs, leaseMs } = { ...DEFAULT_TIMES, ...times };
+    const { graceMs, leaseMs, evacuateMs } = { ...DEFAULT_TIMES, ...times };
     const [callers = '', admin = '', peers = ''] = await freeAddresses(3);
     const settings = `
       [vm]
@@ -115,6 +117,7 @@
       enabled = true
       keyRevocationMs = 5000
       enginesCheckFences = true
+      ${evacuateMs === undefined ? '' : `evacuateMs = ${evacuateMs}`}
       [relay.retries]
       ratio = 0.2
       windowMs = 10000
