Evacuations: a VM that stood still waits for the next confirmation; loads name their data centre

Cause: a process that was frozen for longer than the bound knew nothing of an evacuation meanwhile and would have sent its queued requests there. Change: requests wait while the last confirmation is older than 0.8 of the bound, unless calls to the store fail. Announced loads name their data centre, so that confined requests do not wait for one elsewhere. Result: unit tests pass; with a store that does not answer for 5.4 s no request is held back.

--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -242,14 +242,13 @@
         service: engine.server.service,
         model,
         version: engine.server.version,
+        dataCentre: engine.server.dataCentre,
         readyAtMs: expectedEndMs(nowMs, engine),
       })),
     );
-    return [...inProgress, ...this.forecast].map(({ service, model, version, readyAtMs }) => ({
-      service,
-      model,
+    return [...inProgress, ...this.forecast].map(({ readyAtMs, ...load }) => ({
+      ...load,
       adapter: null,
-      version,
       readyInMs: Math.max(MIN_READY_MS, readyAtMs - nowMs),
     }));
   }
--- a/src/entry/relay/evacuations.ts
+++ b/src/entry/relay/evacuations.ts
@@ -17,12 +17,20 @@
 
 /** Interval at which held evacuations are checked for their end, ms. */
 const EXPIRY_POLL_MS = 200;
+/**
+ * Age of the last confirmation, as a fraction of the bound, beyond which requests wait for the next
+ * one. Two calls to a store that does not answer fail sooner, so that an outage holds back none.
+ */
+const MAX_AGE_FRACTION = 0.8;
 
 type Source = 'store' | 'steward' | 'time';
 
 export interface EvacuationOptions {
-  /** Whether the platform has data centres evacuated; otherwise the store is not called for them. */
-  readonly isEnabled: boolean;
+  /**
+   * Time after which an evacuated data centre may get nothing, ms; undefined if the platform evacuates
+   * none, and the store is not called for them.
+   */
+  readonly evacuateMs: number | undefined;
   readonly wire: Pick<PlatformWire, 'evacuationKind' | 'decodeEvacuation'>;
   readonly store: RelayStore;
   readonly storeWatcher: Pick<StoreWatcherTask, 'plan' | 'backends'>;
@@ -68,7 +76,7 @@
   }
 
   async start(fail: (err: unknown) => void): Promise<void> {
-    if (!this.opts.isEnabled) return;
+    if (!this.isEnabled) return;
     this.watcher.run().catch(fail);
     this.opts.clock.onJump(() => {
       this.watcher.refresh().catch(fail);
@@ -85,12 +93,12 @@
 
   /** Whether the evacuated data centres are known. Before that, no server gets a request. */
   get isKnown(): boolean {
-    return !this.opts.isEnabled || this.evacuations.isKnown;
+    return !this.isEnabled || this.evacuations.isKnown;
   }
 
   /** Whether requests may be sent to the server, as far as its data centre is concerned. */
   allows({ dataCentre }: BackendServer): boolean {
-    return !this.opts.isEnabled || this.evacuations.allows(dataCentre);
+    return !this.isEnabled || (this.evacuations.allows(dataCentre) && !this.isOutdated());
   }
 
   /** The set for the steward's grants; undefined if it is not in force or not known. */
@@ -103,7 +111,7 @@
 
   /** Handles a grant, which names the steward's set and when the store confirmed it. */
   applyGrant({ evacuations, reportClockMs }: RelayMessageOf<'grant'>): void {
-    if (!this.opts.isEnabled || evacuations === undefined) return;
+    if (!this.isEnabled || evacuations === undefined) return;
     if (!this.watcher.isCurrent(evacuations.revision)) return;
     const confirmedAtMs = reportClockMs - evacuations.ageMs;
     this.watcher.noteStewardContact(confirmedAtMs);
@@ -111,9 +119,26 @@
     this.watcher.noteConfirmation(confirmedAtMs, evacuations.revision);
   }
 
+  private get isEnabled(): boolean {
+    return this.opts.evacuateMs !== undefined;
+  }
+
+  /**
+   * Whether an evacuation may be in force that this VM does not know, as after it stood still. What is
+   * known stays in force while the store can't be reached.
+   */
+  private isOutdated(): boolean {
+    const ageMs = this.opts.clock.nowMs() - this.watcher.confirmedAtMs;
+    const maxAgeMs = (this.opts.evacuateMs ?? Infinity) * MAX_AGE_FRACTION;
+    return ageMs > maxAgeMs && !this.watcher.hasFailed;
+  }
+
   private filter(backends: ReadonlyMap<string, BackendServer>): ReadonlyMap<string, BackendServer> {
-    if (this.isKnown && this.evacuations.dataCentres.size === 0) return backends;
-    return new Map([...backends].filter(([, server]) => this.allows(server)));
+    const isAnyEvacuated = !this.isKnown || this.evacuations.dataCentres.size > 0;
+    if (!isAnyEvacuated) return backends;
+    return new Map(
+      [...backends].filter(([, { dataCentre }]) => this.evacuations.allows(dataCentre)),
+    );
   }
 
   private applyStored(items: readonly FeedEvent[], whole: boolean, version: number): boolean {
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../../core/clock/index.js';
 import type { Candidate } from '../../decisions/engine-choice/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
+import { allows } from '../../decisions/homes/index.js';
 import { ServerHealth } from '../../decisions/server-health/index.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
@@ -128,6 +129,7 @@
   isFullyThrottled(service: string): boolean {
     return [...this.storeWatcher.backends.values()]
       .filter((server) => server.service === service && !server.leaving)
+      .filter((server) => this.mayServe(server, { service, model: null, adapter: null }))
       .every((server) => this.limits.isThrottled(server));
   }
 
@@ -157,11 +159,12 @@
   readyAtMs(need: Need): number | null {
     const ends = this.loads
       .filter(
-        ({ service, model, adapter, version }) =>
+        ({ service, model, adapter, version, dataCentre }) =>
           (service === null || service === need.service) &&
           model === need.model &&
           adapter === null &&
-          (need.version == null || version === need.version),
+          (need.version == null || version === need.version) &&
+          (dataCentre === undefined || allows(need.dataCentres, dataCentre)),
       )
       .map(({ readyAtMs }) => readyAtMs);
     return ends.length === 0 || !this.isStewardConnected() ? null : Math.min(...ends);
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -129,6 +129,8 @@
   adapter: z.string().nullable(),
   /** Software version of the engine; null if it is not known yet. */
   version: z.string().nullable().default(null),
+  /** Data centre of the engine, if it is known. */
+  dataCentre: z.string().optional(),
   readyInMs: z.number(),
 });
 export type LoadView = z.infer<typeof loadViewSchema>;
--- a/src/entry/relay/store-watcher.ts
+++ b/src/entry/relay/store-watcher.ts
@@ -151,6 +151,11 @@
     this.stewardConfirmedAtMs = -Infinity;
   }
 
+  /** Whether the last calls have failed, so that the cached copy can't be confirmed. */
+  get hasFailed(): boolean {
+    return this.failures >= STORE_LOST_FAILURES;
+  }
+
   /** Makes the next call a list, because the cached copy may lack a change. */
   listAgain(): void {
     this.mustList = true;
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -112,7 +112,7 @@
     onOutage: () => lateBound.streamRecord?.noteOutage(),
   });
   const evacuations = new EvacuationTask({
-    isEnabled: relay.evacuateMs !== undefined,
+    evacuateMs: relay.evacuateMs,
     wire,
     store,
     storeWatcher,
--- a/test/units/relay/evacuations.test.ts
+++ b/test/units/relay/evacuations.test.ts
@@ -18,14 +18,18 @@
   await Promise.all(stops.splice(0).map((stop) => stop()));
 });
 
-async function setUp(opts: { readonly isEnabled?: boolean; readonly isSteward?: boolean } = {}) {
+async function setUp(
+  opts: { readonly evacuateMs?: number | undefined; readonly isSteward?: boolean } = {},
+) {
   const store = new SoakStore();
   const logger = createLogger('test', 'silent');
   const wire = platform.createWire();
   const client = wire.createStore(await store.start(), 300, logger);
   const calls: string[] = [];
+  const clock = clocks.createClock();
+  const state = { stoodStillMs: 0 };
   const task = new EvacuationTask({
-    isEnabled: opts.isEnabled ?? true,
+    evacuateMs: 'evacuateMs' in opts ? opts.evacuateMs : 5_000,
     wire,
     store: {
       ...client,
@@ -39,7 +43,7 @@
       },
     },
     storeWatcher: { plan: null, backends: new Map(SERVERS.map((server) => [server.id, server])) },
-    clock: clocks.createClock(),
+    clock: { ...clock, nowMs: () => clock.nowMs() + state.stoodStillMs },
     logger,
     metrics: createMetrics(),
     changed: channels.createChannel<FleetChange>(() => undefined),
@@ -52,7 +56,11 @@
     store.stop();
   });
   const serving = () => [...task.serving.backends.keys()].join();
-  return { store, task, calls, serving, start: () => task.start(() => undefined) };
+  const allowed = () =>
+    SERVERS.filter((server) => task.allows(server))
+      .map(({ id }) => id)
+      .join();
+  return { store, task, state, calls, serving, allowed, start: () => task.start(() => undefined) };
 }
 
 function grantOf(fields: Partial<NonNullable<RelayMessageOf<'grant'>['evacuations']>>) {
@@ -97,7 +105,7 @@
 
 describe('the evacuations during an outage of the store', () => {
   test.each(['kept', 'gone'])('stay, and a removal is noticed; history $0', async (history) => {
-    const { store, serving, start } = await setUp();
+    const { store, serving, allowed, start } = await setUp();
     store.put('evacuations', 'a', {});
     await start();
     await expect.poll(serving).toBe('b');
@@ -107,7 +115,7 @@
     store.remove('evacuations', 'a');
     if (history === 'gone') store.compact();
     await clocks.sleep(2_000);
-    expect(serving()).toBe('b');
+    expect([serving(), allowed()]).toEqual(['b', 'b']);
     await outage;
     await expect.poll(serving, { timeout: 2_000 }).toBe('a,b');
   });
@@ -128,8 +136,29 @@
   });
 });
 
+test('a VM that stood still sends nothing until it knows what happened meanwhile', async () => {
+  const { state, allowed, start } = await setUp();
+  await start();
+  await expect.poll(allowed).toBe('a,b');
+  state.stoodStillMs = 6_000;
+  expect(allowed()).toBe('');
+  await expect.poll(allowed).toBe('a,b');
+});
+
+test('in an outage that begins with calls without an answer, requests go on', async () => {
+  const { store, allowed, start } = await setUp();
+  await start();
+  await expect.poll(allowed).toBe('a,b');
+  void store.runInMode(StoreMode.silent, 5_500);
+  const seen = new Set<string>();
+  const timer = setInterval(() => seen.add(allowed()), 20);
+  await clocks.sleep(5_400);
+  clearInterval(timer);
+  expect([...seen]).toEqual(['a,b']);
+}, 10_000);
+
 test('a deployment without evacuations makes no call for them', async () => {
-  const { task, calls, serving, start } = await setUp({ isEnabled: false });
+  const { task, calls, serving, start } = await setUp({ evacuateMs: undefined });
   await start();
   await clocks.sleep(200);
   expect([calls.length, serving(), task.shared()]).toEqual([0, 'a,b', undefined]);
