Evacuations: a steward without the store learns them from the reports of members

Cause: a steward that alone can't reach the store would go on sending to an evacuated data centre, although its members watch for themselves. Change: a member whose set is newer than that of the last grant, and differs, names it in its reports (optional field).

--- a/src/entry/relay/evacuations.ts
+++ b/src/entry/relay/evacuations.ts
@@ -23,7 +23,7 @@
  */
 const MAX_AGE_FRACTION = 0.8;
 
-type Source = 'store' | 'steward' | 'time';
+type Source = 'store' | 'steward' | 'member' | 'time';
 
 export interface EvacuationOptions {
   /**
@@ -50,6 +50,9 @@
 
   private readonly watcher: KindWatcher;
 
+  /** The set that the last grant of the steward named. */
+  private told: RelayMessageOf<'grant'>['evacuations'];
+
   private timer: NodeJS.Timeout | null = null;
 
   /** The plan and the servers outside evacuated data centres; none before those are known. */
@@ -109,8 +112,23 @@
     return { ...shared, dataCentres: [...shared.dataCentres], ageMs: freshness.ageMs };
   }
 
+  /** The set for a report, if the steward's last grant named an older one that differs. */
+  unknownToSteward(): RelayMessageOf<'report'>['evacuations'] {
+    const own = this.shared();
+    if (own === undefined || this.told === undefined || this.opts.isSteward()) return undefined;
+    const isSame = [...own.dataCentres].sort().join() === [...this.told.dataCentres].sort().join();
+    return own.revision > this.told.revision && !isSame ? own : undefined;
+  }
+
+  /** Handles the report of a member that reaches the store, while this steward may not. */
+  applyReport({ evacuations }: RelayMessageOf<'report'>): void {
+    if (!this.isEnabled || evacuations === undefined) return;
+    this.publish(this.evacuations.applyShared(this.opts.clock.nowMs(), evacuations), 'member');
+  }
+
   /** Handles a grant, which names the steward's set and when the store confirmed it. */
   applyGrant({ evacuations, reportClockMs }: RelayMessageOf<'grant'>): void {
+    this.told = evacuations;
     if (!this.isEnabled || evacuations === undefined) return;
     if (!this.watcher.isCurrent(evacuations.revision)) return;
     const confirmedAtMs = reportClockMs - evacuations.ageMs;
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -226,6 +226,8 @@
     leaving: z.boolean(),
     /** Whether the sender uses slots of brittle servers; older stewards don't read `knownTypes`. */
     usesSlots: z.boolean().default(false),
+    /** The sender's evacuated data centres if they are newer than the steward's and differ. */
+    evacuations: evacuationsSchema.optional(),
     /** Message types that the sender understands, in the first report on a connection. */
     knownTypes: z.array(z.string()).nullable().default(null),
   }),
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -7,7 +7,7 @@
 import { messageIntervalMs } from './intervals.js';
 import { OWN_TYPES } from './known-types.js';
 import type { LeaseTask } from './lease-task.js';
-import { type RelayMessage, RelayMessageType } from './messages.js';
+import { type RelayMessage, type RelayMessageOf, RelayMessageType } from './messages.js';
 import type { ReachabilityTask } from './reachability.js';
 import type { StewardLink } from './steward-link.js';
 
@@ -37,6 +37,8 @@
   /** Number of entry VMs connected to the steward. */
   members(): number;
   isStopping(): boolean;
+  /** Evacuated data centres that the steward does not know. */
+  evacuations(): RelayMessageOf<'report'>['evacuations'];
 }
 
 export class ReporterTask implements Task {
@@ -135,6 +137,7 @@
       partitioned: [...this.opts.reachability.partitionedServices()],
       leaving: this.opts.isStopping(),
       usesSlots: true,
+      evacuations: this.opts.evacuations(),
       knownTypes: this.hasNamedTypes ? null : [...OWN_TYPES],
     };
     if (!this.opts.link.send(message)) return;
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -451,6 +451,7 @@
     if (member.vm === null) this.sendAllStreams(member);
     Object.assign(member, { vm: report.vm, report, reportedAtMs: this.opts.clock.nowMs() });
     this.engineController?.addReport(nowMs, report);
+    this.opts.evacuations.applyReport(report);
     const { lender } = this;
     if (lender === null) return;
     if (report.leaving && report.shares.length === 0) {
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -374,6 +374,7 @@
     planVersion: () => storeWatcher.planVersion,
     members: () => view.members,
     isStopping,
+    evacuations: () => evacuations.unknownToSteward(),
   });
   lateBound.reporter = reporter;
   const steward = new StewardTask({
--- a/test/units/relay/evacuations.test.ts
+++ b/test/units/relay/evacuations.test.ts
@@ -136,6 +136,22 @@
   });
 });
 
+test('a steward without the store learns of an evacuation from a member that reaches it', async () => {
+  const member = await setUp({ isSteward: false });
+  member.store.put('evacuations', 'a', {});
+  await member.start();
+  await expect.poll(member.serving).toBe('b');
+  expect(member.task.unknownToSteward()).toBeUndefined();
+  member.task.applyGrant(grantOf({ revision: 1 }));
+  const evacuations = member.task.unknownToSteward();
+  const steward = await setUp();
+  steward.task.applyGrant(grantOf({ revision: 1 }));
+  steward.task.applyReport({ evacuations } as RelayMessageOf<'report'>);
+  expect(steward.serving()).toBe('b');
+  member.task.applyGrant(grantOf({ revision: 2, dataCentres: ['a'] }));
+  expect(member.task.unknownToSteward()).toBeUndefined();
+});
+
 test('a VM that stood still sends nothing until it knows what happened meanwhile', async () => {
   const { state, allowed, start } = await setUp();
   await start();
