--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -73,6 +73,11 @@
   enginesCheckFences: z
     .boolean()
     .describe('Whether engines reject orders with an outdated fencing token.'),
+  evacuateMs: duration
+    .optional()
+    .describe(
+      'Maximum time after which an evacuated data centre gets no more requests, ms; without it, evacuations are not watched.',
+    ),
   retries: z
     .strictObject({
       ratio: numeric.describe('Retries allowed per request of the window.'),
@@ -80,6 +85,15 @@
       slack: numeric.describe('Additional retries allowed per window, over all entry VMs.'),
     })
     .describe('Limit on the retries of requests to a service, over all entry VMs.'),
+  cold: z
+    .strictObject({
+      overage: numeric
+        .default(1.5)
+        .describe('Requests that a cold server may get in a second, as a multiple of its rate.'),
+      slack: numeric.default(5).describe('Additional requests that it may get in a second.'),
+    })
+    .prefault({})
+    .describe('Limit on the requests to cold servers, over all entry VMs.'),
   memory: z
     .strictObject({
       responseMb: z
@@ -110,8 +124,14 @@
       linkMbps: linkRate
         .optional()
         .describe('Rate of its network link, Mbit/s; unknown if it is not set.'),
+      region: z
+        .string()
+        .min(1)
+        .optional()
+        .describe('Region that this entry VM is in; that of its data centre by default.'),
     })
     .describe('Identity of the entry VM.'),
+  regions: z.record(z.string(), z.string()).default({}).describe('Region of each data centre.'),
   listen: z
     .strictObject({
       callers: address.describe('Address for callers, which connect through the load balancer.'),
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -109,7 +109,7 @@
 export interface EngineControllerOptions {
   readonly vm: string;
   readonly wire: PlatformWire;
-  readonly storeWatcher: StoreWatcherTask;
+  readonly storeWatcher: Pick<StoreWatcherTask, 'plan' | 'backends'>;
   readonly lease: LeaseTask;
   readonly reachability: Pick<ReachabilityTask, 'isPartitioned' | 'isUndecided' | 'noteSuspicion'>;
   readonly clock: Clock;
@@ -242,14 +242,13 @@
         service: engine.server.service,
         model,
         version: engine.server.version,
+        dataCentre: engine.server.dataCentre,
         readyAtMs: expectedEndMs(nowMs, engine),
       })),
     );
-    return [...inProgress, ...this.forecast].map(({ service, model, version, readyAtMs }) => ({
-      service,
-      model,
+    return [...inProgress, ...this.forecast].map(({ readyAtMs, ...load }) => ({
+      ...load,
       adapter: null,
-      version,
       readyInMs: Math.max(MIN_READY_MS, readyAtMs - nowMs),
     }));
   }
@@ -577,14 +576,11 @@
   ): readonly PendingDemand[] {
     const merged = new Map<string, PendingDemand>();
     reports.forEach(({ waits }) =>
-      waits.forEach(({ service, model, adapter, version, waiting, dueInMs }) => {
-        const key = JSON.stringify([service, model, adapter, version]);
+      waits.forEach(({ waiting, dueInMs, ...need }) => {
+        const key = JSON.stringify(need);
         const before = merged.get(key);
         merged.set(key, {
-          service,
-          model,
-          adapter,
-          version,
+          ...need,
           waiting: (before?.waiting ?? 0) + waiting,
           dueAtMs: Math.min(before?.dueAtMs ?? Infinity, nowMs + dueInMs),
         });
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../../core/clock/index.js';
 import type { Candidate } from '../../decisions/engine-choice/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
+import { allows } from '../../decisions/homes/index.js';
 import { ServerHealth } from '../../decisions/server-health/index.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
@@ -28,6 +29,8 @@
   readonly adapter: string | null;
   /** Software version that the server must have; null or undefined for any. */
   readonly version?: string | null;
+  /** Data centres that the server must be in; null or undefined for any. */
+  readonly dataCentres?: readonly string[] | null;
 }
 
 function hasVersion(server: BackendServer, { version }: Need): boolean {
@@ -90,6 +93,8 @@
       PeerConnector,
       'canReach' | 'isUnreachable' | 'unreachableServers'
     >,
+    /** Whether requests with this need may be sent to the server, wherever it is. */
+    private readonly mayServe: (server: BackendServer, need: Need) => boolean = () => true,
   ) {}
 
   get members(): number {
@@ -124,19 +129,21 @@
   isFullyThrottled(service: string): boolean {
     return [...this.storeWatcher.backends.values()]
       .filter((server) => server.service === service && !server.leaving)
+      .filter((server) => this.mayServe(server, { service, model: null, adapter: null }))
       .every((server) => this.limits.isThrottled(server));
   }
 
   /** Whether any server that is not draining has loaded the model that the request needs. */
-  isLoaded({ service, model, version }: Need): boolean {
+  isLoaded({ service, model, version, dataCentres }: Need): boolean {
     const nowMs = this.clock.steadyMs();
     const isConnected = this.isStewardConnected();
-    const need = { service, model, adapter: null, version };
+    const need = { service, model, adapter: null, version, dataCentres };
     return [...this.storeWatcher.backends.values()].some(
       (server) =>
         server.service === service &&
         !server.leaving &&
         hasVersion(server, need) &&
+        this.mayServe(server, need) &&
         this.hasLoaded(nowMs, server, need, isConnected),
     );
   }
@@ -152,11 +159,12 @@
   readyAtMs(need: Need): number | null {
     const ends = this.loads
       .filter(
-        ({ service, model, adapter, version }) =>
+        ({ service, model, adapter, version, dataCentre }) =>
           (service === null || service === need.service) &&
           model === need.model &&
           adapter === null &&
-          (need.version == null || version === need.version),
+          (need.version == null || version === need.version) &&
+          (dataCentre === undefined || allows(need.dataCentres, dataCentre)),
       )
       .map(({ readyAtMs }) => readyAtMs);
     return ends.length === 0 || !this.isStewardConnected() ? null : Math.min(...ends);
@@ -280,6 +288,7 @@
         server.service === need.service &&
         !server.leaving &&
         hasVersion(server, need) &&
+        this.mayServe(server, need) &&
         (this.pausedUntilMs.get(server.id) ?? 0) <= nowMs &&
         this.hasLoaded(nowMs, server, need, isConnected),
     );
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -54,6 +54,8 @@
   adapter: z.string().nullable(),
   /** Software version of the servers that may run them; null for any. */
   version: z.string().nullable().default(null),
+  /** Data centres of the servers that may run them; for any if there is no list. */
+  dataCentres: z.array(z.string()).optional(),
   waiting: z.int(),
   /** Time until the first request misses its objective, ms; relative, since VM clocks differ. */
   dueInMs: z.number(),
@@ -112,6 +114,15 @@
 /** Store revision of a cached copy, and the age of the call that confirmed the copy. */
 const freshnessSchema = z.object({ revision: z.int(), ageMs: z.number() });
 
+/** The steward's evacuated data centres; see `SharedEvacuations`. */
+const evacuationsSchema = z.object({
+  revision: z.int(),
+  /** Age of the store call that confirmed them, ms. */
+  ageMs: z.number(),
+  dataCentres: z.array(z.string()),
+  heldForMs: z.record(z.string(), z.number()),
+});
+
 /** A model load that is in progress or queued, and the expected time to its end. */
 const loadViewSchema = z.object({
   /** Service of the engine; null if an older steward does not tell it. */
@@ -120,6 +131,8 @@
   adapter: z.string().nullable(),
   /** Software version of the engine; null if it is not known yet. */
   version: z.string().nullable().default(null),
+  /** Data centre of the engine, if it is known. */
+  dataCentre: z.string().optional(),
   readyInMs: z.number(),
 });
 export type LoadView = z.infer<typeof loadViewSchema>;
@@ -152,6 +165,13 @@
   ageMs: z.number().nonnegative(),
 });
 
+/** A server that is cold; see `SharedCold`. */
+const coldSchema = z.object({
+  serverId: z.string(),
+  bornMs: z.number(),
+  forMs: z.number().nonnegative(),
+});
+
 /** Counts by server. */
 const countsSchema = z.record(z.string(), z.int().nonnegative());
 
@@ -209,6 +229,8 @@
     leaving: z.boolean(),
     /** Whether the sender uses slots of brittle servers; older stewards don't read `knownTypes`. */
     usesSlots: z.boolean().default(false),
+    /** The sender's evacuated data centres if they are newer than the steward's and differ. */
+    evacuations: evacuationsSchema.optional(),
     /** Message types that the sender understands, in the first report on a connection. */
     knownTypes: z.array(z.string()).nullable().default(null),
     /** Link rate of the sender, Mbit/s; null if it is unknown. */
@@ -295,6 +317,8 @@
     backends: freshnessSchema.nullable(),
     /** Version that the operator gave the steward's plan; 0 if it has none. */
     planRevision: z.number(),
+    /** Not sent where evacuations are not in force, nor by a steward that does not know them. */
+    evacuations: evacuationsSchema.optional(),
   }),
   /** Reply to a report without shares: how current the steward's cached state is, as in `grant`. */
   z.object({
@@ -303,6 +327,7 @@
     plan: freshnessSchema.nullable(),
     backends: freshnessSchema.nullable(),
     planRevision: z.number(),
+    evacuations: evacuationsSchema.optional(),
   }),
   /** Another message, deflated; see `packed-messages`. */
   z.object({
@@ -336,7 +361,12 @@
   /** Requests that ran to completion; the receiver clears their incidents. */
   z.object({ type: z.literal(RelayMessageType.ranWhole), fingerprints: z.array(z.string()) }),
   /** Request limits of servers; sent when they change, both ways. */
-  z.object({ type: z.literal(RelayMessageType.throttles), throttles: z.array(throttleSchema) }),
+  z.object({
+    type: z.literal(RelayMessageType.throttles),
+    throttles: z.array(throttleSchema),
+    /** Cold servers whose state changed; older builds name none. */
+    cold: z.array(coldSchema).optional(),
+  }),
   /** Requests permits for the requests of an entry VM that wait for a throttled server. */
   z.object({
     type: z.literal(RelayMessageType.permitRequest),
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -43,6 +43,8 @@
   /** Number of entry VMs connected to the steward. */
   members(): number;
   isStopping(): boolean;
+  /** Evacuated data centres that the steward does not know. */
+  evacuations(): RelayMessageOf<'report'>['evacuations'];
 }
 
 export class ReporterTask implements Task {
@@ -180,6 +182,7 @@
       partitioned: [...this.opts.reachability.partitionedServices()],
       leaving: this.opts.isStopping(),
       usesSlots: true,
+      evacuations: this.opts.evacuations(),
       knownTypes: this.hasNamedTypes ? null : [...OWN_TYPES],
       linkMbps: this.opts.linkMbps,
       storeAgeMs: this.opts.lease.storeAgeMs(),
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -19,6 +19,7 @@
 import { RateLender } from '../../decisions/rate-shares/index.js';
 import { ControlTraffic } from './control-traffic.js';
 import type { StoreWatcherTask } from './store-watcher.js';
+import type { EvacuationTask } from './evacuations.js';
 import type { IncidentTask } from './incidents.js';
 import type { PeerRelay } from './peer-relay.js';
 import { PermitService } from './permit-service.js';
@@ -61,6 +62,7 @@
   readonly listen: string;
   readonly wire: PlatformWire;
   readonly storeWatcher: StoreWatcherTask;
+  readonly evacuations: EvacuationTask;
   readonly incidents: IncidentTask;
   readonly throttling: ThrottlingTask;
   readonly slots: ServerSlotsTask;
@@ -346,6 +348,7 @@
     // Sent before the reply, which confirms that the member's server list is current.
     if (isFirst) this.updates.sendFirstLists(member);
     this.engineController?.addReport(nowMs, report);
+    this.opts.evacuations.applyReport(report);
     const { lender } = this;
     if (lender === null) return;
     if (report.leaving && report.shares?.length === 0) {
@@ -382,6 +385,7 @@
       plan,
       backends: isListPending ? null : backends,
       planRevision: storeWatcher.planVersion,
+      evacuations: this.opts.evacuations.shared(),
     };
     if (report.shares === null) {
       member.link.send({ type: RelayMessageType.confirm, ...confirmed });
@@ -486,17 +490,13 @@
     this.lender.notePersisted(new Map(Object.entries(this.writtenAllowances)));
     const { vm, wire, storeWatcher, lease, reachability, clock, logger, throttling } = this.opts;
     this.loanService = new LoanService({ lender: this.lender, clock, logger });
-    this.permitService = new PermitService({
-      storeWatcher,
-      throttling,
-      members: this.members,
-    });
+    this.permitService = new PermitService({ storeWatcher, throttling, members: this.members });
     this.slotService = new SlotService(nowMs, { slots: this.opts.slots, members: this.members });
     const { issuer } = this.permitService;
     this.engineController = new EngineController({
       vm,
       wire,
-      storeWatcher,
+      storeWatcher: this.opts.evacuations.serving,
       lease,
       reachability,
       clock,
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -9,6 +9,7 @@
 import { createSupervisor } from '../../core/supervisor/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import { RetryWindow } from '../../decisions/retries/index.js';
+import { allows, Homes } from '../../decisions/homes/index.js';
 import * as stopRules from '../../decisions/stopping/index.js';
 import { Admission } from './admission.js';
 import { BodyMemory } from './body-memory.js';
@@ -16,7 +17,8 @@
 import { ConnectionPool } from './connections.js';
 import type { RelayContext } from './context.js';
 import { Dispatcher } from './dispatch.js';
-import { FleetView } from './fleet-view.js';
+import { EvacuationTask } from './evacuations.js';
+import { FleetView, type Need } from './fleet-view.js';
 import { type FleetChange, StoreWatcherTask } from './store-watcher.js';
 import { IncidentRecordTask } from './incident-record.js';
 import { IncidentTask } from './incidents.js';
@@ -98,6 +100,7 @@
     steward?: StewardTask;
     reachability?: ReachabilityTask;
     streamRecord?: StreamRecordTask;
+    throttling?: ThrottlingTask;
   } = {};
   const isSteward = () => lateBound.lease !== undefined && lateBound.lease.fence() > 0;
   const isStewardConnected = () => lateBound.link?.isStewardConnected === true;
@@ -110,6 +113,23 @@
     isSteward,
     onOutage: () => lateBound.streamRecord?.noteOutage(),
   });
+  const evacuations = new EvacuationTask({
+    evacuateMs: relay.evacuateMs,
+    wire,
+    store,
+    storeWatcher,
+    clock,
+    logger: logger.child('evacuations'),
+    metrics,
+    changed,
+    isSteward,
+    onTakenBack: (dataCentres) =>
+      lateBound.throttling?.presumeCold(
+        [...storeWatcher.backends.values()].filter(({ dataCentre }) =>
+          dataCentres.includes(dataCentre),
+        ),
+      ),
+  });
   const incidents = new IncidentTask({
     storeWatcher,
     clock,
@@ -129,10 +149,13 @@
     clock,
     logger: logger.child('throttling'),
     metrics,
+    coldBounds: relay.cold,
+    isSteward,
     members: () => lateBound.view?.members ?? 1,
     isStewardConnected,
     send: (message) => lateBound.link?.send(message) === true,
   });
+  lateBound.throttling = throttling;
   const slots = new ServerSlotsTask({
     clock,
     random,
@@ -199,8 +222,11 @@
     lateBound.view?.health.noteConnectFailure(clock.steadyMs(), server.id, startedAtMs);
     lateBound.reachability?.noteConnectFailure(server, startedAtMs);
   };
+  const { regions } = settings;
+  const homes = new Homes({ region: vm.region ?? regions[vm.dataCentre] ?? null, regions });
   const peers = new PeerConnector({
     vm: vm.id,
+    homes,
     dataCentre: vm.dataCentre,
     clock,
     random,
@@ -210,7 +236,9 @@
     isPartitioned: (service) => lateBound.reachability?.isPartitioned(service) === true,
     noteConnectFailure,
   });
-  const view = new FleetView(storeWatcher, clock, isStewardConnected, limits, peers);
+  const mayServe = (server: BackendServer, { dataCentres }: Need) =>
+    evacuations.allows(server) && allows(dataCentres, server.dataCentre);
+  const view = new FleetView(storeWatcher, clock, isStewardConnected, limits, peers, mayServe);
   lateBound.view = view;
   // Idle connections may have broken in the partition, which would be seen by requests only.
   const noteReachable = (service: string) => {
@@ -238,7 +266,7 @@
     logger: logger.child('peer-relay'),
     metrics,
     serverOf: (id) => storeWatcher.backends.get(id),
-    isPaused: (server) => view.isPaused(server),
+    isPaused: (server) => view.isPaused(server) || !evacuations.allows(server),
     isUnreachable: (server) => peers.isUnreachable(server),
     isStopping: () => stopping,
     noteConnectFailure,
@@ -291,9 +319,11 @@
       case RelayMessageType.grant:
         admission.applyGrant(message);
         storeWatcher.applyConfirmation(message);
+        evacuations.applyConfirmation(message);
         break;
       case RelayMessageType.confirm:
         storeWatcher.applyConfirmation(message);
+        evacuations.applyConfirmation(message);
         break;
       case RelayMessageType.beliefs:
         storeWatcher.applyServerListUpdate(message);
@@ -360,6 +390,7 @@
     planVersion: () => storeWatcher.planVersion,
     members: () => view.members,
     isStopping,
+    evacuations: () => evacuations.unknownToSteward(),
   });
   lateBound.reporter = reporter;
   const steward = new StewardTask({
@@ -367,6 +398,7 @@
     listen: listen.peers,
     wire,
     storeWatcher,
+    evacuations,
     incidents,
     throttling,
     slots,
@@ -417,6 +449,7 @@
     ctx,
     storeWatcher,
     random,
+    homes,
     logger: logger.child('front'),
     bodies: new BodyMemory(relay.memory.requestMb * BYTES_PER_MB),
     staleAfterMs: STALE_PLAN_MS,
@@ -428,10 +461,12 @@
     isReady: () =>
       !stopping &&
       ((record.isLoaded && streamRecord.isLoaded) || isStewardConnected()) &&
+      evacuations.isKnown &&
       storeWatcher.plan !== null &&
       storeWatcher.planAgeMs() < keyFreshnessMs,
   });
   changed.subscribe(({ plan, backends }) => {
+    throttling.noteServers(storeWatcher.backends, storeWatcher.plan);
     if (plan && storeWatcher.plan !== null) {
       admission.setCustomers(storeWatcher.plan.customers);
       callerServer.applyLimits();
@@ -459,6 +494,7 @@
   const tasks = [
     loopDelay,
     storeWatcher,
+    evacuations,
     reachability,
     steward,
     peers,
