--- a/test/properties/leases/one-holder.test.ts
+++ b/test/properties/leases/one-holder.test.ts
@@ -295,6 +295,7 @@
   'toggleHeard',
   'toggleCut',
   'handOver',
+  'handOverStoreLost',
   'toggleReached',
 ];
 const RESTORES = ['copy', 'restore'];
@@ -339,6 +340,8 @@
           else if (what === 'toggleReached') world.toggleReached(vm);
           else if (what === 'handOver') {
             world.feed(vm, { type: leases.LeaseEventType.handOver });
+          } else if (what === 'handOverStoreLost') {
+            world.feed(vm, { type: leases.LeaseEventType.handOver, isStoreLost: true });
           } else if (what === 'release' && a > 2) {
             world.feed(vm, { type: leases.LeaseEventType.release });
           }
