--- a/test/replay/control-fleet.ts
+++ b/test/replay/control-fleet.ts
@@ -1,31 +1,34 @@
 /** Replays the control path of a fleet on virtual time: leases, reports, grants, views over slow links. */
 import {
+  findHandover,
+  HandoverReason,
   type LeaseEffect,
   LeaseEffectType,
   type LeaseEvent,
   LeaseEventType,
   LeaseManager,
-  type Lease,
+  type SentLease,
+  type SuccessorCandidate,
   SuccessorSelector,
 } from '../../src/decisions/leases/index.js';
 import * as messages from './control-messages.js';
+import { Network, STEP_MS } from './control-network.js';
 import { Kind, PacedRules } from './control-rules.js';
 import { ByteQueue, type FleetOptions, type ReplayMember, type Vm } from './control-vm.js';
 
 const LEASE_MS = 2_000;
 const MARGIN_MS = 300;
-const STEP_MS = 5;
 const STORE_MS = 20;
 const STORE_TIMEOUT_MS = 700;
 const STORE_CALL_BYTES = 700;
 const STEWARD_TIMEOUT_MS = 800;
 const VIEW_KEEPALIVE_MS = 250;
+const PROBE_MS = 200;
+const PROBE_BYTES = 120;
 /** Mean time between two newly queued requests of a member, ms. */
 const QUEUED_EVERY_MS = 150;
 
-export class ControlFleet {
-  nowMs = 0;
-
+export class ControlFleet extends Network {
   /** Number of times at which the fleet lost its steward. */
   lostStewards = 0;
 
@@ -37,26 +40,23 @@
 
   readonly stewards: string[] = [];
 
-  private readonly vms: readonly Vm[];
-
-  private stored: Lease | null = null;
+  /** Reasons of the handovers. */
+  readonly handovers: HandoverReason[] = [];
 
-  private version = 0;
+  private readonly vms: readonly Vm[];
 
   private stewardSeenAtMs = -Infinity;
 
-  private readonly due = new Map<number, (() => void)[]>();
-
   constructor(private readonly opts: FleetOptions) {
+    super();
     this.vms = opts.links.map((mbps, at) => this.createVm(mbps, at));
   }
 
   run(untilMs: number): void {
     while (this.nowMs < untilMs) {
-      (this.due.get(this.nowMs) ?? []).forEach((call) => call());
-      this.due.delete(this.nowMs);
+      this.runDue();
       if (this.nowMs === this.opts.killed?.atMs) this.kill(this.opts.killed.vms);
-      this.vms.filter(({ isKilled }) => !isKilled).forEach((vm) => this.step(vm));
+      this.vms.filter((vm) => this.isRunning(vm)).forEach((vm) => this.step(vm));
       this.noteSteward();
       this.nowMs += STEP_MS;
     }
@@ -98,12 +98,16 @@
     return vm;
   }
 
+  private isRunning({ mbps, isKilled }: Vm): boolean {
+    return !isKilled && (mbps < 100 || this.nowMs >= (this.opts.fastFromMs ?? 0));
+  }
+
   private isSteward(vm: Vm): boolean {
     return !vm.isKilled && vm.manager.holds(this.nowMs);
   }
 
-  private heirOf(vm: Vm) {
-    const candidates = [...vm.members.values()]
+  private candidatesOf(vm: Vm): readonly SuccessorCandidate[] {
+    return [...vm.members.values()]
       .filter((member) => member.vm !== vm && member.reportedAtMs > -Infinity)
       .map((member) => ({
         vm: member.vm.name,
@@ -113,7 +117,47 @@
         partitions: 0,
         ...member.vm.rules.candidate(this.nowMs),
       }));
-    return vm.selector.choose(this.nowMs, candidates);
+  }
+
+  private heirOf(vm: Vm) {
+    return vm.selector.choose(this.nowMs, this.candidatesOf(vm));
+  }
+
+  /** Hands over to a better member, and has the successor call the store if it may be one. */
+  private handOverIfBetter(steward: Vm): void {
+    const own = steward.rules.stewardState();
+    const candidates = this.candidatesOf(steward);
+    const handover = findHandover(this.nowMs, own, candidates);
+    const held = steward.manager.heldLease(this.nowMs);
+    const heir = this.vms.find(({ name }) => name === held?.lease.heir?.vm);
+    const isIntended = findHandover(this.nowMs, own, candidates, true) !== null;
+    if (isIntended && heir !== undefined && this.nowMs % PROBE_MS === 0) {
+      this.sendTo(steward, heir, Kind.first, PROBE_BYTES, () => this.callStoreOnly(heir));
+    }
+    if (handover === null || held === null) return;
+    if (heir === undefined || !handover.better.some(({ vm }) => vm === heir.name)) {
+      if (handover.reason !== HandoverReason.store)
+        this.feed(steward, { type: LeaseEventType.renewImmediately });
+      return;
+    }
+    const members = [...steward.members.keys()];
+    this.feed(steward, { type: LeaseEventType.handOver, isStoreLost: own.isStoreLost });
+    if (this.isSteward(steward)) return;
+    this.handovers.push(handover.reason);
+    members
+      .sort((a, b) => Number(a === heir) - Number(b === heir))
+      .forEach((vm) => this.sendLease(steward, vm, held, true));
+  }
+
+  /** A store call by which a successor shows that it reaches the store. */
+  private callStoreOnly(vm: Vm): void {
+    vm.rules.noteStoreCall(this.nowMs, !this.isRejected(vm));
+  }
+
+  private isRejected({ at }: Vm): boolean {
+    const { rejected } = this.opts;
+    if (rejected === undefined || !rejected.vms(at)) return false;
+    return this.nowMs >= rejected.fromMs && this.nowMs < rejected.untilMs;
   }
 
   private kill(isKilled: (mbps: number) => boolean): void {
@@ -138,12 +182,6 @@
     this.largestUse = Math.max(this.largestUse, bytes / rate);
   }
 
-  private after(ms: number, call: () => void): void {
-    const atMs = Math.ceil((this.nowMs + ms) / STEP_MS) * STEP_MS;
-    const dueMs = Math.max(atMs, this.nowMs + STEP_MS);
-    this.due.set(dueMs, [...(this.due.get(dueMs) ?? []), call]);
-  }
-
   private step(vm: Vm): void {
     if (this.nowMs % 50 === (vm.at % 10) * STEP_MS) this.tickLease(vm);
     if (this.nowMs % 20 === (vm.at % 4) * STEP_MS) this.tickMember(vm);
@@ -170,9 +208,7 @@
     if (effect.type !== LeaseEffectType.read && effect.type !== LeaseEffectType.write) return;
     const sentAtMs = this.nowMs;
     const reachedAtMs = vm.up.push(sentAtMs, STORE_CALL_BYTES) + STORE_MS;
-    const { rejected } = this.opts;
-    const isRejected =
-      rejected?.vms(vm.at) === true && sentAtMs >= rejected.fromMs && sentAtMs < rejected.untilMs;
+    const isRejected = this.isRejected(vm);
     vm.rules.noteStoreCall(sentAtMs, !isRejected);
     this.after(reachedAtMs - sentAtMs, () => {
       const answer = isRejected ? this.failure(effect) : this.callStore(effect);
@@ -189,29 +225,6 @@
       : { type: LeaseEventType.writeUnknown };
   }
 
-  private callStore(effect: LeaseEffect): LeaseEvent {
-    const { stored: lease, version } = this;
-    if (effect.type !== LeaseEffectType.write) return { type: LeaseEventType.read, lease, version };
-    if (effect.version !== version) return { type: LeaseEventType.conflict };
-    this.stored = effect.lease;
-    this.version += 1;
-    return { type: LeaseEventType.written, version: this.version };
-  }
-
-  /** Sends bytes over the links of two VMs; a steward is connected to itself without them. */
-  private send(from: Vm, to: Vm, bytes: number, deliver: () => void): void {
-    if (from === to) {
-      this.after(0, deliver);
-      return;
-    }
-    const leftAtMs = from.up.push(this.nowMs, bytes);
-    this.after(leftAtMs - this.nowMs + 1, () => {
-      if (to.isKilled) return;
-      const arrivedAtMs = to.down.push(this.nowMs, bytes);
-      this.after(arrivedAtMs - this.nowMs, deliver);
-    });
-  }
-
   private tickMember(vm: Vm): void {
     const active = vm.manager.activeSteward;
     const steward = this.vms.find(({ name }) => name === active?.vm) ?? null;
@@ -291,18 +304,23 @@
       const held = steward.manager.heldLease(this.nowMs);
       if (held !== null && held.version !== member.leaseVersion) {
         Object.assign(member, { leaseVersion: held.version });
-        const untilMs = this.nowMs + held.leftMs;
-        this.sendTo(steward, vm, Kind.first, rules.leaseBytes(this.vms.length), () =>
-          this.feed(vm, {
-            type: LeaseEventType.sent,
-            ...held,
-            heirTerm: held.lease.heir?.vm === vm.name ? { fromMs: this.nowMs, untilMs } : undefined,
-          }),
-        );
+        this.sendLease(steward, vm, held, false);
       }
       if (!member.hasLists) this.sendLists(steward, member);
       this.sendView(steward, member);
     });
+    this.handOverIfBetter(steward);
+  }
+
+  private sendLease(steward: Vm, vm: Vm, held: SentLease, isGivenUp: boolean): void {
+    const { epoch, heir } = held.lease;
+    const fromMs = this.nowMs;
+    const heirTerm = heir?.vm === vm.name ? { fromMs, untilMs: fromMs + held.leftMs } : undefined;
+    this.sendTo(steward, vm, Kind.first, steward.rules.leaseBytes(this.vms.length), () => {
+      this.feed(vm, { type: LeaseEventType.sent, ...held, heirTerm });
+      if (isGivenUp)
+        this.feed(vm, { type: LeaseEventType.epochRetired, epoch, newestEpoch: epoch });
+    });
   }
 
   private sendView(steward: Vm, member: ReplayMember): void {
--- a/test/replay/control-path.test.ts
+++ b/test/replay/control-path.test.ts
@@ -1,5 +1,6 @@
 /** A fleet keeps a steward although most of its VMs have links that its control traffic would fill. */
 import { describe, expect, test } from 'vitest';
+import { HandoverReason } from '../../src/decisions/leases/index.js';
 import { ControlFleet } from './control-fleet.js';
 
 const SLOW_MBPS = 7;
@@ -29,3 +30,49 @@
     expect(fleet.stewards.length).toBeLessThanOrEqual(2);
   });
 });
+
+describe('a fleet whose steward is lost', () => {
+  test.each([31, 84, 300])('of %i VMs finds one when all with fast links are gone', (vms) => {
+    const killed = { vms: (mbps: number) => mbps === FAST_MBPS, atMs: 5_000 };
+    const fleet = new ControlFleet({ links: linksOf(vms, 6), killed });
+    fleet.run(15_000);
+    expect(fleet.longestGapMs).toBeLessThan(MAX_GAP_MS);
+    expect([fleet.lostStewards, fleet.stewards.length]).toEqual([1, 2]);
+    expect(fleet.largestUse).toBeLessThan(MAX_USE);
+  });
+
+  test.each([
+    [0, 0],
+    [0, 6],
+    [2, 6],
+  ])('as the store rejects every third VM from %i on finds one (%i fast links)', (first, fast) => {
+    const rejected = { vms: (at: number) => at % 3 === first, fromMs: 2_500, untilMs: 11_500 };
+    const fleet = new ControlFleet({ links: linksOf(84, fast), rejected });
+    fleet.run(20_000);
+    expect(fleet.longestGapMs).toBeLessThan(MAX_GAP_MS);
+    expect(fleet.lostStewards).toBeLessThanOrEqual(1);
+    expect(fleet.largestUse).toBeLessThan(MAX_USE);
+  });
+
+  test('has one at all times if the store rejects it, but not its successor', () => {
+    const rejected = {
+      vms: (at: number) => at % 3 === 1 || at === 0,
+      fromMs: 2_500,
+      untilMs: 11_500,
+    };
+    const fleet = new ControlFleet({ links: linksOf(84, 0), rejected });
+    fleet.run(20_000);
+    expect(fleet.handovers).toEqual([HandoverReason.store]);
+    expect(fleet.longestGapMs).toBeLessThan(100);
+  });
+});
+
+describe('a fleet whose VMs with fast links start last', () => {
+  test('hands over to one of them, once', () => {
+    const fleet = new ControlFleet({ links: linksOf(84, 6), fastFromMs: 4_000 });
+    fleet.run(15_000);
+    expect(fleet.handovers).toEqual([HandoverReason.link]);
+    expect(fleet.longestGapMs).toBeLessThan(100);
+    expect(fleet.steward?.mbps).toBe(FAST_MBPS);
+  });
+});
--- a/test/replay/control-rules.ts
+++ b/test/replay/control-rules.ts
@@ -1,4 +1,5 @@
 /** How the VMs of the replay pace and encode their messages. */
+import type { StewardState } from '../../src/decisions/leases/index.js';
 import * as pacing from '../../src/decisions/message-pacing/index.js';
 import { messageIntervalMs } from '../../src/entry/relay/intervals.js';
 import * as messages from './control-messages.js';
@@ -15,6 +16,7 @@
   /** What a steward knows of this VM when it chooses its successor. */
   candidate(nowMs: number): object;
   noteStoreCall(nowMs: number, isAnswered: boolean): void;
+  stewardState(): StewardState;
   /** As a member: what the steward announces. */
   noteWelcome(stewardMbps: number): void;
   noteSteward(members: number, stewardMbps: number, bestMbps: number): void;
@@ -56,6 +58,10 @@
 
   noteStoreCall(_nowMs: number, _isAnswered: boolean): void {}
 
+  stewardState(): StewardState {
+    return { partitions: 0, isStoreLost: false, hasSlowLink: false };
+  }
+
   noteWelcome(_stewardMbps: number): void {}
 
   noteSteward(members: number, _stewardMbps: number, _bestMbps: number): void {
@@ -133,6 +139,8 @@
 
   private storeAnsweredAtMs = -Infinity;
 
+  private isStoreLost = false;
+
   constructor(private readonly mbps: number) {
     super();
     this.budget = new pacing.SendBudget(pacing.controlBytesPerS(mbps));
@@ -150,9 +158,15 @@
   }
 
   override noteStoreCall(nowMs: number, isAnswered: boolean): void {
+    this.isStoreLost = !isAnswered;
     if (isAnswered) this.storeAnsweredAtMs = nowMs;
   }
 
+  override stewardState(): StewardState {
+    const hasSlowLink = pacing.isSlowLink(this.mbps);
+    return { partitions: 0, isStoreLost: this.isStoreLost, hasSlowLink };
+  }
+
   override noteWelcome(stewardMbps: number): void {
     this.bytesPerS = pacing.controlBytesPerS(stewardMbps);
     this.hasView = false;
--- a/test/replay/control-vm.ts
+++ b/test/replay/control-vm.ts
@@ -64,5 +64,7 @@
   };
   /** Kills the VMs for which it is true at this time, ms. */
   readonly killed?: { vms(mbps: number): boolean; readonly atMs: number };
+  /** When the VMs with links above 100 Mbit/s start, ms; 0 without it. */
+  readonly fastFromMs?: number;
   rules?(mbps: number): ControlRules;
 }
