--- a/test/replay/control-fleet.ts
+++ b/test/replay/control-fleet.ts
@@ -6,18 +6,20 @@
   LeaseEffectType,
   type LeaseEvent,
   LeaseEventType,
-  LeaseManager,
   type SentLease,
   type SuccessorCandidate,
-  SuccessorSelector,
 } from '../../src/decisions/leases/index.js';
 import * as messages from './control-messages.js';
 import { Network, STEP_MS } from './control-network.js';
-import { Kind, PacedRules } from './control-rules.js';
-import { ByteQueue, type FleetOptions, type ReplayMember, type Vm } from './control-vm.js';
+import { Kind } from './control-rules.js';
+import {
+  createVm,
+  type FleetOptions,
+  type ReplayMember,
+  StewardRecord,
+  type Vm,
+} from './control-vm.js';
 
-const LEASE_MS = 2_000;
-const MARGIN_MS = 300;
 const STORE_MS = 20;
 const STORE_TIMEOUT_MS = 700;
 const STORE_CALL_BYTES = 700;
@@ -29,27 +31,18 @@
 const QUEUED_EVERY_MS = 150;
 
 export class ControlFleet extends Network {
-  /** Number of times at which the fleet lost its steward. */
-  lostStewards = 0;
-
-  /** Longest time without a steward after the first one, ms. */
-  longestGapMs = 0;
-
-  /** Largest traffic of a steward within a second of its term, as a fraction of its link rate. */
-  largestUse = 0;
-
-  readonly stewards: string[] = [];
-
   /** Reasons of the handovers. */
   readonly handovers: HandoverReason[] = [];
 
   private readonly vms: readonly Vm[];
 
-  private stewardSeenAtMs = -Infinity;
+  readonly record = new StewardRecord();
 
   constructor(private readonly opts: FleetOptions) {
     super();
-    this.vms = opts.links.map((mbps, at) => this.createVm(mbps, at));
+    this.vms = opts.links.map((mbps, at) =>
+      createVm(mbps, at, opts, (vm) => vm.selector.choose(this.nowMs, this.candidatesOf(vm))),
+    );
   }
 
   run(untilMs: number): void {
@@ -57,7 +50,7 @@
       this.runDue();
       if (this.nowMs === this.opts.killed?.atMs) this.kill(this.opts.killed.vms);
       this.vms.filter((vm) => this.isRunning(vm)).forEach((vm) => this.step(vm));
-      this.noteSteward();
+      this.record.note(this.nowMs, this.steward);
       this.nowMs += STEP_MS;
     }
   }
@@ -66,38 +59,6 @@
     return this.vms.find((vm) => this.isSteward(vm)) ?? null;
   }
 
-  private createVm(mbps: number, at: number): Vm {
-    const name = `vm-${at}`;
-    const rules = this.opts.rules?.(mbps) ?? new PacedRules(mbps);
-    const bytesPerMs = mbps * 125;
-    const vm: Vm = {
-      name,
-      at,
-      mbps,
-      up: new ByteQueue(bytesPerMs),
-      down: new ByteQueue(bytesPerMs),
-      manager: new LeaseManager({
-        self: name,
-        address: name,
-        durationMs: LEASE_MS,
-        marginMs: MARGIN_MS,
-        heir: () => this.heirOf(vm),
-        acquireWaitMs: () => rules.acquireWaitMs(LEASE_MS),
-      }),
-      selector: new SuccessorSelector(LEASE_MS),
-      members: new Map(),
-      rules,
-      steward: null,
-      heardAtMs: -Infinity,
-      dialAtMs: 0,
-      reportedAtMs: -Infinity,
-      sharesAtMs: -Infinity,
-      isQueued: false,
-      isKilled: false,
-    };
-    return vm;
-  }
-
   private isRunning({ mbps, isKilled }: Vm): boolean {
     return !isKilled && (mbps < 100 || this.nowMs >= (this.opts.fastFromMs ?? 0));
   }
@@ -119,10 +80,6 @@
       }));
   }
 
-  private heirOf(vm: Vm) {
-    return vm.selector.choose(this.nowMs, this.candidatesOf(vm));
-  }
-
   /** Hands over to a better member, and has the successor call the store if it may be one. */
   private handOverIfBetter(steward: Vm): void {
     const own = steward.rules.stewardState();
@@ -166,22 +123,6 @@
       .forEach((vm) => Object.assign(vm, { isKilled: true }));
   }
 
-  private noteSteward(): void {
-    const { steward } = this;
-    if (steward === null) {
-      if (this.stewardSeenAtMs === this.nowMs - STEP_MS) this.lostStewards += 1;
-      if (this.stewards.length > 0)
-        this.longestGapMs = Math.max(this.longestGapMs, this.nowMs - this.stewardSeenAtMs);
-      return;
-    }
-    this.stewardSeenAtMs = this.nowMs;
-    if (this.stewards.at(-1) !== steward.name) this.stewards.push(steward.name);
-    const second = Math.floor(this.nowMs / 1_000);
-    const rate = steward.mbps * 125_000;
-    const bytes = Math.max(steward.up.perS[second] ?? 0, steward.down.perS[second] ?? 0);
-    this.largestUse = Math.max(this.largestUse, bytes / rate);
-  }
-
   private step(vm: Vm): void {
     if (this.nowMs % 50 === (vm.at % 10) * STEP_MS) this.tickLease(vm);
     if (this.nowMs % 20 === (vm.at % 4) * STEP_MS) this.tickMember(vm);
--- a/test/replay/control-path.test.ts
+++ b/test/replay/control-path.test.ts
@@ -24,10 +24,10 @@
   ])('of %i VMs, %i of them with fast links, keeps its steward', (vms, fast) => {
     const fleet = new ControlFleet({ links: linksOf(vms, fast) });
     fleet.run(15_000);
-    expect(fleet.largestUse).toBeLessThan(MAX_USE);
-    expect(fleet.longestGapMs).toBeLessThan(MAX_GAP_MS);
-    expect(fleet.lostStewards).toBe(0);
-    expect(fleet.stewards.length).toBeLessThanOrEqual(2);
+    expect(fleet.record.largestUse).toBeLessThan(MAX_USE);
+    expect(fleet.record.longestGapMs).toBeLessThan(MAX_GAP_MS);
+    expect(fleet.record.lostStewards).toBe(0);
+    expect(fleet.record.stewards.length).toBeLessThanOrEqual(2);
   });
 });
 
@@ -36,9 +36,9 @@
     const killed = { vms: (mbps: number) => mbps === FAST_MBPS, atMs: 5_000 };
     const fleet = new ControlFleet({ links: linksOf(vms, 6), killed });
     fleet.run(15_000);
-    expect(fleet.longestGapMs).toBeLessThan(MAX_GAP_MS);
-    expect([fleet.lostStewards, fleet.stewards.length]).toEqual([1, 2]);
-    expect(fleet.largestUse).toBeLessThan(MAX_USE);
+    expect(fleet.record.longestGapMs).toBeLessThan(MAX_GAP_MS);
+    expect([fleet.record.lostStewards, fleet.record.stewards.length]).toEqual([1, 2]);
+    expect(fleet.record.largestUse).toBeLessThan(MAX_USE);
   });
 
   test.each([
@@ -49,9 +49,9 @@
     const rejected = { vms: (at: number) => at % 3 === first, fromMs: 2_500, untilMs: 11_500 };
     const fleet = new ControlFleet({ links: linksOf(84, fast), rejected });
     fleet.run(20_000);
-    expect(fleet.longestGapMs).toBeLessThan(MAX_GAP_MS);
-    expect(fleet.lostStewards).toBeLessThanOrEqual(1);
-    expect(fleet.largestUse).toBeLessThan(MAX_USE);
+    expect(fleet.record.longestGapMs).toBeLessThan(MAX_GAP_MS);
+    expect(fleet.record.lostStewards).toBeLessThanOrEqual(1);
+    expect(fleet.record.largestUse).toBeLessThan(MAX_USE);
   });
 
   test('has one at all times if the store rejects it, but not its successor', () => {
@@ -63,7 +63,7 @@
     const fleet = new ControlFleet({ links: linksOf(84, 0), rejected });
     fleet.run(20_000);
     expect(fleet.handovers).toEqual([HandoverReason.store]);
-    expect(fleet.longestGapMs).toBeLessThan(100);
+    expect(fleet.record.longestGapMs).toBeLessThan(100);
   });
 });
 
@@ -72,7 +72,7 @@
     const fleet = new ControlFleet({ links: linksOf(84, 6), fastFromMs: 4_000 });
     fleet.run(15_000);
     expect(fleet.handovers).toEqual([HandoverReason.link]);
-    expect(fleet.longestGapMs).toBeLessThan(100);
+    expect(fleet.record.longestGapMs).toBeLessThan(100);
     expect(fleet.steward?.mbps).toBe(FAST_MBPS);
   });
 });
--- a/test/replay/control-vm.ts
+++ b/test/replay/control-vm.ts
@@ -1,6 +1,15 @@
 /** The VMs of the replay of a control path, and their links. */
-import type { LeaseManager, SuccessorSelector } from '../../src/decisions/leases/index.js';
-import type { ControlRules } from './control-rules.js';
+import {
+  LeaseManager,
+  type LeaseSuccessor,
+  SuccessorSelector,
+} from '../../src/decisions/leases/index.js';
+import { STEP_MS } from './control-network.js';
+import { type ControlRules, PacedRules } from './control-rules.js';
+
+const LEASE_MS = 2_000;
+const MARGIN_MS = 300;
+const BYTES_PER_MS_PER_MBPS = 125;
 
 /** One direction of a link: a queue of bytes. */
 export class ByteQueue {
@@ -68,3 +77,71 @@
   readonly fastFromMs?: number;
   rules?(mbps: number): ControlRules;
 }
+
+/** @param heirOf Chooses the successor of a steward. */
+export function createVm(
+  mbps: number,
+  at: number,
+  opts: FleetOptions,
+  heirOf: (vm: Vm) => Omit<LeaseSuccessor, 'epoch'> | null,
+): Vm {
+  const name = `vm-${at}`;
+  const rules = opts.rules?.(mbps) ?? new PacedRules(mbps);
+  const vm: Vm = {
+    name,
+    at,
+    mbps,
+    up: new ByteQueue(mbps * BYTES_PER_MS_PER_MBPS),
+    down: new ByteQueue(mbps * BYTES_PER_MS_PER_MBPS),
+    manager: new LeaseManager({
+      self: name,
+      address: name,
+      durationMs: LEASE_MS,
+      marginMs: MARGIN_MS,
+      heir: () => heirOf(vm),
+      acquireWaitMs: () => rules.acquireWaitMs(LEASE_MS),
+    }),
+    selector: new SuccessorSelector(LEASE_MS),
+    members: new Map(),
+    rules,
+    steward: null,
+    heardAtMs: -Infinity,
+    dialAtMs: 0,
+    reportedAtMs: -Infinity,
+    sharesAtMs: -Infinity,
+    isQueued: false,
+    isKilled: false,
+  };
+  return vm;
+}
+
+/** What the replay records of the stewards. */
+export class StewardRecord {
+  /** Number of times at which the fleet lost its steward. */
+  lostStewards = 0;
+
+  /** Longest time without a steward after the first one, ms. */
+  longestGapMs = 0;
+
+  /** Largest traffic of a steward within a second of its term, as a fraction of its link rate. */
+  largestUse = 0;
+
+  readonly stewards: string[] = [];
+
+  private seenAtMs = -Infinity;
+
+  note(nowMs: number, steward: Vm | null): void {
+    if (steward === null) {
+      if (this.seenAtMs === nowMs - STEP_MS) this.lostStewards += 1;
+      if (this.stewards.length > 0)
+        this.longestGapMs = Math.max(this.longestGapMs, nowMs - this.seenAtMs);
+      return;
+    }
+    this.seenAtMs = nowMs;
+    if (this.stewards.at(-1) !== steward.name) this.stewards.push(steward.name);
+    const second = Math.floor(nowMs / 1_000);
+    const bytes = Math.max(steward.up.perS[second] ?? 0, steward.down.perS[second] ?? 0);
+    const bytesPerS = steward.mbps * BYTES_PER_MS_PER_MBPS * 1_000;
+    this.largestUse = Math.max(this.largestUse, bytes / bytesPerS);
+  }
+}
