--- a/test/soak/relay-fleet.ts
+++ b/test/soak/relay-fleet.ts
@@ -53,6 +53,8 @@
   /** Time for which requests are sent repeatedly, ms. */
   readonly durationMs: number;
   readonly times?: VmTimes;
+  /** Link rates that the VMs state, in turn, Mbit/s; none for VMs that state none. */
+  readonly links?: readonly number[];
   /** Whether each VM reaches the servers through gates, so that it can be partitioned from them. */
   readonly isGated?: boolean;
 }
@@ -330,7 +332,7 @@
     await Promise.all(this.engines.map((engine) => engine.start()));
     for (let at = 0; at < opts.vms; at += 1) {
       const dataCentre = DATA_CENTRES[at % DATA_CENTRES.length] ?? 'a';
-      const { times } = opts;
+      const times = { ...opts.times, linkMbps: opts.links?.[at % opts.links.length] };
       const name = `vm-${at}`;
       const vm = await SoakVm.create(name, dataCentre, address, program, this.folder, times);
       this.vms.push(vm);
--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -13,12 +13,14 @@
 /** As in deploy/system.toml: beyond this heap, Node.js ends the process. */
 const HEAP_LIMIT = '--max-old-space-size=200';
 
-/** Durations in the settings of a VM. */
+/** Durations and link rate in the settings of a VM. */
 export interface VmTimes {
   /** Grace period of a planned stop, ms. */
   readonly graceMs?: number;
   /** Duration of the steward lease, ms. */
   readonly leaseMs?: number;
+  /** Link rate that the settings state, Mbit/s; none without it. */
+  readonly linkMbps?: number;
 }
 
 const DEFAULT_TIMES = { graceMs: 4_000, leaseMs: 2_000 };
@@ -93,12 +95,13 @@
     folder: string,
     times: VmTimes = {},
   ): Promise<SoakVm> {
-    const { graceMs, leaseMs } = { ...DEFAULT_TIMES, ...times };
+    const { graceMs, leaseMs, linkMbps } = { ...DEFAULT_TIMES, ...times };
     const [callers = '', admin = '', peers = ''] = await freeAddresses(3);
     const settings = `
       [vm]
       id = "${name}"
       dataCentre = "${dataCentre}"
+      ${linkMbps === undefined ? '' : `linkMbps = "${linkMbps}"`}
       [listen]
       callers = "${callers}"
       admin = "${admin}"
