--- a/src/entry/relay/lease-task.ts
+++ b/src/entry/relay/lease-task.ts
@@ -26,6 +26,8 @@
 const MAX_HOLDER_AGE_MS = 1_500;
 /** Pause between two calls by which a successor shows that it reaches the store, ms. */
 const PROBE_PAUSE_MS = 250;
+/** Time without an answer after a failed call from which the store counts as lost, ms: one call may fail. */
+const STORE_LOST_MS = 300;
 
 /** A renewal that took effect after the lease was released. */
 export type LateRenewal = Extract<LeaseEffect, { type: typeof LeaseEffectType.lateRenewal }>;
@@ -77,6 +79,9 @@
 
   private probedAtMs = -Infinity;
 
+  /** When a call failed after the last answered one. */
+  private failedAtMs = -Infinity;
+
   /** Whether a lease that expired while the store was unreachable or slow stays in use. */
   private goesOn = false;
 
@@ -190,10 +195,15 @@
   }
 
   /** Whether the last store call for the lease was not answered. */
-  get isStoreLost(): boolean {
+  get isStoreFailing(): boolean {
     return !this.storeAvailable;
   }
 
+  /** Whether the store calls for the lease have failed for some time. */
+  get isStoreLost(): boolean {
+    return !this.storeAvailable && this.opts.clock.nowMs() - this.failedAtMs >= STORE_LOST_MS;
+  }
+
   /** Age of the last store call for the lease that was answered, ms; null if there was none. */
   storeAgeMs(): number | null {
     const ageMs = this.opts.clock.nowMs() - this.answeredAtMs;
@@ -310,6 +320,7 @@
     if (answered) this.answeredAtMs = Math.max(this.answeredAtMs, sentAtMs);
     if (answered !== this.storeAvailable) {
       this.opts.logger.info(answered ? 'store-back' : 'store-lost');
+      if (!answered) this.failedAtMs = this.opts.clock.nowMs();
     }
     this.storeAvailable = answered;
   }
--- a/src/entry/relay/steward-succession.ts
+++ b/src/entry/relay/steward-succession.ts
@@ -21,7 +21,7 @@
 export interface StewardSuccessionOptions {
   readonly vm: string;
   readonly members: ReadonlySet<Member>;
-  readonly lease: Pick<LeaseTask, 'isStoreLost'>;
+  readonly lease: Pick<LeaseTask, 'isStoreLost' | 'isStoreFailing'>;
   readonly reachability: ReachabilityTask;
   readonly storeWatcher: StoreWatcherTask;
   readonly clock: Clock;
@@ -45,21 +45,19 @@
 
   /** The handover that is due, if the successor is one of its members; null for none. */
   findHandover(nowMs: number): Handover | null {
-    return findHandover(nowMs, this.ownState(), this.candidates());
+    const { isStoreLost } = this.opts.lease;
+    return findHandover(nowMs, this.ownState(isStoreLost), this.candidates());
   }
 
   /** Whether the successor is to call the store, because a handover may be due. */
   seeksSuccessor(nowMs: number): boolean {
-    return findHandover(nowMs, this.ownState(), this.candidates(), true) !== null;
+    const { isStoreFailing } = this.opts.lease;
+    return findHandover(nowMs, this.ownState(isStoreFailing), this.candidates(), true) !== null;
   }
 
-  private ownState(): StewardState {
-    const { lease, linkMbps } = this.opts;
-    return {
-      partitions: this.ownPartitions().length,
-      isStoreLost: lease.isStoreLost,
-      hasSlowLink: isSlowLink(linkMbps),
-    };
+  private ownState(isStoreLost: boolean): StewardState {
+    const hasSlowLink = isSlowLink(this.opts.linkMbps);
+    return { partitions: this.ownPartitions().length, isStoreLost, hasSlowLink };
   }
 
   private candidates(): readonly SuccessorCandidate[] {
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -484,6 +484,7 @@
   }
 
   private beginTerm(nowMs: number): void {
+    this.opts.metrics.gauge('relay_steward', 1);
     const parsed = allowancesSchema.safeParse(this.opts.lease.previousNote);
     // Without a note, there was no steward before. With an invalid note, the shares that entry
     // VMs still hold are unknown (null).
@@ -514,6 +515,7 @@
   }
 
   private endTerm(): void {
+    this.opts.metrics.gauge('relay_steward', 0);
     this.fence = 0;
     this.lender = null;
     this.engineController = null;
--- a/test/units/leases/link-aware.test.ts
+++ b/test/units/leases/link-aware.test.ts
@@ -58,6 +58,20 @@
   });
 });
 
+describe('a VM that was sent the lease without its note', () => {
+  test('acquires it with the stored note, from which rate shares of the last steward are known', () => {
+    const lease = { holder: 'vm-1', epoch: 1, durationMs: DURATION_MS, renewal: 1 };
+    const note = { 'vm-1': 0.2 };
+    const manager = createManager('vm-0');
+    const sent = { lease: { ...lease, note: null }, version: 1, leftMs: DURATION_MS };
+    manager.handle(0, { type: LeaseEventType.sent, ...sent });
+    const read: LeaseEvent = { type: LeaseEventType.read, lease: { ...lease, note }, version: 1 };
+    expect(acquiresAt(manager, 2_300, read)).toBe(true);
+    const [acquired] = manager.handle(2_320, { type: LeaseEventType.written, version: 2 });
+    expect(acquired).toMatchObject({ type: LeaseEffectType.acquired, note });
+  });
+});
+
 describe('a steward that cannot reach the store', () => {
   /** A holder with a renewal in flight, whose result is not known. */
   function createHolder(): LeaseManager {
