--- a/test/properties/settings/platform-values.test.ts
+++ b/test/properties/settings/platform-values.test.ts
@@ -72,6 +72,21 @@
     expect(accepted).toEqual([]);
   });
 
+  test.each([
+    ['7', 7],
+    ['16.8', 16.8],
+    ['1.4e+02', 140],
+    ['', undefined],
+    ['0', undefined],
+    ['{{limits.link_mbps}}', undefined],
+  ])('take a link rate of "%s", which may be missing', (text, mbps) => {
+    const settings = parseSettings(
+      fill({ ...VALID_FIELDS, 'limits.link_mbps': text }),
+      'node.yaml',
+    );
+    expect(settings.map(({ vm }) => vm.linkMbps).unwrapOr(-1)).toBe(mbps);
+  });
+
   test('accepts a fractional retry slack', () => {
     expect(errorOf({ ...VALID_FIELDS, 'bounds.budget_slack': '138.5' })).toBe('');
   });
--- a/test/replay/control-path.test.ts
+++ b/test/replay/control-path.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, test } from 'vitest';
 import { HandoverReason } from '../../src/decisions/leases/index.js';
 import { ControlFleet } from './control-fleet.js';
+import { UnpacedRules } from './control-rules.js';
 
 const SLOW_MBPS = 7;
 const FAST_MBPS = 140;
@@ -31,6 +32,16 @@
   });
 });
 
+describe('a fleet whose messages are not paced', () => {
+  // Shows that the replay has the failure that the other cases guard against.
+  test.each([6, 0])('of 84 VMs, %i of them with fast links, loses its stewards', (fast) => {
+    const fleet = new ControlFleet({ links: linksOf(84, fast), rules: () => new UnpacedRules() });
+    fleet.run(15_000);
+    expect(fleet.record.lostStewards).toBeGreaterThan(1);
+    expect(fleet.record.largestUse).toBeGreaterThan(1);
+  });
+});
+
 describe('a fleet whose steward is lost', () => {
   test.each([31, 84, 300])('of %i VMs finds one when all with fast links are gone', (vms) => {
     const killed = { vms: (mbps: number) => mbps === FAST_MBPS, atMs: 5_000 };
