--- a/test/replay/control-fleet.ts
+++ b/test/replay/control-fleet.ts
@@ -1,63 +1,56 @@
 /** Replays the control path of a fleet on virtual time: leases, reports, grants, views over slow links. */
 import {
+  findHandover,
+  HandoverReason,
   type LeaseEffect,
   LeaseEffectType,
   type LeaseEvent,
   LeaseEventType,
-  LeaseManager,
-  type Lease,
-  SuccessorSelector,
+  type SentLease,
+  type SuccessorCandidate,
 } from '../../src/decisions/leases/index.js';
 import * as messages from './control-messages.js';
-import { Kind, PacedRules } from './control-rules.js';
-import { ByteQueue, type FleetOptions, type ReplayMember, type Vm } from './control-vm.js';
+import { Network, STEP_MS } from './control-network.js';
+import { Kind } from './control-rules.js';
+import {
+  createVm,
+  type FleetOptions,
+  type ReplayMember,
+  StewardRecord,
+  type Vm,
+} from './control-vm.js';
 
-const LEASE_MS = 2_000;
-const MARGIN_MS = 300;
-const STEP_MS = 5;
 const STORE_MS = 20;
 const STORE_TIMEOUT_MS = 700;
 const STORE_CALL_BYTES = 700;
 const STEWARD_TIMEOUT_MS = 800;
 const VIEW_KEEPALIVE_MS = 250;
+const PROBE_MS = 200;
+const PROBE_BYTES = 120;
 /** Mean time between two newly queued requests of a member, ms. */
 const QUEUED_EVERY_MS = 150;
 
-export class ControlFleet {
-  nowMs = 0;
-
-  /** Number of times at which the fleet lost its steward. */
-  lostStewards = 0;
-
-  /** Longest time without a steward after the first one, ms. */
-  longestGapMs = 0;
-
-  /** Largest traffic of a steward within a second of its term, as a fraction of its link rate. */
-  largestUse = 0;
-
-  readonly stewards: string[] = [];
+export class ControlFleet extends Network {
+  /** Reasons of the handovers. */
+  readonly handovers: HandoverReason[] = [];
 
   private readonly vms: readonly Vm[];
 
-  private stored: Lease | null = null;
-
-  private version = 0;
-
-  private stewardSeenAtMs = -Infinity;
-
-  private readonly due = new Map<number, (() => void)[]>();
+  readonly record = new StewardRecord();
 
   constructor(private readonly opts: FleetOptions) {
-    this.vms = opts.links.map((mbps, at) => this.createVm(mbps, at));
+    super();
+    this.vms = opts.links.map((mbps, at) =>
+      createVm(mbps, at, opts, (vm) => vm.selector.choose(this.nowMs, this.candidatesOf(vm))),
+    );
   }
 
   run(untilMs: number): void {
     while (this.nowMs < untilMs) {
-      (this.due.get(this.nowMs) ?? []).forEach((call) => call());
-      this.due.delete(this.nowMs);
+      this.runDue();
       if (this.nowMs === this.opts.killed?.atMs) this.kill(this.opts.killed.vms);
-      this.vms.filter(({ isKilled }) => !isKilled).forEach((vm) => this.step(vm));
-      this.noteSteward();
+      this.vms.filter((vm) => this.isRunning(vm)).forEach((vm) => this.step(vm));
+      this.record.note(this.nowMs, this.steward);
       this.nowMs += STEP_MS;
     }
   }
@@ -66,44 +59,16 @@
     return this.vms.find((vm) => this.isSteward(vm)) ?? null;
   }
 
-  private createVm(mbps: number, at: number): Vm {
-    const name = `vm-${at}`;
-    const rules = this.opts.rules?.(mbps) ?? new PacedRules(mbps);
-    const bytesPerMs = mbps * 125;
-    const vm: Vm = {
-      name,
-      at,
-      mbps,
-      up: new ByteQueue(bytesPerMs),
-      down: new ByteQueue(bytesPerMs),
-      manager: new LeaseManager({
-        self: name,
-        address: name,
-        durationMs: LEASE_MS,
-        marginMs: MARGIN_MS,
-        heir: () => this.heirOf(vm),
-        acquireWaitMs: () => rules.acquireWaitMs(LEASE_MS),
-      }),
-      selector: new SuccessorSelector(LEASE_MS),
-      members: new Map(),
-      rules,
-      steward: null,
-      heardAtMs: -Infinity,
-      dialAtMs: 0,
-      reportedAtMs: -Infinity,
-      sharesAtMs: -Infinity,
-      isQueued: false,
-      isKilled: false,
-    };
-    return vm;
+  private isRunning({ mbps, isKilled }: Vm): boolean {
+    return !isKilled && (mbps < 100 || this.nowMs >= (this.opts.fastFromMs ?? 0));
   }
 
   private isSteward(vm: Vm): boolean {
     return !vm.isKilled && vm.manager.holds(this.nowMs);
   }
 
-  private heirOf(vm: Vm) {
-    const candidates = [...vm.members.values()]
+  private candidatesOf(vm: Vm): readonly SuccessorCandidate[] {
+    return [...vm.members.values()]
       .filter((member) => member.vm !== vm && member.reportedAtMs > -Infinity)
       .map((member) => ({
         vm: member.vm.name,
@@ -113,35 +78,49 @@
         partitions: 0,
         ...member.vm.rules.candidate(this.nowMs),
       }));
-    return vm.selector.choose(this.nowMs, candidates);
-  }
-
-  private kill(isKilled: (mbps: number) => boolean): void {
-    this.vms
-      .filter(({ mbps }) => isKilled(mbps))
-      .forEach((vm) => Object.assign(vm, { isKilled: true }));
   }
 
-  private noteSteward(): void {
-    const { steward } = this;
-    if (steward === null) {
-      if (this.stewardSeenAtMs === this.nowMs - STEP_MS) this.lostStewards += 1;
-      if (this.stewards.length > 0)
-        this.longestGapMs = Math.max(this.longestGapMs, this.nowMs - this.stewardSeenAtMs);
+  /** Hands over to a better member, and has the successor call the store if it may be one. */
+  private handOverIfBetter(steward: Vm): void {
+    const own = steward.rules.stewardState();
+    const candidates = this.candidatesOf(steward);
+    const handover = findHandover(this.nowMs, own, candidates);
+    const held = steward.manager.heldLease(this.nowMs);
+    const heir = this.vms.find(({ name }) => name === held?.lease.heir?.vm);
+    const isIntended = findHandover(this.nowMs, own, candidates, true) !== null;
+    if (isIntended && heir !== undefined && this.nowMs % PROBE_MS === 0) {
+      this.sendTo(steward, heir, Kind.first, PROBE_BYTES, () => this.callStoreOnly(heir));
+    }
+    if (handover === null || held === null) return;
+    if (heir === undefined || !handover.better.some(({ vm }) => vm === heir.name)) {
+      if (handover.reason !== HandoverReason.store)
+        this.feed(steward, { type: LeaseEventType.renewImmediately });
       return;
     }
-    this.stewardSeenAtMs = this.nowMs;
-    if (this.stewards.at(-1) !== steward.name) this.stewards.push(steward.name);
-    const second = Math.floor(this.nowMs / 1_000);
-    const rate = steward.mbps * 125_000;
-    const bytes = Math.max(steward.up.perS[second] ?? 0, steward.down.perS[second] ?? 0);
-    this.largestUse = Math.max(this.largestUse, bytes / rate);
+    const members = [...steward.members.keys()];
+    this.feed(steward, { type: LeaseEventType.handOver, isStoreLost: own.isStoreLost });
+    if (this.isSteward(steward)) return;
+    this.handovers.push(handover.reason);
+    members
+      .sort((a, b) => Number(a === heir) - Number(b === heir))
+      .forEach((vm) => this.sendLease(steward, vm, held, true));
   }
 
-  private after(ms: number, call: () => void): void {
-    const atMs = Math.ceil((this.nowMs + ms) / STEP_MS) * STEP_MS;
-    const dueMs = Math.max(atMs, this.nowMs + STEP_MS);
-    this.due.set(dueMs, [...(this.due.get(dueMs) ?? []), call]);
+  /** A store call by which a successor shows that it reaches the store. */
+  private callStoreOnly(vm: Vm): void {
+    vm.rules.noteStoreCall(this.nowMs, !this.isRejected(vm));
+  }
+
+  private isRejected({ at }: Vm): boolean {
+    const { rejected } = this.opts;
+    if (rejected === undefined || !rejected.vms(at)) return false;
+    return this.nowMs >= rejected.fromMs && this.nowMs < rejected.untilMs;
+  }
+
+  private kill(isKilled: (mbps: number) => boolean): void {
+    this.vms
+      .filter(({ mbps }) => isKilled(mbps))
+      .forEach((vm) => Object.assign(vm, { isKilled: true }));
   }
 
   private step(vm: Vm): void {
@@ -170,9 +149,7 @@
     if (effect.type !== LeaseEffectType.read && effect.type !== LeaseEffectType.write) return;
     const sentAtMs = this.nowMs;
     const reachedAtMs = vm.up.push(sentAtMs, STORE_CALL_BYTES) + STORE_MS;
-    const { rejected } = this.opts;
-    const isRejected =
-      rejected?.vms(vm.at) === true && sentAtMs >= rejected.fromMs && sentAtMs < rejected.untilMs;
+    const isRejected = this.isRejected(vm);
     vm.rules.noteStoreCall(sentAtMs, !isRejected);
     this.after(reachedAtMs - sentAtMs, () => {
       const answer = isRejected ? this.failure(effect) : this.callStore(effect);
@@ -189,29 +166,6 @@
       : { type: LeaseEventType.writeUnknown };
   }
 
-  private callStore(effect: LeaseEffect): LeaseEvent {
-    const { stored: lease, version } = this;
-    if (effect.type !== LeaseEffectType.write) return { type: LeaseEventType.read, lease, version };
-    if (effect.version !== version) return { type: LeaseEventType.conflict };
-    this.stored = effect.lease;
-    this.version += 1;
-    return { type: LeaseEventType.written, version: this.version };
-  }
-
-  /** Sends bytes over the links of two VMs; a steward is connected to itself without them. */
-  private send(from: Vm, to: Vm, bytes: number, deliver: () => void): void {
-    if (from === to) {
-      this.after(0, deliver);
-      return;
-    }
-    const leftAtMs = from.up.push(this.nowMs, bytes);
-    this.after(leftAtMs - this.nowMs + 1, () => {
-      if (to.isKilled) return;
-      const arrivedAtMs = to.down.push(this.nowMs, bytes);
-      this.after(arrivedAtMs - this.nowMs, deliver);
-    });
-  }
-
   private tickMember(vm: Vm): void {
     const active = vm.manager.activeSteward;
     const steward = this.vms.find(({ name }) => name === active?.vm) ?? null;
@@ -291,18 +245,23 @@
       const held = steward.manager.heldLease(this.nowMs);
       if (held !== null && held.version !== member.leaseVersion) {
         Object.assign(member, { leaseVersion: held.version });
-        const untilMs = this.nowMs + held.leftMs;
-        this.sendTo(steward, vm, Kind.first, rules.leaseBytes(this.vms.length), () =>
-          this.feed(vm, {
-            type: LeaseEventType.sent,
-            ...held,
-            heirTerm: held.lease.heir?.vm === vm.name ? { fromMs: this.nowMs, untilMs } : undefined,
-          }),
-        );
+        this.sendLease(steward, vm, held, false);
       }
       if (!member.hasLists) this.sendLists(steward, member);
       this.sendView(steward, member);
     });
+    this.handOverIfBetter(steward);
+  }
+
+  private sendLease(steward: Vm, vm: Vm, held: SentLease, isGivenUp: boolean): void {
+    const { epoch, heir } = held.lease;
+    const fromMs = this.nowMs;
+    const heirTerm = heir?.vm === vm.name ? { fromMs, untilMs: fromMs + held.leftMs } : undefined;
+    this.sendTo(steward, vm, Kind.first, steward.rules.leaseBytes(this.vms.length), () => {
+      this.feed(vm, { type: LeaseEventType.sent, ...held, heirTerm });
+      if (isGivenUp)
+        this.feed(vm, { type: LeaseEventType.epochRetired, epoch, newestEpoch: epoch });
+    });
   }
 
   private sendView(steward: Vm, member: ReplayMember): void {
--- a/test/soak/vms.ts
+++ b/test/soak/vms.ts
@@ -15,7 +15,7 @@
 /** As in deploy/system.toml: beyond this heap, Node.js ends the process. */
 const HEAP_LIMIT = '--max-old-space-size=200';
 
-/** Durations in the settings of a VM. */
+/** Durations and link rate in the settings of a VM. */
 export interface VmTimes {
   /** Grace period of a planned stop, ms. */
   readonly graceMs?: number;
@@ -23,6 +23,8 @@
   readonly leaseMs?: number;
   /** Bound for evacuations, ms; without it, they are not in force. */
   readonly evacuateMs?: number;
+  /** Link rate that the settings state, Mbit/s; none without it. */
+  readonly linkMbps?: number;
 }
 
 const DEFAULT_TIMES = { graceMs: 4_000, leaseMs: 2_000 };
@@ -97,12 +99,13 @@
     folder: string,
     times: VmTimes = {},
   ): Promise<SoakVm> {
-    const { graceMs, leaseMs, evacuateMs } = { ...DEFAULT_TIMES, ...times };
+    const { graceMs, leaseMs, evacuateMs, linkMbps } = { ...DEFAULT_TIMES, ...times };
     const [callers = '', admin = '', peers = ''] = await freeAddresses(3);
     const settings = `
       [vm]
       id = "${name}"
       dataCentre = "${dataCentre}"
+      ${linkMbps === undefined ? '' : `linkMbps = "${linkMbps}"`}
       [listen]
       callers = "${callers}"
       admin = "${admin}"
