--- a/src/decisions/evacuations/index.ts
+++ b/src/decisions/evacuations/index.ts
@@ -83,15 +83,13 @@
     return this.replace(nowMs, version, next);
   }
 
-  /** Applies the steward's set, unless an answer of the store is newer. */
+  /** Applies the set of another entry VM, unless an answer of the store is newer. */
   applyShared(nowMs: number, shared: SharedEvacuations): EvacuationDifference {
     if (shared.revision < (this.version ?? 0)) return this.update(nowMs);
-    const difference = this.replace(nowMs, shared.revision, new Set(shared.dataCentres), () =>
-      Object.entries(shared.heldForMs).forEach(([name, forMs]) => {
-        if (!this.heldUntilMs.has(name)) this.heldUntilMs.set(name, nowMs + forMs);
-      }),
-    );
-    return difference;
+    const { revision, dataCentres, heldForMs } = shared;
+    // Later messages must not prolong the times, which count from the first one.
+    const held = this.version === null || this.isRestored(revision) ? heldForMs : {};
+    return this.replace(nowMs, revision, new Set(dataCentres), held);
   }
 
   /** Ends the times for which evacuations were held. */
@@ -112,22 +110,27 @@
     };
   }
 
+  /** Whether the store has returned from a copy before it reached this version. */
+  private isRestored(version: number): boolean {
+    return (
+      this.version !== null && storeVersions.eraOf(version) > storeVersions.eraOf(this.version)
+    );
+  }
+
   private replace(
     nowMs: number,
     version: number,
     stored: ReadonlySet<string>,
-    addHeld: () => void = () => undefined,
+    heldForMs: Readonly<Record<string, number>> = {},
   ): EvacuationDifference {
-    const isRestored =
-      this.version !== null && storeVersions.eraOf(version) > storeVersions.eraOf(this.version);
-    if (isRestored) {
+    if (this.isRestored(version)) {
       [...this.inForce]
         .filter((name) => !stored.has(name))
         .forEach((name) => this.heldUntilMs.set(name, nowMs + COPY_SETTLES_MS));
     }
     this.version = version;
     this.stored = stored;
-    addHeld();
+    Object.entries(heldForMs).forEach(([name, forMs]) => this.heldUntilMs.set(name, nowMs + forMs));
     return this.update(nowMs);
   }
 
--- a/test/units/evacuations/evacuations.test.ts
+++ b/test/units/evacuations/evacuations.test.ts
@@ -69,6 +69,8 @@
     const shared = steward.shared(1_100);
     if (shared !== null) started.applyShared(0, shared);
     expect(started.allows('a')).toBe(false);
+    // A late message does not prolong it.
+    if (shared !== null) started.applyShared(2_000, shared);
     expect(started.expire(COPY_SETTLES_MS - 1_000).takenBack).toEqual(['a']);
   });
 });
