--- a/src/decisions/plan-check/types.ts
+++ b/src/decisions/plan-check/types.ts
@@ -25,6 +25,7 @@
   badPrefix: 'badPrefix',
   shadowedRoute: 'shadowedRoute',
   customerWithoutKeys: 'customerWithoutKeys',
+  noKeys: 'noKeys',
   unusedService: 'unusedService',
   zeroWeight: 'zeroWeight',
   objectiveAboveTimeout: 'objectiveAboveTimeout',
--- a/src/decisions/plan-check/unmatched.ts
+++ b/src/decisions/plan-check/unmatched.ts
@@ -62,6 +62,14 @@
     });
 }
 
+/** Without any keys, only public routes serve requests. */
+function findMissingKeys({ plan, keyHolders }: PlanDraft): readonly Finding[] {
+  const isAllPublic = plan.routes.every(({ isPublic }) => isPublic);
+  if (!plan.needsKeys || keyHolders.length > 0 || isAllPublic) return [];
+  const detail = 'no customer has a key, so that all routes that are not public refuse requests';
+  return [createFinding(FindingKind.noKeys, 'customers', detail)];
+}
+
 function findUnusedServices({ plan }: PlanDraft): readonly Finding[] {
   const used = new Set(plan.routes.flatMap(({ targets }) => targets.map(({ service }) => service)));
   return [...plan.services.keys()]
@@ -90,6 +98,7 @@
     findPrefixes,
     findShadowedRoutes,
     findCustomersWithoutKeys,
+    findMissingKeys,
     findUnusedServices,
     findZeroWeights,
   ].flatMap((find) => find(draft));
