Engine controller: demand is grouped by named fields of the reports' groups

Cause: fields that a later build adds to the groups would have split the demand. Result: test/units/relay/engine-controller.test.ts and test/units/swaps pass.

--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -576,7 +576,9 @@
   ): readonly PendingDemand[] {
     const merged = new Map<string, PendingDemand>();
     reports.forEach(({ waits }) =>
-      waits.forEach(({ waiting, dueInMs, ...need }) => {
+      waits.forEach(({ waiting, dueInMs, ...wait }) => {
+        const { service, model, adapter, version, dataCentres } = wait;
+        const need = { service, model, adapter, version, dataCentres };
         const key = JSON.stringify(need);
         const before = merged.get(key);
         merged.set(key, {
