Choice of servers by the expected time to the first token

Cause: servers were chosen by running requests and slots alone. Prompt length did not count, and a server 1.3 times as slow as its peers got as many requests as they did, as only twice the peers' time counts as slow.

--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -27,6 +27,8 @@
   readonly objectiveAtMs: number;
   /** Time at which the caller or the route times out unless a first byte has been sent. */
   readonly deadlineAtMs: number;
+  /** Prompt tokens; undefined if the request does not declare them. */
+  readonly promptTokens?: number;
 }
 
 /** Fraction of the time budget after which a queued request is rejected. */
--- a/src/entry/relay/context.ts
+++ b/src/entry/relay/context.ts
@@ -10,6 +10,7 @@
 import type { Admission } from './admission.js';
 import type { ConnectionPool } from './connections.js';
 import type { Dispatcher } from './dispatch.js';
+import type { FirstTokens } from './first-tokens.js';
 import type { FleetView } from './fleet-view.js';
 import type { Incidents } from './incidents.js';
 import type { PeerConnector } from './peer-connector.js';
@@ -25,6 +26,8 @@
   readonly admission: Admission;
   readonly dispatcher: Dispatcher;
   readonly view: FleetView;
+  /** Learns from responses how fast servers answer. */
+  readonly firstTokens: Pick<FirstTokens, 'noteFirstToken' | 'noteRun'>;
   readonly reachability: ServerReachability;
   readonly connections: ConnectionPool;
   /** Finds the ways to backend servers, also over peers. */
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -10,6 +10,7 @@
   retryAfterMs,
   type QueuedRequest,
 } from '../../decisions/wait-list/index.js';
+import type { FirstTokens } from './first-tokens.js';
 import type { FleetView, Run } from './fleet-view.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { RelayMessageOf } from './messages.js';
@@ -34,6 +35,7 @@
   readonly storeWatcher: StoreWatcherTask;
   readonly view: FleetView;
   readonly limits: RequestLimits;
+  readonly firstTokens: FirstTokens;
   readonly clock: Clock;
   readonly random: Random;
   /** Called when a request is queued. */
@@ -193,16 +195,18 @@
   }
 
   private tryPlace(request: QueuedRequest, tried: ReadonlySet<string>): Run | null {
-    const { dataCentre, storeWatcher, random, view, limits } = this.opts;
-    const candidates = view.candidates(request);
-    const chosen = chooseServer(candidates, { dataCentre, tried, random });
+    const { dataCentre, storeWatcher, random, view, limits, firstTokens } = this.opts;
+    const candidates = firstTokens.describe(view.candidates(request));
+    const pace = firstTokens.pace(request.service);
+    const chosen = chooseServer(candidates, { dataCentre, tried, random, pace });
     const server: BackendServer | undefined =
       chosen === null ? undefined : storeWatcher.backends.get(chosen.id);
-    if (server === undefined) return null;
+    if (chosen === null || server === undefined) return null;
     limits.take(server);
     this.probeThrottled(request, tried);
     const { service, model, adapter } = request;
-    const run = { server, service, model, adapter };
+    const estimate = firstTokens.estimate(service, chosen, request.promptTokens ?? 0);
+    const run = { server, service, model, adapter, estimate };
     view.started(run);
     return run;
   }
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -19,6 +19,7 @@
 import { AttemptRace, type FinishedAttempt, RunningAttempt, Superseded } from './attempt-race.js';
 import type { RelayContext } from './context.js';
 import { EventSplitter } from './event-stream.js';
+import { usualFirstByteMs } from './first-tokens.js';
 import type { Run } from './fleet-view.js';
 import { type RoutedRequest, timeLimitMs } from './routed-request.js';
 import type { HeldResponse } from './response-memory.js';
@@ -40,10 +41,6 @@
 const NO_EVENT_ID = '0';
 /** Backend servers accept urgencies from 0 to 9. */
 const LOWEST_URGENCY = 9;
-/** Expected time to the first byte of a request without a prompt, ms. */
-const BASE_FIRST_BYTE_MS = 20;
-/** Prompt tokens that are expected to add 1 ms to the time to the first byte. */
-const PROMPT_TOKENS_PER_MS = 20;
 /**
  * Time for which a stream sends events until its prompt counts as sound, ms. A server may crash
  * shortly after the first event.
@@ -66,6 +63,7 @@
     arrivedAtMs,
     objectiveAtMs: arrivedAtMs + route.objectiveMs,
     deadlineAtMs: Math.min(deadlineAtMs, arrivedAtMs + route.callerTimeoutMs),
+    promptTokens: metadata.tokens?.prompt,
   };
 }
 
@@ -240,15 +238,18 @@
   private noteEvent(nowMs: number, attempt: RunningAttempt): void {
     const { progress } = attempt;
     const wasSound = progress.isSound;
+    if (progress.firstEventAtMs === null) this.noteBegun(attempt);
     this.lastEventAtMs = nowMs;
-    if (progress.firstEventAtMs === null) this.noteBegun(attempt.run);
     attempt.noteEvent(nowMs, SOUND_STREAM_MS);
     if (progress.isSound && !wasSound) this.ctx.incidents.noteSound(this.identity);
   }
 
   /** Binds the stream to the version of the server that has sent an event of it. */
-  private noteBegun({ server }: Run): void {
+  private noteBegun(attempt: RunningAttempt): void {
     const { metadata } = this.request;
+    const { server } = attempt.run;
+    const isResumed = this.lastEventAtMs !== null || this.isTakeUp;
+    if (!isResumed) this.ctx.firstTokens.noteFirstToken(attempt);
     Object.assign(this.queuedRequest, { version: server.version });
     this.ctx.streams.noteBegun(metadata.begunBy ?? metadata.id, server);
   }
@@ -398,6 +399,7 @@
       this.ctx.view.ended(run);
       this.ctx.dispatcher.schedulePlacement();
     }
+    if (this.isUsable(result)) this.ctx.firstTokens.noteRun(attempt);
     await this.learnCause(attempt, result);
     return result;
   }
@@ -762,11 +764,9 @@
   }
 
   private recordFirstByte({ run, sentAtMs }: RunningAttempt): void {
-    const { metadata } = this.request;
     const nowMs = this.ctx.clock.steadyMs();
-    const tookMs = nowMs - sentAtMs;
-    const expectedMs = BASE_FIRST_BYTE_MS + (metadata.tokens?.prompt ?? 0) / PROMPT_TOKENS_PER_MS;
-    this.ctx.view.health.noteAnswer(nowMs, run.server.id, tookMs / expectedMs);
+    const ratio = (nowMs - sentAtMs) / usualFirstByteMs(this.request.metadata);
+    this.ctx.view.health.noteAnswer(nowMs, run.server.id, ratio);
     this.ctx.metrics.time('relay_first_byte', nowMs - this.request.arrivedAtMs, {
       customer: this.request.customer?.name ?? '',
     });
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -3,6 +3,7 @@
 import type { Candidate } from '../../decisions/engine-choice/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import { ServerHealth } from '../../decisions/server-health/index.js';
+import type { RunEstimate } from './first-tokens.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
 import type { PeerConnector } from './peer-connector.js';
@@ -37,6 +38,8 @@
 /** A request running on a server. */
 export interface Run extends Need {
   readonly server: BackendServer;
+  /** What was known of its time to the first token; undefined if it was not estimated. */
+  readonly estimate?: RunEstimate;
 }
 
 interface TimedLoad extends LoadView {
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -16,6 +16,7 @@
 import { ConnectionPool } from './connections.js';
 import type { RelayContext } from './context.js';
 import { Dispatcher } from './dispatch.js';
+import { FirstTokens } from './first-tokens.js';
 import { FleetView } from './fleet-view.js';
 import { type FleetChange, StoreWatcherTask } from './store-watcher.js';
 import { IncidentRecordTask } from './incident-record.js';
@@ -241,11 +242,18 @@
       if (statement.pauseMs !== null) view.notePause(server, statement.pauseMs);
     },
   });
+  const firstTokens = new FirstTokens({
+    dataCentre: vm.dataCentre,
+    clock,
+    logger: logger.child('first-tokens'),
+    metrics,
+  });
   const dispatcher = new Dispatcher({
     dataCentre: vm.dataCentre,
     storeWatcher,
     view,
     limits,
+    firstTokens,
     clock,
     random,
     onEnqueue: () => lateBound.reporter?.reportNow(),
@@ -371,6 +379,7 @@
     admission,
     dispatcher,
     view,
+    firstTokens,
     reachability,
     connections,
     peers,
@@ -425,6 +434,7 @@
       throttling.retain(storeWatcher.backends);
       reachability.noteServers(storeWatcher.backends);
       slots.retain(storeWatcher.backends);
+      firstTokens.retain(storeWatcher.backends);
       streams.noteServers(storeWatcher.backends);
       incidents.resolveIncidents();
     }
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -113,6 +113,7 @@
     },
     throttling: { noteSent: nothing, noteResponse: nothing },
     streams: { noteBegun: nothing },
+    firstTokens: { noteFirstToken: nothing, noteRun: nothing },
     clock: { steadyMs: () => performance.now() },
     dispatcher: {
       place: async (queued: QueuedRequest, tried: ReadonlySet<string>) => ({
--- a/test/units/relay/dispatch.test.ts
+++ b/test/units/relay/dispatch.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, test } from 'vitest';
 import { createRandom } from '../../../src/core/random/index.js';
 import type { QueuedRequest } from '../../../src/decisions/wait-list/index.js';
+import { createMetrics } from '../../../src/core/metrics/index.js';
+import { FirstTokens, type FirstTokensOptions } from '../../../src/entry/relay/first-tokens.js';
 import { Dispatcher, type DispatchOptions } from '../../../src/entry/relay/dispatch.js';
 import { createBackendServer } from './backend-server.js';
 
@@ -23,12 +25,19 @@
     },
   };
   const limits = { requestPermits: nothing, take: nothing, requestProbe: nothing };
+  const clock = { steadyMs: () => 0 };
+  const firstTokens = new FirstTokens({
+    dataCentre: 'a',
+    clock,
+    metrics: createMetrics(),
+  } as unknown as FirstTokensOptions);
   const dispatcher = new Dispatcher({
     dataCentre: 'a',
     storeWatcher: { backends: new Map([[SERVER_ID, createBackendServer(SERVER_ID)]]) },
     view,
     limits,
-    clock: { steadyMs: () => 0 },
+    clock,
+    firstTokens,
     random: createRandom(1),
     onEnqueue: nothing,
   } as unknown as DispatchOptions);
--- a/test/units/relay/exchange.test.ts
+++ b/test/units/relay/exchange.test.ts
@@ -57,6 +57,7 @@
     incidents: { isRefused: () => false, watch: () => () => undefined },
     reachability: { isReached: async () => true },
     throttling: { noteSent: () => undefined, noteResponse: () => undefined },
+    firstTokens: { noteFirstToken: () => undefined, noteRun: () => undefined },
     clock: { steadyMs: () => NOW_MS },
     dispatcher: { place: async () => ({ run: null, retryAfterMs: 100 }), cancel: () => undefined },
     metrics: { count: () => undefined, time: () => undefined },
