Choice of servers by kept prompts

Cause: a server that holds the beginning of a prompt answers sooner, but the choice did not know of it. Of the Prompt-Prefix header only the ids were decoded.

Change: src/decisions/prompt-cache keeps a bounded index per server of the beginnings that it has processed for this VM, by service, model and adapter, evicted by least recent use within the server's memory and dropped at a restart or unload. Among servers that are equal within the time that would be saved, all VMs prefer the same one by rendezvous hashing. The saving is weighed in ms against the wait; without a learnt pace, servers are chosen by load alone.

--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -11,6 +11,8 @@
  * broke off is never rejected at once, since a cut does not tell its caller when to retry.
  */
 
+import type { Prompt } from '../prompt-cache/index.js';
+
 /** A request that is queued on an entry VM. */
 export interface QueuedRequest {
   readonly id: string;
@@ -27,8 +29,8 @@
   readonly objectiveAtMs: number;
   /** Time at which the caller or the route times out unless a first byte has been sent. */
   readonly deadlineAtMs: number;
-  /** Prompt tokens; undefined if the request does not declare them. */
-  readonly promptTokens?: number;
+  /** Undefined if the request does not declare its prompt. */
+  readonly prompt?: Prompt;
 }
 
 /** Fraction of the time budget after which a queued request is rejected. */
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -196,17 +196,18 @@
 
   private tryPlace(request: QueuedRequest, tried: ReadonlySet<string>): Run | null {
     const { dataCentre, storeWatcher, random, view, limits, firstTokens } = this.opts;
-    const candidates = firstTokens.describe(view.candidates(request));
+    const { prompt } = request;
+    const candidates = firstTokens.describe(view.candidates(request), prompt);
     const pace = firstTokens.pace(request.service);
-    const chosen = chooseServer(candidates, { dataCentre, tried, random, pace });
+    const chosen = chooseServer(candidates, { dataCentre, tried, random, pace, prompt });
     const server: BackendServer | undefined =
-      chosen === null ? undefined : storeWatcher.backends.get(chosen.id);
+      chosen === null ? undefined : storeWatcher.backends.get(chosen.server.id);
     if (chosen === null || server === undefined) return null;
     limits.take(server);
     this.probeThrottled(request, tried);
     const { service, model, adapter } = request;
-    const estimate = firstTokens.estimate(service, chosen, request.promptTokens ?? 0);
-    const run = { server, service, model, adapter, estimate };
+    const estimate = firstTokens.noteChoice(service, chosen, prompt);
+    const run = { server, service, model, adapter, estimate, prompt };
     view.started(run);
     return run;
   }
--- a/src/entry/relay/first-tokens.ts
+++ b/src/entry/relay/first-tokens.ts
@@ -5,10 +5,13 @@
 import type { Clock } from '../../core/clock/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
-import type { Candidate } from '../../decisions/engine-choice/index.js';
+import { type Candidate, type Choice, PromptReason } from '../../decisions/engine-choice/index.js';
 import { firstTokenMs, type Pace, PaceTable } from '../../decisions/first-token/index.js';
-import type { RequestMetadata } from './types.js';
+import { describePrompt, type Prompt } from '../../decisions/prompt-cache/index.js';
 import type { Run } from './fleet-view.js';
+import type { KeptPrompts } from './kept-prompts.js';
+import type { RoutedRequest } from './routed-request.js';
+import type { RequestMetadata } from './types.js';
 
 /** Expected time to the first byte of a request without a prompt while nothing is learnt, ms. */
 const BASE_FIRST_BYTE_MS = 20;
@@ -22,12 +25,23 @@
   return BASE_FIRST_BYTE_MS + (tokens?.prompt ?? 0) / PROMPT_TOKENS_PER_MS;
 }
 
+/** The prompt of a request; undefined if it declares none, or needs no model. */
+export function promptOf({
+  metadata,
+  service,
+}: Pick<RoutedRequest, 'metadata' | 'service'>): Prompt | undefined {
+  const { model, adapter, tokens, promptSegments, segmentTokens = [] } = metadata;
+  if (model === null || (tokens === null && segmentTokens.length === 0)) return undefined;
+  const segments = promptSegments.map((id, i) => ({ id, tokens: segmentTokens[i] ?? null }));
+  return describePrompt([service, model, adapter], segments, tokens?.prompt ?? null);
+}
+
 /** What was known of a run when its server was chosen. */
 export interface RunEstimate {
   /** Running requests per slot, this one included. */
   readonly utilisation: number;
-  /** Prompt tokens that the server has to process. */
-  readonly newTokens: number;
+  /** Prompt tokens that the server has to process; null if that is uncertain. */
+  readonly newTokens: number | null;
   /** Expected time to the first token, ms; null if the pace was unknown. */
   readonly expectedMs: number | null;
 }
@@ -37,6 +51,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  readonly prompts: KeptPrompts;
 }
 
 /** A run and when its request was sent. */
@@ -63,7 +78,14 @@
   }
 
   /** Adds to candidates what is learnt of them. */
-  describe<T extends Candidate>(candidates: readonly T[]): readonly T[] {
+  describe<T extends Candidate>(
+    candidates: readonly T[],
+    prompt: Prompt | undefined,
+  ): readonly T[] {
+    return this.opts.prompts.describe(this.withSpeeds(candidates), prompt);
+  }
+
+  private withSpeeds<T extends Candidate>(candidates: readonly T[]): readonly T[] {
     const nowMs = this.opts.clock.steadyMs();
     const ratios = this.paces.speedRatios(
       nowMs,
@@ -73,14 +95,22 @@
     return candidates.map((one) => ({ ...one, speedRatio: ratios.get(one.id) ?? 1 }));
   }
 
-  /** The estimate for a request that is sent to a server now. */
-  estimate(service: string, server: Candidate, newTokens: number): RunEstimate {
+  /** Records the choice of a server for a request that is sent now; returns its estimate. */
+  noteChoice(
+    service: string,
+    { server, promptReason }: Choice<Candidate>,
+    prompt: Prompt | undefined,
+  ): RunEstimate {
+    this.opts.prompts.noteChoice(service, prompt, promptReason);
     const pace = this.paces.pace(service);
-    const { speedRatio = 1 } = server;
+    const { speedRatio = 1, keptTokens = 0 } = server;
+    const newTokens = (prompt?.tokens ?? 0) - keptTokens;
     const state = { ...server, speedRatio, newTokens };
+    // Whether other entry VMs have had such prompts processed there is not known.
+    const isCertain = promptReason !== PromptReason.preferred;
     return {
       utilisation: (server.running + 1) / server.slots,
-      newTokens,
+      newTokens: isCertain ? newTokens : null,
       expectedMs: pace === null ? null : firstTokenMs(state, pace, this.opts.dataCentre),
     };
   }
@@ -90,15 +120,22 @@
     const { estimate, server, service } = run;
     // The time of a service without models does not depend on a prompt.
     if (estimate === undefined || run.model === null) return;
+    this.opts.prompts.noteProcessed(run);
     const nowMs = this.opts.clock.steadyMs();
     const tookMs = nowMs - sentAtMs;
-    const { expectedMs } = estimate;
+    const { expectedMs, utilisation, newTokens } = estimate;
     if (expectedMs !== null) {
       this.opts.metrics.time('relay_first_token_expected', expectedMs, { service });
       this.opts.metrics.time('relay_first_token_actual', tookMs, { service });
       this.opts.metrics.time('relay_first_token_error', Math.abs(tookMs - expectedMs), { service });
     }
-    this.paces.noteFirstToken(nowMs, service, { ...estimate, server: server.id, tookMs });
+    if (newTokens === null) return;
+    this.paces.noteFirstToken(nowMs, service, {
+      server: server.id,
+      utilisation,
+      newTokens,
+      tookMs,
+    });
     this.logPace(nowMs, service, tookMs, expectedMs);
   }
 
@@ -111,6 +148,7 @@
   /** Removes what is known of servers that no longer exist. */
   retain(servers: Pick<ReadonlyMap<string, unknown>, 'has'>): void {
     this.paces.retain(servers);
+    this.opts.prompts.retain(servers);
   }
 
   private logPace(nowMs: number, service: string, tookMs: number, expectedMs: number | null): void {
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../../core/clock/index.js';
 import type { Candidate } from '../../decisions/engine-choice/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
+import type { Prompt } from '../../decisions/prompt-cache/index.js';
 import { ServerHealth } from '../../decisions/server-health/index.js';
 import type { RunEstimate } from './first-tokens.js';
 import type { StoreWatcherTask } from './store-watcher.js';
@@ -40,6 +41,10 @@
   readonly server: BackendServer;
   /** What was known of its time to the first token; undefined if it was not estimated. */
   readonly estimate?: RunEstimate;
+  /** Undefined if the request does not declare its prompt. */
+  readonly prompt?: Prompt;
+  /** Tokens that it may need at the server: prompt and largest output; undefined if unknown. */
+  readonly tokens?: number;
 }
 
 interface TimedLoad extends LoadView {
--- a/src/entry/relay/types.ts
+++ b/src/entry/relay/types.ts
@@ -21,6 +21,8 @@
   readonly tokens: { readonly prompt: number; readonly output: number } | null;
   /** Ids of the prompt's segments, in order. */
   readonly promptSegments: readonly string[];
+  /** Tokens of each of them; null for a segment whose tokens the request does not declare. */
+  readonly segmentTokens?: readonly (number | null)[];
   /** Id of the last event that the caller received in an earlier attempt; null for a new stream. */
   readonly lastEventId: string | null;
   /** Id of the attempt that brought the stream's first event; null if the caller names none. */
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -21,6 +21,7 @@
 import { type FleetChange, StoreWatcherTask } from './store-watcher.js';
 import { IncidentRecordTask } from './incident-record.js';
 import { IncidentTask } from './incidents.js';
+import { KeptPrompts } from './kept-prompts.js';
 import { LeaseTask } from './lease-task.js';
 import { LoopDelayTask } from './loop-delay.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
@@ -242,11 +243,18 @@
       if (statement.pauseMs !== null) view.notePause(server, statement.pauseMs);
     },
   });
+  const prompts = new KeptPrompts({
+    metrics,
+    servers: () => storeWatcher.backends,
+    memoryTokens: (service) => storeWatcher.plan?.services.get(service)?.engine?.kvTokens ?? 0,
+    members: () => view.members,
+  });
   const firstTokens = new FirstTokens({
     dataCentre: vm.dataCentre,
     clock,
     logger: logger.child('first-tokens'),
     metrics,
+    prompts,
   });
   const dispatcher = new Dispatcher({
     dataCentre: vm.dataCentre,
@@ -277,6 +285,7 @@
         break;
       case RelayMessageType.view:
         view.applyView(message);
+        prompts.noteEngines(message.engines);
         retries.noteMembers(message.members);
         connections.noteMembers(message.members);
         if (message.peers !== null) peers.setPeers(message.peers);
--- a/test/units/first-token/first-token.test.ts
+++ b/test/units/first-token/first-token.test.ts
@@ -50,7 +50,7 @@
         slowness: random.int(0, 5) === 0 ? 2 + random.real() : 1,
       }));
       const context = { dataCentre: 'a', tried: NONE, random: chosen };
-      return expect(chooseServer(candidates, context)?.id).toBe(
+      return expect(chooseServer(candidates, context)?.server.id).toBe(
         chooseByLoad(candidates, () => expected.real()),
       );
     });
@@ -68,7 +68,8 @@
         slowness: 1,
       }));
       const chosen = chooseServer(candidates, { dataCentre: 'a', tried: NONE, random });
-      running[Number(chosen?.id)] = (running[Number(chosen?.id)] ?? 0) + 1;
+      const at = Number(chosen?.server.id);
+      running[at] = (running[at] ?? 0) + 1;
       return chosen;
     });
     expect(Math.max(...running) - Math.min(...running)).toBeLessThanOrEqual(1);
--- a/test/units/platform/headers.test.ts
+++ b/test/units/platform/headers.test.ts
@@ -68,6 +68,14 @@
     });
   });
 
+  test('names the segments of its prompt, with null for tokens that are no number', () => {
+    const prompt = 'a:172, b:x,,c, d:40';
+    expect(wire.decodeRequest([...raw, 'Prompt-Prefix', prompt])).toMatchObject({
+      promptSegments: ['a', 'b', 'c', 'd'],
+      segmentTokens: [172, null, null, 40],
+    });
+  });
+
   test('names the attempt that began its stream, if it does, and is still the same request', () => {
     const takenUp = [...raw, 'Last-Event-Id', '3', 'Resumes', 'r0'];
     expect(wire.decodeRequest(takenUp)).toMatchObject({ begunBy: 'r0', lastEventId: '3' });
--- a/test/units/relay/dispatch.test.ts
+++ b/test/units/relay/dispatch.test.ts
@@ -3,6 +3,7 @@
 import type { QueuedRequest } from '../../../src/decisions/wait-list/index.js';
 import { createMetrics } from '../../../src/core/metrics/index.js';
 import { FirstTokens, type FirstTokensOptions } from '../../../src/entry/relay/first-tokens.js';
+import { KeptPrompts } from '../../../src/entry/relay/kept-prompts.js';
 import { Dispatcher, type DispatchOptions } from '../../../src/entry/relay/dispatch.js';
 import { createBackendServer } from './backend-server.js';
 
@@ -30,6 +31,12 @@
     dataCentre: 'a',
     clock,
     metrics: createMetrics(),
+    prompts: new KeptPrompts({
+      metrics: createMetrics(),
+      servers: () => new Map(),
+      memoryTokens: () => 0,
+      members: () => 1,
+    }),
   } as unknown as FirstTokensOptions);
   const dispatcher = new Dispatcher({
     dataCentre: 'a',
