Servers get no requests beyond their memory, as far as reports tell

Cause: a model engine crashes when the requests that it holds need more tokens than it has memory for. The choice of servers counted requests only.

Change: the tokens that running requests may need (prompt and largest output) are summed over all entry VMs by server, through the optional fields report.running[].tokens and view.tokens. A server gets no request that does not fit beside these and a reserve for requests that are not reported yet. Without a steward, a VM uses its part of the memory. A request that needs more than any server has is refused at once with 413 RequestTooLarge. Requests of earlier builds, which tell no tokens, count with the average of the others; a field that cannot be read leaves what was known. Metrics relay_server_tokens and relay_memory_full_total.

--- a/src/core/errors/errors-data.ts
+++ b/src/core/errors/errors-data.ts
@@ -50,6 +50,13 @@
   message: (detail) => `The body is larger than ${detail} bytes.`,
   hint: 'Shorten the prompt or split the request.',
 };
+export const RequestTooLarge: ErrorDefinition = {
+  name: 'RequestTooLarge',
+  title: 'The request needs more tokens than a server has.',
+  status: 413,
+  message: () => 'Prompt and maximum output exceed the memory of a server.',
+  hint: 'Shorten the prompt or ask for less output.',
+};
 export const MemoryFull: ErrorDefinition = {
   name: 'MemoryFull',
   title: 'The memory for request bodies is in use.',
--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -31,6 +31,8 @@
   readonly deadlineAtMs: number;
   /** Undefined if the request does not declare its prompt. */
   readonly prompt?: Prompt;
+  /** Tokens that it may need at a server: prompt and largest output; undefined if unknown. */
+  readonly tokens?: number;
 }
 
 /** Fraction of the time budget after which a queued request is rejected. */
--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -31,6 +31,7 @@
 import { Exchange } from './exchange.js';
 import { RequestTurns } from './request-turns.js';
 import { type RoutedRequest, timeLimitMs } from './routed-request.js';
+import { isTooLarge, tokensOf } from './server-tokens.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { RequestMetadata } from './types.js';
 
@@ -338,6 +339,10 @@
       this.sendRefusal(res, metadata.id, refusal(errors.data.NoCapacity, UNREADY_RETRY_MS));
       return;
     }
+    if (isTooLarge(checked.plan, service, tokensOf(metadata, checked.customer))) {
+      this.sendRefusal(res, metadata.id, refusal(errors.data.RequestTooLarge));
+      return;
+    }
     const exchange = new Exchange(this.opts.ctx, { ...received, ...checked, service });
     this.exchanges.add(exchange);
     try {
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -14,6 +14,7 @@
 import type { FleetView, Run } from './fleet-view.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { RelayMessageOf } from './messages.js';
+import type { ServerTokens } from './server-tokens.js';
 import { CapacityNeeds, type RequestLimits } from './request-limits.js';
 
 /** A run at a backend server, or a rejection with the time after which the caller should retry. */
@@ -36,6 +37,7 @@
   readonly view: FleetView;
   readonly limits: RequestLimits;
   readonly firstTokens: FirstTokens;
+  readonly memory: Pick<ServerTokens, 'withRoom'>;
   readonly clock: Clock;
   readonly random: Random;
   /** Called when a request is queued. */
@@ -195,9 +197,10 @@
   }
 
   private tryPlace(request: QueuedRequest, tried: ReadonlySet<string>): Run | null {
-    const { dataCentre, storeWatcher, random, view, limits, firstTokens } = this.opts;
-    const { prompt } = request;
-    const candidates = firstTokens.describe(view.candidates(request), prompt);
+    const { dataCentre, storeWatcher, random, view, limits, firstTokens, memory } = this.opts;
+    const { prompt, tokens } = request;
+    const withRoom = memory.withRoom(request.service, view.candidates(request), tokens);
+    const candidates = firstTokens.describe(withRoom, prompt);
     const pace = firstTokens.pace(request.service);
     const chosen = chooseServer(candidates, { dataCentre, tried, random, pace, prompt });
     const server: BackendServer | undefined =
@@ -207,7 +210,7 @@
     this.probeThrottled(request, tried);
     const { service, model, adapter } = request;
     const estimate = firstTokens.noteChoice(service, chosen, prompt);
-    const run = { server, service, model, adapter, estimate, prompt };
+    const run = { server, service, model, adapter, estimate, prompt, tokens };
     view.started(run);
     return run;
   }
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -234,6 +234,11 @@
     return this.usageTracker.runningAt(engineId);
   }
 
+  /** Tokens that the running requests of all entry VMs may need at an engine. */
+  tokensAt(engineId: string): number {
+    return this.usageTracker.tokensAt(engineId);
+  }
+
   /** Loads in progress or queued for the weight store, each with its expected remaining time. */
   loads(nowMs: number): LoadView[] {
     const healthy = [...this.engines.values()].filter((engine) => this.isHealthy(engine));
--- a/src/entry/relay/exchange.ts
+++ b/src/entry/relay/exchange.ts
@@ -19,7 +19,7 @@
 import { AttemptRace, type FinishedAttempt, RunningAttempt, Superseded } from './attempt-race.js';
 import type { RelayContext } from './context.js';
 import { EventSplitter } from './event-stream.js';
-import { promptOf, usualFirstByteMs } from './first-tokens.js';
+import { sizeOf, usualFirstByteMs } from './first-tokens.js';
 import type { Run } from './fleet-view.js';
 import { type RoutedRequest, timeLimitMs } from './routed-request.js';
 import type { HeldResponse } from './response-memory.js';
@@ -63,7 +63,7 @@
     arrivedAtMs,
     objectiveAtMs: arrivedAtMs + route.objectiveMs,
     deadlineAtMs: Math.min(deadlineAtMs, arrivedAtMs + route.callerTimeoutMs),
-    prompt: promptOf(request),
+    ...sizeOf(request),
   };
 }
 
--- a/src/entry/relay/first-tokens.ts
+++ b/src/entry/relay/first-tokens.ts
@@ -8,9 +8,11 @@
 import { type Candidate, type Choice, PromptReason } from '../../decisions/engine-choice/index.js';
 import { firstTokenMs, type Pace, PaceTable } from '../../decisions/first-token/index.js';
 import { describePrompt, type Prompt } from '../../decisions/prompt-cache/index.js';
+import type { QueuedRequest } from '../../decisions/wait-list/index.js';
 import type { Run } from './fleet-view.js';
 import type { KeptPrompts } from './kept-prompts.js';
 import type { RoutedRequest } from './routed-request.js';
+import { tokensOf } from './server-tokens.js';
 import type { RequestMetadata } from './types.js';
 
 /** Expected time to the first byte of a request without a prompt while nothing is learnt, ms. */
@@ -26,7 +28,7 @@
 }
 
 /** The prompt of a request; undefined if it declares none, or needs no model. */
-export function promptOf({
+function promptOf({
   metadata,
   service,
 }: Pick<RoutedRequest, 'metadata' | 'service'>): Prompt | undefined {
@@ -36,6 +38,11 @@
   return describePrompt([service, model, adapter], segments, tokens?.prompt ?? null);
 }
 
+/** Prompt and tokens of a request, as far as it declares them. */
+export function sizeOf(request: RoutedRequest): Pick<QueuedRequest, 'prompt' | 'tokens'> {
+  return { prompt: promptOf(request), tokens: tokensOf(request.metadata, request.customer) };
+}
+
 /** What was known of a run when its server was chosen. */
 export interface RunEstimate {
   /** Running requests per slot, this one included. */
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -9,6 +9,7 @@
 import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
 import type { PeerConnector } from './peer-connector.js';
 import type { RequestLimits } from './request-limits.js';
+import type { ServerTokens } from './server-tokens.js';
 
 /**
  * Bounds of a not-loaded pause, ms. The pause starts when a server replies that a model or adapter
@@ -69,7 +70,7 @@
   private memberCount = 1;
 
   /** Running requests of this entry VM, by server, model and adapter. */
-  private readonly runs = new Map<string, { run: Run; count: number }>();
+  private readonly runs = new Map<string, { run: Run; count: number; tokens: number }>();
 
   /** Number of running requests of this entry VM, by server. */
   private readonly runningLocally = new Map<string, number>();
@@ -98,6 +99,11 @@
       PeerConnector,
       'canReach' | 'isUnreachable' | 'unreachableServers'
     >,
+    /** Tokens that running requests may need, by server. */
+    private readonly tokens: Pick<
+      ServerTokens,
+      'applyView' | 'noteEnded' | 'noteReported' | 'noteStarted'
+    >,
   ) {}
 
   get members(): number {
@@ -113,6 +119,7 @@
     }
     Object.entries(view.running).forEach(([id, count]) => this.runningInFleet.set(id, count));
     view.engines.forEach((engine) => this.engineViews.set(engine.id, engine));
+    this.tokens.applyView(view);
     this.memberCount = view.members;
     this.loads = view.loads.map((load) => ({ ...load, readyAtMs: nowMs + load.readyInMs }));
   }
@@ -197,8 +204,9 @@
 
   started(run: Run): void {
     const key = runKey(run);
-    const entry = this.runs.get(key) ?? { run, count: 0 };
+    const entry = this.runs.get(key) ?? { run, count: 0, tokens: 0 };
     entry.count += 1;
+    entry.tokens += this.tokens.noteStarted(run);
     this.runs.set(key, entry);
     const { id } = run.server;
     const running = this.runningLocally.get(id) ?? 0;
@@ -211,6 +219,7 @@
     const entry = this.runs.get(key);
     if (entry === undefined) return;
     entry.count -= 1;
+    entry.tokens -= this.tokens.noteEnded(run);
     if (entry.count === 0) this.runs.delete(key);
     this.limits.noteEnded(run.server);
     const { id } = run.server;
@@ -221,11 +230,12 @@
 
   /** Running requests of this entry VM, for the report to the steward. */
   running(): RelayMessageOf<'report'>['running'] {
-    return [...this.runs.values()].map(({ run, count }) => ({
+    return [...this.runs.values()].map(({ run, count, tokens }) => ({
       server: run.server.id,
       model: run.model,
       adapter: run.adapter,
       running: count,
+      ...(run.model === null ? {} : { tokens }),
     }));
   }
 
@@ -277,6 +287,7 @@
   /** Records that the numbers of running requests were reported to the steward. */
   noteReported(): void {
     this.runningReported = new Map(this.runningLocally);
+    this.tokens.noteReported();
   }
 
   /** Healthy servers that have loaded what the request needs, throttled ones included. */
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -63,6 +63,8 @@
   model: z.string().nullable(),
   adapter: z.string().nullable(),
   running: z.int(),
+  /** Tokens that they may need: prompts and largest outputs. Earlier builds don't tell it. */
+  tokens: z.int().nonnegative().optional().catch(undefined),
 });
 
 /** Requests admitted for a model since the last report. */
@@ -241,6 +243,8 @@
     engines: z.array(engineViewSchema),
     /** Running requests of all entry VMs by engine; only engines whose number changed. */
     running: z.record(z.string(), z.int()),
+    /** Tokens that these requests may need, by engine; only of engines in `running`. */
+    tokens: z.record(z.string(), z.int().nonnegative()).optional().catch(undefined),
     loads: z.array(loadViewSchema),
     /** Number of entry VMs connected to the steward. */
     members: z.int(),
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -76,6 +76,8 @@
   readonly sentEngines: Map<string, string>;
   /** Number of running requests last sent for each engine. */
   readonly sentRunning: Map<string, number>;
+  /** Their tokens last sent. */
+  readonly sentTokens: Map<string, number>;
   sentRunningAtMs: number;
   /** Models and adapters of the loads last sent, joined. */
   sentLoads: string;
@@ -351,6 +353,7 @@
       sentAtMs: -Infinity,
       sentEngines: new Map(),
       sentRunning: new Map(),
+      sentTokens: new Map(),
       sentRunningAtMs: -Infinity,
       sentLoads: '',
       sentLeaseVersion: 0,
@@ -675,6 +678,7 @@
     const changed = engines.filter(({ id }) => member.sentEngines.get(id) !== engineTexts.get(id));
     const isDue = nowMs - member.sentAtMs >= MAX_UPDATE_PAUSE_MS;
     const running = this.changedRunning(nowMs, member, engines);
+    const tokens = running.map(([id]) => [id, this.engineController?.tokensAt(id) ?? 0] as const);
     const arePeersNew = member.sentPeers !== peersText;
     const isUnchanged =
       !arePeersNew && changed.length === 0 && running.length === 0 && member.sentLoads === loadsKey;
@@ -685,6 +689,7 @@
       whole,
       engines: whole ? [...engines] : changed,
       running: Object.fromEntries(running),
+      tokens: Object.fromEntries(tokens),
       loads,
       members: [...this.members].filter(({ vm }) => vm !== null).length,
       mayUseReserve: member.mayUseReserve,
@@ -694,6 +699,7 @@
     if (!sent) return;
     changed.forEach(({ id }) => member.sentEngines.set(id, engineTexts.get(id) ?? ''));
     running.forEach(([id, count]) => member.sentRunning.set(id, count));
+    tokens.forEach(([id, count]) => member.sentTokens.set(id, count));
     Object.assign(member, { sentLoads: loadsKey, sentPeers: peersText, sentAtMs: nowMs });
   }
 
@@ -706,7 +712,11 @@
     if (nowMs - member.sentRunningAtMs < messageIntervalMs(this.members.size)) return [];
     const counts = engines
       .map(({ id }) => [id, this.engineController?.runningAt(id) ?? 0] as const)
-      .filter(([id, count]) => count !== (member.sentRunning.get(id) ?? 0));
+      .filter(
+        ([id, count]) =>
+          count !== (member.sentRunning.get(id) ?? 0) ||
+          (this.engineController?.tokensAt(id) ?? 0) !== (member.sentTokens.get(id) ?? 0),
+      );
     if (counts.length > 0) Object.assign(member, { sentRunningAtMs: nowMs });
     return counts;
   }
--- a/src/entry/relay/usage-tracker.ts
+++ b/src/entry/relay/usage-tracker.ts
@@ -39,6 +39,29 @@
   }
 }
 
+/**
+ * Tokens that the running requests may need, by server. Requests of earlier builds, which tell none, count
+ * with the average of the others.
+ */
+function sumTokens(reports: readonly RelayMessageOf<'report'>[]): ReadonlyMap<string, number> {
+  const entries = reports
+    .flatMap(({ running }) => running)
+    .filter(({ model, running }) => model !== null && running > 0);
+  const told = entries.filter(({ tokens }) => tokens !== undefined);
+  const toldTokens = told.reduce((sum, { tokens = 0 }) => sum + tokens, 0);
+  const meanTokens =
+    toldTokens /
+    Math.max(
+      1,
+      told.reduce((sum, { running }) => sum + running, 0),
+    );
+  const byServer = new Map<string, number>();
+  entries.forEach(({ server, running, tokens = Math.round(running * meanTokens) }) =>
+    byServer.set(server, (byServer.get(server) ?? 0) + tokens),
+  );
+  return byServer;
+}
+
 export class UsageTracker {
   private readonly recentRates = new RateAverages(RATE_WINDOW_MS);
 
@@ -53,6 +76,9 @@
   /** Running requests per server, per model on a server, and per adapter of a model on a server. */
   private running = new Map<string, number>();
 
+  /** Tokens that running requests may need, per server. */
+  private tokens: ReadonlyMap<string, number> = new Map();
+
   /** When requests were last running, keyed like `running`. */
   private readonly usedAtMs = new Map<string, number>();
 
@@ -83,6 +109,12 @@
       }),
     );
     this.running = next;
+    this.tokens = sumTokens(reports);
+  }
+
+  /** Tokens that the running requests of all entry VMs may need at a server. */
+  tokensAt(serverId: string): number {
+    return this.tokens.get(serverId) ?? 0;
   }
 
   runningAt(serverId: string): number {
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -36,6 +36,7 @@
 import { StewardLink } from './steward-link.js';
 import { StreamRecordTask } from './stream-record.js';
 import { StreamVersionsTask } from './stream-versions.js';
+import { memoryTokens, ServerTokens } from './server-tokens.js';
 import { ServerSlotsTask } from './server-slots.js';
 import { ThrottlingTask } from './throttling.js';
 import type { PlatformWire } from './types.js';
@@ -94,6 +95,7 @@
     dispatcher?: Dispatcher;
     reporter?: ReporterTask;
     view?: FleetView;
+    firstTokens?: FirstTokens;
     link?: StewardLink;
     steward?: StewardTask;
     reachability?: ReachabilityTask;
@@ -205,7 +207,15 @@
     isPartitioned: (service) => lateBound.reachability?.isPartitioned(service) === true,
     noteConnectFailure,
   });
-  const view = new FleetView(storeWatcher, clock, isStewardConnected, limits, peers);
+  const memoryTokensOf = (service: string) => memoryTokens(storeWatcher.plan, service);
+  const tokens = new ServerTokens({
+    metrics,
+    memoryTokens: memoryTokensOf,
+    isStewardConnected,
+    members: () => lateBound.view?.members ?? 1,
+    runMs: (service) => lateBound.firstTokens?.runMs(service) ?? null,
+  });
+  const view = new FleetView(storeWatcher, clock, isStewardConnected, limits, peers, tokens);
   lateBound.view = view;
   // Idle connections may have broken in the partition, which would be seen by requests only.
   const noteReachable = (service: string) => {
@@ -246,7 +256,7 @@
   const prompts = new KeptPrompts({
     metrics,
     servers: () => storeWatcher.backends,
-    memoryTokens: (service) => storeWatcher.plan?.services.get(service)?.engine?.kvTokens ?? 0,
+    memoryTokens: memoryTokensOf,
     members: () => view.members,
   });
   const firstTokens = new FirstTokens({
@@ -256,12 +266,14 @@
     metrics,
     prompts,
   });
+  lateBound.firstTokens = firstTokens;
   const dispatcher = new Dispatcher({
     dataCentre: vm.dataCentre,
     storeWatcher,
     view,
     limits,
     firstTokens,
+    memory: tokens,
     clock,
     random,
     onEnqueue: () => lateBound.reporter?.reportNow(),
--- a/test/units/relay/dispatch.test.ts
+++ b/test/units/relay/dispatch.test.ts
@@ -45,6 +45,7 @@
     limits,
     clock,
     firstTokens,
+    memory: { withRoom: (_service: string, servers: unknown) => servers },
     random: createRandom(1),
     onEnqueue: nothing,
   } as unknown as DispatchOptions);
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -1,5 +1,6 @@
 /** How an entry VM applies the steward's `view` messages to its choice of servers. */
 import { describe, expect, test } from 'vitest';
+import { createMetrics } from '../../../src/core/metrics/index.js';
 import { FleetView } from '../../../src/entry/relay/fleet-view.js';
 import type { StoreWatcherTask } from '../../../src/entry/relay/store-watcher.js';
 import {
@@ -7,6 +8,7 @@
   relayMessageSchema,
   RelayMessageType,
 } from '../../../src/entry/relay/messages.js';
+import { ServerTokens } from '../../../src/entry/relay/server-tokens.js';
 import { createBackendServer } from './backend-server.js';
 
 const SERVER = createBackendServer('s1');
@@ -45,6 +47,13 @@
     steadyMs: () => times.nowMs,
     onJump: () => undefined,
   };
+  const tokens = new ServerTokens({
+    metrics: createMetrics(),
+    memoryTokens: () => 1_000,
+    isStewardConnected: () => steward.connected,
+    members: () => 2,
+    runMs: () => null,
+  });
   const view = new FleetView(
     storeWatcher as unknown as StoreWatcherTask,
     clock,
@@ -56,8 +65,10 @@
       noteEnded: () => undefined,
     },
     { canReach: () => false, isUnreachable: () => false, unreachableServers: () => [] },
+    tokens,
   );
-  return { view, steward, times };
+
+  return { view, tokens, steward, times };
 }
 
 describe('loads that the steward announces', () => {
@@ -125,6 +136,41 @@
   });
 });
 
+describe('the tokens of running requests', () => {
+  const running = (count: number) => [{ id: SERVER.id, running: count }];
+
+  test('of all entry VMs bound what a server gets, and are not counted twice', () => {
+    const { view, tokens } = setUp(true);
+    const run = { ...NEED, server: SERVER, tokens: 300 };
+    view.started(run);
+    expect(view.running()).toMatchObject([{ running: 1, tokens: 300 }]);
+    view.noteReported();
+    view.applyView({ ...LOADED_VIEW, running: { s1: 2 }, tokens: { s1: 500 } });
+    expect(tokens.withRoom(NEED.service, running(0), 400)).toHaveLength(1);
+    expect(tokens.withRoom(NEED.service, running(0), 401)).toHaveLength(0);
+    view.ended(run);
+    expect(tokens.withRoom(NEED.service, running(0), 700)).toHaveLength(1);
+  });
+
+  test('of this entry VM alone are counted without a steward, against its part', () => {
+    const { view, tokens, steward } = setUp(true);
+    view.applyView({ ...LOADED_VIEW, tokens: { s1: 900 } });
+    expect(tokens.withRoom(NEED.service, running(0), 100)).toHaveLength(0);
+    steward.connected = false;
+    view.started({ ...NEED, server: SERVER, tokens: 100 });
+    expect(tokens.withRoom(NEED.service, running(1), 350)).toHaveLength(1);
+    expect(tokens.withRoom(NEED.service, running(1), 351)).toHaveLength(0);
+  });
+
+  test('that cannot be read leave those of the last message', () => {
+    const { view, tokens } = setUp(true);
+    view.applyView({ ...LOADED_VIEW, tokens: { s1: 900 } });
+    const unreadable = { ...viewOf(), tokens: { s1: 'many' } };
+    view.applyView(relayMessageSchema.parse(unreadable) as RelayMessageOf<'view'>);
+    expect(tokens.withRoom(NEED.service, running(0), 100)).toHaveLength(0);
+  });
+});
+
 describe('the first report of a process', () => {
   test('does not name engines that have sent nothing, which the steward could not decode', () => {
     const models = [{ name: 'm1', version: 1, adapters: [] }];
