Permits for requests that could exceed a server's memory

Cause: VMs learn of each other's requests from reports, 60 ms and more late.

The steward counts a permit until a report that was sent after the permit arrived (report.memorySeen). An earlier steward is not waited for: then a reserve is kept, as before.

--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -12,6 +12,7 @@
 } from '../../decisions/wait-list/index.js';
 import type { FirstTokens } from './first-tokens.js';
 import type { FleetView, Run } from './fleet-view.js';
+import type { MemoryPermits } from './memory-permits.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { RelayMessageOf } from './messages.js';
 import type { ServerTokens } from './server-tokens.js';
@@ -37,7 +38,8 @@
   readonly view: FleetView;
   readonly limits: RequestLimits;
   readonly firstTokens: FirstTokens;
-  readonly memory: Pick<ServerTokens, 'withRoom'>;
+  readonly memory: Pick<ServerTokens, 'memoryOf' | 'withRoom'>;
+  readonly memoryPermits: Pick<MemoryPermits, 'mustWait'>;
   readonly clock: Clock;
   readonly random: Random;
   /** Called when a request is queued. */
@@ -196,16 +198,36 @@
     return waitMs === null ? null : nowMs + waitMs;
   }
 
-  private tryPlace(request: QueuedRequest, tried: ReadonlySet<string>): Run | null {
+  /** Places a waiting request at a server whose memory the steward has reserved for it. */
+  placeWithPermit(requestId: string, serverId: string): void {
+    const entry = this.waiting.get(requestId);
+    if (entry === undefined) return;
+    const run = this.tryPlace(entry.request, entry.tried, serverId);
+    if (run === null) return;
+    this.waiting.delete(requestId);
+    entry.settle({ run, retryAfterMs: null });
+  }
+
+  /** @param permittedId Server whose memory is reserved for the request; null if there is none. */
+  private tryPlace(
+    request: QueuedRequest,
+    tried: ReadonlySet<string>,
+    permittedId: string | null = null,
+  ): Run | null {
     const { dataCentre, storeWatcher, random, view, limits, firstTokens, memory } = this.opts;
     const { prompt, tokens } = request;
-    const withRoom = memory.withRoom(request.service, view.candidates(request), tokens);
+    const possible = view.candidates(request);
+    const withRoom =
+      permittedId === null
+        ? memory.withRoom(request.service, possible, tokens)
+        : possible.filter(({ id }) => id === permittedId);
     const candidates = firstTokens.describe(withRoom, prompt);
     const pace = firstTokens.pace(request.service);
     const chosen = chooseServer(candidates, { dataCentre, tried, random, pace, prompt });
     const server: BackendServer | undefined =
       chosen === null ? undefined : storeWatcher.backends.get(chosen.server.id);
     if (chosen === null || server === undefined) return null;
+    if (permittedId === null && this.mustWait(request, server.id)) return null;
     limits.take(server);
     this.probeThrottled(request, tried);
     const { service, model, adapter } = request;
@@ -215,6 +237,13 @@
     return run;
   }
 
+  /** Whether the request has to wait for the steward's permit to fill the memory of a server. */
+  private mustWait({ id, service, tokens: needTokens }: QueuedRequest, serverId: string): boolean {
+    const { memory, memoryPermits } = this.opts;
+    const { tokens, ...known } = memory.memoryOf(service, serverId, needTokens);
+    return memoryPermits.mustWait(id, serverId, tokens, known);
+  }
+
   /** Asks for permits of throttled servers, for requests that show whether their limits hold. */
   private probeThrottled(request: QueuedRequest, tried: ReadonlySet<string>): void {
     const { view, limits } = this.opts;
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -32,6 +32,8 @@
   ...RelayedMessageType,
   slotNeeds: 'slot-needs',
   slots: 'slots',
+  memoryAsk: 'memory-ask',
+  memoryReply: 'memory-reply',
 } as const;
 
 /** An entry VM's share of a customer's rate limit, and the customer's demand at this VM. */
@@ -208,6 +210,8 @@
     leaving: z.boolean(),
     /** Whether the sender uses slots of brittle servers; older stewards don't read `knownTypes`. */
     usesSlots: z.boolean().default(false),
+    /** Highest `askId` of the `memory-reply` messages that the sender has handled. */
+    memorySeen: z.int().nonnegative().optional().catch(undefined),
     /** Message types that the sender understands, in the first report on a connection. */
     knownTypes: z.array(z.string()).nullable().default(null),
   }),
@@ -361,6 +365,21 @@
     /** By server, the time for which it gets no request, ms. */
     pauses: z.record(z.string(), z.number()).default({}),
   }),
+  /** Asks whether a request may be sent to a server without exceeding its memory. */
+  z.object({
+    type: z.literal(RelayMessageType.memoryAsk),
+    askId: z.int().positive(),
+    serverId: z.string(),
+    tokens: z.int().nonnegative(),
+  }),
+  /** Reply to `memory-ask`. */
+  z.object({
+    type: z.literal(RelayMessageType.memoryReply),
+    askId: z.int().positive(),
+    serverId: z.string(),
+    tokens: z.int().nonnegative(),
+    isGranted: z.boolean(),
+  }),
 ] as const;
 
 export const relayMessageSchema = z.discriminatedUnion('type', schemas);
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -36,6 +36,8 @@
   planVersion(): number;
   /** Number of entry VMs connected to the steward. */
   members(): number;
+  /** Highest request for a memory permit whose answer was handled. */
+  memorySeen(): number;
   isStopping(): boolean;
 }
 
@@ -135,6 +137,7 @@
       partitioned: [...this.opts.reachability.partitionedServices()],
       leaving: this.opts.isStopping(),
       usesSlots: true,
+      memorySeen: this.opts.memorySeen(),
       knownTypes: this.hasNamedTypes ? null : [...OWN_TYPES],
     };
     if (!this.opts.link.send(message)) return;
--- a/src/entry/relay/server-tokens.ts
+++ b/src/entry/relay/server-tokens.ts
@@ -9,6 +9,7 @@
 } from '../../decisions/server-memory/index.js';
 import type { Run } from './fleet-view.js';
 import { messageIntervalMs } from './intervals.js';
+import type { MemoryPermits } from './memory-permits.js';
 import type { RelayMessageOf } from './messages.js';
 import type { RequestMetadata } from './types.js';
 
@@ -40,6 +41,8 @@
 }
 
 export interface ServerTokensOptions {
+  /** Permits of the steward for requests that could exceed a server's memory. */
+  readonly permits: Pick<MemoryPermits, 'areIssued' | 'isRefused'>;
   readonly metrics: Metrics;
   /** Memory of each server of a service, in tokens; 0 if it is unknown. */
   memoryTokens(service: string): number;
@@ -103,6 +106,12 @@
     });
   }
 
+  /** Memory of a server, and what a request would need there, in tokens. */
+  memoryOf(service: string, id: string, needTokens: number | undefined) {
+    const { usedTokens, capacityTokens } = this.stateOf(id, this.opts.memoryTokens(service));
+    return { usedTokens, capacityTokens, tokens: needTokens ?? Math.round(this.meanTokens) };
+  }
+
   /** The servers into which a request fits. */
   withRoom<T extends Pick<Candidate, 'id' | 'running'>>(
     service: string,
@@ -114,7 +123,8 @@
     const size = needTokens ?? Math.round(this.meanTokens);
     const unseen = this.unseen(service, servers, size);
     const stateOf = ({ id }: T) => this.stateOf(id, capacityTokens);
-    const withRoom = serversWithRoom(servers, size, unseen, stateOf);
+    const allowed = servers.filter(({ id }) => !this.opts.permits.isRefused(id, size));
+    const withRoom = serversWithRoom(allowed, size, unseen, stateOf);
     if (withRoom.length === 0 && servers.length > 0) {
       this.opts.metrics.count('relay_memory_full_total', { service });
     }
@@ -130,8 +140,9 @@
     servers: readonly Pick<Candidate, 'id' | 'running'>[],
     needTokens: number,
   ): UnseenRequests {
+    const { permits, isStewardConnected } = this.opts;
     // Without a steward, each entry VM has its own part of the memory.
-    if (!this.opts.isStewardConnected()) return { count: 0, tokens: 0 };
+    if (permits.areIssued || !isStewardConnected()) return { count: 0, tokens: 0 };
     const delayMs = 2 * messageIntervalMs(this.opts.members());
     const runMs = this.opts.runMs(service) ?? DEFAULT_RUN_MS;
     const running = servers.reduce((sum, server) => sum + server.running, 0);
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -20,6 +20,8 @@
 import type { StoreWatcherTask } from './store-watcher.js';
 import { IncidentPublisher } from './incident-publisher.js';
 import type { IncidentTask } from './incidents.js';
+import { MemoryService } from './memory-service.js';
+import { memoryTokens } from './server-tokens.js';
 import type { PeerRelay } from './peer-relay.js';
 import { PermitService } from './permit-service.js';
 import type { ServerSlotsTask } from './server-slots.js';
@@ -143,6 +145,8 @@
 
   private slotService: SlotService | null = null;
 
+  private memoryService: MemoryService | null = null;
+
   private readonly serverListCache = new ServerListCache();
 
   /** Fencing token under which this VM acts as steward; 0 while it does not. */
@@ -432,6 +436,9 @@
       case RelayMessageType.permitRequest:
         this.permitService?.handleRequest(nowMs, member, message);
         break;
+      case RelayMessageType.memoryAsk:
+        this.memoryService?.handleAsk(nowMs, member, message);
+        break;
       case RelayMessageType.permitReturn:
         this.permitService?.handleReturn(nowMs, message);
         break;
@@ -452,6 +459,7 @@
     if (member.vm === null) this.sendAllStreams(member);
     Object.assign(member, { vm: report.vm, report, reportedAtMs: this.opts.clock.nowMs() });
     this.engineController?.addReport(nowMs, report);
+    this.memoryService?.handleReport(member, report);
     const { lender } = this;
     if (lender === null) return;
     if (report.leaving && report.shares.length === 0) {
@@ -604,6 +612,11 @@
       members: this.members,
     });
     this.slotService = new SlotService(nowMs, { slots: this.opts.slots, members: this.members });
+    this.memoryService = new MemoryService(nowMs, {
+      members: this.members,
+      servers: () => storeWatcher.backends,
+      memoryTokens: (service) => memoryTokens(storeWatcher.plan, service),
+    });
     const { issuer } = this.permitService;
     this.engineController = new EngineController({
       vm,
@@ -623,6 +636,7 @@
     this.engineController = null;
     this.permitService = null;
     this.slotService = null;
+    this.memoryService = null;
     this.members.forEach(({ link }) => link.close());
     this.members.clear();
   }
--- a/src/entry/relay/usage-tracker.ts
+++ b/src/entry/relay/usage-tracker.ts
@@ -43,7 +43,9 @@
  * Tokens that the running requests may need, by server. Requests of earlier builds, which tell none, count
  * with the average of the others.
  */
-function sumTokens(reports: readonly RelayMessageOf<'report'>[]): ReadonlyMap<string, number> {
+export function tokensByServer(
+  reports: readonly RelayMessageOf<'report'>[],
+): ReadonlyMap<string, number> {
   const entries = reports
     .flatMap(({ running }) => running)
     .filter(({ model, running }) => model !== null && running > 0);
@@ -109,7 +111,7 @@
       }),
     );
     this.running = next;
-    this.tokens = sumTokens(reports);
+    this.tokens = tokensByServer(reports);
   }
 
   /** Tokens that the running requests of all entry VMs may need at a server. */
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -24,6 +24,7 @@
 import { KeptPrompts } from './kept-prompts.js';
 import { LeaseTask } from './lease-task.js';
 import { LoopDelayTask } from './loop-delay.js';
+import { MemoryPermits } from './memory-permits.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
 import { PeerConnector } from './peer-connector.js';
 import { PeerRelay } from './peer-relay.js';
@@ -208,12 +209,20 @@
     noteConnectFailure,
   });
   const memoryTokensOf = (service: string) => memoryTokens(storeWatcher.plan, service);
+  const memoryPermits = new MemoryPermits({
+    clock,
+    metrics,
+    isStewardConnected,
+    send: (message) => lateBound.link?.send(message) === true,
+    place: (requestId, serverId) => lateBound.dispatcher?.placeWithPermit(requestId, serverId),
+  });
   const tokens = new ServerTokens({
     metrics,
     memoryTokens: memoryTokensOf,
     isStewardConnected,
     members: () => lateBound.view?.members ?? 1,
     runMs: (service) => lateBound.firstTokens?.runMs(service) ?? null,
+    permits: memoryPermits,
   });
   const view = new FleetView(storeWatcher, clock, isStewardConnected, limits, peers, tokens);
   lateBound.view = view;
@@ -274,6 +283,7 @@
     limits,
     firstTokens,
     memory: tokens,
+    memoryPermits,
     clock,
     random,
     onEnqueue: () => lateBound.reporter?.reportNow(),
@@ -337,6 +347,9 @@
         slots.handleSlots(message);
         dispatcher.schedulePlacement();
         break;
+      case RelayMessageType.memoryReply:
+        memoryPermits.handleReply(message);
+        break;
       case RelayMessageType.permits:
         throttling.handlePermits(message);
         dispatcher.schedulePlacement();
@@ -353,6 +366,7 @@
       incidents.sendAll();
       throttling.sendAll();
       slots.handleConnected();
+      memoryPermits.reset();
       streams.sendAll();
       lateBound.steward?.sendPendingRenewal();
     },
@@ -373,6 +387,7 @@
     clock,
     planVersion: () => storeWatcher.planVersion,
     members: () => view.members,
+    memorySeen: () => memoryPermits.seen,
     isStopping,
   });
   lateBound.reporter = reporter;
--- a/test/units/relay/dispatch.test.ts
+++ b/test/units/relay/dispatch.test.ts
@@ -45,7 +45,8 @@
     limits,
     clock,
     firstTokens,
-    memory: { withRoom: (_service: string, servers: unknown) => servers },
+    memory: { withRoom: (_service: string, servers: unknown) => servers, memoryOf: () => ({}) },
+    memoryPermits: { mustWait: () => false },
     random: createRandom(1),
     onEnqueue: nothing,
   } as unknown as DispatchOptions);
--- a/test/units/relay/fleet-view.test.ts
+++ b/test/units/relay/fleet-view.test.ts
@@ -53,6 +53,7 @@
     isStewardConnected: () => steward.connected,
     members: () => 2,
     runMs: () => null,
+    permits: { areIssued: false, isRefused: () => false },
   });
   const view = new FleetView(
     storeWatcher as unknown as StoreWatcherTask,
