Queued requests wait by a forecast of free slots

Cause: queued requests were refused after fixed fractions of their time (0.45, or 0.7 beside a load), whatever was queued and running, with a fixed Retry-After of 1 s. A VM did not know of more urgent requests that waited elsewhere.

Change: the time until a slot is free is forecast from the running requests, their learnt duration and the requests ahead over all VMs. A request waits while it can still be served in time, and is refused at once, with the forecast time, when it cannot. Where nothing is known, the fixed fractions remain.

--- a/src/decisions/engine-choice/index.ts
+++ b/src/decisions/engine-choice/index.ts
@@ -56,6 +56,11 @@
 /** Smallest saving for which servers are preferred, ms. */
 const MIN_SAVED_MS = 1;
 
+/** Number of requests that a server may run at once. */
+export function usableSlots({ slots }: Pick<Candidate, 'slots'>): number {
+  return Math.max(1, Math.ceil(slots * MAX_UTILISATION));
+}
+
 /** Whether a server may get one more request. */
 export function hasSlot({ running, slots }: Pick<Candidate, 'running' | 'slots'>): boolean {
   return running < Math.max(1, slots * MAX_UTILISATION);
--- a/src/decisions/wait-list/index.ts
+++ b/src/decisions/wait-list/index.ts
@@ -13,6 +13,8 @@
 
 import type { Prompt } from '../prompt-cache/index.js';
 
+export { type QueueState, slotWaitMs } from './forecast.js';
+
 /** A request that is queued on an entry VM. */
 export interface QueuedRequest {
   readonly id: string;
@@ -39,6 +41,9 @@
 const MAX_WAIT_FRACTION = 0.45;
 /** Fraction of the time budget within which a load must end for a request to wait for it. */
 const MAX_LOAD_FRACTION = 0.7;
+/** Time that is left for the first token after a slot is free: a fraction of the budget, and at most, ms. */
+const RESERVED_FRACTION = 0.1;
+const MAX_RESERVED_MS = 300;
 /** Minimum retry delay, ms. */
 const MIN_RETRY_MS = 250;
 /** Retry delay if no load of the model or adapter is in progress or queued, ms. */
@@ -60,18 +65,27 @@
    * is unknown.
    */
   readonly permitAtMs: number | null;
+  /** Expected time of a free slot at a server that has it loaded; null or undefined if unknown. */
+  readonly slotAtMs?: number | null;
 }
 
 /** Returns the time at which a request that is still queued is rejected. */
 export function rejectAtMs(
   req: QueuedRequest,
-  { readyAtMs, isLoaded, permitAtMs }: TargetAvailability,
+  { readyAtMs, isLoaded, permitAtMs, slotAtMs = null }: TargetAvailability,
 ): number {
   const budgetMs = req.deadlineAtMs - req.arrivedAtMs;
   const waitUntilMs = req.arrivedAtMs + budgetMs * MAX_WAIT_FRACTION;
   const waitForLoadUntilMs = req.arrivedAtMs + budgetMs * MAX_LOAD_FRACTION;
   if (req.isInterrupted) return waitForLoadUntilMs;
   if (permitAtMs !== null && permitAtMs > req.objectiveAtMs) return req.arrivedAtMs;
+  if (slotAtMs !== null && isLoaded) {
+    // Late is better than not at all: the request waits while it can still be served in time.
+    const lastMs = req.deadlineAtMs - Math.min(MAX_RESERVED_MS, budgetMs * RESERVED_FRACTION);
+    // A load that ends in time brings more slots than the forecast knows of.
+    const firstMs = Math.min(slotAtMs, readyAtMs ?? Infinity);
+    return firstMs <= lastMs ? lastMs : req.arrivedAtMs;
+  }
   if (readyAtMs === null) return waitUntilMs;
   if (readyAtMs <= waitForLoadUntilMs) return waitForLoadUntilMs;
   return isLoaded ? waitUntilMs : req.arrivedAtMs;
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -1,7 +1,12 @@
 /** Queues requests until a backend server can run them; rejects those that can't run in time. */
 import type { Clock } from '../../core/clock/index.js';
 import type { Random } from '../../core/random/index.js';
-import { chooseServer } from '../../decisions/engine-choice/index.js';
+import {
+  type Candidate,
+  chooseServer,
+  hasSlot,
+  usableSlots,
+} from '../../decisions/engine-choice/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import {
   byUrgency,
@@ -10,6 +15,8 @@
   retryAfterMs,
   type QueuedRequest,
 } from '../../decisions/wait-list/index.js';
+import { addCounts, FleetQueues } from './fleet-queues.js';
+import { QueueForecast } from './queue-forecast.js';
 import type { FirstTokens } from './first-tokens.js';
 import type { FleetView, Run } from './fleet-view.js';
 import type { MemoryPermits } from './memory-permits.js';
@@ -26,6 +33,8 @@
 interface QueueEntry {
   readonly request: QueuedRequest;
   readonly tried: ReadonlySet<string>;
+  /** Whether the servers that have what it needs lack a free slot. */
+  isSlotBound: boolean;
   settle(placement: Placement): void;
 }
 
@@ -51,6 +60,8 @@
 
   private readonly expectedRetries = new ExpectedRetries();
 
+  private readonly fleetQueues = new FleetQueues();
+
   private timer: NodeJS.Timeout | null = null;
 
   private isScheduled = false;
@@ -75,7 +86,7 @@
     const run = this.placeNow(request, tried);
     if (run !== null) return Promise.resolve({ run, retryAfterMs: null });
     return new Promise((resolve) => {
-      this.waiting.set(request.id, { request, tried, settle: resolve });
+      this.waiting.set(request.id, { request, tried, isSlotBound: false, settle: resolve });
       const needs = new CapacityNeeds(this.opts.dataCentre);
       this.addNeeds(needs, request, tried);
       this.opts.limits.requestPermits(needs, false);
@@ -111,22 +122,28 @@
     const nowMs = this.opts.clock.steadyMs();
     const byPriority = [...this.waiting.values()].sort((a, b) => byUrgency(a.request, b.request));
     const needs = new CapacityNeeds(this.opts.dataCentre);
-    byPriority.forEach((entry) => this.placeOrReject(nowMs, entry, needs));
+    const forecast = new QueueForecast({
+      fleetQueues: this.fleetQueues,
+      runMs: (service) => this.opts.firstTokens.runMs(service),
+    });
+    byPriority.forEach((entry) => this.placeOrReject(nowMs, entry, needs, forecast));
     this.opts.limits.requestPermits(needs, true);
   }
 
   /** Counts queued requests and expected retries by what they need, for the report. */
   waits(): RelayMessageOf<'report'>['waits'] {
     const nowMs = this.opts.clock.steadyMs();
-    const waiting = [...this.waiting.values()].map(({ request }) => ({
+    const waiting = [...this.waiting.values()].map(({ request, isSlotBound }) => ({
       ...request,
       dueAtMs: request.objectiveAtMs,
+      byPriority: isSlotBound ? { [request.priority]: 1 } : {},
     }));
     const expected = this.expectedRetries
       .all(nowMs)
-      .map((retry) => ({ ...retry, dueAtMs: retry.atMs }));
+      .map((retry) => ({ ...retry, dueAtMs: retry.atMs, byPriority: {} }));
     const groups = new Map<string, RelayMessageOf<'report'>['waits'][number]>();
-    [...waiting, ...expected].forEach(({ service, model, adapter, version, dueAtMs }) => {
+    [...waiting, ...expected].forEach((wait) => {
+      const { service, model, adapter, version, dueAtMs } = wait;
       if (model === null) return;
       const key = JSON.stringify([service, model, adapter, version]);
       const before = groups.get(key);
@@ -136,21 +153,34 @@
         adapter,
         version,
         waiting: (before?.waiting ?? 0) + 1,
+        byPriority: addCounts(before?.byPriority ?? {}, wait.byPriority),
         dueInMs: Math.min(before?.dueInMs ?? Infinity, dueAtMs - nowMs),
       });
     });
     return [...groups.values()];
   }
 
+  /** Applies what a `view` message tells of the queues of all entry VMs. */
+  applyQueues(view: RelayMessageOf<'view'>): void {
+    this.fleetQueues.applyView(view);
+  }
+
+  /** Records that these queues were reported to the steward. */
+  noteReported(waits: RelayMessageOf<'report'>['waits']): void {
+    this.fleetQueues.noteReported(waits);
+  }
+
   /**
    * Places a queued request, or rejects it once it can no longer be served in time.
    * @param needs What the queued requests need; updated.
    */
   private placeOrReject(
     nowMs: number,
-    { request, tried, settle }: QueueEntry,
+    entry: QueueEntry,
     needs: CapacityNeeds,
+    forecast: QueueForecast,
   ): void {
+    const { request, tried, settle } = entry;
     const run = this.tryPlace(request, tried);
     if (run !== null) {
       this.waiting.delete(request.id);
@@ -160,13 +190,17 @@
     const readyAtMs = this.opts.view.readyAtMs(request);
     const isLoaded = this.opts.view.isLoaded(request);
     const permitAtMs = this.permitAtMs(nowMs, request, this.addNeeds(needs, request, tried));
-    if (nowMs < rejectAtMs(request, { readyAtMs, isLoaded, permitAtMs })) return;
+    const servers = this.opts.view.candidates(request).filter(({ id }) => !tried.has(id));
+    Object.assign(entry, { isSlotBound: servers.length > 0 && !servers.some(hasSlot) });
+    const waitMs = forecast.waitMs(request, servers);
+    const slotAtMs = waitMs === null ? null : nowMs + waitMs;
+    if (nowMs < rejectAtMs(request, { readyAtMs, isLoaded, permitAtMs, slotAtMs })) return;
     this.waiting.delete(request.id);
     const { service, model, adapter, version } = request;
     if (readyAtMs !== null && !isLoaded) {
       this.expectedRetries.note({ service, model, adapter, version, atMs: readyAtMs });
     }
-    settle({ run: null, retryAfterMs: retryAfterMs(nowMs, readyAtMs ?? permitAtMs) });
+    settle({ run: null, retryAfterMs: retryAfterMs(nowMs, readyAtMs ?? permitAtMs ?? slotAtMs) });
   }
 
   /**
@@ -223,6 +257,7 @@
         : possible.filter(({ id }) => id === permittedId);
     const candidates = firstTokens.describe(withRoom, prompt);
     const pace = firstTokens.pace(request.service);
+    if (permittedId === null && !this.mayGoFirst(request, candidates)) return null;
     const chosen = chooseServer(candidates, { dataCentre, tried, random, pace, prompt });
     const server: BackendServer | undefined =
       chosen === null ? undefined : storeWatcher.backends.get(chosen.server.id);
@@ -237,6 +272,21 @@
     return run;
   }
 
+  /** Whether a slot is left beside those for more urgent requests at other entry VMs. */
+  private mayGoFirst(
+    { service, model, adapter, priority }: QueuedRequest,
+    candidates: readonly Candidate[],
+  ): boolean {
+    if (model === null) return true;
+    const urgent = this.fleetQueues.moreUrgent({ service, model, adapter }, priority);
+    if (urgent === 0) return true;
+    const free = candidates.reduce(
+      (sum, server) => sum + Math.max(0, usableSlots(server) - server.running),
+      0,
+    );
+    return free > urgent;
+  }
+
   /** Whether the request has to wait for the steward's permit to fill the memory of a server. */
   private mustWait({ id, service, tokens: needTokens }: QueuedRequest, serverId: string): boolean {
     const { memory, memoryPermits } = this.opts;
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -55,10 +55,20 @@
   /** Software version of the servers that may run them; null for any. */
   version: z.string().nullable().default(null),
   waiting: z.int(),
+  /** Those of them that wait for a free slot now, by priority. Earlier builds don't tell it. */
+  byPriority: z.record(z.string(), z.int().nonnegative()).optional().catch(undefined),
   /** Time until the first request misses its objective, ms; relative, since VM clocks differ. */
   dueInMs: z.number(),
 });
 
+/** Requests that wait for a free slot at all entry VMs, by priority; no priorities if there are none. */
+const modelQueueSchema = z.object({
+  service: z.string(),
+  model: z.string(),
+  adapter: z.string().nullable(),
+  byPriority: z.record(z.string(), z.int().nonnegative()),
+});
+
 /** Running requests of an entry VM on one server with the same model and adapter. */
 const runningRequestsSchema = z.object({
   server: z.string(),
@@ -250,6 +260,8 @@
     /** Tokens that these requests may need, by engine; only of engines in `running`. */
     tokens: z.record(z.string(), z.int().nonnegative()).optional().catch(undefined),
     loads: z.array(loadViewSchema),
+    /** Requests that wait at all entry VMs; only queues that changed. */
+    queues: z.array(modelQueueSchema).optional().catch(undefined),
     /** Number of entry VMs connected to the steward. */
     members: z.int(),
     /** Whether the receiver may send requests to throttled servers without a steward. */
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -148,5 +148,6 @@
     this.sentAtMs = nowMs;
     if (isReachedDue) this.reachedSentAtMs = nowMs;
     this.opts.view.noteReported();
+    this.opts.dispatcher.noteReported(queued);
   }
 }
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -20,6 +20,7 @@
 import type { StoreWatcherTask } from './store-watcher.js';
 import { IncidentPublisher } from './incident-publisher.js';
 import type { IncidentTask } from './incidents.js';
+import { type ModelQueue, QueuePublisher, sumQueues } from './fleet-queues.js';
 import { MemoryService } from './memory-service.js';
 import { memoryTokens } from './server-tokens.js';
 import type { PeerRelay } from './peer-relay.js';
@@ -80,6 +81,8 @@
   readonly sentRunning: Map<string, number>;
   /** Their tokens last sent. */
   readonly sentTokens: Map<string, number>;
+  /** Finds the queues that changed since the last message to it. */
+  readonly queues: QueuePublisher;
   sentRunningAtMs: number;
   /** Models and adapters of the loads last sent, joined. */
   sentLoads: string;
@@ -147,6 +150,9 @@
 
   private memoryService: MemoryService | null = null;
 
+  /** Requests that wait at all entry VMs, as of the last reports. */
+  private queues: readonly ModelQueue[] = [];
+
   private readonly serverListCache = new ServerListCache();
 
   /** Fencing token under which this VM acts as steward; 0 while it does not. */
@@ -358,6 +364,7 @@
       sentEngines: new Map(),
       sentRunning: new Map(),
       sentTokens: new Map(),
+      queues: new QueuePublisher(),
       sentRunningAtMs: -Infinity,
       sentLoads: '',
       sentLeaseVersion: 0,
@@ -655,6 +662,8 @@
     const loadsKey = loads
       .map(({ service, model, adapter }) => `${service}/${model}/${adapter}`)
       .join();
+    const reports = [...this.members].flatMap(({ report }) => report ?? []);
+    this.queues = sumQueues(reports.flatMap(({ waits }) => waits));
     const peers = this.peers();
     const peersText = JSON.stringify(peers);
     [...this.members].forEach((member, at) =>
@@ -698,6 +707,7 @@
       !arePeersNew && changed.length === 0 && running.length === 0 && member.sentLoads === loadsKey;
     if (isUnchanged && !isDue) return;
     const whole = member.sentEngines.size === 0;
+    const queues = member.queues.changes(nowMs, this.queues);
     const sent = member.link.send({
       type: RelayMessageType.view,
       whole,
@@ -705,6 +715,7 @@
       running: Object.fromEntries(running),
       tokens: Object.fromEntries(tokens),
       loads,
+      queues,
       members: [...this.members].filter(({ vm }) => vm !== null).length,
       mayUseReserve: member.mayUseReserve,
       peers: arePeersNew ? peers : null,
@@ -714,6 +725,7 @@
     changed.forEach(({ id }) => member.sentEngines.set(id, engineTexts.get(id) ?? ''));
     running.forEach(([id, count]) => member.sentRunning.set(id, count));
     tokens.forEach(([id, count]) => member.sentTokens.set(id, count));
+    member.queues.noteSent(nowMs, queues);
     Object.assign(member, { sentLoads: loadsKey, sentPeers: peersText, sentAtMs: nowMs });
   }
 
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -308,6 +308,7 @@
       case RelayMessageType.view:
         view.applyView(message);
         prompts.noteEngines(message.engines);
+        dispatcher.applyQueues(message);
         retries.noteMembers(message.members);
         connections.noteMembers(message.members);
         if (message.peers !== null) peers.setPeers(message.peers);
--- a/test/units/relay/dispatch.test.ts
+++ b/test/units/relay/dispatch.test.ts
@@ -51,11 +51,11 @@
     onEnqueue: nothing,
   } as unknown as DispatchOptions);
   const placed: string[] = [];
-  const place = async (id: string, priority: number) => {
+  const place = async (id: string, priority: number, model: string | null = null) => {
     const request: QueuedRequest = {
       id,
       service: 'desk',
-      model: null,
+      model,
       adapter: null,
       version: null,
       isInterrupted: false,
@@ -98,6 +98,24 @@
     expect(placed).toEqual(['queued']);
   });
 
+  test('leaves a free slot to a more urgent request that waits at another entry VM', async () => {
+    const { dispatcher, state, place, placed, turn } = setUp();
+    const applyQueues = (byPriority: Record<string, number>) =>
+      dispatcher.applyQueues({
+        whole: false,
+        queues: [{ service: 'desk', model: 'm', adapter: null, byPriority }],
+      } as never);
+    applyQueues({ 0: 1 });
+    state.free = 2;
+    void place('patient', 3, 'm');
+    await place('urgent', 0, 'm');
+    expect(placed).toEqual(['urgent']);
+    applyQueues({});
+    dispatcher.schedulePlacement();
+    await turn();
+    expect(placed).toEqual(['urgent', 'patient']);
+  });
+
   test('does not delay a request that a server can run', async () => {
     const { state, place, placed } = setUp();
     state.free = 1;
--- a/test/units/wait-list/wait-list.test.ts
+++ b/test/units/wait-list/wait-list.test.ts
@@ -79,3 +79,25 @@
     expect(waitList.retryAfterMs(1_000, 1_010)).toBeGreaterThan(100);
   });
 });
+
+describe('the forecast of a free slot', () => {
+  const state = { usableSlots: 20, running: 20, runMs: 1_000, ahead: 0 };
+
+  test('counts the runs that must end first', () => {
+    expect(waitList.slotWaitMs(state)).toBe(50);
+    expect(waitList.slotWaitMs({ ...state, ahead: 9 })).toBe(500);
+    expect(waitList.slotWaitMs({ ...state, running: 10, ahead: 9 })).toBe(0);
+    expect(waitList.slotWaitMs({ ...state, runMs: null })).toBeNull();
+  });
+
+  test('lets a request wait while it can be served late, and else refuses it at once', () => {
+    const availability = { readyAtMs: null, isLoaded: true, permitAtMs: null };
+    const rejectAt = (slotAtMs: number | null, readyAtMs: number | null = null) =>
+      waitList.rejectAtMs(request({ arrivedAtMs: 0 }), { ...availability, readyAtMs, slotAtMs });
+    expect(rejectAt(1_700)).toBe(1_800);
+    expect(rejectAt(1_900)).toBe(0);
+    // A load that ends in time brings slots as well.
+    expect(rejectAt(1_900, 500)).toBe(1_800);
+    expect(rejectAt(null)).toBe(waitList.rejectAtMs(request({}), availability));
+  });
+});
