--- a/src/entry/relay/server-tokens.ts
+++ b/src/entry/relay/server-tokens.ts
@@ -29,9 +29,10 @@
   return customer?.countsTokens === true ? customer.defaultUnits : undefined;
 }
 
-/** Memory of each server of a service, in tokens; 0 if it is unknown. */
+/** Memory of each server of a service, in tokens; 0 if it is unknown or not limited. */
 export function memoryTokens(plan: FleetPlan | null, service: string): number {
-  return plan?.services.get(service)?.engine?.kvTokens ?? 0;
+  const tokens = plan?.services.get(service)?.engine?.kvTokens ?? 0;
+  return Number.isFinite(tokens) ? tokens : 0;
 }
 
 /** Whether a request needs more tokens than any server of the service has. */
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -438,8 +438,10 @@
     log: (event, id, fields) => logger.info(event, { id, ...fields }),
     reportException: (id, err) =>
       logger.error('handler-failed', { id, ...errors.describeWithStack(err) }),
-    sendLocalResponse: (res, id, failure, retryAfterMs) =>
-      sendLocalResponse(res, wire.localResponseHeaders(id), failure, retryAfterMs, stopping),
+    sendLocalResponse: (res, id, failure, retryAfterMs) => {
+      metrics.count('relay_local_responses_total', { reason: failure.name });
+      sendLocalResponse(res, wire.localResponseHeaders(id), failure, retryAfterMs, stopping);
+    },
   };
   const callerServer = new CallerServerTask({
     listen: listen.callers,
--- a/test/replay/queue-forecast.test.ts
+++ b/test/replay/queue-forecast.test.ts
@@ -55,7 +55,7 @@
   readonly firstMs: number;
 }
 
-function replay(usesForecast: boolean) {
+function replay(usesForecast: boolean, factor = BURST.factor) {
   const random = createRandom(2);
   const outcomes = {
     interactive: { inTime: 0, late: 0, refused: 0 },
@@ -87,7 +87,7 @@
     state.ends = state.ends.filter((endMs) => endMs > nowMs);
     const isBurst = nowMs >= BURST.fromS * 1_000 && nowMs < BURST.untilS * 1_000;
     [INTERACTIVE, PATIENT].forEach((of) => {
-      const perS = of.perS * (isBurst && of === PATIENT ? BURST.factor : 1);
+      const perS = of.perS * (isBurst && of === PATIENT ? factor : 1);
       if (random.real() < perS / 200) ask(nowMs, of, nowMs, false);
     });
     const due = state.returns.filter(({ atMs }) => atMs <= nowMs);
--- a/test/units/server-memory/server-memory.test.ts
+++ b/test/units/server-memory/server-memory.test.ts
@@ -3,7 +3,7 @@
 import { fits, serversWithRoom } from '../../../src/decisions/server-memory/index.js';
 import type { FleetPlan } from '../../../src/decisions/fleet-plan/index.js';
 import type { RelayMessageOf } from '../../../src/entry/relay/messages.js';
-import { isTooLarge, tokensOf } from '../../../src/entry/relay/server-tokens.js';
+import { isTooLarge, memoryTokens, tokensOf } from '../../../src/entry/relay/server-tokens.js';
 import { UsageTracker } from '../../../src/entry/relay/usage-tracker.js';
 
 const state = (usedTokens: number, sharers = 1) => ({
@@ -50,6 +50,14 @@
     expect(isTooLarge(plan, 'other', 1_001)).toBe(false);
   });
 
+  // The platform's configuration may omit the memory, which then is decoded as Infinity.
+  test('is not bounded by a memory that the configuration omits', () => {
+    const engine = { kvTokens: Infinity };
+    const plan = { services: new Map([['chat', { engine }]]) } as unknown as FleetPlan;
+    expect(memoryTokens(plan, 'chat')).toBe(0);
+    expect(isTooLarge(plan, 'chat', 1e9)).toBe(false);
+  });
+
   test('without a declared size counts with the units of its customer, if these are tokens', () => {
     const customer = { countsTokens: true, defaultUnits: 90 } as never;
     expect(tokensOf({ model: 'm', tokens: null }, customer)).toBe(90);
