--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -32,6 +32,7 @@
 import { Exchange } from './exchange.js';
 import { RequestTurns } from './request-turns.js';
 import { type RoutedRequest, timeLimitMs } from './routed-request.js';
+import { isTooLarge, tokensOf } from './server-tokens.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { RequestMetadata } from './types.js';
 
@@ -340,6 +341,10 @@
       this.sendRefusal(res, metadata.id, refusal(errors.data.NoCapacity, UNREADY_RETRY_MS));
       return;
     }
+    if (isTooLarge(checked.plan, service, tokensOf(metadata, checked.customer))) {
+      this.sendRefusal(res, metadata.id, refusal(errors.data.RequestTooLarge));
+      return;
+    }
     const dataCentres = this.opts.homes.dataCentresFor(checked.route, checked.customer);
     const exchange = new Exchange(this.opts.ctx, { ...received, ...checked, service, dataCentres });
     this.exchanges.add(exchange);
--- a/src/entry/relay/fleet-view.ts
+++ b/src/entry/relay/fleet-view.ts
@@ -3,11 +3,14 @@
 import type { Candidate } from '../../decisions/engine-choice/index.js';
 import type { BackendServer } from '../../decisions/fleet-plan/index.js';
 import { allows } from '../../decisions/homes/index.js';
+import type { Prompt } from '../../decisions/prompt-cache/index.js';
 import { ServerHealth } from '../../decisions/server-health/index.js';
+import type { RunEstimate } from './first-tokens.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { EngineView, LoadView, RelayMessageOf } from './messages.js';
 import type { PeerConnector } from './peer-connector.js';
 import type { RequestLimits } from './request-limits.js';
+import type { ServerTokens } from './server-tokens.js';
 
 /**
  * Bounds of a not-loaded pause, ms. The pause starts when a server replies that a model or adapter
@@ -40,6 +43,12 @@
 /** A request running on a server. */
 export interface Run extends Need {
   readonly server: BackendServer;
+  /** What was known of its time to the first token; undefined if it was not estimated. */
+  readonly estimate?: RunEstimate;
+  /** Undefined if the request does not declare its prompt. */
+  readonly prompt?: Prompt;
+  /** Tokens that it may need at the server: prompt and largest output; undefined if unknown. */
+  readonly tokens?: number;
 }
 
 interface TimedLoad extends LoadView {
@@ -64,7 +73,7 @@
   private memberCount = 1;
 
   /** Running requests of this entry VM, by server, model and adapter. */
-  private readonly runs = new Map<string, { run: Run; count: number }>();
+  private readonly runs = new Map<string, { run: Run; count: number; tokens: number }>();
 
   /** Number of running requests of this entry VM, by server. */
   private readonly runningLocally = new Map<string, number>();
@@ -93,6 +102,11 @@
       PeerConnector,
       'canReach' | 'isUnreachable' | 'unreachableServers'
     >,
+    /** Tokens that running requests may need, by server. */
+    private readonly tokens: Pick<
+      ServerTokens,
+      'applyView' | 'noteEnded' | 'noteReported' | 'noteStarted'
+    >,
     /** Whether requests with this need may be sent to the server, wherever it is. */
     private readonly mayServe: (server: BackendServer, need: Need) => boolean = () => true,
   ) {}
@@ -110,6 +124,7 @@
     }
     Object.entries(view.running).forEach(([id, count]) => this.runningInFleet.set(id, count));
     view.engines.forEach((engine) => this.engineViews.set(engine.id, engine));
+    this.tokens.applyView(view);
     this.memberCount = view.members;
     this.loads = view.loads.map((load) => ({ ...load, readyAtMs: nowMs + load.readyInMs }));
   }
@@ -197,8 +212,9 @@
 
   started(run: Run): void {
     const key = runKey(run);
-    const entry = this.runs.get(key) ?? { run, count: 0 };
+    const entry = this.runs.get(key) ?? { run, count: 0, tokens: 0 };
     entry.count += 1;
+    entry.tokens += this.tokens.noteStarted(run);
     this.runs.set(key, entry);
     const { id } = run.server;
     const running = this.runningLocally.get(id) ?? 0;
@@ -211,6 +227,7 @@
     const entry = this.runs.get(key);
     if (entry === undefined) return;
     entry.count -= 1;
+    entry.tokens -= this.tokens.noteEnded(run);
     if (entry.count === 0) this.runs.delete(key);
     this.limits.noteEnded(run.server);
     const { id } = run.server;
@@ -221,11 +238,12 @@
 
   /** Running requests of this entry VM, for the report to the steward. */
   running(): RelayMessageOf<'report'>['running'] {
-    return [...this.runs.values()].map(({ run, count }) => ({
+    return [...this.runs.values()].map(({ run, count, tokens }) => ({
       server: run.server.id,
       model: run.model,
       adapter: run.adapter,
       running: count,
+      ...(run.model === null ? {} : { tokens }),
     }));
   }
 
@@ -277,6 +295,7 @@
   /** Records that the numbers of running requests were reported to the steward. */
   noteReported(): void {
     this.runningReported = new Map(this.runningLocally);
+    this.tokens.noteReported();
   }
 
   /** Healthy servers that have loaded what the request needs, throttled ones included. */
--- a/src/entry/relay/member-updates.ts
+++ b/src/entry/relay/member-updates.ts
@@ -11,6 +11,7 @@
 import type { ControlTraffic } from './control-traffic.js';
 import type { EngineController } from './engine-controller.js';
 import type { IncidentTask } from './incidents.js';
+import { type ModelQueue, sumQueues } from './fleet-queues.js';
 import { messageIntervalMs } from './intervals.js';
 import { leaseMessageFor } from './lease-messages.js';
 import type { LeaseTask } from './lease-task.js';
@@ -52,6 +53,10 @@
   readonly engines: readonly EngineView[];
   readonly engineTexts: ReadonlyMap<string, string>;
   readonly running: ReadonlyMap<string, number>;
+  /** Tokens that running requests may need, by engine. */
+  readonly tokens: ReadonlyMap<string, number>;
+  /** Requests that wait at all entry VMs. */
+  readonly queues: readonly ModelQueue[];
   readonly loadsKey: string;
   readonly peers: View['peers'] & object;
   readonly peersText: string;
@@ -126,6 +131,8 @@
       engines,
       engineTexts: new Map(engines.map((engine) => [engine.id, JSON.stringify(engine)])),
       running: new Map(engines.map(({ id }) => [id, controller?.runningAt(id) ?? 0])),
+      tokens: new Map(engines.map(({ id }) => [id, controller?.tokensAt(id) ?? 0])),
+      queues: sumQueues(reports.flatMap(({ waits }) => waits)),
       loadsKey: loads.map(({ service, model, adapter }) => `${service}/${model}/${adapter}`).join(),
       peers,
       peersText: JSON.stringify(peers),
@@ -183,8 +190,19 @@
     const areLoadsNew = mayChange && member.sentLoads !== loadsKey;
     const isUnchanged = changed.length === 0 && running.length === 0 && !areLoadsNew;
     if (isUnchanged && nowMs - traffic.shownAtMs(member) < MAX_UPDATE_PAUSE_MS) return;
-    const message = { ...base, engines: changed, running: Object.fromEntries(running) };
-    if (!member.link.send({ ...message, mayUseReserve })) return;
+    const tokens = running.map(([id]) => [id, pass.tokens.get(id) ?? 0] as const);
+    const queues = mayChange ? member.queues.changes(nowMs, pass.queues) : [];
+    const sent = member.link.send({
+      ...base,
+      engines: changed,
+      running: Object.fromEntries(running),
+      tokens: Object.fromEntries(tokens),
+      queues,
+      mayUseReserve,
+    });
+    if (!sent) return;
+    tokens.forEach(([id, count]) => member.sentTokens.set(id, count));
+    member.queues.noteSent(nowMs, queues);
     changed.forEach(({ id }) => member.sentEngines.set(id, engineTexts.get(id) ?? ''));
     running.forEach(([id, count]) => member.sentRunning.set(id, count));
     if (running.length > 0) Object.assign(member, { sentRunningAtMs: nowMs });
@@ -193,11 +211,15 @@
 
   /** Changed numbers of running requests by engine, at an interval that grows with the fleet. */
   private changedRunning(
-    { nowMs, running }: Pass,
+    { nowMs, running, tokens }: Pass,
     member: Member,
   ): readonly (readonly [string, number])[] {
     if (nowMs - member.sentRunningAtMs < messageIntervalMs(this.opts.members.size)) return [];
-    return [...running].filter(([id, count]) => count !== (member.sentRunning.get(id) ?? 0));
+    return [...running].filter(
+      ([id, count]) =>
+        count !== (member.sentRunning.get(id) ?? 0) ||
+        (tokens.get(id) ?? 0) !== (member.sentTokens.get(id) ?? 0),
+    );
   }
 
   private sendFullList(pass: Pass, member: Member, list: FullList): void {
@@ -221,16 +243,18 @@
   }
 
   private sendFullView(pass: Pass, member: Member): void {
-    const { nowMs, base, engines, engineTexts, running, loadsKey } = pass;
+    const { nowMs, base, engines, engineTexts, running, tokens, loadsKey } = pass;
     const { mayUseReserve } = member;
     const message = MemberUpdates.share(pass, `view ${mayUseReserve}`, () => ({
       ...base,
       whole: true,
       engines: [...engines],
       running: Object.fromEntries(running),
+      tokens: Object.fromEntries(tokens),
       mayUseReserve,
     }));
     if (!member.link.sendShared(message)) return;
+    tokens.forEach((count, id) => member.sentTokens.set(id, count));
     member.pendingLists.delete(FullList.view);
     engineTexts.forEach((text, id) => member.sentEngines.set(id, text));
     running.forEach((count, id) => member.sentRunning.set(id, count));
--- a/src/entry/relay/messages.ts
+++ b/src/entry/relay/messages.ts
@@ -34,6 +34,8 @@
   slots: 'slots',
   confirm: 'confirm',
   packed: 'packed',
+  memoryAsk: 'memory-ask',
+  memoryReply: 'memory-reply',
 } as const;
 
 /** An entry VM's share of a customer's rate limit, and the customer's demand at this VM. */
@@ -57,16 +59,28 @@
   /** Data centres of the servers that may run them; for any if there is no list. */
   dataCentres: z.array(z.string()).optional(),
   waiting: z.int(),
+  /** Those of them that wait for a free slot now, by priority. Earlier builds don't tell it. */
+  byPriority: z.record(z.string(), z.int().nonnegative()).optional().catch(undefined),
   /** Time until the first request misses its objective, ms; relative, since VM clocks differ. */
   dueInMs: z.number(),
 });
 
+/** Requests that wait for a free slot at all entry VMs, by priority; no priorities if there are none. */
+const modelQueueSchema = z.object({
+  service: z.string(),
+  model: z.string(),
+  adapter: z.string().nullable(),
+  byPriority: z.record(z.string(), z.int().nonnegative()),
+});
+
 /** Running requests of an entry VM on one server with the same model and adapter. */
 const runningRequestsSchema = z.object({
   server: z.string(),
   model: z.string().nullable(),
   adapter: z.string().nullable(),
   running: z.int(),
+  /** Tokens that they may need: prompts and largest outputs. Earlier builds don't tell it. */
+  tokens: z.int().nonnegative().optional().catch(undefined),
 });
 
 /** Requests admitted for a model since the last report. */
@@ -231,6 +245,8 @@
     usesSlots: z.boolean().default(false),
     /** The sender's evacuated data centres if they are newer than the steward's and differ. */
     evacuations: evacuationsSchema.optional(),
+    /** Highest `askId` of the `memory-reply` messages that the sender has handled. */
+    memorySeen: z.int().nonnegative().optional().catch(undefined),
     /** Message types that the sender understands, in the first report on a connection. */
     knownTypes: z.array(z.string()).nullable().default(null),
     /** Link rate of the sender, Mbit/s; null if it is unknown. */
@@ -276,7 +292,11 @@
     engines: z.array(engineViewSchema),
     /** Running requests of all entry VMs by engine; only engines whose number changed. */
     running: z.record(z.string(), z.int()),
+    /** Tokens that these requests may need, by engine; only of engines in `running`. */
+    tokens: z.record(z.string(), z.int().nonnegative()).optional().catch(undefined),
     loads: z.array(loadViewSchema),
+    /** Requests that wait at all entry VMs; only queues that changed. */
+    queues: z.array(modelQueueSchema).optional().catch(undefined),
     /** Number of entry VMs connected to the steward. */
     members: z.int(),
     /** Whether the receiver may send requests to throttled servers without a steward. */
@@ -421,6 +441,21 @@
     /** By server, the time for which it gets no request, ms. */
     pauses: z.record(z.string(), z.number()).default({}),
   }),
+  /** Asks whether a request may be sent to a server without exceeding its memory. */
+  z.object({
+    type: z.literal(RelayMessageType.memoryAsk),
+    askId: z.int().positive(),
+    serverId: z.string(),
+    tokens: z.int().nonnegative(),
+  }),
+  /** Reply to `memory-ask`. */
+  z.object({
+    type: z.literal(RelayMessageType.memoryReply),
+    askId: z.int().positive(),
+    serverId: z.string(),
+    tokens: z.int().nonnegative(),
+    isGranted: z.boolean(),
+  }),
 ] as const;
 
 export const relayMessageSchema = z.discriminatedUnion('type', schemas);
--- a/src/entry/relay/reporter.ts
+++ b/src/entry/relay/reporter.ts
@@ -42,6 +42,8 @@
   planVersion(): number;
   /** Number of entry VMs connected to the steward. */
   members(): number;
+  /** Highest request for a memory permit whose answer was handled. */
+  memorySeen(): number;
   isStopping(): boolean;
   /** Evacuated data centres that the steward does not know. */
   evacuations(): RelayMessageOf<'report'>['evacuations'];
@@ -143,19 +145,24 @@
       return;
     }
     if (sinceMs < this.pacer.intervalMs(this.load)) return;
-    if (sinceMs >= MAX_REPORT_PAUSE_MS || this.stateKey() !== this.reportedKey) this.report();
+    if (
+      sinceMs >= MAX_REPORT_PAUSE_MS ||
+      this.stateKey(this.opts.dispatcher.waits()) !== this.reportedKey
+    )
+      this.report();
   }
 
   /** Running and queued requests, as JSON. Usage triggers no report, and is sent with the next one. */
-  private stateKey(): string {
-    const queued = this.opts.dispatcher.waits().map(({ dueInMs, ...group }) => group);
+  private stateKey(waits: RelayMessageOf<'report'>['waits']): string {
+    const queued = waits.map(({ dueInMs, ...group }) => group);
     return JSON.stringify([this.opts.view.running(), queued]);
   }
 
   private report(): void {
     const nowMs = this.opts.clock.steadyMs();
     this.isReportDue = false;
-    const key = this.stateKey();
+    const queued = this.opts.dispatcher.waits();
+    const key = this.stateKey(queued);
     const shares = [...this.opts.admission.holder.report(nowMs)];
     const mayOmitShares = this.opts.link.understands(RelayMessageType.confirm);
     const hasShares =
@@ -173,7 +180,7 @@
       appliedSeq: this.opts.admission.lastSeq,
       shares: hasShares ? shares : null,
       running: this.opts.view.running(),
-      waits: this.opts.dispatcher.waits(),
+      waits: queued,
       usage: [...this.usage].map(([model, requests]) => ({ model, requests })),
       returned: Object.fromEntries(this.opts.admission.holder.unreturned()),
       unreachable: this.opts.view.unreachable(),
@@ -183,6 +190,7 @@
       leaving: this.opts.isStopping(),
       usesSlots: true,
       evacuations: this.opts.evacuations(),
+      memorySeen: this.opts.memorySeen(),
       knownTypes: this.hasNamedTypes ? null : [...OWN_TYPES],
       linkMbps: this.opts.linkMbps,
       storeAgeMs: this.opts.lease.storeAgeMs(),
@@ -196,6 +204,7 @@
     this.sentAtMs = nowMs;
     if (isReachedDue) this.reachedSentAtMs = nowMs;
     this.opts.view.noteReported();
+    this.opts.dispatcher.noteReported(queued);
   }
 
   private send(message: RelayMessageOf<'report'>): boolean {
--- a/src/entry/relay/steward-member.ts
+++ b/src/entry/relay/steward-member.ts
@@ -1,4 +1,5 @@
 /** What a steward knows of an entry VM that is connected to it, and what it has sent to that VM. */
+import { QueuePublisher } from './fleet-queues.js';
 import { IncidentPublisher } from './incident-publisher.js';
 import type { MessageLink } from './message-link.js';
 import type { RelayMessageOf } from './messages.js';
@@ -32,6 +33,10 @@
   readonly sentEngines: Map<string, string>;
   /** Number of running requests last sent for each engine. */
   readonly sentRunning: Map<string, number>;
+  /** Their tokens last sent. */
+  readonly sentTokens: Map<string, number>;
+  /** Finds the queues that changed since the last message to it. */
+  readonly queues: QueuePublisher;
   sentRunningAtMs: number;
   /** Models and adapters of the loads last sent, joined. */
   sentLoads: string;
@@ -68,6 +73,8 @@
     pendingLists: new Set(Object.values(FullList)),
     sentEngines: new Map(),
     sentRunning: new Map(),
+    sentTokens: new Map(),
+    queues: new QueuePublisher(),
     sentRunningAtMs: -Infinity,
     sentLoads: '',
     sentLeaseVersion: 0,
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -21,6 +21,8 @@
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { EvacuationTask } from './evacuations.js';
 import type { IncidentTask } from './incidents.js';
+import { MemoryService } from './memory-service.js';
+import { memoryTokens } from './server-tokens.js';
 import type { PeerRelay } from './peer-relay.js';
 import { PermitService } from './permit-service.js';
 import type { ServerSlotsTask } from './server-slots.js';
@@ -107,6 +109,8 @@
 
   private slotService: SlotService | null = null;
 
+  private memoryService: MemoryService | null = null;
+
   /** Fencing token under which this VM acts as steward; 0 while it does not. */
   private fence = 0;
 
@@ -326,6 +330,9 @@
       case RelayMessageType.permitRequest:
         this.permitService?.handleRequest(nowMs, member, message);
         break;
+      case RelayMessageType.memoryAsk:
+        this.memoryService?.handleAsk(nowMs, member, message);
+        break;
       case RelayMessageType.permitReturn:
         this.permitService?.handleReturn(nowMs, message);
         break;
@@ -349,6 +356,7 @@
     if (isFirst) this.updates.sendFirstLists(member);
     this.engineController?.addReport(nowMs, report);
     this.opts.evacuations.applyReport(report);
+    this.memoryService?.handleReport(member, report);
     const { lender } = this;
     if (lender === null) return;
     if (report.leaving && report.shares?.length === 0) {
@@ -493,6 +501,11 @@
     this.loanService = new LoanService({ lender: this.lender, clock, logger });
     this.permitService = new PermitService({ storeWatcher, throttling, members: this.members });
     this.slotService = new SlotService(nowMs, { slots: this.opts.slots, members: this.members });
+    this.memoryService = new MemoryService(nowMs, {
+      members: this.members,
+      servers: () => storeWatcher.backends,
+      memoryTokens: (service) => memoryTokens(storeWatcher.plan, service),
+    });
     const { issuer } = this.permitService;
     this.engineController = new EngineController({
       vm,
@@ -515,6 +528,7 @@
     this.engineController = null;
     this.permitService = null;
     this.slotService = null;
+    this.memoryService = null;
     this.members.forEach(({ link }) => link.close());
     this.members.clear();
     this.traffic.end();
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -18,13 +18,16 @@
 import type { RelayContext } from './context.js';
 import { Dispatcher } from './dispatch.js';
 import { EvacuationTask } from './evacuations.js';
+import { FirstTokens } from './first-tokens.js';
 import { FleetView, type Need } from './fleet-view.js';
 import { type FleetChange, StoreWatcherTask } from './store-watcher.js';
 import { IncidentRecordTask } from './incident-record.js';
 import { IncidentTask } from './incidents.js';
+import { KeptPrompts } from './kept-prompts.js';
 import { LeaseTask } from './lease-task.js';
 import { LoanMetrics } from './loan-observer.js';
 import { LoopDelayTask } from './loop-delay.js';
+import { MemoryPermits } from './memory-permits.js';
 import { type RelayMessage, RelayMessageType } from './messages.js';
 import { PeerConnector } from './peer-connector.js';
 import { PeerRelay } from './peer-relay.js';
@@ -38,6 +41,7 @@
 import { StewardLink } from './steward-link.js';
 import { StreamRecordTask } from './stream-record.js';
 import { StreamVersionsTask } from './stream-versions.js';
+import { memoryTokens, ServerTokens } from './server-tokens.js';
 import { ServerSlotsTask } from './server-slots.js';
 import { ThrottlingTask } from './throttling.js';
 import type { PlatformWire } from './types.js';
@@ -96,6 +100,7 @@
     dispatcher?: Dispatcher;
     reporter?: ReporterTask;
     view?: FleetView;
+    firstTokens?: FirstTokens;
     link?: StewardLink;
     steward?: StewardTask;
     reachability?: ReachabilityTask;
@@ -238,7 +243,31 @@
   });
   const mayServe = (server: BackendServer, { dataCentres }: Need) =>
     evacuations.allows(server) && allows(dataCentres, server.dataCentre);
-  const view = new FleetView(storeWatcher, clock, isStewardConnected, limits, peers, mayServe);
+  const memoryTokensOf = (service: string) => memoryTokens(storeWatcher.plan, service);
+  const memoryPermits = new MemoryPermits({
+    clock,
+    metrics,
+    isStewardConnected,
+    send: (message) => lateBound.link?.send(message) === true,
+    place: (requestId, serverId) => lateBound.dispatcher?.placeWithPermit(requestId, serverId),
+  });
+  const tokens = new ServerTokens({
+    metrics,
+    memoryTokens: memoryTokensOf,
+    isStewardConnected,
+    members: () => lateBound.view?.members ?? 1,
+    runMs: (service) => lateBound.firstTokens?.runMs(service) ?? null,
+    permits: memoryPermits,
+  });
+  const view = new FleetView(
+    storeWatcher,
+    clock,
+    isStewardConnected,
+    limits,
+    peers,
+    tokens,
+    mayServe,
+  );
   lateBound.view = view;
   // Idle connections may have broken in the partition, which would be seen by requests only.
   const noteReachable = (service: string) => {
@@ -276,11 +305,28 @@
       if (statement.pauseMs !== null) view.notePause(server, statement.pauseMs);
     },
   });
+  const prompts = new KeptPrompts({
+    metrics,
+    servers: () => storeWatcher.backends,
+    memoryTokens: memoryTokensOf,
+    members: () => view.members,
+  });
+  const firstTokens = new FirstTokens({
+    dataCentre: vm.dataCentre,
+    clock,
+    logger: logger.child('first-tokens'),
+    metrics,
+    prompts,
+  });
+  lateBound.firstTokens = firstTokens;
   const dispatcher = new Dispatcher({
     dataCentre: vm.dataCentre,
     storeWatcher,
     view,
     limits,
+    firstTokens,
+    memory: tokens,
+    memoryPermits,
     clock,
     random,
     onEnqueue: () => lateBound.reporter?.reportNow(),
@@ -307,6 +353,8 @@
         view.applyView(message);
         announcements.handleView(message);
         if (message.seeksSuccessor === true) lease.probeStore();
+        prompts.noteEngines(message.engines);
+        dispatcher.applyQueues(message);
         retries.noteMembers(message.members);
         connections.noteMembers(message.members);
         if (message.peers !== null) peers.setPeers(message.peers);
@@ -351,6 +399,9 @@
         slots.handleSlots(message);
         dispatcher.schedulePlacement();
         break;
+      case RelayMessageType.memoryReply:
+        memoryPermits.handleReply(message);
+        break;
       case RelayMessageType.permits:
         throttling.handlePermits(message);
         dispatcher.schedulePlacement();
@@ -366,6 +417,7 @@
       incidents.sendAll();
       throttling.sendAll();
       slots.handleConnected();
+      memoryPermits.reset();
       streams.sendAll();
       lateBound.steward?.sendPendingRenewal();
     },
@@ -389,6 +441,7 @@
     linkMbps,
     planVersion: () => storeWatcher.planVersion,
     members: () => view.members,
+    memorySeen: () => memoryPermits.seen,
     isStopping,
     evacuations: () => evacuations.unknownToSteward(),
   });
@@ -420,6 +473,7 @@
     admission,
     dispatcher,
     view,
+    firstTokens,
     reachability,
     connections,
     peers,
@@ -441,8 +495,10 @@
     log: (event, id, fields) => logger.info(event, { id, ...fields }),
     reportException: (id, err) =>
       logger.error('handler-failed', { id, ...errors.describeWithStack(err) }),
-    sendLocalResponse: (res, id, failure, retryAfterMs) =>
-      sendLocalResponse(res, wire.localResponseHeaders(id), failure, retryAfterMs, stopping),
+    sendLocalResponse: (res, id, failure, retryAfterMs) => {
+      metrics.count('relay_local_responses_total', { reason: failure.name });
+      sendLocalResponse(res, wire.localResponseHeaders(id), failure, retryAfterMs, stopping);
+    },
   };
   const callerServer = new CallerServerTask({
     listen: listen.callers,
@@ -477,6 +533,7 @@
       throttling.retain(storeWatcher.backends);
       reachability.noteServers(storeWatcher.backends);
       slots.retain(storeWatcher.backends);
+      firstTokens.retain(storeWatcher.backends);
       streams.noteServers(storeWatcher.backends);
       incidents.resolveIncidents();
     }
--- a/test/units/relay/dispatch.test.ts
+++ b/test/units/relay/dispatch.test.ts
@@ -1,6 +1,9 @@
 import { describe, expect, test } from 'vitest';
 import { createRandom } from '../../../src/core/random/index.js';
 import type { QueuedRequest } from '../../../src/decisions/wait-list/index.js';
+import { createMetrics } from '../../../src/core/metrics/index.js';
+import { FirstTokens, type FirstTokensOptions } from '../../../src/entry/relay/first-tokens.js';
+import { KeptPrompts } from '../../../src/entry/relay/kept-prompts.js';
 import { Dispatcher, type DispatchOptions } from '../../../src/entry/relay/dispatch.js';
 import { createBackendServer } from './backend-server.js';
 
@@ -23,21 +26,36 @@
     },
   };
   const limits = { requestPermits: nothing, take: nothing, requestProbe: nothing };
+  const clock = { steadyMs: () => 0 };
+  const firstTokens = new FirstTokens({
+    dataCentre: 'a',
+    clock,
+    metrics: createMetrics(),
+    prompts: new KeptPrompts({
+      metrics: createMetrics(),
+      servers: () => new Map(),
+      memoryTokens: () => 0,
+      members: () => 1,
+    }),
+  } as unknown as FirstTokensOptions);
   const dispatcher = new Dispatcher({
     dataCentre: 'a',
     storeWatcher: { backends: new Map([[SERVER_ID, createBackendServer(SERVER_ID)]]) },
     view,
     limits,
-    clock: { steadyMs: () => 0 },
+    clock,
+    firstTokens,
+    memory: { withRoom: (_service: string, servers: unknown) => servers, memoryOf: () => ({}) },
+    memoryPermits: { mustWait: () => false },
     random: createRandom(1),
     onEnqueue: nothing,
   } as unknown as DispatchOptions);
   const placed: string[] = [];
-  const place = async (id: string, priority: number) => {
+  const place = async (id: string, priority: number, model: string | null = null) => {
     const request: QueuedRequest = {
       id,
       service: 'desk',
-      model: null,
+      model,
       adapter: null,
       version: null,
       isInterrupted: false,
@@ -104,6 +122,24 @@
     expect(placed).toEqual(['queued']);
   });
 
+  test('leaves a free slot to a more urgent request that waits at another entry VM', async () => {
+    const { dispatcher, state, place, placed, turn } = setUp();
+    const applyQueues = (byPriority: Record<string, number>) =>
+      dispatcher.applyQueues({
+        whole: false,
+        queues: [{ service: 'desk', model: 'm', adapter: null, byPriority }],
+      } as never);
+    applyQueues({ 0: 1 });
+    state.free = 2;
+    void place('patient', 3, 'm');
+    await place('urgent', 0, 'm');
+    expect(placed).toEqual(['urgent']);
+    applyQueues({});
+    dispatcher.schedulePlacement();
+    await turn();
+    expect(placed).toEqual(['urgent', 'patient']);
+  });
+
   test('does not delay a request that a server can run', async () => {
     const { state, place, placed } = setUp();
     state.free = 1;
