--- a/test/replay/model-fleet.ts
+++ b/test/replay/model-fleet.ts
@@ -38,12 +38,25 @@
 /** Part of its time that a caller waits before it returns at most. */
 const RETURN_FRACTION = 1 / 3;
 
+type ModelShares = readonly (readonly [model: string, share: number])[];
+
+/** Why a request was refused. */
+export const RefusalReason = {
+  notLoaded: 'not loaded',
+  loadedTooLate: 'loaded too late',
+  slotsInUse: 'slots in use',
+} as const;
+
 /** A kind of request. */
 export interface RequestClass {
   readonly name: string;
   readonly perS: number;
   /** Models that it asks for, with their shares. */
-  readonly models: readonly (readonly [model: string, share: number])[];
+  readonly models: ModelShares;
+  /** Sets of models that take turns, each for `turnMs`, in place of `models`. */
+  readonly turns?: { readonly turnMs: number; readonly models: readonly ModelShares[] };
+  /** A time in which the class sends a multiple of its rate. */
+  readonly burst?: { readonly fromMs: number; readonly untilMs: number; readonly factor: number };
   readonly objectiveMs: number;
   readonly callerTimeoutMs: number;
   readonly deadlineMs: number;
@@ -77,8 +90,11 @@
   readonly loadsPerS: number;
   /** All models, busiest first. */
   readonly models: readonly string[];
-  /** Engines on which each of the busiest models is loaded at the start. */
-  readonly busyPlaces: readonly number[];
+  /**
+   * Engines on which each of the busiest models is loaded at the start; null if each engine starts
+   * with models drawn at random, as a fleet does whose demand has changed.
+   */
+  readonly busyPlaces: readonly number[] | null;
   readonly classes: readonly RequestClass[];
   readonly durationMs: number;
   /** Software versions of the engines; one for all by default. */
@@ -141,6 +157,18 @@
   /** Refusals by model, those of returning callers included. */
   readonly refusals = new Map<string, number>();
 
+  /** Refusals by class and reason, those of returning callers included. */
+  readonly refusalReasons = new Map<string, number>();
+
+  /** Requests of callers by model, and those of them that were served. */
+  readonly byModel = new Map<string, Attempts>();
+
+  /** Time that requests ran on each engine, ms. */
+  readonly runMsByEngine = new Map<string, number>();
+
+  /** Model loads that were started, from the weight store and from copies. */
+  readonly loads = { fromStore: 0, fromCopy: 0 };
+
   /** Attempts of callers to begin streams, and to take up those that were cut. */
   readonly begun: Attempts = { asked: 0, served: 0 };
 
@@ -207,13 +235,14 @@
   play(): void {
     const arrivals = this.opts.classes.map((of) => ({
       of,
-      nextAtMs: (of.fromMs ?? 0) + this.pauseMs(of),
+      nextAtMs: (of.fromMs ?? 0) + this.pauseMs(of, 0),
     }));
     for (let nowMs = 0; nowMs < this.opts.durationMs; nowMs += TICK_MS) {
       arrivals.forEach((arrival) => {
         while (arrival.nextAtMs <= nowMs) {
           this.arrive(nowMs, arrival.of);
-          Object.assign(arrival, { nextAtMs: arrival.nextAtMs + this.pauseMs(arrival.of) });
+          const pauseMs = this.pauseMs(arrival.of, arrival.nextAtMs);
+          Object.assign(arrival, { nextAtMs: arrival.nextAtMs + pauseMs });
         }
       });
       this.returning
@@ -233,8 +262,22 @@
     return inTime / Math.max(1, asked);
   }
 
-  private pauseMs({ perS }: RequestClass): number {
-    return this.random.exponential(MS_PER_S / perS);
+  /** Models requested `times` or more that were never served. */
+  neverServed(times: number): readonly string[] {
+    return [...this.byModel]
+      .filter(([, { asked, served }]) => asked >= times && served === 0)
+      .map(([model]) => model);
+  }
+
+  /** Running requests of the busiest engine, in relation to the mean, over the whole time. */
+  busiestToMean(): number {
+    const all = this.engines.map(({ id }) => this.runMsByEngine.get(id) ?? 0);
+    return (Math.max(...all) * all.length) / all.reduce((sum, ms) => sum + ms, 0);
+  }
+
+  private pauseMs({ perS, burst }: RequestClass, nowMs: number): number {
+    const isBurst = burst !== undefined && nowMs >= burst.fromMs && nowMs < burst.untilMs;
+    return this.random.exponential(MS_PER_S / (perS * (isBurst ? burst.factor : 1)));
   }
 
   /** Places the busiest models as told, and each of the others once while there is room. */
@@ -254,8 +297,13 @@
       loadEndsAtMs: 0,
       maxConcurrent: 0,
     }));
-    opts.models.forEach((model, at) => {
-      const count = opts.busyPlaces[at] ?? 1;
+    const { busyPlaces } = opts;
+    if (busyPlaces === null)
+      engines.forEach(({ models }) =>
+        models.push(...this.shuffled(opts.models).slice(0, opts.places)),
+      );
+    (busyPlaces === null ? [] : opts.models).forEach((model, at) => {
+      const count = busyPlaces?.[at] ?? 1;
       const free = () =>
         engines
           .filter(({ version }) => opts.emptyVersions?.includes(version) !== true)
@@ -266,25 +314,30 @@
     engines.forEach((engine) => {
       if (opts.emptyVersions?.includes(engine.version) === true) return;
       engine.disk.push(...engine.models);
-      const others = opts.models
-        .filter((model) => !engine.models.includes(model))
-        .map((model) => ({ model, key: random.real() }))
-        .sort((a, b) => a.key - b.key);
-      engine.disk.push(
-        ...others.slice(0, opts.copies - engine.models.length).map(({ model }) => model),
-      );
+      const others = this.shuffled(opts.models.filter((model) => !engine.models.includes(model)));
+      engine.disk.push(...others.slice(0, opts.copies - engine.models.length));
     });
     return engines;
   }
 
+  private shuffled(models: readonly string[]): readonly string[] {
+    return models
+      .map((model) => ({ model, key: this.random.real() }))
+      .sort((a, b) => a.key - b.key)
+      .map(({ model }) => model);
+  }
+
   private arrive(nowMs: number, of: RequestClass): void {
-    const total = of.models.reduce((sum, [, share]) => sum + share, 0);
+    const { turnMs = 1, models: sets = [] } = of.turns ?? {};
+    const models = sets[Math.floor(nowMs / turnMs) % sets.length] ?? of.models;
+    const total = models.reduce((sum, [, share]) => sum + share, 0);
     let draw = this.random.real() * total;
-    const [model] = of.models.find(([, share]) => {
+    const [model] = models.find(([, share]) => {
       draw -= share;
       return draw < 0;
     }) ?? ['', 0];
     this.outcomeOf(of).asked += 1;
+    this.attemptsFor(model).asked += 1;
     this.sent += 1;
     const id = `r${this.sent}`;
     const times = { askedAtMs: nowMs, arrivedAtMs: nowMs };
@@ -304,6 +357,12 @@
     this.queue.push(request);
   }
 
+  private attemptsFor(model: string): Attempts {
+    const attempts = this.byModel.get(model) ?? { asked: 0, served: 0 };
+    this.byModel.set(model, attempts);
+    return attempts;
+  }
+
   private attemptsOf(version: string | null): Attempts {
     return version === null ? this.begun : this.takenUp;
   }
@@ -424,6 +483,8 @@
     const outcome = this.outcomeOf(of);
     if (room !== undefined) {
       room.runs.push({ model, endsAtMs: nowMs + of.runMs, request });
+      this.runMsByEngine.set(room.id, (this.runMsByEngine.get(room.id) ?? 0) + of.runMs);
+      if (version === null) this.attemptsFor(model).served += 1;
       if (!request.isFailover) this.attemptsOf(version).served += 1;
       if (version === null && nowMs - askedAtMs <= of.objectiveMs) outcome.inTime += 1;
       else if (version === null) outcome.late += 1;
@@ -448,6 +509,9 @@
     if (readyAtMs !== null && !isLoaded)
       this.expected.push({ model, version, untilMs: readyAtMs + MS_PER_S, dueAtMs: readyAtMs });
     this.refusals.set(model, (this.refusals.get(model) ?? 0) + 1);
+    const unloaded = readyAtMs === null ? RefusalReason.notLoaded : RefusalReason.loadedTooLate;
+    const reason = `${of.name}: ${isLoaded ? RefusalReason.slotsInUse : unloaded}`;
+    this.refusalReasons.set(reason, (this.refusalReasons.get(reason) ?? 0) + 1);
     this.returnLater(nowMs, request, readyAtMs);
     return true;
   }
@@ -505,6 +569,7 @@
     const engine = this.engines.find(({ id }) => id === engineId);
     if (engine === undefined) return;
     if (fromStore) this.storeTokens -= 1;
+    this.loads[fromStore ? 'fromStore' : 'fromCopy'] += 1;
     const loadMs = steps
       .filter(({ type }) => type === OrderStepType.load)
       .reduce((sum, { model }) => sum + this.source(engine, model).leftMs, 0);
