Swap planner: engines without free slots keep no model from the store

Cause: a copy at an engine whose slots are all in use, or whose replicas are too costly to evict, kept an overloaded model from the weight store and from other engines with copies. Ways to load from the store were worked out for each engine even where the store could not be used. Change: only an engine that has free slots and can take the load soon keeps the model from the store; a further replica goes to an engine with free slots. Result: the new unit test fails before and passes after.

--- a/src/decisions/swaps/load-options.ts
+++ b/src/decisions/swaps/load-options.ts
@@ -20,6 +20,9 @@
 /** Queued requests for a model below which no model in use is evicted for it before it is overdue. */
 const MIN_OUTNUMBERING = 6;
 
+/** Fraction of an engine's slots that entry VMs use at most, as `FleetView` does. */
+const MAX_SLOT_FRACTION = 0.9;
+
 /** A way to load a model on an engine. */
 export interface LoadOption {
   readonly engine: EngineState;
@@ -34,6 +37,16 @@
   readonly delayToOthersMs: number;
 }
 
+/** Running requests of an engine, with all of its models. */
+export function runningAt({ replicas }: EngineState): number {
+  return replicas.reduce((sum, { running }) => sum + running, 0);
+}
+
+/** Whether an engine has slots left for requests to a further model. */
+export function hasFreeSlots(engine: EngineState): boolean {
+  return runningAt(engine) < engine.spec.slots * MAX_SLOT_FRACTION;
+}
+
 export function loadSteps(evict: readonly Replica[], model: string): readonly OrderStep[] {
   const unloads = evict.map((replica) => ({
     type: OrderStepType.unload,
@@ -129,15 +142,12 @@
   return coldStartMs + runEndMs + recentUseMs + demandMs;
 }
 
-/**
- * Returns the cheapest way to load a model on an engine; empty if the model can't be made to fit.
- * @param demand What the load is for; null for a load ahead of any demand.
- */
-export function cheapestOption(
+/** The cheapest way to load a model on an engine that evicts none but the given replicas. */
+function optionAmong(
   view: IndexedView,
   engine: EngineState,
   model: string,
-  demand: PendingDemand | null,
+  isEvictableFor: (replica: Replica, fromStore: boolean) => boolean,
 ): readonly LoadOption[] {
   const spec = specOf(engine, model);
   if (spec === undefined) return [];
@@ -157,7 +167,7 @@
       },
     ];
   const candidates = engine.replicas
-    .filter((replica) => isEvictable(view, replica, demand, fromStore))
+    .filter((replica) => isEvictableFor(replica, fromStore))
     .map((replica) => ({
       replica,
       delayMs: evictionCostMs(view, engine, replica, model),
@@ -179,3 +189,34 @@
     },
   ];
 }
+
+/**
+ * Returns the cheapest way to load a model on an engine; empty if the model can't be made to fit.
+ * @param demand What the load is for; null for a load ahead of any demand.
+ */
+export function cheapestOption(
+  view: IndexedView,
+  engine: EngineState,
+  model: string,
+  demand: PendingDemand | null,
+): readonly LoadOption[] {
+  return optionAmong(view, engine, model, (replica, fromStore) =>
+    isEvictable(view, replica, demand, fromStore),
+  );
+}
+
+/**
+ * Whether an engine is expected to take a load within the cost, now or soon: it has free slots for
+ * the model, and replicas that can go once their minimum residency and their runs have ended.
+ */
+export function canTakeSoon(
+  view: IndexedView,
+  engine: EngineState,
+  model: string,
+  maxCostMs: number,
+): boolean {
+  return (
+    hasFreeSlots(engine) &&
+    optionAmong(view, engine, model, () => true).some(({ costMs }) => costMs <= maxCostMs)
+  );
+}
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -400,6 +400,19 @@
     expect(loadsOf(actions)).toEqual(['e5 hot']);
   });
 
+  test('is loaded from the store if the other copies are at engines whose slots are all in use', () => {
+    const atLimit = [replica('m1', { running: 29 }), replica('m2'), replica('m3')];
+    const engines = [
+      engine('e1', [replica('hot', { running: 30 })], ['hot']),
+      engine('e2', atLimit, ['hot']),
+      engine('e3', [replica('m4'), replica('m5'), replica('m6')], []),
+      engine('e4', [replica('m4'), replica('m5'), replica('m6')], []),
+    ];
+    const actions = plan({ engines, pendingDemand: [demandFor('hot', { waiting: 8 })] });
+    expect(actions.map(({ fromStore }) => fromStore)).toContain(true);
+    expect(loadsOf(actions)).not.toContain('e2 hot');
+  });
+
   test('leaves the last store load to models that no engine has loaded', () => {
     const pendingDemand = [demandFor('hot', { waiting: 9 }), demandFor('m6')];
     const engines = [hotAt(30), ...others];
