Swap planner: replicas before requests queue; time that callers may wait

Cause: a model got another replica only once requests were queued for it, and two popular models on one engine counted as no overload. Patient and interactive queues weighed the same, and a patient demand could evict replicas in use half a second after its objective. Change: an engine with more than twice the mean utilisation of its service (and 30 % of its slots) gets help ahead of demand, from a copy; this evicts only idle spare replicas and models whose callers can wait for a reload from a copy. The planner learns each model's objective; requests with more than 2 s left weigh less, unless their model needs a store load; replicas in use go for a demand only once its objective is past by the objective less 2 s (0.5 s at least). Evicting the last copy outside the store costs the store load. No load ahead of demand while several versions serve.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -15,9 +15,11 @@
 import { blockedLoads, queuedLoads } from './awaited-loads.js';
 import type { ForecastLoad, QueuedLoad } from './load-forecast.js';
 import { loadModel, loadPlace, RESERVED_STORE_LOADS } from './model-loads.js';
+import { PatienceTracker } from './patience.js';
 import { preload } from './preloads.js';
 import type { PendingDemand, SwapAction, SwapView } from './types.js';
 import { inOrderOfUrgency } from './urgency.js';
+import { busyModels } from './replica-needs.js';
 import { findPlaceNeeds } from './version-places.js';
 import { type IndexedView, indexView, modelKey, type ModelNeed } from './view-index.js';
 
@@ -47,9 +49,12 @@
 }
 
 export class SwapPlanner {
+  private readonly patience = new PatienceTracker();
+
   /** Returns at most one action for each engine that accepts orders now. */
   plan(input: SwapView): readonly SwapAction[] {
-    const view = indexView(input);
+    this.patience.note(input.nowMs, input.pendingDemand);
+    const view = indexView(input, this.patience.all());
     const assignedEngines = new Set<string>();
     const placedModels = new Set<string>();
     const placeActions = this.loadPlaces(view, assignedEngines);
@@ -68,9 +73,12 @@
       // Streams in progress come first, as long as a copy can serve them soon.
       (demand) => (demand.version === null ? null : loadFor(demand, 0)),
       (demand) => loadFor(demand, storeLoadsLeft),
+      // Models whose engines fill up get a replica before requests have to wait for a slot.
+      (demand) => loadFor(demand, 0),
     ];
-    const demandActions = passes.flatMap((pass) =>
-      byUrgency.flatMap((demand) => {
+    const demandOf = [byUrgency, byUrgency, byUrgency, busyModels(view)];
+    const demandActions = passes.flatMap((pass, at) =>
+      (demandOf[at] ?? []).flatMap((demand) => {
         const action = pass(demand);
         if (action === null) return [];
         assignedEngines.add(action.engineId);
--- a/src/decisions/swaps/load-options.ts
+++ b/src/decisions/swaps/load-options.ts
@@ -1,8 +1,9 @@
 /** The ways to load a model on an engine, with what is evicted for it and what it costs. */
 import { type OrderStep, OrderStepType } from '../engine-orders/index.js';
 import type { EngineState, PendingDemand, Replica } from './types.js';
-import { type IndexedView, isOnlyAt, modelKey } from './view-index.js';
-import { loadSource, specOf } from './weights.js';
+import { type IndexedView, isOnlyAt, modelKey, runningAt } from './view-index.js';
+import { URGENCY_LEAD_MS, urgencyWeight } from './patience.js';
+import { hasUsableCopy, loadSource, specOf } from './weights.js';
 
 /** Minimum residency of a model replica, ms, so that a loaded model is also used. */
 const MIN_RESIDENCY_MS = 1_500;
@@ -15,8 +16,10 @@
 const RUN_END_MS = 2_000;
 /** Eviction cost of a replica for each request per second to its model, ms. */
 const EVICTION_COST_PER_RATE_MS = 1_500;
-/** Time after the latency objective of a demand at which any of its loads may evict replicas in use, ms. */
+/** Minimum time after its latency objective at which a demand may evict replicas in use, ms. */
 const OVERDUE_MS = 500;
+/** Loads from a copy that must end within the objective of callers who can wait for one of them. */
+const LOADS_WITHIN_OBJECTIVE = 2;
 /** Queued requests for a model below which no model in use is evicted for it before it is overdue. */
 const MIN_OUTNUMBERING = 6;
 
@@ -37,11 +40,6 @@
   readonly delayToOthersMs: number;
 }
 
-/** Running requests of an engine, with all of its models. */
-export function runningAt({ replicas }: EngineState): number {
-  return replicas.reduce((sum, { running }) => sum + running, 0);
-}
-
 /** Whether an engine has slots left for requests to a further model. */
 export function hasFreeSlots(engine: EngineState): boolean {
   return runningAt(engine) < engine.spec.slots * MAX_SLOT_FRACTION;
@@ -64,6 +62,51 @@
   return !isServed && waiting >= MIN_OUTNUMBERING && waiting > running;
 }
 
+/**
+ * Time after the latency objective of a demand at which it may evict replicas in use, ms. Callers with
+ * a long objective wait for several objectives, and a replica in use may serve callers who don't.
+ */
+function overdueMs(view: IndexedView, { model }: PendingDemand): number {
+  return Math.max(OVERDUE_MS, (view.objectivesMs.get(model) ?? 0) - URGENCY_LEAD_MS);
+}
+
+/** Whether another engine has the model loaded. */
+function isSpare(view: IndexedView, { id, service }: EngineState, model: string): boolean {
+  const holders = view.holdersByModel.get(modelKey({ service, model, version: null })) ?? [];
+  return holders.some((holder) => holder.id !== id);
+}
+
+/**
+ * Whether an evicted model could be loaded again from a copy. Of this engine's copies only those on disk
+ * count: the ones in memory are soon replaced by others.
+ */
+function keepsCopy(view: IndexedView, engine: EngineState, model: string): boolean {
+  const key = modelKey({ service: engine.service, model, version: null });
+  return (
+    engine.copies.onDisk.includes(model) ||
+    (view.copiesByModel.get(key) ?? []).some(
+      (other) => other.id !== engine.id && hasUsableCopy(view.nowMs, other, model),
+    )
+  );
+}
+
+/** Cost of requests for an evicted model that could only be loaded from the weight store then, ms. */
+function lostCopyCostMs(view: IndexedView, engine: EngineState, model: string): number {
+  if (isSpare(view, engine, model) || keepsCopy(view, engine, model)) return 0;
+  return (view.expectedRates.get(model) ?? 0) * (specOf(engine, model)?.remoteLoadMs ?? 0);
+}
+
+/**
+ * Whether a replica may be evicted ahead of demand: another engine has the model, or its callers can
+ * wait until it has been loaded again from a copy.
+ */
+function isDispensable(view: IndexedView, engine: EngineState, model: string): boolean {
+  if (isSpare(view, engine, model)) return true;
+  const loadMs = specOf(engine, model)?.diskLoadMs ?? Infinity;
+  const objectiveMs = view.objectivesMs.get(model) ?? 0;
+  return objectiveMs >= loadMs * LOADS_WITHIN_OBJECTIVE && keepsCopy(view, engine, model);
+}
+
 /**
  * Whether a replica may be evicted for a demand. One that has just been loaded stays, and one in use as
  * well: a replica on another engine is likely to become idle sooner. It may go for an overdue demand,
@@ -71,14 +114,16 @@
  */
 function isEvictable(
   view: IndexedView,
-  { running, loadedAtMs }: Replica,
+  engine: EngineState,
+  { model, running, loadedAtMs }: Replica,
   demand: PendingDemand | null,
   fromStore: boolean,
 ): boolean {
   if (view.nowMs - loadedAtMs < MIN_RESIDENCY_MS) return false;
+  if (demand?.waiting === 0) return running === 0 && isDispensable(view, engine, model);
   if (running === 0) return true;
   if (demand === null) return false;
-  if (view.nowMs > demand.dueAtMs + OVERDUE_MS) return true;
+  if (view.nowMs > demand.dueAtMs + overdueMs(view, demand)) return true;
   return !fromStore && isOutnumbered(view, running, demand);
 }
 
@@ -130,8 +175,10 @@
   const holders = view.holdersByModel.get(modelKey(anyVersion)) ?? [];
   const otherReplicas = holders.filter(({ id }) => id !== engine.id).length;
   const incomingRate = view.rates.get(incomingModel) ?? 0;
-  const coldStartMs =
-    Math.max(0, rate / (1 + otherReplicas ** 2 * 2) - incomingRate / 4) * EVICTION_COST_PER_RATE_MS;
+  const coldStarts = rate / (1 + otherReplicas ** 2 * 2) - incomingRate / 4;
+  // Callers who may wait longer than a load from a copy takes notice less of a cold start.
+  const weight = urgencyWeight(view.objectivesMs.get(replica.model) ?? 0);
+  const coldStartMs = Math.max(0, coldStarts) * EVICTION_COST_PER_RATE_MS * weight;
   const runEndMs = replica.running > 0 ? RUN_END_MS + replica.running * 50 : 0;
   const recentUseMs = view.nowMs - replica.usedAtMs < RECENT_USE_MS ? RECENT_USE_MS : 0;
   // High enough that a model with pending demand is rarely evicted.
@@ -139,7 +186,8 @@
     view.modelsInDemand.has(modelKey(need)),
   );
   const demandMs = isInDemand ? 10_000 : 0;
-  return coldStartMs + runEndMs + recentUseMs + demandMs;
+  const lostCopyMs = lostCopyCostMs(view, engine, replica.model);
+  return coldStartMs + lostCopyMs + runEndMs + recentUseMs + demandMs;
 }
 
 /** The cheapest way to load a model on an engine that evicts none but the given replicas. */
@@ -201,7 +249,7 @@
   demand: PendingDemand | null,
 ): readonly LoadOption[] {
   return optionAmong(view, engine, model, (replica, fromStore) =>
-    isEvictable(view, replica, demand, fromStore),
+    isEvictable(view, engine, replica, demand, fromStore),
   );
 }
 
--- a/src/decisions/swaps/model-loads.ts
+++ b/src/decisions/swaps/model-loads.ts
@@ -110,6 +110,9 @@
     engineId: best.engine.id,
     steps: loadSteps(best.evict, model),
     fromStore: best.fromStore,
-    reason: `queued requests for the model: ${demand.waiting}`,
+    reason:
+      demand.waiting > 0
+        ? `queued requests for the model: ${demand.waiting}`
+        : 'servers of the model have more load than others',
   };
 }
--- a/src/decisions/swaps/view-index.ts
+++ b/src/decisions/swaps/view-index.ts
@@ -33,6 +33,10 @@
   readonly queuedByModel: ReadonlyMap<string, number>;
   /** Queued requests for a model at exactly one version, or at any, by `modelKey`. */
   readonly queuedByNeed: ReadonlyMap<string, number>;
+  /** Latency objectives of the models' callers, ms; none for a model of which it is not known. */
+  readonly objectivesMs: ReadonlyMap<string, number>;
+  /** Part of the slots of healthy engines that requests use, by service. */
+  readonly utilisation: ReadonlyMap<string, number>;
   /** Cost of the adapter orders that a load on the engine delays, ms, by engine. */
   readonly adapterDelayMs: ReadonlyMap<string, number>;
 }
@@ -83,6 +87,17 @@
   return engine.loading.includes(model) || hasLoaded(engine, model);
 }
 
+/** Running requests of an engine, with all of its models. */
+export function runningAt({ replicas }: EngineState): number {
+  return replicas.reduce((sum, { running }) => sum + running, 0);
+}
+
+/** Part of the engines' slots that requests use. */
+export function utilisationOf(engines: readonly EngineState[]): number {
+  const slots = engines.reduce((sum, { spec }) => sum + spec.slots, 0);
+  return engines.reduce((sum, engine) => sum + runningAt(engine), 0) / Math.max(1, slots);
+}
+
 export function runningRequests(engines: readonly EngineState[], model: string): number {
   return engines.reduce((sum, engine) => sum + (replicaOf(engine, model)?.running ?? 0), 0);
 }
@@ -183,28 +198,29 @@
   );
 }
 
-export function indexView(view: SwapView): IndexedView {
-  const replicas = view.engines
-    .filter(({ healthy }) => healthy)
-    .flatMap((engine) =>
-      engine.replicas.flatMap(({ model }) =>
-        targetsOf(engine).map((target) => [modelKey({ ...target, model }), engine] as const),
-      ),
-    );
+export function indexView(
+  view: SwapView,
+  objectivesMs: ReadonlyMap<string, number> = new Map(),
+): IndexedView {
+  const healthy = view.engines.filter((engine) => engine.healthy);
+  const replicas = healthy.flatMap((engine) =>
+    engine.replicas.flatMap(({ model }) =>
+      targetsOf(engine).map((target) => [modelKey({ ...target, model }), engine] as const),
+    ),
+  );
   const holdersByModel = groupBy(replicas);
   const copiesByModel = groupBy(
-    view.engines
-      .filter(({ healthy }) => healthy)
-      .flatMap((engine) =>
-        copiedModels(engine).map((model) => {
-          const { service } = engine;
-          return [modelKey({ service, model, version: null }), engine] as const;
-        }),
-      ),
+    healthy.flatMap((engine) =>
+      copiedModels(engine).map((model) => {
+        const { service } = engine;
+        return [modelKey({ service, model, version: null }), engine] as const;
+      }),
+    ),
   );
   const index = { ...view, holdersByModel, copiesByModel };
   return {
     ...view,
+    objectivesMs,
     queuedByModel: countQueued(view.pendingDemand),
     queuedByNeed: countQueuedByNeed(view.pendingDemand),
     enginesByTarget: groupBy(
@@ -215,6 +231,11 @@
     holdersByModel,
     copiesByModel,
     blockedRates: new Map(view.engines.map((engine) => [engine.id, blockedRate(index, engine)])),
+    utilisation: new Map(
+      [...groupBy(healthy.map((engine) => [engine.service, engine] as const))].map(
+        ([service, engines]) => [service, utilisationOf(engines)],
+      ),
+    ),
     modelsInDemand: new Set(view.pendingDemand.map(modelKey)),
     adapterDelayMs: new Map(
       view.engines.map((engine) => [engine.id, adapterDelayPenaltyMs(view, engine)]),
