--- a/test/replay/model-fleet.ts
+++ b/test/replay/model-fleet.ts
@@ -18,6 +18,7 @@
   type SwapView,
 } from '../../src/decisions/swaps/index.js';
 import { rejectAtMs, retryAfterMs } from '../../src/decisions/wait-list/index.js';
+import type { PlacementTrace, TraceRequest } from '../../src/lab/placement-bound/index.js';
 import { RelayMessageType, type RelayMessageOf } from '../../src/entry/relay/messages.js';
 import { UsageTracker } from '../../src/entry/relay/usage-tracker.js';
 
@@ -199,6 +200,11 @@
     dueAtMs: number;
   }[] = [];
 
+  private readonly requests: TraceRequest[] = [];
+
+  /** Models loaded at the start, and engines with a copy of each. */
+  private readonly start: Pick<PlacementTrace, 'loaded' | 'copies'>;
+
   private storeTokens = 0;
 
   private used = new Map<string, number>();
@@ -227,6 +233,13 @@
       ),
     };
     this.engines = this.placeModels();
+    const copies = new Map<string, number>();
+    this.engines.forEach(({ models, disk }) =>
+      new Set([...models, ...disk]).forEach((model) =>
+        copies.set(model, (copies.get(model) ?? 0) + 1),
+      ),
+    );
+    this.start = { loaded: new Set(this.engines.flatMap(({ models }) => models)), copies };
     opts.classes.forEach(({ name }) =>
       this.outcomes.set(name, { asked: 0, inTime: 0, late: 0, refused: 0 }),
     );
@@ -262,6 +275,20 @@
     return inTime / Math.max(1, asked);
   }
 
+  /** The requests so far and the state at the start, for a bound of what any plan could serve. */
+  trace(): PlacementTrace {
+    const { slots, loadMs, fullSpeedLoads, durationMs } = this.opts;
+    return {
+      ...this.start,
+      requests: this.requests,
+      slots: slots * MAX_UTILISATION,
+      copyLoadMs: loadMs.memoryLoadMs,
+      storeLoadMs: loadMs.remoteLoadMs,
+      fullSpeedLoads,
+      durationMs,
+    };
+  }
+
   /** Models requested `times` or more that were never served. */
   neverServed(times: number): readonly string[] {
     return [...this.byModel]
@@ -339,6 +366,8 @@
     this.outcomeOf(of).asked += 1;
     this.attemptsFor(model).asked += 1;
     this.sent += 1;
+    const { objectiveMs, runMs } = of;
+    this.requests.push({ atMs: nowMs, model, objectiveMs, runMs });
     const id = `r${this.sent}`;
     const times = { askedAtMs: nowMs, arrivedAtMs: nowMs };
     this.enqueue({ id, of, model, ...times, returns: 0, version: null, isFailover: false });
