Log why a model in demand is not being loaded

Cause: model-not-loaded listed engines and copies, but not what kept the planner from a load. Result: unit tests of planner and controller pass.

--- a/src/decisions/swaps/awaited-loads.ts
+++ b/src/decisions/swaps/awaited-loads.ts
@@ -1,7 +1,7 @@
 /** Loads that callers can be told of: those queued for the weight store, and copies at busy engines. */
 import type { ForecastLoad, QueuedLoad } from './load-forecast.js';
 import { isLoading } from './replica-needs.js';
-import type { EngineState, SwapView } from './types.js';
+import type { EngineState, PendingDemand, SwapView } from './types.js';
 import { inOrderOfUrgency } from './urgency.js';
 import { distinctNeeds, healthyEnginesFor, holdsOrLoads, isLoadedSoon } from './view-index.js';
 import { BLOCKED_MS, copyWaitMs, hasUsableCopy } from './weights.js';
@@ -43,3 +43,31 @@
     return [{ ...need, readyAtMs: nowMs + Math.min(...waitsMs) }];
   });
 }
+
+/** Why a model in demand that no engine has is not being loaded. */
+export const NotLoadedReason = {
+  storeLimit: 'no usable copy, and the weight store takes no further load now',
+  copiesBlocked: 'the engines with copies take no order now',
+  noRoom: 'no engine can make room for the model now',
+  loading: 'a load from the weight store is in progress',
+} as const;
+export type NotLoadedReason = (typeof NotLoadedReason)[keyof typeof NotLoadedReason];
+
+export function notLoadedReason(view: SwapView, demand: PendingDemand): NotLoadedReason {
+  const engines = healthyEnginesFor(view.engines, demand);
+  if (engines.some((engine) => isLoading(engine, demand.model))) return NotLoadedReason.loading;
+  const copied = engines.filter((engine) => hasUsableCopy(view.nowMs, engine, demand.model));
+  if (copied.length === 0 && view.storeLoadsLeft === 0) return NotLoadedReason.storeLimit;
+  if (copied.length > 0 && copied.every(({ open }) => !open)) return NotLoadedReason.copiesBlocked;
+  return NotLoadedReason.noRoom;
+}
+
+/** What an engine with a copy does instead of loading it, for a log line. */
+export function describeCopy(nowMs: number, { id, open, loading, replicas }: EngineState) {
+  const loaded = replicas.map(({ model, running, loadedAtMs }) => ({
+    model,
+    running,
+    loadedForMs: Math.round(nowMs - loadedAtMs),
+  }));
+  return { id, open, loading, loaded };
+}
--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -23,6 +23,7 @@
 import { findPlaceNeeds } from './version-places.js';
 import { type IndexedView, indexView, modelKey, type ModelNeed } from './view-index.js';
 
+export { describeCopy, NotLoadedReason, notLoadedReason } from './awaited-loads.js';
 export { type ForecastLoad, forecastLoads, type QueuedLoad } from './load-forecast.js';
 export { LoadProgress } from './load-progress.js';
 export { StoreConcurrencyLimiter } from './store-concurrency.js';
--- a/src/entry/relay/engine-controller.ts
+++ b/src/entry/relay/engine-controller.ts
@@ -15,6 +15,7 @@
   WeightCopies,
 } from '../../decisions/fleet-plan/index.js';
 import {
+  describeCopy,
   type EngineState,
   type ForecastLoad,
   forecastLoads,
@@ -24,6 +25,7 @@
   LoadProgress,
   modelKey,
   type ModelRates,
+  notLoadedReason,
   servedBy,
   StoreConcurrencyLimiter,
   type SwapAction,
@@ -493,6 +495,7 @@
         if (isLoadedSoon(engines, model)) return;
         this.notLoadedLoggedAtMs.set(key, view.nowMs);
         this.opts.logger.info('model-not-loaded', {
+          reason: notLoadedReason(view, demand),
           model,
           version,
           waiting,
@@ -505,21 +508,11 @@
             .map(({ id }) => id),
           copies: engines
             .filter((engine) => hasCopy(engine, model))
-            .map((engine) => EngineController.describeCopy(view.nowMs, engine)),
+            .map((engine) => describeCopy(view.nowMs, engine)),
         });
       });
   }
 
-  /** What an engine with a copy does instead of loading it. */
-  private static describeCopy(nowMs: number, { id, open, loading, replicas }: EngineState) {
-    const loaded = replicas.map(({ model, running, loadedAtMs }) => ({
-      model,
-      running,
-      loadedForMs: Math.round(nowMs - loadedAtMs),
-    }));
-    return { id, open, loading, loaded };
-  }
-
   private forecastQueue(view: SwapView, actions: readonly SwapAction[]): void {
     const started = new Set(actions.flatMap((action) => servedBy(view, action)).map(modelKey));
     const queue = this.planner.queuedLoads(view).filter((load) => !started.has(modelKey(load)));
--- a/test/units/swaps/hard-load.test.ts
+++ b/test/units/swaps/hard-load.test.ts
@@ -3,6 +3,8 @@
 import type { EngineSpec } from '../../../src/decisions/fleet-plan/index.js';
 import {
   type EngineState,
+  NotLoadedReason,
+  notLoadedReason,
   type PendingDemand,
   type Replica,
   SwapPlanner,
@@ -162,3 +164,13 @@
   const [action] = new SwapPlanner().plan(viewOf(engines, [demandFor('quick', 2, NOW_MS)], rates));
   expect(action?.steps[0]).toMatchObject({ type: 'unload', model: 'm2' });
 });
+
+test('the log tells why a model in demand is not loaded', () => {
+  const demand = demandFor('slow', 1, NOW_MS);
+  const inUse = engine('e1', { m1: 3, m2: 3, m3: 3 }, ['slow']);
+  const reasonFor = (state: EngineState) => notLoadedReason(viewOf([state], [demand]), demand);
+  expect(reasonFor(inUse)).toBe(NotLoadedReason.noRoom);
+  expect(reasonFor({ ...inUse, open: false })).toBe(NotLoadedReason.copiesBlocked);
+  expect(reasonFor(engine('e1', { m1: 3 }, []))).toBe(NotLoadedReason.storeLimit);
+  expect(reasonFor({ ...inUse, loading: ['slow'] })).toBe(NotLoadedReason.loading);
+});
