Tell a successor that is sought within 250 ms; compare candidates only if a handover may be due

Cause: on a link of known rate any message counts as a sign of the steward, so that views, which ask the successor to call the store, could be missing.

--- a/src/entry/relay/member-updates.ts
+++ b/src/entry/relay/member-updates.ts
@@ -23,7 +23,7 @@
 import { SharedMessage } from './packed-messages.js';
 import type { ReachabilityTask } from './reachability.js';
 import { ServerListCache } from './server-list-publisher.js';
-import { FullList, type Member } from './steward-member.js';
+import { FullList, type Member, peersOf } from './steward-member.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { StreamVersionsTask } from './stream-versions.js';
 
@@ -119,7 +119,7 @@
     const servers = [...storeWatcher.backends.values()];
     const engines = servers.map((server) => MemberUpdates.engineView(server, controller));
     const loads: LoadView[] = controller?.loads(nowMs) ?? [];
-    const peers = this.peers();
+    const peers = peersOf(members);
     const reports = [...members].flatMap(({ report }) => (report === null ? [] : [report]));
     return {
       nowMs,
@@ -158,16 +158,6 @@
     };
   }
 
-  /** All entry VMs that relay connections, as their last reports describe them. */
-  private peers(): View['peers'] & object {
-    return [...this.opts.members].flatMap(({ report, link }) => {
-      if (report === null || !link.understands(RelayMessageType.relayOpen)) return [];
-      const { vm, address, dataCentre, partitioned, leaving } = report;
-      const unreachable = report.unreachable.map(({ server }) => server).sort();
-      return [{ vm, address, dataCentre, unreachable, partitioned, leaving }];
-    });
-  }
-
   /** Sends changes of the view; without changes, or a budget for them, only if a message is due. */
   private sendChangedView(pass: Pass, member: Member): void {
     const { nowMs, base, engines, engineTexts, loadsKey } = pass;
@@ -182,7 +172,7 @@
     const running = mayChange ? this.changedRunning(pass, member) : [];
     const areLoadsNew = mayChange && member.sentLoads !== loadsKey;
     const isUnchanged = changed.length === 0 && running.length === 0 && !areLoadsNew;
-    if (isUnchanged && nowMs - traffic.shownAtMs(member) < MAX_UPDATE_PAUSE_MS) return;
+    if (isUnchanged && nowMs - this.shownAtMs(pass, member) < MAX_UPDATE_PAUSE_MS) return;
     const message = { ...base, engines: changed, running: Object.fromEntries(running) };
     if (!member.link.send({ ...message, mayUseReserve })) return;
     changed.forEach(({ id }) => member.sentEngines.set(id, engineTexts.get(id) ?? ''));
@@ -191,6 +181,14 @@
     Object.assign(member, { sentLoads: loadsKey, sentAtMs: nowMs });
   }
 
+  /** When the member last got what it needs regularly: for a successor that is sought, the view. */
+  private shownAtMs({ base }: Pass, member: Member): number {
+    const { traffic, lease } = this.opts;
+    const isSought =
+      base.seeksSuccessor === true && lease.heldLease()?.lease.heir?.vm === member.vm;
+    return isSought ? member.sentAtMs : traffic.shownAtMs(member);
+  }
+
   /** Changed numbers of running requests by engine, at an interval that grows with the fleet. */
   private changedRunning(
     { nowMs, running }: Pass,
--- a/src/entry/relay/steward-member.ts
+++ b/src/entry/relay/steward-member.ts
@@ -1,7 +1,7 @@
 /** What a steward knows of an entry VM that is connected to it, and what it has sent to that VM. */
 import { IncidentPublisher } from './incident-publisher.js';
 import type { MessageLink } from './message-link.js';
-import type { RelayMessageOf } from './messages.js';
+import { type RelayMessageOf, RelayMessageType } from './messages.js';
 import { ServerListPublisher } from './server-list-publisher.js';
 
 /** Full lists that a member needs once, in the order in which they are sent. */
@@ -81,3 +81,13 @@
     sentPeersAtMs: -Infinity,
   };
 }
+
+/** All entry VMs that relay connections, as their last reports describe them. */
+export function peersOf(members: ReadonlySet<Member>): RelayMessageOf<'view'>['peers'] & object {
+  return [...members].flatMap(({ report, link }) => {
+    if (report === null || !link.understands(RelayMessageType.relayOpen)) return [];
+    const { vm, address, dataCentre, partitioned, leaving } = report;
+    const unreachable = report.unreachable.map(({ server }) => server).sort();
+    return [{ vm, address, dataCentre, unreachable, partitioned, leaving }];
+  });
+}
--- a/src/entry/relay/steward-succession.ts
+++ b/src/entry/relay/steward-succession.ts
@@ -45,14 +45,19 @@
 
   /** The handover that is due, if the successor is one of its members; null for none. */
   findHandover(nowMs: number): Handover | null {
-    const { isStoreLost } = this.opts.lease;
-    return findHandover(nowMs, this.ownState(isStoreLost), this.candidates());
+    return this.find(nowMs, this.opts.lease.isStoreLost, false);
   }
 
   /** Whether the successor is to call the store, because a handover may be due. */
   seeksSuccessor(nowMs: number): boolean {
-    const { isStoreFailing } = this.opts.lease;
-    return findHandover(nowMs, this.ownState(isStoreFailing), this.candidates(), true) !== null;
+    return this.find(nowMs, this.opts.lease.isStoreFailing, true) !== null;
+  }
+
+  private find(nowMs: number, isStoreLost: boolean, isIntended: boolean): Handover | null {
+    const own = this.ownState(isStoreLost);
+    // Most of the time no reason applies; the candidates of a large fleet are then not compared.
+    if (own.partitions === 0 && !own.isStoreLost && !own.hasSlowLink) return null;
+    return findHandover(nowMs, own, this.candidates(), isIntended);
   }
 
   private ownState(isStoreLost: boolean): StewardState {
--- a/test/units/relay/member-updates.test.ts
+++ b/test/units/relay/member-updates.test.ts
@@ -79,9 +79,11 @@
     sockets,
     metrics,
     sentBytes: () => sockets.reduce((sum, { bytesWritten }) => sum + bytesWritten, 0),
-    passUntil(untilMs: number): void {
+    /** @param beforePass Called before each pass. */
+    passUntil(untilMs: number, seeksSuccessor = false, beforePass = () => {}): void {
       for (; state.nowMs <= untilMs; state.nowMs += PASS_MS) {
-        updates.sendUpdates(state.nowMs, null, false);
+        beforePass();
+        updates.sendUpdates(state.nowMs, null, seeksSuccessor);
       }
     },
   };
@@ -131,6 +133,18 @@
   });
 });
 
+describe('a steward that seeks a successor', () => {
+  test('tells the successor within 250 ms, although other messages are sent all the time', () => {
+    const steward = createSteward(SLOW_MBPS);
+    const reply = () => steward.members.forEach(({ link }) => link.send(samples.lent));
+    steward.passUntil(4_000, false, reply);
+    const isTold = ({ sentAtMs }: Member) => sentAtMs > 4_000;
+    steward.passUntil(4_000 + 250 + PASS_MS, true, reply);
+    const told = steward.members.filter(isTold).map(({ vm }) => vm);
+    expect(told).toEqual([LEASE.lease.heir?.vm]);
+  });
+});
+
 describe('the lease message', () => {
   const member = (vm: string) => {
     const { members } = createSteward(null);
