Slow stewards: deflated grants, fewer leases and keep-alive messages

With the message types and fields of all parts joined, a steward with a slow link and 300 members sent 0.505 of its link rate in the second in which they joined (bound 0.5; replay of the control path). Its grants are deflated, members other than the successor get a renewed lease each 500 ms at most, and a message without changes is sent each 400 ms instead of 250 (members give up a silent steward after 800 ms). Stewards with faster links send as before.

--- a/src/entry/relay/control-traffic.ts
+++ b/src/entry/relay/control-traffic.ts
@@ -34,6 +34,9 @@
   /** Bytes per second that the link can carry, in each direction; null if its rate is unknown. */
   readonly bytesPerS: number | null;
 
+  /** Whether the link is too slow for the control traffic of a large fleet. */
+  readonly isSlow: boolean;
+
   private readonly budget: SendBudget;
 
   /** When anything was last sent on a connection. */
@@ -49,6 +52,7 @@
 
   constructor(private readonly opts: ControlTrafficOptions) {
     this.bytesPerS = controlBytesPerS(opts.linkMbps);
+    this.isSlow = isSlowLink(opts.linkMbps);
     this.budget = new SendBudget(this.bytesPerS);
   }
 
--- a/src/entry/relay/member-updates.ts
+++ b/src/entry/relay/member-updates.ts
@@ -30,6 +30,13 @@
 
 /** Maximum time between two messages to a member, ms. */
 const MAX_UPDATE_PAUSE_MS = 250;
+/** The same on a slow link, half of the time after which members give up a silent steward, ms. */
+const SLOW_UPDATE_PAUSE_MS = 400;
+/**
+ * Minimum time between two renewed leases to a member on a slow link, ms. Renewals are frequent while
+ * many members join. Only the successor needs each of them: others take a lease later by as much.
+ */
+const SLOW_LEASE_PAUSE_MS = 500;
 /** Minimum time between two lists of peers to a member on a link of known rate, ms. */
 const PEERS_PAUSE_MS = 1_000;
 
@@ -179,7 +186,8 @@
     const running = mayChange ? this.changedRunning(pass, member) : [];
     const areLoadsNew = mayChange && member.sentLoads !== loadsKey;
     const isUnchanged = changed.length === 0 && running.length === 0 && !areLoadsNew;
-    if (isUnchanged && nowMs - this.shownAtMs(pass, member) < MAX_UPDATE_PAUSE_MS) return;
+    const pauseMs = traffic.isSlow ? SLOW_UPDATE_PAUSE_MS : MAX_UPDATE_PAUSE_MS;
+    if (isUnchanged && nowMs - this.shownAtMs(pass, member) < pauseMs) return;
     const tokens = running.map(([id]) => [id, pass.tokens.get(id) ?? 0] as const);
     const queues = mayChange ? member.queues.changes(nowMs, pass.queues) : [];
     const sent = member.link.send({
@@ -308,8 +316,11 @@
   private sendRenewedLease(member: Member): void {
     const held = this.opts.lease.heldLease();
     if (held === null || held.version === member.sentLeaseVersion) return;
-    if (member.link.send(leaseMessageFor(member, held, false, this.opts.clock.nowMs()))) {
-      Object.assign(member, { sentLeaseVersion: held.version });
+    const nowMs = this.opts.clock.nowMs();
+    const isPaced = this.opts.traffic.isSlow && held.lease.heir?.vm !== member.vm;
+    if (isPaced && nowMs - member.sentLeaseAtMs < SLOW_LEASE_PAUSE_MS) return;
+    if (member.link.send(leaseMessageFor(member, held, false, nowMs))) {
+      Object.assign(member, { sentLeaseVersion: held.version, sentLeaseAtMs: nowMs });
     }
   }
 }
--- a/src/entry/relay/steward-member.ts
+++ b/src/entry/relay/steward-member.ts
@@ -42,6 +42,8 @@
   sentLoads: string;
   /** Version of the lease last sent. */
   sentLeaseVersion: number;
+  /** When it was sent, on the clock that also runs during suspension. */
+  sentLeaseAtMs: number;
   /** Builds the server list updates for the member. */
   readonly beliefs: ServerListPublisher;
   /** Builds the messages with shared incidents for the member. */
@@ -78,6 +80,7 @@
     sentRunningAtMs: -Infinity,
     sentLoads: '',
     sentLeaseVersion: 0,
+    sentLeaseAtMs: -Infinity,
     beliefs: new ServerListPublisher(),
     incidents: new IncidentPublisher(),
     sentThrottles: new Map(),
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -400,13 +400,16 @@
       return;
     }
     const { seq, fractions } = lender.grant(nowMs, report.vm);
-    member.link.send({
+    const grant: RelayMessageOf<'grant'> = {
       type: RelayMessageType.grant,
       seq,
       reportSentAtMs: report.sentAtMs,
       fractions: Object.fromEntries(fractions),
       ...confirmed,
-    });
+    };
+    // The grants of all members that join at once would fill a slow link.
+    if (this.traffic.isSlow) member.link.sendShared(new SharedMessage(grant));
+    else member.link.send(grant);
   }
 
   private handleIncidents(member: Member, message: RelayMessageOf<'incidents'>): void {
--- a/test/replay/control-vm.ts
+++ b/test/replay/control-vm.ts
@@ -38,6 +38,7 @@
   /** When anything was last sent to it. */
   shownAtMs: number;
   leaseVersion: number;
+  leaseSentAtMs: number;
   peers: number;
   hasLists: boolean;
 }
