What the review of the joined parts found

Queues of other entry VMs count only while a steward tells their changes, and leave out requests that only a part of the servers may run: less urgent requests were held although servers were idle. A confirmation by the steward ends the failures of the VM's own store calls, so that a VM which stood still waits for the evacuations. Late answers to requests for memory are used for 2 s. A second attempt of an idle request needs no memory permit, which could not reach it. Only declared tokens make a request too large, and undeclared ones are whole numbers. A forecast of a slot counts only for requests that wait for one. The byte debt of a steward is bounded, a member without a full view follows the store, streams are sent with the first report again, a probe that fails after a later one was answered is ignored, and a grant for a report before a suspension is not applied. The contents of queues are encoded once for all members.

--- a/src/decisions/message-pacing/send-budget.ts
+++ b/src/decisions/message-pacing/send-budget.ts
@@ -50,7 +50,8 @@
   noteSent(nowMs: number, bytes: number): void {
     if (this.bytesPerS === null) return;
     this.refill(nowMs);
-    this.level -= bytes;
+    // A long debt would hold back changes for seconds after the messages that caused it.
+    this.level = Math.max(-this.burst, this.level - bytes);
   }
 
   private get burst(): number {
--- a/src/entry/relay/admission.ts
+++ b/src/entry/relay/admission.ts
@@ -91,6 +91,9 @@
 
   private appliedSeq = 0;
 
+  /** When this VM last resumed from a suspension, on the steady clock, ms. */
+  private resumedAtMs = -Infinity;
+
   private closed = false;
 
   /** When a grant last arrived or a request was last over its rate, on the steady clock, ms. */
@@ -125,13 +128,15 @@
    * requests before it: their replies are of unknown age.
    */
   handleSuspension(): void {
+    this.resumedAtMs = this.opts.clock.steadyMs();
     this.holder.clear();
     this.resetLoans();
   }
 
   /** Replaces this entry VM's shares with those of a steward's grant. */
   applyGrant(grant: RelayMessageOf<'grant'>): void {
-    if (this.closed) return;
+    // A grant for a report before a suspension may have expired at the lender.
+    if (this.closed || grant.reportSentAtMs <= this.resumedAtMs) return;
     this.appliedSeq = grant.seq;
     this.rateKnownAtMs = this.opts.clock.steadyMs();
     const fractions = new Map(Object.entries(grant.fractions));
--- a/src/entry/relay/caller-server.ts
+++ b/src/entry/relay/caller-server.ts
@@ -32,7 +32,7 @@
 import { Exchange } from './exchange.js';
 import { RequestTurns } from './request-turns.js';
 import { type RoutedRequest, timeLimitMs } from './routed-request.js';
-import { isTooLarge, tokensOf } from './server-tokens.js';
+import { isTooLarge } from './server-tokens.js';
 import type { StoreWatcherTask } from './store-watcher.js';
 import type { RequestMetadata } from './types.js';
 
@@ -341,7 +341,7 @@
       this.sendRefusal(res, metadata.id, refusal(errors.data.NoCapacity, UNREADY_RETRY_MS));
       return;
     }
-    if (isTooLarge(checked.plan, service, tokensOf(metadata, checked.customer))) {
+    if (isTooLarge(checked.plan, service, metadata.tokens)) {
       this.sendRefusal(res, metadata.id, refusal(errors.data.RequestTooLarge));
       return;
     }
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -51,6 +51,7 @@
   readonly memoryPermits: Pick<MemoryPermits, 'mustWait'>;
   readonly clock: Clock;
   readonly random: Random;
+  isStewardConnected(): boolean;
   /** Called when a request is queued. */
   onEnqueue(): void;
 }
@@ -60,7 +61,7 @@
 
   private readonly expectedRetries = new ExpectedRetries();
 
-  private readonly fleetQueues = new FleetQueues();
+  private readonly fleetQueues = new FleetQueues(() => this.opts.isStewardConnected());
 
   private timer: NodeJS.Timeout | null = null;
 
@@ -101,6 +102,15 @@
     return this.tryPlace(request, tried);
   }
 
+  /**
+   * The same for a second attempt of a request that is not queued, so that no permit could reach it. The
+   * retry budget bounds such attempts.
+   */
+  placeAgain(request: QueuedRequest, tried: ReadonlySet<string>): Run | null {
+    if (this.isScheduled) this.placeQueued();
+    return this.tryPlace(request, tried, null, false);
+  }
+
   /** Removes a queued request whose caller has disconnected or whose time is up. */
   cancel(id: string): void {
     const entry = this.waiting.get(id);
@@ -194,7 +204,8 @@
     const servers = this.opts.view.candidates(request).filter(({ id }) => !tried.has(id));
     Object.assign(entry, { isSlotBound: servers.length > 0 && !servers.some(hasSlot) });
     const waitMs = forecast.waitMs(request, servers);
-    const slotAtMs = waitMs === null ? null : nowMs + waitMs;
+    // A request that waits for something else than a slot has no such forecast.
+    const slotAtMs = waitMs === null || !entry.isSlotBound ? null : nowMs + waitMs;
     if (nowMs < rejectAtMs(request, { readyAtMs, isLoaded, permitAtMs, slotAtMs })) return;
     this.waiting.delete(request.id);
     const { service, model, adapter, version, dataCentres } = request;
@@ -243,11 +254,15 @@
     entry.settle({ run, retryAfterMs: null });
   }
 
-  /** @param permittedId Server whose memory is reserved for the request; null if there is none. */
+  /**
+   * @param permittedId Server whose memory is reserved for the request; null if there is none.
+   * @param needsPermit Whether the request waits for a permit where it could exceed a server's memory.
+   */
   private tryPlace(
     request: QueuedRequest,
     tried: ReadonlySet<string>,
     permittedId: string | null = null,
+    needsPermit = permittedId === null,
   ): Run | null {
     const { dataCentre, storeWatcher, random, view, limits, firstTokens, memory } = this.opts;
     const { prompt, tokens } = request;
@@ -263,7 +278,7 @@
     const server: BackendServer | undefined =
       chosen === null ? undefined : storeWatcher.backends.get(chosen.server.id);
     if (chosen === null || server === undefined) return null;
-    if (permittedId === null && this.mustWait(request, server.id)) return null;
+    if (needsPermit && this.mustWait(request, server.id)) return null;
     limits.take(server);
     this.probeThrottled(request, tried);
     const { service, model, adapter } = request;
--- a/src/entry/relay/fleet-queues.ts
+++ b/src/entry/relay/fleet-queues.ts
@@ -17,7 +17,17 @@
 type Target = Pick<ModelQueue, 'service' | 'model' | 'adapter'>;
 
 function keyOf({ service, model, adapter }: Target): string {
-  return JSON.stringify([service, model, adapter]);
+  return `${service} ${model} ${adapter ?? ''}`;
+}
+
+/** Contents of the queues that a steward sums, which it compares for each member. */
+const contents = new WeakMap<ModelQueue, string>();
+
+/** The number of waiting requests by priority, as JSON. */
+function contentOf(queue: ModelQueue): string {
+  const known = contents.get(queue) ?? JSON.stringify(queue.byPriority);
+  contents.set(queue, known);
+  return known;
 }
 
 function lengthOf({ byPriority }: ModelQueue): number {
@@ -33,10 +43,14 @@
   return { ...a, ...Object.fromEntries(added) };
 }
 
-/** Sums the queues of entry VMs. Earlier builds tell no priorities; their requests are left out. */
+/**
+ * Sums the queues of entry VMs. Earlier builds tell no priorities; their requests are left out, as are
+ * those that only a part of the servers may run: others do not compete with them for all slots.
+ */
 export function sumQueues(waits: Waits): readonly ModelQueue[] {
   const queues = new Map<string, ModelQueue>();
-  waits.forEach(({ service, model, adapter, byPriority = {} }) => {
+  waits.forEach(({ service, model, adapter, version, dataCentres, byPriority = {} }) => {
+    if (version !== null || dataCentres !== undefined) return;
     const key = keyOf({ service, model, adapter });
     const sum = addCounts(queues.get(key)?.byPriority ?? {}, byPriority);
     if (Object.keys(sum).length > 0) queues.set(key, { service, model, adapter, byPriority: sum });
@@ -57,11 +71,10 @@
     const gone = [...this.sent]
       .filter(([key]) => !present.has(key))
       .map(([, queue]) => ({ ...queue, byPriority: {} }));
-    const changed = queues.filter(
-      (queue) =>
-        JSON.stringify(this.sent.get(keyOf(queue))?.byPriority) !==
-        JSON.stringify(queue.byPriority),
-    );
+    const changed = queues.filter((queue) => {
+      const sent = this.sent.get(keyOf(queue));
+      return sent === undefined || contentOf(sent) !== contentOf(queue);
+    });
     return [...gone, ...changed.sort((a, b) => lengthOf(b) - lengthOf(a)).slice(0, MAX_QUEUES)];
   }
 
@@ -81,6 +94,9 @@
 
   private reported: ReadonlyMap<string, ModelQueue> = new Map();
 
+  /** @param isCurrent Whether a steward tells changes; what an earlier one told may be long over. */
+  constructor(private readonly isCurrent: () => boolean) {}
+
   applyView({ whole, queues = [] }: Pick<RelayMessageOf<'view'>, 'whole' | 'queues'>): void {
     if (whole) this.queues.clear();
     queues.forEach((queue) => {
@@ -106,6 +122,7 @@
   }
 
   private countElsewhere(target: Target, isCounted: (priority: number) => boolean): number {
+    if (!this.isCurrent()) return 0;
     const key = keyOf(target);
     const own = this.reported.get(key)?.byPriority ?? {};
     return Object.entries(this.queues.get(key)?.byPriority ?? {})
--- a/src/entry/relay/lease-task.ts
+++ b/src/entry/relay/lease-task.ts
@@ -317,6 +317,8 @@
   }
 
   private noteStoreCall(answered: boolean, sentAtMs: number): void {
+    // Probes overlap: a later call may have been answered before an earlier one failed.
+    if (!answered && sentAtMs < this.answeredAtMs) return;
     if (answered) this.answeredAtMs = Math.max(this.answeredAtMs, sentAtMs);
     if (answered !== this.storeAvailable) {
       this.opts.logger.info(answered ? 'store-back' : 'store-lost');
--- a/src/entry/relay/member-updates.ts
+++ b/src/entry/relay/member-updates.ts
@@ -107,9 +107,9 @@
 
   /** Sends a member its first lists without waiting for a pass, if the link is not known to be slow. */
   sendFirstLists(member: Member): void {
-    if (this.opts.traffic.bytesPerS !== null) return;
+    // Few, and only while several versions serve; a member takes up streams as soon as it is connected.
     if (member.pendingLists.delete(FullList.streams)) this.sendStreams(member);
-    this.sendServerList(member);
+    if (this.opts.traffic.bytesPerS === null) this.sendServerList(member);
   }
 
   /** Sends a member the changes of the server list, if it has the list. */
--- a/src/entry/relay/memory-permits.ts
+++ b/src/entry/relay/memory-permits.ts
@@ -12,6 +12,8 @@
 const MAX_FREE_FILL = 0.5;
 /** Time after which a request without an answer asks again, ms. */
 const ANSWER_TIMEOUT_MS = 400;
+/** Time for which a late answer is used, ms. */
+const LATE_ANSWER_MS = 2_000;
 /** Time for which a server is not asked for after a refusal, ms; reports change what is free. */
 const REFUSAL_MS = 200;
 /** Largest number of requests that wait for an answer at once. */
@@ -81,9 +83,10 @@
     const isSmall = tokens <= capacityTokens * MAX_FREE_SIZE;
     if (isSmall && usedTokens + tokens <= capacityTokens * MAX_FREE_FILL) return false;
     const nowMs = this.opts.clock.steadyMs();
-    this.asks = this.asks.filter(({ atMs }) => nowMs - atMs < ANSWER_TIMEOUT_MS);
-    const isAsked = this.asks.some((ask) => ask.requestId === requestId);
-    if (isAsked || this.asks.length >= MAX_ASKS) return true;
+    this.asks = this.asks.filter(({ atMs }) => nowMs - atMs < LATE_ANSWER_MS);
+    const pending = this.asks.filter(({ atMs }) => nowMs - atMs < ANSWER_TIMEOUT_MS);
+    const isAsked = pending.some((ask) => ask.requestId === requestId);
+    if (isAsked || pending.length >= MAX_ASKS) return true;
     const askId = this.lastAskId + 1;
     const type = RelayMessageType.memoryAsk;
     this.isAnswered = this.opts.send({ type, askId, serverId, tokens });
@@ -97,7 +100,10 @@
   handleReply({ askId, serverId, tokens, isGranted }: RelayMessageOf<'memory-reply'>): void {
     this.seenAskId = Math.max(this.seenAskId, askId);
     const ask = this.asks.find((one) => one.askId === askId);
-    this.asks = this.asks.filter((one) => one !== ask);
+    // An earlier or later request for the same one needs no further permit.
+    this.asks = this.asks.filter(
+      (one) => one !== ask && !(isGranted && one.requestId === ask?.requestId),
+    );
     this.opts.metrics.count('relay_memory_permits_total', {
       outcome: isGranted ? 'granted' : 'refused',
     });
--- a/src/entry/relay/server-tokens.ts
+++ b/src/entry/relay/server-tokens.ts
@@ -26,7 +26,7 @@
 ): number | undefined {
   if (model === null) return undefined;
   if (tokens !== null) return tokens.prompt + tokens.output;
-  return customer?.countsTokens === true ? customer.defaultUnits : undefined;
+  return customer?.countsTokens === true ? Math.ceil(customer.defaultUnits) : undefined;
 }
 
 /** Memory of each server of a service, in tokens; 0 if it is unknown or not limited. */
@@ -35,10 +35,14 @@
   return Number.isFinite(tokens) ? tokens : 0;
 }
 
-/** Whether a request needs more tokens than any server of the service has. */
-export function isTooLarge(plan: FleetPlan, service: string, tokens: number | undefined): boolean {
+/** Whether a request declares more tokens than any server of the service has. */
+export function isTooLarge(
+  plan: FleetPlan,
+  service: string,
+  tokens: RequestMetadata['tokens'],
+): boolean {
   const capacityTokens = memoryTokens(plan, service);
-  return capacityTokens > 0 && (tokens ?? 0) > capacityTokens;
+  return capacityTokens > 0 && (tokens?.prompt ?? 0) + (tokens?.output ?? 0) > capacityTokens;
 }
 
 export interface ServerTokensOptions {
--- a/src/entry/relay/steward.ts
+++ b/src/entry/relay/steward.ts
@@ -387,7 +387,9 @@
   ): void {
     const { storeWatcher } = this.opts;
     const { plan, backends } = storeWatcher.freshness();
-    const isListPending = member.pendingLists.has(FullList.servers);
+    // A member that lacks a list follows the store, which tells the models of the servers as well.
+    const isListPending =
+      member.pendingLists.has(FullList.servers) || member.pendingLists.has(FullList.view);
     const confirmed = {
       reportClockMs: report.clockMs,
       plan,
--- a/src/entry/relay/store-watcher.ts
+++ b/src/entry/relay/store-watcher.ts
@@ -139,6 +139,7 @@
     this.revision = Math.max(this.revision ?? 0, revision);
     this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
     this.stewardConfirmedAtMs = Math.max(this.stewardConfirmedAtMs, atMs);
+    this.failures = 0;
   }
 
   /** Records that the steward reached the store by a call at `atMs`. */
--- a/src/entry/relay/wire.ts
+++ b/src/entry/relay/wire.ts
@@ -320,6 +320,7 @@
   });
   lateBound.firstTokens = firstTokens;
   const dispatcher = new Dispatcher({
+    isStewardConnected,
     dataCentre: vm.dataCentre,
     storeWatcher,
     view,
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -121,6 +121,7 @@
         retryAfterMs: 100,
       }),
       placeNow,
+      placeAgain: placeNow,
       cancel: nothing,
       schedulePlacement: nothing,
     },
--- a/test/units/relay/dispatch.test.ts
+++ b/test/units/relay/dispatch.test.ts
@@ -39,6 +39,7 @@
     }),
   } as unknown as FirstTokensOptions);
   const dispatcher = new Dispatcher({
+    isStewardConnected: () => true,
     dataCentre: 'a',
     storeWatcher: { backends: new Map([[SERVER_ID, createBackendServer(SERVER_ID)]]) },
     view,
