--- a/src/decisions/message-pacing/send-budget.ts
+++ b/src/decisions/message-pacing/send-budget.ts
@@ -7,6 +7,11 @@
 const GAINED_FRACTION = 0.8;
 /** Bytes that may accumulate unused, as time at the full rate, ms. */
 const BURST_MS = 100;
+/**
+ * Longest time for which messages of the first priority hold back the others once they have ended, s: the
+ * traffic of each second is bounded, and not that of minutes.
+ */
+const MAX_DEBT_S = 1;
 /** Part of the burst that full lists leave to other messages. */
 const LISTS_RESERVE = 0.5;
 
@@ -50,8 +55,7 @@
   noteSent(nowMs: number, bytes: number): void {
     if (this.bytesPerS === null) return;
     this.refill(nowMs);
-    // A long debt would hold back changes for seconds after the messages that caused it.
-    this.level = Math.max(-this.burst, this.level - bytes);
+    this.level = Math.max(-this.bytesPerS * MAX_DEBT_S, this.level - bytes);
   }
 
   private get burst(): number {
