Dispatcher: one entry point for placing a request now

placeAgain repeated placeNow except for the memory permit, which a second attempt of a request that is not queued does not wait for; it is a parameter now. A doc comment of MemberUpdates names what it sends. Behaviour is unchanged.

--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -84,7 +84,7 @@
 
   /** Resolves with a run at a server that is not in `tried`, or with a rejection. */
   place(request: QueuedRequest, tried: ReadonlySet<string>): Promise<Placement> {
-    const run = this.placeNow(request, tried);
+    const run = this.placeNow(request, tried, true);
     if (run !== null) return Promise.resolve({ run, retryAfterMs: null });
     return new Promise((resolve) => {
       this.waiting.set(request.id, { request, tried, isSlotBound: false, settle: resolve });
@@ -95,20 +95,15 @@
     });
   }
 
-  /** A run at a server that is not in `tried` and can run the request now; null if there is none. */
-  placeNow(request: QueuedRequest, tried: ReadonlySet<string>): Run | null {
-    // A server that has just become free is for the queued requests first.
-    if (this.isScheduled) this.placeQueued();
-    return this.tryPlace(request, tried);
-  }
-
   /**
-   * The same for a second attempt of a request that is not queued, so that no permit could reach it. The
-   * retry budget bounds such attempts.
+   * A run at a server that is not in `tried` and can run the request now; null if there is none.
+   * @param needsPermit False for a second attempt of a request that is not queued, so that no permit
+   * could reach it. The retry budget bounds such attempts.
    */
-  placeAgain(request: QueuedRequest, tried: ReadonlySet<string>): Run | null {
+  placeNow(request: QueuedRequest, tried: ReadonlySet<string>, needsPermit: boolean): Run | null {
+    // A server that has just become free is for the queued requests first.
     if (this.isScheduled) this.placeQueued();
-    return this.tryPlace(request, tried, null, false);
+    return this.tryPlace(request, tried, null, needsPermit);
   }
 
   /** Removes a queued request whose caller has disconnected or whose time is up. */
--- a/src/entry/relay/member-updates.ts
+++ b/src/entry/relay/member-updates.ts
@@ -105,7 +105,7 @@
     traffic.measure(nowMs, members);
   }
 
-  /** Sends a member its first lists without waiting for a pass, if the link is not known to be slow. */
+  /** Sends a member the streams and, over a link of unknown rate, the server list without waiting for a pass. */
   sendFirstLists(member: Member): void {
     // Few, and only while several versions serve; a member takes up streams as soon as it is connected.
     if (member.pendingLists.delete(FullList.streams)) this.sendStreams(member);
--- a/src/entry/relay/retry-policy.ts
+++ b/src/entry/relay/retry-policy.ts
@@ -146,7 +146,7 @@
     });
     if (!isWorthwhile || ctx.incidents.isRefused(this.identity)) return null;
     this.isCharged ||= this.charge(nowMs);
-    return this.isCharged ? ctx.dispatcher.placeAgain(queuedRequest, tried) : null;
+    return this.isCharged ? ctx.dispatcher.placeNow(queuedRequest, tried, false) : null;
   }
 
   /** Charges a retry, unless one was charged that no server has received. */
--- a/test/units/relay/broken-stream.test.ts
+++ b/test/units/relay/broken-stream.test.ts
@@ -121,7 +121,6 @@
         retryAfterMs: 100,
       }),
       placeNow,
-      placeAgain: placeNow,
       cancel: nothing,
       schedulePlacement: nothing,
     },
