Placement: one load from the weight store for the most crowded model

It had one engine with free slots, and its only copies were at its own engines. The weight store was in use throughout by models that 0.5 to 1.4 requests a second asked for: the last of two loads was kept for models that no engine has loaded.

Change: one load at a time goes to the model with overloaded engines whose further replica serves the most requests a second, if that is over twice as many as any model serves that is not loaded. The rest of the store is for the others as before.

--- a/src/decisions/swaps/index.ts
+++ b/src/decisions/swaps/index.ts
@@ -6,13 +6,15 @@
  * within seconds. A load from an engine's own disk or memory takes half a second; a load from the
  * weight store blocks the engine's orders for many seconds. A model is therefore loaded on an
  * engine that has a copy of its weights. The store is used only if no engine has a copy, if an
- * engine has free memory for the model, or if the only copy is on an overloaded engine. The models
+ * engine has free memory for the model, or if the only copy is on an overloaded engine. One load from
+ * the store at a time goes to the most crowded model, before models that no engine has loaded. The models
  * in highest demand are preloaded into free memory, so that a new engine can serve requests for
  * them at once.
  */
 import { OrderStepType } from '../engine-orders/index.js';
 import { loadAdapter } from './adapter-loads.js';
 import { blockedLoads, queuedLoads } from './awaited-loads.js';
+import { mostCrowded } from './crowded-models.js';
 import type { ForecastLoad, QueuedLoad } from './load-forecast.js';
 import { loadModel, loadPlace, RESERVED_STORE_LOADS } from './model-loads.js';
 import { PatienceTracker } from './patience.js';
@@ -65,19 +67,22 @@
     let storeLoadsLeft = Math.max(0, view.storeLoadsLeft - placeActions.length);
     const byUrgency = inOrderOfUrgency(view);
     // One plan loads a model on one engine only, however many of its adapters are in demand.
-    const loadFor = (demand: PendingDemand, storeLoads: number) =>
+    const loadFor = (demand: PendingDemand, left: number, reserved = RESERVED_STORE_LOADS) =>
       placedModels.has(modelKey(demand))
         ? null
-        : loadModel(view, demand, assignedEngines, storeLoads);
+        : loadModel(view, demand, assignedEngines, { left, reserved });
     const passes: readonly ((demand: PendingDemand) => SwapAction | null)[] = [
       (demand) => loadAdapter(view, demand, assignedEngines),
       // Streams in progress come first, as long as a copy can serve them soon.
       (demand) => (demand.version === null ? null : loadFor(demand, 0)),
+      (demand) => loadFor(demand, storeLoadsLeft, 0),
       (demand) => loadFor(demand, storeLoadsLeft),
       // Models whose engines fill up get a replica before requests have to wait for a slot.
       (demand) => loadFor(demand, 0),
     ];
-    const demandOf = [byUrgency, byUrgency, byUrgency, busyModels(view)];
+    const crowded = mostCrowded(view);
+    const crowdedModels = crowded === null ? [] : [crowded];
+    const demandOf = [byUrgency, byUrgency, crowdedModels, byUrgency, busyModels(view)];
     const demandActions = passes.flatMap((pass, at) =>
       (demandOf[at] ?? []).flatMap((demand) => {
         const action = pass(demand);
