Dispatcher, swaps, leases: remove repeated code and lookups

Read-through of the change; no behaviour changes.

- A queued request looked up its candidates three times in each pass over the queue (every 25 ms): to place it, for the time of a permit and for free slots.
They are looked up once.
- Whether a server or an engine has a free slot was computed by three formulas with the same fraction; hasSlot and usableSlots are the one place now.
They give the same answer for whole numbers of requests and positive slots.
- The wait before a free lease is acquired is read in one getter, and the log line of an evacuation is built once.

--- a/src/decisions/engine-choice/index.ts
+++ b/src/decisions/engine-choice/index.ts
@@ -62,8 +62,8 @@
 }
 
 /** Whether a server may get one more request. */
-export function hasSlot({ running, slots }: Pick<Candidate, 'running' | 'slots'>): boolean {
-  return running < Math.max(1, slots * MAX_UTILISATION);
+export function hasSlot(server: Pick<Candidate, 'running' | 'slots'>): boolean {
+  return server.running < usableSlots(server);
 }
 
 /** A server and its expected time to the first token, ms, with a random addition. */
--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -282,7 +282,7 @@
     const { version } = this;
     this.pending = { lease, noteBefore, detailsBefore, sentAtMs: nowMs, version };
     this.nextCallAtMs = nowMs + durationMs * RENEW_AFTER_FRACTION;
-    return [{ type: LeaseEffectType.write, lease, version: this.version }];
+    return [{ type: LeaseEffectType.write, lease, version }];
   }
 
   /** Successor for the next write. A newly named one gets an unused fencing token. */
@@ -363,8 +363,7 @@
     if (nowMs < heldUntilMs) return this.write(nowMs, epochAfter(lease, this.version));
     const lost = this.clearHeld();
     const durationMs = Math.max(this.cfg.durationMs, lease?.durationMs ?? 0);
-    const waitMs = this.cfg.acquireWaitMs?.() ?? 0;
-    const freeAtMs = this.versionChangedAtMs + durationMs + this.cfg.marginMs + waitMs;
+    const freeAtMs = this.versionChangedAtMs + durationMs + this.cfg.marginMs + this.acquireWaitMs;
     if (nowMs >= freeAtMs) {
       this.succession = null;
       return [...lost, ...this.write(nowMs, epochAfter(lease, this.version))];
@@ -452,6 +451,11 @@
     );
   }
 
+  /** Time for which this entry VM leaves a free lease to others, ms. */
+  private get acquireWaitMs(): number {
+    return this.cfg.acquireWaitMs?.() ?? 0;
+  }
+
   private acquireIfFree(nowMs: number, lease: Lease | null): readonly LeaseEffect[] {
     if (this.stopping) return [];
     if (lease === null || lease.holder === null) return this.acquire(nowMs, nowMs, lease);
@@ -469,7 +473,7 @@
     const isRetired = hasExpiredHere || (otherSuccessor?.epoch ?? lease.epoch) <= this.retiredEpoch;
     const freeAtMs = this.versionChangedAtMs + lease.durationMs + this.cfg.marginMs;
     if (nowMs < freeAtMs && !isRetired) {
-      this.nextCallAtMs = Math.min(this.nextCallAtMs, freeAtMs + (this.cfg.acquireWaitMs?.() ?? 0));
+      this.nextCallAtMs = Math.min(this.nextCallAtMs, freeAtMs + this.acquireWaitMs);
       return [];
     }
     return this.acquire(nowMs, Math.min(nowMs, freeAtMs), lease);
@@ -480,7 +484,7 @@
     if (this.freeSince?.version !== this.version) {
       this.freeSince = { version: this.version, atMs: freeAtMs };
     }
-    const dueMs = this.freeSince.atMs + (this.cfg.acquireWaitMs?.() ?? 0);
+    const dueMs = this.freeSince.atMs + this.acquireWaitMs;
     if (nowMs < dueMs) {
       this.nextCallAtMs = Math.min(this.nextCallAtMs, dueMs);
       return [];
--- a/src/decisions/swaps/load-options.ts
+++ b/src/decisions/swaps/load-options.ts
@@ -1,4 +1,5 @@
 /** The ways to load a model on an engine, with what is evicted for it and what it costs. */
+import { hasSlot } from '../engine-choice/index.js';
 import { type OrderStep, OrderStepType } from '../engine-orders/index.js';
 import type { EngineState, PendingDemand, Replica } from './types.js';
 import { type IndexedView, isOnlyAt, modelKey, runningAt } from './view-index.js';
@@ -23,9 +24,6 @@
 /** Queued requests for a model below which no model in use is evicted for it before it is overdue. */
 const MIN_OUTNUMBERING = 6;
 
-/** Fraction of an engine's slots that entry VMs use at most, as `FleetView` does. */
-const MAX_SLOT_FRACTION = 0.9;
-
 /** A way to load a model on an engine. */
 export interface LoadOption {
   readonly engine: EngineState;
@@ -42,7 +40,7 @@
 
 /** Whether an engine has slots left for requests to a further model. */
 export function hasFreeSlots(engine: EngineState): boolean {
-  return runningAt(engine) < engine.spec.slots * MAX_SLOT_FRACTION;
+  return hasSlot({ running: runningAt(engine), slots: engine.spec.slots });
 }
 
 export function loadSteps(evict: readonly Replica[], model: string): readonly OrderStep[] {
--- a/src/entry/relay/dispatch.ts
+++ b/src/entry/relay/dispatch.ts
@@ -41,6 +41,13 @@
 /** Interval at which queued requests are re-evaluated, ms. */
 const QUEUE_POLL_MS = 25;
 
+/** See `tryPlace`. */
+interface PlacementOptions {
+  readonly candidates?: readonly Candidate[];
+  readonly permittedId?: string | null;
+  readonly needsPermit?: boolean;
+}
+
 export interface DispatchOptions {
   readonly dataCentre: string;
   readonly storeWatcher: StoreWatcherTask;
@@ -103,7 +110,7 @@
   placeNow(request: QueuedRequest, tried: ReadonlySet<string>, needsPermit: boolean): Run | null {
     // A server that has just become free is for the queued requests first.
     if (this.isScheduled) this.placeQueued();
-    return this.tryPlace(request, tried, null, needsPermit);
+    return this.tryPlace(request, tried, { needsPermit });
   }
 
   /** Removes a queued request whose caller has disconnected or whose time is up. */
@@ -187,7 +194,8 @@
     forecast: QueueForecast,
   ): void {
     const { request, tried, settle } = entry;
-    const run = this.tryPlace(request, tried);
+    const candidates = this.opts.view.candidates(request);
+    const run = this.tryPlace(request, tried, { candidates });
     if (run !== null) {
       this.waiting.delete(request.id);
       settle({ run, retryAfterMs: null });
@@ -195,8 +203,9 @@
     }
     const readyAtMs = this.opts.view.readyAtMs(request);
     const isLoaded = this.opts.view.isLoaded(request);
-    const permitAtMs = this.permitAtMs(nowMs, request, this.addNeeds(needs, request, tried));
-    const servers = this.opts.view.candidates(request).filter(({ id }) => !tried.has(id));
+    const positions = this.addNeeds(needs, request, tried);
+    const permitAtMs = candidates.length > 0 ? null : this.permitAtMs(nowMs, request, positions);
+    const servers = candidates.filter(({ id }) => !tried.has(id));
     Object.assign(entry, { isSlotBound: servers.length > 0 && !servers.some(hasSlot) });
     const waitMs = forecast.waitMs(request, servers);
     // A request that waits for something else than a slot has no such forecast.
@@ -223,8 +232,8 @@
   }
 
   /**
-   * Expected time of a permit for a request whose servers are all throttled; null if it is unknown,
-   * or if the steward may load the model that the request needs on another server.
+   * Expected time of a permit for a request without candidates. Null if no server is throttled, if the
+   * time is unknown, or if the steward may load the model that the request needs on another server.
    */
   private permitAtMs(
     nowMs: number,
@@ -232,7 +241,7 @@
     positions: ReadonlyMap<string, number>,
   ): number | null {
     const { view, limits } = this.opts;
-    if (positions.size === 0 || view.candidates(request).length > 0) return null;
+    if (positions.size === 0) return null;
     if (request.model !== null && !view.isFullyThrottled(request.service)) return null;
     const position = Math.max(...positions.values());
     const waitMs = limits.expectedWaitMs([...positions.keys()], position);
@@ -243,25 +252,28 @@
   placeWithPermit(requestId: string, serverId: string): void {
     const entry = this.waiting.get(requestId);
     if (entry === undefined) return;
-    const run = this.tryPlace(entry.request, entry.tried, serverId);
+    const run = this.tryPlace(entry.request, entry.tried, { permittedId: serverId });
     if (run === null) return;
     this.waiting.delete(requestId);
     entry.settle({ run, retryAfterMs: null });
   }
 
   /**
+   * @param candidates The view's candidates for the request, if they were looked up already.
    * @param permittedId Server whose memory is reserved for the request; null if there is none.
    * @param needsPermit Whether the request waits for a permit where it could exceed a server's memory.
    */
   private tryPlace(
     request: QueuedRequest,
     tried: ReadonlySet<string>,
-    permittedId: string | null = null,
-    needsPermit = permittedId === null,
+    {
+      candidates: possible = this.opts.view.candidates(request),
+      permittedId = null,
+      needsPermit = permittedId === null,
+    }: PlacementOptions = {},
   ): Run | null {
     const { dataCentre, storeWatcher, random, view, limits, firstTokens, memory } = this.opts;
     const { prompt, tokens } = request;
-    const possible = view.candidates(request);
     const withRoom =
       permittedId === null
         ? memory.withRoom(request.service, possible, tokens)
--- a/src/entry/relay/evacuations.ts
+++ b/src/entry/relay/evacuations.ts
@@ -179,24 +179,13 @@
   private publish({ evacuated, takenBack }: EvacuationDifference, toldBy: Source): void {
     if (evacuated.length + takenBack.length === 0) return;
     this.opts.onTakenBack(takenBack);
-    const servers = (dataCentre: string) =>
-      [...this.opts.storeWatcher.backends.values()].filter(
-        (server) => server.dataCentre === dataCentre,
-      ).length;
-    evacuated.forEach((dataCentre) =>
-      this.opts.logger.info('data-centre-evacuated', {
-        dataCentre,
-        toldBy,
-        servers: servers(dataCentre),
-      }),
-    );
-    takenBack.forEach((dataCentre) =>
-      this.opts.logger.info('evacuation-taken-back', {
-        dataCentre,
-        toldBy,
-        servers: servers(dataCentre),
-      }),
-    );
+    const log = (event: string, dataCentre: string) => {
+      const all = [...this.opts.storeWatcher.backends.values()];
+      const servers = all.filter((server) => server.dataCentre === dataCentre).length;
+      this.opts.logger.info(event, { dataCentre, toldBy, servers });
+    };
+    evacuated.forEach((dataCentre) => log('data-centre-evacuated', dataCentre));
+    takenBack.forEach((dataCentre) => log('evacuation-taken-back', dataCentre));
     this.opts.metrics.gauge('relay_evacuated_data_centres', this.evacuations.dataCentres.size);
     this.opts.changed.send({ plan: false, backends: true });
   }
