Tests: one fixture for engines, and one for lease managers

The tests of the swap planner built engines and replicas in three places, those of the leases their managers in three. They share a fixture now; all tests and their assertions stay as they are.

--- a/test/units/leases/handover.test.ts
+++ b/test/units/leases/handover.test.ts
@@ -10,18 +10,7 @@
   LeaseManager,
   type SentLease,
 } from '../../../src/decisions/leases/index.js';
-
-const DURATION_MS = 2_000;
-
-function createManager(self: string, heir: string | null = null): LeaseManager {
-  return new LeaseManager({
-    self,
-    address: `${self}:1`,
-    durationMs: DURATION_MS,
-    marginMs: 300,
-    heir: () => (heir === null ? null : { vm: heir, address: `${heir}:1` }),
-  });
-}
+import { createManager, DURATION_MS } from './manager-fixture.js';
 
 function typesOf(effects: readonly LeaseEffect[]): readonly string[] {
   return effects.map(({ type }) => type);
--- a/test/units/leases/link-aware.test.ts
+++ b/test/units/leases/link-aware.test.ts
@@ -10,22 +10,12 @@
   type SuccessorCandidate,
   SuccessorSelector,
 } from '../../../src/decisions/leases/index.js';
+import { createManager, DURATION_MS } from './manager-fixture.js';
 
-const DURATION_MS = 2_000;
 const WAIT_MS = 500;
+const SLOW = { acquireWaitMs: () => WAIT_MS };
 const TICK: LeaseEvent = { type: LeaseEventType.tick };
 
-function createManager(self: string, waitMs = 0, heir: string | null = null): LeaseManager {
-  return new LeaseManager({
-    self,
-    address: `${self}:1`,
-    durationMs: DURATION_MS,
-    marginMs: 300,
-    acquireWaitMs: () => waitMs,
-    heir: () => (heir === null ? null : { vm: heir, address: `${heir}:1` }),
-  });
-}
-
 /** Whether the manager writes the lease after it has read it at this time. */
 function acquiresAt(manager: LeaseManager, nowMs: number, read: LeaseEvent): boolean {
   manager.handle(nowMs, TICK);
@@ -40,7 +30,7 @@
   test('leaves a lease that was never held to others, for its wait only', () => {
     const read: LeaseEvent = { type: LeaseEventType.read, lease: null, version: 0 };
     expect(acquiresAt(createManager('vm-0'), 0, read)).toBe(true);
-    const manager = createManager('vm-0', WAIT_MS);
+    const manager = createManager('vm-0', null, SLOW);
     expect([0, 400, WAIT_MS].map((ms) => acquiresAt(manager, ms, read))).toEqual([
       false,
       false,
@@ -51,7 +41,7 @@
   test('leaves an expired lease to others, for its wait only', () => {
     const lease = { holder: 'vm-1', epoch: 1, durationMs: DURATION_MS, renewal: 1 };
     const read: LeaseEvent = { type: LeaseEventType.read, lease, version: 1 };
-    const [fast, slow] = [createManager('vm-0'), createManager('vm-2', WAIT_MS)];
+    const [fast, slow] = [createManager('vm-0'), createManager('vm-2', null, SLOW)];
     [fast, slow].forEach((manager) => acquiresAt(manager, 0, read));
     expect([fast, slow].map((manager) => acquiresAt(manager, 2_300, read))).toEqual([true, false]);
     expect(acquiresAt(slow, 2_300 + WAIT_MS, read)).toBe(true);
@@ -75,7 +65,7 @@
 describe('a steward that cannot reach the store', () => {
   /** A holder with a renewal in flight, whose result is not known. */
   function createHolder(): LeaseManager {
-    const holder = createManager('vm-0', 0, 'vm-1');
+    const holder = createManager('vm-0', 'vm-1');
     holder.handle(0, TICK);
     holder.handle(0, { type: LeaseEventType.read, lease: null, version: 0 });
     holder.handle(0, { type: LeaseEventType.written, version: 1 });
--- a/test/units/leases/note-details.test.ts
+++ b/test/units/leases/note-details.test.ts
@@ -10,23 +10,13 @@
   LeaseEventType,
   LeaseManager,
 } from '../../../src/decisions/leases/index.js';
+import { createManager, DURATION_MS } from './manager-fixture.js';
 
-const DURATION_MS = 2_000;
 const TICK: LeaseEvent = { type: LeaseEventType.tick };
 const PREVIOUS = { lentOnly: ['old'] };
 const OWN = { lentOnly: ['new'] };
 
-function createManager(self: string, heir: string | null = null): LeaseManager {
-  return new LeaseManager({
-    self,
-    address: `${self}:1`,
-    durationMs: DURATION_MS,
-    marginMs: 300,
-    heir: () => (heir === null ? null : { vm: heir, address: `${heir}:1` }),
-    note: () => ({}),
-    noteDetails: () => OWN,
-  });
-}
+const SETTINGS = { note: () => ({}), noteDetails: () => OWN };
 
 function writtenDetails(effects: readonly LeaseEffect[]): unknown {
   const write = effects.find(({ type }) => type === LeaseEffectType.write);
@@ -47,7 +37,7 @@
 
 describe('the details of a handover note', () => {
   test('are kept by an acquisition, and replaced by the next renewal', () => {
-    const manager = createManager('vm-0');
+    const manager = createManager('vm-0', null, SETTINGS);
     const { onRead, onWritten } = acquire(manager, PREVIOUS);
     expect(writtenDetails(onRead)).toEqual(PREVIOUS);
     expect(onWritten).toMatchObject([
@@ -58,16 +48,16 @@
   });
 
   test('are none after an earlier build, which drops them', () => {
-    const [acquired] = acquire(createManager('vm-0'), undefined).onWritten;
+    const [acquired] = acquire(createManager('vm-0', null, SETTINGS), undefined).onWritten;
     expect(acquired).toMatchObject({ type: LeaseEffectType.acquired, noteDetails: undefined });
   });
 
   test('are unknown after a takeover until the successor has renewed the lease', () => {
-    const holder = createManager('vm-0', 'vm-1');
+    const holder = createManager('vm-0', 'vm-1', SETTINGS);
     acquire(holder, PREVIOUS);
     const sent = holder.heldLease(2_500);
     if (sent === null) throw new Error('the lease is not held');
-    const successor = createManager('vm-1');
+    const successor = createManager('vm-1', null, SETTINGS);
     const heirTerm = { fromMs: 2_500, untilMs: 2_500 + sent.leftMs };
     successor.handle(2_500, { type: LeaseEventType.sent, ...sent, heirTerm });
     const { epoch } = sent.lease;
--- a/test/units/swaps/hard-load.test.ts
+++ b/test/units/swaps/hard-load.test.ts
@@ -6,10 +6,10 @@
   NotLoadedReason,
   notLoadedReason,
   type PendingDemand,
-  type Replica,
   SwapPlanner,
   type SwapView,
 } from '../../../src/decisions/swaps/index.js';
+import { createEngine, createReplica } from './engine-fixture.js';
 
 const NOW_MS = 100_000;
 const MODELS = ['quick', 'slow', 'm1', 'm2', 'm3', 'm4', 'm5', 'm6'];
@@ -40,32 +40,11 @@
   running: Readonly<Record<string, number>>,
   onDisk: readonly string[],
 ): EngineState {
-  const replicas = Object.entries(running).map(([model, count]): Replica => ({
-    model,
-    adapters: new Set(),
-    running: count,
-    runningAdapters: new Map(),
-    loadedAtMs: 0,
-    usedAtMs: 0,
-    adapterUsedAtMs: new Map(),
-  }));
-  return {
-    id,
-    service: 'orders',
-    version: 'v1',
-    spec: SPEC,
-    dataCentre: 'a',
-    open: true,
-    openForAdapters: true,
-    healthy: true,
-    replicas,
-    loading: [],
-    loadingAdapters: [],
-    busyUntilMs: NOW_MS,
-    reservedMb: replicas.length * 70,
-    reservedAdapterSlots: 0,
-    copies: { inMemory: [], onDisk },
-  };
+  const replicas = Object.entries(running).map(([model, count]) =>
+    createReplica(model, { running: count }),
+  );
+  const fields = { service: 'orders', busyUntilMs: NOW_MS, copies: { inMemory: [], onDisk } };
+  return createEngine(id, SPEC, replicas, fields);
 }
 
 function demandFor(model: string, waiting: number, dueAtMs: number): PendingDemand {
--- a/test/units/swaps/homes.test.ts
+++ b/test/units/swaps/homes.test.ts
@@ -6,6 +6,7 @@
   type PendingDemand,
   SwapPlanner,
 } from '../../../src/decisions/swaps/index.js';
+import { createEngine, createReplica } from './engine-fixture.js';
 
 const MODEL = {
   name: 'm1',
@@ -26,32 +27,10 @@
 };
 
 function engine(dataCentre: string, isLoaded: boolean): EngineState {
-  const replica = {
-    model: 'm1',
-    adapters: new Set<string>(),
-    running: 0,
-    runningAdapters: new Map(),
-    loadedAtMs: 0,
-    usedAtMs: 0,
-    adapterUsedAtMs: new Map(),
-  };
-  return {
-    id: `e-${dataCentre}`,
-    service: 'drafting',
-    version: 'v1',
-    spec: SPEC,
-    dataCentre,
-    open: true,
-    openForAdapters: true,
-    healthy: true,
-    replicas: isLoaded ? [replica] : [],
-    loading: [],
-    loadingAdapters: [],
-    busyUntilMs: 0,
-    reservedMb: isLoaded ? 70 : 0,
-    reservedAdapterSlots: 0,
-    copies: { inMemory: [], onDisk: dataCentre === 'a' ? ['m1'] : [] },
-  };
+  const replicas = isLoaded ? [createReplica('m1')] : [];
+  const onDisk = dataCentre === 'a' ? ['m1'] : [];
+  const copies = { inMemory: [], onDisk };
+  return createEngine(`e-${dataCentre}`, SPEC, replicas, { dataCentre, copies });
 }
 
 function loadsFor(demand: readonly Partial<PendingDemand>[]) {
--- a/test/units/swaps/swaps.test.ts
+++ b/test/units/swaps/swaps.test.ts
@@ -9,6 +9,7 @@
   type SwapView,
   type PendingDemand,
 } from '../../../src/decisions/swaps/index.js';
+import { createEngine, createReplica as replica } from './engine-fixture.js';
 
 const NOW_MS = 100_000;
 const MODELS = ['hot', 'warm', 'm1', 'm2', 'm3', 'm4', 'm5', 'm6'];
@@ -34,43 +35,14 @@
   ),
 };
 
-function replica(model: string, fields: Partial<Replica> = {}): Replica {
-  return {
-    model,
-    adapters: new Set(),
-    running: 0,
-    runningAdapters: new Map(),
-    loadedAtMs: 0,
-    usedAtMs: 0,
-    adapterUsedAtMs: new Map(),
-    ...fields,
-  };
-}
-
 function engine(
   id: string,
   replicas: readonly Replica[],
   onDisk: readonly string[],
   fields: Partial<EngineState> = {},
 ): EngineState {
-  return {
-    id,
-    service: 'drafting',
-    version: 'v1',
-    spec: SPEC,
-    dataCentre: 'a',
-    open: true,
-    openForAdapters: true,
-    healthy: true,
-    replicas,
-    loading: [],
-    loadingAdapters: [],
-    busyUntilMs: NOW_MS,
-    reservedMb: replicas.length * 70,
-    reservedAdapterSlots: replicas.reduce((sum, { adapters }) => sum + adapters.size, 0),
-    copies: { inMemory: [], onDisk },
-    ...fields,
-  };
+  const copies = { inMemory: [], onDisk };
+  return createEngine(id, SPEC, replicas, { busyUntilMs: NOW_MS, copies, ...fields });
 }
 
 function demandFor(model: string, fields: Partial<PendingDemand> = {}): PendingDemand {
